Build, lint and test frame; HTTP server and client on libev

Cause: everything later needs one way to build and one way to speak HTTP. make check runs CUnit tests and cram scripts in parallel; lint is clang-format, clang-tidy, cppcheck and shellcheck.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,127 @@
+# foxtailgap: build, tests and measurements.  `make help` lists the targets.
+
+BUILD ?= build
+JOBS ?= $(shell nproc)
+CC = gcc
+VERSION = 0.1.0
+
+PKGS = libprotobuf-c libmicrohttpd libcurl argtable2 libcyaml yaml-0.1 \
+       glib-2.0 jansson
+# The packages are installed by scripts/install-packages, so that nothing
+# of pkg-config may be asked for before the target `packages` has run.
+PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm
+
+OPT ?= -O2 -D_FORTIFY_SOURCE=2
+CPPFLAGS = -Ilib -Itests -I$(BUILD) -D_GNU_SOURCE -DFT_VERSION='"$(VERSION)"' \
+           -DG_LOG_USE_STRUCTURED
+WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+       -Wmissing-prototypes -Wpointer-arith -Wvla -Wformat=2
+HARDEN = -fstack-protector-strong -fPIE -fno-common
+CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(HARDEN) $(SAN)
+LDFLAGS = -pie -Wl,-z,relro,-z,now $(SAN)
+
+LIB_SRC := $(wildcard lib/*/*.c)
+LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB := $(BUILD)/libfoxtailgap.a
+STANDIN_SRC := $(wildcard tests/standins/common/*.c)
+STANDIN_OBJ := $(STANDIN_SRC:%.c=$(BUILD)/%.o)
+
+PROGRAM_DIRS := $(wildcard programs/* tests/standins/ft-* tests/faultproxy \
+                tests/history tests/bench/* examples/*)
+PROGRAM_DIRS := $(foreach d,$(PROGRAM_DIRS),$(if $(wildcard $(d)/*.c),$(d)))
+PROGRAMS := $(foreach d,$(PROGRAM_DIRS),$(BUILD)/bin/$(notdir $(d)))
+UNIT_SRC := $(wildcard tests/unit/test_*.c)
+UNIT := $(UNIT_SRC:tests/unit/%.c=$(BUILD)/unit/%)
+
+ALL_SRC := $(LIB_SRC) $(STANDIN_SRC) $(UNIT_SRC) \
+           $(foreach d,$(PROGRAM_DIRS),$(wildcard $(d)/*.c))
+HAND_SRC := $(filter-out %.pb-c.c,$(ALL_SRC))
+HAND_FILES := $(HAND_SRC) $(filter-out %.pb-c.h,$(wildcard lib/*.h lib/*/*.h \
+              programs/*/*.h tests/*/*.h tests/*/*/*.h))
+SHELL_FILES := $(wildcard scripts/* tests/scripts/*.sh) tests/run .ci/run
+SHELL_FILES := $(filter-out %.txt %.py,$(SHELL_FILES))
+
+.PHONY: all help packages demo demo-brazos check check-built unit scripts \
+        lint format generate sanitize bench bench-capacity clean
+
+all: $(PROGRAMS)
+
+## help: lists the targets
+help:
+	@grep -E '^## ' Makefile | sed 's/^## /  make /'
+
+$(BUILD)/%.o: %.c Makefile
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(BUILD)/%.pb-c.o: WARN = -Wall
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+define PROGRAM_RULE
+$(BUILD)/bin/$(notdir $(1)): $(patsubst %.c,$(BUILD)/%.o,$(wildcard $(1)/*.c)) \
+    $(if $(filter tests/%,$(1)),$(STANDIN_OBJ)) $(LIB)
+	@mkdir -p $$(@D)
+	$(CC) $(LDFLAGS) $$^ -o $$@ $(PKG_LIBS)
+endef
+$(foreach d,$(PROGRAM_DIRS),$(eval $(call PROGRAM_RULE,$(d))))
+
+$(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) $^ -o $@ $(PKG_LIBS) -lcunit
+
+-include $(LIB_OBJ:.o=.d) $(STANDIN_OBJ:.o=.d) $(UNIT_SRC:%.c=$(BUILD)/%.d)
+-include $(foreach d,$(PROGRAM_DIRS),$(patsubst %.c,$(BUILD)/%.d,$(wildcard $(d)/*.c)))
+
+## packages: installs the Debian packages that are missing
+packages:
+	@scripts/install-packages
+
+## demo: serves requests and runs a gang for the Association, on stand-ins
+demo: packages
+	@$(MAKE) -s -j$(JOBS) all
+	@BUILD=$(BUILD) scripts/demo addis
+
+## demo-brazos: the same for Brazos Optic Fit Labs
+demo-brazos: packages
+	@$(MAKE) -s -j$(JOBS) all
+	@BUILD=$(BUILD) scripts/demo brazos
+
+## check: builds everything and runs all tests
+check: packages
+	@$(MAKE) -s -j$(JOBS) check-built
+
+check-built: all $(UNIT)
+	@BUILD=$(BUILD) JOBS=$(JOBS) tests/run
+
+## lint: clang-format, clang-tidy, cppcheck and shellcheck; warnings fail
+lint:
+	@clang-format --dry-run -Werror $(HAND_FILES)
+	@shellcheck $(SHELL_FILES)
+	@cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
+	  --enable=warning,portability --suppress=missingIncludeSystem \
+	  --suppress=normalCheckLevelMaxBranches -j$(JOBS) \
+	  -Ilib -Itests $(HAND_SRC)
+	@printf '%s\n' $(HAND_SRC) | xargs -P$(JOBS) -n2 sh -c \
+	  'clang-tidy --quiet "$$@" -- $(subst ",\",$(CPPFLAGS)) $(PKG_CFLAGS) -std=gnu11 \
+	   2>/dev/null' sh
+	@echo "lint: clean"
+
+## format: rewrites the sources by clang-format
+format:
+	clang-format -i $(HAND_FILES)
+
+## generate: makes lib/proto/*.pb-c.[ch] anew (the results are committed)
+generate:
+	protoc-c --c_out=. lib/proto/*.proto
+
+## sanitize: all tests with the address and undefined-behaviour sanitizers
+sanitize: packages
+	@$(MAKE) -s -j$(JOBS) BUILD=build/sanitize OPT=-O1 \
+	  SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined" \
+	  check-built
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/lib/http/http_client.c
@@ -0,0 +1,403 @@
+/* HTTP client on libcurl multi and libev.  */
+
+#include "http/http_client.h"
+
+#include <assert.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  BODY_FIRST_SIZE_BYTES = 1024
+};
+
+struct hc_call
+{
+  GList link; /* in client->calls */
+  struct hc_client *client;
+  CURL *easy;
+  struct curl_slist *headers;
+  char *body;
+  size_t body_size_bytes;
+  size_t body_capacity_bytes;
+  size_t limit_bytes;
+  bool too_large;
+  hc_callback callback;
+  void *ctx;
+};
+
+struct hc_client
+{
+  struct ev_loop *loop;
+  CURLM *multi;
+  ev_timer timer;
+  GQueue calls;
+};
+
+/* One socket that libcurl wants watched.  */
+struct watched_socket
+{
+  ev_io io;
+  struct hc_client *client;
+};
+
+/* --- Ends of calls --- */
+
+static void
+call_free (struct hc_call *call)
+{
+  g_queue_unlink (&call->client->calls, &call->link);
+  if (call->easy != NULL)
+    {
+      curl_multi_remove_handle (call->client->multi, call->easy);
+      curl_easy_cleanup (call->easy);
+    }
+  curl_slist_free_all (call->headers);
+  free (call->body);
+  free (call);
+}
+
+static int
+error_from_curl (CURLcode code, const struct hc_call *call)
+{
+  if (call->too_large)
+    return HC_ERR_TOO_LARGE;
+  switch (code)
+    {
+    case CURLE_OK:
+      return HC_OK;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+      return HC_ERR_CONNECT;
+    case CURLE_OPERATION_TIMEDOUT:
+      return HC_ERR_TIMEOUT;
+    case CURLE_OUT_OF_MEMORY:
+      return HC_ERR_MEMORY;
+    case CURLE_URL_MALFORMAT:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+      return HC_ERR_REQUEST;
+    default:
+      return HC_ERR_BROKEN;
+    }
+}
+
+static void
+finish_call (struct hc_call *call, CURLcode code)
+{
+  struct hc_response response = { .call = call };
+  long request_size_bytes = 0;
+
+  response.error = error_from_curl (code, call);
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &response.status);
+  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_size_bytes);
+  response.maybe_sent = request_size_bytes > 0;
+  if (response.error == HC_ERR_TIMEOUT && !response.maybe_sent)
+    response.error = HC_ERR_CONNECT;
+  response.body = call->body == NULL ? "" : call->body;
+  response.body_size_bytes = call->body_size_bytes;
+  call->callback (call->ctx, &response);
+  call_free (call);
+}
+
+static void
+finish_done_calls (struct hc_client *client)
+{
+  CURLMsg *message;
+  struct hc_call *call;
+  CURLcode code;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      code = message->data.result;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
+      finish_call (call, code);
+    }
+}
+
+/* --- Driving libcurl from the loop --- */
+
+static void
+on_socket_event (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct watched_socket *watched = watcher->data;
+  struct hc_client *client = watched->client;
+  int action = 0;
+  int running;
+
+  (void)loop;
+  if (events & EV_READ)
+    action |= CURL_CSELECT_IN;
+  if (events & EV_WRITE)
+    action |= CURL_CSELECT_OUT;
+  curl_multi_socket_action (client->multi, watcher->fd, action, &running);
+  finish_done_calls (client);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct hc_client *client = watcher->data;
+  int running;
+
+  (void)loop;
+  (void)events;
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  finish_done_calls (client);
+}
+
+static int
+on_timer_change (CURLM *multi, long timeout_ms, void *ctx)
+{
+  struct hc_client *client = ctx;
+
+  (void)multi;
+  ev_timer_stop (client->loop, &client->timer);
+  if (timeout_ms < 0)
+    return 0;
+  ev_now_update (client->loop);
+  ev_timer_set (&client->timer, (ev_tstamp)timeout_ms / 1000.0, 0.0);
+  ev_timer_start (client->loop, &client->timer);
+  return 0;
+}
+
+static int
+on_socket_change (CURL *easy, curl_socket_t fd, int what, void *ctx,
+                  void *socket_ctx)
+{
+  struct hc_client *client = ctx;
+  struct watched_socket *watched = socket_ctx;
+  int events = 0;
+
+  (void)easy;
+  if (watched != NULL)
+    ev_io_stop (client->loop, &watched->io);
+  if (what == CURL_POLL_REMOVE)
+    {
+      free (watched);
+      curl_multi_assign (client->multi, fd, NULL);
+      return 0;
+    }
+  if (watched == NULL)
+    {
+      watched = calloc (1, sizeof *watched);
+      if (watched == NULL)
+        return -1;
+      watched->client = client;
+      curl_multi_assign (client->multi, fd, watched);
+    }
+  if (what & CURL_POLL_IN)
+    events |= EV_READ;
+  if (what & CURL_POLL_OUT)
+    events |= EV_WRITE;
+  ev_io_init (&watched->io, on_socket_event, (int)fd, events);
+  watched->io.data = watched;
+  ev_io_start (client->loop, &watched->io);
+  return 0;
+}
+
+/* --- Calls --- */
+
+static size_t
+on_body (char *data, size_t unit_bytes, size_t units, void *ctx)
+{
+  struct hc_call *call = ctx;
+  size_t size_bytes = unit_bytes * units;
+  size_t needed = call->body_size_bytes + size_bytes + 1;
+  size_t capacity = call->body_capacity_bytes;
+  char *grown;
+
+  if (needed - 1 > call->limit_bytes)
+    {
+      call->too_large = true;
+      return 0;
+    }
+  if (needed > capacity)
+    {
+      capacity = capacity == 0 ? BODY_FIRST_SIZE_BYTES : capacity;
+      while (capacity < needed)
+        capacity *= 2;
+      grown = realloc (call->body, capacity);
+      if (grown == NULL)
+        return 0;
+      call->body = grown;
+      call->body_capacity_bytes = capacity;
+    }
+  memcpy (call->body + call->body_size_bytes, data, size_bytes);
+  call->body_size_bytes += size_bytes;
+  call->body[call->body_size_bytes] = '\0';
+  return size_bytes;
+}
+
+static bool
+append_header (struct hc_call *call, const char *header)
+{
+  struct curl_slist *grown = curl_slist_append (call->headers, header);
+
+  if (grown == NULL)
+    return false;
+  call->headers = grown;
+  return true;
+}
+
+/* libcurl must neither wait for "100 Continue" nor add a form type.  */
+static bool
+set_headers (struct hc_call *call, const struct hc_request *request)
+{
+  size_t i;
+
+  if (!append_header (call, "Expect:")
+      || !append_header (call, "Content-Type: application/octet-stream"))
+    return false;
+  for (i = 0; request->headers != NULL && request->headers[i] != NULL; i++)
+    if (!append_header (call, request->headers[i]))
+      return false;
+  curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
+  return true;
+}
+
+static void
+set_options (struct hc_call *call, const struct hc_request *request)
+{
+  CURL *easy = call->easy;
+
+  curl_easy_setopt (easy, CURLOPT_URL, request->url);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)request->connect_timeout_ms);
+  if (request->body != NULL)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)request->body_size_bytes);
+      curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, request->body);
+    }
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
+}
+
+int
+hc_send (struct hc_client *client, const struct hc_request *request,
+         struct hc_call **out)
+{
+  struct hc_call *call = calloc (1, sizeof *call);
+
+  assert (request->callback != NULL);
+  if (call == NULL)
+    return HC_ERR_MEMORY;
+  call->client = client;
+  call->callback = request->callback;
+  call->ctx = request->ctx;
+  call->limit_bytes = request->response_limit_bytes;
+  call->link.data = call;
+  g_queue_push_tail_link (&client->calls, &call->link);
+  call->easy = curl_easy_init ();
+  if (call->easy == NULL)
+    goto fail;
+  set_options (call, request);
+  if (!set_headers (call, request))
+    goto fail;
+  if (curl_multi_add_handle (client->multi, call->easy) != CURLM_OK)
+    goto fail;
+  if (out != NULL)
+    *out = call;
+  return HC_OK;
+
+fail:
+  call_free (call);
+  return HC_ERR_MEMORY;
+}
+
+void
+hc_cancel (struct hc_call *call)
+{
+  call_free (call);
+}
+
+const char *
+hc_response_header (const struct hc_response *response, const char *name)
+{
+  struct curl_header *header;
+
+  if (curl_easy_header (response->call->easy, name, 0, CURLH_HEADER, -1,
+                        &header)
+      != CURLHE_OK)
+    return NULL;
+  return header->value;
+}
+
+/* --- The client --- */
+
+int
+hc_create (struct hc_client **out, const struct hc_params *params)
+{
+  struct hc_client *client = calloc (1, sizeof *client);
+
+  if (client == NULL)
+    return HC_ERR_MEMORY;
+  client->loop = params->loop;
+  g_queue_init (&client->calls);
+  client->multi = curl_multi_init ();
+  if (client->multi == NULL)
+    {
+      free (client);
+      return HC_ERR_MEMORY;
+    }
+  ev_init (&client->timer, on_timer);
+  client->timer.data = client;
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_socket_change);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                     (long)params->host_connection_limit);
+  if (params->idle_connection_limit > 0)
+    curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS,
+                       (long)params->idle_connection_limit);
+  *out = client;
+  return HC_OK;
+}
+
+void
+hc_free (struct hc_client *client)
+{
+  if (client == NULL)
+    return;
+  while (!g_queue_is_empty (&client->calls))
+    call_free (g_queue_peek_head (&client->calls));
+  curl_multi_cleanup (client->multi);
+  ev_timer_stop (client->loop, &client->timer);
+  free (client);
+}
+
+const char *
+hc_strerror (int error)
+{
+  switch (error)
+    {
+    case HC_OK:
+      return "no error";
+    case HC_ERR_MEMORY:
+      return "out of memory";
+    case HC_ERR_CONNECT:
+      return "no connection";
+    case HC_ERR_TIMEOUT:
+      return "no answer in time";
+    case HC_ERR_BROKEN:
+      return "connection broken";
+    case HC_ERR_TOO_LARGE:
+      return "answer too large";
+    case HC_ERR_REQUEST:
+      return "request not valid";
+    default:
+      return "unknown error";
+    }
+}
--- /dev/null
+++ b/lib/http/http_server.c
@@ -0,0 +1,534 @@
+/* HTTP server on libmicrohttpd and libev.  */
+
+#include "http/http_server.h"
+
+#include <arpa/inet.h>
+#include <assert.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  BODY_FIRST_SIZE_BYTES = 1024,
+  SWEEP_INTERVAL_MS = 250,
+  CONNECTION_MEMORY_BYTES = 16 * 1024,
+  LISTEN_BACKLOG = 512
+};
+
+/* One connection of a caller, for the limit on the time to send a request.  */
+struct connection
+{
+  GList link; /* in server->connections */
+  int fd;
+  bool receiving;
+  ev_tstamp deadline_s;
+};
+
+struct hs_request
+{
+  struct hs_server *server;
+  struct MHD_Connection *mhd;
+  struct connection *connection;
+  char *method;
+  char *path;
+  char *body;
+  size_t body_size_bytes;
+  size_t body_capacity_bytes;
+  bool too_large;
+  bool delivered; /* the handler has been called */
+  bool suspended;
+  bool drop;
+  unsigned int status; /* not 0: the answer is ready */
+  struct MHD_Response *response;
+  hs_gone_handler gone;
+  void *gone_ctx;
+};
+
+struct hs_server
+{
+  struct hs_params params;
+  struct MHD_Daemon *mhd;
+  ev_io readable;
+  ev_timer run_timer;
+  ev_timer sweep_timer;
+  ev_prepare prepare;
+  GQueue connections;
+  uint32_t open_requests;
+  bool stopping;
+  bool resumed; /* libmicrohttpd must run to see a resumed connection */
+};
+
+/* --- Driving libmicrohttpd from the loop --- */
+
+static void
+run_daemon (struct hs_server *server)
+{
+  server->resumed = false;
+  MHD_run (server->mhd);
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  run_daemon (watcher->data);
+}
+
+static void
+on_run_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  run_daemon (watcher->data);
+}
+
+/* Before the loop sleeps: wakes it when libmicrohttpd has work to do.  */
+static void
+on_prepare (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  struct hs_server *server = watcher->data;
+  MHD_UNSIGNED_LONG_LONG timeout_ms;
+
+  (void)events;
+  ev_timer_stop (loop, &server->run_timer);
+  if (server->resumed)
+    timeout_ms = 0;
+  else if (MHD_get_timeout (server->mhd, &timeout_ms) != MHD_YES)
+    return;
+  ev_timer_set (&server->run_timer, (ev_tstamp)timeout_ms / 1000.0, 0.0);
+  ev_timer_start (loop, &server->run_timer);
+}
+
+/* --- Connections --- */
+
+/* Ends connections that have not sent a whole request in time.  */
+static void
+on_sweep (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct hs_server *server = watcher->data;
+  ev_tstamp now_s = ev_now (loop);
+  struct connection *connection;
+  GList *link;
+
+  (void)events;
+  for (link = server->connections.head; link != NULL; link = link->next)
+    {
+      connection = link->data;
+      if (!connection->receiving || now_s <= connection->deadline_s)
+        continue;
+      connection->receiving = false;
+      shutdown (connection->fd, SHUT_RDWR);
+    }
+}
+
+static void
+expect_request (struct hs_server *server, struct connection *connection)
+{
+  connection->receiving = true;
+  connection->deadline_s = ev_now (server->params.loop)
+                           + server->params.receive_timeout_ms / 1000.0;
+}
+
+static void
+on_connection (void *ctx, struct MHD_Connection *mhd, void **socket_ctx,
+               enum MHD_ConnectionNotificationCode code)
+{
+  struct hs_server *server = ctx;
+  struct connection *connection = *socket_ctx;
+  const union MHD_ConnectionInfo *info;
+
+  if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+    {
+      if (connection == NULL)
+        return;
+      g_queue_unlink (&server->connections, &connection->link);
+      free (connection);
+      *socket_ctx = NULL;
+      return;
+    }
+  connection = calloc (1, sizeof *connection);
+  if (connection == NULL)
+    return;
+  info = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
+  connection->fd = info->connect_fd;
+  connection->link.data = connection;
+  g_queue_push_tail_link (&server->connections, &connection->link);
+  expect_request (server, connection);
+  *socket_ctx = connection;
+}
+
+/* --- Requests --- */
+
+static void
+request_free (struct hs_request *request)
+{
+  if (request->response != NULL)
+    MHD_destroy_response (request->response);
+  free (request->method);
+  free (request->path);
+  free (request->body);
+  free (request);
+}
+
+static struct hs_request *
+request_create (struct hs_server *server, struct MHD_Connection *mhd,
+                const char *method, const char *path)
+{
+  struct hs_request *request = calloc (1, sizeof *request);
+  const union MHD_ConnectionInfo *info;
+
+  if (request == NULL)
+    return NULL;
+  info = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  request->server = server;
+  request->mhd = mhd;
+  request->connection = info == NULL ? NULL : info->socket_context;
+  request->method = strdup (method);
+  request->path = strdup (path);
+  if (request->method == NULL || request->path == NULL)
+    {
+      request_free (request);
+      return NULL;
+    }
+  server->open_requests++;
+  return request;
+}
+
+/* Appends received bytes; a body over the limit is read but not kept.  */
+static bool
+body_append (struct hs_request *request, const char *data, size_t size_bytes)
+{
+  size_t needed = request->body_size_bytes + size_bytes + 1;
+  size_t capacity = request->body_capacity_bytes;
+  char *grown;
+
+  if (needed - 1 > request->server->params.body_limit_bytes)
+    request->too_large = true;
+  if (request->too_large)
+    return true;
+  if (needed > capacity)
+    {
+      capacity = capacity == 0 ? BODY_FIRST_SIZE_BYTES : capacity;
+      while (capacity < needed)
+        capacity *= 2;
+      grown = realloc (request->body, capacity);
+      if (grown == NULL)
+        return false;
+      request->body = grown;
+      request->body_capacity_bytes = capacity;
+    }
+  memcpy (request->body + request->body_size_bytes, data, size_bytes);
+  request->body_size_bytes += size_bytes;
+  request->body[request->body_size_bytes] = '\0';
+  return true;
+}
+
+static enum MHD_Result
+queue_response (struct hs_request *request)
+{
+  if (request->drop)
+    return MHD_NO;
+  if (request->server->stopping)
+    MHD_add_response_header (request->response, "Connection", "close");
+  return MHD_queue_response (request->mhd, request->status, request->response);
+}
+
+static void
+deliver (struct hs_request *request)
+{
+  static const char message[]
+      = "{\"error\":\"body_too_large\","
+        "\"message\":\"the request's body is larger than the limit\"}\n";
+  struct hs_header type = { "Content-Type", "application/json" };
+  struct hs_server *server = request->server;
+
+  request->delivered = true;
+  if (request->connection != NULL)
+    request->connection->receiving = false;
+  if (request->too_large)
+    hs_respond (request, MHD_HTTP_CONTENT_TOO_LARGE, &type, 1, message,
+                sizeof message - 1);
+  else
+    server->params.handler (server->params.ctx, request);
+}
+
+/* A declared length over the limit is refused before the body is read.  */
+static bool
+declared_too_large (const struct hs_request *request)
+{
+  const char *length = hs_header (request, "Content-Length");
+
+  return length != NULL
+         && strtoull (length, NULL, 10)
+                > request->server->params.body_limit_bytes;
+}
+
+static enum MHD_Result
+on_access (void *ctx, struct MHD_Connection *mhd, const char *url,
+           const char *method, const char *version, const char *upload,
+           size_t *upload_size_bytes, void **request_ctx)
+{
+  struct hs_request *request = *request_ctx;
+
+  (void)version;
+  if (request == NULL)
+    {
+      request = request_create (ctx, mhd, method, url);
+      if (request == NULL)
+        return MHD_NO;
+      *request_ctx = request;
+      if (!declared_too_large (request))
+        return MHD_YES;
+      request->too_large = true;
+      deliver (request);
+      return queue_response (request);
+    }
+  if (*upload_size_bytes > 0)
+    {
+      if (!body_append (request, upload, *upload_size_bytes))
+        return MHD_NO;
+      *upload_size_bytes = 0;
+      return MHD_YES;
+    }
+  if (!request->delivered)
+    deliver (request);
+  if (request->status != 0 || request->drop)
+    return queue_response (request);
+  request->suspended = true;
+  MHD_suspend_connection (mhd);
+  return MHD_YES;
+}
+
+static void
+on_completed (void *ctx, struct MHD_Connection *mhd, void **request_ctx,
+              enum MHD_RequestTerminationCode code)
+{
+  struct hs_server *server = ctx;
+  struct hs_request *request = *request_ctx;
+
+  (void)mhd;
+  (void)code;
+  if (request == NULL)
+    return;
+  *request_ctx = NULL;
+  server->open_requests--;
+  if (request->connection != NULL)
+    expect_request (server, request->connection);
+  if (request->status == 0 && !request->drop && request->gone != NULL)
+    request->gone (request->gone_ctx);
+  request_free (request);
+}
+
+/* --- Public functions --- */
+
+static int
+listen_socket (const struct hs_params *params, int *fd)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (params->port) };
+  int one = 1;
+
+  if (inet_pton (AF_INET, params->address, &address.sin_addr) != 1)
+    return HS_ERR_ADDRESS;
+  *fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (*fd < 0)
+    return HS_ERR_LISTEN;
+  setsockopt (*fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind (*fd, (struct sockaddr *)&address, sizeof address) != 0
+      || listen (*fd, LISTEN_BACKLOG) != 0)
+    {
+      close (*fd);
+      return HS_ERR_LISTEN;
+    }
+  return HS_OK;
+}
+
+static void
+start_watchers (struct hs_server *server)
+{
+  struct ev_loop *loop = server->params.loop;
+  const union MHD_DaemonInfo *info;
+
+  info = MHD_get_daemon_info (server->mhd, MHD_DAEMON_INFO_EPOLL_FD);
+  ev_io_init (&server->readable, on_readable, info->epoll_fd, EV_READ);
+  server->readable.data = server;
+  ev_io_start (loop, &server->readable);
+  ev_init (&server->run_timer, on_run_timer);
+  server->run_timer.data = server;
+  ev_timer_init (&server->sweep_timer, on_sweep, SWEEP_INTERVAL_MS / 1000.0,
+                 SWEEP_INTERVAL_MS / 1000.0);
+  server->sweep_timer.data = server;
+  ev_timer_start (loop, &server->sweep_timer);
+  ev_prepare_init (&server->prepare, on_prepare);
+  server->prepare.data = server;
+  ev_prepare_start (loop, &server->prepare);
+}
+
+int
+hs_create (struct hs_server **out, const struct hs_params *params)
+{
+  struct hs_server *server;
+  int fd = -1;
+  int error;
+
+  assert (params->handler != NULL && params->loop != NULL);
+  server = calloc (1, sizeof *server);
+  if (server == NULL)
+    return HS_ERR_MEMORY;
+  server->params = *params;
+  g_queue_init (&server->connections);
+  error = listen_socket (params, &fd);
+  if (error != HS_OK)
+    goto fail;
+  server->mhd = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
+      server, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
+      params->connection_limit, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+      server, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+      MHD_OPTION_END);
+  if (server->mhd == NULL)
+    {
+      close (fd);
+      error = HS_ERR_LISTEN;
+      goto fail;
+    }
+  start_watchers (server);
+  *out = server;
+  return HS_OK;
+
+fail:
+  free (server);
+  return error;
+}
+
+uint16_t
+hs_port (const struct hs_server *server)
+{
+  struct sockaddr_in address = { 0 };
+  socklen_t size = sizeof address;
+  const union MHD_DaemonInfo *info;
+
+  info = MHD_get_daemon_info (server->mhd, MHD_DAEMON_INFO_LISTEN_FD);
+  if (info == NULL
+      || getsockname (info->listen_fd, (struct sockaddr *)&address, &size)
+             != 0)
+    return 0;
+  return ntohs (address.sin_port);
+}
+
+void
+hs_stop_accepting (struct hs_server *server)
+{
+  int fd;
+
+  if (server->stopping)
+    return;
+  server->stopping = true;
+  fd = MHD_quiesce_daemon (server->mhd);
+  if (fd >= 0)
+    close (fd);
+}
+
+uint32_t
+hs_open_requests (const struct hs_server *server)
+{
+  return server->open_requests;
+}
+
+void
+hs_free (struct hs_server *server)
+{
+  struct ev_loop *loop;
+
+  if (server == NULL)
+    return;
+  loop = server->params.loop;
+  ev_io_stop (loop, &server->readable);
+  ev_timer_stop (loop, &server->run_timer);
+  ev_timer_stop (loop, &server->sweep_timer);
+  ev_prepare_stop (loop, &server->prepare);
+  MHD_stop_daemon (server->mhd);
+  free (server);
+}
+
+const char *
+hs_method (const struct hs_request *request)
+{
+  return request->method;
+}
+
+const char *
+hs_path (const struct hs_request *request)
+{
+  return request->path;
+}
+
+const char *
+hs_header (const struct hs_request *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->mhd, MHD_HEADER_KIND, name);
+}
+
+const char *
+hs_query (const struct hs_request *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->mhd, MHD_GET_ARGUMENT_KIND,
+                                      name);
+}
+
+const char *
+hs_body (const struct hs_request *request, size_t *size_bytes)
+{
+  *size_bytes = request->body_size_bytes;
+  return request->body == NULL ? "" : request->body;
+}
+
+void
+hs_on_gone (struct hs_request *request, hs_gone_handler handler, void *ctx)
+{
+  request->gone = handler;
+  request->gone_ctx = ctx;
+}
+
+static void
+resume (struct hs_request *request)
+{
+  if (!request->suspended)
+    return;
+  request->suspended = false;
+  request->server->resumed = true;
+  MHD_resume_connection (request->mhd);
+}
+
+void
+hs_respond (struct hs_request *request, unsigned int status,
+            const struct hs_header *headers, size_t header_count,
+            const void *body, size_t body_size_bytes)
+{
+  size_t i;
+
+  assert (request->status == 0);
+  request->status = status;
+  request->response = MHD_create_response_from_buffer (
+      body_size_bytes, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
+  if (request->response == NULL)
+    request->drop = true;
+  else
+    for (i = 0; i < header_count; i++)
+      MHD_add_response_header (request->response, headers[i].name,
+                               headers[i].value);
+  resume (request);
+}
+
+void
+hs_drop (struct hs_request *request)
+{
+  request->drop = true;
+  resume (request);
+}
--- /dev/null
+++ b/tests/unit/test_http.c
@@ -0,0 +1,182 @@
+/* The HTTP server and client against each other on one loop.  */
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "http/http_client.h"
+#include "http/http_server.h"
+
+enum
+{
+  BODY_LIMIT_BYTES = 100
+};
+
+struct fixture
+{
+  struct ev_loop *loop;
+  struct hs_server *server;
+  struct hc_client *client;
+  struct hs_request *held;
+  ev_timer delay;
+  int answers;
+  int error;
+  bool maybe_sent;
+  long status;
+  char body[256];
+};
+
+static void
+answer_held (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct fixture *f = watcher->data;
+  struct hs_header header = { "X-Kind", "late" };
+
+  (void)loop;
+  (void)events;
+  hs_respond (f->held, 200, &header, 1, "late", 4);
+}
+
+static void
+on_request (void *ctx, struct hs_request *request)
+{
+  struct fixture *f = ctx;
+  const char *body;
+  size_t size_bytes;
+
+  if (strcmp (hs_path (request), "/late") == 0)
+    {
+      f->held = request;
+      ev_timer_init (&f->delay, answer_held, 0.02, 0.0);
+      f->delay.data = f;
+      ev_timer_start (f->loop, &f->delay);
+      return;
+    }
+  body = hs_body (request, &size_bytes);
+  hs_respond (request, 200, NULL, 0, body, size_bytes);
+}
+
+static void
+on_answer (void *ctx, const struct hc_response *response)
+{
+  struct fixture *f = ctx;
+
+  f->answers++;
+  f->error = response->error;
+  f->maybe_sent = response->maybe_sent;
+  f->status = response->status;
+  snprintf (f->body, sizeof f->body, "%s", response->body);
+  ev_break (f->loop, EVBREAK_ALL);
+}
+
+static void
+setup (struct fixture *f)
+{
+  struct hs_params server = { .loop = EV_DEFAULT,
+                              .address = "127.0.0.1",
+                              .connection_limit = 10,
+                              .body_limit_bytes = BODY_LIMIT_BYTES,
+                              .receive_timeout_ms = 1000,
+                              .handler = on_request,
+                              .ctx = f };
+  struct hc_params client = { .loop = EV_DEFAULT };
+
+  memset (f, 0, sizeof *f);
+  f->loop = EV_DEFAULT;
+  CU_ASSERT_EQUAL_FATAL (hs_create (&f->server, &server), HS_OK);
+  CU_ASSERT_EQUAL_FATAL (hc_create (&f->client, &client), HC_OK);
+}
+
+static void
+teardown (struct fixture *f)
+{
+  hc_free (f->client);
+  hs_free (f->server);
+}
+
+static void
+call (struct fixture *f, const char *path, const char *body, uint16_t port)
+{
+  char url[100];
+  struct hc_request request = { .method = "POST",
+                                .url = url,
+                                .body = body,
+                                .body_size_bytes = strlen (body),
+                                .timeout_ms = 2000,
+                                .connect_timeout_ms = 1000,
+                                .response_limit_bytes = 1000,
+                                .callback = on_answer,
+                                .ctx = f };
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u%s", port, path);
+  CU_ASSERT_EQUAL_FATAL (hc_send (f->client, &request, NULL), HC_OK);
+  ev_run (f->loop, 0);
+}
+
+static void
+test_answers (void)
+{
+  struct fixture f;
+
+  setup (&f);
+  call (&f, "/echo", "abc", hs_port (f.server));
+  CU_ASSERT_EQUAL (f.error, HC_OK);
+  CU_ASSERT_EQUAL (f.status, 200);
+  CU_ASSERT_STRING_EQUAL (f.body, "abc");
+  call (&f, "/late", "", hs_port (f.server));
+  CU_ASSERT_EQUAL (f.status, 200);
+  CU_ASSERT_STRING_EQUAL (f.body, "late");
+  CU_ASSERT_EQUAL (f.answers, 2);
+  teardown (&f);
+}
+
+static void
+test_body_limit (void)
+{
+  struct fixture f;
+  char body[BODY_LIMIT_BYTES + 2];
+
+  setup (&f);
+  memset (body, 'x', sizeof body);
+  body[sizeof body - 1] = '\0';
+  call (&f, "/echo", body, hs_port (f.server));
+  CU_ASSERT_EQUAL (f.status, 413);
+  body[BODY_LIMIT_BYTES] = '\0';
+  call (&f, "/echo", body, hs_port (f.server));
+  CU_ASSERT_EQUAL (f.status, 200);
+  teardown (&f);
+}
+
+static void
+test_no_connection_means_not_sent (void)
+{
+  struct fixture f;
+  uint16_t port;
+
+  setup (&f);
+  port = hs_port (f.server);
+  hs_stop_accepting (f.server);
+  call (&f, "/echo", "abc", port);
+  CU_ASSERT_EQUAL (f.error, HC_ERR_CONNECT);
+  CU_ASSERT_FALSE (f.maybe_sent);
+  teardown (&f);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("http", NULL, NULL);
+  CU_add_test (suite, "answers at once and later", test_answers);
+  CU_add_test (suite, "body limit", test_body_limit);
+  CU_add_test (suite, "not sent", test_no_connection_means_not_sent);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
