--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,6 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 CC = gcc
-VERSION = 0.1.0
 
 PKGS = libprotobuf-c libmicrohttpd libcurl argtable2 libcyaml yaml-0.1 \
        glib-2.0 jansson
@@ -13,7 +12,7 @@
 PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm
 
 OPT ?= -O2 -D_FORTIFY_SOURCE=2
-CPPFLAGS = -Ilib -Itests -I$(BUILD) -D_GNU_SOURCE -DFT_VERSION='"$(VERSION)"' \
+CPPFLAGS = -Ilib -Itests -I$(BUILD) -D_GNU_SOURCE \
            -DG_LOG_USE_STRUCTURED
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
        -Wmissing-prototypes -Wpointer-arith -Wvla -Wformat=2
@@ -105,7 +104,7 @@
 	  --suppress=normalCheckLevelMaxBranches -j$(JOBS) \
 	  -Ilib -Itests $(HAND_SRC)
 	@printf '%s\n' $(HAND_SRC) | xargs -P$(JOBS) -n2 sh -c \
-	  'clang-tidy --quiet "$$@" -- $(subst ",\",$(CPPFLAGS)) $(PKG_CFLAGS) -std=gnu11 \
+	  'clang-tidy --quiet "$$@" -- $(CPPFLAGS) $(PKG_CFLAGS) -std=gnu11 \
 	   2>/dev/null' sh
 	@echo "lint: clean"
 
@@ -115,7 +114,7 @@
 
 ## generate: makes lib/proto/*.pb-c.[ch] anew (the results are committed)
 generate:
-	protoc-c --c_out=. lib/proto/*.proto
+	protoc-c -Ilib --c_out=lib lib/proto/*.proto
 
 ## sanitize: all tests with the address and undefined-behaviour sanitizers
 sanitize: packages
--- /dev/null
+++ b/lib/common/logging.c
@@ -0,0 +1,155 @@
+/* Structured logs through GLib.  */
+
+#include "common/logging.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+enum
+{
+  FIELD_LIMIT = 24,
+  NUMBER_BUFFERS = 16,
+  NUMBER_SIZE_BYTES = 24,
+  TIME_SIZE_BYTES = 40
+};
+
+static GLogLevelFlags lowest_level = G_LOG_LEVEL_INFO;
+
+static const char *
+level_name (GLogLevelFlags level)
+{
+  if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL))
+    return "error";
+  if (level & G_LOG_LEVEL_WARNING)
+    return "warning";
+  if (level & G_LOG_LEVEL_DEBUG)
+    return "debug";
+  return "info";
+}
+
+static void
+append_quoted (GString *line, const char *value)
+{
+  const char *p;
+
+  if (value[0] != '\0' && strpbrk (value, " \"=\\\n\r\t") == NULL)
+    {
+      g_string_append (line, value);
+      return;
+    }
+  g_string_append_c (line, '"');
+  for (p = value; *p != '\0'; p++)
+    if (*p == '\n' || *p == '\r')
+      g_string_append_c (line, ' ');
+    else
+      {
+        if (*p == '"' || *p == '\\')
+          g_string_append_c (line, '\\');
+        g_string_append_c (line, *p);
+      }
+  g_string_append_c (line, '"');
+}
+
+static void
+append_time (GString *line)
+{
+  char text[TIME_SIZE_BYTES];
+  struct timespec now;
+  struct tm parts;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  gmtime_r (&now.tv_sec, &parts);
+  strftime (text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts);
+  g_string_append_printf (line, "time=%s.%03ldZ", text, now.tv_nsec / 1000000);
+}
+
+static GLogWriterOutput
+write_line (GLogLevelFlags level, const GLogField *fields, gsize count,
+            gpointer ctx)
+{
+  GString *line;
+  gsize i;
+
+  (void)ctx;
+  if (level > lowest_level)
+    return G_LOG_WRITER_HANDLED;
+  line = g_string_sized_new (200);
+  append_time (line);
+  g_string_append_printf (line, " level=%s", level_name (level));
+  for (i = 0; i < count; i++)
+    {
+      if (strcmp (fields[i].key, "GLIB_DOMAIN") == 0
+          || strcmp (fields[i].key, "PRIORITY") == 0)
+        continue;
+      g_string_append_printf (line, " %s=", fields[i].key);
+      append_quoted (line, fields[i].value);
+    }
+  g_string_append_c (line, '\n');
+  fwrite (line->str, 1, line->len, stderr);
+  g_string_free (line, TRUE);
+  return G_LOG_WRITER_HANDLED;
+}
+
+void
+lg_init (void)
+{
+  g_log_set_writer_func (write_line, NULL, NULL);
+}
+
+bool
+lg_set_level (const char *level)
+{
+  static const struct
+  {
+    const char *name;
+    GLogLevelFlags level;
+  } levels[] = { { "debug", G_LOG_LEVEL_DEBUG },
+                 { "info", G_LOG_LEVEL_INFO },
+                 { "warning", G_LOG_LEVEL_WARNING },
+                 { "error", G_LOG_LEVEL_CRITICAL } };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (levels); i++)
+    if (strcmp (level, levels[i].name) == 0)
+      {
+        lowest_level = levels[i].level;
+        return true;
+      }
+  return false;
+}
+
+void
+lg_write (GLogLevelFlags level, const char *part, const char *message, ...)
+{
+  GLogField fields[FIELD_LIMIT];
+  gsize count = 0;
+  const char *key;
+  va_list pairs;
+
+  if (level > lowest_level)
+    return;
+  fields[count++] = (GLogField){ "part", part, -1 };
+  fields[count++] = (GLogField){ "msg", message, -1 };
+  va_start (pairs, message);
+  while (count < FIELD_LIMIT && (key = va_arg (pairs, const char *)) != NULL)
+    {
+      const char *value = va_arg (pairs, const char *);
+
+      fields[count++] = (GLogField){ key, value == NULL ? "" : value, -1 };
+    }
+  va_end (pairs);
+  g_log_structured_array (level, fields, count);
+}
+
+const char *
+lg_number (long long value)
+{
+  static char buffers[NUMBER_BUFFERS][NUMBER_SIZE_BYTES];
+  static unsigned int next;
+  char *buffer = buffers[next++ % NUMBER_BUFFERS];
+
+  snprintf (buffer, NUMBER_SIZE_BYTES, "%lld", value);
+  return buffer;
+}
--- /dev/null
+++ b/lib/common/metrics.c
@@ -0,0 +1,132 @@
+/* Counters, gauges and latency histograms.  */
+
+#include "common/metrics.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+
+static const uint32_t bucket_limits_ms[]
+    = { 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 30000 };
+
+struct mt_registry
+{
+  GHashTable *values; /* name -> int64_t */
+};
+
+struct mt_registry *
+mt_create (void)
+{
+  struct mt_registry *registry = g_new0 (struct mt_registry, 1);
+
+  registry->values
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return registry;
+}
+
+void
+mt_free (struct mt_registry *registry)
+{
+  if (registry == NULL)
+    return;
+  g_hash_table_destroy (registry->values);
+  g_free (registry);
+}
+
+static int64_t *
+value_of (struct mt_registry *registry, const char *name)
+{
+  int64_t *value = g_hash_table_lookup (registry->values, name);
+
+  if (value != NULL)
+    return value;
+  value = g_new0 (int64_t, 1);
+  g_hash_table_insert (registry->values, g_strdup (name), value);
+  return value;
+}
+
+void
+mt_add (struct mt_registry *registry, const char *name, uint64_t amount)
+{
+  *value_of (registry, name) += (int64_t)amount;
+}
+
+void
+mt_set (struct mt_registry *registry, const char *name, int64_t value)
+{
+  *value_of (registry, name) = value;
+}
+
+/* "name{a="b"}" with a suffix and one more label.  */
+static char *
+bucket_name (const char *name, const char *suffix, const char *label)
+{
+  const char *brace = strchr (name, '{');
+  int base = brace == NULL ? (int)strlen (name) : (int)(brace - name);
+  const char *labels = brace == NULL ? "" : brace + 1;
+  int labels_size = (int)strlen (labels) - (brace == NULL ? 0 : 1);
+
+  if (label == NULL && brace == NULL)
+    return g_strdup_printf ("%.*s%s", base, name, suffix);
+  if (label == NULL)
+    return g_strdup_printf ("%.*s%s%s", base, name, suffix, brace);
+  return g_strdup_printf ("%.*s%s{%.*s%sle=\"%s\"}", base, name, suffix,
+                          labels_size, labels, labels_size > 0 ? "," : "",
+                          label);
+}
+
+static void
+add_part (struct mt_registry *registry, const char *name, const char *suffix,
+          const char *label, uint64_t amount)
+{
+  char *full = bucket_name (name, suffix, label);
+
+  mt_add (registry, full, amount);
+  g_free (full);
+}
+
+void
+mt_observe (struct mt_registry *registry, const char *name, uint32_t value_ms)
+{
+  char label[16];
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (bucket_limits_ms); i++)
+    {
+      g_snprintf (label, sizeof label, "%" PRIu32, bucket_limits_ms[i]);
+      add_part (registry, name, "_bucket", label,
+                value_ms <= bucket_limits_ms[i] ? 1 : 0);
+    }
+  add_part (registry, name, "_bucket", "+Inf", 1);
+  add_part (registry, name, "_count", NULL, 1);
+  add_part (registry, name, "_sum", NULL, value_ms);
+}
+
+int64_t
+mt_value (const struct mt_registry *registry, const char *name)
+{
+  const int64_t *value = g_hash_table_lookup (registry->values, name);
+
+  return value == NULL ? 0 : *value;
+}
+
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp (a, b);
+}
+
+char *
+mt_render (const struct mt_registry *registry)
+{
+  GString *text = g_string_new (NULL);
+  GList *names = g_hash_table_get_keys (registry->values);
+  GList *link;
+
+  names = g_list_sort (names, compare_names);
+  for (link = names; link != NULL; link = link->next)
+    g_string_append_printf (text, "%s %" PRId64 "\n", (char *)link->data,
+                            mt_value (registry, link->data));
+  g_list_free (names);
+  return g_string_free (text, FALSE);
+}
--- /dev/null
+++ b/programs/foxtailgapd/tasks.h
@@ -0,0 +1,53 @@
+/* The daemon's tasks.  Each owns its sockets and its state and is reached
+   through its mailbox.  */
+
+#ifndef FT_TASKS_H
+#define FT_TASKS_H
+
+#include <ev.h>
+
+#include "common/mailbox.h"
+#include "common/metrics.h"
+#include "config/settings.h"
+
+/* What every task is given.  The boxes are set before any task runs.  */
+struct daemon
+{
+  struct ev_loop *loop;
+  const struct settings *settings;
+  struct mt_registry *metrics;
+  struct mb_box *front;
+  struct mb_box *upstream;
+  struct mb_box *state;
+  struct mb_box *hosts;
+  struct mb_box *planner;
+  struct mb_box *renewal;
+  struct mb_box *peers;
+};
+
+/* Each create function returns NULL on failure, after a log line.  Each task
+   sets its own box in the daemon.  */
+struct front_task *front_create (struct daemon *daemon);
+void front_free (struct front_task *task);
+
+struct upstream_task *upstream_create (struct daemon *daemon);
+void upstream_free (struct upstream_task *task);
+
+struct state_task *state_create (struct daemon *daemon);
+void state_free (struct state_task *task);
+
+struct hosts_task *hosts_create (struct daemon *daemon);
+void hosts_free (struct hosts_task *task);
+
+/* Decides placements while this host holds the planner's term.  */
+struct planner_task *planner_create (struct daemon *daemon);
+void planner_free (struct planner_task *task);
+
+/* Renews this host's share of the workers' leases and records what ended.  */
+struct renewal_task *renewal_create (struct daemon *daemon);
+void renewal_free (struct renewal_task *task);
+
+struct peers_task *peers_create (struct daemon *daemon);
+void peers_free (struct peers_task *task);
+
+#endif
