--- a/lib/log/log_client.h
+++ b/lib/log/log_client.h
@@ -20,6 +20,7 @@
   LOG_ERR_UNKNOWN = -3, /* it may yet appear in the stream */
   LOG_ERR_TOO_LARGE = -4,
   LOG_ERR_EXPIRED = -5,
+  LOG_ERR_INVALID = -6, /* an answer that cannot be understood */
 };
 
 struct log_client;
@@ -51,18 +52,49 @@
 void log_free (struct log_client *client);
 
 /*! log_append () :
- *  Puts a record into the next append.  Whether it took effect is seen by
- *  reading the stream; see st_observer.verdict.
- *  The failed callback tells that it never will (LOG_ERR_DOWN), once; it is
- *  not called while that is not known.
- *  @deadline_ms : after this the record is not sent any more. */
+ *  Puts a record into the next append, and sends it again while it is not
+ *  known whether it took effect.  That it did is seen by reading the stream
+ *  (see st_observer.verdict) and told to the client by log_settle ().
+ *  @deadline_ms : from now; after this the record is not sent any more and
+ *                 the failed callback is called once, with LOG_ERR_DOWN if it
+ *                 never took effect and never will, with LOG_ERR_UNKNOWN if
+ *                 it may have or yet may. */
 int log_append (struct log_client *client, const Ft__Record *record,
                 uint32_t deadline_ms,
                 void (*failed) (void *ctx, const uint8_t id[16], int error),
                 void *ctx);
 
+/*! log_settle () :
+ *  The record of that id has been read: it is not sent any more, and its
+ *  failed callback is not called. */
+void log_settle (struct log_client *client, const uint8_t id[16]);
+
+/*! log_flush () :
+ *  Starts the next append at once if none is in flight. */
+void log_flush (struct log_client *client);
+
+/*! log_seek () :
+ *  Goes on reading from OFFSET. */
 void log_seek (struct log_client *client, uint64_t offset);
 bool log_is_up (const struct log_client *client);
 uint64_t log_next (const struct log_client *client);
 
+/*! log_first () :
+ *  @return : the oldest offset that the log kept at the newest read. */
+uint64_t log_first (const struct log_client *client);
+
+/* Counters since log_create ().  */
+struct log_stats
+{
+  uint64_t appends;     /* calls */
+  uint64_t records;     /* sent in them */
+  uint64_t refused;     /* appends that the log refused for certain */
+  uint64_t unknown;     /* appends whose answer was lost */
+  uint64_t reads;       /* calls */
+  uint64_t read_bytes;  /* of answers */
+  uint64_t write_bytes; /* of batches */
+};
+
+void log_stats (const struct log_client *client, struct log_stats *stats);
+
 #endif
--- /dev/null
+++ b/lib/state/claim.c
@@ -0,0 +1,177 @@
+/* Claims of non-repeatable requests by their key, and their rules.  */
+
+#include <string.h>
+
+#include "state/state_private.h"
+
+struct st_claim_box *
+st_claim_new (const Ft__Claim *record, const char *host)
+{
+  struct st_claim_box *box = g_new0 (struct st_claim_box, 1);
+  struct st_claim *claim = &box->claim;
+
+  box->refs = 1;
+  claim->key = st_text_new (record->key);
+  claim->request = st_text_new (record->request);
+  claim->team = st_text_new (record->team);
+  claim->service = st_text_new (record->service);
+  claim->host = st_text_new (host);
+  claim->digest = st_bytes_new (record->digest.data, record->digest.len);
+  claim->digest_size_bytes = record->digest.len;
+  claim->state = ST_CLAIM_OPEN;
+  return box;
+}
+
+static struct st_claim_box *
+claim_copy (struct st_claim_box *box)
+{
+  struct st_claim_box *copy = g_new (struct st_claim_box, 1);
+  struct st_claim *claim = &copy->claim;
+
+  *copy = *box;
+  copy->refs = 1;
+  claim->key = st_text_share (claim->key);
+  claim->request = st_text_share (claim->request);
+  claim->team = st_text_share (claim->team);
+  claim->service = st_text_share (claim->service);
+  claim->host = st_text_share (claim->host);
+  claim->digest = st_bytes_share (claim->digest);
+  claim->answer = st_bytes_share (claim->answer);
+  return copy;
+}
+
+struct st_claim *
+st_claim_ref (struct st_claim *claim)
+{
+  struct st_claim_box *box = (struct st_claim_box *)claim;
+
+  box->refs++;
+  return claim;
+}
+
+void
+st_claim_unref (struct st_claim *claim)
+{
+  struct st_claim_box *box = (struct st_claim_box *)claim;
+
+  if (claim == NULL || --box->refs > 0)
+    return;
+  st_text_release (claim->key);
+  st_text_release (claim->request);
+  st_text_release (claim->team);
+  st_text_release (claim->service);
+  st_text_release (claim->host);
+  st_bytes_release (claim->digest);
+  st_bytes_release (claim->answer);
+  g_free (box);
+}
+
+struct st_claim_box *
+st_claim_edit (GList *link)
+{
+  struct st_claim_box *box = link->data;
+
+  if (box->refs > 1)
+    {
+      link->data = claim_copy (box);
+      st_claim_unref (&box->claim);
+    }
+  return link->data;
+}
+
+void
+st_claim_add (struct st_state *state, struct st_claim_box *box)
+{
+  g_queue_push_tail (&state->claim_order, box);
+  g_hash_table_insert (state->claims, st_text_share (box->claim.key),
+                       state->claim_order.tail);
+}
+
+static void
+publish (struct st_state *state, struct st_claim *claim)
+{
+  claim->changed_ms = state->time_ms;
+  st_expiry_add (state, true, claim->key, claim->changed_ms);
+  if (state->observer.claim != NULL)
+    state->observer.claim (state->observer.ctx, claim);
+}
+
+static bool
+claim_is_sound (const Ft__Claim *record)
+{
+  return st_is_name (record->key) && st_is_name (record->request)
+         && record->digest.len <= ST_DIGEST_LIMIT_BYTES;
+}
+
+enum st_verdict
+st_fold_claim (struct st_state *state, const char *host,
+               const Ft__Claim *record)
+{
+  struct st_claim_box *box;
+  struct st_claim *claim;
+  GList *link;
+
+  if (!claim_is_sound (record))
+    return ST_MALFORMED;
+  link = g_hash_table_lookup (state->claims, record->key);
+  if (link == NULL)
+    {
+      box = st_claim_new (record, host);
+      st_claim_add (state, box);
+      publish (state, &box->claim);
+      return ST_VALID;
+    }
+  claim = &((struct st_claim_box *)link->data)->claim;
+  if (!st_same_bytes (claim->digest, claim->digest_size_bytes,
+                      record->digest.data, record->digest.len))
+    return ST_KEY_CONFLICT;
+  /* One request never claims twice, however late its record arrives.  */
+  if (claim->state != ST_CLAIM_NOT_RUN
+      || strcmp (claim->request, record->request) == 0)
+    return ST_KEY_TAKEN;
+  box = st_claim_new (record, host);
+  st_claim_unref (claim);
+  link->data = box;
+  publish (state, &box->claim);
+  return ST_VALID;
+}
+
+/* Only the host that claimed knows that nothing was sent.  What is known to
+   have happened is never taken back.  */
+static bool
+may_end (const struct st_claim *claim, const char *host,
+         enum st_claim_state state)
+{
+  bool own = strcmp (claim->host, host) == 0;
+
+  if (state == ST_CLAIM_NOT_RUN && !own)
+    return false;
+  if (claim->state == ST_CLAIM_OPEN)
+    return true;
+  return claim->state == ST_CLAIM_UNKNOWN && own && state != ST_CLAIM_UNKNOWN;
+}
+
+enum st_verdict
+st_fold_claim_end (struct st_state *state, const char *host,
+                   const Ft__ClaimEnd *record)
+{
+  GList *link = g_hash_table_lookup (state->claims, record->key);
+  struct st_claim *claim;
+
+  if (record->state < ST_CLAIM_DONE || record->state > ST_CLAIM_UNKNOWN
+      || record->answer.len > ST_OUTPUT_LIMIT_BYTES)
+    return ST_MALFORMED;
+  if (link == NULL)
+    return ST_WRONG_STATE;
+  claim = &((struct st_claim_box *)link->data)->claim;
+  if (strcmp (claim->request, record->request) != 0
+      || !may_end (claim, host, (enum st_claim_state)record->state))
+    return ST_WRONG_STATE;
+  claim = &st_claim_edit (link)->claim;
+  claim->state = (enum st_claim_state)record->state;
+  claim->status = record->status;
+  claim->answer = st_bytes_new (record->answer.data, record->answer.len);
+  claim->answer_size_bytes = record->answer.len;
+  publish (state, claim);
+  return ST_VALID;
+}
--- a/lib/state/state.h
+++ b/lib/state/state.h
@@ -130,6 +130,7 @@
   void (*verdict) (void *ctx, const uint8_t id[ST_ID_SIZE_BYTES],
                    enum st_verdict verdict);
   void *ctx;
+  void (*claim_dropped) (void *ctx, const char *key);
 };
 
 struct st_state;
@@ -174,6 +175,11 @@
                     void (*callback) (void *ctx, struct st_claim *claim),
                     void *ctx);
 
+/*! st_recent () :
+ *  Whether a record of that id was folded lately, and its first verdict. */
+bool st_recent (const struct st_state *state,
+                const uint8_t id[ST_ID_SIZE_BYTES], enum st_verdict *verdict);
+
 struct st_job *st_job_ref (struct st_job *job);
 void st_job_unref (struct st_job *job);
 struct st_claim *st_claim_ref (struct st_claim *claim);
--- a/programs/foxtailgapd/messages.h
+++ b/programs/foxtailgapd/messages.h
@@ -29,7 +29,8 @@
   MSG_ANSWER,       /* from upstream: struct msg_answer */
   MSG_MEMBERS,      /* from peers: struct msg_members */
   MSG_SHUTDOWN,     /* to any: NULL */
-  MSG_LOAD          /* from upstream to peers: struct msg_load */
+  MSG_LOAD,         /* from upstream to peers: struct msg_load */
+  MSG_CLAIM_DROPPED /* from state: char *, the claim's key */
 };
 
 /* Asks for a record in the log; answered once by MSG_APPENDED.  */
--- /dev/null
+++ b/programs/foxtailgapd/state_publish.h
@@ -0,0 +1,35 @@
+/* Subscribers of the folded state and what they are sent.  Prefix: pub_.  */
+
+#ifndef FT_STATE_PUBLISH_H
+#define FT_STATE_PUBLISH_H
+
+#include <ev.h>
+
+#include "messages.h"
+
+struct pub_list;
+
+struct pub_list *pub_create (struct ev_loop *loop);
+void pub_free (struct pub_list *list);
+
+/*! pub_subscribe () :
+ *  Adds a subscriber and sends it all that is known.
+ *  @own_term : the term that this process claimed, 0 for none. */
+void pub_subscribe (struct pub_list *list,
+                    const struct msg_subscribe *subscribe,
+                    const struct st_state *state, uint64_t own_term);
+
+void pub_term (struct pub_list *list, const struct st_state *state,
+               uint64_t own_term);
+void pub_config (struct pub_list *list, const struct st_revision *revision);
+void pub_job (struct pub_list *list, struct st_job *job);
+void pub_job_dropped (struct pub_list *list, const char *id);
+void pub_claim (struct pub_list *list, struct st_claim *claim);
+void pub_claim_dropped (struct pub_list *list, const char *key);
+
+/*! pub_log () :
+ *  Sends at once if UP or CAUGHT_UP changed, and a little later if only the
+ *  offset did. */
+void pub_log (struct pub_list *list, const struct msg_log *status);
+
+#endif
--- /dev/null
+++ b/programs/foxtailgapd/state_task.c
@@ -0,0 +1,368 @@
+/* The state task: owns the log client and the fold, takes records to append
+   and publishes what changes.  */
+
+#include <glib.h>
+#include <string.h>
+
+#include "common/logging.h"
+#include "log/log_client.h"
+#include "messages.h"
+#include "state_pending.h"
+#include "state_publish.h"
+#include "tasks.h"
+
+enum
+{
+  POLL_WAIT_MS = 1000,
+  APPEND_DEADLINE_MS = 10 * 1000, /* when the writer gives none */
+  OWN_CLAIMS = 8,                 /* newest claims of the term kept */
+  LOG_CONNECTIONS = 4,
+  ID_WORDS = ST_ID_SIZE_BYTES / 4
+};
+
+/* A claim of the term that this process wrote.  */
+struct own_claim
+{
+  uint8_t id[ST_ID_SIZE_BYTES];
+  uint64_t term;
+};
+
+struct state_task
+{
+  struct daemon *daemon;
+  struct hc_client *http;
+  struct log_client *log;
+  struct st_state *state;
+  struct pend_table *pending;
+  struct pub_list *subscribers;
+  struct msg_log status;
+  struct own_claim own_claims[OWN_CLAIMS];
+  size_t own_claim_count; /* ever written */
+  uint64_t own_term;      /* the newest that this process claimed */
+  bool term_changed;      /* not published yet */
+};
+
+/* ===== The term =============================================== */
+
+/* A restarted host has its predecessor's name, but not its term: the claim
+   must be this process's own.  */
+static void
+remember_own_claim (struct state_task *task, const Ft__Record *record)
+{
+  struct own_claim *claim
+      = &task->own_claims[task->own_claim_count++ % OWN_CLAIMS];
+
+  memcpy (claim->id, record->id.data, ST_ID_SIZE_BYTES);
+  claim->term = record->term_claim->term;
+}
+
+static void
+check_own_claims (struct state_task *task)
+{
+  const struct own_claim *claim;
+  enum st_verdict verdict;
+  size_t i;
+
+  for (i = 0; i < MIN (task->own_claim_count, OWN_CLAIMS); i++)
+    {
+      claim = &task->own_claims[i];
+      if (claim->term == st_term (task->state)
+          && st_recent (task->state, claim->id, &verdict)
+          && verdict == ST_VALID)
+        task->own_term = claim->term;
+    }
+}
+
+static void
+publish_term (struct state_task *task)
+{
+  if (!task->term_changed)
+    return;
+  task->term_changed = false;
+  check_own_claims (task);
+  lg_info ("state", "A term is in force.", "term",
+           lg_number ((long long)st_term (task->state)), "holder",
+           st_holder (task->state), NULL);
+  pub_term (task->subscribers, task->state, task->own_term);
+}
+
+/* ===== From the fold ========================================== */
+
+static void
+on_term (void *ctx, uint64_t term, const char *holder)
+{
+  struct state_task *task = ctx;
+
+  (void)holder;
+  task->term_changed = true;
+  mt_set (task->daemon->metrics, "foxtailgap_term", (int64_t)term);
+}
+
+static void
+on_config (void *ctx, const struct st_revision *revision)
+{
+  struct state_task *task = ctx;
+
+  lg_info ("state", "A configuration is in force.", "revision",
+           lg_number ((long long)revision->revision), "author",
+           revision->author, NULL);
+  mt_set (task->daemon->metrics, "foxtailgap_config_revision",
+          (int64_t)revision->revision);
+  pub_config (task->subscribers, revision);
+}
+
+static void
+on_job (void *ctx, struct st_job *job)
+{
+  pub_job (((struct state_task *)ctx)->subscribers, job);
+}
+
+static void
+on_job_dropped (void *ctx, const char *id)
+{
+  pub_job_dropped (((struct state_task *)ctx)->subscribers, id);
+}
+
+static void
+on_claim (void *ctx, struct st_claim *claim)
+{
+  pub_claim (((struct state_task *)ctx)->subscribers, claim);
+}
+
+static void
+on_claim_dropped (void *ctx, const char *key)
+{
+  pub_claim_dropped (((struct state_task *)ctx)->subscribers, key);
+}
+
+static void
+count_verdict (struct state_task *task, enum st_verdict verdict)
+{
+  char name[64];
+
+  g_snprintf (name, sizeof name, "foxtailgap_records{verdict=\"%s\"}",
+              st_verdict_name (verdict));
+  mt_add (task->daemon->metrics, name, 1);
+}
+
+static void
+on_verdict (void *ctx, const uint8_t id[ST_ID_SIZE_BYTES],
+            enum st_verdict verdict)
+{
+  struct state_task *task = ctx;
+
+  count_verdict (task, verdict);
+  publish_term (task);
+  if (pend_tell (task->pending, id, MSG_APPEND_FOLDED, verdict))
+    log_settle (task->log, id);
+}
+
+/* ===== From the log =========================================== */
+
+static void
+publish_status (struct state_task *task)
+{
+  task->status.next_offset = st_next_offset (task->state);
+  mt_set (task->daemon->metrics, "foxtailgap_log_up", task->status.up);
+  mt_set (task->daemon->metrics, "foxtailgap_log_caught_up",
+          task->status.caught_up);
+  mt_set (task->daemon->metrics, "foxtailgap_log_next_offset",
+          (int64_t)task->status.next_offset);
+  pub_log (task->subscribers, &task->status);
+}
+
+static void
+on_record (void *ctx, uint64_t offset, int64_t time_ms, const uint8_t *data,
+           size_t size_bytes)
+{
+  struct state_task *task = ctx;
+
+  if (st_apply (task->state, offset, time_ms, data, size_bytes) != ST_OK)
+    lg_warning ("state", "An append is no batch of records.", "offset",
+                lg_number ((long long)offset), NULL);
+}
+
+static void
+on_caught_up (void *ctx, uint64_t next)
+{
+  struct state_task *task = ctx;
+
+  (void)next;
+  task->status.caught_up = true;
+  publish_status (task);
+}
+
+static void
+on_expired (void *ctx, uint64_t first, uint64_t next)
+{
+  struct state_task *task = ctx;
+
+  (void)first;
+  (void)next;
+  task->status.caught_up = false;
+  publish_status (task);
+}
+
+static void
+on_health (void *ctx, bool up)
+{
+  struct state_task *task = ctx;
+
+  task->status.up = up;
+  task->status.caught_up = task->status.caught_up && up;
+  publish_status (task);
+}
+
+/* ===== Appends ================================================ */
+
+static void
+on_append_failed (void *ctx, const uint8_t id[ST_ID_SIZE_BYTES], int error)
+{
+  struct state_task *task = ctx;
+
+  pend_tell (task->pending, id,
+             error == LOG_ERR_DOWN ? MSG_APPEND_NOT_TAKEN : MSG_APPEND_UNKNOWN,
+             ST_VALID);
+}
+
+static void
+set_random_id (Ft__Record *record)
+{
+  guint32 words[ID_WORDS];
+  size_t i;
+
+  for (i = 0; i < ID_WORDS; i++)
+    words[i] = g_random_int ();
+  record->id.data = g_memdup2 (words, sizeof words);
+  record->id.len = sizeof words;
+}
+
+static void
+complete_record (struct state_task *task, struct msg_append *append)
+{
+  Ft__Record *record = &append->record;
+
+  if (record->id.len != ST_ID_SIZE_BYTES)
+    set_random_id (record);
+  if (record->host == NULL || record->host[0] == '\0')
+    record->host = g_strdup (task->daemon->settings->host);
+  if (append->term != 0)
+    record->term = append->term;
+}
+
+static void
+take_append (struct state_task *task, struct msg_append *append)
+{
+  uint32_t deadline_ms
+      = append->deadline_ms > 0 ? append->deadline_ms : APPEND_DEADLINE_MS;
+  int error;
+
+  complete_record (task, append);
+  if (append->record.body_case == FT__RECORD__BODY_TERM_CLAIM)
+    remember_own_claim (task, &append->record);
+  pend_add (task->pending, append->record.id.data, append->reply,
+            append->token);
+  error = log_append (task->log, &append->record, deadline_ms,
+                      on_append_failed, task);
+  if (error != LOG_OK)
+    on_append_failed (task, append->record.id.data, LOG_ERR_DOWN);
+}
+
+/* ===== Life =================================================== */
+
+static void
+on_message (void *ctx, int kind, void *body)
+{
+  struct state_task *task = ctx;
+
+  switch ((enum msg_kind)kind)
+    {
+    case MSG_APPEND:
+      take_append (task, body);
+      break;
+    case MSG_SUBSCRIBE:
+      pub_subscribe (task->subscribers, body, task->state, task->own_term);
+      break;
+    case MSG_SHUTDOWN:
+      log_flush (task->log);
+      break;
+    default:
+      break;
+    }
+  msg_free (kind, body);
+}
+
+static int
+create_state (struct state_task *task)
+{
+  struct st_observer observer = { .term = on_term,
+                                  .config = on_config,
+                                  .job = on_job,
+                                  .job_dropped = on_job_dropped,
+                                  .claim = on_claim,
+                                  .claim_dropped = on_claim_dropped,
+                                  .verdict = on_verdict,
+                                  .ctx = task };
+
+  return st_create (&task->state, &observer,
+                    task->daemon->settings->outcome_window_ms);
+}
+
+static int
+create_log (struct state_task *task)
+{
+  const struct settings *settings = task->daemon->settings;
+  struct log_params params = { .loop = task->daemon->loop,
+                               .http = task->http,
+                               .url = settings->log_url,
+                               .stream = settings->stream,
+                               .timeout_ms = settings->log_timeout_ms,
+                               .commit_ms = settings->log_commit_ms,
+                               .poll_wait_ms = POLL_WAIT_MS,
+                               .record = on_record,
+                               .expired = on_expired,
+                               .caught_up = on_caught_up,
+                               .health = on_health,
+                               .ctx = task };
+
+  return log_create (&task->log, &params);
+}
+
+struct state_task *
+state_create (struct daemon *daemon)
+{
+  struct state_task *task = g_new0 (struct state_task, 1);
+  struct hc_params http = { .loop = daemon->loop,
+                            .host_connection_limit = LOG_CONNECTIONS,
+                            .idle_connection_limit = LOG_CONNECTIONS };
+
+  task->daemon = daemon;
+  task->pending = pend_create (daemon->metrics);
+  task->subscribers = pub_create (daemon->loop);
+  daemon->state = mb_create (daemon->loop, on_message, msg_free, task);
+  if (daemon->state == NULL || create_state (task) != ST_OK
+      || hc_create (&task->http, &http) != HC_OK
+      || create_log (task) != LOG_OK)
+    {
+      lg_error ("state", "The state task cannot be created.", NULL);
+      state_free (task);
+      return NULL;
+    }
+  return task;
+}
+
+void
+state_free (struct state_task *task)
+{
+  if (task == NULL)
+    return;
+  log_free (task->log);
+  if (task->http != NULL)
+    hc_free (task->http);
+  st_free (task->state);
+  mb_free (task->daemon->state);
+  task->daemon->state = NULL;
+  pub_free (task->subscribers);
+  pend_free (task->pending);
+  g_free (task);
+}
