Environment document and settings: reading, defaults, bounds, checks

Values are loaded by libcyaml schemas. An index of the text by path gives lines for the checks that no schema expresses, and refuses duplicate keys, aliases, deep nesting and numbers that are not decimal.

--- /dev/null
+++ b/lib/config/schema.c
@@ -0,0 +1,228 @@
+/* libcyaml with lines, defaults and bounds.  */
+
+#include "config/schema.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/messages.h"
+
+enum
+{
+  LOG_LINE_SIZE_BYTES = 300
+};
+
+/* libcyaml reports an error as one sentence and a backtrace, the innermost
+   frame first.  */
+struct report
+{
+  char sentence[LOG_LINE_SIZE_BYTES];
+  char path[YI_PATH_SIZE_BYTES];
+  unsigned int frames;
+};
+
+static void
+report_prepend (struct report *report, const char *part)
+{
+  char *joined;
+
+  joined = g_strdup_printf (
+      "%s%s%s", part,
+      report->path[0] == '\0' || report->path[0] == '[' ? "" : ".",
+      report->path);
+  g_strlcpy (report->path, joined, sizeof report->path);
+  g_free (joined);
+}
+
+/* Takes one frame, such as "  in mapping field 'weight' (line: 3, ...".  */
+static void
+report_frame (struct report *report, const char *line)
+{
+  char part[LOG_LINE_SIZE_BYTES];
+  unsigned int entry;
+  bool missing = g_str_has_prefix (report->sentence, "Missing");
+  bool first = report->frames++ == 0;
+
+  if (sscanf (line, " in mapping field '%255[^']'", part) == 1)
+    {
+      /* Of a missing field, the innermost frame is a sibling of it.  */
+      if (!missing || !first)
+        report_prepend (report, part);
+    }
+  else if (sscanf (line, " in sequence entry '%u'", &entry) == 1 && entry > 0)
+    {
+      snprintf (part, sizeof part, "[%u]", entry - 1);
+      report_prepend (report, part);
+    }
+}
+
+static void
+on_cyaml_log (cyaml_log_t level, void *ctx, const char *format, va_list args)
+{
+  struct report *report = ctx;
+  char line[LOG_LINE_SIZE_BYTES];
+
+  (void)level;
+  vsnprintf (line, sizeof line, format, args);
+  g_strchomp (line);
+  if (g_str_has_prefix (line, "  in "))
+    report_frame (report, line);
+  else if (strcmp (line, "Load: Backtrace:") != 0
+           && report->sentence[0] == '\0')
+    g_strlcpy (report->sentence,
+               g_str_has_prefix (line, "Load: ") ? line + 6 : line,
+               sizeof report->sentence);
+}
+
+/* The field that a sentence is about and no frame names.  */
+static void
+report_field (struct report *report)
+{
+  static const char *const prefixes[]
+      = { "Unexpected key: ", "Missing required mapping field: " };
+  char path[YI_PATH_SIZE_BYTES];
+
+  for (size_t i = 0; i < G_N_ELEMENTS (prefixes); i++)
+    if (g_str_has_prefix (report->sentence, prefixes[i]))
+      {
+        yi_join (path, report->path, report->sentence + strlen (prefixes[i]));
+        memcpy (report->path, path, sizeof path);
+        g_strlcpy (report->sentence,
+                   i == 0 ? "unknown field" : "missing field",
+                   sizeof report->sentence);
+        return;
+      }
+}
+
+static int
+report_error (struct report *report, cyaml_err_t error,
+              const struct yi_index *index, struct env_messages *messages)
+{
+  const char *what = report->sentence;
+  const char *path = report->path;
+
+  if (error == CYAML_ERR_OOM)
+    return ENV_ERR_MEMORY;
+  report_field (report);
+  if (what[0] == '\0')
+    what = cyaml_strerror (error);
+  em_add (messages, yi_line (index, path), "%s%s%s", path,
+          path[0] == '\0' ? "" : ": ", what);
+  return ENV_ERR_INVALID;
+}
+
+int
+sc_load (void **data, const cyaml_schema_value_t *schema, const char *text,
+         size_t size_bytes, const struct yi_index *index,
+         struct env_messages *messages)
+{
+  struct report report = { 0 };
+  cyaml_config_t config = { .log_fn = on_cyaml_log,
+                            .log_ctx = &report,
+                            .log_level = CYAML_LOG_ERROR,
+                            .mem_fn = cyaml_mem,
+                            .flags = CYAML_CFG_NO_ALIAS };
+  cyaml_err_t error;
+
+  *data = NULL;
+  error = cyaml_load_data ((const uint8_t *)text, size_bytes, &config, schema,
+                           data, NULL);
+  if (error != CYAML_OK)
+    return report_error (&report, error, index, messages);
+  if (*data == NULL)
+    {
+      em_add (messages, 0, "empty");
+      return ENV_ERR_INVALID;
+    }
+  return ENV_OK;
+}
+
+/* Whether the text is a decimal number; libcyaml takes octal, hexadecimal
+   and wrapped negative numbers too.  */
+static bool
+is_decimal (const struct yi_entry *entry)
+{
+  const char *text = entry->text;
+
+  if (!entry->plain || text == NULL || text[0] == '\0')
+    return false;
+  if (text[0] == '0' && text[1] != '\0')
+    return false;
+  return strspn (text, "0123456789") == strlen (text);
+}
+
+static void
+check_number (const struct sc_place *place, const struct sc_number *number)
+{
+  char path[YI_PATH_SIZE_BYTES];
+  const struct yi_entry *entry;
+  uint32_t *value;
+
+  value = (uint32_t *)((char *)place->target + number->offset_bytes);
+  yi_join (path, place->path, number->field);
+  entry = yi_entry (place->index, path);
+  if (entry == NULL)
+    *value = number->fallback;
+  else if (!is_decimal (entry))
+    em_add (place->messages, entry->line,
+            "%s: must be a whole decimal number, not '%.40s'", path,
+            entry->text);
+  else if (*value < number->min || *value > number->max)
+    em_add (place->messages, entry->line,
+            "%s: must be from %" G_GUINT32_FORMAT " to %" G_GUINT32_FORMAT
+            ", not %" G_GUINT32_FORMAT,
+            path, number->min, number->max, *value);
+}
+
+void
+sc_numbers (const struct sc_place *place, const struct sc_number *numbers,
+            size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    check_number (place, &numbers[i]);
+}
+
+static void
+check_flag (const struct sc_place *place, const struct sc_flag *flag)
+{
+  char path[YI_PATH_SIZE_BYTES];
+  const struct yi_entry *entry;
+  bool *value;
+
+  value = (bool *)((char *)place->target + flag->offset_bytes);
+  yi_join (path, place->path, flag->field);
+  entry = yi_entry (place->index, path);
+  if (entry == NULL)
+    *value = flag->fallback;
+  else if (!entry->plain
+           || (strcmp (entry->text, "true") != 0
+               && strcmp (entry->text, "false") != 0))
+    em_add (place->messages, entry->line,
+            "%s: must be true or false, not '%.40s'", path, entry->text);
+}
+
+void
+sc_flags (const struct sc_place *place, const struct sc_flag *flags,
+          size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    check_flag (place, &flags[i]);
+}
+
+void
+sc_name (const struct sc_place *place, const char *field, const char *text)
+{
+  char path[YI_PATH_SIZE_BYTES];
+  size_t length = strlen (text);
+
+  if (length <= SC_NAME_LIMIT_BYTES && g_ascii_isalnum (text[0])
+      && strspn (text, "abcdefghijklmnopqrstuvwxyz0123456789-_") == length)
+    return;
+  yi_join (path, place->path, field);
+  em_add (place->messages, yi_line (place->index, path),
+          "%s: must be 1 to %d of a-z, 0-9, '-' and '_', starting with a "
+          "letter or a digit, not '%.40s'",
+          path, SC_NAME_LIMIT_BYTES, text);
+}
--- /dev/null
+++ b/lib/config/settings.c
@@ -0,0 +1,273 @@
+/* Settings of one daemon process.  */
+
+#include "config/settings.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/messages.h"
+#include "config/schema.h"
+#include "config/yaml_index.h"
+
+enum
+{
+  TEXT_LIMIT_BYTES = 255,
+  PORT_MAX = 65535,
+  FILE_LIMIT_BYTES = 64 * 1024,
+  MINUTE_MS = 60 * 1000,
+  HOUR_MS = 60 * MINUTE_MS,
+  DAY_MS = 24 * HOUR_MS,
+  BODY_LIMIT_MAX_BYTES = 16 * 1024 * 1024
+};
+
+#define OPTIONAL CYAML_FLAG_OPTIONAL
+#define OPTIONAL_TEXT (CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER)
+
+#define TEXT_FIELD(flags, structure, member)                                  \
+  CYAML_FIELD_STRING_PTR (#member, flags, structure, member, 0,               \
+                          TEXT_LIMIT_BYTES)
+#define NUMBER_FIELD(member)                                                  \
+  CYAML_FIELD_UINT (#member, OPTIONAL, struct settings, member)
+#define NUMBER(member, min, max, fallback)                                    \
+  {                                                                           \
+#member, offsetof(struct settings, member), min, max, fallback            \
+  }
+
+static const cyaml_schema_field_t listen_fields[]
+    = { TEXT_FIELD (CYAML_FLAG_POINTER, struct settings_listen, address),
+        CYAML_FIELD_UINT ("port", CYAML_FLAG_DEFAULT, struct settings_listen,
+                          port),
+        CYAML_FIELD_END };
+
+static const cyaml_schema_field_t settings_fields[]
+    = { TEXT_FIELD (CYAML_FLAG_POINTER, struct settings, host),
+        TEXT_FIELD (CYAML_FLAG_POINTER, struct settings, data_centre),
+        CYAML_FIELD_MAPPING ("callers", CYAML_FLAG_DEFAULT, struct settings,
+                             callers, listen_fields),
+        CYAML_FIELD_MAPPING ("peers", CYAML_FLAG_DEFAULT, struct settings,
+                             peers, listen_fields),
+        TEXT_FIELD (CYAML_FLAG_POINTER, struct settings, log_url),
+        TEXT_FIELD (CYAML_FLAG_POINTER, struct settings, hosts_url),
+        TEXT_FIELD (OPTIONAL_TEXT, struct settings, stream),
+        TEXT_FIELD (OPTIONAL_TEXT, struct settings, log_level),
+        TEXT_FIELD (OPTIONAL_TEXT, struct settings, peer_key_file),
+        NUMBER_FIELD (connection_limit),
+        NUMBER_FIELD (body_limit_bytes),
+        NUMBER_FIELD (receive_timeout_ms),
+        NUMBER_FIELD (heartbeat_ms),
+        NUMBER_FIELD (planner_timeout_ms),
+        NUMBER_FIELD (lease_ttl_ms),
+        NUMBER_FIELD (lease_renew_ms),
+        NUMBER_FIELD (hosts_poll_ms),
+        NUMBER_FIELD (log_timeout_ms),
+        NUMBER_FIELD (log_commit_ms),
+        NUMBER_FIELD (snapshot_interval_ms),
+        NUMBER_FIELD (outcome_window_ms),
+        NUMBER_FIELD (shutdown_timeout_ms),
+        CYAML_FIELD_END };
+
+static const cyaml_schema_value_t settings_schema = { CYAML_VALUE_MAPPING (
+    CYAML_FLAG_POINTER, struct settings, settings_fields) };
+
+static const struct sc_number settings_numbers[] = {
+  NUMBER (connection_limit, 1, 65535, 1024),
+  NUMBER (body_limit_bytes, 1, BODY_LIMIT_MAX_BYTES, 1024 * 1024),
+  NUMBER (receive_timeout_ms, 100, 10 * MINUTE_MS, 10000),
+  NUMBER (heartbeat_ms, 50, MINUTE_MS, 1000),
+  NUMBER (planner_timeout_ms, 100, 10 * MINUTE_MS, 4000),
+  NUMBER (lease_ttl_ms, 200, 10 * MINUTE_MS, 10000),
+  NUMBER (lease_renew_ms, 50, 10 * MINUTE_MS, 3000),
+  NUMBER (hosts_poll_ms, 50, MINUTE_MS, 1000),
+  NUMBER (log_timeout_ms, 50, MINUTE_MS, 2000),
+  NUMBER (log_commit_ms, 0, 1000, 10),
+  NUMBER (snapshot_interval_ms, 1000, HOUR_MS, 60000),
+  NUMBER (outcome_window_ms, 1000, 7 * DAY_MS, HOUR_MS),
+  NUMBER (shutdown_timeout_ms, 0, HOUR_MS, 30000),
+};
+
+/* --- Checks --- */
+
+static void
+check_address (const struct sc_place *place, const char *field,
+               const char *text)
+{
+  struct in6_addr address;
+
+  if (inet_pton (AF_INET, text, &address) == 1
+      || inet_pton (AF_INET6, text, &address) == 1)
+    return;
+  em_add (place->messages, yi_line (place->index, field),
+          "%s: must be an IP number, not '%.60s'", field, text);
+}
+
+/* Whether TEXT is IP:PORT, with an IPv6 number in brackets.  */
+static bool
+is_ip_port (const char *text)
+{
+  struct in6_addr address;
+  const char *colon = strrchr (text, ':');
+  char host[INET6_ADDRSTRLEN + 2];
+  guint64 port;
+  size_t length;
+  bool v6;
+
+  if (colon == NULL || (size_t)(colon - text) >= sizeof host)
+    return false;
+  if (!g_ascii_string_to_unsigned (colon + 1, 10, 1, PORT_MAX, &port, NULL))
+    return false;
+  v6 = text[0] == '[' && colon > text && colon[-1] == ']';
+  length = (size_t)(colon - text) - (v6 ? 2 : 0);
+  memcpy (host, text + (v6 ? 1 : 0), length);
+  host[length] = '\0';
+  return inet_pton (v6 ? AF_INET6 : AF_INET, host, &address) == 1;
+}
+
+static void
+check_url (const struct sc_place *place, const char *field, const char *text)
+{
+  static const char scheme[] = "http://";
+
+  if (g_str_has_prefix (text, scheme) && is_ip_port (text + sizeof scheme - 1))
+    return;
+  em_add (place->messages, yi_line (place->index, field),
+          "%s: must be http://IP:PORT, not '%.60s'", field, text);
+}
+
+static void
+check_level (const struct sc_place *place, const char *text)
+{
+  static const char *const levels[]
+      = { "debug", "info", "warning", "error", NULL };
+
+  if (g_strv_contains (levels, text))
+    return;
+  em_add (place->messages, yi_line (place->index, "log_level"),
+          "log_level: must be debug, info, warning or error, not '%.60s'",
+          text);
+}
+
+/* LONGER must leave room for two of SHORTER.  */
+static void
+check_twice (const struct sc_place *place, const char *longer,
+             uint32_t longer_ms, const char *shorter, uint32_t shorter_ms)
+{
+  if (longer_ms / 2 >= shorter_ms)
+    return;
+  em_add (place->messages, yi_line (place->index, longer),
+          "%s: must be at least twice %s, %u", longer, shorter, shorter_ms);
+}
+
+static void
+check (struct settings *settings, const struct sc_place *place)
+{
+  sc_numbers (place, settings_numbers, G_N_ELEMENTS (settings_numbers));
+  sc_name (place, "host", settings->host);
+  sc_name (place, "data_centre", settings->data_centre);
+  sc_name (place, "stream", settings->stream);
+  check_address (place, "callers.address", settings->callers.address);
+  check_address (place, "peers.address", settings->peers.address);
+  check_url (place, "log_url", settings->log_url);
+  check_url (place, "hosts_url", settings->hosts_url);
+  check_level (place, settings->log_level);
+  check_twice (place, "planner_timeout_ms", settings->planner_timeout_ms,
+               "heartbeat_ms", settings->heartbeat_ms);
+  check_twice (place, "lease_ttl_ms", settings->lease_ttl_ms, "lease_renew_ms",
+               settings->lease_renew_ms);
+}
+
+/* --- Loading --- */
+
+static bool
+default_text (char **text, const char *fallback)
+{
+  if (*text == NULL)
+    *text = strdup (fallback);
+  return *text != NULL;
+}
+
+static int
+parse (struct settings **out, const char *text, size_t size_bytes,
+       struct env_messages *messages)
+{
+  struct yi_index *index = NULL;
+  struct settings *settings = NULL;
+  struct sc_place place = { .path = "", .messages = messages };
+  void *data = NULL;
+  int error;
+
+  error = yi_create (&index, text, size_bytes, messages);
+  if (error != ENV_OK)
+    goto out;
+  error = sc_load (&data, &settings_schema, text, size_bytes, index, messages);
+  if (error != ENV_OK)
+    goto out;
+  settings = data;
+  if (!default_text (&settings->stream, "foxtailgap")
+      || !default_text (&settings->log_level, "info"))
+    {
+      error = ENV_ERR_MEMORY;
+      goto out;
+    }
+  place.index = index;
+  place.target = settings;
+  check (settings, &place);
+  em_sort (messages);
+  if (messages->count > 0)
+    {
+      error = ENV_ERR_INVALID;
+      goto out;
+    }
+  *out = settings;
+  settings = NULL;
+out:
+  settings_free (settings);
+  yi_free (index);
+  return error;
+}
+
+int
+settings_load (struct settings **out, const char *path,
+               struct env_messages *messages)
+{
+  GError *failure = NULL;
+  gchar *text = NULL;
+  gsize size_bytes = 0;
+  int error;
+
+  *out = NULL;
+  if (!g_file_get_contents (path, &text, &size_bytes, &failure))
+    {
+      em_add (messages, 0, "%s", failure->message);
+      g_error_free (failure);
+      return ENV_ERR_FILE;
+    }
+  if (size_bytes > FILE_LIMIT_BYTES)
+    {
+      em_add (messages, 0, "larger than %d bytes", FILE_LIMIT_BYTES);
+      error = ENV_ERR_INVALID;
+    }
+  else
+    error = parse (out, text, size_bytes, messages);
+  g_free (text);
+  return error;
+}
+
+void
+settings_free (struct settings *settings)
+{
+  if (settings == NULL)
+    return;
+  free (settings->host);
+  free (settings->data_centre);
+  free (settings->callers.address);
+  free (settings->peers.address);
+  free (settings->log_url);
+  free (settings->hosts_url);
+  free (settings->stream);
+  free (settings->log_level);
+  free (settings->peer_key_file);
+  free (settings);
+}
