--- a/lib/config/environment_check.c
+++ b/lib/config/environment_check.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <stdio.h>
 
+#include "config/environment_diff.h"
 #include "config/environment_schema.h"
 #include "config/messages.h"
 
@@ -15,14 +16,6 @@
   struct env_messages *messages;
 };
 
-/* Resources in whole; 64 bits hold the largest product that bounds allow.  */
-struct totals
-{
-  uint64_t accelerators;
-  uint64_t cpus_milli;
-  uint64_t memory_mb;
-};
-
 static struct sc_place
 place_at (const struct checker *checker, const char *path, void *target)
 {
@@ -73,16 +66,6 @@
           path, accelerators, PLACE_ACCELERATOR_LIMIT);
 }
 
-static void
-add_guarantee (struct totals *totals, const struct env_guarantee *guarantee)
-{
-  uint64_t tasks = (uint64_t)guarantee->count * guarantee->tasks;
-
-  totals->accelerators += tasks * guarantee->accelerators;
-  totals->cpus_milli += tasks * guarantee->cpus_milli;
-  totals->memory_mb += tasks * guarantee->memory_mb;
-}
-
 static void
 check_quota (const struct checker *checker, const char *team_path,
              const char *field, uint64_t guaranteed, uint32_t quota)
@@ -103,7 +86,7 @@
                   const struct env_team *team)
 {
   char path[YI_PATH_SIZE_BYTES];
-  struct totals totals = { 0 };
+  struct ed_totals totals;
   struct sc_place place;
 
   for (uint32_t i = 0; i < team->guarantees_count; i++)
@@ -112,8 +95,8 @@
       place = place_at (checker, path, &team->guarantees[i]);
       es_guarantee (&place);
       check_worker_span (checker, path, &team->guarantees[i]);
-      add_guarantee (&totals, &team->guarantees[i]);
     }
+  totals = ed_totals (team);
   check_quota (checker, team_path, "accelerators", totals.accelerators,
                team->quota.accelerators);
   check_quota (checker, team_path, "cpus_milli", totals.cpus_milli,
--- a/lib/config/messages.c
+++ b/lib/config/messages.c
@@ -2,8 +2,8 @@
 
 #include "config/messages.h"
 
+#include <glib/gprintf.h>
 #include <stdarg.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -22,7 +22,7 @@
   items += messages->count;
   items->line = line;
   va_start (args, format);
-  vsnprintf (items->text, sizeof items->text, format, args);
+  g_vsnprintf (items->text, sizeof items->text, format, args);
   va_end (args);
   messages->count++;
 }
--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -2,12 +2,12 @@
 
 #include "config/settings.h"
 
-#include <arpa/inet.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "config/address.h"
 #include "config/messages.h"
 #include "config/schema.h"
 #include "config/yaml_index.h"
@@ -15,7 +15,6 @@
 enum
 {
   TEXT_LIMIT_BYTES = 255,
-  PORT_MAX = 65535,
   FILE_LIMIT_BYTES = 64 * 1024,
   MINUTE_MS = 60 * 1000,
   HOUR_MS = 60 * MINUTE_MS,
@@ -94,43 +93,19 @@
 check_address (const struct sc_place *place, const char *field,
                const char *text)
 {
-  struct in6_addr address;
-
-  if (inet_pton (AF_INET, text, &address) == 1
-      || inet_pton (AF_INET6, text, &address) == 1)
+  if (ad_is_ip (text))
     return;
   em_add (place->messages, yi_line (place->index, field),
           "%s: must be an IP number, not '%.60s'", field, text);
 }
 
-/* Whether TEXT is IP:PORT, with an IPv6 number in brackets.  */
-static bool
-is_ip_port (const char *text)
-{
-  struct in6_addr address;
-  const char *colon = strrchr (text, ':');
-  char host[INET6_ADDRSTRLEN + 2];
-  guint64 port;
-  size_t length;
-  bool v6;
-
-  if (colon == NULL || (size_t)(colon - text) >= sizeof host)
-    return false;
-  if (!g_ascii_string_to_unsigned (colon + 1, 10, 1, PORT_MAX, &port, NULL))
-    return false;
-  v6 = text[0] == '[' && colon > text && colon[-1] == ']';
-  length = (size_t)(colon - text) - (v6 ? 2 : 0);
-  memcpy (host, text + (v6 ? 1 : 0), length);
-  host[length] = '\0';
-  return inet_pton (v6 ? AF_INET6 : AF_INET, host, &address) == 1;
-}
-
 static void
 check_url (const struct sc_place *place, const char *field, const char *text)
 {
   static const char scheme[] = "http://";
 
-  if (g_str_has_prefix (text, scheme) && is_ip_port (text + sizeof scheme - 1))
+  if (g_str_has_prefix (text, scheme)
+      && ad_is_ip_port (text + sizeof scheme - 1))
     return;
   em_add (place->messages, yi_line (place->index, field),
           "%s: must be http://IP:PORT, not '%.60s'", field, text);
