--- /dev/null
+++ b/tests/scripts/lib.sh
@@ -0,0 +1,140 @@
+#!/bin/bash
+# Functions for the scripted runs: programs are started in the background,
+# and every wait is for a condition.  To be sourced; needs BUILD and ROOT.
+
+# Pids of what was started, by name; NAME_pid and NAME_port hold the same.
+declare -A started=()
+# Where a program's standard output and error go: NAME.out and NAME.err.
+run_dir=${run_dir:-$(pwd)}
+# How long start and stop wait, in seconds.
+start_limit_s=${start_limit_s:-30}
+stop_limit_s=${stop_limit_s:-30}
+
+# wait_for SECONDS COMMAND...: repeats the command until it succeeds.
+wait_for ()
+{
+  local end=$((${EPOCHREALTIME/./} + $1 * 1000000))
+  shift
+  until "$@" > /dev/null 2>&1; do
+    if [ "${EPOCHREALTIME/./}" -gt "$end" ]; then
+      echo "timeout: $*"
+      return 1
+    fi
+    sleep 0.05
+  done
+}
+
+# program_port NAME: what the program has printed as its port.
+program_port ()
+{
+  sed -n 's/^listening \([0-9]*\)$/\1/p' "$run_dir/$1.out" 2> /dev/null \
+    | head -n 1
+}
+
+is_listening ()
+{
+  [ -n "$(program_port "$1")" ] && return 0
+  # A program that has ended will not print it any more.
+  ! kill -0 "${started[$1]}" 2> /dev/null
+}
+
+# start NAME PROGRAM ARGS...: PROGRAM is a name in build/bin or a path; waits
+# until it prints "listening PORT".  Sets NAME_pid and NAME_port.
+start ()
+{
+  local name=$1 program=$2 port
+  shift 2
+  case "$program" in
+    */*) ;;
+    *) program=$BUILD/bin/$program ;;
+  esac
+  : > "$run_dir/$name.out"
+  "$program" "$@" > "$run_dir/$name.out" 2>> "$run_dir/$name.err" < /dev/null &
+  started[$name]=$!
+  printf -v "${name}_pid" %s "$!"
+  wait_for "$start_limit_s" is_listening "$name"
+  port=$(program_port "$name")
+  printf -v "${name}_port" %s "$port"
+  if [ -z "$port" ]; then
+    echo "$name has not started:"
+    tail -n 20 "$run_dir/$name.err"
+    return 1
+  fi
+}
+
+has_ended ()
+{
+  local state
+  read -r _ _ state _ < "/proc/$1/stat" || return 0
+  [ "$state" = Z ]
+}
+
+# stop NAME [SIGNAL]: ends what was started as NAME, by SIGTERM unless another
+# signal is named.  Returns its exit status.
+stop ()
+{
+  local pid=${started[$1]:-}
+  [ -n "$pid" ] || return 0
+  unset "started[$1]"
+  kill -s "${2:-TERM}" "$pid" 2> /dev/null
+  if ! wait_for "$stop_limit_s" has_ended "$pid"; then
+    echo "$1 had to be killed"
+    kill -s KILL "$pid" 2> /dev/null
+  fi
+  wait "$pid" 2> /dev/null
+}
+
+# stop_all: ends all that was started and still runs.
+stop_all ()
+{
+  local name
+  for name in "${!started[@]}"; do
+    kill -s CONT "${started[$name]}" 2> /dev/null
+    kill -s TERM "${started[$name]}" 2> /dev/null
+  done
+  for name in "${!started[@]}"; do
+    stop "$name" > /dev/null
+  done
+}
+trap stop_all EXIT
+
+# get URL, post URL JSON, delete URL: print the answer's body.
+get ()
+{
+  curl -sS --max-time 30 "$1"
+}
+
+post ()
+{
+  curl -sS --max-time 30 -H 'Content-Type: application/json' --data "$2" "$1"
+}
+
+delete ()
+{
+  curl -sS --max-time 30 -X DELETE "$1"
+}
+
+# status METHOD URL [JSON]: prints the answer's HTTP status; 000: none.
+status ()
+{
+  local data=()
+  [ $# -gt 2 ] && data=(--data "$3")
+  curl -s --max-time "${status_limit_s:-30}" -o /dev/null -w '%{http_code}\n' \
+    -X "$1" "${data[@]}" "$2"
+}
+
+# json FIELD...: prints a member of the JSON value on standard input.  FIELDs
+# are names, or indices of arrays; "length" of an array is its size.
+json ()
+{
+  python3 -c '
+import json, sys
+value = json.load(sys.stdin)
+for field in sys.argv[1:]:
+    if isinstance(value, list):
+        value = len(value) if field == "length" else value[int(field)]
+    else:
+        value = value.get(field)
+print(value if isinstance(value, str) else json.dumps(value))
+' "$@"
+}
--- /dev/null
+++ b/tests/standins/ft-log/log_service.h
@@ -0,0 +1,31 @@
+/* The platform's log over HTTP, with faults on command.  Prefix: lo_.  */
+
+#ifndef FT_LOG_SERVICE_H
+#define FT_LOG_SERVICE_H
+
+#include <ev.h>
+#include <stdint.h>
+
+#include "log_store.h"
+#include "standins/common/history_file.h"
+
+struct lo_service;
+
+struct lo_params
+{
+  struct ev_loop *loop;
+  const char *address;
+  uint16_t port;
+  uint32_t appends_per_s; /* 0: no limit */
+  struct ls_retention retention;
+  struct hf_file *history;
+};
+
+/*! lo_create () :
+ *  @return : 0 with *out set, or an hs_error. */
+int lo_create (struct lo_service **out, const struct lo_params *params);
+void lo_free (struct lo_service *service); /* accepts NULL */
+
+uint16_t lo_port (const struct lo_service *service);
+
+#endif
