--- /dev/null
+++ b/lib/lease/gang.c
@@ -0,0 +1,555 @@
+/* gang_decide (): from the first lease to the running gang.  */
+
+#include "lease/gang_internal.h"
+
+#include <string.h>
+
+/* ===== Creation =============================================== */
+
+static size_t
+find_member (const struct gang *gang, const char *worker)
+{
+  size_t i;
+
+  for (i = 0; i < gang->member_count; i++)
+    if (strcmp (gang->members[i].worker, worker) == 0)
+      break;
+  return i;
+}
+
+static void
+add_assignment (struct gang *gang, size_t index)
+{
+  struct place_assignment *assignment = &gang->assignments[index];
+  size_t i = find_member (gang, assignment->worker);
+
+  if (i == gang->member_count)
+    {
+      gang->members[i].worker = g_strdup (assignment->worker);
+      gang->member_count++;
+    }
+  gang->members[i].task_count++;
+  assignment->worker = gang->members[i].worker;
+}
+
+int
+gang_create (struct gang **out, const struct gang_params *params)
+{
+  struct gang *gang;
+  size_t count = params->assignment_count;
+  size_t i;
+
+  if (count == 0 || count > PLACE_TASK_LIMIT)
+    return GANG_ERR_INVALID;
+  gang = g_new0 (struct gang, 1);
+  gang->params = *params;
+  gang->params.assignments = NULL;
+  gang->assignments
+      = g_memdup2 (params->assignments, count * sizeof *gang->assignments);
+  gang->ended = g_new0 (bool, count);
+  gang->members = g_new0 (struct gang_member, count);
+  gang->commands = g_array_new (FALSE, FALSE, sizeof (struct gang_command));
+  for (i = 0; i < count; i++)
+    add_assignment (gang, i);
+  *out = gang;
+  return GANG_OK;
+}
+
+void
+gang_free (struct gang *gang)
+{
+  size_t i;
+
+  if (gang == NULL)
+    return;
+  for (i = 0; i < gang->member_count; i++)
+    g_free (gang->members[i].worker);
+  g_array_free (gang->commands, TRUE);
+  g_free (gang->members);
+  g_free (gang->ended);
+  g_free (gang->assignments);
+  g_free (gang);
+}
+
+/* ===== Commands =============================================== */
+
+void
+gang_emit (struct gang *gang, const struct gang_command *command)
+{
+  g_array_append_val (gang->commands, *command);
+}
+
+void
+gang_emit_record (struct gang *gang, enum gang_record record)
+{
+  gang->record_open[record] = true;
+  gang->record_retry_ms[record] = 0;
+  gang_emit (gang, &(struct gang_command){ .kind = GANG_RECORD,
+                                           .record = record,
+                                           .member = gang->lost_member });
+}
+
+static void
+send_start (struct gang *gang, size_t member)
+{
+  gang->members[member].start_open = true;
+  gang->members[member].retry_ms = 0;
+  gang_emit (gang,
+             &(struct gang_command){ .kind = GANG_START, .member = member });
+}
+
+/* ===== Leasing and recording ================================== */
+
+static void
+on_begin (struct gang *gang)
+{
+  size_t i;
+
+  gang->state = GANG_LEASING;
+  for (i = 0; i < gang->member_count; i++)
+    {
+      gang->members[i].may_hold = true;
+      gang_emit (gang,
+                 &(struct gang_command){ .kind = GANG_LEASE, .member = i });
+    }
+}
+
+static bool
+all_leased (const struct gang *gang)
+{
+  size_t i;
+
+  for (i = 0; i < gang->member_count; i++)
+    if (!gang->members[i].leased)
+      return false;
+  return true;
+}
+
+static void
+on_leased (struct gang *gang, const struct gang_event *event)
+{
+  struct gang_member *member = &gang->members[event->member];
+
+  if (event->reply == GANG_REPLY_OK)
+    {
+      member->leased = true;
+      member->boot = event->boot;
+    }
+  if (gang->state != GANG_LEASING)
+    return;
+  if (event->reply != GANG_REPLY_OK)
+    {
+      member->may_hold = event->reply == GANG_REPLY_UNKNOWN;
+      gang_begin_stop (gang, event->now_ms, PLACE_END_NOT_STARTED,
+                       event->reply == GANG_REPLY_BUSY ? NULL : member->worker,
+                       "a worker did not grant its lease");
+      return;
+    }
+  if (!all_leased (gang))
+    return;
+  gang->state = GANG_RECORDING;
+  gang_emit_record (gang, GANG_RECORD_PLACE);
+}
+
+/* ===== Starting =============================================== */
+
+static void
+check_all_started (struct gang *gang)
+{
+  size_t i;
+
+  for (i = 0; i < gang->member_count; i++)
+    if (!gang->members[i].started)
+      return;
+  gang->state = GANG_RUNNING;
+  gang_emit_record (gang, GANG_RECORD_START);
+}
+
+static void
+begin_starting (struct gang *gang, int64_t now_ms)
+{
+  size_t i;
+
+  gang->state = GANG_STARTING;
+  gang->deadline_ms = now_ms + gang->params.start_timeout_ms;
+  for (i = 0; i < gang->member_count; i++)
+    if (!gang->members[i].started)
+      send_start (gang, i);
+  check_all_started (gang);
+}
+
+static void
+on_place_recorded (struct gang *gang, enum gang_verdict verdict,
+                   int64_t now_ms)
+{
+  if (gang->state != GANG_RECORDING)
+    return;
+  if (verdict == GANG_VALID)
+    {
+      gang->recorded = true;
+      if (gang->stop_wanted)
+        gang_begin_stop (gang, now_ms, gang->end, gang->blamed, gang->reason);
+      else
+        begin_starting (gang, now_ms);
+      return;
+    }
+  if (verdict == GANG_UNKNOWN
+      || (verdict == GANG_NOT_TAKEN && gang->place_doubt))
+    {
+      /* The leases are kept: the placement may yet be in the log.  */
+      gang->place_doubt = true;
+      gang->record_retry_ms[GANG_RECORD_PLACE] = now_ms + GANG_RETRY_MS;
+      return;
+    }
+  gang_begin_stop (gang, now_ms,
+                   gang->stop_wanted ? gang->end : PLACE_END_NOT_STARTED, NULL,
+                   "the placement was not recorded");
+}
+
+static void
+on_started (struct gang *gang, const struct gang_event *event)
+{
+  struct gang_member *member = &gang->members[event->member];
+
+  /* A stop that was answered meanwhile has settled the doubt.  */
+  if (!member->start_open)
+    return;
+  member->start_open = false;
+  if (event->reply == GANG_REPLY_OK)
+    member->started = true;
+  if (event->reply == GANG_REPLY_UNKNOWN)
+    member->start_doubt = true;
+  if (gang->state != GANG_STARTING)
+    return;
+  switch (event->reply)
+    {
+    case GANG_REPLY_OK:
+      check_all_started (gang);
+      break;
+    case GANG_REPLY_UNSENT:
+    case GANG_REPLY_UNKNOWN:
+      member->retry_ms = event->now_ms + GANG_RETRY_MS;
+      break;
+    case GANG_REPLY_REFUSED:
+    case GANG_REPLY_BUSY:
+      gang_begin_stop (gang, event->now_ms, PLACE_END_NOT_STARTED,
+                       member->worker, "a worker did not start its tasks");
+      break;
+    }
+}
+
+static void
+on_resume (struct gang *gang, const struct gang_event *event)
+{
+  size_t i;
+
+  gang->recorded = true;
+  for (i = 0; i < gang->member_count; i++)
+    {
+      struct gang_member *member = &gang->members[i];
+
+      member->may_hold = true;
+      member->leased = true;
+      member->start_doubt = true;
+      member->started = member->started || event->running;
+    }
+  gang->state = GANG_RUNNING;
+  if (gang->stop_wanted)
+    gang_begin_stop (gang, event->now_ms, gang->end, gang->blamed,
+                     gang->reason);
+  else if (!event->running)
+    begin_starting (gang, event->now_ms);
+}
+
+static void
+on_start_recorded (struct gang *gang, enum gang_verdict verdict,
+                   int64_t now_ms)
+{
+  if (verdict == GANG_NOT_TAKEN || verdict == GANG_UNKNOWN)
+    gang->record_retry_ms[GANG_RECORD_START] = now_ms + GANG_RETRY_MS;
+}
+
+/* ===== Running ================================================ */
+
+/* Stops the gang once it may be: a placement whose record is under way is
+   waited for, as is the resumption of a gang.  */
+static void
+want_stop (struct gang *gang, int64_t now_ms, enum place_end end,
+           const char *blamed, const char *reason)
+{
+  if (gang->state != 0 && gang->state != GANG_RECORDING)
+    {
+      gang_begin_stop (gang, now_ms, end, blamed, reason);
+      return;
+    }
+  gang->stop_wanted = true;
+  gang->end = end;
+  gang->blamed = blamed;
+  g_strlcpy (gang->reason, reason, sizeof gang->reason);
+}
+
+/* The worker itself reported the end of a task.  */
+static void
+on_task_reported (struct gang *gang, struct gang_member *member)
+{
+  member->reported_count++;
+  if (member->started)
+    return;
+  member->started = true;
+  member->retry_ms = 0;
+  if (gang->state == GANG_STARTING)
+    check_all_started (gang);
+}
+
+static void
+on_task_ended (struct gang *gang, const struct gang_event *event)
+{
+  struct gang_member *member;
+  size_t i;
+
+  for (i = 0; i < gang->params.assignment_count; i++)
+    if (gang->assignments[i].task == event->task)
+      break;
+  if (i == gang->params.assignment_count || gang->ended[i])
+    return;
+  gang->ended[i] = true;
+  member = &gang->members[find_member (gang, gang->assignments[i].worker)];
+  if (!event->lapsed)
+    on_task_reported (gang, member);
+  if (event->ok)
+    return;
+  gang_condemn (gang, event->now_ms);
+  if (gang->state >= GANG_STOPPING || gang->stop_wanted)
+    return;
+  want_stop (gang, event->now_ms,
+             event->lapsed ? PLACE_END_LOST : PLACE_END_FAILED, member->worker,
+             event->lapsed ? "a worker lost its lease" : "a task failed");
+}
+
+static void
+on_evict (struct gang *gang, const struct gang_event *event)
+{
+  size_t i;
+
+  if (gang->state >= GANG_CHECKPOINTING)
+    return;
+  if (gang->state != GANG_RUNNING || !gang->params.checkpointable
+      || event->grace_ms == 0)
+    {
+      want_stop (gang, event->now_ms, PLACE_END_EVICTED, NULL, "evicted");
+      return;
+    }
+  gang->state = GANG_CHECKPOINTING;
+  gang->deadline_ms = event->now_ms + event->grace_ms;
+  for (i = 0; i < gang->member_count; i++)
+    {
+      gang->members[i].checkpoint_open = true;
+      gang_emit (gang, &(struct gang_command){ .kind = GANG_CHECKPOINT,
+                                               .member = i });
+    }
+}
+
+static void
+on_checkpointed (struct gang *gang, const struct gang_event *event)
+{
+  struct gang_member *member = &gang->members[event->member];
+  size_t i;
+
+  member->checkpoint_open = false;
+  if (gang->state != GANG_CHECKPOINTING)
+    return;
+  if (event->reply == GANG_REPLY_OK)
+    {
+      member->checkpointed = true;
+      member->progress_ms = event->progress_ms;
+    }
+  for (i = 0; i < gang->member_count; i++)
+    if (gang->members[i].checkpoint_open)
+      return;
+  gang_begin_stop (gang, event->now_ms, PLACE_END_EVICTED, NULL, "evicted");
+}
+
+/* ===== Dispatch =============================================== */
+
+static void
+on_tick (struct gang *gang, int64_t now_ms)
+{
+  size_t i;
+
+  if (gang->state == GANG_CHECKPOINTING && now_ms >= gang->deadline_ms)
+    gang_begin_stop (gang, now_ms, PLACE_END_EVICTED, NULL, "evicted");
+  if (gang->state == GANG_RECORDING
+      && gang->record_retry_ms[GANG_RECORD_PLACE] != 0
+      && now_ms >= gang->record_retry_ms[GANG_RECORD_PLACE])
+    gang_emit_record (gang, GANG_RECORD_PLACE);
+  if (gang->state == GANG_RUNNING
+      && gang->record_retry_ms[GANG_RECORD_START] != 0
+      && now_ms >= gang->record_retry_ms[GANG_RECORD_START])
+    gang_emit_record (gang, GANG_RECORD_START);
+  for (i = 0; gang->state == GANG_STARTING && i < gang->member_count; i++)
+    {
+      struct gang_member *member = &gang->members[i];
+
+      if (!member->started && now_ms >= gang->deadline_ms)
+        gang_begin_stop (gang, now_ms, PLACE_END_NOT_STARTED, member->worker,
+                         "not all tasks were started in time");
+      else if (member->retry_ms != 0 && now_ms >= member->retry_ms)
+        send_start (gang, i);
+    }
+  gang_tick_stop (gang, now_ms);
+}
+
+static void
+on_recorded (struct gang *gang, const struct gang_event *event)
+{
+  gang->record_open[event->record] = false;
+  switch (event->record)
+    {
+    case GANG_RECORD_PLACE:
+      on_place_recorded (gang, event->verdict, event->now_ms);
+      break;
+    case GANG_RECORD_START:
+      on_start_recorded (gang, event->verdict, event->now_ms);
+      break;
+    case GANG_RECORD_LOST:
+      gang_on_lost_recorded (gang, event->verdict, event->now_ms);
+      break;
+    case GANG_RECORD_STOP:
+      gang_on_stop_recorded (gang, event->verdict, event->now_ms);
+      break;
+    case GANG_RECORD_KINDS:
+      break;
+    }
+}
+
+static void
+on_final (struct gang *gang, const struct gang_event *event,
+          enum place_end end, const char *reason)
+{
+  gang->final = true;
+  if (event->kind == GANG_EV_CANCEL)
+    gang_condemn (gang, event->now_ms);
+  want_stop (gang, event->now_ms, end, NULL, reason);
+}
+
+static void
+dispatch (struct gang *gang, const struct gang_event *event)
+{
+  switch (event->kind)
+    {
+    case GANG_EV_BEGIN:
+      on_begin (gang);
+      break;
+    case GANG_EV_RESUME:
+      on_resume (gang, event);
+      break;
+    case GANG_EV_LEASED:
+      on_leased (gang, event);
+      break;
+    case GANG_EV_STARTED:
+      on_started (gang, event);
+      break;
+    case GANG_EV_CHECKPOINTED:
+      on_checkpointed (gang, event);
+      break;
+    case GANG_EV_STOPPED:
+      gang_on_stopped (gang, event);
+      break;
+    case GANG_EV_RECORDED:
+      on_recorded (gang, event);
+      break;
+    case GANG_EV_TASK_ENDED:
+      on_task_ended (gang, event);
+      break;
+    case GANG_EV_FINISHED:
+      gang_condemn (gang, event->now_ms);
+      want_stop (gang, event->now_ms, PLACE_END_OK, NULL, "finished");
+      break;
+    case GANG_EV_LEFT:
+      gang_on_left (gang, event);
+      break;
+    case GANG_EV_CANCEL:
+      on_final (gang, event, PLACE_END_CANCELLED, "cancelled");
+      break;
+    case GANG_EV_EVICT:
+      on_evict (gang, event);
+      break;
+    case GANG_EV_GIVE_UP:
+      on_final (gang, event, PLACE_END_FAILED, event->reason);
+      break;
+    case GANG_EV_TICK:
+      on_tick (gang, event->now_ms);
+      break;
+    }
+}
+
+size_t
+gang_decide (struct gang *gang, const struct gang_event *event,
+             const struct gang_command **commands)
+{
+  g_array_set_size (gang->commands, 0);
+  if (gang->state != GANG_DONE)
+    dispatch (gang, event);
+  *commands = (const struct gang_command *)(void *)gang->commands->data;
+  return gang->commands->len;
+}
+
+/* ===== Questions ============================================== */
+
+enum gang_state
+gang_state (const struct gang *gang)
+{
+  return gang->state;
+}
+
+const char *
+gang_state_name (enum gang_state state)
+{
+  static const char *const names[]
+      = { "new",           "leasing",  "recording", "starting", "running",
+          "checkpointing", "stopping", "ending",    "holding",  "done" };
+
+  return (size_t)state < G_N_ELEMENTS (names) ? names[state] : "unknown";
+}
+
+size_t
+gang_member_count (const struct gang *gang)
+{
+  return gang->member_count;
+}
+
+const char *
+gang_worker (const struct gang *gang, size_t member)
+{
+  return gang->members[member].worker;
+}
+
+const struct place_assignment *
+gang_assignments (const struct gang *gang, size_t *count)
+{
+  *count = gang->params.assignment_count;
+  return gang->assignments;
+}
+
+bool
+gang_task_ended (const struct gang *gang, uint32_t task)
+{
+  size_t i;
+
+  for (i = 0; i < gang->params.assignment_count; i++)
+    if (gang->assignments[i].task == task)
+      return gang->ended[i];
+  return false;
+}
+
+bool
+gang_is_recorded (const struct gang *gang)
+{
+  return gang->recorded;
+}
+
+uint32_t
+gang_stop_bound_ms (const struct gang_params *params)
+{
+  return params->ttl_ms + (2 * params->renew_ms) + params->call_timeout_ms;
+}
--- /dev/null
+++ b/lib/lease/lease.h
@@ -0,0 +1,163 @@
+/* Client of a worker's interface: lease, start, renew, stop, checkpoint.
+   Typed requests and answers; one answer for each request.  Prefix: ls_.  */
+
+#ifndef FT_LEASE_H
+#define FT_LEASE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "http/http_client.h"
+
+/* Errors of this layer.  */
+enum ls_error
+{
+  LS_OK = 0,
+  LS_ERR_MEMORY = -1,
+  LS_ERR_NOT_SENT = -2, /* the worker has seen nothing of the request */
+  LS_ERR_UNKNOWN = -3,  /* no whole answer: it may have taken effect */
+  LS_ERR_ANSWER = -4,   /* not understood: it may have taken effect */
+  LS_ERR_STALE_TERM = -5,
+  LS_ERR_BUSY = -6,
+  LS_ERR_NO_LEASE = -7,
+  LS_ERR_REFUSED = -8, /* refused for another reason, without effect */
+};
+
+enum ls_kind
+{
+  LS_LEASE = 1,
+  LS_START,
+  LS_RENEW,
+  LS_STOP,
+  LS_CHECKPOINT
+};
+
+/* One attempt of a job.  */
+struct ls_attempt
+{
+  const char *job;
+  uint32_t attempt;
+};
+
+/* What one task of a lease holds.  */
+struct ls_task
+{
+  uint32_t task;
+  uint32_t cpus_milli;
+  uint32_t memory_mb;
+  uint64_t accelerators; /* bit i: accelerator i of the worker */
+};
+
+/* The fields that a kind does not name are ignored for it.  */
+struct ls_request
+{
+  enum ls_kind kind;
+  uint64_t term;
+  struct ls_attempt attempt;   /* all but LS_RENEW */
+  const char *host;            /* LS_LEASE, LS_RENEW */
+  uint32_t ttl_ms;             /* LS_LEASE, LS_RENEW */
+  const struct ls_task *tasks; /* LS_LEASE */
+  size_t task_count;
+  const void *payload; /* LS_START: a JSON object; NULL: an empty one */
+  size_t payload_size_bytes;
+  uint64_t start_at_ms;          /* LS_START: progress to start from */
+  uint32_t grace_ms;             /* LS_STOP */
+  uint64_t seen;                 /* LS_RENEW: events up to it are kept */
+  const struct ls_attempt *jobs; /* LS_RENEW */
+  size_t job_count;
+};
+
+/* A task ended on the worker.  */
+struct ls_event
+{
+  uint64_t seq;
+  struct ls_attempt attempt;
+  uint32_t task;
+  bool ok;
+  bool lapsed;
+  const char *detail;
+  const char *output;
+};
+
+struct ls_usage
+{
+  struct ls_attempt attempt;
+  uint32_t task;
+  uint32_t cpus_milli;
+  uint32_t memory_mb;
+  uint64_t progress_ms;
+};
+
+/* Everything pointed to is owned by the answer.  */
+struct ls_answer
+{
+  enum ls_kind kind;
+  int error;            /* LS_OK or an ls_error */
+  uint64_t term;        /* the worker's highest, where it says so */
+  uint64_t boot;        /* LS_LEASE, LS_RENEW; LS_STOP where given; else 0 */
+  bool started;         /* LS_STOP: a task of the attempt has run here */
+  uint64_t progress_ms; /* LS_STOP, LS_CHECKPOINT */
+  struct ls_attempt *unknown; /* LS_RENEW: named, but not leased here */
+  size_t unknown_count;
+  struct ls_event *events;
+  size_t event_count;
+  struct ls_usage *usage;
+  size_t usage_count;
+  void *owner; /* private */
+};
+
+/* Where a worker is reached.  */
+struct ls_target
+{
+  const char *address; /* IP number */
+  uint16_t port;
+};
+
+/* Called exactly once for each call that was not cancelled.  The answer is
+   valid during the callback only.  */
+typedef void (*ls_callback) (void *ctx, const struct ls_answer *answer);
+
+struct ls_call;
+
+/*! ls_send () :
+ *  Starts a call.  The callback is never called before ls_send () returns.
+ *  @return : LS_OK with *out set to the call, valid until its callback; or an
+ *            ls_error (then the callback is not called and nothing was sent).
+ */
+int ls_send (struct hc_client *http, const struct ls_target *target,
+             const struct ls_request *request, uint32_t timeout_ms,
+             ls_callback callback, void *ctx, struct ls_call **out);
+
+/*! ls_cancel () :
+ *  Ends a call without its callback. */
+void ls_cancel (struct ls_call *call);
+
+/*! ls_maybe_done () :
+ *  @return : whether a request that ended with ERROR may have taken effect. */
+bool ls_maybe_done (int error);
+
+/*! ls_strerror () :
+ *  @return : a short text for an ls_error. */
+const char *ls_strerror (int error);
+
+/* ===== Encoding, apart from the transport ===================== */
+
+/*! ls_path () :
+ *  @return : the path of the call, such as "/lease". */
+const char *ls_path (enum ls_kind kind);
+
+/*! ls_encode () :
+ *  @return : the request's body, to be freed by free (); NULL if the payload
+ *            is no JSON object. */
+char *ls_encode (const struct ls_request *request);
+
+/*! ls_decode () :
+ *  Reads the answer to a request of KIND.  Never fails: an answer that is not
+ *  understood gives LS_ERR_ANSWER.
+ *  @answer : to be cleared by ls_answer_clear (). */
+void ls_decode (struct ls_answer *answer, enum ls_kind kind, long status,
+                const char *body, size_t size_bytes);
+void ls_answer_clear (struct ls_answer *answer);
+
+#endif
