--- /dev/null
+++ b/programs/foxtailgapd/planner.h
@@ -0,0 +1,219 @@
+/* Shared by the sources of the planner task.  Prefix: planner_.  */
+
+#ifndef FT_PLANNER_H
+#define FT_PLANNER_H
+
+#include <glib.h>
+
+#include "http/http_client.h"
+#include "lease/gang.h"
+#include "lease/lease.h"
+#include "messages.h"
+#include "place/place.h"
+#include "tasks.h"
+
+#define PLANNER_PART "planner"
+
+enum
+{
+  PLANNER_TICK_MS = 100,           /* term, retries and deadlines */
+  PLANNER_ROUND_DELAY_MS = 10,     /* events gathered for one round */
+  PLANNER_CALL_TIMEOUT_MS = 2000,  /* of one request to a worker */
+  PLANNER_APPEND_DEADLINE_MS = 5000,
+  PLANNER_CLAIM_INTERVAL_MS = 500, /* between two claims of the term */
+  PLANNER_REFUSE_RETRY_MS = 1000,
+  PLANNER_WORKER_CONNECTIONS = 4,  /* to one worker at once */
+  PLANNER_IDLE_CONNECTIONS = 64
+};
+
+/* A job that is not over.  */
+struct planner_job
+{
+  struct st_job *job;  /* as the log shows it; one reference */
+  uint32_t tried;      /* highest attempt that was tried */
+  char *refusal;       /* why it is refused; NULL: it is not */
+  bool refusing;       /* the record of that is under way */
+  int64_t refuse_retry_ms;
+};
+
+/* A gang of which this planner takes care.  */
+struct planner_gang
+{
+  struct planner_task *task;
+  struct gang *gang;
+  struct st_job *job; /* one reference */
+  uint32_t attempt;
+  int64_t since_ms;
+  GHashTable *calls; /* set of struct planner_call, under way */
+};
+
+enum planner_append_kind
+{
+  PLANNER_APPEND_TERM = 1,
+  PLANNER_APPEND_GANG,
+  PLANNER_APPEND_REFUSE
+};
+
+/* A record whose answer is awaited.  */
+struct planner_append
+{
+  enum planner_append_kind kind;
+  char *job;
+  uint32_t attempt;
+  enum gang_record record;
+};
+
+/* A request that could not be sent; told to its gang by the next tick.  */
+struct planner_failure
+{
+  char *job;
+  uint32_t attempt;
+  struct gang_event event;
+};
+
+struct planner_task
+{
+  struct daemon *daemon;
+  struct mb_box *box;
+  struct hc_client *http;
+  ev_timer tick;
+  ev_timer round;
+  bool subscribed;
+
+  /* What is known, whoever holds the term.  */
+  struct msg_config *config;
+  struct msg_members *members;
+  struct hl_list *hosts;
+  GHashTable *jobs; /* id -> struct planner_job */
+  bool log_up;
+  bool caught_up;
+
+  /* The term.  */
+  uint64_t term;
+  char *holder;
+  uint64_t claiming; /* term claimed and not decided; 0: none */
+  uint64_t own_term; /* term under which this process acts; 0: none */
+  int64_t claimed_ms;
+  int64_t absent_since_ms; /* of the holder; 0: it is live */
+  int64_t last_pass_ms;    /* of the loop */
+  bool resigned;
+
+  /* While acting.  */
+  struct place *place;
+  struct env_rules rules; /* under which PLACE was made */
+  GHashTable *gangs;      /* job id -> struct planner_gang */
+  GHashTable *up;         /* set of the names of usable workers */
+  GHashTable *appends;    /* token -> struct planner_append */
+  GQueue failures;        /* struct planner_failure */
+  uint64_t next_token;
+};
+
+int64_t planner_now_ms (void); /* monotonic */
+
+/* ===== planner_term.c ========================================= */
+
+/* Notes one pass of the loop.  Returns whether this process may act: after
+   a pause it may not before it has won a new term.  */
+bool planner_pass (struct planner_task *task);
+
+/* Whether no pause has happened since the last pass.  Asked before each
+   action.  */
+bool planner_sure (const struct planner_task *task);
+
+/* Stops acting until a new term is won.  */
+void planner_suspend (struct planner_task *task, const char *why);
+
+void planner_on_term (struct planner_task *task, const struct msg_term *term);
+void planner_on_claimed (struct planner_task *task,
+                         const struct msg_appended *answer);
+void planner_tick_term (struct planner_task *task, int64_t now_ms);
+void planner_resign (struct planner_task *task);
+
+/* ===== planner_jobs.c ========================================= */
+
+/* Makes the placement core anew from what the log says, if all that is
+   needed is known.  */
+void planner_build (struct planner_task *task);
+
+/* Ends all that belongs to the term.  */
+void planner_drop (struct planner_task *task);
+
+void planner_on_config (struct planner_task *task);
+void planner_on_job (struct planner_task *task, struct st_job *job);
+void planner_on_job_dropped (struct planner_task *task, const char *id);
+
+/* Queues a job of the table in the placement core.  */
+void planner_submit (struct planner_task *task, struct planner_job *entry);
+
+/* Refuses a job that can never run.  */
+void planner_refuse (struct planner_task *task, const char *id,
+                     const char *reason);
+void planner_on_refused (struct planner_task *task, const char *id,
+                         const struct msg_appended *answer);
+void planner_tick_refusals (struct planner_task *task, int64_t now_ms);
+
+void planner_job_free (void *entry);
+
+/* ===== planner_workers.c ====================================== */
+
+/* Tells the placement core which workers may be used.  */
+void planner_apply_hosts (struct planner_task *task);
+const struct hl_host *planner_worker (const struct planner_task *task,
+                                      const char *name);
+
+/* ===== planner_rounds.c ======================================= */
+
+/* Asks for a planning round soon.  */
+void planner_want_round (struct planner_task *task);
+void planner_round (struct planner_task *task);
+
+/* ===== planner_gangs.c ======================================== */
+
+/* Starts the life of a new gang.  */
+void planner_gang_begin (struct planner_task *task, struct planner_job *entry,
+                         const struct place_assignment *assignments,
+                         size_t count);
+
+/* Takes on a gang that the log says is placed or running.  */
+void planner_gang_resume (struct planner_task *task,
+                          struct planner_job *entry);
+
+struct planner_gang *planner_gang_of (const struct planner_task *task,
+                                      const char *job);
+void planner_gang_event (struct planner_gang *pg,
+                         const struct gang_event *event);
+
+/* Tells a gang what the log says of its job.  */
+void planner_gang_on_job (struct planner_gang *pg, struct st_job *job);
+void planner_gang_on_appended (struct planner_task *task,
+                               const struct planner_append *append,
+                               const struct msg_appended *answer);
+void planner_tick_gangs (struct planner_task *task, int64_t now_ms);
+void planner_gang_free (void *gang);
+
+/* ===== planner_calls.c ======================================== */
+
+/* Sends a gang's request to one of its workers.  */
+void planner_call_member (struct planner_gang *pg,
+                          const struct gang_command *command);
+void planner_calls_cancel (struct planner_gang *pg);
+void planner_failure_free (void *failure);
+
+/* ===== planner_records.c ====================================== */
+
+/* Each makes a message for the state task.  */
+struct msg_append *planner_record_term (uint64_t term, const char *host);
+struct msg_append *planner_record_place (const struct planner_gang *pg);
+struct msg_append *planner_record_start (const struct planner_gang *pg);
+struct msg_append *planner_record_lost (const struct planner_gang *pg,
+                                        size_t member);
+struct msg_append *planner_record_stop (const struct planner_gang *pg,
+                                        const struct gang_command *command);
+struct msg_append *planner_record_refuse (const char *job, const char *reason);
+
+/* Sends a record under TERM; APPEND is taken over.  */
+void planner_append (struct planner_task *task, struct msg_append *message,
+                     uint64_t term, struct planner_append *append);
+void planner_append_free (void *append);
+
+#endif
