--- a/lib/lease/gang.c
+++ b/lib/lease/gang.c
@@ -265,8 +265,10 @@
 on_start_recorded (struct gang *gang, enum gang_verdict verdict,
                    int64_t now_ms)
 {
-  if (verdict == GANG_NOT_TAKEN || verdict == GANG_UNKNOWN)
-    gang->record_retry_ms[GANG_RECORD_START] = now_ms + GANG_RETRY_MS;
+  bool known = verdict == GANG_VALID || verdict == GANG_VOID;
+
+  gang->record_retry_ms[GANG_RECORD_START]
+      = known ? 0 : now_ms + GANG_RETRY_MS;
 }
 
 /* ===== Running ================================================ */
--- a/programs/foxtailgapd/messages.c
+++ b/programs/foxtailgapd/messages.c
@@ -101,6 +101,7 @@
     case MSG_REQUEST_GONE:
     case MSG_SHUTDOWN:
     case MSG_LOAD:
+    case MSG_USAGE:
       g_free (body);
       break;
     }
--- a/programs/foxtailgapd/messages.h
+++ b/programs/foxtailgapd/messages.h
@@ -14,23 +14,24 @@
 
 enum msg_kind
 {
-  MSG_APPEND = 1,   /* to state: struct msg_append */
-  MSG_APPENDED,     /* from state: struct msg_appended */
-  MSG_SUBSCRIBE,    /* to state: struct msg_subscribe */
-  MSG_TERM,         /* from state: struct msg_term */
-  MSG_CONFIG,       /* from state: struct msg_config */
-  MSG_JOB,          /* from state: struct st_job, one reference */
-  MSG_JOB_DROPPED,  /* from state: char *, the job's id */
-  MSG_CLAIM,        /* from state: struct st_claim, one reference */
-  MSG_LOG,          /* from state: struct msg_log */
-  MSG_HOSTS,        /* from hosts: struct hl_list, one reference */
-  MSG_REQUEST,      /* to upstream: struct msg_request */
-  MSG_REQUEST_GONE, /* to upstream: struct msg_request_gone */
-  MSG_ANSWER,       /* from upstream: struct msg_answer */
-  MSG_MEMBERS,      /* from peers: struct msg_members */
-  MSG_SHUTDOWN,     /* to any: NULL */
-  MSG_LOAD,         /* from upstream to peers: struct msg_load */
-  MSG_CLAIM_DROPPED /* from state: char *, the claim's key */
+  MSG_APPEND = 1,    /* to state: struct msg_append */
+  MSG_APPENDED,      /* from state: struct msg_appended */
+  MSG_SUBSCRIBE,     /* to state: struct msg_subscribe */
+  MSG_TERM,          /* from state: struct msg_term */
+  MSG_CONFIG,        /* from state: struct msg_config */
+  MSG_JOB,           /* from state: struct st_job, one reference */
+  MSG_JOB_DROPPED,   /* from state: char *, the job's id */
+  MSG_CLAIM,         /* from state: struct st_claim, one reference */
+  MSG_LOG,           /* from state: struct msg_log */
+  MSG_HOSTS,         /* from hosts: struct hl_list, one reference */
+  MSG_REQUEST,       /* to upstream: struct msg_request */
+  MSG_REQUEST_GONE,  /* to upstream: struct msg_request_gone */
+  MSG_ANSWER,        /* from upstream: struct msg_answer */
+  MSG_MEMBERS,       /* from peers: struct msg_members */
+  MSG_SHUTDOWN,      /* to any: NULL */
+  MSG_LOAD,          /* from upstream to peers: struct msg_load */
+  MSG_CLAIM_DROPPED, /* from state: char *, the claim's key */
+  MSG_USAGE          /* from renewal to planner: struct msg_usage */
 };
 
 /* Asks for a record in the log; answered once by MSG_APPENDED.  */
@@ -151,6 +152,14 @@
   size_t self; /* index of this host */
 };
 
+/* What a task is known to have done.  */
+struct msg_usage
+{
+  uint32_t attempt;
+  uint64_t progress_ms;
+  char job[]; /* its id, ended by a zero byte */
+};
+
 struct msg_load
 {
   uint32_t in_flight;
--- a/programs/foxtailgapd/planner.h
+++ b/programs/foxtailgapd/planner.h
@@ -16,23 +16,23 @@
 
 enum
 {
-  PLANNER_TICK_MS = 100,           /* term, retries and deadlines */
-  PLANNER_ROUND_DELAY_MS = 10,     /* events gathered for one round */
-  PLANNER_CALL_TIMEOUT_MS = 2000,  /* of one request to a worker */
+  PLANNER_TICK_MS = 100,          /* term, retries and deadlines */
+  PLANNER_ROUND_DELAY_MS = 10,    /* events gathered for one round */
+  PLANNER_CALL_TIMEOUT_MS = 2000, /* of one request to a worker */
   PLANNER_APPEND_DEADLINE_MS = 5000,
   PLANNER_CLAIM_INTERVAL_MS = 500, /* between two claims of the term */
   PLANNER_REFUSE_RETRY_MS = 1000,
-  PLANNER_WORKER_CONNECTIONS = 4,  /* to one worker at once */
+  PLANNER_WORKER_CONNECTIONS = 4, /* to one worker at once */
   PLANNER_IDLE_CONNECTIONS = 64
 };
 
 /* A job that is not over.  */
 struct planner_job
 {
-  struct st_job *job;  /* as the log shows it; one reference */
-  uint32_t tried;      /* highest attempt that was tried */
-  char *refusal;       /* why it is refused; NULL: it is not */
-  bool refusing;       /* the record of that is under way */
+  struct st_job *job; /* as the log shows it; one reference */
+  uint32_t tried;     /* highest attempt that was tried */
+  char *refusal;      /* why it is refused; NULL: it is not */
+  bool refusing;      /* the record of that is under way */
   int64_t refuse_retry_ms;
 };
 
@@ -63,6 +63,14 @@
   enum gang_record record;
 };
 
+/* A gang that is over, to be told to the placement core.  */
+struct planner_ended
+{
+  char *job;
+  char *worker;
+  struct place_ended ended; /* JOB and WORKER are set from the above */
+};
+
 /* A request that could not be sent; told to its gang by the next tick.  */
 struct planner_failure
 {
@@ -105,6 +113,8 @@
   GHashTable *up;         /* set of the names of usable workers */
   GHashTable *appends;    /* token -> struct planner_append */
   GQueue failures;        /* struct planner_failure */
+  GQueue ended;           /* struct planner_ended */
+  bool deciding;          /* commands of PLACE are in use */
   uint64_t next_token;
 };
 
@@ -180,7 +190,8 @@
 
 struct planner_gang *planner_gang_of (const struct planner_task *task,
                                       const char *job);
-void planner_gang_event (struct planner_gang *pg,
+/* Takes one event.  The gang is freed if it is over; then returns false.  */
+bool planner_gang_event (struct planner_gang *pg,
                          const struct gang_event *event);
 
 /* Tells a gang what the log says of its job.  */
@@ -189,6 +200,10 @@
                                const struct planner_append *append,
                                const struct msg_appended *answer);
 void planner_tick_gangs (struct planner_task *task, int64_t now_ms);
+
+/* Tells the placement core which gangs are over.  */
+void planner_flush_ended (struct planner_task *task);
+void planner_ended_free (void *ended);
 void planner_gang_free (void *gang);
 
 /* ===== planner_calls.c ======================================== */
--- /dev/null
+++ b/programs/foxtailgapd/planner_calls.c
@@ -0,0 +1,221 @@
+/* Requests of gangs to their workers.  */
+
+#include "common/logging.h"
+#include "planner.h"
+
+struct planner_call
+{
+  struct planner_gang *pg;
+  size_t member;
+  enum gang_event_kind event;
+  struct ls_call *call;
+};
+
+static enum gang_event_kind
+event_of (enum gang_command_kind command)
+{
+  switch (command)
+    {
+    case GANG_LEASE:
+      return GANG_EV_LEASED;
+    case GANG_START:
+      return GANG_EV_STARTED;
+    case GANG_CHECKPOINT:
+      return GANG_EV_CHECKPOINTED;
+    default:
+      return GANG_EV_STOPPED;
+    }
+}
+
+static enum ls_kind
+kind_of (enum gang_command_kind command)
+{
+  switch (command)
+    {
+    case GANG_LEASE:
+      return LS_LEASE;
+    case GANG_START:
+      return LS_START;
+    case GANG_CHECKPOINT:
+      return LS_CHECKPOINT;
+    default:
+      return LS_STOP;
+    }
+}
+
+static enum gang_reply
+reply_of (int error)
+{
+  switch (error)
+    {
+    case LS_OK:
+      return GANG_REPLY_OK;
+    case LS_ERR_BUSY:
+      return GANG_REPLY_BUSY;
+    case LS_ERR_NOT_SENT:
+    case LS_ERR_MEMORY:
+      return GANG_REPLY_UNSENT;
+    case LS_ERR_UNKNOWN:
+    case LS_ERR_ANSWER:
+      return GANG_REPLY_UNKNOWN;
+    default:
+      return GANG_REPLY_REFUSED;
+    }
+}
+
+/* ===== Answers ================================================ */
+
+static void
+log_failure (const struct planner_gang *pg, size_t member,
+             const struct ls_answer *answer)
+{
+  lg_info (PLANNER_PART, "A worker did not do what was asked.", "request",
+           ls_path (answer->kind), "worker", gang_worker (pg->gang, member),
+           "job", pg->job->id, "error", ls_strerror (answer->error), NULL);
+}
+
+static void
+on_answer (void *ctx, const struct ls_answer *answer)
+{
+  struct planner_call *call = ctx;
+  struct planner_gang *pg = call->pg;
+  struct planner_task *task = pg->task;
+  struct gang_event event = { .kind = call->event,
+                              .now_ms = planner_now_ms (),
+                              .member = call->member,
+                              .reply = reply_of (answer->error),
+                              .boot = answer->boot,
+                              .started = answer->started,
+                              .progress_ms = answer->progress_ms };
+
+  g_hash_table_remove (pg->calls, call);
+  g_free (call);
+  if (!planner_pass (task))
+    return;
+  if (answer->error != LS_OK)
+    log_failure (pg, event.member, answer);
+  if (answer->error == LS_ERR_STALE_TERM)
+    planner_suspend (task, "a worker has seen a later term");
+  else
+    planner_gang_event (pg, &event);
+}
+
+/* ===== Requests =============================================== */
+
+/* What the member's tasks hold.  */
+static struct ls_task *
+member_tasks (const struct planner_gang *pg, size_t member, size_t *count)
+{
+  const Ft__Shape *shape = pg->job->spec->shape;
+  const char *worker = gang_worker (pg->gang, member);
+  const struct place_assignment *assignments;
+  struct ls_task *tasks;
+  size_t all;
+  size_t i;
+
+  assignments = gang_assignments (pg->gang, &all);
+  tasks = g_new0 (struct ls_task, all);
+  *count = 0;
+  for (i = 0; i < all; i++)
+    if (g_str_equal (assignments[i].worker, worker))
+      tasks[(*count)++]
+          = (struct ls_task){ .task = assignments[i].task,
+                              .cpus_milli = shape->cpus_milli,
+                              .memory_mb = shape->memory_mb,
+                              .accelerators = assignments[i].accelerators };
+  return tasks;
+}
+
+/* The gang is told by the next tick, as it must not be while it decides.  */
+static void
+fail_later (struct planner_gang *pg, const struct gang_command *command)
+{
+  struct planner_failure *failure = g_new0 (struct planner_failure, 1);
+
+  failure->job = g_strdup (pg->job->id);
+  failure->attempt = pg->attempt;
+  failure->event = (struct gang_event){ .kind = event_of (command->kind),
+                                        .member = command->member,
+                                        .reply = GANG_REPLY_UNSENT };
+  g_queue_push_tail (&pg->task->failures, failure);
+}
+
+static int
+send_request (struct planner_call *call, const struct hl_host *host,
+              const struct gang_command *command)
+{
+  struct planner_gang *pg = call->pg;
+  const struct settings *settings = pg->task->daemon->settings;
+  const Ft__JobSpec *spec = pg->job->spec;
+  struct ls_target target = { .address = host->address, .port = host->port };
+  struct ls_request request
+      = { .kind = kind_of (command->kind),
+          .term = pg->task->own_term,
+          .attempt = { .job = pg->job->id, .attempt = pg->attempt },
+          .host = settings->host,
+          .ttl_ms = settings->lease_ttl_ms,
+          .payload = spec->payload.data,
+          .payload_size_bytes = spec->payload.len,
+          .start_at_ms = pg->job->progress_ms };
+  struct ls_task *tasks;
+  int error;
+
+  tasks = member_tasks (pg, command->member, &request.task_count);
+  request.tasks = tasks;
+  error = ls_send (pg->task->http, &target, &request, PLANNER_CALL_TIMEOUT_MS,
+                   on_answer, call, &call->call);
+  g_free (tasks);
+  return error;
+}
+
+void
+planner_call_member (struct planner_gang *pg,
+                     const struct gang_command *command)
+{
+  const char *worker = gang_worker (pg->gang, command->member);
+  const struct hl_host *host = planner_worker (pg->task, worker);
+  struct planner_call *call;
+
+  if (host == NULL)
+    {
+      fail_later (pg, command);
+      return;
+    }
+  call = g_new0 (struct planner_call, 1);
+  call->pg = pg;
+  call->member = command->member;
+  call->event = event_of (command->kind);
+  if (send_request (call, host, command) == LS_OK)
+    {
+      g_hash_table_add (pg->calls, call);
+      return;
+    }
+  g_free (call);
+  fail_later (pg, command);
+}
+
+void
+planner_calls_cancel (struct planner_gang *pg)
+{
+  GHashTableIter iter;
+  gpointer item;
+
+  g_hash_table_iter_init (&iter, pg->calls);
+  while (g_hash_table_iter_next (&iter, &item, NULL))
+    {
+      struct planner_call *call = item;
+
+      ls_cancel (call->call);
+      g_free (call);
+    }
+  g_hash_table_remove_all (pg->calls);
+}
+
+void
+planner_failure_free (void *failure)
+{
+  struct planner_failure *item = failure;
+
+  g_free (item->job);
+  g_free (item);
+}
--- /dev/null
+++ b/programs/foxtailgapd/planner_gangs.c
@@ -0,0 +1,397 @@
+/* The gangs of this planner: events to their state machines, and the commands
+   that these give.  */
+
+#include "common/logging.h"
+#include "planner.h"
+
+struct planner_gang *
+planner_gang_of (const struct planner_task *task, const char *job)
+{
+  return g_hash_table_lookup (task->gangs, job);
+}
+
+void
+planner_gang_free (void *gang)
+{
+  struct planner_gang *pg = gang;
+
+  planner_calls_cancel (pg);
+  g_hash_table_destroy (pg->calls);
+  gang_free (pg->gang);
+  st_job_unref (pg->job);
+  g_free (pg);
+}
+
+/* ===== Commands =============================================== */
+
+static void
+record (struct planner_gang *pg, const struct gang_command *command)
+{
+  struct planner_append *append = g_new0 (struct planner_append, 1);
+  struct msg_append *message = NULL;
+
+  append->kind = PLANNER_APPEND_GANG;
+  append->job = g_strdup (pg->job->id);
+  append->attempt = pg->attempt;
+  append->record = command->record;
+  switch (command->record)
+    {
+    case GANG_RECORD_PLACE:
+      message = planner_record_place (pg);
+      break;
+    case GANG_RECORD_START:
+      message = planner_record_start (pg);
+      break;
+    case GANG_RECORD_LOST:
+      message = planner_record_lost (pg, command->member);
+      break;
+    case GANG_RECORD_STOP:
+    case GANG_RECORD_KINDS:
+      message = planner_record_stop (pg, command);
+      break;
+    }
+  planner_append (pg->task, message, pg->task->own_term, append);
+}
+
+/* Notes that the gang is over, and forgets it.  */
+static void
+end_gang (struct planner_gang *pg, const struct gang_command *command)
+{
+  struct planner_task *task = pg->task;
+  struct planner_ended *ended = g_new0 (struct planner_ended, 1);
+
+  ended->job = g_strdup (pg->job->id);
+  ended->worker = g_strdup (command->worker);
+  ended->ended = (struct place_ended){
+    .end = command->end,
+    .ran_ms = (uint64_t)(planner_now_ms () - pg->since_ms),
+    .progress_ms = command->progress_ms,
+    .again = command->again,
+  };
+  lg_info (PLANNER_PART, "A gang is over.", "job", pg->job->id, "attempt",
+           lg_number (pg->attempt), "reason", command->reason, "again",
+           command->again ? "yes" : "no", NULL);
+  g_queue_push_tail (&task->ended, ended);
+  g_hash_table_remove (task->gangs, ended->job);
+}
+
+static void
+carry_out (struct planner_gang *pg, const struct gang_command *command)
+{
+  if (!planner_sure (pg->task))
+    return;
+  switch (command->kind)
+    {
+    case GANG_LEASE:
+    case GANG_START:
+    case GANG_CHECKPOINT:
+    case GANG_STOP:
+      planner_call_member (pg, command);
+      break;
+    case GANG_RECORD:
+      record (pg, command);
+      break;
+    case GANG_ENDED:
+      end_gang (pg, command);
+      break;
+    }
+}
+
+bool
+planner_gang_event (struct planner_gang *pg, const struct gang_event *event)
+{
+  struct planner_task *task = pg->task;
+  enum gang_state before = gang_state (pg->gang);
+  const struct gang_command *commands;
+  struct gang_command *copy;
+  bool over = false;
+  size_t count;
+  size_t i;
+
+  count = gang_decide (pg->gang, event, &commands);
+  copy = g_memdup2 (commands, count * sizeof *commands);
+  if (gang_state (pg->gang) != before)
+    lg_debug (PLANNER_PART, "A gang goes on.", "job", pg->job->id, "state",
+              gang_state_name (gang_state (pg->gang)), NULL);
+  for (i = 0; i < count && !over; i++)
+    {
+      over = copy[i].kind == GANG_ENDED && planner_sure (task);
+      carry_out (pg, &copy[i]);
+    }
+  g_free (copy);
+  if (!task->deciding)
+    planner_flush_ended (task);
+  return !over;
+}
+
+/* ===== Beginnings ============================================= */
+
+static bool
+attempts_left (const struct planner_task *task, const struct st_job *job,
+               uint32_t attempt)
+{
+  uint32_t limit = job->spec->attempt_limit;
+
+  if (limit == 0)
+    limit = task->rules.attempt_limit;
+  return attempt < limit;
+}
+
+static struct planner_gang *
+create_gang (struct planner_task *task, struct planner_job *entry,
+             uint32_t attempt, const struct place_assignment *assignments,
+             size_t count)
+{
+  const struct settings *settings = task->daemon->settings;
+  const struct st_job *job = entry->job;
+  struct planner_gang *pg;
+  struct gang_params params
+      = { .assignments = assignments,
+          .assignment_count = count,
+          .repeatable = job->spec->repeatable,
+          .checkpointable = job->spec->checkpointable,
+          .attempts_left = attempts_left (task, job, attempt),
+          .progress_ms = job->progress_ms,
+          .ttl_ms = settings->lease_ttl_ms,
+          .renew_ms = settings->lease_renew_ms,
+          .call_timeout_ms = PLANNER_CALL_TIMEOUT_MS,
+          .start_timeout_ms = task->rules.gang_start_timeout_ms };
+  struct gang *gang;
+
+  if (gang_create (&gang, &params) != GANG_OK)
+    {
+      lg_error (PLANNER_PART, "A job has no valid assignments.", "job",
+                job->id, NULL);
+      return NULL;
+    }
+  pg = g_new0 (struct planner_gang, 1);
+  pg->task = task;
+  pg->gang = gang;
+  pg->job = st_job_ref (entry->job);
+  pg->attempt = attempt;
+  pg->since_ms = planner_now_ms ();
+  pg->calls = g_hash_table_new (NULL, NULL);
+  g_hash_table_insert (task->gangs, g_strdup (job->id), pg);
+  entry->tried = MAX (entry->tried, attempt);
+  return pg;
+}
+
+void
+planner_gang_begin (struct planner_task *task, struct planner_job *entry,
+                    const struct place_assignment *assignments, size_t count)
+{
+  uint32_t attempt = MAX (entry->tried, entry->job->attempt) + 1;
+  struct planner_gang *pg
+      = create_gang (task, entry, attempt, assignments, count);
+
+  if (pg == NULL)
+    return;
+  lg_info (PLANNER_PART, "A gang is to run.", "job", entry->job->id, "attempt",
+           lg_number (attempt), "tasks", lg_number ((long long)count), NULL);
+  mt_add (task->daemon->metrics, "foxtailgap_gangs_begun_total", 1);
+  planner_gang_event (pg, &(struct gang_event){ .kind = GANG_EV_BEGIN,
+                                                .now_ms = pg->since_ms });
+}
+
+/* Tells a gang of every end of a task that the log holds.  */
+static bool
+tell_task_ends (struct planner_gang *pg, const struct st_job *job)
+{
+  bool alive = true;
+  size_t i;
+
+  for (i = 0; i < job->task_count && alive; i++)
+    {
+      const struct st_task *task = &job->tasks[i];
+      struct gang_event event = { .kind = GANG_EV_TASK_ENDED,
+                                  .now_ms = planner_now_ms (),
+                                  .task = task->assignment.task,
+                                  .ok = task->ok,
+                                  .lapsed = task->lapsed };
+
+      if (task->ended && !gang_task_ended (pg->gang, event.task))
+        alive = planner_gang_event (pg, &event);
+    }
+  return alive;
+}
+
+static bool
+tell (struct planner_gang *pg, enum gang_event_kind kind)
+{
+  return planner_gang_event (
+      pg, &(struct gang_event){ .kind = kind, .now_ms = planner_now_ms () });
+}
+
+void
+planner_gang_resume (struct planner_task *task, struct planner_job *entry)
+{
+  struct st_job *job = entry->job;
+  struct place_assignment *assignments
+      = g_new0 (struct place_assignment, job->task_count);
+  struct planner_gang *pg;
+  size_t i;
+
+  for (i = 0; i < job->task_count; i++)
+    assignments[i] = job->tasks[i].assignment;
+  pg = create_gang (task, entry, job->attempt, assignments, job->task_count);
+  g_free (assignments);
+  if (pg == NULL)
+    return;
+  lg_info (PLANNER_PART, "A gang is taken on.", "job", job->id, "attempt",
+           lg_number (job->attempt), "state", st_job_state_name (job->state),
+           NULL);
+  tell_task_ends (pg, job);
+  if (job->cancelling)
+    tell (pg, GANG_EV_CANCEL);
+  planner_gang_event (
+      pg, &(struct gang_event){ .kind = GANG_EV_RESUME,
+                                .now_ms = planner_now_ms (),
+                                .running = job->state == ST_JOB_RUNNING });
+}
+
+/* ===== What the log says ====================================== */
+
+static bool
+tell_recorded (struct planner_gang *pg, enum gang_record record_kind,
+               enum gang_verdict verdict)
+{
+  struct gang_event event = { .kind = GANG_EV_RECORDED,
+                              .now_ms = planner_now_ms (),
+                              .record = record_kind,
+                              .verdict = verdict };
+
+  return planner_gang_event (pg, &event);
+}
+
+/* The job holds the workers of this gang, or its tasks have all ended.  */
+static void
+tell_held (struct planner_gang *pg, struct st_job *job)
+{
+  if (!gang_is_recorded (pg->gang)
+      && !tell_recorded (pg, GANG_RECORD_PLACE, GANG_VALID))
+    return;
+  if (job->state == ST_JOB_RUNNING
+      && !tell_recorded (pg, GANG_RECORD_START, GANG_VALID))
+    return;
+  if (!tell_task_ends (pg, job))
+    return;
+  if (job->state == ST_JOB_FINISHED)
+    tell (pg, GANG_EV_FINISHED);
+  else if (job->cancelling)
+    tell (pg, GANG_EV_CANCEL);
+}
+
+void
+planner_gang_on_job (struct planner_gang *pg, struct st_job *job)
+{
+  struct gang_event left = { .kind = GANG_EV_LEFT,
+                             .now_ms = planner_now_ms (),
+                             .again = job->state == ST_JOB_QUEUED };
+
+  st_job_unref (pg->job);
+  pg->job = st_job_ref (job);
+  if (job->attempt < pg->attempt)
+    {
+      /* Not recorded yet.  */
+      if (job->state >= ST_JOB_FINISHED)
+        tell (pg, GANG_EV_CANCEL);
+      return;
+    }
+  if (job->attempt == pg->attempt
+      && (job->state == ST_JOB_PLACED || job->state == ST_JOB_RUNNING
+          || job->state == ST_JOB_FINISHED))
+    tell_held (pg, job);
+  else
+    planner_gang_event (pg, &left);
+}
+
+static enum gang_verdict
+verdict_of (const struct msg_appended *answer)
+{
+  if (answer->result == MSG_APPEND_UNKNOWN)
+    return GANG_UNKNOWN;
+  if (answer->result == MSG_APPEND_NOT_TAKEN)
+    return GANG_NOT_TAKEN;
+  return answer->verdict == ST_VALID ? GANG_VALID : GANG_VOID;
+}
+
+void
+planner_gang_on_appended (struct planner_task *task,
+                          const struct planner_append *append,
+                          const struct msg_appended *answer)
+{
+  struct planner_gang *pg = planner_gang_of (task, append->job);
+
+  if (pg == NULL || pg->attempt != append->attempt)
+    return;
+  if (answer->result == MSG_APPEND_FOLDED && answer->verdict != ST_VALID)
+    lg_info (PLANNER_PART, "A record had no effect.", "job", append->job,
+             "verdict", st_verdict_name (answer->verdict), NULL);
+  tell_recorded (pg, append->record, verdict_of (answer));
+}
+
+/* ===== Time and ends ========================================== */
+
+static void
+tell_failures (struct planner_task *task, int64_t now_ms)
+{
+  guint count = g_queue_get_length (&task->failures);
+
+  for (; count > 0; count--)
+    {
+      struct planner_failure *failure = g_queue_pop_head (&task->failures);
+      struct planner_gang *pg = planner_gang_of (task, failure->job);
+
+      failure->event.now_ms = now_ms;
+      if (pg != NULL && pg->attempt == failure->attempt)
+        planner_gang_event (pg, &failure->event);
+      planner_failure_free (failure);
+    }
+}
+
+void
+planner_tick_gangs (struct planner_task *task, int64_t now_ms)
+{
+  GList *gangs;
+  GList *item;
+
+  tell_failures (task, now_ms);
+  gangs = g_hash_table_get_values (task->gangs);
+  for (item = gangs; item != NULL; item = item->next)
+    planner_gang_event (item->data, &(struct gang_event){ .kind = GANG_EV_TICK,
+                                                          .now_ms = now_ms });
+  g_list_free (gangs);
+  mt_set (task->daemon->metrics, "foxtailgap_gangs",
+          g_hash_table_size (task->gangs));
+}
+
+void
+planner_flush_ended (struct planner_task *task)
+{
+  struct planner_ended *item;
+
+  while ((item = g_queue_pop_head (&task->ended)) != NULL)
+    {
+      struct planner_job *entry = g_hash_table_lookup (task->jobs, item->job);
+
+      item->ended.job = item->job;
+      item->ended.worker = item->worker;
+      if (task->place != NULL)
+        place_ended (task->place, &item->ended);
+      /* A job that the core had lost sight of.  */
+      if (entry != NULL && entry->job->state == ST_JOB_QUEUED)
+        planner_submit (task, entry);
+      planner_ended_free (item);
+      planner_want_round (task);
+    }
+}
+
+void
+planner_ended_free (void *ended)
+{
+  struct planner_ended *item = ended;
+
+  g_free (item->job);
+  g_free (item->worker);
+  g_free (item);
+}
--- /dev/null
+++ b/programs/foxtailgapd/planner_jobs.c
@@ -0,0 +1,345 @@
+/* The jobs that are not over, as the log shows them, and their way into the
+   placement core.  */
+
+#include "common/logging.h"
+#include "planner.h"
+
+void
+planner_job_free (void *entry)
+{
+  struct planner_job *item = entry;
+
+  st_job_unref (item->job);
+  g_free (item->refusal);
+  g_free (item);
+}
+
+static bool
+holds_workers (const struct st_job *job)
+{
+  return job->state == ST_JOB_PLACED || job->state == ST_JOB_RUNNING;
+}
+
+/* ===== The placement core's view of a job ===================== */
+
+/* From the log's time to the monotonic clock of this host.  */
+static int64_t
+to_monotonic_ms (int64_t time_ms)
+{
+  int64_t age_ms = (g_get_real_time () / G_TIME_SPAN_MILLISECOND) - time_ms;
+
+  return planner_now_ms () - MAX (age_ms, 0);
+}
+
+static struct place_job
+to_place_job (const struct st_job *job)
+{
+  const Ft__JobSpec *spec = job->spec;
+  const Ft__Shape *shape = spec->shape;
+
+  return (struct place_job){
+    .id = job->id,
+    .team = spec->team,
+    .kind = spec->kind,
+    .data_centre = spec->data_centre,
+    .shape = { .tasks = shape->tasks,
+               .task = { .cpus_milli = shape->cpus_milli,
+                         .memory_mb = shape->memory_mb,
+                         .accelerators = shape->accelerators },
+               .span = (enum place_span)shape->span },
+    .declared_run_ms = spec->declared_run_ms,
+    .submitted_ms = to_monotonic_ms (job->submitted_ms),
+    .progress_ms = job->progress_ms,
+    .attempt = job->attempt,
+    .urgent = spec->urgency > 0,
+    .checkpointable = spec->checkpointable,
+    .repeatable = spec->repeatable,
+  };
+}
+
+void
+planner_submit (struct planner_task *task, struct planner_job *entry)
+{
+  struct place_job job = to_place_job (entry->job);
+  char reason[PLACE_TEXT_SIZE_BYTES] = "";
+  int error;
+
+  if (task->place == NULL || entry->refusal != NULL)
+    return;
+  error = place_submit (task->place, &job, reason);
+  if (error == PLACE_ERR_NEVER)
+    planner_refuse (task, entry->job->id, reason);
+  else if (error != PLACE_OK && error != PLACE_ERR_EXISTS)
+    planner_refuse (task, entry->job->id, place_strerror (error));
+  planner_want_round (task);
+}
+
+static void
+restore (struct planner_task *task, const struct st_job *job)
+{
+  struct place_job place_job = to_place_job (job);
+  struct place_assignment *assignments
+      = g_new0 (struct place_assignment, job->task_count);
+  size_t i;
+  int error;
+
+  for (i = 0; i < job->task_count; i++)
+    assignments[i] = job->tasks[i].assignment;
+  error = place_restore (task->place, &place_job, assignments, job->task_count,
+                         to_monotonic_ms (job->changed_ms));
+  if (error != PLACE_OK)
+    lg_warning (PLANNER_PART, "A placed job is not known to the core.", "job",
+                job->id, "error", place_strerror (error), NULL);
+  g_free (assignments);
+}
+
+/* ===== Building and dropping ================================== */
+
+static int64_t
+place_now (void *ctx)
+{
+  (void)ctx;
+  return planner_now_ms ();
+}
+
+static uint32_t
+place_random (void *ctx)
+{
+  (void)ctx;
+  return g_random_int ();
+}
+
+static int
+create_place (struct planner_task *task)
+{
+  const struct env_rules *rules = &task->config->document->rules;
+  struct place_params params
+      = { .policy = &place_policy_guarantee,
+          .checkpoint_grace_ms = rules->checkpoint_grace_ms,
+          .attempt_limit = rules->attempt_limit,
+          .quarantine_failures = rules->quarantine_failures,
+          .quarantine_ms = rules->quarantine_ms,
+          .now_ms = place_now,
+          .random = place_random };
+
+  task->rules = *rules;
+  return place_create (&task->place, &params);
+}
+
+static void
+configure_teams (struct planner_task *task)
+{
+  const struct env_document *document = task->config->document;
+  struct place_team *teams = env_place_teams (document);
+  int error = place_configure (task->place, teams, document->teams_count);
+
+  if (error != PLACE_OK)
+    lg_error (PLANNER_PART, "The teams cannot be configured.", "error",
+              place_strerror (error), NULL);
+  env_place_teams_free (teams, document->teams_count);
+  planner_want_round (task);
+}
+
+static gint
+by_submission (gconstpointer a, gconstpointer b)
+{
+  const struct st_job *left = ((const struct planner_job *)a)->job;
+  const struct st_job *right = ((const struct planner_job *)b)->job;
+
+  if (left->submitted_ms != right->submitted_ms)
+    return left->submitted_ms < right->submitted_ms ? -1 : 1;
+  return g_strcmp0 (left->id, right->id);
+}
+
+/* Jobs that hold workers go first, so that nothing is placed over them.  */
+static void
+add_jobs (struct planner_task *task)
+{
+  GList *entries = g_hash_table_get_values (task->jobs);
+  GList *item;
+
+  entries = g_list_sort (entries, by_submission);
+  for (item = entries; item != NULL; item = item->next)
+    if (holds_workers (((struct planner_job *)item->data)->job))
+      restore (task, ((struct planner_job *)item->data)->job);
+  for (item = entries; item != NULL; item = item->next)
+    {
+      struct planner_job *entry = item->data;
+
+      if (holds_workers (entry->job))
+        planner_gang_resume (task, entry);
+      else if (entry->job->state == ST_JOB_QUEUED)
+        planner_submit (task, entry);
+    }
+  g_list_free (entries);
+}
+
+void
+planner_build (struct planner_task *task)
+{
+  int error;
+
+  if (task->own_term == 0 || task->place != NULL || task->config == NULL
+      || task->hosts == NULL)
+    return;
+  error = create_place (task);
+  if (error != PLACE_OK)
+    {
+      lg_error (PLANNER_PART, "The placement core cannot be created.", "error",
+                place_strerror (error), NULL);
+      return;
+    }
+  configure_teams (task);
+  planner_apply_hosts (task);
+  add_jobs (task);
+  lg_info (PLANNER_PART, "Plans.", "term",
+           lg_number ((long long)task->own_term), "jobs",
+           lg_number (g_hash_table_size (task->jobs)), NULL);
+}
+
+void
+planner_drop (struct planner_task *task)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_remove_all (task->gangs);
+  g_hash_table_remove_all (task->appends);
+  g_hash_table_remove_all (task->up);
+  g_queue_clear_full (&task->failures, planner_failure_free);
+  g_queue_clear_full (&task->ended, planner_ended_free);
+  ev_timer_stop (task->daemon->loop, &task->round);
+  place_free (task->place);
+  task->place = NULL;
+  g_hash_table_iter_init (&iter, task->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct planner_job *entry = value;
+
+      g_clear_pointer (&entry->refusal, g_free);
+      entry->refusing = false;
+    }
+}
+
+/* Rules are given to the core when it is made: other rules need a new one.
+   That needs nothing but what the log says, as after a change of planner.  */
+void
+planner_on_config (struct planner_task *task)
+{
+  const struct env_rules *rules = &task->config->document->rules;
+
+  if (task->place != NULL && memcmp (rules, &task->rules, sizeof *rules) != 0)
+    planner_suspend (task, "the rules have changed");
+  else if (task->place != NULL)
+    configure_teams (task);
+  else
+    planner_build (task);
+}
+
+/* ===== Changes of a job ======================================= */
+
+static struct planner_job *
+update_entry (struct planner_task *task, struct st_job *job)
+{
+  struct planner_job *entry = g_hash_table_lookup (task->jobs, job->id);
+
+  if (entry == NULL)
+    {
+      entry = g_new0 (struct planner_job, 1);
+      g_hash_table_insert (task->jobs, g_strdup (job->id), entry);
+    }
+  else
+    st_job_unref (entry->job);
+  entry->job = st_job_ref (job);
+  return entry;
+}
+
+void
+planner_on_job (struct planner_task *task, struct st_job *job)
+{
+  struct planner_gang *pg = planner_gang_of (task, job->id);
+  struct planner_job *entry = NULL;
+
+  if (job->state >= ST_JOB_FINISHED)
+    g_hash_table_remove (task->jobs, job->id);
+  else
+    entry = update_entry (task, job);
+  if (task->place == NULL)
+    return;
+  if (pg != NULL)
+    planner_gang_on_job (pg, job);
+  else if (entry == NULL)
+    place_cancel (task->place, job->id);
+  else if (job->state == ST_JOB_QUEUED)
+    planner_submit (task, entry);
+  else if (job->attempt > entry->tried)
+    {
+      restore (task, job);
+      planner_gang_resume (task, entry);
+    }
+  planner_want_round (task);
+}
+
+void
+planner_on_job_dropped (struct planner_task *task, const char *id)
+{
+  if (task->place != NULL && planner_gang_of (task, id) == NULL)
+    place_cancel (task->place, id);
+  g_hash_table_remove (task->jobs, id);
+}
+
+/* ===== Refusals =============================================== */
+
+static void
+record_refusal (struct planner_task *task, struct planner_job *entry)
+{
+  struct planner_append *append = g_new0 (struct planner_append, 1);
+
+  append->kind = PLANNER_APPEND_REFUSE;
+  append->job = g_strdup (entry->job->id);
+  entry->refusing = true;
+  planner_append (task, planner_record_refuse (entry->job->id, entry->refusal),
+                  task->own_term, append);
+}
+
+void
+planner_refuse (struct planner_task *task, const char *id, const char *reason)
+{
+  struct planner_job *entry = g_hash_table_lookup (task->jobs, id);
+
+  if (entry == NULL || entry->refusal != NULL)
+    return;
+  entry->refusal = g_strdup (reason == NULL ? "" : reason);
+  lg_info (PLANNER_PART, "A job is refused.", "job", id, "reason",
+           entry->refusal, NULL);
+  record_refusal (task, entry);
+}
+
+void
+planner_on_refused (struct planner_task *task, const char *id,
+                    const struct msg_appended *answer)
+{
+  struct planner_job *entry = g_hash_table_lookup (task->jobs, id);
+
+  if (entry == NULL || answer->result == MSG_APPEND_FOLDED)
+    return;
+  entry->refusing = false;
+  entry->refuse_retry_ms = planner_now_ms () + PLANNER_REFUSE_RETRY_MS;
+}
+
+void
+planner_tick_refusals (struct planner_task *task, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, task->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct planner_job *entry = value;
+
+      if (entry->refusal != NULL && !entry->refusing
+          && now_ms >= entry->refuse_retry_ms)
+        record_refusal (task, entry);
+    }
+}
--- a/programs/foxtailgapd/planner_term.c
+++ b/programs/foxtailgapd/planner_term.c
@@ -109,7 +109,7 @@
 void
 planner_on_term (struct planner_task *task, const struct msg_term *term)
 {
-  bool mine = g_strcmp0 (term->holder, own_name (task)) == 0;
+  bool mine = term->mine && g_strcmp0 (term->holder, own_name (task)) == 0;
 
   if (term->term < task->term)
     return;
@@ -167,8 +167,9 @@
     return;
   if (g_str_equal (task->holder, own_name (task)))
     {
-      /* Held by an earlier process of this host, or before a pause.  */
-      claim (task, now_ms, "the term of this host must be renewed");
+      /* Held by an earlier process of this host, before a pause, or handed
+         over to this host.  */
+      claim (task, now_ms, "the term is this host's to renew");
       return;
     }
   if (task->holder[0] != '\0' && holder_is_live (task))
@@ -182,16 +183,30 @@
     claim (task, now_ms, "no live host holds it");
 }
 
+/* The next live host by name; NULL if there is none.  */
+static const char *
+successor (const struct planner_task *task)
+{
+  const struct msg_members *members = task->members;
+
+  if (members == NULL || members->member_count < 2)
+    return NULL;
+  return members->members[(members->self + 1) % members->member_count].host;
+}
+
+/* The next term is claimed in the name of the successor, which finds itself
+   named and claims its own at once.  */
 void
 planner_resign (struct planner_task *task)
 {
+  const char *host = successor (task);
   struct msg_append *message;
 
   task->resigned = true;
-  if (task->own_term == 0)
+  if (task->own_term == 0 || host == NULL)
     return;
-  lg_info (PLANNER_PART, "Hands the term over.", NULL);
-  message = planner_record_term (task->own_term + 1, "");
+  lg_info (PLANNER_PART, "Hands the term over.", "to", host, NULL);
+  message = planner_record_term (task->own_term + 1, host);
   message->deadline_ms = PLANNER_APPEND_DEADLINE_MS;
   mb_post (task->daemon->state, MSG_APPEND, message);
   task->own_term = 0;
