--- a/lib/proto/record.pb-c.c
+++ b/lib/proto/record.pb-c.c
@@ -2605,7 +2605,7 @@
   (ProtobufCMessageInit) ft__snapshot_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ft__snapshot_job__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ft__snapshot_job__field_descriptors[14] =
 {
   {
     "job",
@@ -2739,6 +2739,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ran",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ft__SnapshotJob, ran),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "not_started",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ft__SnapshotJob, not_started),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ran_before",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ft__SnapshotJob, ran_before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ft__snapshot_job__field_indices_by_name[] = {
   4,   /* field[4] = attempt */
@@ -2746,7 +2782,10 @@
   7,   /* field[7] = changed_ms */
   2,   /* field[2] = digest */
   0,   /* field[0] = job */
+  12,   /* field[12] = not_started */
   9,   /* field[9] = progress_ms */
+  11,   /* field[11] = ran */
+  13,   /* field[13] = ran_before */
   8,   /* field[8] = reason */
   1,   /* field[1] = spec */
   3,   /* field[3] = state */
@@ -2756,7 +2795,7 @@
 static const ProtobufCIntRange ft__snapshot_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor ft__snapshot_job__descriptor =
 {
@@ -2766,7 +2805,7 @@
   "Ft__SnapshotJob",
   "ft",
   sizeof(Ft__SnapshotJob),
-  11,
+  14,
   ft__snapshot_job__field_descriptors,
   ft__snapshot_job__field_indices_by_name,
   1,  ft__snapshot_job__number_ranges,
@@ -2979,7 +3018,7 @@
   (ProtobufCMessageInit) ft__snapshot_revision__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ft__snapshot__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ft__snapshot__field_descriptors[11] =
 {
   {
     "offset",
@@ -3089,13 +3128,39 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "recent_deltas_ms",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Ft__Snapshot, n_recent_deltas_ms),
+    offsetof(Ft__Snapshot, recent_deltas_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "recent_verdicts",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ft__Snapshot, n_recent_verdicts),
+    offsetof(Ft__Snapshot, recent_verdicts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ft__snapshot__field_indices_by_name[] = {
   7,   /* field[7] = claims */
   2,   /* field[2] = holder */
   6,   /* field[6] = jobs */
   0,   /* field[0] = offset */
+  9,   /* field[9] = recent_deltas_ms */
   8,   /* field[8] = recent_ids */
+  10,   /* field[10] = recent_verdicts */
   5,   /* field[5] = revisions */
   1,   /* field[1] = term */
   3,   /* field[3] = term_ms */
@@ -3104,7 +3169,7 @@
 static const ProtobufCIntRange ft__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ft__snapshot__descriptor =
 {
@@ -3114,7 +3179,7 @@
   "Ft__Snapshot",
   "ft",
   sizeof(Ft__Snapshot),
-  9,
+  11,
   ft__snapshot__field_descriptors,
   ft__snapshot__field_indices_by_name,
   1,  ft__snapshot__number_ranges,
--- a/lib/proto/record.pb-c.h
+++ b/lib/proto/record.pb-c.h
@@ -392,10 +392,16 @@
   uint64_t progress_ms;
   size_t n_tasks;
   Ft__SnapshotTask **tasks;
+  protobuf_c_boolean ran;
+  protobuf_c_boolean not_started;
+  /*
+   * by attempts before the newest one
+   */
+  protobuf_c_boolean ran_before;
 };
 #define FT__SNAPSHOT_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ft__snapshot_job__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, NULL, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Ft__SnapshotClaim
@@ -445,12 +451,25 @@
   Ft__SnapshotJob **jobs;
   size_t n_claims;
   Ft__SnapshotClaim **claims;
+  /*
+   * oldest first
+   */
   size_t n_recent_ids;
   ProtobufCBinaryData *recent_ids;
+  /*
+   * time after the id before
+   */
+  size_t n_recent_deltas_ms;
+  uint64_t *recent_deltas_ms;
+  /*
+   * enum st_verdict
+   */
+  size_t n_recent_verdicts;
+  uint32_t *recent_verdicts;
 };
 #define FT__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ft__snapshot__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Ft__Assignment methods */
--- a/lib/state/state.h
+++ b/lib/state/state.h
@@ -17,6 +17,7 @@
   ST_OK = 0,
   ST_ERR_MEMORY = -1,
   ST_ERR_INVALID = -2, /* bytes that are no batch or no snapshot */
+  ST_ERR_REVERTS = -3, /* a snapshot would undo a term or a configuration */
 };
 
 enum
@@ -191,9 +192,17 @@
 int st_encode (const struct st_state *state, uint8_t **data,
                size_t *size_bytes);
 
+/*! st_encode_at () :
+ *  The same, with OFFSET as the first that is not folded in: for a state that
+ *  can never fold the records before OFFSET, because the log lost them. */
+int st_encode_at (const struct st_state *state, uint64_t offset,
+                  uint8_t **data, size_t *size_bytes);
+
 /*! st_decode () :
  *  Replaces the state by a snapshot, if that is newer; the observer is told
- *  of all that changed. */
+ *  of all that changed, but not of verdicts (see st_recent ()).
+ *  @return : ST_OK, also for a snapshot that is not newer; or an st_error,
+ *            and the state is as before. */
 int st_decode (struct st_state *state, const uint8_t *data, size_t size_bytes);
 
 const char *st_job_state_name (enum st_job_state state);
--- a/lib/state/state_private.h
+++ b/lib/state/state_private.h
@@ -16,7 +16,8 @@
   ST_DOCUMENT_LIMIT_BYTES = 512 * 1024, /* one configuration */
   ST_BATCH_LIMIT_BYTES = 1024 * 1024,   /* one append */
   ST_RECENT_WINDOW_MS = 120 * 1000,     /* ids kept to drop duplicates */
-  ST_RECENT_LIMIT = 65536
+  ST_RECENT_LIMIT = 65536,
+  ST_SNAPSHOT_LIMIT_BYTES = 64 * 1024 * 1024
 };
 
 /* A specification shared by all versions of one job.  */
@@ -157,4 +158,11 @@
 void st_recent_init (struct st_state *state);
 void st_recent_clear (struct st_state *state);
 
+/* ===== Snapshots ============================================== */
+
+/*! st_pack_job (), st_pack_claim () :
+ *  @return : one object as a snapshot holds it. */
+GBytes *st_pack_job (const struct st_job *job);
+GBytes *st_pack_claim (const struct st_claim *claim);
+
 #endif
