--- a/lib/lease/gang.h
+++ b/lib/lease/gang.h
@@ -35,6 +35,7 @@
   GANG_STOPPING,      /* not all workers are free yet */
   GANG_ENDING,        /* all free; JobStop is being recorded */
   GANG_HOLDING,       /* waits before the job may be placed again */
+  GANG_VOIDING,       /* the attempt's number is being used up in the log */
   GANG_DONE
 };
 
@@ -44,6 +45,7 @@
   GANG_REPLY_OK = 0,
   GANG_REPLY_REFUSED, /* without effect, and the worker is to blame */
   GANG_REPLY_BUSY,    /* without effect, and the worker is not to blame */
+  GANG_REPLY_ENDED,   /* without effect: the attempt is over there */
   GANG_REPLY_UNSENT,  /* the worker has seen nothing of it */
   GANG_REPLY_UNKNOWN  /* it may have taken effect, or may yet */
 };
--- a/lib/lease/gang_internal.h
+++ b/lib/lease/gang_internal.h
@@ -44,6 +44,7 @@
   GArray *commands;
 
   bool recorded;    /* the log holds the attempt */
+  bool number_used; /* a worker will not take the attempt's number again */
   bool place_doubt; /* an earlier JobPlace may yet take effect */
   bool left;        /* the log says that the attempt is over */
   bool left_again;
@@ -79,6 +80,9 @@
 void gang_on_stopped (struct gang *gang, const struct gang_event *event);
 void gang_on_stop_recorded (struct gang *gang, enum gang_verdict verdict,
                             int64_t now_ms);
+/* JobPlace was sent to use up the attempt's number.  */
+void gang_on_void_recorded (struct gang *gang, enum gang_verdict verdict,
+                            int64_t now_ms);
 void gang_on_lost_recorded (struct gang *gang, enum gang_verdict verdict,
                             int64_t now_ms);
 void gang_on_left (struct gang *gang, const struct gang_event *event);
--- a/lib/lease/gang_stop.c
+++ b/lib/lease/gang_stop.c
@@ -79,6 +79,7 @@
 static void
 finish (struct gang *gang)
 {
+  gang->record_retry_ms[GANG_RECORD_PLACE] = 0;
   gang->state = GANG_DONE;
   gang_emit (gang,
              &(struct gang_command){ .kind = GANG_ENDED,
@@ -91,9 +92,45 @@
 
 /* Nothing was recorded of the attempt, and the job is still queued.  */
 static bool
-must_hold (const struct gang *gang)
+is_unrecorded_failure (const struct gang *gang)
 {
-  return !gang->recorded && !gang->final && gang->end == PLACE_END_NOT_STARTED;
+  return !gang->recorded && !gang->final && !gang->left;
+}
+
+/* A worker that held the attempt's lease never takes its number again, while
+   the log takes numbers in sequence only.  So the number is used up: the
+   placement is recorded, and then that it was not started.  No worker can
+   hold its lease any more.  */
+static void
+use_up_number (struct gang *gang)
+{
+  gang->state = GANG_VOIDING;
+  gang_emit_record (gang, GANG_RECORD_PLACE);
+}
+
+static void
+end_holding (struct gang *gang)
+{
+  if (gang->number_used && is_unrecorded_failure (gang))
+    use_up_number (gang);
+  else
+    finish (gang);
+}
+
+void
+gang_on_void_recorded (struct gang *gang, enum gang_verdict verdict,
+                       int64_t now_ms)
+{
+  if (verdict == GANG_VALID)
+    {
+      gang->recorded = true;
+      gang->state = GANG_ENDING;
+      emit_stop_record (gang);
+    }
+  else if (verdict == GANG_VOID)
+    finish (gang);
+  else
+    gang->record_retry_ms[GANG_RECORD_PLACE] = now_ms + GANG_RETRY_MS;
 }
 
 static void
@@ -110,7 +147,7 @@
       emit_stop_record (gang);
       return;
     }
-  if (must_hold (gang))
+  if (is_unrecorded_failure (gang))
     {
       gang->state = GANG_HOLDING;
       gang->deadline_ms = gang->stopping_ms + GANG_RESTART_DELAY_MS;
@@ -122,6 +159,7 @@
 static void
 send_stop (struct gang *gang, size_t member)
 {
+  gang->number_used = true;
   gang->members[member].stop_open = true;
   gang->members[member].retry_ms = 0;
   gang_emit (gang,
@@ -283,7 +321,11 @@
   size_t i;
 
   if (gang->state == GANG_HOLDING && now_ms >= gang->deadline_ms)
-    finish (gang);
+    end_holding (gang);
+  if (gang->state == GANG_VOIDING
+      && gang->record_retry_ms[GANG_RECORD_PLACE] != 0
+      && now_ms >= gang->record_retry_ms[GANG_RECORD_PLACE])
+    gang_emit_record (gang, GANG_RECORD_PLACE);
   if (gang->state == GANG_ENDING
       && gang->record_retry_ms[GANG_RECORD_STOP] != 0
       && now_ms >= gang->record_retry_ms[GANG_RECORD_STOP])
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -21,7 +21,8 @@
   LS_ERR_STALE_TERM = -5,
   LS_ERR_BUSY = -6,
   LS_ERR_NO_LEASE = -7,
-  LS_ERR_REFUSED = -8, /* refused for another reason, without effect */
+  LS_ERR_ENDED = -8,   /* the attempt was here and is over */
+  LS_ERR_REFUSED = -9, /* refused for another reason, without effect */
 };
 
 enum ls_kind
--- a/lib/lease/lease_client.c
+++ b/lib/lease/lease_client.c
@@ -126,6 +126,8 @@
       return "resources are held by another lease";
     case LS_ERR_NO_LEASE:
       return "no such lease";
+    case LS_ERR_ENDED:
+      return "the attempt is over";
     case LS_ERR_REFUSED:
       return "refused";
     default:
--- a/lib/lease/lease_codec.c
+++ b/lib/lease/lease_codec.c
@@ -14,6 +14,7 @@
   { "stale_term", LS_ERR_STALE_TERM },
   { "busy", LS_ERR_BUSY },
   { "no_lease", LS_ERR_NO_LEASE },
+  { "ended", LS_ERR_ENDED },
 };
 
 enum
--- a/programs/foxtailgapd/planner.h
+++ b/programs/foxtailgapd/planner.h
@@ -92,7 +92,8 @@
   struct msg_config *config;
   struct msg_members *members;
   struct hl_list *hosts;
-  GHashTable *jobs; /* id -> struct planner_job */
+  GHashTable *workers; /* name -> struct hl_host, of HOSTS */
+  GHashTable *jobs;    /* id -> struct planner_job */
   bool log_up;
   bool caught_up;
 
@@ -166,6 +167,9 @@
 
 /* ===== planner_workers.c ====================================== */
 
+/* Takes a new list; HOSTS is taken over.  */
+void planner_on_hosts (struct planner_task *task, struct hl_list *hosts);
+
 /* Tells the placement core which workers may be used.  */
 void planner_apply_hosts (struct planner_task *task);
 const struct hl_host *planner_worker (const struct planner_task *task,
--- a/programs/foxtailgapd/planner_calls.c
+++ b/programs/foxtailgapd/planner_calls.c
@@ -43,6 +43,7 @@
     }
 }
 
+/* A lease that is refused as busy or ended is no fault of the worker.  */
 static enum gang_reply
 reply_of (int error)
 {
@@ -51,6 +52,7 @@
     case LS_OK:
       return GANG_REPLY_OK;
     case LS_ERR_BUSY:
+    case LS_ERR_ENDED:
       return GANG_REPLY_BUSY;
     case LS_ERR_NOT_SENT:
     case LS_ERR_MEMORY:
--- a/programs/foxtailgapd/planner_task.c
+++ b/programs/foxtailgapd/planner_task.c
@@ -62,17 +62,6 @@
   planner_on_config (task);
 }
 
-static void
-on_hosts (struct planner_task *task, struct hl_list *hosts)
-{
-  hl_unref (task->hosts);
-  task->hosts = hosts;
-  if (task->place != NULL)
-    planner_apply_hosts (task);
-  else
-    planner_build (task);
-}
-
 static void
 on_usage (struct planner_task *task, const struct msg_usage *usage)
 {
@@ -95,7 +84,7 @@
       on_config (task, body);
       return true;
     case MSG_HOSTS:
-      on_hosts (task, body);
+      planner_on_hosts (task, body);
       return true;
     case MSG_MEMBERS:
       msg_free (MSG_MEMBERS, task->members);
@@ -200,6 +189,7 @@
   task->up = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   task->appends = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
                                          planner_append_free);
+  task->workers = g_hash_table_new (g_str_hash, g_str_equal);
   g_queue_init (&task->failures);
   g_queue_init (&task->ended);
 }
@@ -255,6 +245,7 @@
   g_hash_table_destroy (task->up);
   g_hash_table_destroy (task->gangs);
   g_hash_table_destroy (task->jobs);
+  g_hash_table_destroy (task->workers);
   msg_free (MSG_MEMBERS, task->members);
   msg_free (MSG_CONFIG, task->config);
   hl_unref (task->hosts);
--- a/programs/foxtailgapd/planner_workers.c
+++ b/programs/foxtailgapd/planner_workers.c
@@ -6,7 +6,7 @@
 const struct hl_host *
 planner_worker (const struct planner_task *task, const char *name)
 {
-  return task->hosts == NULL ? NULL : hl_find (task->hosts, HL_WORKER, name);
+  return g_hash_table_lookup (task->workers, name);
 }
 
 static bool
@@ -48,6 +48,29 @@
   return TRUE;
 }
 
+void
+planner_on_hosts (struct planner_task *task, struct hl_list *hosts)
+{
+  size_t i;
+
+  if (task->hosts != NULL && task->hosts->version == hosts->version)
+    {
+      hl_unref (hosts);
+      return;
+    }
+  g_hash_table_remove_all (task->workers);
+  hl_unref (task->hosts);
+  task->hosts = hosts;
+  for (i = 0; i < hosts->host_count; i++)
+    if (hosts->hosts[i].kind == HL_WORKER)
+      g_hash_table_insert (task->workers, hosts->hosts[i].name,
+                           &hosts->hosts[i]);
+  if (task->place != NULL)
+    planner_apply_hosts (task);
+  else
+    planner_build (task);
+}
+
 void
 planner_apply_hosts (struct planner_task *task)
 {
