--- a/lib/lease/gang.c
+++ b/lib/lease/gang.c
@@ -125,6 +125,12 @@
   return true;
 }
 
+static bool
+is_to_blame (enum gang_reply reply)
+{
+  return reply != GANG_REPLY_BUSY && reply != GANG_REPLY_ENDED;
+}
+
 static void
 on_leased (struct gang *gang, const struct gang_event *event)
 {
@@ -139,9 +145,11 @@
     return;
   if (event->reply != GANG_REPLY_OK)
     {
+      gang->number_used
+          = gang->number_used || event->reply == GANG_REPLY_ENDED;
       member->may_hold = event->reply == GANG_REPLY_UNKNOWN;
       gang_begin_stop (gang, event->now_ms, PLACE_END_NOT_STARTED,
-                       event->reply == GANG_REPLY_BUSY ? NULL : member->worker,
+                       is_to_blame (event->reply) ? member->worker : NULL,
                        "a worker did not grant its lease");
       return;
     }
@@ -182,6 +190,8 @@
 on_place_recorded (struct gang *gang, enum gang_verdict verdict,
                    int64_t now_ms)
 {
+  if (gang->state == GANG_VOIDING)
+    gang_on_void_recorded (gang, verdict, now_ms);
   if (gang->state != GANG_RECORDING)
     return;
   if (verdict == GANG_VALID)
@@ -232,6 +242,7 @@
       break;
     case GANG_REPLY_REFUSED:
     case GANG_REPLY_BUSY:
+    case GANG_REPLY_ENDED:
       gang_begin_stop (gang, event->now_ms, PLACE_END_NOT_STARTED,
                        member->worker, "a worker did not start its tasks");
       break;
@@ -508,8 +519,9 @@
 gang_state_name (enum gang_state state)
 {
   static const char *const names[]
-      = { "new",           "leasing",  "recording", "starting", "running",
-          "checkpointing", "stopping", "ending",    "holding",  "done" };
+      = { "new",     "leasing",       "recording", "starting",
+          "running", "checkpointing", "stopping",  "ending",
+          "holding", "voiding",       "done" };
 
   return (size_t)state < G_N_ELEMENTS (names) ? names[state] : "unknown";
 }
--- a/programs/foxtailgapd/planner_calls.c
+++ b/programs/foxtailgapd/planner_calls.c
@@ -43,7 +43,6 @@
     }
 }
 
-/* A lease that is refused as busy or ended is no fault of the worker.  */
 static enum gang_reply
 reply_of (int error)
 {
@@ -52,8 +51,9 @@
     case LS_OK:
       return GANG_REPLY_OK;
     case LS_ERR_BUSY:
-    case LS_ERR_ENDED:
       return GANG_REPLY_BUSY;
+    case LS_ERR_ENDED:
+      return GANG_REPLY_ENDED;
     case LS_ERR_NOT_SENT:
     case LS_ERR_MEMORY:
       return GANG_REPLY_UNSENT;
