--- a/lib/lease/gang.c
+++ b/lib/lease/gang.c
@@ -2,93 +2,9 @@
 
 #include "lease/gang_internal.h"
 
-#include <string.h>
-
-/* ===== Creation =============================================== */
-
-static size_t
-find_member (const struct gang *gang, const char *worker)
-{
-  size_t i;
-
-  for (i = 0; i < gang->member_count; i++)
-    if (strcmp (gang->members[i].worker, worker) == 0)
-      break;
-  return i;
-}
-
-static void
-add_assignment (struct gang *gang, size_t index)
-{
-  struct place_assignment *assignment = &gang->assignments[index];
-  size_t i = find_member (gang, assignment->worker);
-
-  if (i == gang->member_count)
-    {
-      gang->members[i].worker = g_strdup (assignment->worker);
-      gang->member_count++;
-    }
-  gang->members[i].task_count++;
-  assignment->worker = gang->members[i].worker;
-}
-
-int
-gang_create (struct gang **out, const struct gang_params *params)
-{
-  struct gang *gang;
-  size_t count = params->assignment_count;
-  size_t i;
-
-  if (count == 0 || count > PLACE_TASK_LIMIT)
-    return GANG_ERR_INVALID;
-  gang = g_new0 (struct gang, 1);
-  gang->params = *params;
-  gang->params.assignments = NULL;
-  gang->assignments
-      = g_memdup2 (params->assignments, count * sizeof *gang->assignments);
-  gang->ended = g_new0 (bool, count);
-  gang->members = g_new0 (struct gang_member, count);
-  gang->commands = g_array_new (FALSE, FALSE, sizeof (struct gang_command));
-  for (i = 0; i < count; i++)
-    add_assignment (gang, i);
-  *out = gang;
-  return GANG_OK;
-}
-
-void
-gang_free (struct gang *gang)
-{
-  size_t i;
-
-  if (gang == NULL)
-    return;
-  for (i = 0; i < gang->member_count; i++)
-    g_free (gang->members[i].worker);
-  g_array_free (gang->commands, TRUE);
-  g_free (gang->members);
-  g_free (gang->ended);
-  g_free (gang->assignments);
-  g_free (gang);
-}
 
 /* ===== Commands =============================================== */
 
-void
-gang_emit (struct gang *gang, const struct gang_command *command)
-{
-  g_array_append_val (gang->commands, *command);
-}
-
-void
-gang_emit_record (struct gang *gang, enum gang_record record)
-{
-  gang->record_open[record] = true;
-  gang->record_retry_ms[record] = 0;
-  gang_emit (gang, &(struct gang_command){ .kind = GANG_RECORD,
-                                           .record = record,
-                                           .member = gang->lost_member });
-}
-
 static void
 send_start (struct gang *gang, size_t member)
 {
@@ -326,7 +242,8 @@
   if (i == gang->params.assignment_count || gang->ended[i])
     return;
   gang->ended[i] = true;
-  member = &gang->members[find_member (gang, gang->assignments[i].worker)];
+  member
+      = &gang->members[gang_find_member (gang, gang->assignments[i].worker)];
   if (!event->lapsed)
     on_task_reported (gang, member);
   if (event->ok)
@@ -506,64 +423,3 @@
   *commands = (const struct gang_command *)(void *)gang->commands->data;
   return gang->commands->len;
 }
-
-/* ===== Questions ============================================== */
-
-enum gang_state
-gang_state (const struct gang *gang)
-{
-  return gang->state;
-}
-
-const char *
-gang_state_name (enum gang_state state)
-{
-  static const char *const names[]
-      = { "new",     "leasing",       "recording", "starting",
-          "running", "checkpointing", "stopping",  "ending",
-          "holding", "voiding",       "done" };
-
-  return (size_t)state < G_N_ELEMENTS (names) ? names[state] : "unknown";
-}
-
-size_t
-gang_member_count (const struct gang *gang)
-{
-  return gang->member_count;
-}
-
-const char *
-gang_worker (const struct gang *gang, size_t member)
-{
-  return gang->members[member].worker;
-}
-
-const struct place_assignment *
-gang_assignments (const struct gang *gang, size_t *count)
-{
-  *count = gang->params.assignment_count;
-  return gang->assignments;
-}
-
-bool
-gang_task_ended (const struct gang *gang, uint32_t task)
-{
-  size_t i;
-
-  for (i = 0; i < gang->params.assignment_count; i++)
-    if (gang->assignments[i].task == task)
-      return gang->ended[i];
-  return false;
-}
-
-bool
-gang_is_recorded (const struct gang *gang)
-{
-  return gang->recorded;
-}
-
-uint32_t
-gang_stop_bound_ms (const struct gang_params *params)
-{
-  return params->ttl_ms + (2 * params->renew_ms) + params->call_timeout_ms;
-}
--- a/lib/lease/gang_internal.h
+++ b/lib/lease/gang_internal.h
@@ -66,6 +66,9 @@
   size_t lost_member; /* of GANG_RECORD_LOST */
 };
 
+/* The index of the member on WORKER; the member count for none.  */
+size_t gang_find_member (const struct gang *gang, const char *worker);
+
 /* Adds a command.  */
 void gang_emit (struct gang *gang, const struct gang_command *command);
 
--- a/programs/foxtailgapd/planner.h
+++ b/programs/foxtailgapd/planner.h
@@ -30,7 +30,7 @@
 struct planner_job
 {
   struct st_job *job; /* as the log shows it; one reference */
-  uint32_t tried;     /* highest attempt that was tried */
+  uint32_t tried; /* highest attempt of which a gang was made */
   char *refusal;      /* why it is refused; NULL: it is not */
   bool refusing;      /* the record of that is under way */
   int64_t refuse_retry_ms;
--- a/programs/foxtailgapd/planner_gangs.c
+++ b/programs/foxtailgapd/planner_gangs.c
@@ -180,7 +180,7 @@
 planner_gang_begin (struct planner_task *task, struct planner_job *entry,
                     const struct place_assignment *assignments, size_t count)
 {
-  uint32_t attempt = MAX (entry->tried, entry->job->attempt) + 1;
+  uint32_t attempt = entry->job->attempt + 1;
   struct planner_gang *pg
       = create_gang (task, entry, attempt, assignments, count);
 
--- /dev/null
+++ b/programs/foxtailgapd/renewal_calls.c
@@ -0,0 +1,234 @@
+/* Renewals: one request for each worker and period, with all its jobs.  */
+
+#include <string.h>
+
+#include "common/logging.h"
+#include "lease/share.h"
+#include "renewal.h"
+
+int64_t
+renewal_now_ms (void)
+{
+  return g_get_monotonic_time () / G_TIME_SPAN_MILLISECOND;
+}
+
+/* ===== Shares ================================================= */
+
+/* 0 for the host that renews the worker, 1 for the one that stands in.  */
+static size_t
+rank_of (const struct renewal_task *task, const char *worker)
+{
+  const struct msg_members *members = task->members;
+  const char **names;
+  size_t rank;
+  size_t i;
+
+  if (members == NULL || members->member_count == 0)
+    return 0;
+  names = g_new (const char *, members->member_count);
+  for (i = 0; i < members->member_count; i++)
+    names[i] = members->members[i].host;
+  rank = ls_rank (worker, names, members->member_count, members->self);
+  g_free (names);
+  return rank;
+}
+
+/* The stand-in renews often enough that no lease lapses if the first host
+   does not reach the worker.  Other hosts do not.  */
+static uint32_t
+period_ms (const struct renewal_task *task, size_t rank)
+{
+  const struct settings *settings = task->daemon->settings;
+
+  if (rank == 0)
+    return settings->lease_renew_ms;
+  if (rank == 1)
+    return MAX (settings->lease_renew_ms, settings->lease_ttl_ms / 2);
+  return 0;
+}
+
+/* ===== Failures =============================================== */
+
+/* A worker counts as lost once no lease of it can be in force, whoever
+   renewed it last.  A host that reaches no worker at all is more likely cut
+   off itself.  */
+static uint32_t
+lost_after_ms (const struct renewal_task *task, int64_t now_ms)
+{
+  const struct settings *settings = task->daemon->settings;
+  uint32_t bound_ms = settings->lease_ttl_ms + (2 * settings->lease_renew_ms);
+
+  if (now_ms - task->last_ok_ms > settings->lease_ttl_ms)
+    return RENEWAL_ALONE_FACTOR * bound_ms;
+  return bound_ms;
+}
+
+static void
+on_failure (struct renewal_worker *worker, const char *why)
+{
+  struct renewal_task *task = worker->task;
+  int64_t now_ms = renewal_now_ms ();
+
+  mt_add (task->daemon->metrics, "foxtailgap_renewals_failed_total", 1);
+  if (worker->failures++ == 0)
+    {
+      worker->failing_since_ms = now_ms;
+      lg_warning (RENEWAL_PART, "A worker's leases are not renewed.", "worker",
+                  worker->name, "error", why, NULL);
+    }
+  if (worker->failures >= RENEWAL_LOST_FAILURES
+      && now_ms - worker->failing_since_ms >= lost_after_ms (task, now_ms)
+      && rank_of (task, worker->name) == 0)
+    renewal_on_worker_lost (worker);
+}
+
+/* ===== Answers ================================================ */
+
+/* One report for each attempt: what its slowest task has done.  */
+static void
+report_usage (const struct renewal_worker *worker,
+              const struct ls_answer *answer)
+{
+  struct msg_usage *report;
+  size_t i;
+  size_t j;
+
+  for (i = 0; i < answer->usage_count; i = j)
+    {
+      const struct ls_usage *usage = &answer->usage[i];
+      uint64_t least_ms = usage->progress_ms;
+
+      for (j = i + 1;
+           j < answer->usage_count
+           && g_str_equal (answer->usage[j].attempt.job, usage->attempt.job);
+           j++)
+        least_ms = MIN (least_ms, answer->usage[j].progress_ms);
+      report = g_malloc (sizeof *report + strlen (usage->attempt.job) + 1);
+      report->attempt = usage->attempt.attempt;
+      report->progress_ms = least_ms;
+      strcpy (report->job, usage->attempt.job);
+      mb_post (worker->task->daemon->planner, MSG_USAGE, report);
+    }
+}
+
+static void
+on_answer (void *ctx, const struct ls_answer *answer)
+{
+  struct renewal_worker *worker = ctx;
+  struct renewal_task *task = worker->task;
+  size_t i;
+
+  worker->call = NULL;
+  if (answer->error != LS_OK)
+    {
+      on_failure (worker, ls_strerror (answer->error));
+      return;
+    }
+  worker->failures = 0;
+  worker->seen_sent = worker->seen_asked;
+  task->last_ok_ms = renewal_now_ms ();
+  mt_add (task->daemon->metrics, "foxtailgap_renewals_total", 1);
+  renewal_on_events (worker, answer);
+  for (i = 0; i < answer->unknown_count; i++)
+    renewal_on_unknown (worker, &answer->unknown[i]);
+  if (task->planner_here)
+    report_usage (worker, answer);
+}
+
+/* ===== Requests =============================================== */
+
+static struct ls_attempt *
+attempts_of (const struct renewal_worker *worker, size_t *count)
+{
+  struct ls_attempt *attempts
+      = g_new0 (struct ls_attempt, g_hash_table_size (worker->jobs));
+  const struct st_job *job;
+  GHashTableIter iter;
+  gpointer id;
+
+  *count = 0;
+  g_hash_table_iter_init (&iter, worker->jobs);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    {
+      job = g_hash_table_lookup (worker->task->jobs, id);
+      if (job != NULL)
+        attempts[(*count)++]
+            = (struct ls_attempt){ .job = job->id, .attempt = job->attempt };
+    }
+  return attempts;
+}
+
+static void
+renew (struct renewal_worker *worker)
+{
+  struct renewal_task *task = worker->task;
+  const struct settings *settings = task->daemon->settings;
+  const struct hl_host *host
+      = g_hash_table_lookup (task->addresses, worker->name);
+  struct ls_request request = { .kind = LS_RENEW,
+                                .term = task->term,
+                                .host = settings->host,
+                                .ttl_ms = settings->lease_ttl_ms,
+                                .seen = worker->seen };
+  struct ls_target target;
+  struct ls_attempt *attempts;
+
+  if (host == NULL)
+    {
+      on_failure (worker, "the worker is not on the list");
+      return;
+    }
+  target = (struct ls_target){ .address = host->address, .port = host->port };
+  worker->seen_asked = worker->seen;
+  attempts = attempts_of (worker, &request.job_count);
+  request.jobs = attempts;
+  if (ls_send (task->http, &target, &request,
+               MIN (settings->lease_renew_ms, RENEWAL_CALL_TIMEOUT_MS),
+               on_answer, worker, &worker->call)
+      != LS_OK)
+    {
+      worker->call = NULL;
+      on_failure (worker, "the request cannot be sent");
+    }
+  g_free (attempts);
+}
+
+static void
+renew_if_due (struct renewal_worker *worker, int64_t now_ms)
+{
+  uint32_t period;
+
+  if (now_ms < worker->next_ms || worker->call != NULL)
+    return;
+  period = period_ms (worker->task, rank_of (worker->task, worker->name));
+  if (period == 0)
+    {
+      /* Another host's; looked at again, as hosts come and go.  */
+      worker->next_ms
+          = now_ms + worker->task->daemon->settings->lease_renew_ms;
+      worker->failures = 0;
+      renewal_forget_events (worker);
+      return;
+    }
+  /* In step with the period, but without catching up.  */
+  worker->next_ms = MAX (worker->next_ms + period, now_ms + (period / 2));
+  renew (worker);
+}
+
+void
+renewal_send_due (struct renewal_task *task, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, task->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct renewal_worker *worker = value;
+
+      if (renewal_is_wanted (worker))
+        renew_if_due (worker, now_ms);
+      else if (worker->call == NULL && g_hash_table_size (worker->lost) == 0)
+        g_hash_table_iter_remove (&iter);
+    }
+}
