--- a/lib/lease/gang.c
+++ b/lib/lease/gang.c
@@ -2,18 +2,6 @@
 
 #include "lease/gang_internal.h"
 
-
-/* ===== Commands =============================================== */
-
-static void
-send_start (struct gang *gang, size_t member)
-{
-  gang->members[member].start_open = true;
-  gang->members[member].retry_ms = 0;
-  gang_emit (gang,
-             &(struct gang_command){ .kind = GANG_START, .member = member });
-}
-
 /* ===== Leasing and recording ================================== */
 
 static void
@@ -77,6 +65,15 @@
 
 /* ===== Starting =============================================== */
 
+static void
+send_start (struct gang *gang, size_t member)
+{
+  gang->members[member].start_open = true;
+  gang->members[member].retry_ms = 0;
+  gang_emit (gang,
+             &(struct gang_command){ .kind = GANG_START, .member = member });
+}
+
 static void
 check_all_started (struct gang *gang)
 {
