--- /dev/null
+++ b/lib/place/place_amount.c
@@ -0,0 +1,99 @@
+/* Arithmetic on amounts of resources, and shapes.  */
+
+#include "place/place_inner.h"
+
+struct place_amount
+place_amount_of (const struct place_resources *from)
+{
+  struct place_amount amount = { .cpus_milli = from->cpus_milli,
+                                 .memory_mb = from->memory_mb,
+                                 .accelerators = from->accelerators };
+
+  return amount;
+}
+
+void
+place_add (struct place_amount *to, const struct place_amount *what)
+{
+  to->cpus_milli += what->cpus_milli;
+  to->memory_mb += what->memory_mb;
+  to->accelerators += what->accelerators;
+}
+
+void
+place_subtract (struct place_amount *to, const struct place_amount *what)
+{
+  to->cpus_milli -= what->cpus_milli;
+  to->memory_mb -= what->memory_mb;
+  to->accelerators -= what->accelerators;
+}
+
+struct place_amount
+place_times (const struct place_amount *what, int64_t n)
+{
+  struct place_amount amount = { .cpus_milli = what->cpus_milli * n,
+                                 .memory_mb = what->memory_mb * n,
+                                 .accelerators = what->accelerators * n };
+
+  return amount;
+}
+
+bool
+place_covers (const struct place_amount *have, const struct place_amount *need)
+{
+  return have->cpus_milli >= need->cpus_milli
+         && have->memory_mb >= need->memory_mb
+         && have->accelerators >= need->accelerators;
+}
+
+static int64_t
+goes_into (int64_t have, int64_t each, int64_t limit)
+{
+  if (each <= 0)
+    return limit;
+  if (have < each)
+    return 0;
+  return MIN (have / each, limit);
+}
+
+uint32_t
+place_goes_into (const struct place_amount *have,
+                 const struct place_amount *each, uint32_t limit)
+{
+  int64_t n = goes_into (have->accelerators, each->accelerators, limit);
+
+  if (n > 0)
+    n = goes_into (have->cpus_milli, each->cpus_milli, n);
+  if (n > 0)
+    n = goes_into (have->memory_mb, each->memory_mb, n);
+  return (uint32_t)n;
+}
+
+struct place_amount
+place_least (const struct place_amount *a, const struct place_amount *b)
+{
+  struct place_amount amount
+      = { .cpus_milli = MIN (a->cpus_milli, b->cpus_milli),
+          .memory_mb = MIN (a->memory_mb, b->memory_mb),
+          .accelerators = MIN (a->accelerators, b->accelerators) };
+
+  return amount;
+}
+
+/* One task is on one worker by nature: as a job it asks for no span, as a
+   guarantee it gives the narrowest.  */
+void
+place_normalise (struct place_shape *shape, bool guarantee)
+{
+  if (shape->tasks == 1)
+    shape->span = guarantee ? PLACE_SPAN_WORKER : PLACE_SPAN_ANY;
+}
+
+bool
+place_same_shape (const struct place_shape *a, const struct place_shape *b)
+{
+  return a->tasks == b->tasks && a->span == b->span
+         && a->task.cpus_milli == b->task.cpus_milli
+         && a->task.memory_mb == b->task.memory_mb
+         && a->task.accelerators == b->task.accelerators;
+}
--- /dev/null
+++ b/lib/place/place_decide.c
@@ -0,0 +1,398 @@
+/* One planning round: tells what events have caused, mends guarantees, then
+   tries queued jobs in the order of the policy.  */
+
+#include <string.h>
+
+#include "place/place_inner.h"
+
+const char *
+place_text (struct place *place, const char *text)
+{
+  return g_string_chunk_insert (place->texts, text);
+}
+
+struct place_command *
+place_emit (struct place *place, enum place_command_kind kind)
+{
+  struct place_command command = { .kind = kind };
+
+  g_array_append_val (place->commands, command);
+  return &g_array_index (place->commands, struct place_command,
+                         place->commands->len - 1);
+}
+
+/* ===== Starts ================================================= */
+
+static struct place_assignment *
+assignments_of (struct place *place, const struct place_job_state *job)
+{
+  struct place_assignment *block
+      = g_new0 (struct place_assignment, job->spot_count);
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    {
+      block[i].task = i;
+      block[i].worker = place_text (place, job->spots[i].worker->name);
+      block[i].accelerators = job->spots[i].accelerators;
+    }
+  g_ptr_array_add (place->blocks, block);
+  return block;
+}
+
+static void
+emit_start (struct place *place, const struct place_job_state *job)
+{
+  const struct place_assignment *block = assignments_of (place, job);
+  struct place_command *command = place_emit (place, PLACE_START);
+
+  command->job = place_text (place, job->id);
+  command->team = place_text (place, job->team->name);
+  command->assignments = block;
+  command->assignment_count = job->spot_count;
+}
+
+static bool
+uses_reserved (const struct place_job_state *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    if (job->spots[i].worker->reservation != NULL
+        && job->spots[i].worker->reservation != job)
+      return true;
+  return false;
+}
+
+static void
+begin_attempt (struct place *place, struct place_job_state *job)
+{
+  job->started_ms = place_now (place);
+  job->saved_ms = job->progress_ms;
+  job->ran_ms = 0;
+  job->expected_ms = place_expected_run_ms (job);
+  job->backfill = uses_reserved (job);
+  emit_start (place, job);
+}
+
+void
+place_start (struct place *place, struct place_job_state *job)
+{
+  place_queue_remove (job);
+  place_reservation_drop (place, job);
+  place_unit_waiter_drop (job);
+  place_occupy (place, job);
+  begin_attempt (place, job);
+}
+
+/* ===== Claims ================================================= */
+
+/* Whether all that JOB holds is free by now.  */
+static bool
+claim_ready (const struct place_job_state *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    {
+      struct place_worker_state *worker = job->spots[i].worker;
+      struct place_amount free = worker->capacity;
+      uint32_t tasks = 0;
+      uint32_t j;
+
+      for (j = 0; j < job->spot_count; j++)
+        tasks += job->spots[j].worker == worker;
+      place_subtract (&free, &worker->used);
+      if (place_goes_into (&free, &job->each, tasks) < tasks)
+        return false;
+    }
+  return true;
+}
+
+static bool
+claim_lost (const struct place_job_state *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    if (!place_usable (job->spots[i].worker))
+      return true;
+  return false;
+}
+
+/* Whether evictions will free all that JOB holds.  */
+static bool
+claim_coming (struct place *place, const struct place_job_state *job)
+{
+  struct place_amount none = { 0 };
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    {
+      struct place_worker_state *worker = job->spots[i].worker;
+      struct place_amount free;
+
+      if (!job->borrowed)
+        place_evict_for (place, worker, job);
+      free = place_view_of (worker, PLACE_VIEW_FREE);
+      place_add (&free, &worker->evicting);
+      if (!place_covers (&free, &none))
+        return false;
+    }
+  return true;
+}
+
+static void
+claim_undo (struct place *place, struct place_job_state *job)
+{
+  place_unclaim (place, job);
+  place_queue_insert (job);
+  job->wait = "waits again: workers held for it were lost";
+}
+
+static void
+claims_round (struct place *place)
+{
+  guint i;
+
+  for (i = 0; i < place->claims->len; i++)
+    {
+      struct place_job_state *job = place->claims->pdata[i];
+
+      if (claim_lost (job))
+        {
+          claim_undo (place, job);
+          place->dirty = true;
+          i--;
+        }
+      else if (claim_ready (job) && !place_paused (place, job))
+        {
+          place_claim_start (place, job);
+          begin_attempt (place, job);
+          i--;
+        }
+      else if (!claim_coming (place, job))
+        {
+          claim_undo (place, job);
+          i--;
+        }
+    }
+}
+
+/* ===== Queued jobs ============================================ */
+
+bool
+place_paused (const struct place *place, const struct place_job_state *job)
+{
+  return place->paused || job->team->paused;
+}
+
+bool
+place_over_quota (const struct place_job_state *job)
+{
+  const struct place_amount *quota = &job->team->quota;
+  struct place_amount used = place_times (&job->each, job->shape.tasks);
+
+  place_add (&used, &job->team->used);
+  return (quota->cpus_milli > 0 && used.cpus_milli > quota->cpus_milli)
+         || (quota->memory_mb > 0 && used.memory_mb > quota->memory_mb)
+         || (quota->accelerators > 0
+             && used.accelerators > quota->accelerators);
+}
+
+/* Starts a job on what is free, as borrowed work if there are
+   guarantees.  */
+static bool
+start_free (struct place *place, struct place_job_state *job)
+{
+  struct place_spot spots[PLACE_TASK_LIMIT];
+  struct place_search search = {
+    .tasks = job->shape.tasks,
+    .each = job->each,
+    .span = job->shape.span,
+    .centre = job->centre,
+    .job = job,
+    .view = PLACE_VIEW_FREE,
+    .end_ms = place_now (place) + (int64_t)place_expected_run_ms (job),
+  };
+
+  if (!place_fit_once (place, &search, spots))
+    return false;
+  job->borrowed = place->params.policy->guarantees;
+  place_spots_set (job, spots);
+  place_start (place, job);
+  return true;
+}
+
+/* Returns whether the job has left the queue.  */
+static bool
+try_job (struct place *place, struct place_job_state *job)
+{
+  const struct place_policy *policy = place->params.policy;
+
+  if (place_paused (place, job))
+    {
+      job->wait = "waits because starts are paused";
+      return false;
+    }
+  if (place_over_quota (job))
+    {
+      job->wait = "waits because its team is at its quota";
+      return false;
+    }
+  if (policy->guarantees && place_firm_try (place, job))
+    return true;
+  if (policy->guarantees && !place_may_borrow (job))
+    {
+      job->wait = "waits for a guarantee of its team; it may not borrow";
+      place_unit_wait (job);
+      return false;
+    }
+  if (start_free (place, job))
+    return true;
+  job->wait = "waits for room";
+  if (policy->reserves)
+    place_reservation_make (place, job);
+  return false;
+}
+
+static void
+queue_round (struct place *place)
+{
+  const struct place_policy *policy = place->params.policy;
+  guint i;
+
+  for (i = 0; i < place->team_list->len; i++)
+    {
+      struct place_team_state *team = place->team_list->pdata[i];
+
+      team->cursor = 0;
+      team->urgent_cursor = 0;
+    }
+  for (;;)
+    {
+      struct place_job_state *job = policy->pick (place);
+
+      if (job == NULL)
+        return;
+      if (try_job (place, job))
+        continue;
+      if (job->urgent)
+        job->team->urgent_cursor++;
+      else
+        job->team->cursor++;
+      if (policy->stops)
+        return;
+    }
+}
+
+/* ===== Jobs that have become impossible ======================= */
+
+static void
+rejudge_queue (struct place *place, GPtrArray *queue)
+{
+  char text[PLACE_TEXT_SIZE_BYTES];
+  guint i;
+
+  for (i = queue->len; i-- > 0;)
+    {
+      struct place_job_state *job = queue->pdata[i];
+
+      if (job->team->gone)
+        g_snprintf (text, sizeof text, "there is no team %s any more",
+                    job->team->name);
+      else if (place_never (place, job, text) == PLACE_OK)
+        continue;
+      place_notify (place, PLACE_REFUSE, job, text);
+      place_queue_remove (job);
+      place_job_remove (place, job);
+    }
+}
+
+static void
+rejudge (struct place *place)
+{
+  guint i;
+
+  if (!place->rejudge)
+    return;
+  place->rejudge = false;
+  for (i = 0; i < place->team_list->len; i++)
+    {
+      struct place_team_state *team = place->team_list->pdata[i];
+
+      rejudge_queue (place, team->queue);
+      rejudge_queue (place, team->urgent);
+    }
+}
+
+static void
+tell_notices (struct place *place)
+{
+  guint i;
+
+  for (i = 0; i < place->notices->len; i++)
+    {
+      const struct place_notice *notice = place->notices->pdata[i];
+      struct place_command *command = place_emit (place, notice->kind);
+
+      command->job = place_text (place, notice->job);
+      command->team = place_text (place, notice->team);
+      command->reason = place_text (place, notice->reason);
+    }
+  g_ptr_array_set_size (place->notices, 0);
+}
+
+static void
+sum_capacity (struct place *place)
+{
+  guint i;
+
+  place->total = (struct place_amount){ 0 };
+  for (i = 0; i < place->worker_list->len; i++)
+    {
+      const struct place_worker_state *worker = place->worker_list->pdata[i];
+
+      if (worker->up)
+        place_add (&place->total, &worker->capacity);
+    }
+}
+
+static void
+reset_round (struct place *place)
+{
+  sum_capacity (place);
+  g_array_set_size (place->commands, 0);
+  g_array_set_size (place->failed, 0);
+  g_ptr_array_set_size (place->blocks, 0);
+  g_string_chunk_clear (place->texts);
+}
+
+int
+place_decide (struct place *place, const struct place_command **commands)
+{
+  reset_round (place);
+  place->changed = false;
+  place_forget_workers (place);
+  rejudge (place);
+  place_health_round (place);
+  place_settle (place);
+  place_reservations_round (place);
+  claims_round (place);
+  place_settle (place);
+  queue_round (place);
+  tell_notices (place);
+  place_forget_teams (place);
+  *commands = (const struct place_command *)place->commands->data;
+  return (int)place->commands->len;
+}
+
+int64_t
+place_next_ms (const struct place *place)
+{
+  int64_t next = place_health_next_ms (place);
+
+  if (place->changed || place->dirty || place->notices->len > 0)
+    return place_now (place);
+  return MIN (next, place_reservations_next_ms (place));
+}
--- /dev/null
+++ b/lib/place/place_estimate.c
@@ -0,0 +1,92 @@
+/* Expected run times: declarations, corrected by what the same team and
+   kind have shown.  */
+
+#include <math.h>
+
+#include "place/place_inner.h"
+
+enum
+{
+  MEMORY_SAMPLES = 8 /* a mean looks back over about as many jobs */
+};
+
+static const char OTHER_KINDS[] = "";
+
+struct place_kind *
+place_kind_get (struct place_team_state *team, const char *name)
+{
+  struct place_kind *kind;
+
+  if (name == NULL)
+    name = OTHER_KINDS;
+  kind = g_hash_table_lookup (team->kinds, name);
+  if (kind != NULL)
+    return kind;
+  if (g_hash_table_size (team->kinds) >= PLACE_KIND_LIMIT)
+    name = OTHER_KINDS;
+  kind = g_hash_table_lookup (team->kinds, name);
+  if (kind != NULL)
+    return kind;
+  kind = g_new0 (struct place_kind, 1);
+  kind->name = g_strdup (name);
+  g_hash_table_insert (team->kinds, kind->name, kind);
+  return kind;
+}
+
+void
+place_kind_free (void *data)
+{
+  struct place_kind *kind = data;
+
+  g_free (kind->name);
+  g_free (kind);
+}
+
+void
+place_kind_learn (struct place_job_state *job, uint64_t ran_ms)
+{
+  struct place_kind *kind = job->kind;
+  double ran = (double)MAX (ran_ms, 1);
+  double part;
+
+  kind->samples = MIN (kind->samples + 1, MEMORY_SAMPLES);
+  part = 1.0 / kind->samples;
+  kind->run_ms += (ran - kind->run_ms) * part;
+  if (job->declared_run_ms > 0)
+    kind->log_ratio
+        += (log (ran / (double)job->declared_run_ms) - kind->log_ratio) * part;
+}
+
+/* The expected whole run time of a job, earlier attempts included.  */
+static double
+expected_whole_ms (const struct place_job_state *job)
+{
+  const struct place_kind *kind = job->kind;
+
+  if (job->declared_run_ms > 0)
+    return (double)job->declared_run_ms * exp (kind->log_ratio);
+  if (kind->samples > 0)
+    return kind->run_ms;
+  return PLACE_DEFAULT_RUN_MS;
+}
+
+uint64_t
+place_expected_run_ms (const struct place_job_state *job)
+{
+  double left = expected_whole_ms (job) - (double)job->progress_ms;
+
+  return (uint64_t)MAX (left, 1.0);
+}
+
+int64_t
+place_expected_end_ms (const struct place *place,
+                       const struct place_job_state *job)
+{
+  int64_t now = place_now (place);
+  int64_t ran = MAX (now - job->started_ms, (int64_t)job->ran_ms);
+
+  /* A job that has overrun is expected to go on for half as long again.  */
+  if (ran >= (int64_t)job->expected_ms)
+    return now + MAX (ran / 2, 1);
+  return now + (int64_t)job->expected_ms - ran;
+}
--- /dev/null
+++ b/lib/place/place_event.c
@@ -0,0 +1,280 @@
+/* Events: they change the state; place_decide () acts on it later.  */
+
+#include <string.h>
+
+#include "place/place_inner.h"
+
+enum
+{
+  LOSS_FACTOR = 4 /* attempts of all kinds, for each counted failure */
+};
+
+/* ===== Submission ============================================= */
+
+static bool
+shape_valid (const struct place_shape *shape)
+{
+  return shape->tasks > 0 && shape->span <= PLACE_SPAN_WORKER;
+}
+
+static struct place_job_state *
+job_new (struct place *place, struct place_team_state *team,
+         const struct place_job *given)
+{
+  struct place_job_state *job = g_new0 (struct place_job_state, 1);
+
+  job->id = g_strdup (given->id);
+  job->hash = g_str_hash (given->id);
+  job->team = team;
+  job->kind = place_kind_get (team, given->kind);
+  job->shape = given->shape;
+  place_normalise (&job->shape, false);
+  job->each = place_amount_of (&given->shape.task);
+  if (given->data_centre != NULL && *given->data_centre != '\0')
+    job->centre = place_centre_get (place, given->data_centre);
+  job->declared_run_ms = given->declared_run_ms;
+  job->submitted_ms = given->submitted_ms;
+  job->progress_ms = given->progress_ms;
+  job->attempt = given->attempt;
+  job->urgent = given->urgent;
+  job->checkpointable = given->checkpointable;
+  job->repeatable = given->repeatable;
+  job->sequence = place->sequence++;
+  return job;
+}
+
+static void
+job_add (struct place *place, struct place_job_state *job)
+{
+  g_hash_table_insert (place->jobs, job->id, job);
+  job->team->jobs++;
+  place->changed = true;
+}
+
+int
+place_submit (struct place *place, const struct place_job *job,
+              char text[PLACE_TEXT_SIZE_BYTES])
+{
+  struct place_team_state *team;
+  struct place_job_state *state;
+  int error;
+
+  text[0] = '\0';
+  if (job->id == NULL || job->team == NULL || !shape_valid (&job->shape))
+    return PLACE_ERR_INVALID;
+  team = g_hash_table_lookup (place->teams, job->team);
+  if (team == NULL || team->gone)
+    {
+      g_snprintf (text, PLACE_TEXT_SIZE_BYTES, "there is no team %s",
+                  job->team);
+      return PLACE_ERR_UNKNOWN;
+    }
+  if (g_hash_table_contains (place->jobs, job->id))
+    return PLACE_ERR_EXISTS;
+  if (place_centre_unknown (place, job->data_centre))
+    {
+      g_snprintf (text, PLACE_TEXT_SIZE_BYTES, "there is no data centre %s",
+                  job->data_centre);
+      return PLACE_ERR_NEVER;
+    }
+  state = job_new (place, team, job);
+  error = place_never (place, state, text);
+  if (error != PLACE_OK)
+    {
+      place_job_free (state);
+      return error;
+    }
+  job_add (place, state);
+  place_queue_insert (state);
+  return PLACE_OK;
+}
+
+/* ===== Restore ================================================ */
+
+/* Whether the accelerators are as many as asked for and not in use.  */
+static int
+spots_from (struct place *place, const struct place_job *job,
+            const struct place_assignment *assignments, size_t count,
+            struct place_spot *spots)
+{
+  size_t i;
+
+  if (count != job->shape.tasks || count > PLACE_TASK_LIMIT)
+    return PLACE_ERR_INVALID;
+  for (i = 0; i < count; i++)
+    {
+      struct place_worker_state *worker;
+      uint64_t bits = assignments[i].accelerators;
+      size_t j;
+
+      if (assignments[i].worker == NULL
+          || (uint32_t)__builtin_popcountll (bits)
+                 != job->shape.task.accelerators)
+        return PLACE_ERR_INVALID;
+      worker = place_worker_get (place, assignments[i].worker);
+      if ((worker->busy & bits) != 0)
+        return PLACE_ERR_INVALID;
+      for (j = 0; j < i; j++)
+        if (spots[j].worker == worker && (spots[j].accelerators & bits) != 0)
+          return PLACE_ERR_INVALID;
+      spots[i] = (struct place_spot){ .worker = worker, .accelerators = bits };
+    }
+  return PLACE_OK;
+}
+
+int
+place_restore (struct place *place, const struct place_job *job,
+               const struct place_assignment *assignments,
+               size_t assignment_count, int64_t started_ms)
+{
+  struct place_spot spots[PLACE_TASK_LIMIT];
+  struct place_team_state *team;
+  struct place_job_state *state;
+  int error;
+
+  if (job->id == NULL || job->team == NULL || !shape_valid (&job->shape))
+    return PLACE_ERR_INVALID;
+  team = place_team_get (place, job->team);
+  if (g_hash_table_contains (place->jobs, job->id))
+    return PLACE_ERR_EXISTS;
+  error = spots_from (place, job, assignments, assignment_count, spots);
+  if (error != PLACE_OK)
+    return error;
+  state = job_new (place, team, job);
+  state->saved_ms = state->progress_ms;
+  state->started_ms = started_ms;
+  state->expected_ms = place_expected_run_ms (state);
+  state->borrowed
+      = place->params.policy->guarantees && place_may_borrow (state);
+  place_spots_set (state, spots);
+  job_add (place, state);
+  place_occupy (place, state);
+  place->dirty = true;
+  return PLACE_OK;
+}
+
+/* ===== Changes of a job ======================================= */
+
+int
+place_cancel (struct place *place, const char *job)
+{
+  struct place_job_state *state = g_hash_table_lookup (place->jobs, job);
+
+  if (state == NULL)
+    return PLACE_ERR_UNKNOWN;
+  place->changed = true;
+  switch (state->phase)
+    {
+    case PLACE_QUEUED:
+      place_queue_remove (state);
+      place_job_remove (place, state);
+      break;
+    case PLACE_CLAIMING:
+      place_unclaim (place, state);
+      place_job_remove (place, state);
+      break;
+    case PLACE_RUNNING:
+    case PLACE_EVICTING:
+      state->cancelled = true;
+      break;
+    }
+  return PLACE_OK;
+}
+
+int
+place_usage (struct place *place, const char *job, uint64_t ran_ms,
+             uint64_t progress_ms)
+{
+  struct place_job_state *state = g_hash_table_lookup (place->jobs, job);
+
+  if (state == NULL)
+    return PLACE_ERR_UNKNOWN;
+  if (state->phase != PLACE_RUNNING && state->phase != PLACE_EVICTING)
+    return PLACE_ERR_INVALID;
+  state->ran_ms = MAX (state->ran_ms, ran_ms);
+  state->progress_ms = MAX (state->progress_ms, progress_ms);
+  return PLACE_OK;
+}
+
+/* ===== The end of an attempt ================================== */
+
+/* Why a job that was to be queued again is not, or NULL.  */
+static const char *
+why_not_again (const struct place *place, const struct place_job_state *job)
+{
+  uint32_t limit = place->params.attempt_limit;
+
+  if (!job->repeatable)
+    return "it was started once and is not repeatable";
+  if (limit > 0 && job->failures >= limit)
+    return "it failed on different workers that are good";
+  if (limit > 0 && job->attempt >= limit * LOSS_FACTOR)
+    return "it was tried too many times";
+  return NULL;
+}
+
+static void
+judge_failure (struct place *place, struct place_job_state *job,
+               const struct place_ended *ended)
+{
+  struct place_worker_state *worker = NULL;
+
+  job->attempt++;
+  if (ended->worker != NULL)
+    worker = g_hash_table_lookup (place->workers, ended->worker);
+  if (ended->end == PLACE_END_LOST)
+    return;
+  if (worker != NULL)
+    place_health_failed (place, job, worker, ended->end == PLACE_END_FAILED);
+  else if (ended->end == PLACE_END_FAILED)
+    job->failures++;
+}
+
+static void
+queue_again (struct place *place, struct place_job_state *job)
+{
+  const char *reason = why_not_again (place, job);
+
+  if (reason != NULL)
+    {
+      if (job->failures > 1)
+        place_health_absolve (place, job);
+      place_notify (place, PLACE_GIVE_UP, job, reason);
+      place_job_remove (place, job);
+      return;
+    }
+  job->ran_ms = 0;
+  job->borrowed = false;
+  job->backfill = false;
+  job->wait = "is queued again";
+  place_queue_insert (job);
+}
+
+int
+place_ended (struct place *place, const struct place_ended *ended)
+{
+  struct place_job_state *job = g_hash_table_lookup (place->jobs, ended->job);
+  bool cancelled;
+
+  if (job == NULL)
+    return PLACE_ERR_UNKNOWN;
+  if (job->phase != PLACE_RUNNING && job->phase != PLACE_EVICTING)
+    return PLACE_ERR_INVALID;
+  place->changed = true;
+  cancelled = job->cancelled || ended->end == PLACE_END_CANCELLED;
+  if (ended->end == PLACE_END_OK)
+    {
+      place_kind_learn (job, job->saved_ms + ended->ran_ms);
+      place_health_succeeded (place, job);
+    }
+  place_vacate (place, job);
+  job->progress_ms = MAX (job->progress_ms, ended->progress_ms);
+  if (ended->end == PLACE_END_FAILED || ended->end == PLACE_END_LOST
+      || ended->end == PLACE_END_NOT_STARTED)
+    judge_failure (place, job, ended);
+  if (ended->end == PLACE_END_OK || cancelled || !ended->again)
+    place_job_remove (place, job);
+  else
+    queue_again (place, job);
+  return PLACE_OK;
+}
--- /dev/null
+++ b/lib/place/place_evict.c
@@ -0,0 +1,173 @@
+/* Eviction of borrowed work: what it would lose, and who goes.  */
+
+#include <math.h>
+
+#include "place/place_inner.h"
+
+enum
+{
+  RESTART_MS = 10000,   /* lost by every eviction */
+  URGENT_FACTOR = 4,    /* urgent work is that much dearer */
+  ACCELERATOR_CPUS = 16 /* an accelerator weighs as many cpus */
+};
+
+static double
+size_of (const struct place_job_state *job)
+{
+  double each = (double)job->each.accelerators
+                + (double)job->each.cpus_milli / 1000.0 / ACCELERATOR_CPUS;
+
+  return each * job->shape.tasks;
+}
+
+double
+place_loss (const struct place *place, const struct place_job_state *job)
+{
+  int64_t now = place_now (place);
+  double ran = (double)MAX (now - job->started_ms, 0);
+  double saved = (double)(job->progress_ms - job->saved_ms);
+  double left = (double)(place_expected_end_ms (place, job) - now);
+  double lost = MAX (ran - saved, 0) + RESTART_MS;
+
+  /* Nearly done: little is won by stopping it.  */
+  if (left < place->params.checkpoint_grace_ms)
+    lost += place->params.checkpoint_grace_ms;
+  if (job->urgent)
+    lost *= URGENT_FACTOR;
+  return lost * size_of (job);
+}
+
+void
+place_evict (struct place *place, struct place_job_state *victim,
+             const struct place_job_state *job)
+{
+  struct place_command *command = place_emit (place, PLACE_EVICT);
+
+  g_assert (victim->phase == PLACE_RUNNING && victim->borrowed);
+  place_evicting_begin (victim);
+  command->job = place_text (place, victim->id);
+  command->team = place_text (place, victim->team->name);
+  command->grace_ms = place->params.checkpoint_grace_ms;
+  if (job != NULL)
+    command->for_job = place_text (place, job->id);
+  command->reason = "its workers are needed by their owner";
+}
+
+/* What is free on a worker once all that was told to stop has stopped.  */
+static struct place_amount
+coming_free (const struct place_worker_state *worker)
+{
+  struct place_amount free = place_view_of (worker, PLACE_VIEW_FREE);
+
+  place_add (&free, &worker->evicting);
+  return free;
+}
+
+static struct place_amount
+amount_here (const struct place_job_state *job,
+             const struct place_worker_state *worker)
+{
+  int64_t tasks = 0;
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    tasks += job->spots[i].worker == worker;
+  return place_times (&job->each, tasks);
+}
+
+/* Whether AMOUNT gives any of what FREE is short of.  */
+static bool
+helps (const struct place_amount *free, const struct place_amount *need,
+       const struct place_amount *amount)
+{
+  return (free->accelerators < need->accelerators && amount->accelerators > 0)
+         || (free->cpus_milli < need->cpus_milli && amount->cpus_milli > 0)
+         || (free->memory_mb < need->memory_mb && amount->memory_mb > 0);
+}
+
+/* The cheapest victim that is enough alone, or else the cheapest for what
+   it frees.  */
+static struct place_job_state *
+pick_victim (const struct place *place,
+             const struct place_worker_state *worker,
+             const struct place_amount *free, const struct place_amount *need,
+             GPtrArray *taken)
+{
+  struct place_job_state *best = NULL;
+  double best_cost = INFINITY;
+  bool best_enough = false;
+  guint i;
+
+  for (i = 0; i < worker->jobs->len; i++)
+    {
+      struct place_job_state *job = worker->jobs->pdata[i];
+      struct place_amount amount;
+      struct place_amount after = *free;
+      double cost;
+      bool enough;
+
+      if (job->phase != PLACE_RUNNING || !job->borrowed || job->cancelled
+          || (taken != NULL && g_ptr_array_find (taken, job, NULL)))
+        continue;
+      amount = amount_here (job, worker);
+      if (!helps (free, need, &amount))
+        continue;
+      place_add (&after, &amount);
+      enough = place_covers (&after, need);
+      cost = place_loss (place, job);
+      if (!enough)
+        cost /= (double)(amount.accelerators * 1000 + amount.cpus_milli + 1);
+      if (best != NULL
+          && (best_enough > enough
+              || (best_enough == enough && best_cost <= cost)))
+        continue;
+      best = job;
+      best_cost = cost;
+      best_enough = enough;
+    }
+  return best;
+}
+
+double
+place_evict_loss (struct place *place, struct place_worker_state *worker,
+                  const struct place_amount *need)
+{
+  struct place_amount free = coming_free (worker);
+  g_autoptr (GPtrArray) taken = g_ptr_array_new ();
+  double loss = 0;
+
+  while (!place_covers (&free, need))
+    {
+      struct place_job_state *victim
+          = pick_victim (place, worker, &free, need, taken);
+      struct place_amount amount;
+
+      if (victim == NULL)
+        return -1;
+      amount = amount_here (victim, worker);
+      place_add (&free, &amount);
+      g_ptr_array_add (taken, victim);
+      loss += place_loss (place, victim);
+    }
+  return loss;
+}
+
+void
+place_evict_for (struct place *place, struct place_worker_state *worker,
+                 const struct place_job_state *job)
+{
+  struct place_amount none = { 0 };
+
+  for (;;)
+    {
+      struct place_amount free = coming_free (worker);
+      struct place_job_state *victim;
+
+      if (place_covers (&free, &none))
+        return;
+      victim = pick_victim (place, worker, &free, &none, NULL);
+      if (victim == NULL)
+        return;
+      place_evict (place, victim, job);
+    }
+}
--- /dev/null
+++ b/lib/place/place_explain.c
@@ -0,0 +1,166 @@
+/* What operators ask for: why a job waits, figures, texts of errors.  */
+
+#include <string.h>
+
+#include "place/place_inner.h"
+
+static uint32_t
+place_in_queue (const struct place_job_state *job)
+{
+  GPtrArray *queue = job->urgent ? job->team->urgent : job->team->queue;
+  guint at = 0;
+
+  if (!g_ptr_array_find (queue, job, &at))
+    return 0;
+  return at + 1;
+}
+
+static void
+explain_queued (const struct place *place, const struct place_job_state *job,
+                char text[PLACE_TEXT_SIZE_BYTES])
+{
+  const char *wait
+      = job->wait == NULL ? "waits for the next round" : job->wait;
+
+  if (job->reservation == NULL)
+    {
+      g_snprintf (text, PLACE_TEXT_SIZE_BYTES,
+                  "%s; number %u of its team's%s queue", wait,
+                  place_in_queue (job), job->urgent ? " urgent" : "");
+      return;
+    }
+  g_snprintf (text, PLACE_TEXT_SIZE_BYTES,
+              "%s: %u workers, expected to be free in %" G_GINT64_FORMAT " s",
+              wait, job->reservation->workers->len,
+              MAX (job->reservation->start_ms - place_now (place), 0) / 1000);
+}
+
+static const char *
+standing (const struct place *place, const struct place_job_state *job)
+{
+  if (!place->params.policy->guarantees)
+    return "";
+  if (job->borrowed)
+    return ", borrowed: may be evicted";
+  if (job->spots[0].slot == NULL)
+    return ", beyond a guarantee that was taken back";
+  return ", within its team's guarantee";
+}
+
+static void
+explain_placed (const struct place *place, const struct place_job_state *job,
+                char text[PLACE_TEXT_SIZE_BYTES])
+{
+  const char *state = "runs";
+  uint32_t workers = 0;
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    workers += i == 0 || job->spots[i].worker != job->spots[i - 1].worker;
+  if (job->phase == PLACE_EVICTING)
+    state = "is being stopped for the owner of its workers; ran";
+  g_snprintf (text, PLACE_TEXT_SIZE_BYTES, "%s on %u workers (%.80s%s)%s",
+              state, workers, job->spots[0].worker->name,
+              workers > 1 ? ", ..." : "", standing (place, job));
+}
+
+int
+place_explain (const struct place *place, const char *job,
+               char text[PLACE_TEXT_SIZE_BYTES])
+{
+  const struct place_job_state *state = g_hash_table_lookup (place->jobs, job);
+
+  if (state == NULL)
+    return PLACE_ERR_UNKNOWN;
+  switch (state->phase)
+    {
+    case PLACE_QUEUED:
+      explain_queued (place, state, text);
+      break;
+    case PLACE_CLAIMING:
+      g_snprintf (text, PLACE_TEXT_SIZE_BYTES, "%s", state->wait);
+      break;
+    case PLACE_RUNNING:
+    case PLACE_EVICTING:
+      explain_placed (place, state, text);
+      break;
+    }
+  return PLACE_OK;
+}
+
+/* ===== Figures ================================================ */
+
+static void
+stats_rack (const struct place_rack *rack, struct place_stats *stats,
+            uint32_t *whole_free)
+{
+  uint32_t block = 0;
+  guint i;
+
+  for (i = 0; i < rack->workers->len; i++)
+    {
+      const struct place_worker_state *worker = rack->workers->pdata[i];
+      int64_t have = worker->capacity.accelerators;
+      int64_t free = have - worker->used.accelerators;
+
+      if (!worker->up)
+        continue;
+      stats->accelerators += (uint32_t)have;
+      if (!place_usable (worker) || free <= 0)
+        continue;
+      stats->accelerators_free += (uint32_t)free;
+      if (free == have)
+        block += (uint32_t)free;
+    }
+  *whole_free += block;
+  stats->largest_block = MAX (stats->largest_block, block);
+}
+
+void
+place_stats (const struct place *place, struct place_stats *stats)
+{
+  uint32_t whole_free = 0;
+  GHashTableIter iter;
+  gpointer value;
+  guint i;
+
+  memset (stats, 0, sizeof *stats);
+  for (i = 0; i < place->racks->len; i++)
+    stats_rack (place->racks->pdata[i], stats, &whole_free);
+  g_hash_table_iter_init (&iter, place->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct place_job_state *job = value;
+
+      if (job->borrowed && job->phase >= PLACE_RUNNING)
+        stats->accelerators_borrowed
+            += (uint32_t)job->each.accelerators * job->shape.tasks;
+    }
+  stats->running = place->running;
+  stats->queued = g_hash_table_size (place->jobs) - place->running;
+  if (stats->accelerators_free > 0)
+    stats->fragmentation = 1.0 - (double)whole_free / stats->accelerators_free;
+}
+
+const char *
+place_strerror (int error)
+{
+  switch ((enum place_error)error)
+    {
+    case PLACE_OK:
+      return "no error";
+    case PLACE_ERR_MEMORY:
+      return "out of memory";
+    case PLACE_ERR_UNKNOWN:
+      return "no such job, team or worker";
+    case PLACE_ERR_EXISTS:
+      return "the job is known already";
+    case PLACE_ERR_NEVER:
+      return "the job can never run";
+    case PLACE_ERR_CLASH:
+      return "guarantees cannot all be met together";
+    case PLACE_ERR_INVALID:
+      return "a value is out of its bounds";
+    }
+  return "unknown error";
+}
--- /dev/null
+++ b/lib/place/place_firm.c
@@ -0,0 +1,419 @@
+/* Starts of jobs within their team's guarantee: in its units where they
+   are, else in units moved to free workers, else by evicting borrowed work
+   at the least loss.  */
+
+#include <math.h>
+
+#include "place/place_inner.h"
+
+enum
+{
+  MOVE_LIMIT = 16,  /* units moved for one job */
+  TRADE_LIMIT = 512 /* units of others looked at for an exchange */
+};
+
+/* Spots found so far.  */
+struct take
+{
+  struct place_job_state *job;
+  struct place_spot spots[PLACE_TASK_LIMIT];
+  uint32_t count;
+  bool evict; /* room may come from evictions */
+};
+
+/* Whether any worker of UNIT is one that JOB may not use.  */
+static bool
+worker_barred (const struct place_job_state *job,
+               const struct place_worker_state *worker)
+{
+  uint32_t i;
+
+  if (!place_usable (worker))
+    return true;
+  if (job->centre != NULL && worker->rack->centre != job->centre)
+    return true;
+  for (i = 0; i < job->failed_count; i++)
+    if (job->failed[i] == worker)
+      return true;
+  return false;
+}
+
+static bool
+unit_serves (const struct place_unit *unit, const struct place_job_state *job)
+{
+  return unit->shape.span >= job->shape.span
+         && (unit->waiter == NULL || unit->waiter == job);
+}
+
+/* Takes back what take_from () has noted since COUNT.  */
+static void
+take_back (struct take *take, uint32_t count)
+{
+  while (take->count > count)
+    {
+      struct place_spot *spot = &take->spots[--take->count];
+
+      place_add (&spot->slot->left, &take->job->each);
+      place_subtract (&spot->worker->held, &take->job->each);
+    }
+}
+
+static bool
+has_room (struct place *place, const struct take *take,
+          struct place_worker_state *worker)
+{
+  struct place_amount free = place_view_of (worker, PLACE_VIEW_FREE);
+
+  if (place_covers (&free, &take->job->each))
+    return true;
+  return take->evict
+         && place_evict_loss (place, worker, &take->job->each) >= 0;
+}
+
+/* Notes as many tasks as go into the unit.  Slots and workers count them
+   until take_back ().  */
+static void
+take_from (struct place *place, struct take *take, struct place_unit *unit)
+{
+  const struct place_job_state *job = take->job;
+  uint32_t i;
+
+  for (i = 0; i < unit->shape.tasks; i++)
+    {
+      struct place_slot *slot = &unit->slots[i];
+
+      if (slot->worker == NULL || worker_barred (job, slot->worker))
+        continue;
+      while (take->count < job->shape.tasks
+             && place_covers (&slot->left, &job->each)
+             && has_room (place, take, slot->worker))
+        {
+          place_subtract (&slot->left, &job->each);
+          place_add (&slot->worker->held, &job->each);
+          take->spots[take->count++]
+              = (struct place_spot){ .worker = slot->worker, .slot = slot };
+        }
+    }
+}
+
+/* Used units first, so that whole ones stay whole; of unused ones the
+   smallest.  */
+static int
+compare_for_use (const void *a, const void *b)
+{
+  const struct place_unit *left = *(struct place_unit *const *)a;
+  const struct place_unit *right = *(struct place_unit *const *)b;
+  int64_t l = left->each.accelerators * left->shape.tasks;
+  int64_t r = right->each.accelerators * right->shape.tasks;
+
+  if ((left->jobs > 0) != (right->jobs > 0))
+    return left->jobs > 0 ? -1 : 1;
+  if (l != r)
+    return l < r ? -1 : 1;
+  l = left->each.cpus_milli * left->shape.tasks;
+  r = right->each.cpus_milli * right->shape.tasks;
+  return (l > r) - (l < r);
+}
+
+/* Finds slots for all tasks: in one unit, or in several if the job may be
+   spread.  On success the notes stay until take_back ().  */
+static bool
+take_slots (struct place *place, struct take *take, GPtrArray *units)
+{
+  const struct place_job_state *job = take->job;
+  guint i;
+
+  for (i = 0; i < units->len; i++)
+    {
+      take_from (place, take, units->pdata[i]);
+      if (take->count == job->shape.tasks)
+        return true;
+      take_back (take, 0);
+    }
+  if (job->shape.span != PLACE_SPAN_ANY || job->shape.tasks == 1)
+    return false;
+  for (i = 0; i < units->len && take->count < job->shape.tasks; i++)
+    take_from (place, take, units->pdata[i]);
+  if (take->count == job->shape.tasks)
+    return true;
+  take_back (take, 0);
+  return false;
+}
+
+static GPtrArray *
+units_for (const struct place_job_state *job)
+{
+  GPtrArray *units = g_ptr_array_new ();
+  guint i;
+
+  for (i = 0; i < job->team->units->len; i++)
+    {
+      struct place_unit *unit = job->team->units->pdata[i];
+
+      if (unit_serves (unit, job)
+          && place_goes_into (&unit->each, &job->each, 1) > 0)
+        g_ptr_array_add (units, unit);
+    }
+  g_ptr_array_sort (units, compare_for_use);
+  return units;
+}
+
+static void
+start_taken (struct place *place, struct take *take)
+{
+  struct place_spot spots[PLACE_TASK_LIMIT];
+  uint32_t i;
+
+  for (i = 0; i < take->count; i++)
+    spots[i] = take->spots[i];
+  take_back (take, 0);
+  take->job->borrowed = false;
+  place_spots_set (take->job, spots);
+  place_start (place, take->job);
+}
+
+/* ===== Moving units to free workers =========================== */
+
+static bool
+unit_free_now (const struct place_unit *unit)
+{
+  struct place_amount free;
+  uint32_t i;
+
+  for (i = 0; i < unit->shape.tasks; i++)
+    {
+      if (unit->slots[i].worker == NULL)
+        return false;
+      free = place_view_of (unit->slots[i].worker, PLACE_VIEW_FREE);
+      if (!place_covers (&free, &unit->each))
+        return false;
+    }
+  return true;
+}
+
+static void
+exchange (struct place_unit *a, struct place_unit *b)
+{
+  struct place_spot spots_a[PLACE_TASK_LIMIT] = { 0 };
+  struct place_spot spots_b[PLACE_TASK_LIMIT] = { 0 };
+  uint32_t i;
+
+  for (i = 0; i < a->shape.tasks; i++)
+    {
+      spots_a[i].worker = a->slots[i].worker;
+      spots_b[i].worker = b->slots[i].worker;
+    }
+  place_unit_unbind (a);
+  place_unit_unbind (b);
+  place_unit_bind (a, spots_b);
+  place_unit_bind (b, spots_a);
+}
+
+static bool
+unit_in_centre (const struct place_unit *unit,
+                const struct place_centre *centre)
+{
+  uint32_t i;
+
+  for (i = 0; centre != NULL && i < unit->shape.tasks; i++)
+    if (unit->slots[i].worker == NULL
+        || unit->slots[i].worker->rack->centre != centre)
+      return false;
+  return true;
+}
+
+/* Exchanges an unused unit with one of the same shape that stands on free
+   workers.  */
+static bool
+unit_trade (struct place *place, struct place_unit *unit,
+            const struct place_job_state *job)
+{
+  int looked = 0;
+  guint t;
+  guint u;
+
+  for (t = 0; t < place->team_list->len; t++)
+    {
+      struct place_team_state *team = place->team_list->pdata[t];
+
+      for (u = 0; u < team->units->len; u++)
+        {
+          struct place_unit *other = team->units->pdata[u];
+
+          if (other == unit || other->jobs > 0 || other->missing > 0
+              || !place_same_shape (&other->shape, &unit->shape))
+            continue;
+          if (looked++ >= TRADE_LIMIT)
+            return false;
+          if (!unit_free_now (other) || !unit_in_centre (other, job->centre))
+            continue;
+          exchange (unit, other);
+          return true;
+        }
+    }
+  return false;
+}
+
+/* Moves an unused unit to workers that are free now.  */
+static bool
+unit_move (struct place *place, struct place_unit *unit,
+           const struct place_job_state *job)
+{
+  struct place_search search = place_unit_search (unit, PLACE_VIEW_BOTH);
+  struct place_spot before[PLACE_TASK_LIMIT] = { 0 };
+  struct place_spot spots[PLACE_TASK_LIMIT];
+  uint32_t i;
+
+  for (i = 0; i < unit->shape.tasks; i++)
+    before[i].worker = unit->slots[i].worker;
+  place_unit_unbind (unit);
+  search.centre = job->centre;
+  search.job = job;
+  if (place_fit (place, &search, spots))
+    {
+      place_unit_bind (unit, spots);
+      return true;
+    }
+  place_unit_bind (unit, before);
+  return unit_trade (place, unit, job);
+}
+
+static bool
+move_and_take (struct place *place, struct take *take, GPtrArray *units)
+{
+  int moves = 0;
+  guint i;
+
+  for (i = 0; i < units->len && moves < MOVE_LIMIT; i++)
+    {
+      struct place_unit *unit = units->pdata[i];
+
+      if (unit->jobs > 0 || unit->missing > 0
+          || (unit_free_now (unit)
+              && unit_in_centre (unit, take->job->centre)))
+        continue;
+      moves++;
+      if (unit_move (place, unit, take->job)
+          && take_slots (place, take, units))
+        return true;
+    }
+  return false;
+}
+
+/* ===== Reclaim ================================================ */
+
+/* What evictions would lose if the tasks noted in TAKE started.  */
+static double
+loss_of (struct place *place, const struct take *take)
+{
+  struct place_amount none = { 0 };
+  double loss = 0;
+  uint32_t i;
+
+  for (i = 0; i < take->count; i++)
+    {
+      double one;
+
+      if (i > 0 && take->spots[i].worker == take->spots[i - 1].worker)
+        continue;
+      one = place_evict_loss (place, take->spots[i].worker, &none);
+      if (one < 0)
+        return -1;
+      loss += one;
+    }
+  return loss;
+}
+
+/* Moves the unit that is cheapest to clear to the front.  */
+static void
+cheapest_first (struct place *place, struct take *take, GPtrArray *units)
+{
+  double best = INFINITY;
+  guint best_at = 0;
+  gpointer unit;
+  guint i;
+
+  for (i = 0; i < units->len; i++)
+    {
+      double loss;
+
+      take_from (place, take, units->pdata[i]);
+      loss
+          = take->count == take->job->shape.tasks ? loss_of (place, take) : -1;
+      take_back (take, 0);
+      if (loss < 0 || loss >= best)
+        continue;
+      best = loss;
+      best_at = i;
+    }
+  if (best_at == 0)
+    return;
+  unit = units->pdata[best_at];
+  g_ptr_array_remove_index (units, best_at);
+  g_ptr_array_insert (units, 0, unit);
+}
+
+static bool
+reclaim (struct place *place, struct take *take, GPtrArray *units)
+{
+  struct place_spot spots[PLACE_TASK_LIMIT];
+  struct place_job_state *job = take->job;
+  uint32_t i;
+
+  take->evict = true;
+  cheapest_first (place, take, units);
+  if (!take_slots (place, take, units))
+    return false;
+  for (i = 0; i < take->count; i++)
+    spots[i] = take->spots[i];
+  take_back (take, 0);
+  job->borrowed = false;
+  place_spots_set (job, spots);
+  place_queue_remove (job);
+  place_reservation_drop (place, job);
+  place_unit_waiter_drop (job);
+  place_claim (place, job);
+  for (i = 0; i < job->spot_count; i++)
+    place_evict_for (place, job->spots[i].worker, job);
+  job->wait = "waits until borrowed work has left its guaranteed workers";
+  return true;
+}
+
+/* Ends claims of borrowed work, which give way like the work itself.  */
+static bool
+undo_claims (struct place *place)
+{
+  bool any = false;
+  guint i;
+
+  for (i = place->claims->len; i-- > 0;)
+    {
+      struct place_job_state *job = place->claims->pdata[i];
+
+      if (!job->borrowed)
+        continue;
+      place_unclaim (place, job);
+      place_queue_insert (job);
+      job->wait = "waits again: the owner of its workers came first";
+      any = true;
+    }
+  return any;
+}
+
+bool
+place_firm_try (struct place *place, struct place_job_state *job)
+{
+  g_autoptr (GPtrArray) units = units_for (job);
+  struct take take = { .job = job };
+
+  if (units->len == 0)
+    return false;
+  if (take_slots (place, &take, units) || move_and_take (place, &take, units))
+    {
+      start_taken (place, &take);
+      return true;
+    }
+  if (reclaim (place, &take, units))
+    return true;
+  return undo_claims (place) && reclaim (place, &take, units);
+}
--- /dev/null
+++ b/lib/place/place_fit.c
@@ -0,0 +1,471 @@
+/* Search for workers: the group (worker, rack, data centre) that is left
+   with the least, and in it the workers that are broken into already.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "place/place_inner.h"
+
+enum
+{
+  FAILED_LIMIT = 64 /* searches remembered in one round */
+};
+
+/* A worker that takes some of the tasks.  */
+struct option
+{
+  struct place_worker_state *worker;
+  uint32_t room;
+  int64_t left_accelerators;
+  int64_t left_cpus_milli;
+};
+
+/* Sums up the options of one group.  */
+struct group
+{
+  struct place_rack **racks;
+  guint rack_count;
+  struct place_worker_state *only; /* the group is this worker */
+  uint64_t room;
+};
+
+GArray *
+place_options_new (void)
+{
+  return g_array_new (FALSE, FALSE, sizeof (struct option));
+}
+
+struct place_amount
+place_view_of (const struct place_worker_state *worker, enum place_view view)
+{
+  struct place_amount free = worker->capacity;
+  struct place_amount firm = worker->capacity;
+
+  if (view == PLACE_VIEW_CAPACITY)
+    return free;
+  place_subtract (&free, &worker->used);
+  place_subtract (&free, &worker->held);
+  place_subtract (&firm, &worker->firm);
+  place_subtract (&firm, &worker->reserved);
+  if (view == PLACE_VIEW_FREE)
+    return free;
+  if (view == PLACE_VIEW_FIRM)
+    return firm;
+  return place_least (&free, &firm);
+}
+
+static bool
+failed_there (const struct place_job_state *job,
+              const struct place_worker_state *worker)
+{
+  uint32_t i;
+
+  if (job == NULL)
+    return false;
+  for (i = 0; i < job->failed_count; i++)
+    if (job->failed[i] == worker)
+      return true;
+  return false;
+}
+
+/* Whether a worker that is kept for another job may be used meanwhile.  */
+static bool
+kept_for_other (const struct place_search *search,
+                const struct place_worker_state *worker)
+{
+  const struct place_job_state *owner = worker->reservation;
+
+  if (owner == NULL || owner == search->job)
+    return false;
+  return search->end_ms > owner->reservation->start_ms;
+}
+
+static bool
+excluded (const struct place_search *search,
+          const struct place_worker_state *worker)
+{
+  if (search->view == PLACE_VIEW_CAPACITY)
+    return false;
+  if (!place_usable (worker))
+    {
+      /* A probe: one job at a time, and nothing guaranteed.  */
+      if (!worker->up || worker->health != PLACE_PROBING
+          || search->view != PLACE_VIEW_FREE || worker->jobs->len > 0
+          || worker->holds > 0)
+        return true;
+    }
+  if (failed_there (search->job, worker))
+    return true;
+  return search->view == PLACE_VIEW_FREE && kept_for_other (search, worker);
+}
+
+uint32_t
+place_room (const struct place *place, const struct place_search *search,
+            const struct place_worker_state *worker)
+{
+  struct place_amount amount;
+
+  (void)place;
+  if (excluded (search, worker))
+    return 0;
+  amount = place_view_of (worker, search->view);
+  return place_goes_into (&amount, &search->each, search->tasks);
+}
+
+/* Whether the rack's summary shows that no task fits on it.  */
+static bool
+rack_too_full (const struct place_search *search,
+               const struct place_rack *rack)
+{
+  if (search->view != PLACE_VIEW_FREE && search->view != PLACE_VIEW_BOTH)
+    return false;
+  return !place_covers (&rack->widest, &search->each);
+}
+
+static uint64_t
+room_of_rack (const struct place *place, const struct place_search *search,
+              const struct place_rack *rack)
+{
+  uint64_t room = 0;
+  guint i;
+
+  if (rack_too_full (search, rack))
+    return 0;
+  for (i = 0; i < rack->workers->len; i++)
+    room += place_room (place, search, rack->workers->pdata[i]);
+  return room;
+}
+
+/* Keeps GROUP if all tasks fit and it is left with less than BEST.  */
+static void
+consider (const struct place_search *search, const struct group *group,
+          struct group *best)
+{
+  if (group->room < search->tasks)
+    return;
+  if (best->room == 0 || group->room < best->room)
+    *best = *group;
+}
+
+static void
+consider_racks (const struct place *place, const struct place_search *search,
+                GPtrArray *racks, struct group *best)
+{
+  struct group group;
+  guint i;
+
+  for (i = 0; i < racks->len; i++)
+    {
+      group = (struct group){ .racks = (struct place_rack **)&racks->pdata[i],
+                              .rack_count = 1 };
+      group.room = room_of_rack (place, search, racks->pdata[i]);
+      consider (search, &group, best);
+    }
+}
+
+static void
+consider_together (const struct place *place,
+                   const struct place_search *search, GPtrArray *racks,
+                   struct group *best)
+{
+  struct group group = { .racks = (struct place_rack **)racks->pdata,
+                         .rack_count = racks->len };
+  guint i;
+
+  for (i = 0; i < racks->len; i++)
+    group.room += room_of_rack (place, search, racks->pdata[i]);
+  consider (search, &group, best);
+}
+
+static bool
+option_better (const struct option *a, const struct option *b)
+{
+  if (a->left_accelerators != b->left_accelerators)
+    return a->left_accelerators < b->left_accelerators;
+  return a->left_cpus_milli < b->left_cpus_milli;
+}
+
+/* What a worker has left after TASKS of the search.  */
+static struct option
+option_of (const struct place_search *search,
+           struct place_worker_state *worker, uint32_t room, uint32_t tasks)
+{
+  struct place_amount left = place_view_of (worker, search->view);
+  struct place_amount taken = place_times (&search->each, MIN (room, tasks));
+  struct option option = { .worker = worker, .room = room };
+
+  place_subtract (&left, &taken);
+  option.left_accelerators = left.accelerators;
+  option.left_cpus_milli = left.cpus_milli;
+  return option;
+}
+
+static void
+consider_worker (const struct place *place, const struct place_search *search,
+                 struct place_worker_state *worker, struct option *best)
+{
+  uint32_t room = place_room (place, search, worker);
+  struct option option;
+
+  if (room < search->tasks)
+    return;
+  option = option_of (search, worker, room, search->tasks);
+  if (best->worker == NULL || option_better (&option, best))
+    *best = option;
+}
+
+/* All tasks on one worker.  */
+static bool
+fit_one_worker (struct place *place, const struct place_search *search,
+                GPtrArray *racks, struct place_spot *spots)
+{
+  struct option best = { 0 };
+  guint r;
+  guint w;
+  uint32_t i;
+
+  for (r = 0; r < racks->len; r++)
+    {
+      struct place_rack *rack = racks->pdata[r];
+
+      if (rack_too_full (search, rack))
+        continue;
+      for (w = 0; w < rack->workers->len; w++)
+        consider_worker (place, search, rack->workers->pdata[w], &best);
+    }
+  if (best.worker == NULL)
+    return false;
+  for (i = 0; i < search->tasks; i++)
+    spots[i] = (struct place_spot){ .worker = best.worker };
+  return true;
+}
+
+static int
+compare_options (const void *a, const void *b)
+{
+  const struct option *left = a;
+  const struct option *right = b;
+
+  if (option_better (left, right))
+    return -1;
+  if (option_better (right, left))
+    return 1;
+  if (left->room != right->room)
+    return left->room > right->room ? -1 : 1;
+  return strcmp (left->worker->name, right->worker->name);
+}
+
+static void
+collect_options (struct place *place, const struct place_search *search,
+                 const struct group *group)
+{
+  guint r;
+  guint w;
+
+  g_array_set_size (place->options, 0);
+  for (r = 0; r < group->rack_count; r++)
+    {
+      struct place_rack *rack = group->racks[r];
+
+      if (rack_too_full (search, rack))
+        continue;
+      for (w = 0; w < rack->workers->len; w++)
+        {
+          struct place_worker_state *worker = rack->workers->pdata[w];
+          uint32_t room = place_room (place, search, worker);
+          struct option option;
+
+          if (room == 0)
+            continue;
+          option = option_of (search, worker, room, search->tasks);
+          g_array_append_val (place->options, option);
+        }
+    }
+}
+
+/* The tightest option that takes all TASKS that are left, or NULL.  */
+static struct option *
+last_option (struct place *place, const struct place_search *search,
+             guint from, uint32_t tasks)
+{
+  struct option *best = NULL;
+  struct option best_left = { 0 };
+  guint i;
+
+  for (i = from; i < place->options->len; i++)
+    {
+      struct option *option
+          = &g_array_index (place->options, struct option, i);
+      struct option left;
+
+      if (option->room < tasks)
+        continue;
+      left = option_of (search, option->worker, tasks, tasks);
+      if (best == NULL || option_better (&left, &best_left))
+        {
+          best = option;
+          best_left = left;
+        }
+    }
+  return best;
+}
+
+static void
+fill_group (struct place *place, const struct place_search *search,
+            const struct group *group, struct place_spot *spots)
+{
+  uint32_t done = 0;
+  guint i;
+
+  collect_options (place, search, group);
+  qsort (place->options->data, place->options->len, sizeof (struct option),
+         compare_options);
+  for (i = 0; done < search->tasks && i < place->options->len; i++)
+    {
+      struct option *option
+          = &g_array_index (place->options, struct option, i);
+      uint32_t left = search->tasks - done;
+      uint32_t taken;
+
+      if (option->room >= left)
+        option = last_option (place, search, i, left);
+      taken = MIN (option->room, left);
+      while (taken-- > 0)
+        spots[done++] = (struct place_spot){ .worker = option->worker };
+    }
+  g_assert (done == search->tasks);
+}
+
+/* The racks to look at: all, those of a data centre, or the anchor's.  */
+static GPtrArray *
+racks_of (struct place *place, const struct place_search *search)
+{
+  if (search->anchor != NULL && search->span >= PLACE_SPAN_DATA_CENTRE)
+    return search->anchor->rack->centre->racks;
+  if (search->centre != NULL)
+    return search->centre->racks;
+  return place->racks;
+}
+
+static bool
+fit_at_anchor (struct place *place, const struct place_search *search,
+               struct place_spot *spots)
+{
+  struct place_worker_state *worker = search->anchor;
+  struct group group = { .racks = &worker->rack, .rack_count = 1 };
+  uint32_t i;
+
+  if (search->span == PLACE_SPAN_WORKER)
+    {
+      if (place_room (place, search, worker) < search->tasks)
+        return false;
+      for (i = 0; i < search->tasks; i++)
+        spots[i] = (struct place_spot){ .worker = worker };
+      return true;
+    }
+  group.room = room_of_rack (place, search, worker->rack);
+  if (group.room < search->tasks)
+    return false;
+  fill_group (place, search, &group, spots);
+  return true;
+}
+
+bool
+place_fit (struct place *place, const struct place_search *search,
+           struct place_spot *spots)
+{
+  GPtrArray *racks = racks_of (place, search);
+  struct group best = { 0 };
+  guint i;
+
+  if (search->anchor != NULL && search->span >= PLACE_SPAN_RACK)
+    return fit_at_anchor (place, search, spots);
+  if (search->span == PLACE_SPAN_WORKER || search->tasks == 1)
+    return fit_one_worker (place, search, racks, spots);
+  if (search->span == PLACE_SPAN_RACK)
+    consider_racks (place, search, racks, &best);
+  else if (search->span == PLACE_SPAN_ANY || racks != place->racks)
+    consider_together (place, search, racks, &best);
+  else
+    for (i = 0; i < place->centre_list->len; i++)
+      {
+        struct place_centre *centre = place->centre_list->pdata[i];
+
+        consider_together (place, search, centre->racks, &best);
+      }
+  if (best.room == 0)
+    return false;
+  fill_group (place, search, &best, spots);
+  return true;
+}
+
+/* Whether a search that found nothing asked for no more than SEARCH.  */
+static bool
+asked_no_more (const struct place_search *failed,
+               const struct place_search *search)
+{
+  return failed->view == search->view && failed->tasks <= search->tasks
+         && failed->span <= search->span
+         && (failed->centre == NULL || failed->centre == search->centre)
+         && failed->end_ms <= search->end_ms
+         && place_covers (&search->each, &failed->each);
+}
+
+bool
+place_fit_once (struct place *place, const struct place_search *search,
+                struct place_spot *spots)
+{
+  bool alone
+      = search->job != NULL
+        && (search->job->failed_count > 0 || search->job->reservation != NULL);
+  guint i;
+
+  if (alone) /* what one job may use says nothing of others */
+    return place_fit (place, search, spots);
+  for (i = 0; i < place->failed->len; i++)
+    if (asked_no_more (&g_array_index (place->failed, struct place_search, i),
+                       search))
+      return false;
+  if (place_fit (place, search, spots))
+    return true;
+  if (place->failed->len < FAILED_LIMIT)
+    g_array_append_val (place->failed, *search);
+  return false;
+}
+
+/* COUNT adjacent bits of FREE at a multiple of STEP, or 0.  */
+static uint64_t
+adjacent (uint64_t free, uint32_t count, uint32_t step)
+{
+  uint64_t block = count >= 64 ? UINT64_MAX : (UINT64_C (1) << count) - 1;
+  uint32_t at;
+
+  for (at = 0; at + count <= PLACE_ACCELERATOR_LIMIT; at += step)
+    if (((free >> at) & block) == block)
+      return block << at;
+  return 0;
+}
+
+uint64_t
+place_pick_accelerators (const struct place_worker_state *worker,
+                         uint32_t count)
+{
+  uint32_t have = (uint32_t)worker->capacity.accelerators;
+  uint64_t all = have >= 64 ? UINT64_MAX : (UINT64_C (1) << have) - 1;
+  uint64_t free = all & ~worker->busy;
+  uint64_t picked;
+
+  if (count == 0)
+    return 0;
+  picked = adjacent (free, count, count);
+  if (picked == 0)
+    picked = adjacent (free, count, 1);
+  while (picked == 0 || (uint32_t)__builtin_popcountll (picked) < count)
+    {
+      uint64_t bit = free & ~picked;
+
+      g_assert (bit != 0);
+      picked |= bit & (~bit + 1);
+    }
+  return picked;
+}
--- /dev/null
+++ b/lib/place/place_guarantee.c
@@ -0,0 +1,268 @@
+/* Guaranteed shapes.  Each shape of a team is a unit; each unit is bound to
+   workers that have room for it beside everything that cannot be evicted.
+   As long as every unit is bound, all unused shapes can be placed together
+   by evicting only borrowed work.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "place/place_inner.h"
+
+/* ===== Binding ================================================ */
+
+/* The hardest to place come first.  */
+static int
+compare_units (const void *a, const void *b)
+{
+  const struct place_unit *left = *(struct place_unit *const *)a;
+  const struct place_unit *right = *(struct place_unit *const *)b;
+  int64_t l = left->each.accelerators * left->shape.tasks;
+  int64_t r = right->each.accelerators * right->shape.tasks;
+  bool tight_left = left->shape.span >= PLACE_SPAN_RACK;
+  bool tight_right = right->shape.span >= PLACE_SPAN_RACK;
+
+  if (tight_left != tight_right)
+    return tight_left ? -1 : 1;
+  if (l != r)
+    return l > r ? -1 : 1;
+  if (left->each.accelerators != right->each.accelerators)
+    return left->each.accelerators > right->each.accelerators ? -1 : 1;
+  l = left->each.cpus_milli * left->shape.tasks;
+  r = right->each.cpus_milli * right->shape.tasks;
+  return (l < r) - (l > r);
+}
+
+static bool
+unit_place (struct place *place, struct place_unit *unit)
+{
+  struct place_spot spots[PLACE_TASK_LIMIT];
+  struct place_search search = place_unit_search (unit, PLACE_VIEW_BOTH);
+
+  if (!place_fit (place, &search, spots))
+    {
+      search.view = PLACE_VIEW_FIRM;
+      if (!place_fit (place, &search, spots))
+        return false;
+    }
+  place_unit_bind (unit, spots);
+  return true;
+}
+
+/* Unbinds the free slots of a used unit that are on unusable workers, and
+   binds them near the others again.  */
+static void
+unit_mend (struct place *place, struct place_unit *unit)
+{
+  struct place_spot spots[PLACE_TASK_LIMIT];
+  struct place_search search = place_unit_search (unit, PLACE_VIEW_FIRM);
+  uint32_t next = 0;
+  uint32_t i;
+
+  for (i = 0; i < unit->shape.tasks; i++)
+    {
+      struct place_slot *slot = &unit->slots[i];
+
+      if (slot->jobs > 0)
+        search.anchor = slot->worker;
+      else if (slot->worker != NULL && !place_keeps_promises (slot->worker))
+        place_slot_unbind (slot);
+    }
+  if (unit->missing == 0)
+    return;
+  search.tasks = unit->missing;
+  if (!place_fit (place, &search, spots))
+    return;
+  for (i = 0; i < unit->shape.tasks; i++)
+    if (unit->slots[i].worker == NULL)
+      place_slot_bind (&unit->slots[i], spots[next++].worker);
+}
+
+static void
+add_units (struct place *place, GPtrArray *list)
+{
+  guint t;
+  guint u;
+
+  for (t = 0; t < place->team_list->len; t++)
+    {
+      struct place_team_state *team = place->team_list->pdata[t];
+
+      for (u = 0; u < team->units->len; u++)
+        g_ptr_array_add (list, team->units->pdata[u]);
+    }
+}
+
+/* Unbinds what stands on unusable workers.  */
+static void
+units_release_lost (struct place *place, GPtrArray *units)
+{
+  guint i;
+
+  for (i = 0; i < units->len; i++)
+    {
+      struct place_unit *unit = units->pdata[i];
+
+      if (place_unit_whole (unit))
+        continue;
+      if (unit->jobs == 0)
+        place_unit_unbind (unit);
+      else
+        unit_mend (place, unit);
+    }
+}
+
+/* Returns how many units have no place.  */
+static guint
+units_place (struct place *place, GPtrArray *units)
+{
+  guint unplaced = 0;
+  guint i;
+
+  for (i = 0; i < units->len; i++)
+    {
+      struct place_unit *unit = units->pdata[i];
+
+      if (unit->jobs == 0 && unit->missing > 0 && !unit_place (place, unit))
+        unplaced++;
+      else if (unit->jobs > 0 && unit->missing > 0)
+        unit_mend (place, unit);
+    }
+  return unplaced;
+}
+
+/* Binds all unused units anew, the hardest first; those found without a
+   place go to the front and it is tried again.  */
+static void
+units_repack (struct place *place, GPtrArray *units)
+{
+  enum
+  {
+    TRIES = 4
+  };
+  guint i;
+  int n;
+
+  for (n = 0; n < TRIES; n++)
+    {
+      g_autoptr (GPtrArray) order = g_ptr_array_new ();
+
+      for (i = 0; i < units->len; i++)
+        if (((struct place_unit *)units->pdata[i])->missing > 0)
+          g_ptr_array_add (order, units->pdata[i]);
+      for (i = 0; i < units->len; i++)
+        if (((struct place_unit *)units->pdata[i])->missing == 0)
+          g_ptr_array_add (order, units->pdata[i]);
+      for (i = 0; i < order->len; i++)
+        if (((struct place_unit *)order->pdata[i])->jobs == 0)
+          place_unit_unbind (order->pdata[i]);
+      if (n == 0)
+        qsort (order->pdata, order->len, sizeof (gpointer), compare_units);
+      if (units_place (place, order) == 0)
+        return;
+    }
+}
+
+/* ===== What cannot be met ===================================== */
+
+static const char *
+span_text (enum place_span span)
+{
+  switch (span)
+    {
+    case PLACE_SPAN_WORKER:
+      return " on one worker";
+    case PLACE_SPAN_RACK:
+      return " in one rack";
+    case PLACE_SPAN_DATA_CENTRE:
+      return " in one data centre";
+    case PLACE_SPAN_ANY:
+      break;
+    }
+  return "";
+}
+
+void
+place_shape_text (const struct place_shape *shape, char *text,
+                  size_t size_bytes)
+{
+  g_snprintf (text, size_bytes, "%u x (%u accelerators, %.1f cpus, %u MB)%s",
+              shape->tasks, shape->task.accelerators,
+              shape->task.cpus_milli / 1000.0, shape->task.memory_mb,
+              shape->tasks > 1 ? span_text (shape->span) : "");
+}
+
+/* Whether jobs hold a unit on a worker that came back smaller.  */
+static bool
+on_shrunk_worker (const struct place_unit *unit)
+{
+  uint32_t i;
+
+  for (i = 0; i < unit->shape.tasks; i++)
+    {
+      const struct place_worker_state *worker = unit->slots[i].worker;
+
+      if (worker != NULL && place_usable (worker)
+          && !place_keeps_promises (worker))
+        return true;
+    }
+  return false;
+}
+
+static void
+unit_tell (struct place *place, struct place_unit *unit)
+{
+  bool unmet = unit->missing > 0 || on_shrunk_worker (unit);
+  struct place_command *command;
+  char shape[PLACE_TEXT_SIZE_BYTES];
+  char text[PLACE_TEXT_SIZE_BYTES];
+
+  if (unmet)
+    place->short_of = true;
+  if (unit->told_unmet == unmet)
+    return;
+  unit->told_unmet = unmet;
+  place_shape_text (&unit->shape, shape, sizeof shape);
+  g_snprintf (text, sizeof text, "guarantee of %.180s %s", shape,
+              unmet ? "has no room on the workers in use"
+                    : "can be met again");
+  command = place_emit (place, unmet ? PLACE_UNMET : PLACE_MET);
+  command->team = place_text (place, unit->team->name);
+  command->reason = place_text (place, text);
+}
+
+static void
+attach_all (struct place *place)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, place->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct place_job_state *job = value;
+
+      if (job->phase == PLACE_RUNNING && job->spots[0].slot == NULL)
+        place_attach (place, job);
+    }
+}
+
+void
+place_settle (struct place *place)
+{
+  g_autoptr (GPtrArray) units = NULL;
+  guint i;
+
+  if (!place->dirty || !place->params.policy->guarantees)
+    return;
+  place->dirty = false;
+  place->short_of = false;
+  units = g_ptr_array_new ();
+  add_units (place, units);
+  units_release_lost (place, units);
+  attach_all (place);
+  qsort (units->pdata, units->len, sizeof (gpointer), compare_units);
+  if (units_place (place, units) > 0)
+    units_repack (place, units);
+  for (i = 0; i < units->len; i++)
+    unit_tell (place, units->pdata[i]);
+}
--- /dev/null
+++ b/lib/place/place_jobs.c
@@ -0,0 +1,415 @@
+/* Jobs: the queues by arrival, and what a job takes on its workers.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "place/place_inner.h"
+
+void
+place_job_free (void *data)
+{
+  struct place_job_state *job = data;
+
+  g_assert (job->reservation == NULL);
+  g_free (job->spots);
+  g_free (job->id);
+  g_free (job);
+}
+
+bool
+place_may_borrow (const struct place_job_state *job)
+{
+  return job->team->may_borrow && job->checkpointable && job->repeatable;
+}
+
+/* ===== Queues ================================================= */
+
+static int
+compare_arrival (const struct place_job_state *a,
+                 const struct place_job_state *b)
+{
+  if (a->submitted_ms != b->submitted_ms)
+    return a->submitted_ms < b->submitted_ms ? -1 : 1;
+  if (a->sequence == b->sequence)
+    return 0;
+  return a->sequence < b->sequence ? -1 : 1;
+}
+
+static GPtrArray *
+queue_of (struct place_job_state *job)
+{
+  return job->urgent ? job->team->urgent : job->team->queue;
+}
+
+static guint *
+cursor_of (struct place_job_state *job)
+{
+  return job->urgent ? &job->team->urgent_cursor : &job->team->cursor;
+}
+
+/* The first index whose job arrived no earlier than JOB.  */
+static guint
+queue_find (GPtrArray *queue, const struct place_job_state *job)
+{
+  guint low = 0;
+  guint high = queue->len;
+
+  while (low < high)
+    {
+      guint middle = low + (high - low) / 2;
+
+      if (compare_arrival (queue->pdata[middle], job) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+void
+place_queue_insert (struct place_job_state *job)
+{
+  GPtrArray *queue = queue_of (job);
+
+  guint *cursor = cursor_of (job);
+  guint at = queue_find (queue, job);
+
+  g_ptr_array_insert (queue, (gint)at, job);
+  if (at < *cursor)
+    (*cursor)++;
+  job->phase = PLACE_QUEUED;
+}
+
+void
+place_queue_remove (struct place_job_state *job)
+{
+  GPtrArray *queue = queue_of (job);
+  guint *cursor = cursor_of (job);
+  guint at = queue_find (queue, job);
+
+  g_assert (at < queue->len && queue->pdata[at] == job);
+  g_ptr_array_remove_index (queue, at);
+  if (at < *cursor)
+    (*cursor)--;
+}
+
+/* ===== What a job takes ======================================= */
+
+static void
+take_slot (struct place_job_state *job, struct place_spot *spot)
+{
+  struct place_slot *slot = spot->slot;
+
+  if (slot == NULL)
+    return;
+  g_assert (slot->worker == spot->worker);
+  place_subtract (&slot->left, &job->each);
+  place_subtract (&slot->worker->reserved, &job->each);
+  slot->jobs++;
+  slot->unit->jobs++;
+}
+
+static void
+give_slot (struct place_job_state *job, struct place_spot *spot)
+{
+  struct place_slot *slot = spot->slot;
+
+  if (slot == NULL)
+    return;
+  place_add (&slot->left, &job->each);
+  place_add (&slot->worker->reserved, &job->each);
+  slot->jobs--;
+  slot->unit->jobs--;
+  spot->slot = NULL;
+}
+
+/* Slots are taken once for a job, when it claims or starts.  */
+static void
+take_firm (struct place_job_state *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    {
+      struct place_spot *spot = &job->spots[i];
+
+      if (!job->borrowed)
+        place_add (&spot->worker->firm, &job->each);
+      take_slot (job, spot);
+    }
+}
+
+static void
+give_firm (struct place_job_state *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    {
+      struct place_spot *spot = &job->spots[i];
+
+      if (!job->borrowed)
+        place_subtract (&spot->worker->firm, &job->each);
+      give_slot (job, spot);
+    }
+}
+
+void
+place_release_slots (struct place_job_state *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    give_slot (job, &job->spots[i]);
+}
+
+void
+place_take_slots (struct place_job_state *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    take_slot (job, &job->spots[i]);
+}
+
+void
+place_set_borrowed (struct place_job_state *job, bool borrowed)
+{
+  uint32_t i;
+
+  if (job->borrowed == borrowed)
+    return;
+  for (i = 0; i < job->spot_count; i++)
+    {
+      if (borrowed)
+        place_subtract (&job->spots[i].worker->firm, &job->each);
+      else
+        place_add (&job->spots[i].worker->firm, &job->each);
+    }
+  job->borrowed = borrowed;
+}
+
+/* Spots of one worker stand together, so that each worker is seen once.  */
+static bool
+first_on_worker (const struct place_job_state *job, uint32_t i)
+{
+  return i == 0 || job->spots[i].worker != job->spots[i - 1].worker;
+}
+
+static void
+use_worker (struct place_job_state *job, struct place_spot *spot, bool first)
+{
+  struct place_worker_state *worker = spot->worker;
+  uint32_t accelerators = (uint32_t)job->each.accelerators;
+
+  if (spot->accelerators == 0)
+    spot->accelerators = place_pick_accelerators (worker, accelerators);
+  worker->busy |= spot->accelerators;
+  place_add (&worker->used, &job->each);
+  if (first)
+    g_ptr_array_add (worker->jobs, job);
+}
+
+static int
+compare_spots (const void *a, const void *b)
+{
+  const struct place_spot *left = a;
+  const struct place_spot *right = b;
+
+  return strcmp (left->worker->name, right->worker->name);
+}
+
+static struct place_amount
+whole (const struct place_job_state *job)
+{
+  return place_times (&job->each, job->shape.tasks);
+}
+
+static void
+add_team (struct place_job_state *job)
+{
+  struct place_amount amount = whole (job);
+
+  place_add (&job->team->used, &amount);
+}
+
+static void
+subtract_team (struct place_job_state *job)
+{
+  struct place_amount amount = whole (job);
+
+  place_subtract (&job->team->used, &amount);
+}
+
+static void
+touch_workers (struct place_job_state *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    if (first_on_worker (job, i))
+      place_touch (job->spots[i].worker);
+}
+
+static void
+use_workers (struct place *place, struct place_job_state *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    use_worker (job, &job->spots[i], first_on_worker (job, i));
+  touch_workers (job);
+  job->phase = PLACE_RUNNING;
+  place->running++;
+}
+
+void
+place_spots_set (struct place_job_state *job, const struct place_spot *spots)
+{
+  g_free (job->spots);
+  job->spot_count = job->shape.tasks;
+  job->spots = g_memdup2 (spots, job->spot_count * sizeof *spots);
+  qsort (job->spots, job->spot_count, sizeof *job->spots, compare_spots);
+}
+
+void
+place_occupy (struct place *place, struct place_job_state *job)
+{
+  take_firm (job);
+  add_team (job);
+  use_workers (place, job);
+}
+
+void
+place_vacate (struct place *place, struct place_job_state *job)
+{
+  uint32_t i;
+
+  if (job->phase == PLACE_EVICTING)
+    place_evicting_end (job);
+  for (i = 0; i < job->spot_count; i++)
+    {
+      struct place_spot *spot = &job->spots[i];
+
+      if (!place_usable (spot->worker) && spot->slot != NULL)
+        place->dirty = true;
+      spot->worker->busy &= ~spot->accelerators;
+      place_subtract (&spot->worker->used, &job->each);
+      if (first_on_worker (job, i))
+        g_ptr_array_remove_fast (spot->worker->jobs, job);
+    }
+  if (place->short_of && !job->borrowed)
+    place->dirty = true;
+  give_firm (job);
+  subtract_team (job);
+  touch_workers (job);
+  place->running--;
+  job->spot_count = 0;
+  g_free (job->spots);
+  job->spots = NULL;
+}
+
+static void
+hold (struct place_job_state *job, bool held)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    {
+      struct place_worker_state *worker = job->spots[i].worker;
+
+      if (held)
+        place_add (&worker->held, &job->each);
+      else
+        place_subtract (&worker->held, &job->each);
+      worker->holds += held ? 1 : -1;
+    }
+  touch_workers (job);
+}
+
+void
+place_claim (struct place *place, struct place_job_state *job)
+{
+  take_firm (job);
+  add_team (job);
+  hold (job, true);
+  job->phase = PLACE_CLAIMING;
+  g_ptr_array_add (place->claims, job);
+}
+
+void
+place_claim_start (struct place *place, struct place_job_state *job)
+{
+  g_ptr_array_remove (place->claims, job);
+  hold (job, false);
+  use_workers (place, job);
+}
+
+void
+place_unclaim (struct place *place, struct place_job_state *job)
+{
+  g_ptr_array_remove (place->claims, job);
+  hold (job, false);
+  give_firm (job);
+  subtract_team (job);
+  job->spot_count = 0;
+  g_free (job->spots);
+  job->spots = NULL;
+}
+
+/* ===== Evictions ============================================== */
+
+void
+place_evicting_begin (struct place_job_state *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    place_add (&job->spots[i].worker->evicting, &job->each);
+  job->phase = PLACE_EVICTING;
+}
+
+void
+place_evicting_end (struct place_job_state *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    place_subtract (&job->spots[i].worker->evicting, &job->each);
+}
+
+/* ===== The end of a job ======================================= */
+
+void
+place_notice_free (void *data)
+{
+  struct place_notice *notice = data;
+
+  g_free (notice->job);
+  g_free (notice->team);
+  g_free (notice->reason);
+  g_free (notice);
+}
+
+void
+place_notify (struct place *place, enum place_command_kind kind,
+              const struct place_job_state *job, const char *reason)
+{
+  struct place_notice *notice = g_new0 (struct place_notice, 1);
+
+  notice->kind = kind;
+  notice->job = g_strdup (job->id);
+  notice->team = g_strdup (job->team->name);
+  notice->reason = g_strdup (reason);
+  g_ptr_array_add (place->notices, notice);
+}
+
+/* Removes a job that holds no worker.  */
+void
+place_job_remove (struct place *place, struct place_job_state *job)
+{
+  place_reservation_drop (place, job);
+  place_unit_waiter_drop (job);
+  job->team->jobs--;
+  g_hash_table_remove (place->jobs, job->id);
+}
--- /dev/null
+++ b/lib/place/place_never.c
@@ -0,0 +1,212 @@
+/* Jobs that can never run: the reason, and the nearest shape that could.  */
+
+#include <string.h>
+
+#include "place/place_inner.h"
+
+static bool
+fits_empty (struct place *place, const struct place_job_state *job,
+            uint32_t tasks)
+{
+  struct place_spot spots[PLACE_TASK_LIMIT];
+  struct place_search search = { .tasks = tasks,
+                                 .each = job->each,
+                                 .span = job->shape.span,
+                                 .centre = job->centre,
+                                 .view = PLACE_VIEW_CAPACITY };
+
+  return place_fit (place, &search, spots);
+}
+
+/* The most tasks of the job's that would fit.  */
+static uint32_t
+most_tasks (struct place *place, const struct place_job_state *job)
+{
+  uint32_t low = 0;
+  uint32_t high = MIN (job->shape.tasks, PLACE_TASK_LIMIT);
+
+  while (low < high)
+    {
+      uint32_t middle = low + (high - low + 1) / 2;
+
+      if (fits_empty (place, job, middle))
+        low = middle;
+      else
+        high = middle - 1;
+    }
+  return low;
+}
+
+static double
+kept_part (int64_t have, int64_t want)
+{
+  if (want <= 0 || have >= want)
+    return 1;
+  return (double)have / (double)want;
+}
+
+/* The task closest to the job's that one worker could take.  */
+static struct place_resources
+nearest_task (const struct place *place, const struct place_job_state *job)
+{
+  struct place_resources best = { 0 };
+  double best_part = -1;
+  guint i;
+
+  for (i = 0; i < place->worker_list->len; i++)
+    {
+      const struct place_worker_state *worker = place->worker_list->pdata[i];
+      const struct place_amount *have = &worker->capacity;
+      double part;
+
+      if (worker->rack == NULL
+          || (job->centre != NULL && worker->rack->centre != job->centre))
+        continue;
+      part = kept_part (have->accelerators, job->each.accelerators)
+             * kept_part (have->cpus_milli, job->each.cpus_milli)
+             * kept_part (have->memory_mb, job->each.memory_mb);
+      if (part <= best_part)
+        continue;
+      best_part = part;
+      best.accelerators
+          = (uint32_t)MIN (have->accelerators, job->each.accelerators);
+      best.cpus_milli = (uint32_t)MIN (have->cpus_milli, job->each.cpus_milli);
+      best.memory_mb = (uint32_t)MIN (have->memory_mb, job->each.memory_mb);
+    }
+  return best;
+}
+
+static int
+never_on_workers (struct place *place, const struct place_job_state *job,
+                  char text[PLACE_TEXT_SIZE_BYTES])
+{
+  struct place_shape nearest = job->shape;
+  char shape[PLACE_TEXT_SIZE_BYTES];
+  const char *reason = "no permitted workers are enough together";
+
+  if (job->shape.tasks > PLACE_TASK_LIMIT)
+    reason = "a gang is that large at most";
+  else if (place->racks->len == 0 || fits_empty (place, job, job->shape.tasks))
+    return PLACE_OK;
+  nearest.tasks = most_tasks (place, job);
+  if (place->racks->len == 0)
+    nearest.tasks = PLACE_TASK_LIMIT;
+  if (nearest.tasks == 0)
+    {
+      nearest.tasks = 1;
+      nearest.task = nearest_task (place, job);
+      reason = "no permitted worker is large enough for one task";
+    }
+  place_shape_text (&nearest, shape, sizeof shape);
+  g_snprintf (text, PLACE_TEXT_SIZE_BYTES,
+              "%s; the nearest that could run: "
+              "%.150s",
+              reason, shape);
+  return PLACE_ERR_NEVER;
+}
+
+/* ===== Quota ================================================== */
+
+static uint32_t
+tasks_in_quota (const struct place_job_state *job)
+{
+  struct place_amount quota = job->team->quota;
+
+  if (quota.cpus_milli == 0)
+    quota.cpus_milli = INT64_MAX;
+  if (quota.memory_mb == 0)
+    quota.memory_mb = INT64_MAX;
+  if (quota.accelerators == 0)
+    quota.accelerators = INT64_MAX;
+  return place_goes_into (&quota, &job->each, job->shape.tasks);
+}
+
+static int
+never_in_quota (const struct place_job_state *job,
+                char text[PLACE_TEXT_SIZE_BYTES])
+{
+  struct place_shape nearest = job->shape;
+  const struct place_amount *quota = &job->team->quota;
+  uint32_t tasks = tasks_in_quota (job);
+  char shape[PLACE_TEXT_SIZE_BYTES];
+
+  if (tasks >= job->shape.tasks)
+    return PLACE_OK;
+  nearest.tasks = MAX (tasks, 1);
+  if (tasks == 0 && quota->accelerators > 0)
+    nearest.task.accelerators
+        = MIN (nearest.task.accelerators, (uint32_t)quota->accelerators);
+  if (tasks == 0 && quota->cpus_milli > 0)
+    nearest.task.cpus_milli
+        = MIN (nearest.task.cpus_milli, (uint32_t)quota->cpus_milli);
+  if (tasks == 0 && quota->memory_mb > 0)
+    nearest.task.memory_mb
+        = MIN (nearest.task.memory_mb, (uint32_t)quota->memory_mb);
+  place_shape_text (&nearest, shape, sizeof shape);
+  g_snprintf (text, PLACE_TEXT_SIZE_BYTES,
+              "it is above the quota of team %.60s; the nearest that could "
+              "run: %.120s",
+              job->team->name, shape);
+  return PLACE_ERR_NEVER;
+}
+
+/* ===== Guarantees ============================================= */
+
+static uint32_t
+tasks_in_unit (const struct place_unit *unit,
+               const struct place_job_state *job)
+{
+  if (unit->shape.span < job->shape.span)
+    return 0;
+  return place_goes_into (&unit->each, &job->each, PLACE_TASK_LIMIT)
+         * unit->shape.tasks;
+}
+
+/* For a job that may not borrow.  */
+static int
+never_in_guarantee (const struct place_job_state *job,
+                    char text[PLACE_TEXT_SIZE_BYTES])
+{
+  GPtrArray *units = job->team->units;
+  struct place_shape nearest = job->shape;
+  char shape[PLACE_TEXT_SIZE_BYTES] = "none: the team has no guarantee";
+  uint32_t together = 0;
+  uint32_t most = 0;
+  guint i;
+
+  for (i = 0; i < units->len; i++)
+    {
+      uint32_t tasks = tasks_in_unit (units->pdata[i], job);
+
+      together += MIN (tasks, PLACE_TASK_LIMIT);
+      most = MAX (most, tasks);
+    }
+  if (job->shape.span == PLACE_SPAN_ANY)
+    most = MAX (most, together);
+  if (most >= job->shape.tasks)
+    return PLACE_OK;
+  nearest.tasks = most;
+  if (most == 0 && units->len > 0)
+    nearest = ((struct place_unit *)units->pdata[0])->shape;
+  if (units->len > 0)
+    place_shape_text (&nearest, shape, sizeof shape);
+  g_snprintf (text, PLACE_TEXT_SIZE_BYTES,
+              "it may not borrow and no guarantee of its team holds it; the "
+              "nearest that could run: %.120s",
+              shape);
+  return PLACE_ERR_NEVER;
+}
+
+int
+place_never (struct place *place, const struct place_job_state *job,
+             char text[PLACE_TEXT_SIZE_BYTES])
+{
+  int error = never_on_workers (place, job, text);
+
+  if (error == PLACE_OK)
+    error = never_in_quota (job, text);
+  if (error == PLACE_OK && place->params.policy->guarantees
+      && !place_may_borrow (job))
+    error = never_in_guarantee (job, text);
+  return error;
+}
--- /dev/null
+++ b/lib/place/place_state.c
@@ -0,0 +1,425 @@
+/* The placement core's state: workers, racks, data centres and teams.  */
+
+#include <string.h>
+
+#include "place/place_inner.h"
+
+int64_t
+place_now (const struct place *place)
+{
+  return place->params.now_ms (place->params.ctx);
+}
+
+static void
+centre_free (void *data)
+{
+  struct place_centre *centre = data;
+
+  g_ptr_array_free (centre->racks, TRUE);
+  g_free (centre->name);
+  g_free (centre);
+}
+
+static void
+rack_free (void *data)
+{
+  struct place_rack *rack = data;
+
+  g_ptr_array_free (rack->workers, TRUE);
+  g_free (rack->name);
+  g_free (rack);
+}
+
+static void
+worker_free (void *data)
+{
+  struct place_worker_state *worker = data;
+
+  g_ptr_array_free (worker->jobs, TRUE);
+  g_free (worker->name);
+  g_free (worker);
+}
+
+static void
+team_free (void *data)
+{
+  struct place_team_state *team = data;
+
+  g_ptr_array_free (team->units, TRUE);
+  g_ptr_array_free (team->queue, TRUE);
+  g_ptr_array_free (team->urgent, TRUE);
+  g_hash_table_destroy (team->kinds);
+  g_free (team->name);
+  g_free (team);
+}
+
+static void
+block_free (void *data)
+{
+  g_free (data);
+}
+
+int
+place_create (struct place **out, const struct place_params *params)
+{
+  struct place *place;
+
+  if (params->policy == NULL || params->now_ms == NULL)
+    return PLACE_ERR_INVALID;
+  place = g_new0 (struct place, 1);
+  place->params = *params;
+  place->centres = g_hash_table_new (g_str_hash, g_str_equal);
+  place->centre_list = g_ptr_array_new_with_free_func (centre_free);
+  place->racks = g_ptr_array_new_with_free_func (rack_free);
+  place->workers = g_hash_table_new (g_str_hash, g_str_equal);
+  place->worker_list = g_ptr_array_new_with_free_func (worker_free);
+  place->teams = g_hash_table_new (g_str_hash, g_str_equal);
+  place->team_list = g_ptr_array_new_with_free_func (team_free);
+  place->jobs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, place_job_free);
+  place->claims = g_ptr_array_new ();
+  place->reservations = g_ptr_array_new ();
+  place->notices = g_ptr_array_new_with_free_func (place_notice_free);
+  place->commands = g_array_new (FALSE, TRUE, sizeof (struct place_command));
+  place->texts = g_string_chunk_new (1024);
+  place->blocks = g_ptr_array_new_with_free_func (block_free);
+  place->failed = g_array_new (FALSE, TRUE, sizeof (struct place_search));
+  place->options = place_options_new ();
+  place->dirty = true;
+  *out = place;
+  return PLACE_OK;
+}
+
+void
+place_free (struct place *place)
+{
+  if (place == NULL)
+    return;
+  g_hash_table_destroy (place->jobs);
+  g_hash_table_destroy (place->teams);
+  g_hash_table_destroy (place->workers);
+  g_hash_table_destroy (place->centres);
+  g_ptr_array_free (place->team_list, TRUE);
+  g_ptr_array_free (place->worker_list, TRUE);
+  g_ptr_array_free (place->racks, TRUE);
+  g_ptr_array_free (place->centre_list, TRUE);
+  g_ptr_array_free (place->claims, TRUE);
+  g_ptr_array_free (place->reservations, TRUE);
+  g_ptr_array_free (place->notices, TRUE);
+  g_ptr_array_free (place->blocks, TRUE);
+  g_array_free (place->commands, TRUE);
+  g_array_free (place->failed, TRUE);
+  g_array_free (place->options, TRUE);
+  g_string_chunk_free (place->texts);
+  g_free (place);
+}
+
+/* ===== Workers ================================================ */
+
+struct place_centre *
+place_centre_get (struct place *place, const char *name)
+{
+  struct place_centre *centre = g_hash_table_lookup (place->centres, name);
+
+  if (centre != NULL)
+    return centre;
+  centre = g_new0 (struct place_centre, 1);
+  centre->name = g_strdup (name);
+  centre->racks = g_ptr_array_new ();
+  g_hash_table_insert (place->centres, centre->name, centre);
+  g_ptr_array_add (place->centre_list, centre);
+  return centre;
+}
+
+bool
+place_centre_unknown (const struct place *place, const char *name)
+{
+  const struct place_centre *centre;
+
+  if (name == NULL || *name == '\0' || place->racks->len == 0)
+    return false;
+  centre = g_hash_table_lookup (place->centres, name);
+  return centre == NULL || centre->racks->len == 0;
+}
+
+static struct place_rack *
+rack_get (struct place *place, const char *centre_name, const char *name)
+{
+  struct place_centre *centre = place_centre_get (place, centre_name);
+  struct place_rack *rack;
+  guint i;
+
+  for (i = 0; i < centre->racks->len; i++)
+    {
+      rack = centre->racks->pdata[i];
+      if (strcmp (rack->name, name) == 0)
+        return rack;
+    }
+  rack = g_new0 (struct place_rack, 1);
+  rack->name = g_strdup (name);
+  rack->centre = centre;
+  rack->workers = g_ptr_array_new ();
+  g_ptr_array_add (centre->racks, rack);
+  g_ptr_array_add (place->racks, rack);
+  return rack;
+}
+
+struct place_worker_state *
+place_worker_get (struct place *place, const char *name)
+{
+  struct place_worker_state *worker
+      = g_hash_table_lookup (place->workers, name);
+
+  if (worker != NULL)
+    return worker;
+  worker = g_new0 (struct place_worker_state, 1);
+  worker->name = g_strdup (name);
+  worker->jobs = g_ptr_array_new ();
+  worker->down_ms = place_now (place);
+  g_hash_table_insert (place->workers, worker->name, worker);
+  g_ptr_array_add (place->worker_list, worker);
+  return worker;
+}
+
+bool
+place_usable (const struct place_worker_state *worker)
+{
+  return worker->up && worker->health == PLACE_HEALTHY;
+}
+
+void
+place_touch (struct place_worker_state *worker)
+{
+  struct place_rack *rack = worker->rack;
+  guint i;
+
+  if (rack == NULL)
+    return;
+  rack->widest = (struct place_amount){ -1, -1, -1 };
+  for (i = 0; i < rack->workers->len; i++)
+    {
+      const struct place_worker_state *one = rack->workers->pdata[i];
+      struct place_amount free = place_view_of (one, PLACE_VIEW_FREE);
+      struct place_amount *widest = &rack->widest;
+
+      if (!one->up || one->health == PLACE_QUARANTINED)
+        continue;
+      widest->cpus_milli = MAX (widest->cpus_milli, free.cpus_milli);
+      widest->memory_mb = MAX (widest->memory_mb, free.memory_mb);
+      widest->accelerators = MAX (widest->accelerators, free.accelerators);
+    }
+}
+
+static void
+move_to_rack (struct place_worker_state *worker, struct place_rack *rack)
+{
+  if (worker->rack == rack)
+    return;
+  if (worker->rack != NULL)
+    g_ptr_array_remove (worker->rack->workers, worker);
+  worker->rack = rack;
+  g_ptr_array_add (rack->workers, worker);
+}
+
+static const char *
+or_empty (const char *text)
+{
+  return text == NULL ? "" : text;
+}
+
+int
+place_worker_up (struct place *place, const struct place_worker *worker)
+{
+  struct place_worker_state *state;
+  struct place_amount capacity = place_amount_of (&worker->capacity);
+
+  if (worker->name == NULL
+      || worker->capacity.accelerators > PLACE_ACCELERATOR_LIMIT)
+    return PLACE_ERR_INVALID;
+  state = place_worker_get (place, worker->name);
+  move_to_rack (state, rack_get (place, or_empty (worker->data_centre),
+                                 or_empty (worker->rack)));
+  state->shrunk = !place_covers (&capacity, &state->capacity);
+  place->rejudge |= state->shrunk;
+  state->capacity = capacity;
+  state->up = true;
+  place_touch (state);
+  place->dirty = true;
+  place->changed = true;
+  return PLACE_OK;
+}
+
+int
+place_worker_down (struct place *place, const char *name)
+{
+  struct place_worker_state *worker
+      = g_hash_table_lookup (place->workers, name);
+
+  if (worker == NULL)
+    return PLACE_ERR_UNKNOWN;
+  if (!worker->up)
+    return PLACE_OK;
+  worker->up = false;
+  worker->down_ms = place_now (place);
+  place_touch (worker);
+  place->dirty = true;
+  place->changed = true;
+  return PLACE_OK;
+}
+
+/* Whether nothing refers to a worker that is gone.  */
+static bool
+forgettable (const struct place *place,
+             const struct place_worker_state *worker)
+{
+  return !worker->up && worker->jobs->len == 0 && worker->reservation == NULL
+         && worker->reserved_slots == 0 && worker->holds == 0
+         && place_now (place) - worker->down_ms >= PLACE_WORKER_FORGET_MS;
+}
+
+static void
+forget_failures (struct place *place, const struct place_worker_state *worker)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, place->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct place_job_state *job = value;
+      uint32_t i;
+
+      for (i = 0; i < job->failed_count; i++)
+        if (job->failed[i] == worker)
+          job->failed[i] = NULL;
+    }
+}
+
+void
+place_forget_workers (struct place *place)
+{
+  guint i;
+
+  for (i = 0; i < place->worker_list->len; i++)
+    {
+      struct place_worker_state *worker = place->worker_list->pdata[i];
+
+      if (!forgettable (place, worker))
+        continue;
+      forget_failures (place, worker);
+      place->rejudge = true;
+      if (worker->rack != NULL)
+        g_ptr_array_remove (worker->rack->workers, worker);
+      g_hash_table_remove (place->workers, worker->name);
+      g_ptr_array_remove_index_fast (place->worker_list, i);
+      i--;
+    }
+}
+
+/* ===== Teams ================================================== */
+
+struct place_team_state *
+place_team_get (struct place *place, const char *name)
+{
+  struct place_team_state *team = g_hash_table_lookup (place->teams, name);
+
+  if (team != NULL)
+    return team;
+  team = g_new0 (struct place_team_state, 1);
+  team->name = g_strdup (name);
+  team->units = g_ptr_array_new_with_free_func (place_unit_free);
+  team->queue = g_ptr_array_new ();
+  team->urgent = g_ptr_array_new ();
+  team->kinds
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, place_kind_free);
+  team->gone = true;
+  g_hash_table_insert (place->teams, team->name, team);
+  g_ptr_array_add (place->team_list, team);
+  return team;
+}
+
+/* Frees teams that are gone and have no job left.  */
+void
+place_forget_teams (struct place *place)
+{
+  guint i;
+
+  for (i = 0; i < place->team_list->len; i++)
+    {
+      struct place_team_state *team = place->team_list->pdata[i];
+
+      if (!team->gone || team->jobs > 0)
+        continue;
+      g_hash_table_remove (place->teams, team->name);
+      g_ptr_array_remove_index (place->team_list, i);
+      i--;
+    }
+}
+
+static bool
+team_valid (const struct place_team *team)
+{
+  size_t i;
+
+  if (team->name == NULL)
+    return false;
+  for (i = 0; i < team->guarantee_count; i++)
+    {
+      const struct place_shape *shape = &team->guarantees[i].shape;
+
+      if (shape->tasks == 0 || shape->tasks > PLACE_TASK_LIMIT
+          || shape->span > PLACE_SPAN_WORKER)
+        return false;
+    }
+  return true;
+}
+
+int
+place_configure (struct place *place, const struct place_team *teams,
+                 size_t team_count)
+{
+  size_t i;
+  guint t;
+
+  for (i = 0; i < team_count; i++)
+    if (!team_valid (&teams[i]))
+      return PLACE_ERR_INVALID;
+  for (t = 0; t < place->team_list->len; t++)
+    ((struct place_team_state *)place->team_list->pdata[t])->gone = true;
+  for (i = 0; i < team_count; i++)
+    {
+      struct place_team_state *team = place_team_get (place, teams[i].name);
+
+      team->gone = false;
+      team->weight = MAX (teams[i].weight, 1);
+      team->may_borrow = teams[i].may_borrow;
+      team->quota = place_amount_of (&teams[i].quota);
+      place_units_replace (place, team, teams[i].guarantees,
+                           teams[i].guarantee_count);
+    }
+  for (t = 0; t < place->team_list->len; t++)
+    if (((struct place_team_state *)place->team_list->pdata[t])->gone)
+      place_units_replace (place, place->team_list->pdata[t], NULL, 0);
+  place->rejudge = true;
+  place->dirty = true;
+  place->changed = true;
+  return PLACE_OK;
+}
+
+int
+place_pause (struct place *place, const char *team, bool paused)
+{
+  struct place_team_state *state;
+
+  place->changed = true;
+  if (team == NULL)
+    {
+      place->paused = paused;
+      return PLACE_OK;
+    }
+  state = g_hash_table_lookup (place->teams, team);
+  if (state == NULL)
+    return PLACE_ERR_UNKNOWN;
+  state->paused = paused;
+  return PLACE_OK;
+}
--- /dev/null
+++ b/tests/unit/place_fixture.h
@@ -0,0 +1,175 @@
+/* A placement core with small workers and a clock of its own, for tests.
+   Prefix: pf_.  */
+
+#ifndef FT_PLACE_FIXTURE_H
+#define FT_PLACE_FIXTURE_H
+
+#include <CUnit/CUnit.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "place/place.h"
+
+enum
+{
+  PF_ACCELERATORS = 8,
+  PF_CPUS_MILLI = 64000,
+  PF_MEMORY_MB = 128000,
+  PF_GRACE_MS = 5000,
+  PF_QUARANTINE_MS = 60000
+};
+
+struct pf
+{
+  struct place *place;
+  int64_t now_ms;
+  const struct place_command *commands;
+  int command_count;
+  char text[PLACE_TEXT_SIZE_BYTES];
+};
+
+static int64_t
+pf_now (void *ctx)
+{
+  return ((struct pf *)ctx)->now_ms;
+}
+
+static inline void
+pf_worker (struct pf *f, int rack, int number)
+{
+  char name[32];
+  char rack_name[32];
+  struct place_worker worker
+      = { .name = name,
+          .rack = rack_name,
+          .data_centre = "bole",
+          .capacity = { PF_CPUS_MILLI, PF_MEMORY_MB, PF_ACCELERATORS } };
+
+  snprintf (name, sizeof name, "w%d-%d", rack, number);
+  snprintf (rack_name, sizeof rack_name, "r%d", rack);
+  CU_ASSERT_EQUAL_FATAL (place_worker_up (f->place, &worker), PLACE_OK);
+}
+
+/* WORKERS workers of 8 accelerators in each of RACKS racks.  */
+static inline void
+pf_setup (struct pf *f, const struct place_policy *policy, int workers,
+          int racks)
+{
+  struct place_params params = { .policy = policy,
+                                 .checkpoint_grace_ms = PF_GRACE_MS,
+                                 .attempt_limit = 3,
+                                 .quarantine_failures = 3,
+                                 .quarantine_ms = PF_QUARANTINE_MS,
+                                 .now_ms = pf_now,
+                                 .ctx = f };
+  int rack;
+  int number;
+
+  memset (f, 0, sizeof *f);
+  CU_ASSERT_EQUAL_FATAL (place_create (&f->place, &params), PLACE_OK);
+  for (rack = 0; rack < racks; rack++)
+    for (number = 0; number < workers; number++)
+      pf_worker (f, rack, number);
+}
+
+static inline void
+pf_teardown (struct pf *f)
+{
+  CU_ASSERT_EQUAL (place_check (f->place, f->text), PLACE_OK);
+  place_free (f->place);
+}
+
+static inline void
+pf_teams (struct pf *f, const struct place_team *teams, size_t count)
+{
+  CU_ASSERT_EQUAL_FATAL (place_configure (f->place, teams, count), PLACE_OK);
+}
+
+/* A job that may borrow and run again.  */
+static inline struct place_job
+pf_job (const char *id, const char *team, uint32_t tasks,
+        uint32_t accelerators)
+{
+  struct place_job job = { .id = id,
+                           .team = team,
+                           .kind = "fit",
+                           .checkpointable = true,
+                           .repeatable = true,
+                           .declared_run_ms = 3600000,
+                           .shape = { .tasks = tasks } };
+
+  job.shape.task.accelerators = accelerators;
+  return job;
+}
+
+static inline int
+pf_try (struct pf *f, const char *id, const char *team, uint32_t tasks,
+        uint32_t accelerators)
+{
+  struct place_job job = pf_job (id, team, tasks, accelerators);
+
+  job.submitted_ms = f->now_ms;
+  return place_submit (f->place, &job, f->text);
+}
+
+static inline void
+pf_submit (struct pf *f, const char *id, const char *team, uint32_t tasks,
+           uint32_t accelerators)
+{
+  CU_ASSERT_EQUAL_FATAL (pf_try (f, id, team, tasks, accelerators), PLACE_OK);
+}
+
+static inline void
+pf_decide (struct pf *f)
+{
+  f->command_count = place_decide (f->place, &f->commands);
+  CU_ASSERT_TRUE (f->command_count >= 0);
+  CU_ASSERT_EQUAL (place_check (f->place, f->text), PLACE_OK);
+  if (f->text[0] != '\0')
+    puts (f->text);
+}
+
+/* The command of KIND about a job, worker or team in the last round.  */
+static inline const struct place_command *
+pf_find (const struct pf *f, enum place_command_kind kind, const char *name)
+{
+  int i;
+
+  for (i = 0; i < f->command_count; i++)
+    {
+      const struct place_command *command = &f->commands[i];
+      const char *about = command->job;
+
+      if (command->kind != kind)
+        continue;
+      if (about == NULL)
+        about = command->worker == NULL ? command->team : command->worker;
+      if (strcmp (about, name) == 0)
+        return command;
+    }
+  return NULL;
+}
+
+static inline bool
+pf_was (const struct pf *f, enum place_command_kind kind, const char *name)
+{
+  return pf_find (f, kind, name) != NULL;
+}
+
+static inline bool
+pf_started (const struct pf *f, const char *job)
+{
+  return pf_was (f, PLACE_START, job);
+}
+
+static inline void
+pf_end (struct pf *f, const char *job, enum place_end end, const char *worker,
+        bool again)
+{
+  struct place_ended ended
+      = { .job = job, .end = end, .worker = worker, .again = again };
+
+  CU_ASSERT_EQUAL (place_ended (f->place, &ended), PLACE_OK);
+}
+
+#endif
