--- a/lib/proto/record.pb-c.c
+++ b/lib/proto/record.pb-c.c
@@ -2399,7 +2399,7 @@
   (ProtobufCMessageInit) ft__batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ft__snapshot_part__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ft__snapshot_part__field_descriptors[6] =
 {
   {
     "id",
@@ -2461,6 +2461,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rescue",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ft__SnapshotPart, rescue),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ft__snapshot_part__field_indices_by_name[] = {
   4,   /* field[4] = data */
@@ -2468,11 +2480,12 @@
   1,   /* field[1] = offset */
   2,   /* field[2] = part */
   3,   /* field[3] = parts */
+  5,   /* field[5] = rescue */
 };
 static const ProtobufCIntRange ft__snapshot_part__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ft__snapshot_part__descriptor =
 {
@@ -2482,7 +2495,7 @@
   "Ft__SnapshotPart",
   "ft",
   sizeof(Ft__SnapshotPart),
-  5,
+  6,
   ft__snapshot_part__field_descriptors,
   ft__snapshot_part__field_indices_by_name,
   1,  ft__snapshot_part__number_ranges,
--- a/lib/proto/record.pb-c.h
+++ b/lib/proto/record.pb-c.h
@@ -355,10 +355,14 @@
   uint32_t part;
   uint32_t parts;
   ProtobufCBinaryData data;
+  /*
+   * the log lost records before the offset unread
+   */
+  protobuf_c_boolean rescue;
 };
 #define FT__SNAPSHOT_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ft__snapshot_part__descriptor) \
-    , {0,NULL}, 0, 0, 0, {0,NULL} }
+    , {0,NULL}, 0, 0, 0, {0,NULL}, 0 }
 
 
 struct  Ft__SnapshotTask
