--- a/lib/log/log_client.h
+++ b/lib/log/log_client.h
@@ -35,6 +35,7 @@
   uint32_t commit_ms;    /* records gathered for one append */
   uint32_t poll_wait_ms; /* long poll */
   uint64_t from;         /* first offset to read */
+  bool paused;           /* reading starts by log_seek () */
   /* One append of the stream, in order, none left out.  */
   void (*record) (void *ctx, uint64_t offset, int64_t time_ms,
                   const uint8_t *data, size_t size_bytes);
--- a/lib/log/log_follow.c
+++ b/lib/log/log_follow.c
@@ -174,6 +174,7 @@
 log_reads_init (struct log_client *client)
 {
   client->position = client->params.from;
+  client->paused = client->params.paused;
   client->read_limit_records = LOG_READ_LIMIT_RECORDS;
   ev_init (&client->read_delay, on_read_delay);
   client->read_delay.data = client;
--- a/programs/foxtailgapd/messages.c
+++ b/programs/foxtailgapd/messages.c
@@ -93,6 +93,11 @@
     case MSG_MEMBERS:
       free_members (body);
       break;
+    case MSG_SNAPSHOT:
+      g_free (((struct msg_snapshot *)body)->data);
+      g_free (body);
+      break;
+    case MSG_SNAPSHOT_WANTED:
     case MSG_APPENDED:
     case MSG_SUBSCRIBE:
     case MSG_JOB_DROPPED:
--- a/programs/foxtailgapd/messages.h
+++ b/programs/foxtailgapd/messages.h
@@ -14,23 +14,25 @@
 
 enum msg_kind
 {
-  MSG_APPEND = 1,   /* to state: struct msg_append */
-  MSG_APPENDED,     /* from state: struct msg_appended */
-  MSG_SUBSCRIBE,    /* to state: struct msg_subscribe */
-  MSG_TERM,         /* from state: struct msg_term */
-  MSG_CONFIG,       /* from state: struct msg_config */
-  MSG_JOB,          /* from state: struct st_job, one reference */
-  MSG_JOB_DROPPED,  /* from state: char *, the job's id */
-  MSG_CLAIM,        /* from state: struct st_claim, one reference */
-  MSG_LOG,          /* from state: struct msg_log */
-  MSG_HOSTS,        /* from hosts: struct hl_list, one reference */
-  MSG_REQUEST,      /* to upstream: struct msg_request */
-  MSG_REQUEST_GONE, /* to upstream: struct msg_request_gone */
-  MSG_ANSWER,       /* from upstream: struct msg_answer */
-  MSG_MEMBERS,      /* from peers: struct msg_members */
-  MSG_SHUTDOWN,     /* to any: NULL */
-  MSG_LOAD,         /* from upstream to peers: struct msg_load */
-  MSG_CLAIM_DROPPED /* from state: char *, the claim's key */
+  MSG_APPEND = 1,      /* to state: struct msg_append */
+  MSG_APPENDED,        /* from state: struct msg_appended */
+  MSG_SUBSCRIBE,       /* to state: struct msg_subscribe */
+  MSG_TERM,            /* from state: struct msg_term */
+  MSG_CONFIG,          /* from state: struct msg_config */
+  MSG_JOB,             /* from state: struct st_job, one reference */
+  MSG_JOB_DROPPED,     /* from state: char *, the job's id */
+  MSG_CLAIM,           /* from state: struct st_claim, one reference */
+  MSG_LOG,             /* from state: struct msg_log */
+  MSG_HOSTS,           /* from hosts: struct hl_list, one reference */
+  MSG_REQUEST,         /* to upstream: struct msg_request */
+  MSG_REQUEST_GONE,    /* to upstream: struct msg_request_gone */
+  MSG_ANSWER,          /* from upstream: struct msg_answer */
+  MSG_MEMBERS,         /* from peers: struct msg_members */
+  MSG_SHUTDOWN,        /* to any: NULL */
+  MSG_LOAD,            /* from upstream to peers: struct msg_load */
+  MSG_CLAIM_DROPPED,   /* from state: char *, the claim's key */
+  MSG_SNAPSHOT_WANTED, /* from peers to state: struct msg_snapshot_wanted */
+  MSG_SNAPSHOT         /* state to peers and back: struct msg_snapshot */
 };
 
 /* Asks for a record in the log; answered once by MSG_APPENDED.  */
@@ -157,6 +159,23 @@
   uint32_t queued;
 };
 
+/* Asks for the state, to be passed on to a host that cannot read the log;
+   answered by MSG_SNAPSHOT.  */
+struct msg_snapshot_wanted
+{
+  struct mb_box *reply;
+  uint64_t token;
+};
+
+/* The folded state.  Sent to the state task, it is taken if it is newer.  */
+struct msg_snapshot
+{
+  uint64_t token;
+  uint64_t offset; /* first that is not folded in */
+  uint8_t *data;   /* of st_encode () */
+  size_t size_bytes;
+};
+
 /*! msg_free () :
  *  Frees the body of a message of any kind. */
 void msg_free (int kind, void *body);
--- /dev/null
+++ b/programs/foxtailgapd/state_snapshots.c
@@ -0,0 +1,348 @@
+/* The holder of the term writes snapshots; a host that the log has left
+   behind starts from the newest one.  If the log has lost records that no
+   snapshot holds, the host that has folded most writes one as a rescue.  */
+
+#include "state_snapshots.h"
+
+#include <glib.h>
+#include <stdlib.h>
+
+#include "common/logging.h"
+
+enum
+{
+  US_PER_MS = 1000,
+  MS_PER_S = 1000,
+  IDLE_INTERVALS = 8,      /* a snapshot is written again when all is idle */
+  RETRY_MS = 1000,         /* of a load or a write that failed */
+  RESCUE_HOLDER_MS = 2000, /* without any snapshot that reaches the log */
+  RESCUE_OTHER_MS = 10000,
+  RESCUE_SPREAD_MS = 5000
+};
+
+struct ssn_keeper
+{
+  struct ssn_params params;
+  char *stream_name;
+  struct snap_stream *stream;
+  /* writing */
+  bool is_holder;
+  bool is_due;
+  bool is_up;
+  int64_t down_since_ms;
+  uint64_t written_offset;
+  uint64_t written_first; /* the log's oldest offset at that time */
+  int64_t written_ms;
+  int64_t encode_us;
+  ev_timer timer;
+  /* loading */
+  bool is_loading;
+  uint64_t wanted;         /* offset that the state must reach */
+  int64_t uncovered_at_ms; /* since when no snapshot does; 0: not so */
+  uint32_t rescue_after_ms;
+  uint64_t members_offset; /* highest of the live hosts */
+  ev_timer retry;
+};
+
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / US_PER_MS;
+}
+
+static void
+start_timer (struct ssn_keeper *keeper, ev_timer *timer, uint32_t delay_ms)
+{
+  ev_timer_stop (keeper->params.loop, timer);
+  ev_timer_set (timer, (double)delay_ms / MS_PER_S, 0.0);
+  ev_timer_start (keeper->params.loop, timer);
+}
+
+/* ===== Writing ================================================ */
+
+static void
+write_snapshot (struct ssn_keeper *keeper, uint64_t offset, bool rescue)
+{
+  int64_t started_us = g_get_monotonic_time ();
+  uint8_t *data = NULL;
+  size_t size_bytes = 0;
+
+  if (st_encode_at (keeper->params.state, offset, &data, &size_bytes) != ST_OK)
+    return;
+  keeper->encode_us = g_get_monotonic_time () - started_us;
+  keeper->written_first = log_first (keeper->params.log);
+  if (snap_write (keeper->stream, offset, rescue, data, size_bytes) == SNAP_OK)
+    {
+      keeper->is_due = false;
+      mt_set (keeper->params.metrics, "foxtailgap_snapshot_bytes",
+              (int64_t)size_bytes);
+    }
+  free (data);
+}
+
+/* The oldest records expire: a third of what lay before the newest snapshot
+   is gone.  */
+static bool
+retention_approaches (const struct ssn_keeper *keeper)
+{
+  uint64_t distance = keeper->written_offset - keeper->written_first;
+
+  if (keeper->written_offset < keeper->written_first)
+    return true;
+  return log_first (keeper->params.log) > keeper->written_first + distance / 3;
+}
+
+static bool
+wants_write (const struct ssn_keeper *keeper)
+{
+  uint32_t interval_ms = keeper->params.settings->snapshot_interval_ms;
+  int64_t age_ms = now_ms () - keeper->written_ms;
+
+  if (keeper->is_due)
+    return true;
+  if (st_next_offset (keeper->params.state) == keeper->written_offset)
+    return age_ms >= (int64_t)interval_ms * IDLE_INTERVALS;
+  return age_ms >= interval_ms || retention_approaches (keeper);
+}
+
+static void
+maybe_write (struct ssn_keeper *keeper)
+{
+  uint64_t offset = st_next_offset (keeper->params.state);
+
+  if (!keeper->is_holder || !keeper->is_up || keeper->is_loading || offset == 0
+      || snap_is_writing (keeper->stream) || !wants_write (keeper))
+    return;
+  write_snapshot (keeper, offset, false);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct ssn_keeper *keeper = watcher->data;
+
+  (void)loop;
+  (void)events;
+  maybe_write (keeper);
+  start_timer (keeper, &keeper->timer,
+               keeper->params.settings->snapshot_interval_ms);
+}
+
+static void
+on_written (void *ctx, int error, uint64_t offset)
+{
+  struct ssn_keeper *keeper = ctx;
+
+  if (error != SNAP_OK)
+    {
+      lg_warning ("state", "A snapshot could not be written.", "offset",
+                  lg_number ((long long)offset), NULL);
+      keeper->is_due = true;
+      start_timer (keeper, &keeper->timer, RETRY_MS);
+      return;
+    }
+  keeper->written_offset = offset;
+  keeper->written_ms = now_ms ();
+  mt_add (keeper->params.metrics, "foxtailgap_snapshots", 1);
+  lg_info ("state", "A snapshot has been written.", "offset",
+           lg_number ((long long)offset), "encode_us",
+           lg_number (keeper->encode_us), NULL);
+}
+
+void
+ssn_set_holder (struct ssn_keeper *keeper, bool mine)
+{
+  if (mine && !keeper->is_holder)
+    keeper->is_due = true;
+  keeper->is_holder = mine;
+}
+
+void
+ssn_set_up (struct ssn_keeper *keeper, bool up)
+{
+  int64_t down_ms = now_ms () - keeper->down_since_ms;
+
+  if (up == keeper->is_up)
+    return;
+  keeper->is_up = up;
+  if (!up)
+    keeper->down_since_ms = now_ms ();
+  else if (down_ms >= keeper->params.settings->snapshot_interval_ms)
+    keeper->is_due = true;
+  maybe_write (keeper);
+}
+
+void
+ssn_caught_up (struct ssn_keeper *keeper)
+{
+  maybe_write (keeper);
+}
+
+/* ===== Loading ================================================ */
+
+static bool
+decode (struct ssn_keeper *keeper, const uint8_t *data, size_t size_bytes)
+{
+  struct st_state *state = keeper->params.state;
+  uint64_t before = st_next_offset (state);
+  int error = st_decode (state, data, size_bytes);
+
+  if (error != ST_OK)
+    {
+      lg_error ("state", "A snapshot was not accepted.", "error",
+                error == ST_ERR_REVERTS
+                    ? "it is older in term or configuration"
+                    : "its bytes are not valid",
+                NULL);
+      return false;
+    }
+  if (st_next_offset (state) == before)
+    return true;
+  lg_info ("state", "A snapshot has been loaded.", "offset",
+           lg_number ((long long)st_next_offset (state)), "bytes",
+           lg_number ((long long)size_bytes), NULL);
+  keeper->params.replaced (keeper->params.ctx);
+  return true;
+}
+
+void
+ssn_take (struct ssn_keeper *keeper, const uint8_t *data, size_t size_bytes)
+{
+  /* What follows the reader's position comes from the log.  */
+  if (!keeper->is_loading)
+    return;
+  decode (keeper, data, size_bytes);
+}
+
+static bool
+may_rescue (const struct ssn_keeper *keeper)
+{
+  uint64_t offset = st_next_offset (keeper->params.state);
+  uint32_t after_ms
+      = keeper->is_holder ? RESCUE_HOLDER_MS : keeper->rescue_after_ms;
+
+  return offset > 0 && offset >= keeper->members_offset
+         && !snap_is_writing (keeper->stream)
+         && now_ms () - keeper->uncovered_at_ms >= after_ms;
+}
+
+/* No snapshot reaches what the log still has.  */
+static void
+wait_for_snapshot (struct ssn_keeper *keeper)
+{
+  if (keeper->uncovered_at_ms == 0)
+    {
+      keeper->uncovered_at_ms = now_ms ();
+      keeper->rescue_after_ms
+          = RESCUE_OTHER_MS
+            + (uint32_t)g_random_int_range (0, RESCUE_SPREAD_MS);
+      lg_error ("state", "Records expired before any snapshot held them.",
+                "offset",
+                lg_number ((long long)st_next_offset (keeper->params.state)),
+                "first", lg_number ((long long)keeper->wanted), NULL);
+    }
+  if (may_rescue (keeper))
+    {
+      lg_error ("state", "A snapshot is written without the lost records.",
+                "first", lg_number ((long long)keeper->wanted), NULL);
+      write_snapshot (keeper, keeper->wanted, true);
+    }
+  start_timer (keeper, &keeper->retry, RETRY_MS);
+}
+
+static void
+on_read (void *ctx, int error, uint64_t offset, const uint8_t *data,
+         size_t size_bytes)
+{
+  struct ssn_keeper *keeper = ctx;
+
+  (void)offset;
+  if (error != SNAP_OK && error != SNAP_ERR_NONE)
+    {
+      start_timer (keeper, &keeper->retry, RETRY_MS);
+      return;
+    }
+  if (error == SNAP_OK)
+    decode (keeper, data, size_bytes);
+  if (st_next_offset (keeper->params.state) < keeper->wanted)
+    {
+      wait_for_snapshot (keeper);
+      return;
+    }
+  keeper->is_loading = false;
+  keeper->uncovered_at_ms = 0;
+  keeper->params.loaded (keeper->params.ctx);
+}
+
+static void
+on_retry (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct ssn_keeper *keeper = watcher->data;
+
+  (void)loop;
+  (void)events;
+  if (snap_read (keeper->stream) != SNAP_OK)
+    start_timer (keeper, &keeper->retry, RETRY_MS);
+}
+
+void
+ssn_load (struct ssn_keeper *keeper, uint64_t first)
+{
+  keeper->is_loading = true;
+  keeper->wanted = first;
+  start_timer (keeper, &keeper->retry, 0);
+}
+
+void
+ssn_set_members (struct ssn_keeper *keeper, const struct msg_members *members)
+{
+  size_t i;
+
+  keeper->members_offset = 0;
+  for (i = 0; i < members->member_count; i++)
+    keeper->members_offset
+        = MAX (keeper->members_offset, members->members[i].offset);
+}
+
+/* ===== Life =================================================== */
+
+struct ssn_keeper *
+ssn_create (const struct ssn_params *params)
+{
+  struct ssn_keeper *keeper = g_new0 (struct ssn_keeper, 1);
+  struct snap_params snap = { .loop = params->loop,
+                              .http = params->http,
+                              .url = params->settings->log_url,
+                              .timeout_ms = params->settings->log_timeout_ms,
+                              .written = on_written,
+                              .read = on_read,
+                              .ctx = keeper };
+
+  keeper->params = *params;
+  keeper->stream_name
+      = g_strdup_printf ("%s.snapshot", params->settings->stream);
+  snap.stream = keeper->stream_name;
+  ev_init (&keeper->timer, on_timer);
+  keeper->timer.data = keeper;
+  ev_init (&keeper->retry, on_retry);
+  keeper->retry.data = keeper;
+  if (snap_create (&keeper->stream, &snap) != SNAP_OK)
+    {
+      ssn_free (keeper);
+      return NULL;
+    }
+  start_timer (keeper, &keeper->timer, params->settings->snapshot_interval_ms);
+  return keeper;
+}
+
+void
+ssn_free (struct ssn_keeper *keeper)
+{
+  if (keeper == NULL)
+    return;
+  ev_timer_stop (keeper->params.loop, &keeper->timer);
+  ev_timer_stop (keeper->params.loop, &keeper->retry);
+  snap_free (keeper->stream);
+  g_free (keeper->stream_name);
+  g_free (keeper);
+}
--- a/programs/foxtailgapd/state_task.c
+++ b/programs/foxtailgapd/state_task.c
@@ -9,6 +9,7 @@
 #include "messages.h"
 #include "state_pending.h"
 #include "state_publish.h"
+#include "state_snapshots.h"
 #include "tasks.h"
 
 enum
@@ -35,6 +36,7 @@
   struct st_state *state;
   struct pend_table *pending;
   struct pub_list *subscribers;
+  struct ssn_keeper *snapshots;
   struct msg_log status;
   struct own_claim own_claims[OWN_CLAIMS];
   size_t own_claim_count; /* ever written */
@@ -84,6 +86,7 @@
            lg_number ((long long)st_term (task->state)), "holder",
            st_holder (task->state), NULL);
   pub_term (task->subscribers, task->state, task->own_term);
+  ssn_set_holder (task->snapshots, task->own_term == st_term (task->state));
 }
 
 /* ===== From the fold ========================================== */
@@ -190,6 +193,7 @@
   (void)next;
   task->status.caught_up = true;
   publish_status (task);
+  ssn_caught_up (task->snapshots);
 }
 
 static void
@@ -197,10 +201,10 @@
 {
   struct state_task *task = ctx;
 
-  (void)first;
   (void)next;
   task->status.caught_up = false;
   publish_status (task);
+  ssn_load (task->snapshots, first);
 }
 
 static void
@@ -211,6 +215,51 @@
   task->status.up = up;
   task->status.caught_up = task->status.caught_up && up;
   publish_status (task);
+  ssn_set_up (task->snapshots, up);
+}
+
+/* ===== Snapshots ============================================== */
+
+static void
+settle_append (void *ctx, const uint8_t *id)
+{
+  log_settle (((struct state_task *)ctx)->log, id);
+}
+
+/* A snapshot has replaced the state.  */
+static void
+on_replaced (void *ctx)
+{
+  struct state_task *task = ctx;
+
+  publish_term (task);
+  pend_resolve (task->pending, task->state, settle_append, task);
+  publish_status (task);
+}
+
+/* The records from here on can be read.  */
+static void
+on_loaded (void *ctx)
+{
+  struct state_task *task = ctx;
+
+  log_seek (task->log, st_next_offset (task->state));
+}
+
+static void
+send_snapshot (struct state_task *task,
+               const struct msg_snapshot_wanted *wanted)
+{
+  struct msg_snapshot *snapshot = g_new0 (struct msg_snapshot, 1);
+
+  snapshot->token = wanted->token;
+  snapshot->offset = st_next_offset (task->state);
+  if (st_encode (task->state, &snapshot->data, &snapshot->size_bytes) != ST_OK)
+    {
+      msg_free (MSG_SNAPSHOT, snapshot);
+      return;
+    }
+  mb_post (wanted->reply, MSG_SNAPSHOT, snapshot);
 }
 
 /* ===== Appends ================================================ */
@@ -283,6 +332,16 @@
     case MSG_SUBSCRIBE:
       pub_subscribe (task->subscribers, body, task->state, task->own_term);
       break;
+    case MSG_SNAPSHOT_WANTED:
+      send_snapshot (task, body);
+      break;
+    case MSG_SNAPSHOT:
+      ssn_take (task->snapshots, ((struct msg_snapshot *)body)->data,
+                ((struct msg_snapshot *)body)->size_bytes);
+      break;
+    case MSG_MEMBERS:
+      ssn_set_members (task->snapshots, body);
+      break;
     case MSG_SHUTDOWN:
       log_flush (task->log);
       break;
@@ -319,6 +378,7 @@
                                .timeout_ms = settings->log_timeout_ms,
                                .commit_ms = settings->log_commit_ms,
                                .poll_wait_ms = POLL_WAIT_MS,
+                               .paused = true,
                                .record = on_record,
                                .expired = on_expired,
                                .caught_up = on_caught_up,
@@ -328,6 +388,27 @@
   return log_create (&task->log, &params);
 }
 
+static int
+create_snapshots (struct state_task *task)
+{
+  const struct settings *settings = task->daemon->settings;
+  struct ssn_params params = { .loop = task->daemon->loop,
+                               .http = task->http,
+                               .settings = settings,
+                               .metrics = task->daemon->metrics,
+                               .state = task->state,
+                               .log = task->log,
+                               .replaced = on_replaced,
+                               .loaded = on_loaded,
+                               .ctx = task };
+
+  task->snapshots = ssn_create (&params);
+  if (task->snapshots == NULL)
+    return SNAP_ERR_MEMORY;
+  ssn_load (task->snapshots, 0);
+  return SNAP_OK;
+}
+
 struct state_task *
 state_create (struct daemon *daemon)
 {
@@ -341,8 +422,8 @@
   task->subscribers = pub_create (daemon->loop);
   daemon->state = mb_create (daemon->loop, on_message, msg_free, task);
   if (daemon->state == NULL || create_state (task) != ST_OK
-      || hc_create (&task->http, &http) != HC_OK
-      || create_log (task) != LOG_OK)
+      || hc_create (&task->http, &http) != HC_OK || create_log (task) != LOG_OK
+      || create_snapshots (task) != SNAP_OK)
     {
       lg_error ("state", "The state task cannot be created.", NULL);
       state_free (task);
@@ -356,6 +437,7 @@
 {
   if (task == NULL)
     return;
+  ssn_free (task->snapshots);
   log_free (task->log);
   if (task->http != NULL)
     hc_free (task->http);
