--- a/programs/foxtailgapd/planner.h
+++ b/programs/foxtailgapd/planner.h
@@ -22,6 +22,7 @@
   PLANNER_APPEND_DEADLINE_MS = 5000,
   PLANNER_CLAIM_INTERVAL_MS = 500, /* between two claims of the term */
   PLANNER_REFUSE_RETRY_MS = 1000,
+  PLANNER_START_FACTOR = 3, /* attempts that did not start, over the limit */
   PLANNER_WORKER_CONNECTIONS = 4, /* to one worker at once */
   PLANNER_IDLE_CONNECTIONS = 64
 };
@@ -30,7 +31,7 @@
 struct planner_job
 {
   struct st_job *job; /* as the log shows it; one reference */
-  uint32_t tried; /* highest attempt of which a gang was made */
+  uint32_t tried;     /* highest attempt of which a gang was made */
   char *refusal;      /* why it is refused; NULL: it is not */
   bool refusing;      /* the record of that is under way */
   int64_t refuse_retry_ms;
