--- a/lib/lease/gang_data.c
+++ b/lib/lease/gang_data.c
@@ -2,8 +2,6 @@
 
 #include "lease/gang_internal.h"
 
-#include <string.h>
-
 /* ===== Creation =============================================== */
 
 size_t
@@ -12,7 +10,7 @@
   size_t i;
 
   for (i = 0; i < gang->member_count; i++)
-    if (strcmp (gang->members[i].worker, worker) == 0)
+    if (g_strcmp0 (gang->members[i].worker, worker) == 0)
       break;
   return i;
 }
--- a/lib/lease/lease_codec.c
+++ b/lib/lease/lease_codec.c
@@ -341,9 +341,12 @@
 static void
 clear_lists (struct ls_answer *answer)
 {
-  g_clear_pointer (&answer->unknown, g_free);
-  g_clear_pointer (&answer->events, g_free);
-  g_clear_pointer (&answer->usage, g_free);
+  g_free (answer->unknown);
+  g_free (answer->events);
+  g_free (answer->usage);
+  answer->unknown = NULL;
+  answer->events = NULL;
+  answer->usage = NULL;
   answer->unknown_count = 0;
   answer->event_count = 0;
   answer->usage_count = 0;
--- a/programs/foxtailgapd/planner_calls.c
+++ b/programs/foxtailgapd/planner_calls.c
@@ -142,6 +142,15 @@
   g_queue_push_tail (&pg->task->failures, failure);
 }
 
+/* A checkpoint may take as long as the rules allow.  */
+static uint32_t
+timeout_ms (const struct planner_task *task, enum gang_command_kind command)
+{
+  if (command == GANG_CHECKPOINT)
+    return task->rules.checkpoint_grace_ms;
+  return PLANNER_CALL_TIMEOUT_MS;
+}
+
 static int
 send_request (struct planner_call *call, const struct hl_host *host,
               const struct gang_command *command)
@@ -164,8 +173,9 @@
 
   tasks = member_tasks (pg, command->member, &request.task_count);
   request.tasks = tasks;
-  error = ls_send (pg->task->http, &target, &request, PLANNER_CALL_TIMEOUT_MS,
-                   on_answer, call, &call->call);
+  error = ls_send (pg->task->http, &target, &request,
+                   timeout_ms (pg->task, command->kind), on_answer, call,
+                   &call->call);
   g_free (tasks);
   return error;
 }
--- a/programs/foxtailgapd/planner_jobs.c
+++ b/programs/foxtailgapd/planner_jobs.c
@@ -216,7 +216,8 @@
     {
       struct planner_job *entry = value;
 
-      g_clear_pointer (&entry->refusal, g_free);
+      g_free (entry->refusal);
+      entry->refusal = NULL;
       entry->refusing = false;
     }
 }
--- a/programs/foxtailgapd/renewal_calls.c
+++ b/programs/foxtailgapd/renewal_calls.c
@@ -90,6 +90,7 @@
               const struct ls_answer *answer)
 {
   struct msg_usage *report;
+  size_t size_bytes;
   size_t i;
   size_t j;
 
@@ -103,10 +104,11 @@
            && g_str_equal (answer->usage[j].attempt.job, usage->attempt.job);
            j++)
         least_ms = MIN (least_ms, answer->usage[j].progress_ms);
-      report = g_malloc (sizeof *report + strlen (usage->attempt.job) + 1);
+      size_bytes = strlen (usage->attempt.job) + 1;
+      report = g_malloc (sizeof *report + size_bytes);
       report->attempt = usage->attempt.attempt;
       report->progress_ms = least_ms;
-      strcpy (report->job, usage->attempt.job);
+      memcpy (report->job, usage->attempt.job, size_bytes);
       mb_post (worker->task->daemon->planner, MSG_USAGE, report);
     }
 }
--- a/tests/unit/test_gang_stop.c
+++ b/tests/unit/test_gang_stop.c
@@ -3,7 +3,7 @@
 
 #include "gang_fixture.h"
 
-static const uint32_t BOUND_MS = GF_TTL_MS + (2 * GF_RENEW_MS) + GF_CALL_MS;
+static const int64_t BOUND_MS = GF_TTL_MS + (2 * GF_RENEW_MS) + GF_CALL_MS;
 
 static void
 stop_both (struct gf_fixture *f)
