HTTP client: libcurl no longer repeats a request by itself

On a kept-open connection that ended without an answer, libcurl sent a POST a second time, although the first may have taken effect.

--- a/lib/http/http_client.c
+++ b/lib/http/http_client.c
@@ -19,6 +19,9 @@
   struct hc_client *client;
   CURL *easy;
   struct curl_slist *headers;
+  char *request_body;
+  size_t request_size_bytes;
+  size_t request_read_bytes; /* handed to libcurl so far */
   char *body;
   size_t body_size_bytes;
   size_t body_capacity_bytes;
@@ -55,6 +58,7 @@
       curl_easy_cleanup (call->easy);
     }
   curl_slist_free_all (call->headers);
+  free (call->request_body);
   free (call->body);
   free (call);
 }
@@ -233,6 +237,45 @@
   return size_bytes;
 }
 
+static size_t
+on_request_body (char *to, size_t unit_bytes, size_t units, void *ctx)
+{
+  struct hc_call *call = ctx;
+  size_t left_bytes = call->request_size_bytes - call->request_read_bytes;
+  size_t size_bytes = MIN (unit_bytes * units, left_bytes);
+
+  if (size_bytes > 0)
+    memcpy (to, call->request_body + call->request_read_bytes, size_bytes);
+  call->request_read_bytes += size_bytes;
+  return size_bytes;
+}
+
+/* libcurl sends a request again by itself when a connection that was kept
+   open ends without an answer, although the request may have taken effect.
+   It cannot do that with a body that it cannot read twice, nor on a new
+   connection.  */
+static bool
+set_request_body (struct hc_call *call, const struct hc_request *request)
+{
+  CURL *easy = call->easy;
+
+  if (request->body_size_bytes == 0 && strcmp (request->method, "GET") != 0)
+    curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+  if (request->body == NULL)
+    return true;
+  call->request_size_bytes = request->body_size_bytes;
+  call->request_body = malloc (MAX (request->body_size_bytes, 1));
+  if (call->request_body == NULL)
+    return false;
+  memcpy (call->request_body, request->body, request->body_size_bytes);
+  curl_easy_setopt (easy, CURLOPT_POST, 1L);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                    (curl_off_t)request->body_size_bytes);
+  curl_easy_setopt (easy, CURLOPT_READFUNCTION, on_request_body);
+  curl_easy_setopt (easy, CURLOPT_READDATA, call);
+  return true;
+}
+
 static bool
 append_header (struct hc_call *call, const char *header)
 {
@@ -275,12 +318,6 @@
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)request->connect_timeout_ms);
-  if (request->body != NULL)
-    {
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                        (curl_off_t)request->body_size_bytes);
-      curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, request->body);
-    }
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
 }
 
@@ -303,7 +340,7 @@
   if (call->easy == NULL)
     goto fail;
   set_options (call, request);
-  if (!set_headers (call, request))
+  if (!set_headers (call, request) || !set_request_body (call, request))
     goto fail;
   if (curl_multi_add_handle (client->multi, call->easy) != CURLM_OK)
     goto fail;
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -21,6 +21,7 @@
   struct hs_request *held;
   ev_timer delay;
   int answers;
+  int drops; /* requests that were dropped without an answer */
   int error;
   bool maybe_sent;
   long status;
@@ -53,6 +54,12 @@
       ev_timer_start (f->loop, &f->delay);
       return;
     }
+  if (strcmp (hs_path (request), "/drop") == 0)
+    {
+      f->drops++;
+      hs_drop (request);
+      return;
+    }
   body = hs_body (request, &size_bytes);
   hs_respond (request, 200, NULL, 0, body, size_bytes);
 }
@@ -163,6 +170,29 @@
   teardown (&f);
 }
 
+/* A connection that was kept open ends without an answer: the request may
+   have taken effect and must not be sent twice.  */
+static void
+test_sent_once (void)
+{
+  static const char *const bodies[] = { "charge", "" };
+  struct fixture f;
+  size_t i;
+
+  setup (&f);
+  for (i = 0; i < sizeof bodies / sizeof bodies[0]; i++)
+    {
+      f.drops = 0;
+      call (&f, "/echo", "abc", hs_port (f.server));
+      CU_ASSERT_EQUAL (f.status, 200);
+      call (&f, "/drop", bodies[i], hs_port (f.server));
+      CU_ASSERT_EQUAL (f.error, HC_ERR_BROKEN);
+      CU_ASSERT_TRUE (f.maybe_sent);
+      CU_ASSERT_EQUAL (f.drops, 1);
+    }
+  teardown (&f);
+}
+
 int
 main (void)
 {
@@ -174,6 +204,7 @@
   CU_add_test (suite, "answers at once and later", test_answers);
   CU_add_test (suite, "body limit", test_body_limit);
   CU_add_test (suite, "not sent", test_no_connection_means_not_sent);
+  CU_add_test (suite, "sent once", test_sent_once);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
