--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,11 @@
 LIB := $(BUILD)/libfoxtailgap.a
 STANDIN_SRC := $(wildcard tests/standins/common/*.c)
 STANDIN_OBJ := $(STANDIN_SRC:%.c=$(BUILD)/%.o)
+# What unit tests link besides the library: the daemon's tasks and the
+# stand-in of the log, without their main ().
+PART_SRC := $(STANDIN_SRC) $(filter-out %/main.c, \
+            $(wildcard programs/foxtailgapd/*.c tests/standins/ft-log/*.c))
+PARTS := $(BUILD)/libtestparts.a
 
 PROGRAM_DIRS := $(wildcard programs/* tests/standins/ft-* tests/faultproxy \
                 tests/history tests/bench/* examples/*)
@@ -67,7 +72,11 @@
 endef
 $(foreach d,$(PROGRAM_DIRS),$(eval $(call PROGRAM_RULE,$(d))))
 
-$(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(LIB)
+$(PARTS): $(PART_SRC:%.c=$(BUILD)/%.o)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(PARTS) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ -o $@ $(PKG_LIBS) -lcunit
 
--- a/lib/log/snapshot_assembly.c
+++ b/lib/log/snapshot_assembly.c
@@ -38,7 +38,8 @@
   uint32_t i;
 
   for (i = 0; i < pending->parts; i++)
-    g_clear_pointer (&pending->data[i], g_bytes_unref);
+    if (pending->data[i] != NULL)
+      g_bytes_unref (pending->data[i]);
   g_free (pending->data);
   g_free (pending);
 }
@@ -59,7 +60,8 @@
   if (assembly == NULL)
     return;
   g_ptr_array_free (assembly->pending, TRUE);
-  g_clear_pointer (&assembly->best, g_byte_array_unref);
+  if (assembly->best != NULL)
+    g_byte_array_unref (assembly->best);
   g_free (assembly);
 }
 
@@ -101,7 +103,8 @@
   const void *data;
   uint32_t i;
 
-  g_clear_pointer (&assembly->best, g_byte_array_unref);
+  if (assembly->best != NULL)
+    g_byte_array_unref (assembly->best);
   assembly->best = g_byte_array_new ();
   assembly->best_offset = pending->offset;
   assembly->best_is_rescue = pending->rescue;
--- a/lib/log/snapshot_stream.c
+++ b/lib/log/snapshot_stream.c
@@ -54,7 +54,8 @@
 end_write (struct snap_stream *stream, int error)
 {
   stream->is_writing = false;
-  g_clear_pointer (&stream->data, g_bytes_unref);
+  g_bytes_unref (stream->data);
+  stream->data = NULL;
   if (stream->params.written != NULL)
     stream->params.written (stream->params.ctx, error, stream->offset);
 }
@@ -351,7 +352,8 @@
     hc_cancel (stream->write_call);
   if (stream->read_call != NULL)
     hc_cancel (stream->read_call);
-  g_clear_pointer (&stream->data, g_bytes_unref);
+  if (stream->data != NULL)
+    g_bytes_unref (stream->data);
   snap_assembly_free (stream->assembly);
   g_free (stream->url);
   g_free (stream);
--- a/lib/state/encode.c
+++ b/lib/state/encode.c
@@ -20,6 +20,13 @@
   return block;
 }
 
+/* An array of COUNT pointers.  */
+static void *
+arena_pointers (struct arena *arena, size_t count)
+{
+  return arena_new (arena, count, sizeof (void *));
+}
+
 static void
 arena_open (struct arena *arena)
 {
@@ -82,7 +89,7 @@
   out->not_started = job->not_started;
   out->ran_before = box->ran_before;
   out->n_tasks = job->task_count;
-  out->tasks = arena_new (arena, job->task_count, sizeof (*out->tasks));
+  out->tasks = arena_pointers (arena, job->task_count);
   for (i = 0; i < job->task_count; i++)
     out->tasks[i] = fill_task (arena, &job->tasks[i], (uint32_t)i);
   return out;
@@ -111,7 +118,7 @@
 {
   const GList *link;
 
-  out->jobs = arena_new (arena, state->job_order.length, sizeof (*out->jobs));
+  out->jobs = arena_pointers (arena, state->job_order.length);
   for (link = state->job_order.head; link != NULL; link = link->next)
     out->jobs[out->n_jobs++]
         = fill_job (arena, &((struct st_job_box *)link->data)->job);
@@ -163,8 +170,7 @@
 {
   const GList *link;
 
-  out->claims
-      = arena_new (arena, state->claim_order.length, sizeof (*out->claims));
+  out->claims = arena_pointers (arena, state->claim_order.length);
   for (link = state->claim_order.head; link != NULL; link = link->next)
     out->claims[out->n_claims++]
         = fill_claim (arena, &((struct st_claim_box *)link->data)->claim);
@@ -180,8 +186,7 @@
   Ft__SnapshotRevision *message;
   const GList *link;
 
-  out->revisions
-      = arena_new (arena, state->revisions.length, sizeof (*out->revisions));
+  out->revisions = arena_pointers (arena, state->revisions.length);
   for (link = state->revisions.head; link != NULL; link = link->next)
     {
       revision = link->data;
--- /dev/null
+++ b/tests/unit/test_log.c
@@ -0,0 +1,470 @@
+/* The log client against the stand-in of the log: group commit, following,
+   lost answers, outages, overload, expiry.  */
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+
+#include "log/log_private.h"
+#include "log_fixture.h"
+
+enum
+{
+  TIMEOUT_MS = 150,
+  COMMIT_MS = 5,
+  POLL_WAIT_MS = 100,
+  DEADLINE_MS = 5000
+};
+
+/* One client that follows the stream and settles what it reads.  */
+struct fixture
+{
+  struct lf_log log;
+  struct log_client *client;
+  GHashTable *seen; /* number of the record -> times read */
+  uint32_t last;    /* number of the newest record read */
+  bool in_order;
+  int failed;
+  int error;
+  bool up;
+  int health_changes;
+  uint64_t expired_first;
+  uint64_t wanted;
+};
+
+static void
+make_id (uint8_t id[LOG_ID_SIZE_BYTES], uint32_t number)
+{
+  memset (id, 0, LOG_ID_SIZE_BYTES);
+  memcpy (id, &number, sizeof number);
+}
+
+static void
+on_record (void *ctx, uint64_t offset, int64_t time_ms, const uint8_t *data,
+           size_t size_bytes)
+{
+  struct fixture *f = ctx;
+  Ft__Batch *batch = ft__batch__unpack (NULL, size_bytes, data);
+  gpointer key;
+  uint32_t number;
+  size_t i;
+
+  (void)offset;
+  (void)time_ms;
+  for (i = 0; batch != NULL && i < batch->n_records; i++)
+    {
+      memcpy (&number, batch->records[i]->id.data, sizeof number);
+      key = GUINT_TO_POINTER (number);
+      f->in_order = f->in_order && number >= f->last;
+      f->last = number;
+      g_hash_table_insert (
+          f->seen, key,
+          GUINT_TO_POINTER (
+              GPOINTER_TO_UINT (g_hash_table_lookup (f->seen, key)) + 1));
+      log_settle (f->client, batch->records[i]->id.data);
+    }
+  if (batch != NULL)
+    ft__batch__free_unpacked (batch, NULL);
+}
+
+static void
+on_health (void *ctx, bool up)
+{
+  struct fixture *f = ctx;
+
+  f->up = up;
+  f->health_changes++;
+}
+
+static void
+on_expired (void *ctx, uint64_t first, uint64_t next)
+{
+  (void)next;
+  ((struct fixture *)ctx)->expired_first = first;
+}
+
+static void
+on_failed (void *ctx, const uint8_t id[16], int error)
+{
+  struct fixture *f = ctx;
+
+  (void)id;
+  f->failed++;
+  f->error = error;
+}
+
+static void
+open_client (struct fixture *f, bool paused)
+{
+  struct log_params params = { .loop = f->log.loop,
+                               .http = f->log.http,
+                               .url = f->log.url,
+                               .stream = "test",
+                               .timeout_ms = TIMEOUT_MS,
+                               .commit_ms = COMMIT_MS,
+                               .poll_wait_ms = POLL_WAIT_MS,
+                               .paused = paused,
+                               .record = on_record,
+                               .expired = on_expired,
+                               .health = on_health,
+                               .ctx = f };
+
+  CU_ASSERT_EQUAL_FATAL (log_create (&f->client, &params), LOG_OK);
+}
+
+static void
+setup (struct fixture *f, uint32_t appends_per_s)
+{
+  memset (f, 0, sizeof *f);
+  f->in_order = true;
+  f->seen = g_hash_table_new (NULL, NULL);
+  lf_open (&f->log, appends_per_s);
+}
+
+static void
+teardown (struct fixture *f)
+{
+  log_free (f->client);
+  g_hash_table_destroy (f->seen);
+  lf_close (&f->log);
+}
+
+static int
+append_sized (struct fixture *f, uint32_t number, uint32_t deadline_ms,
+              size_t size_bytes)
+{
+  Ft__Record record = FT__RECORD__INIT;
+  Ft__ConfigChange body = FT__CONFIG_CHANGE__INIT;
+  uint8_t id[LOG_ID_SIZE_BYTES];
+  int error;
+
+  make_id (id, number);
+  record.id.data = id;
+  record.id.len = sizeof id;
+  record.body_case = FT__RECORD__BODY_CONFIG_CHANGE;
+  record.config_change = &body;
+  body.document.data = g_malloc0 (size_bytes + 1);
+  body.document.len = size_bytes;
+  error = log_append (f->client, &record, deadline_ms, on_failed, f);
+  g_free (body.document.data);
+  return error;
+}
+
+static void
+append (struct fixture *f, uint32_t number, uint32_t deadline_ms)
+{
+  CU_ASSERT_EQUAL (append_sized (f, number, deadline_ms, 10), LOG_OK);
+}
+
+static bool
+all_seen (void *ctx)
+{
+  struct fixture *f = ctx;
+
+  return g_hash_table_size (f->seen) >= f->wanted;
+}
+
+static bool
+has_failed (void *ctx)
+{
+  return ((struct fixture *)ctx)->failed > 0;
+}
+
+static bool
+is_up (void *ctx)
+{
+  return ((struct fixture *)ctx)->up;
+}
+
+static bool
+is_down (void *ctx)
+{
+  return !is_up (ctx);
+}
+
+static bool
+has_expired (void *ctx)
+{
+  return ((struct fixture *)ctx)->expired_first > 0;
+}
+
+static bool
+wait_for (struct fixture *f, bool (*holds) (void *ctx))
+{
+  return lf_run (&f->log, holds, f, LF_LIMIT_MS);
+}
+
+static unsigned int
+times_seen (const struct fixture *f, uint32_t number)
+{
+  return GPOINTER_TO_UINT (
+      g_hash_table_lookup (f->seen, GUINT_TO_POINTER (number)));
+}
+
+/* ===== Tests ================================================== */
+
+static void
+test_group_commit (void)
+{
+  struct fixture f;
+  struct log_stats stats;
+  uint32_t i;
+
+  setup (&f, 0);
+  open_client (&f, false);
+  CU_ASSERT_TRUE (wait_for (&f, is_up));
+  f.wanted = 1000;
+  for (i = 1; i <= f.wanted; i++)
+    append (&f, i, DEADLINE_MS);
+  CU_ASSERT_TRUE (wait_for (&f, all_seen));
+  CU_ASSERT_TRUE (f.in_order);
+  CU_ASSERT_EQUAL (f.failed, 0);
+  log_stats (f.client, &stats);
+  CU_ASSERT_TRUE (stats.appends <= 3);
+  CU_ASSERT_EQUAL (times_seen (&f, 500), 1);
+  teardown (&f);
+}
+
+static void
+test_many_appends_in_order (void)
+{
+  struct fixture f;
+  uint32_t i;
+
+  setup (&f, 0);
+  open_client (&f, true);
+  f.wanted = 3 * LOG_READ_LIMIT_RECORDS;
+  for (i = 1; i <= f.wanted; i++)
+    {
+      append (&f, i, DEADLINE_MS);
+      lf_run_ms (&f.log, 1);
+      log_flush (f.client);
+    }
+  log_seek (f.client, 0);
+  CU_ASSERT_TRUE (wait_for (&f, all_seen));
+  CU_ASSERT_TRUE (f.in_order);
+  teardown (&f);
+}
+
+static void
+test_too_large (void)
+{
+  struct fixture f;
+
+  setup (&f, 0);
+  open_client (&f, false);
+  CU_ASSERT_EQUAL (append_sized (&f, 1, DEADLINE_MS, LOG_RECORD_LIMIT_BYTES),
+                   LOG_ERR_TOO_LARGE);
+  /* Two that do not fit into one append together.  */
+  f.wanted = 2;
+  CU_ASSERT_EQUAL (append_sized (&f, 2, DEADLINE_MS, 900 * 1024), LOG_OK);
+  CU_ASSERT_EQUAL (append_sized (&f, 3, DEADLINE_MS, 900 * 1024), LOG_OK);
+  CU_ASSERT_TRUE (wait_for (&f, all_seen));
+  teardown (&f);
+}
+
+/* The append takes effect, its answer is lost, and reading resolves it.  */
+static void
+test_lost_answer (void)
+{
+  struct fixture f;
+  struct log_stats stats;
+
+  setup (&f, 0);
+  open_client (&f, false);
+  CU_ASSERT_TRUE (wait_for (&f, is_up));
+  lf_control (&f.log, "{\"drop_answers\":1}");
+  append (&f, 1, DEADLINE_MS);
+  f.wanted = 1;
+  CU_ASSERT_TRUE (wait_for (&f, all_seen));
+  lf_run_ms (&f.log, 3 * LOG_RETRY_MIN_MS);
+  CU_ASSERT_EQUAL (f.failed, 0);
+  CU_ASSERT_EQUAL (times_seen (&f, 1), 1);
+  log_stats (f.client, &stats);
+  CU_ASSERT_EQUAL (stats.unknown, 1);
+  teardown (&f);
+}
+
+/* Without reading, the same record is sent again, and is never called "not
+   taken".  */
+static void
+test_lost_answer_unread (void)
+{
+  struct fixture f;
+
+  setup (&f, 0);
+  open_client (&f, true);
+  lf_control (&f.log, "{\"drop_answers\":1}");
+  append (&f, 1, 400);
+  CU_ASSERT_TRUE (wait_for (&f, has_failed));
+  CU_ASSERT_EQUAL (f.error, LOG_ERR_UNKNOWN);
+  log_seek (f.client, 0);
+  f.wanted = 1;
+  CU_ASSERT_TRUE (wait_for (&f, all_seen));
+  lf_run_ms (&f.log, 50);
+  CU_ASSERT_EQUAL (times_seen (&f, 1), 2);
+  CU_ASSERT_EQUAL (f.failed, 1);
+  teardown (&f);
+}
+
+static void
+test_outage_with_errors (void)
+{
+  struct fixture f;
+
+  setup (&f, 0);
+  open_client (&f, false);
+  CU_ASSERT_TRUE (wait_for (&f, is_up));
+  lf_control (&f.log, "{\"outage\":true,\"mode\":\"error\"}");
+  append (&f, 1, 200);
+  append (&f, 2, DEADLINE_MS);
+  CU_ASSERT_TRUE (wait_for (&f, has_failed));
+  CU_ASSERT_EQUAL (f.error, LOG_ERR_DOWN);
+  CU_ASSERT_FALSE (f.up);
+  lf_control (&f.log, "{\"outage\":false}");
+  f.wanted = 1;
+  CU_ASSERT_TRUE (wait_for (&f, all_seen));
+  CU_ASSERT_TRUE (wait_for (&f, is_up));
+  CU_ASSERT_EQUAL (times_seen (&f, 1), 0);
+  CU_ASSERT_EQUAL (times_seen (&f, 2), 1);
+  CU_ASSERT_EQUAL (f.failed, 1);
+  teardown (&f);
+}
+
+static void
+test_silent_outage (void)
+{
+  struct fixture f;
+
+  setup (&f, 0);
+  open_client (&f, false);
+  CU_ASSERT_TRUE (wait_for (&f, is_up));
+  lf_control (&f.log, "{\"outage\":true,\"mode\":\"silent\"}");
+  append (&f, 1, 2 * TIMEOUT_MS);
+  append (&f, 2, DEADLINE_MS);
+  CU_ASSERT_TRUE (wait_for (&f, has_failed));
+  CU_ASSERT_EQUAL (f.error, LOG_ERR_UNKNOWN);
+  CU_ASSERT_TRUE (wait_for (&f, is_down));
+  lf_control (&f.log, "{\"outage\":false}");
+  f.wanted = 1;
+  CU_ASSERT_TRUE (wait_for (&f, all_seen));
+  CU_ASSERT_EQUAL (f.failed, 1);
+  CU_ASSERT_TRUE (wait_for (&f, is_up));
+  teardown (&f);
+}
+
+static void
+test_no_connection (void)
+{
+  struct fixture f;
+
+  setup (&f, 0);
+  g_strlcpy (f.log.url, "http://127.0.0.1:1", sizeof f.log.url);
+  open_client (&f, false);
+  append (&f, 1, 200);
+  CU_ASSERT_TRUE (wait_for (&f, has_failed));
+  CU_ASSERT_EQUAL (f.error, LOG_ERR_DOWN);
+  teardown (&f);
+}
+
+/* Far more records than appends are let through: all arrive, in order.  */
+static void
+test_overload (void)
+{
+  struct fixture f;
+  struct log_stats stats;
+  uint32_t i;
+
+  setup (&f, 20);
+  open_client (&f, false);
+  CU_ASSERT_TRUE (wait_for (&f, is_up));
+  f.wanted = 400;
+  for (i = 1; i <= f.wanted; i++)
+    {
+      append (&f, i, DEADLINE_MS);
+      lf_run_ms (&f.log, 4);
+    }
+  CU_ASSERT_TRUE (wait_for (&f, all_seen));
+  CU_ASSERT_TRUE (f.in_order);
+  CU_ASSERT_EQUAL (f.failed, 0);
+  CU_ASSERT_TRUE (f.up);
+  log_stats (f.client, &stats);
+  CU_ASSERT_TRUE (stats.refused < stats.appends);
+  teardown (&f);
+}
+
+static void
+test_expired (void)
+{
+  struct fixture f;
+  uint32_t i;
+
+  setup (&f, 0);
+  lf_control (&f.log, "{\"retention_records\":3}");
+  for (i = 0; i < 10; i++)
+    lf_post (&f.log, "/streams/test", "x");
+  open_client (&f, false);
+  CU_ASSERT_TRUE (wait_for (&f, has_expired));
+  CU_ASSERT_EQUAL (f.expired_first, 7);
+  lf_run_ms (&f.log, 50);
+  CU_ASSERT_EQUAL (log_next (f.client), 0);
+  log_seek (f.client, f.expired_first);
+  append (&f, 1, DEADLINE_MS);
+  f.wanted = 1;
+  CU_ASSERT_TRUE (wait_for (&f, all_seen));
+  CU_ASSERT_EQUAL (log_next (f.client), 11);
+  teardown (&f);
+}
+
+/* No bytes crash the decoder.  */
+static void
+test_damaged_answers (void)
+{
+  static const char good[]
+      = "{\"first\":1,\"next\":3,\"records\":[{\"offset\":1,\"time_ms\":5,"
+        "\"data\":\"AAEC\"},{\"offset\":2,\"time_ms\":5,\"data\":\"\"}]}";
+  GRand *random = g_rand_new_with_seed (1);
+  struct log_answer answer;
+  char bytes[sizeof good];
+  int i;
+
+  CU_ASSERT_EQUAL (log_answer_parse (&answer, good, sizeof good - 1), LOG_OK);
+  CU_ASSERT_EQUAL (answer.item_count, 2);
+  CU_ASSERT_EQUAL (answer.items[0].size_bytes, 3);
+  log_answer_clear (&answer);
+  for (i = 0; i < 20000; i++)
+    {
+      memcpy (bytes, good, sizeof good);
+      bytes[g_rand_int_range (random, 0, sizeof good)]
+          = (char)g_rand_int (random);
+      log_answer_parse (&answer, bytes,
+                        (size_t)g_rand_int_range (random, 0, sizeof good));
+      log_answer_clear (&answer);
+    }
+  g_rand_free (random);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("log", NULL, NULL);
+  CU_add_test (suite, "group commit", test_group_commit);
+  CU_add_test (suite, "many in order", test_many_appends_in_order);
+  CU_add_test (suite, "too large", test_too_large);
+  CU_add_test (suite, "lost answer", test_lost_answer);
+  CU_add_test (suite, "lost answer, unread", test_lost_answer_unread);
+  CU_add_test (suite, "outage with errors", test_outage_with_errors);
+  CU_add_test (suite, "silent outage", test_silent_outage);
+  CU_add_test (suite, "no connection", test_no_connection);
+  CU_add_test (suite, "overload", test_overload);
+  CU_add_test (suite, "expired", test_expired);
+  CU_add_test (suite, "damaged answers", test_damaged_answers);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
