--- a/lib/state/claim.c
+++ b/lib/state/claim.c
@@ -170,6 +170,7 @@
   claim = &st_claim_edit (link)->claim;
   claim->state = (enum st_claim_state)record->state;
   claim->status = record->status;
+  st_bytes_release (claim->answer);
   claim->answer = st_bytes_new (record->answer.data, record->answer.len);
   claim->answer_size_bytes = record->answer.len;
   publish (state, claim);
