--- a/lib/log/snapshot_assembly.c
+++ b/lib/log/snapshot_assembly.c
@@ -167,9 +167,9 @@
 }
 
 bool
-snap_assembly_is_final (const struct snap_assembly *assembly)
+snap_assembly_is_final (const struct snap_assembly *assembly, uint64_t wanted)
 {
-  if (assembly->best == NULL)
+  if (assembly->best == NULL || assembly->best_offset < wanted)
     return false;
   return !assembly->best_is_rescue
          || assembly->lowest_offset < assembly->best_offset;
--- a/lib/log/snapshot_stream.c
+++ b/lib/log/snapshot_stream.c
@@ -38,6 +38,7 @@
   ev_timer retry;
   /* reading */
   bool is_reading;
+  uint64_t wanted; /* offset to reach */
   struct snap_assembly *assembly;
   struct hc_call *read_call;
   uint64_t first; /* of the stream; known after the first answer */
@@ -216,7 +217,7 @@
 static void
 end_window (struct snap_stream *stream)
 {
-  if (snap_assembly_is_final (stream->assembly)
+  if (snap_assembly_is_final (stream->assembly, stream->wanted)
       || stream->window >= stream->next - stream->first)
     {
       end_read (stream, SNAP_OK);
@@ -311,11 +312,12 @@
 }
 
 int
-snap_read (struct snap_stream *stream)
+snap_read (struct snap_stream *stream, uint64_t wanted)
 {
   if (stream->is_reading)
     return SNAP_ERR_BUSY;
   stream->is_reading = true;
+  stream->wanted = wanted;
   stream->window = PAGE_RECORDS;
   read_page (stream);
   return SNAP_OK;
--- a/lib/log/snapshot_stream.h
+++ b/lib/log/snapshot_stream.h
@@ -60,8 +60,9 @@
  *  Looks for the whole snapshot of the highest offset.  Rescues of several
  *  hosts may differ: of those with one offset the first that was complete
  *  counts, so that all readers find the same, and what was written by a host
- *  that went on from it. */
-int snap_read (struct snap_stream *stream);
+ *  that went on from it.
+ *  @wanted : offset to reach; the search goes back until one does. */
+int snap_read (struct snap_stream *stream, uint64_t wanted);
 
 bool snap_is_writing (const struct snap_stream *stream);
 bool snap_is_reading (const struct snap_stream *stream);
@@ -85,7 +86,9 @@
                                    uint64_t *offset, size_t *size_bytes);
 
 /*! snap_assembly_is_final () :
- *  Whether appends from further back cannot change which one is best. */
-bool snap_assembly_is_final (const struct snap_assembly *assembly);
+ *  Whether the best one reaches WANTED and appends from further back need not
+ *  be read. */
+bool snap_assembly_is_final (const struct snap_assembly *assembly,
+                             uint64_t wanted);
 
 #endif
--- a/programs/foxtailgapd/state_snapshots.c
+++ b/programs/foxtailgapd/state_snapshots.c
@@ -281,7 +281,7 @@
 
   (void)loop;
   (void)events;
-  if (snap_read (keeper->stream) != SNAP_OK)
+  if (snap_read (keeper->stream, keeper->wanted) != SNAP_OK)
     start_timer (keeper, &keeper->retry, RETRY_MS);
 }
 
