--- a/lib/config/environment_diff.c
+++ b/lib/config/environment_diff.c
@@ -339,7 +339,7 @@
   struct ed_changes result;
 
   if (strcmp (before->environment, after->environment) != 0)
-    add (changes, "environment", "environment", before->environment,
+    add (changes, "environment", "name", before->environment,
          after->environment);
   diff_teams (changes, before, after);
   diff_services (changes, before, after);
--- /dev/null
+++ b/programs/foxtailgapctl/list.c
@@ -0,0 +1,46 @@
+/* Subcommands that read one page of the interface and print it.  */
+
+#include "list.h"
+
+#include <glib.h>
+
+#include "api.h"
+#include "cli.h"
+#include "print.h"
+
+static int
+show (struct api *api, const struct list_page *page, bool json)
+{
+  struct api_answer answer;
+  int code = api_get (api, page->path, 0, &answer);
+
+  if (code != CLI_GO_ON)
+    return code;
+  if (json)
+    pr_json (answer.json);
+  else
+    page->print (answer.json);
+  api_answer_clear (&answer);
+  return CTL_DONE;
+}
+
+int
+list_run (const struct ctl_command *command, int argc, char **argv,
+          const struct list_page *page)
+{
+  struct cli_hosts hosts = cli_hosts ();
+  struct cli_common common = cli_common ();
+  void *table[] = { hosts.hosts, hosts.timeout_ms, common.json,
+                    common.help, common.version,   common.end };
+  struct api *api = NULL;
+  int code
+      = cli_parse (command, &common, table, G_N_ELEMENTS (table), argc, argv);
+
+  if (code == CLI_GO_ON)
+    code = api_open_args (&api, &hosts);
+  if (code == CLI_GO_ON)
+    code = show (api, page, common.json->count > 0);
+  api_close (api);
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return code;
+}
