--- a/lib/config/schema.c
+++ b/lib/config/schema.c
@@ -76,24 +76,54 @@
                sizeof report->sentence);
 }
 
-/* The field that a sentence is about and no frame names.  */
+/* What follows the prefix of one of libcyaml's sentences.  */
+enum rest
+{
+  REST_FIELD, /* the field that is meant and that no frame names */
+  REST_VALUE, /* the value that was refused */
+  REST_NONE
+};
+
+struct sentence
+{
+  const char *prefix;
+  const char *text;
+  enum rest rest;
+};
+
+static const struct sentence sentences[] = {
+  { "Unexpected key: ", "unknown field", REST_FIELD },
+  { "Missing required mapping field: ", "missing field", REST_FIELD },
+  { "Invalid UINT value: ", "not a whole number in its bounds: ", REST_VALUE },
+  { "Invalid uint64_t value: ", "not a whole number: ", REST_VALUE },
+  { "Invalid ENUM value: ", "unknown value: ", REST_VALUE },
+  { "Expecting SEQUENCE", "must be a list", REST_NONE },
+  { "Expecting MAPPING", "must have fields of its own", REST_NONE },
+  { "Expecting", "must be one plain value", REST_NONE },
+};
+
+/* Puts a sentence in words of a document rather than of libcyaml.  */
 static void
-report_field (struct report *report)
+report_translate (struct report *report)
 {
-  static const char *const prefixes[]
-      = { "Unexpected key: ", "Missing required mapping field: " };
-  char path[YI_PATH_SIZE_BYTES];
+  const struct sentence *sentence = NULL;
+  char text[LOG_LINE_SIZE_BYTES];
+  const char *rest;
 
-  for (size_t i = 0; i < G_N_ELEMENTS (prefixes); i++)
-    if (g_str_has_prefix (report->sentence, prefixes[i]))
-      {
-        yi_join (path, report->path, report->sentence + strlen (prefixes[i]));
-        memcpy (report->path, path, sizeof path);
-        g_strlcpy (report->sentence,
-                   i == 0 ? "unknown field" : "missing field",
-                   sizeof report->sentence);
-        return;
-      }
+  for (size_t i = 0; i < G_N_ELEMENTS (sentences) && sentence == NULL; i++)
+    if (g_str_has_prefix (report->sentence, sentences[i].prefix))
+      sentence = &sentences[i];
+  if (sentence == NULL)
+    return;
+  rest = report->sentence + strlen (sentence->prefix);
+  if (sentence->rest == REST_FIELD)
+    {
+      yi_join (text, report->path, rest);
+      g_strlcpy (report->path, text, sizeof report->path);
+    }
+  g_snprintf (text, sizeof text, "%s%s", sentence->text,
+              sentence->rest == REST_VALUE ? rest : "");
+  memcpy (report->sentence, text, sizeof text);
 }
 
 static int
@@ -105,7 +135,7 @@
 
   if (error == CYAML_ERR_OOM)
     return ENV_ERR_MEMORY;
-  report_field (report);
+  report_translate (report);
   if (what[0] == '\0')
     what = cyaml_strerror (error);
   em_add (messages, yi_line (index, path), "%s%s%s", path,
--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -129,9 +129,11 @@
 check_twice (const struct sc_place *place, const char *longer,
              uint32_t longer_ms, const char *shorter, uint32_t shorter_ms)
 {
+  const char *given = yi_entry (place->index, longer) ? longer : shorter;
+
   if (longer_ms / 2 >= shorter_ms)
     return;
-  em_add (place->messages, yi_line (place->index, longer),
+  em_add (place->messages, yi_line (place->index, given),
           "%s: must be at least twice %s, %u", longer, shorter, shorter_ms);
 }
 
--- a/programs/foxtailgapctl/cmd_check.c
+++ b/programs/foxtailgapctl/cmd_check.c
@@ -87,7 +87,7 @@
     }
   teams = teams_json (document);
   printf ("%s: good\n", result->path);
-  printf ("environment %s: %u teams, %u services, %u objectives\n",
+  printf ("environment %s: teams %u, services %u, objectives %u\n",
           document->environment, document->teams_count,
           document->services_count, document->objectives_count);
   printf ("digest: %s\n\nGuaranteed in whole:\n", result->digest);
