--- a/programs/foxtailgapctl/cmd_job.c
+++ b/programs/foxtailgapctl/cmd_job.c
@@ -60,9 +60,10 @@
     code = api_open_args (&api, &hosts);
   if (code == CLI_GO_ON && why->count > 0)
     code = show_why (api, id->sval[0], common.json->count > 0);
+  else if (code == CLI_GO_ON && wait->count > 0)
+    code = jv_wait (api, id->sval[0], limit_ms, false, common.json->count > 0);
   else if (code == CLI_GO_ON)
-    code = jv_show (api, id->sval[0], wait->count > 0 ? limit_ms : 0,
-                    common.json->count > 0);
+    code = jv_show (api, id->sval[0], common.json->count > 0);
   api_close (api);
   arg_freetable (table, G_N_ELEMENTS (table));
   return code;
--- a/programs/foxtailgapctl/cmd_submit.c
+++ b/programs/foxtailgapctl/cmd_submit.c
@@ -202,7 +202,7 @@
   if (wait_limit_ms > 0 && id != NULL)
     {
       fprintf (stderr, "job %s\n", id);
-      code = jv_show (api, id, wait_limit_ms, json);
+      code = jv_wait (api, id, wait_limit_ms, true, json);
       goto out;
     }
   if (json)
--- a/programs/foxtailgapctl/job_view.c
+++ b/programs/foxtailgapctl/job_view.c
@@ -11,7 +11,9 @@
 enum
 {
   POLL_MS = 5000, /* held by the entry host until the job ends */
-  PAUSE_US = 200 * 1000
+  PAUSE_US = 200 * 1000,
+  RETRY_US = 1000 * 1000,
+  REFUSED_US = 5 * 1000 * 1000
 };
 
 char *
@@ -79,70 +81,134 @@
     print_job (job);
 }
 
-/* Reads the job until it has ended; on a failure to read it, its last known
-   state counts.  */
+/* Waiting for the end of one job.  */
+struct wait
+{
+  struct api *api;
+  const char *path;
+  gint64 end_us;
+  gint64 refused_since_us; /* 0: the last read was not refused */
+  char *shown;             /* state that was shown last */
+  bool accepted;
+  bool json;
+};
+
+static gint64
+left_ms (const struct wait *wait)
+{
+  return MAX ((wait->end_us - g_get_monotonic_time ()) / 1000, 0);
+}
+
+/* A host may not know a new job yet; one that cannot be reached may be back
+   soon.
+   @return : CLI_GO_ON to read again, or the exit code.  */
+static int
+after_failed_read (struct wait *wait, int code)
+{
+  gint64 now_us = g_get_monotonic_time ();
+
+  if (code == CTL_REFUSED && wait->refused_since_us == 0)
+    wait->refused_since_us = now_us;
+  if (code != CTL_REFUSED)
+    wait->refused_since_us = 0;
+  if (code == CTL_REFUSED && now_us - wait->refused_since_us > REFUSED_US)
+    return wait->accepted ? CTL_UNKNOWN : CTL_REFUSED;
+  g_usleep (RETRY_US);
+  return CLI_GO_ON;
+}
+
 static int
-wait_for_end (struct api *api, const char *path, uint64_t wait_limit_ms,
-              bool json)
+after_read (struct wait *wait, const json_t *job)
+{
+  const char *state = state_of (job);
+  int code = code_of_state (state);
+
+  wait->refused_since_us = 0;
+  if (code != CLI_GO_ON)
+    show (job, wait->json);
+  else if (strcmp (wait->shown, state) != 0)
+    {
+      g_free (wait->shown);
+      wait->shown = g_strdup (state);
+      fprintf (stderr, "%s\n", state);
+    }
+  return code;
+}
+
+static int
+read_once (struct wait *wait)
 {
-  gint64 end_us = g_get_monotonic_time () + (gint64)wait_limit_ms * 1000;
   struct api_answer answer = { 0 };
-  char *shown = g_strdup ("");
+  gint64 held_ms = MIN (left_ms (wait), POLL_MS);
+  char *query
+      = g_strdup_printf ("%s?wait_ms=%" G_GINT64_FORMAT, wait->path, held_ms);
+  int code = api_get (wait->api, query, POLL_MS, &answer);
+
+  g_free (query);
+  if (code != CLI_GO_ON)
+    return after_failed_read (wait, code);
+  code = after_read (wait, answer.json);
+  api_answer_clear (&answer);
+  if (code == CLI_GO_ON)
+    g_usleep (PAUSE_US);
+  return code;
+}
+
+static int
+wait_for_end (struct wait *wait)
+{
   int code = CLI_GO_ON;
-  gint64 left_ms;
-  char *query;
 
-  while (code == CLI_GO_ON)
+  wait->shown = g_strdup ("");
+  while (code == CLI_GO_ON && left_ms (wait) > 0)
+    code = read_once (wait);
+  if (code == CLI_GO_ON)
     {
-      left_ms = (end_us - g_get_monotonic_time ()) / 1000;
-      query = g_strdup_printf ("%s?wait_ms=%" G_GINT64_FORMAT, path,
-                               CLAMP (left_ms, 0, POLL_MS));
-      code = api_get (api, query, POLL_MS, &answer);
-      g_free (query);
-      if (code != CLI_GO_ON)
-        break;
-      code = code_of_state (state_of (answer.json));
-      if (code != CLI_GO_ON)
-        show (answer.json, json);
-      else if (strcmp (shown, state_of (answer.json)) != 0)
-        {
-          g_free (shown);
-          shown = g_strdup (state_of (answer.json));
-          fprintf (stderr, "%s\n", shown);
-        }
-      api_answer_clear (&answer);
-      if (code == CLI_GO_ON && left_ms <= 0)
-        {
-          fprintf (stderr, "foxtailgapctl: the job has not ended in time; it "
-                           "goes on\n");
-          code = CTL_UNKNOWN;
-        }
-      else if (code == CLI_GO_ON)
-        g_usleep (PAUSE_US);
+      fprintf (stderr, "foxtailgapctl: the job's end has not been seen in "
+                       "time\n");
+      code = CTL_UNKNOWN;
     }
-  g_free (shown);
+  g_free (wait->shown);
   return code;
 }
 
-int
-jv_show (struct api *api, const char *id, uint64_t wait_limit_ms, bool json)
+static int
+show_now (struct api *api, const char *path, bool json)
 {
   struct api_answer answer;
+  int code = api_get (api, path, 0, &answer);
+
+  if (code != CLI_GO_ON)
+    return code;
+  show (answer.json, json);
+  api_answer_clear (&answer);
+  return CTL_DONE;
+}
+
+int
+jv_show (struct api *api, const char *id, bool json)
+{
   char *path = jv_path ("/v1/jobs/", id);
-  int code;
+  int code = show_now (api, path, json);
+
+  g_free (path);
+  return code;
+}
+
+int
+jv_wait (struct api *api, const char *id, uint64_t limit_ms, bool accepted,
+         bool json)
+{
+  char *path = jv_path ("/v1/jobs/", id);
+  struct wait wait = {
+    .api = api,
+    .path = path,
+    .end_us = g_get_monotonic_time () + (gint64)limit_ms * 1000,
+    .accepted = accepted,
+    .json = json,
+  };
+  int code = wait_for_end (&wait);
 
-  if (wait_limit_ms > 0)
-    code = wait_for_end (api, path, wait_limit_ms, json);
-  else
-    {
-      code = api_get (api, path, 0, &answer);
-      if (code == CLI_GO_ON)
-        {
-          show (answer.json, json);
-          api_answer_clear (&answer);
-          code = CTL_DONE;
-        }
-    }
   g_free (path);
   return code;
 }
--- a/programs/foxtailgapctl/job_view.h
+++ b/programs/foxtailgapctl/job_view.h
@@ -14,9 +14,15 @@
 char *jv_path (const char *prefix, const char *id);
 
 /*! jv_show () :
- *  Prints a job, after its end if WAIT_LIMIT_MS is not 0.
- *  @return : the exit code; of a job that has ended if waited for. */
-int jv_show (struct api *api, const char *id, uint64_t wait_limit_ms,
+ *  Prints a job as it is now.
+ *  @return : the exit code. */
+int jv_show (struct api *api, const char *id, bool json);
+
+/*! jv_wait () :
+ *  Prints a job after its end; entry hosts may come and go meanwhile.
+ *  @accepted : the job is known to have been submitted.
+ *  @return : the exit code of the job's end. */
+int jv_wait (struct api *api, const char *id, uint64_t limit_ms, bool accepted,
              bool json);
 
 #endif
--- a/programs/foxtailgapctl/plan_apply.c
+++ b/programs/foxtailgapctl/plan_apply.c
@@ -13,6 +13,8 @@
   STATUS_OK = 200,
   STATUS_CONFLICT = 409,
   POLL_INTERVAL_US = 200 * 1000,
+  LOOK_AGAIN_US = 5 * 1000 * 1000,
+  LOOK_INTERVAL_US = 500 * 1000,
   DIGEST_LENGTH = ENV_DIGEST_SIZE_BYTES - 1,
   REVISION_WAIT_MS = 60 * 1000,
   REVISION_WAIT_MAX_MS = 24 * 60 * 60 * 1000
@@ -188,19 +190,24 @@
 look_again (struct api *api, const struct plan_document *next, uint64_t base,
             uint64_t *revision)
 {
+  gint64 end_us = g_get_monotonic_time () + LOOK_AGAIN_US;
   struct live live;
-  int code = CTL_UNKNOWN;
 
-  if (live_get (api, &live) == CLI_GO_ON)
+  while (g_get_monotonic_time () < end_us)
     {
-      if (live.revision > base && strcmp (live.digest, next->digest) == 0)
+      if (live_get (api, &live) == CLI_GO_ON)
         {
-          *revision = live.revision;
-          code = CLI_GO_ON;
+          *revision
+              = live.revision > base && strcmp (live.digest, next->digest) == 0
+                    ? live.revision
+                    : 0;
+          live_clear (&live);
+          if (*revision > 0)
+            return CLI_GO_ON;
         }
-      live_clear (&live);
+      g_usleep (LOOK_INTERVAL_US);
     }
-  return code == CLI_GO_ON ? code : api_fail (API_ERR_UNKNOWN);
+  return api_fail (API_ERR_UNKNOWN);
 }
 
 /* Sends the document.
