--- /dev/null
+++ b/tests/faultproxy/route.c
@@ -0,0 +1,436 @@
+/* One route of the proxy.  */
+
+#include "route.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "pipe.h"
+#include "standins/common/port.h"
+
+enum
+{
+  LISTEN_BACKLOG = 512,
+  NO_FD = -1
+};
+
+struct ro_route
+{
+  struct ev_loop *loop;
+  struct sockaddr_in listen_name;
+  struct sockaddr_in server_name;
+  uint16_t port;
+  int reserved; /* keeps the port */
+  int listen_fd;
+  ev_io acceptable;
+  GQueue connections;
+  uint32_t delay_ms;
+  bool frozen_to;
+  bool frozen_from;
+  uint32_t drop_answers;
+  uint64_t accepted;
+  uint64_t bytes_to; /* of connections that have ended */
+  uint64_t bytes_from;
+};
+
+struct connection
+{
+  GList link; /* in route->connections */
+  struct ro_route *route;
+  int client_fd;
+  int server_fd;
+  struct pi_pipe *to;   /* NULL: ended */
+  struct pi_pipe *from; /* NULL: ended */
+  bool asking;          /* bytes have gone to the server since its last */
+  bool drop_answer;
+  bool silent;
+};
+
+/* --- Connections --- */
+
+static void
+end_to (struct connection *connection)
+{
+  if (connection->to == NULL)
+    return;
+  connection->route->bytes_to += pi_bytes (connection->to);
+  pi_free (connection->to);
+  connection->to = NULL;
+}
+
+static void
+end_from (struct connection *connection)
+{
+  if (connection->from == NULL)
+    return;
+  connection->route->bytes_from += pi_bytes (connection->from);
+  pi_free (connection->from);
+  connection->from = NULL;
+}
+
+static void
+connection_free (struct connection *connection)
+{
+  end_to (connection);
+  end_from (connection);
+  close (connection->client_fd);
+  close (connection->server_fd);
+  g_queue_unlink (&connection->route->connections, &connection->link);
+  g_free (connection);
+}
+
+static void
+on_broken (void *ctx)
+{
+  connection_free (ctx);
+}
+
+static void
+on_to_ended (void *ctx)
+{
+  struct connection *connection = ctx;
+
+  end_to (connection);
+  if (connection->from == NULL)
+    connection_free (connection);
+}
+
+static void
+on_from_ended (void *ctx)
+{
+  struct connection *connection = ctx;
+
+  end_from (connection);
+  if (connection->to == NULL)
+    connection_free (connection);
+}
+
+/* The first bytes since the last answer begin a request.  */
+static bool
+on_to_received (void *ctx)
+{
+  struct connection *connection = ctx;
+  struct ro_route *route = connection->route;
+
+  if (!connection->asking && route->drop_answers > 0)
+    {
+      route->drop_answers--;
+      connection->drop_answer = true;
+    }
+  connection->asking = true;
+  return true;
+}
+
+static bool
+on_from_received (void *ctx)
+{
+  struct connection *connection = ctx;
+
+  connection->asking = false;
+  if (!connection->drop_answer)
+    return true;
+  connection_free (connection);
+  return false;
+}
+
+static void
+create_pipes (struct connection *connection)
+{
+  struct ro_route *route = connection->route;
+  struct pi_params params = { .loop = route->loop,
+                              .delay_ms = route->delay_ms,
+                              .broken = on_broken,
+                              .ctx = connection };
+
+  params.from_fd = connection->client_fd;
+  params.to_fd = connection->server_fd;
+  params.frozen = route->frozen_to;
+  params.received = on_to_received;
+  params.ended = on_to_ended;
+  connection->to = pi_create (&params);
+  params.from_fd = connection->server_fd;
+  params.to_fd = connection->client_fd;
+  params.frozen = route->frozen_from;
+  params.received = on_from_received;
+  params.ended = on_from_ended;
+  connection->from = pi_create (&params);
+}
+
+static int
+connect_server (const struct ro_route *route)
+{
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (fd < 0)
+    return NO_FD;
+  if (connect (fd, (const struct sockaddr *)&route->server_name,
+               sizeof route->server_name)
+          == 0
+      || errno == EINPROGRESS)
+    return fd;
+  close (fd);
+  return NO_FD;
+}
+
+static void
+connection_create (struct ro_route *route, int client_fd)
+{
+  int server_fd = connect_server (route);
+  struct connection *connection;
+
+  if (server_fd < 0)
+    {
+      close (client_fd);
+      return;
+    }
+  connection = g_new0 (struct connection, 1);
+  connection->route = route;
+  connection->client_fd = client_fd;
+  connection->server_fd = server_fd;
+  connection->link.data = connection;
+  g_queue_push_tail_link (&route->connections, &connection->link);
+  create_pipes (connection);
+}
+
+/* --- Listening --- */
+
+static void
+on_acceptable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct ro_route *route = watcher->data;
+  int fd;
+
+  (void)loop;
+  (void)events;
+  fd = accept4 (route->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (fd < 0)
+    return;
+  route->accepted++;
+  connection_create (route, fd);
+}
+
+static int
+listen_start (struct ro_route *route)
+{
+  int one = 1;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (fd < 0)
+    return RO_ERR_LISTEN;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind (fd, (struct sockaddr *)&route->listen_name,
+            sizeof route->listen_name)
+          != 0
+      || listen (fd, LISTEN_BACKLOG) != 0)
+    {
+      close (fd);
+      return RO_ERR_LISTEN;
+    }
+  route->listen_fd = fd;
+  ev_io_init (&route->acceptable, on_acceptable, fd, EV_READ);
+  route->acceptable.data = route;
+  ev_io_start (route->loop, &route->acceptable);
+  return RO_OK;
+}
+
+static void
+listen_stop (struct ro_route *route)
+{
+  if (route->listen_fd < 0)
+    return;
+  ev_io_stop (route->loop, &route->acceptable);
+  close (route->listen_fd);
+  route->listen_fd = NO_FD;
+}
+
+static bool
+parse_server (struct sockaddr_in *name, const char *text)
+{
+  gchar **parts = g_strsplit (text, ":", 2);
+  bool valid = g_strv_length (parts) == 2
+               && inet_pton (AF_INET, parts[0], &name->sin_addr) == 1;
+
+  name->sin_family = AF_INET;
+  if (valid)
+    name->sin_port = htons ((uint16_t)g_ascii_strtoull (parts[1], NULL, 10));
+  g_strfreev (parts);
+  return valid && name->sin_port != 0;
+}
+
+int
+ro_create (struct ro_route **out, struct ev_loop *loop, const char *address,
+           uint16_t port, const char *server)
+{
+  struct ro_route *route = g_new0 (struct ro_route, 1);
+  int error = RO_ERR_ADDRESS;
+
+  route->loop = loop;
+  route->listen_fd = NO_FD;
+  route->port = port;
+  g_queue_init (&route->connections);
+  route->reserved = po_reserve (address, &route->port);
+  if (route->reserved < 0)
+    {
+      error = RO_ERR_LISTEN;
+      goto fail;
+    }
+  if (!parse_server (&route->server_name, server)
+      || inet_pton (AF_INET, address, &route->listen_name.sin_addr) != 1)
+    goto fail;
+  route->listen_name.sin_family = AF_INET;
+  route->listen_name.sin_port = htons (route->port);
+  error = listen_start (route);
+  if (error != RO_OK)
+    goto fail;
+  *out = route;
+  return RO_OK;
+
+fail:
+  ro_free (route);
+  return error;
+}
+
+void
+ro_free (struct ro_route *route)
+{
+  if (route == NULL)
+    return;
+  listen_stop (route);
+  while (!g_queue_is_empty (&route->connections))
+    connection_free (g_queue_peek_head (&route->connections));
+  if (route->reserved >= 0)
+    close (route->reserved);
+  g_free (route);
+}
+
+uint16_t
+ro_port (const struct ro_route *route)
+{
+  return route->port;
+}
+
+/* --- Faults --- */
+
+/* Calls FAULT for each connection that is not silent; it may free it.  */
+static void
+each_connection (struct ro_route *route,
+                 void (*fault) (struct connection *connection))
+{
+  struct connection *connection;
+  GList *link;
+  GList *next;
+
+  for (link = route->connections.head; link != NULL; link = next)
+    {
+      next = link->next;
+      connection = link->data;
+      if (!connection->silent)
+        fault (connection);
+    }
+}
+
+void
+ro_reset (struct ro_route *route)
+{
+  each_connection (route, connection_free);
+}
+
+void
+ro_cut (struct ro_route *route, bool cut)
+{
+  if (cut)
+    {
+      listen_stop (route);
+      ro_reset (route);
+    }
+  else if (route->listen_fd < 0)
+    listen_start (route);
+}
+
+static void
+apply_delay (struct connection *connection)
+{
+  if (connection->to != NULL)
+    pi_set_delay (connection->to, connection->route->delay_ms);
+  if (connection->from != NULL)
+    pi_set_delay (connection->from, connection->route->delay_ms);
+}
+
+void
+ro_set_delay (struct ro_route *route, uint32_t delay_ms)
+{
+  route->delay_ms = delay_ms;
+  each_connection (route, apply_delay);
+}
+
+static void
+freeze_to (struct connection *connection)
+{
+  if (connection->to != NULL)
+    pi_freeze (connection->to, connection->route->frozen_to);
+}
+
+static void
+freeze_from (struct connection *connection)
+{
+  if (connection->from != NULL)
+    pi_freeze (connection->from, connection->route->frozen_from);
+}
+
+void
+ro_freeze (struct ro_route *route, bool to, bool from)
+{
+  route->frozen_to = to;
+  route->frozen_from = from;
+  each_connection (route, freeze_to);
+  each_connection (route, freeze_from);
+}
+
+void
+ro_drop_answers (struct ro_route *route, uint32_t count)
+{
+  route->drop_answers = count;
+}
+
+static void
+silence (struct connection *connection)
+{
+  connection->silent = true;
+  if (connection->to != NULL)
+    pi_silence (connection->to);
+  if (connection->from != NULL)
+    pi_silence (connection->from);
+}
+
+void
+ro_silence (struct ro_route *route)
+{
+  each_connection (route, silence);
+}
+
+json_t *
+ro_json (const struct ro_route *route)
+{
+  uint64_t bytes_to = route->bytes_to;
+  uint64_t bytes_from = route->bytes_from;
+  const struct connection *connection;
+  const GList *link;
+
+  for (link = route->connections.head; link != NULL; link = link->next)
+    {
+      connection = link->data;
+      if (connection->to != NULL)
+        bytes_to += pi_bytes (connection->to);
+      if (connection->from != NULL)
+        bytes_from += pi_bytes (connection->from);
+    }
+  return json_pack ("{s:i,s:I,s:I,s:I,s:I,s:I}", "port", (int)route->port,
+                    "connections", (json_int_t)route->connections.length,
+                    "accepted", (json_int_t)route->accepted, "bytes_to",
+                    (json_int_t)bytes_to, "bytes_from", (json_int_t)bytes_from,
+                    "drop_answer", (json_int_t)route->drop_answers);
+}
--- a/tests/standins/ft-upstreams/upstream.c
+++ b/tests/standins/ft-upstreams/upstream.c
@@ -32,6 +32,7 @@
   ev_timer timer;
   char *id;
   char *body;
+  char *digest; /* of the body */
   uint64_t run_ms;
   uint64_t size_bytes;
   bool fail;
@@ -65,6 +66,7 @@
   g_queue_unlink (&work->instance->works, &work->link);
   g_free (work->id);
   g_free (work->body);
+  g_free (work->digest);
   g_free (work);
 }
 
@@ -130,9 +132,9 @@
 
   hf_write (work->instance->params.history, work->instance->params.name,
             "answer",
-            json_pack ("{s:s,s:I,s:i,s:s}", "request", work->id, "bytes",
-                       (json_int_t)text->len, "status", (int)status, "answer",
-                       digest));
+            json_pack ("{s:s,s:s,s:I,s:i,s:s}", "request", work->id, "body",
+                       work->digest, "bytes", (json_int_t)text->len, "status",
+                       (int)status, "answer", digest));
   g_free (digest);
 }
 
@@ -208,16 +210,13 @@
 }
 
 static void
-note_run (const struct work *work, size_t size_bytes)
+note_run (const struct work *work)
 {
-  char *digest = digest_of (work->body, size_bytes);
-
   hf_write (work->instance->params.history, work->instance->params.name, "run",
             json_pack ("{s:s,s:s,s:I,s:s}", "request", work->id, "team",
                        header_of (work->request, "Foxtailgap-Team"),
                        "slots_used", (json_int_t)work->instance->works.length,
-                       "body", digest));
-  g_free (digest);
+                       "body", work->digest));
 }
 
 static void
@@ -250,11 +249,12 @@
   work->request = request;
   work->id = g_strdup (header_of (request, "Foxtailgap-Request-Id"));
   work->body = g_strndup (body, size_bytes);
+  work->digest = digest_of (body, size_bytes);
   work->link.data = work;
   g_queue_push_tail_link (&instance->works, &work->link);
   hs_on_gone (request, on_gone, work);
   read_wishes (work, size_bytes);
-  note_run (work, size_bytes);
+  note_run (work);
   ev_timer_init (&work->timer, on_finished, (ev_tstamp)work->run_ms / MS_PER_S,
                  0.0);
   work->timer.data = work;
