--- a/programs/foxtailgapd/planner.h
+++ b/programs/foxtailgapd/planner.h
@@ -45,6 +45,7 @@
   struct st_job *job; /* one reference */
   uint32_t attempt;
   int64_t since_ms;
+  bool stop_failed;  /* a stop was not answered */
   GHashTable *calls; /* set of struct planner_call, under way */
 };
 
--- a/programs/foxtailgapd/planner_calls.c
+++ b/programs/foxtailgapd/planner_calls.c
@@ -67,13 +67,20 @@
 
 /* ===== Answers ================================================ */
 
+/* Stops are repeated until they are answered: only the first failure is worth
+   a line.  */
 static void
-log_failure (const struct planner_gang *pg, size_t member,
+log_failure (struct planner_gang *pg, size_t member,
              const struct ls_answer *answer)
 {
-  lg_info (PLANNER_PART, "A worker did not do what was asked.", "request",
-           ls_path (answer->kind), "worker", gang_worker (pg->gang, member),
-           "job", pg->job->id, "error", ls_strerror (answer->error), NULL);
+  GLogLevelFlags level
+      = pg->stop_failed ? G_LOG_LEVEL_DEBUG : G_LOG_LEVEL_INFO;
+
+  pg->stop_failed = pg->stop_failed || answer->kind == LS_STOP;
+  lg_write (level, PLANNER_PART, "A worker did not do what was asked.",
+            "request", ls_path (answer->kind), "worker",
+            gang_worker (pg->gang, member), "job", pg->job->id, "error",
+            ls_strerror (answer->error), NULL);
 }
 
 static void
--- a/programs/foxtailgapd/renewal.h
+++ b/programs/foxtailgapd/renewal.h
@@ -18,7 +18,7 @@
   RENEWAL_CALL_TIMEOUT_MS = 2000,
   RENEWAL_APPEND_DEADLINE_MS = 5000,
   RENEWAL_LOST_FAILURES = 3, /* in a row, before a worker may count as lost */
-  RENEWAL_ALONE_FACTOR = 3,  /* longer, if this host reaches no worker */
+  RENEWAL_ALONE_FACTOR = 3,  /* longer, if none of several answers */
   RENEWAL_IDLE_CONNECTIONS = 64
 };
 
--- a/programs/foxtailgapd/renewal_calls.c
+++ b/programs/foxtailgapd/renewal_calls.c
@@ -49,16 +49,33 @@
 
 /* ===== Failures =============================================== */
 
+/* Whether none of several workers answers this host.  */
+static bool
+is_cut_off (const struct renewal_task *task, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  size_t silent = 0;
+
+  if (now_ms - task->last_ok_ms <= task->daemon->settings->lease_ttl_ms)
+    return false;
+  g_hash_table_iter_init (&iter, task->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const struct renewal_worker *)value)->failures > 0)
+      silent++;
+  return silent > 1;
+}
+
 /* A worker counts as lost once no lease of it can be in force, whoever
-   renewed it last.  A host that reaches no worker at all is more likely cut
-   off itself.  */
+   renewed it last.  A host that reaches none of several workers is more
+   likely cut off itself.  */
 static uint32_t
 lost_after_ms (const struct renewal_task *task, int64_t now_ms)
 {
   const struct settings *settings = task->daemon->settings;
   uint32_t bound_ms = settings->lease_ttl_ms + (2 * settings->lease_renew_ms);
 
-  if (now_ms - task->last_ok_ms > settings->lease_ttl_ms)
+  if (is_cut_off (task, now_ms))
     return RENEWAL_ALONE_FACTOR * bound_ms;
   return bound_ms;
 }
