--- a/lib/lease/gang.c
+++ b/lib/lease/gang.c
@@ -157,7 +157,8 @@
     case GANG_REPLY_BUSY:
     case GANG_REPLY_ENDED:
       gang_begin_stop (gang, event->now_ms, PLACE_END_NOT_STARTED,
-                       member->worker, "a worker did not start its tasks");
+                       is_to_blame (event->reply) ? member->worker : NULL,
+                       "a worker did not start its tasks");
       break;
     }
 }
--- a/programs/foxtailgapd/planner.h
+++ b/programs/foxtailgapd/planner.h
@@ -123,6 +123,9 @@
 
 int64_t planner_now_ms (void); /* monotonic */
 
+/* From the log's time to the monotonic clock of this host.  */
+int64_t planner_from_log_ms (int64_t time_ms);
+
 /* ===== planner_term.c ========================================= */
 
 /* Notes one pass of the loop.  Returns whether this process may act: after
--- a/programs/foxtailgapd/planner_calls.c
+++ b/programs/foxtailgapd/planner_calls.c
@@ -53,6 +53,7 @@
     case LS_ERR_BUSY:
       return GANG_REPLY_BUSY;
     case LS_ERR_ENDED:
+    case LS_ERR_NO_LEASE:
       return GANG_REPLY_ENDED;
     case LS_ERR_NOT_SENT:
     case LS_ERR_MEMORY:
--- a/programs/foxtailgapd/planner_gangs.c
+++ b/programs/foxtailgapd/planner_gangs.c
@@ -237,6 +237,7 @@
   g_free (assignments);
   if (pg == NULL)
     return;
+  pg->since_ms = planner_from_log_ms (job->changed_ms);
   lg_info (PLANNER_PART, "A gang is taken on.", "job", job->id, "attempt",
            lg_number (job->attempt), "state", st_job_state_name (job->state),
            NULL);
--- a/programs/foxtailgapd/planner_jobs.c
+++ b/programs/foxtailgapd/planner_jobs.c
@@ -22,9 +22,8 @@
 
 /* ===== The placement core's view of a job ===================== */
 
-/* From the log's time to the monotonic clock of this host.  */
-static int64_t
-to_monotonic_ms (int64_t time_ms)
+int64_t
+planner_from_log_ms (int64_t time_ms)
 {
   int64_t age_ms = (g_get_real_time () / G_TIME_SPAN_MILLISECOND) - time_ms;
 
@@ -48,7 +47,7 @@
                          .accelerators = shape->accelerators },
                .span = (enum place_span)shape->span },
     .declared_run_ms = spec->declared_run_ms,
-    .submitted_ms = to_monotonic_ms (job->submitted_ms),
+    .submitted_ms = planner_from_log_ms (job->submitted_ms),
     .progress_ms = job->progress_ms,
     .attempt = job->attempt,
     .urgent = spec->urgency > 0,
@@ -86,7 +85,7 @@
   for (i = 0; i < job->task_count; i++)
     assignments[i] = job->tasks[i].assignment;
   error = place_restore (task->place, &place_job, assignments, job->task_count,
-                         to_monotonic_ms (job->changed_ms));
+                         planner_from_log_ms (job->changed_ms));
   if (error != PLACE_OK)
     lg_warning (PLANNER_PART, "A placed job is not known to the core.", "job",
                 job->id, "error", place_strerror (error), NULL);
--- a/programs/foxtailgapd/planner_workers.c
+++ b/programs/foxtailgapd/planner_workers.c
@@ -48,23 +48,53 @@
   return TRUE;
 }
 
+static bool
+same_capacity (const struct hl_host *a, const struct hl_host *b)
+{
+  return a->cpus_milli == b->cpus_milli && a->memory_mb == b->memory_mb
+         && a->accelerators == b->accelerators
+         && g_str_equal (a->rack, b->rack)
+         && g_str_equal (a->data_centre, b->data_centre);
+}
+
+/* Removes workers from the set of usable ones if BEFORE had another capacity,
+   so that they are told anew.  */
+static void
+forget_changed (struct planner_task *task, const struct hl_list *before)
+{
+  const struct hl_host *host;
+  size_t i;
+
+  for (i = 0; i < before->host_count; i++)
+    {
+      if (before->hosts[i].kind != HL_WORKER)
+        continue;
+      host = planner_worker (task, before->hosts[i].name);
+      if (host != NULL && !same_capacity (host, &before->hosts[i]))
+        g_hash_table_remove (task->up, host->name);
+    }
+}
+
 void
 planner_on_hosts (struct planner_task *task, struct hl_list *hosts)
 {
+  struct hl_list *before = task->hosts;
   size_t i;
 
-  if (task->hosts != NULL && task->hosts->version == hosts->version)
+  if (before != NULL && before->version == hosts->version)
     {
       hl_unref (hosts);
       return;
     }
   g_hash_table_remove_all (task->workers);
-  hl_unref (task->hosts);
   task->hosts = hosts;
   for (i = 0; i < hosts->host_count; i++)
     if (hosts->hosts[i].kind == HL_WORKER)
       g_hash_table_insert (task->workers, hosts->hosts[i].name,
                            &hosts->hosts[i]);
+  if (before != NULL)
+    forget_changed (task, before);
+  hl_unref (before);
   if (task->place != NULL)
     planner_apply_hosts (task);
   else
@@ -74,11 +104,15 @@
 void
 planner_apply_hosts (struct planner_task *task)
 {
+  const struct hl_host *host;
   size_t i;
 
   g_hash_table_foreach_remove (task->up, worker_down, task);
   for (i = 0; i < task->hosts->host_count; i++)
-    if (usable (&task->hosts->hosts[i]))
-      worker_up (task, &task->hosts->hosts[i]);
+    {
+      host = &task->hosts->hosts[i];
+      if (usable (host) && !g_hash_table_contains (task->up, host->name))
+        worker_up (task, host);
+    }
   planner_want_round (task);
 }
