--- a/lib/place/place_decide.c
+++ b/lib/place/place_decide.c
@@ -21,6 +21,32 @@
                          place->commands->len - 1);
 }
 
+/* ===== Whether a team may start more ========================== */
+
+bool
+place_paused (const struct place *place, const struct place_job_state *job)
+{
+  return place->paused || job->team->paused;
+}
+
+static bool
+above (const struct place_amount *used, const struct place_amount *quota)
+{
+  return (quota->cpus_milli > 0 && used->cpus_milli > quota->cpus_milli)
+         || (quota->memory_mb > 0 && used->memory_mb > quota->memory_mb)
+         || (quota->accelerators > 0
+             && used->accelerators > quota->accelerators);
+}
+
+bool
+place_over_quota (const struct place_job_state *job)
+{
+  struct place_amount used = place_times (&job->each, job->shape.tasks);
+
+  place_add (&used, &job->team->used);
+  return above (&used, &job->team->quota);
+}
+
 /* ===== Starts ================================================= */
 
 static struct place_assignment *
@@ -109,11 +135,16 @@
   return true;
 }
 
+/* Whether the claim must end: its workers, its team or its quota went.  */
 static bool
 claim_lost (const struct place_job_state *job)
 {
   uint32_t i;
 
+  if (job->team->gone || above (&job->team->used, &job->team->quota)
+      || (job->borrowed && !place_may_borrow (job)))
+    return true;
+
   for (i = 0; i < job->spot_count; i++)
     if (!place_usable (job->spots[i].worker))
       return true;
@@ -147,7 +178,8 @@
 {
   place_unclaim (place, job);
   place_queue_insert (job);
-  job->wait = "waits again: workers held for it were lost";
+  place->rejudge = true;
+  job->wait = "waits again: what was held for it was lost";
 }
 
 static void
@@ -181,25 +213,6 @@
 
 /* ===== Queued jobs ============================================ */
 
-bool
-place_paused (const struct place *place, const struct place_job_state *job)
-{
-  return place->paused || job->team->paused;
-}
-
-bool
-place_over_quota (const struct place_job_state *job)
-{
-  const struct place_amount *quota = &job->team->quota;
-  struct place_amount used = place_times (&job->each, job->shape.tasks);
-
-  place_add (&used, &job->team->used);
-  return (quota->cpus_milli > 0 && used.cpus_milli > quota->cpus_milli)
-         || (quota->memory_mb > 0 && used.memory_mb > quota->memory_mb)
-         || (quota->accelerators > 0
-             && used.accelerators > quota->accelerators);
-}
-
 /* Starts a job on what is free, as borrowed work if there are
    guarantees.  */
 static bool
@@ -230,6 +243,8 @@
 {
   const struct place_policy *policy = place->params.policy;
 
+  if (place_now (place) >= job->failed_until_ms)
+    job->failed_count = 0;
   if (place_paused (place, job))
     {
       job->wait = "waits because starts are paused";
@@ -245,7 +260,7 @@
   if (policy->guarantees && !place_may_borrow (job))
     {
       job->wait = "waits for a guarantee of its team; it may not borrow";
-      place_unit_wait (job);
+      place_unit_wait (place, job);
       return false;
     }
   if (start_free (place, job))
@@ -392,7 +407,10 @@
 {
   int64_t next = place_health_next_ms (place);
 
-  if (place->changed || place->dirty || place->notices->len > 0)
+  if (place->changed || place->dirty || place->rejudge
+      || place->notices->len > 0)
     return place_now (place);
+  if (place->unbar_ms > place_now (place))
+    next = MIN (next, place->unbar_ms);
   return MIN (next, place_reservations_next_ms (place));
 }
--- a/lib/place/place_event.c
+++ b/lib/place/place_event.c
@@ -173,7 +173,10 @@
       place_unclaim (place, state);
       place_job_remove (place, state);
       break;
-    case PLACE_RUNNING:
+    case PLACE_RUNNING: /* the caller stops it */
+      place_evicting_begin (state);
+      state->cancelled = true;
+      break;
     case PLACE_EVICTING:
       state->cancelled = true;
       break;
@@ -234,6 +237,7 @@
 queue_again (struct place *place, struct place_job_state *job)
 {
   const char *reason = why_not_again (place, job);
+  char text[PLACE_TEXT_SIZE_BYTES];
 
   if (reason != NULL)
     {
@@ -248,6 +252,8 @@
   job->backfill = false;
   job->wait = "is queued again";
   place_queue_insert (job);
+  if (job->team->gone || place_never (place, job, text) != PLACE_OK)
+    place->rejudge = true;
 }
 
 int
--- a/lib/place/place_evict.c
+++ b/lib/place/place_evict.c
@@ -106,7 +106,7 @@
       double cost;
       bool enough;
 
-      if (job->phase != PLACE_RUNNING || !job->borrowed || job->cancelled
+      if (job->phase != PLACE_RUNNING || !job->borrowed
           || (taken != NULL && g_ptr_array_find (taken, job, NULL)))
         continue;
       amount = amount_here (job, worker);
--- a/lib/place/place_firm.c
+++ b/lib/place/place_firm.c
@@ -18,7 +18,8 @@
   struct place_job_state *job;
   struct place_spot spots[PLACE_TASK_LIMIT];
   uint32_t count;
-  bool evict; /* room may come from evictions */
+  bool evict;  /* room may come from evictions */
+  bool spread; /* tasks may be in several units */
 };
 
 /* Whether any worker of UNIT is one that JOB may not use.  */
@@ -96,16 +97,26 @@
     }
 }
 
-/* Used units first, so that whole ones stay whole; of unused ones the
-   smallest.  */
+static bool
+shape_exact (const struct place_unit *unit, const struct place_job_state *job)
+{
+  return unit->jobs == 0 && unit->shape.tasks == job->shape.tasks
+         && place_covers (&job->each, &unit->each);
+}
+
+/* The order in which units are used: the exact shape; then used ones, so
+   that whole ones stay whole; then the smallest.  */
 static int
-compare_for_use (const void *a, const void *b)
+compare_for_use (const void *a, const void *b, void *ctx)
 {
   const struct place_unit *left = *(struct place_unit *const *)a;
   const struct place_unit *right = *(struct place_unit *const *)b;
+  const struct place_job_state *job = ctx;
   int64_t l = left->each.accelerators * left->shape.tasks;
   int64_t r = right->each.accelerators * right->shape.tasks;
 
+  if (shape_exact (left, job) != shape_exact (right, job))
+    return shape_exact (left, job) ? -1 : 1;
   if ((left->jobs > 0) != (right->jobs > 0))
     return left->jobs > 0 ? -1 : 1;
   if (l != r)
@@ -115,7 +126,7 @@
   return (l > r) - (l < r);
 }
 
-/* Finds slots for all tasks: in one unit, or in several if the job may be
+/* Finds slots for all tasks: in one unit, or in several if the tasks may be
    spread.  On success the notes stay until take_back ().  */
 static bool
 take_slots (struct place *place, struct take *take, GPtrArray *units)
@@ -130,7 +141,7 @@
         return true;
       take_back (take, 0);
     }
-  if (job->shape.span != PLACE_SPAN_ANY || job->shape.tasks == 1)
+  if (!take->spread)
     return false;
   for (i = 0; i < units->len && take->count < job->shape.tasks; i++)
     take_from (place, take, units->pdata[i]);
@@ -141,7 +152,7 @@
 }
 
 static GPtrArray *
-units_for (const struct place_job_state *job)
+units_for (struct place_job_state *job)
 {
   GPtrArray *units = g_ptr_array_new ();
   guint i;
@@ -154,7 +165,7 @@
           && place_goes_into (&unit->each, &job->each, 1) > 0)
         g_ptr_array_add (units, unit);
     }
-  g_ptr_array_sort (units, compare_for_use);
+  g_ptr_array_sort_with_data (units, compare_for_use, job);
   return units;
 }
 
@@ -174,15 +185,17 @@
 
 /* ===== Moving units to free workers =========================== */
 
+/* Whether JOB may use all workers of UNIT and they are free.  */
 static bool
-unit_free_now (const struct place_unit *unit)
+unit_ready (const struct place_unit *unit, const struct place_job_state *job)
 {
   struct place_amount free;
   uint32_t i;
 
   for (i = 0; i < unit->shape.tasks; i++)
     {
-      if (unit->slots[i].worker == NULL)
+      if (unit->slots[i].worker == NULL
+          || worker_barred (job, unit->slots[i].worker))
         return false;
       free = place_view_of (unit->slots[i].worker, PLACE_VIEW_FREE);
       if (!place_covers (&free, &unit->each))
@@ -209,19 +222,6 @@
   place_unit_bind (b, spots_a);
 }
 
-static bool
-unit_in_centre (const struct place_unit *unit,
-                const struct place_centre *centre)
-{
-  uint32_t i;
-
-  for (i = 0; centre != NULL && i < unit->shape.tasks; i++)
-    if (unit->slots[i].worker == NULL
-        || unit->slots[i].worker->rack->centre != centre)
-      return false;
-  return true;
-}
-
 /* Exchanges an unused unit with one of the same shape that stands on free
    workers.  */
 static bool
@@ -245,7 +245,7 @@
             continue;
           if (looked++ >= TRADE_LIMIT)
             return false;
-          if (!unit_free_now (other) || !unit_in_centre (other, job->centre))
+          if (!unit_ready (other, job))
             continue;
           exchange (unit, other);
           return true;
@@ -288,9 +288,7 @@
     {
       struct place_unit *unit = units->pdata[i];
 
-      if (unit->jobs > 0 || unit->missing > 0
-          || (unit_free_now (unit)
-              && unit_in_centre (unit, take->job->centre)))
+      if (unit->jobs > 0 || unit->missing > 0 || unit_ready (unit, take->job))
         continue;
       moves++;
       if (unit_move (place, unit, take->job)
@@ -394,26 +392,83 @@
         continue;
       place_unclaim (place, job);
       place_queue_insert (job);
+      place->rejudge = true;
       job->wait = "waits again: the owner of its workers came first";
       any = true;
     }
   return any;
 }
 
+static bool
+use_units (struct place *place, struct take *take, GPtrArray *units)
+{
+  if (take_slots (place, take, units) || move_and_take (place, take, units))
+    {
+      start_taken (place, take);
+      return true;
+    }
+  if (reclaim (place, take, units))
+    return true;
+  if (undo_claims (place) && reclaim (place, take, units))
+    return true;
+  take->evict = false;
+  return false;
+}
+
+/* Whether two units are used alike: both by jobs, or neither and of one
+   shape.  */
+static bool
+same_class (const struct place_unit *a, const struct place_unit *b)
+{
+  if (a->jobs > 0 || b->jobs > 0)
+    return a->jobs > 0 && b->jobs > 0;
+  return place_same_shape (&a->shape, &b->shape);
+}
+
+/* The units that are alike, from AT on.  */
+static GPtrArray *
+class_of (const GPtrArray *units, guint at)
+{
+  GPtrArray *alike = g_ptr_array_new ();
+  guint i;
+
+  for (i = at; i < units->len; i++)
+    if (same_class (units->pdata[at], units->pdata[i]))
+      g_ptr_array_add (alike, units->pdata[i]);
+  return alike;
+}
+
+static bool
+class_seen (const GPtrArray *units, guint at)
+{
+  guint i;
+
+  for (i = 0; i < at; i++)
+    if (same_class (units->pdata[i], units->pdata[at]))
+      return true;
+  return false;
+}
+
+/* A larger unit is broken into only when no smaller one serves, even if that
+   takes an eviction: otherwise the team would lose its larger shape.  */
 bool
 place_firm_try (struct place *place, struct place_job_state *job)
 {
   g_autoptr (GPtrArray) units = units_for (job);
   struct take take = { .job = job };
+  guint i;
 
-  if (units->len == 0)
-    return false;
-  if (take_slots (place, &take, units) || move_and_take (place, &take, units))
+  for (i = 0; i < units->len; i++)
     {
-      start_taken (place, &take);
-      return true;
+      g_autoptr (GPtrArray) alike = NULL;
+
+      if (class_seen (units, i))
+        continue;
+      alike = class_of (units, i);
+      if (use_units (place, &take, alike))
+        return true;
     }
-  if (reclaim (place, &take, units))
-    return true;
-  return undo_claims (place) && reclaim (place, &take, units);
+  take.spread = job->shape.tasks > 1 && job->shape.span == PLACE_SPAN_ANY
+                && job->centre == NULL;
+  return units->len > 1 && take.spread && use_units (place, &take, units);
 }
--- a/lib/place/place_guarantee.c
+++ b/lib/place/place_guarantee.c
@@ -10,6 +10,15 @@
 
 /* ===== Binding ================================================ */
 
+/* The data centre in which a job waits for a unit, or NULL.  */
+static struct place_centre *
+wanted_centre (const struct place_unit *unit)
+{
+  if (unit->waiter == NULL || unit->jobs > 0)
+    return NULL;
+  return unit->waiter->centre;
+}
+
 /* The hardest to place come first.  */
 static int
 compare_units (const void *a, const void *b)
@@ -21,6 +30,8 @@
   bool tight_left = left->shape.span >= PLACE_SPAN_RACK;
   bool tight_right = right->shape.span >= PLACE_SPAN_RACK;
 
+  if ((wanted_centre (left) != NULL) != (wanted_centre (right) != NULL))
+    return wanted_centre (left) != NULL ? -1 : 1;
   if (tight_left != tight_right)
     return tight_left ? -1 : 1;
   if (l != r)
@@ -33,21 +44,32 @@
 }
 
 static bool
-unit_place (struct place *place, struct place_unit *unit)
+unit_place_in (struct place *place, struct place_unit *unit,
+               struct place_centre *centre, enum place_view view)
 {
   struct place_spot spots[PLACE_TASK_LIMIT];
-  struct place_search search = place_unit_search (unit, PLACE_VIEW_BOTH);
+  struct place_search search = place_unit_search (unit, view);
 
+  search.centre = centre;
   if (!place_fit (place, &search, spots))
-    {
-      search.view = PLACE_VIEW_FIRM;
-      if (!place_fit (place, &search, spots))
-        return false;
-    }
+    return false;
   place_unit_bind (unit, spots);
   return true;
 }
 
+static bool
+unit_place (struct place *place, struct place_unit *unit)
+{
+  struct place_centre *centre = wanted_centre (unit);
+
+  if (centre != NULL
+      && (unit_place_in (place, unit, centre, PLACE_VIEW_BOTH)
+          || unit_place_in (place, unit, centre, PLACE_VIEW_FIRM)))
+    return true;
+  return unit_place_in (place, unit, NULL, PLACE_VIEW_BOTH)
+         || unit_place_in (place, unit, NULL, PLACE_VIEW_FIRM);
+}
+
 /* Unbinds the free slots of a used unit that are on unusable workers, and
    binds them near the others again.  */
 static void
@@ -261,8 +283,9 @@
   units_release_lost (place, units);
   attach_all (place);
   qsort (units->pdata, units->len, sizeof (gpointer), compare_units);
-  if (units_place (place, units) > 0)
+  if (units_place (place, units) > 0 || place->repack)
     units_repack (place, units);
+  place->repack = false;
   for (i = 0; i < units->len; i++)
     unit_tell (place, units->pdata[i]);
 }
--- a/lib/place/place_health.c
+++ b/lib/place/place_health.c
@@ -105,6 +105,9 @@
   if (ran && !remembered (job, worker))
     job->failures++;
   remember (job, worker);
+  job->failed_until_ms
+      = place_now (place) + (int64_t)place->params.quarantine_ms;
+  place->unbar_ms = MAX (place->unbar_ms, job->failed_until_ms);
   if (blamed_by (worker, job->hash) || job->accused >= TESTIMONY_LIMIT)
     return;
   job->accused++;
--- a/lib/place/place_inner.h
+++ b/lib/place/place_inner.h
@@ -174,8 +174,9 @@
   uint32_t spot_count;
   struct place_spot *spots;
   struct place_reservation *reservation;
-  uint32_t accused;  /* workers that count its failures */
-  uint32_t failures; /* that are not put down to a worker */
+  uint32_t accused;        /* workers that count its failures */
+  uint32_t failures;       /* that are not put down to a worker */
+  int64_t failed_until_ms; /* when it may use these again */
   uint32_t failed_count;
   struct place_worker_state *failed[PLACE_FAILED_WORKER_LIMIT];
   const char *wait; /* why it waits: a constant text */
@@ -244,7 +245,9 @@
   bool changed;              /* an event since the last round */
   bool rejudge;              /* queued jobs may have become impossible */
   bool paused;
-  bool short_of; /* a guarantee cannot be met */
+  bool repack;      /* a unit is wanted in another data centre */
+  int64_t unbar_ms; /* the last FAILED_UNTIL_MS of any job */
+  bool short_of;    /* a guarantee cannot be met */
   GArray *commands;
   GStringChunk *texts;
   GPtrArray *blocks; /* assignment arrays of the last round */
@@ -365,7 +368,7 @@
 /* Whether a worker is usable and has all that is promised on it.  */
 bool place_keeps_promises (const struct place_worker_state *worker);
 /* Keeps units of its team from taking other jobs until JOB fits.  */
-void place_unit_wait (struct place_job_state *job);
+void place_unit_wait (struct place *place, struct place_job_state *job);
 void place_unit_waiter_drop (struct place_job_state *job);
 
 /* ===== place_guarantee.c ====================================== */
--- a/lib/place/place_never.c
+++ b/lib/place/place_never.c
@@ -152,11 +152,26 @@
 
 /* ===== Guarantees ============================================= */
 
+/* Whether a unit could be bound in the data centre that the job names.  */
+static bool
+unit_fits_centre (struct place *place, const struct place_unit *unit,
+                  const struct place_job_state *job)
+{
+  struct place_spot spots[PLACE_TASK_LIMIT];
+  struct place_search search = place_unit_search (unit, PLACE_VIEW_CAPACITY);
+
+  if (job->centre == NULL || place->racks->len == 0)
+    return true;
+  search.centre = job->centre;
+  return place_fit (place, &search, spots);
+}
+
 static uint32_t
-tasks_in_unit (const struct place_unit *unit,
+tasks_in_unit (struct place *place, const struct place_unit *unit,
                const struct place_job_state *job)
 {
-  if (unit->shape.span < job->shape.span)
+  if (unit->shape.span < job->shape.span
+      || !unit_fits_centre (place, unit, job))
     return 0;
   return place_goes_into (&unit->each, &job->each, PLACE_TASK_LIMIT)
          * unit->shape.tasks;
@@ -164,7 +179,7 @@
 
 /* For a job that may not borrow.  */
 static int
-never_in_guarantee (const struct place_job_state *job,
+never_in_guarantee (struct place *place, const struct place_job_state *job,
                     char text[PLACE_TEXT_SIZE_BYTES])
 {
   GPtrArray *units = job->team->units;
@@ -176,12 +191,12 @@
 
   for (i = 0; i < units->len; i++)
     {
-      uint32_t tasks = tasks_in_unit (units->pdata[i], job);
+      uint32_t tasks = tasks_in_unit (place, units->pdata[i], job);
 
       together += MIN (tasks, PLACE_TASK_LIMIT);
       most = MAX (most, tasks);
     }
-  if (job->shape.span == PLACE_SPAN_ANY)
+  if (job->shape.span == PLACE_SPAN_ANY && job->centre == NULL)
     most = MAX (most, together);
   if (most >= job->shape.tasks)
     return PLACE_OK;
@@ -207,6 +222,6 @@
     error = never_in_quota (job, text);
   if (error == PLACE_OK && place->params.policy->guarantees
       && !place_may_borrow (job))
-    error = never_in_guarantee (job, text);
+    error = never_in_guarantee (place, job, text);
   return error;
 }
--- a/lib/place/place_state.c
+++ b/lib/place/place_state.c
@@ -95,6 +95,8 @@
 {
   if (place == NULL)
     return;
+  while (place->reservations->len > 0)
+    place_reservation_drop (place, place->reservations->pdata[0]);
   g_hash_table_destroy (place->jobs);
   g_hash_table_destroy (place->teams);
   g_hash_table_destroy (place->workers);
--- a/lib/place/place_unit.c
+++ b/lib/place/place_unit.c
@@ -130,7 +130,7 @@
 }
 
 void
-place_unit_wait (struct place_job_state *job)
+place_unit_wait (struct place *place, struct place_job_state *job)
 {
   GPtrArray *units = job->team->units;
   uint32_t kept = 0;
@@ -156,6 +156,11 @@
     }
   if (kept < job->shape.tasks)
     place_unit_waiter_drop (job);
+  else if (job->centre != NULL)
+    {
+      place->dirty = true;
+      place->repack = true;
+    }
 }
 
 /* ===== New guarantees ========================================= */
