--- a/tests/faultproxy/route.c
+++ b/tests/faultproxy/route.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -15,6 +16,7 @@
 enum
 {
   LISTEN_BACKLOG = 512,
+  HALF_OPEN_CHECK_MS = 50,
   NO_FD = -1
 };
 
@@ -45,6 +47,7 @@
   int server_fd;
   struct pi_pipe *to;   /* NULL: ended */
   struct pi_pipe *from; /* NULL: ended */
+  ev_timer half_open;   /* runs when one direction has ended */
   bool asking;          /* bytes have gone to the server since its last */
   bool drop_answer;
   bool silent;
@@ -75,6 +78,7 @@
 static void
 connection_free (struct connection *connection)
 {
+  ev_timer_stop (connection->route->loop, &connection->half_open);
   end_to (connection);
   end_from (connection);
   close (connection->client_fd);
@@ -89,6 +93,38 @@
   connection_free (ctx);
 }
 
+static bool
+is_reset (int fd)
+{
+  struct pollfd poller = { .fd = fd };
+
+  return poll (&poller, 1, 0) > 0
+         && (poller.revents & (POLLERR | POLLHUP)) != 0;
+}
+
+/* A socket that is not read any more does not tell of its reset.  */
+static void
+on_half_open (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct connection *connection = watcher->data;
+
+  (void)loop;
+  (void)events;
+  if (connection->silent)
+    return;
+  if (is_reset (connection->client_fd) || is_reset (connection->server_fd))
+    connection_free (connection);
+}
+
+static void
+watch_half_open (struct connection *connection)
+{
+  ev_timer_init (&connection->half_open, on_half_open,
+                 HALF_OPEN_CHECK_MS / 1000.0, HALF_OPEN_CHECK_MS / 1000.0);
+  connection->half_open.data = connection;
+  ev_timer_start (connection->route->loop, &connection->half_open);
+}
+
 static void
 on_to_ended (void *ctx)
 {
@@ -97,6 +133,8 @@
   end_to (connection);
   if (connection->from == NULL)
     connection_free (connection);
+  else
+    watch_half_open (connection);
 }
 
 static void
@@ -107,6 +145,8 @@
   end_from (connection);
   if (connection->to == NULL)
     connection_free (connection);
+  else
+    watch_half_open (connection);
 }
 
 /* The first bytes since the last answer begin a request.  */
--- /dev/null
+++ b/tests/history/check_requests.c
@@ -0,0 +1,234 @@
+/* Checks of requests to upstreams.  */
+
+#include "checks.h"
+
+#include <stdbool.h>
+#include <string.h>
+
+#include "standins/common/json_answer.h"
+
+/* What is known of one request.  */
+struct request
+{
+  char *label; /* for messages */
+  bool sent;
+  bool not_repeatable;
+  bool told_not_run;
+  GPtrArray *runs;    /* struct hi_event *, borrowed */
+  GPtrArray *answers; /* struct hi_event *, borrowed */
+  GPtrArray *told;    /* struct hi_event *, borrowed: finished */
+};
+
+/* Lines of tests name a request by its body's digest or by its id, those of
+   upstreams have both.  */
+struct requests
+{
+  GHashTable *by_body;
+  GHashTable *by_id;
+};
+
+static void
+request_free (gpointer data)
+{
+  struct request *request = data;
+
+  g_free (request->label);
+  g_ptr_array_free (request->runs, TRUE);
+  g_ptr_array_free (request->answers, TRUE);
+  g_ptr_array_free (request->told, TRUE);
+  g_free (request);
+}
+
+static struct request *
+request_of (GHashTable *table, const char *key, const char *kind)
+{
+  struct request *request = g_hash_table_lookup (table, key);
+
+  if (request != NULL)
+    return request;
+  request = g_new0 (struct request, 1);
+  request->label = g_strdup_printf ("%s %s", kind, key);
+  request->runs = g_ptr_array_new ();
+  request->answers = g_ptr_array_new ();
+  request->told = g_ptr_array_new ();
+  g_hash_table_insert (table, g_strdup (key), request);
+  return request;
+}
+
+/* @return : the request of a test's line, NULL if it names none.  */
+static struct request *
+named_request (const struct requests *requests, const struct hi_event *event)
+{
+  const char *body = hi_text (event, "body");
+  const char *id = hi_text (event, "request");
+
+  if (body != NULL)
+    return request_of (requests->by_body, body, "body");
+  if (id != NULL)
+    return request_of (requests->by_id, id, "request");
+  return NULL;
+}
+
+static void
+add_test_line (const struct requests *requests, const struct hi_event *event)
+{
+  struct request *request = named_request (requests, event);
+  const char *state = hi_text (event, "state");
+
+  if (request == NULL)
+    return;
+  if (strcmp (event->what, "sent") == 0)
+    {
+      request->sent = true;
+      if (!ja_flag (event->line, "repeatable", true))
+        request->not_repeatable = true;
+      return;
+    }
+  if (g_strcmp0 (state, "not_run") == 0)
+    request->told_not_run = true;
+  if (g_strcmp0 (state, "finished") == 0)
+    g_ptr_array_add (request->told, (gpointer)event);
+}
+
+static void
+add_upstream_line (const struct requests *requests,
+                   const struct hi_event *event)
+{
+  const char *body = hi_text (event, "body");
+  const char *id = hi_text (event, "request");
+  bool run = strcmp (event->what, "run") == 0;
+  struct request *request;
+
+  if (body != NULL)
+    {
+      request = request_of (requests->by_body, body, "body");
+      g_ptr_array_add (run ? request->runs : request->answers,
+                       (gpointer)event);
+    }
+  if (id != NULL && id[0] != '\0')
+    {
+      request = request_of (requests->by_id, id, "request");
+      g_ptr_array_add (run ? request->runs : request->answers,
+                       (gpointer)event);
+    }
+}
+
+static char *
+names_of (const GPtrArray *events)
+{
+  GString *names = g_string_new (NULL);
+  const struct hi_event *event;
+  guint i;
+
+  for (i = 0; i < events->len; i++)
+    {
+      event = g_ptr_array_index (events, i);
+      g_string_append_printf (names, "%s%s", i == 0 ? "" : ", ", event->who);
+    }
+  return g_string_free (names, FALSE);
+}
+
+static void
+check_runs (const struct request *request, struct re_report *report)
+{
+  char *names = names_of (request->runs);
+
+  if (request->not_repeatable)
+    {
+      re_checked (report, RE_AT_MOST_ONCE);
+      if (request->runs->len > 1)
+        re_violation (report, RE_AT_MOST_ONCE, "%s ran %u times, on %s",
+                      request->label, request->runs->len, names);
+    }
+  if (request->told_not_run)
+    {
+      re_checked (report, RE_NOT_RUN);
+      if (request->runs->len > 0)
+        re_violation (report, RE_NOT_RUN,
+                      "%s was told not to have run, and ran on %s",
+                      request->label, names);
+    }
+  g_free (names);
+}
+
+static bool
+has_answer (const struct request *request, const char *digest)
+{
+  const struct hi_event *event;
+  guint i;
+
+  for (i = 0; i < request->answers->len; i++)
+    {
+      event = g_ptr_array_index (request->answers, i);
+      if (g_strcmp0 (hi_text (event, "answer"), digest) == 0)
+        return true;
+    }
+  return false;
+}
+
+static void
+check_answers (const struct request *request, struct re_report *report)
+{
+  const struct hi_event *event;
+  const char *digest;
+  guint i;
+
+  for (i = 0; i < request->told->len; i++)
+    {
+      event = g_ptr_array_index (request->told, i);
+      digest = hi_text (event, "answer");
+      re_checked (report, RE_ANSWERS);
+      if (request->runs->len == 0)
+        re_violation (report, RE_ANSWERS,
+                      "%s was told to have finished, and did not run",
+                      request->label);
+      else if (digest != NULL && !has_answer (request, digest))
+        re_violation (report, RE_ANSWERS,
+                      "%s got the answer %s, which no upstream gave to it",
+                      request->label, digest);
+    }
+}
+
+static void
+check_table (GHashTable *table, struct re_report *report)
+{
+  GHashTableIter iter;
+  gpointer request;
+
+  g_hash_table_iter_init (&iter, table);
+  while (g_hash_table_iter_next (&iter, NULL, &request))
+    {
+      check_runs (request, report);
+      check_answers (request, report);
+    }
+}
+
+static GHashTable *
+create_table (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, request_free);
+}
+
+void
+ch_requests (const struct hi_history *history, struct re_report *report)
+{
+  struct requests requests
+      = { .by_body = create_table (), .by_id = create_table () };
+  const struct hi_event *event;
+  guint i;
+
+  for (i = 0; i < history->events->len; i++)
+    {
+      event = hi_get (history, i);
+      if (strcmp (event->what, "run") == 0
+          || strcmp (event->what, "answer") == 0)
+        add_upstream_line (&requests, event);
+      else if (strcmp (event->what, "sent") == 0
+               || strcmp (event->what, "told") == 0)
+        add_test_line (&requests, event);
+    }
+  check_table (requests.by_body, report);
+  check_table (requests.by_id, report);
+  g_hash_table_destroy (requests.by_body);
+  g_hash_table_destroy (requests.by_id);
+}
--- /dev/null
+++ b/tests/history/main.c
@@ -0,0 +1,140 @@
+/* history: checks the history files of a run of tests.
+   Exit status: 0 nothing is wrong, 1 violations, 2 nothing was checked.  */
+
+#include <argtable2.h>
+#include <glib.h>
+#include <stdio.h>
+
+#include "checks.h"
+#include "events.h"
+#include "report.h"
+#include "standins/common/standin.h"
+
+enum
+{
+  FILE_LIMIT = 1000,
+  GANG_BOUND_MS = 5000,
+  LEAVING_BOUND_MS = 5000,
+  SHOWN_ERRORS = 10
+};
+
+enum exit_status
+{
+  EXIT_HOLDS = 0,
+  EXIT_VIOLATED = 1,
+  EXIT_NOT_CHECKED = 2
+};
+
+struct options
+{
+  struct arg_file *files;
+  struct arg_int *gang_bound_ms;
+  struct arg_int *leaving_bound_ms;
+  struct arg_str *require;
+};
+
+static void
+count_events (const struct hi_history *history, struct re_report *report)
+{
+  guint i;
+
+  for (i = 0; i < history->events->len; i++)
+    re_event (report, hi_get (history, i)->what);
+}
+
+/* @return : whether there are events of all kinds that are required.  */
+static bool
+has_required (const struct re_report *report, const char *require)
+{
+  gchar **kinds = g_strsplit (require, ",", 0);
+  bool all = true;
+  gchar **kind;
+
+  for (kind = kinds; *kind != NULL; kind++)
+    if (re_event_count (report, *kind) == 0)
+      {
+        printf ("no event: %s\n", *kind);
+        all = false;
+      }
+  g_strfreev (kinds);
+  return all;
+}
+
+static enum exit_status
+check (const struct hi_history *history, struct re_report *report,
+       const struct options *options)
+{
+  bool complete;
+
+  count_events (history, report);
+  ch_requests (history, report);
+  ch_jobs (history, report, sn_number (options->gang_bound_ms));
+  ch_leases (history, report);
+  ch_leaving (history, report, sn_number (options->leaving_bound_ms));
+  re_print (report);
+  complete = has_required (report, options->require->sval[0]);
+  if (history->malformed > 0)
+    printf ("malformed lines: %" G_GUINT64_FORMAT "\n", history->malformed);
+  if (re_violations (report) > 0 || history->malformed > 0)
+    return EXIT_VIOLATED;
+  if (re_empty (report) || !complete)
+    {
+      printf ("not checked\n");
+      return EXIT_NOT_CHECKED;
+    }
+  return EXIT_HOLDS;
+}
+
+static enum exit_status
+run (const struct options *options)
+{
+  struct hi_history *history = hi_create ();
+  struct re_report *report = re_create ();
+  enum exit_status status = EXIT_NOT_CHECKED;
+  int i;
+
+  for (i = 0; i < options->files->count; i++)
+    if (hi_read (history, options->files->filename[i]) != HI_OK)
+      goto done;
+  hi_sort (history);
+  status = check (history, report, options);
+
+done:
+  re_free (report);
+  hi_free (history);
+  return status;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_end *end = arg_end (SHOWN_ERRORS);
+  struct arg_lit *help = arg_lit0 (NULL, "help", "shows the options");
+  struct options options
+      = { .files = arg_filen (NULL, NULL, "FILE", 1, FILE_LIMIT, "histories"),
+          .gang_bound_ms = sn_int ("gang-bound-ms", GANG_BOUND_MS,
+                                   "how long part of a gang may run"),
+          .leaving_bound_ms
+          = sn_int ("leaving-bound-ms", LEAVING_BOUND_MS,
+                    "how long a leaving upstream may get new work"),
+          .require = sn_str ("require", "", "kinds of events, by commas") };
+  void *table[] = { options.gang_bound_ms, options.leaving_bound_ms,
+                    options.require,       help,
+                    options.files,         end };
+  int errors = arg_parse (argc, argv, table);
+  int status = EXIT_NOT_CHECKED;
+
+  if (help->count > 0)
+    {
+      printf ("Usage: %s", argv[0]);
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-28s %s\n");
+      status = EXIT_HOLDS;
+    }
+  else if (errors > 0)
+    arg_print_errors (stderr, end, argv[0]);
+  else
+    status = (int)run (&options);
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return status;
+}
--- /dev/null
+++ b/tests/history/report.c
@@ -0,0 +1,126 @@
+/* What has been checked, and the violations.  */
+
+#include "report.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+
+static const char *const check_names[RE_CHECK_COUNT] = {
+  [RE_AT_MOST_ONCE] = "at_most_once",
+  [RE_NOT_RUN] = "not_run",
+  [RE_ANSWERS] = "answers",
+  [RE_JOBS] = "jobs",
+  [RE_GANGS] = "gangs",
+  [RE_LEASES] = "leases",
+  [RE_LEAVING] = "leaving",
+};
+
+struct re_report
+{
+  GTree *events; /* char * to uint64_t * */
+  uint64_t checked[RE_CHECK_COUNT];
+  uint64_t violations;
+};
+
+static int
+compare_names (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void)data;
+  return g_strcmp0 (a, b);
+}
+
+struct re_report *
+re_create (void)
+{
+  struct re_report *report = g_new0 (struct re_report, 1);
+
+  report->events = g_tree_new_full (compare_names, NULL, g_free, g_free);
+  return report;
+}
+
+void
+re_free (struct re_report *report)
+{
+  g_tree_unref (report->events);
+  g_free (report);
+}
+
+void
+re_event (struct re_report *report, const char *kind)
+{
+  uint64_t *count = g_tree_lookup (report->events, kind);
+
+  if (count == NULL)
+    {
+      count = g_new0 (uint64_t, 1);
+      g_tree_insert (report->events, g_strdup (kind), count);
+    }
+  (*count)++;
+}
+
+uint64_t
+re_event_count (const struct re_report *report, const char *kind)
+{
+  const uint64_t *count = g_tree_lookup (report->events, kind);
+
+  return count == NULL ? 0 : *count;
+}
+
+void
+re_checked (struct re_report *report, enum re_check check)
+{
+  report->checked[check]++;
+}
+
+void
+re_violation (struct re_report *report, enum re_check check,
+              const char *format, ...)
+{
+  va_list args;
+
+  report->violations++;
+  printf ("violation %s: ", check_names[check]);
+  va_start (args, format);
+  vprintf (format, args);
+  va_end (args);
+  printf ("\n");
+}
+
+static gboolean
+print_event (gpointer kind, gpointer count, gpointer data)
+{
+  (void)data;
+  printf (" %s %" G_GUINT64_FORMAT, (const char *)kind, *(uint64_t *)count);
+  return FALSE;
+}
+
+void
+re_print (const struct re_report *report)
+{
+  int check;
+
+  printf ("events:");
+  g_tree_foreach (report->events, print_event, NULL);
+  printf ("\nchecked:");
+  for (check = 0; check < RE_CHECK_COUNT; check++)
+    printf (" %s %" G_GUINT64_FORMAT, check_names[check],
+            report->checked[check]);
+  printf ("\nviolations: %" G_GUINT64_FORMAT "\n", report->violations);
+}
+
+uint64_t
+re_violations (const struct re_report *report)
+{
+  return report->violations;
+}
+
+bool
+re_empty (const struct re_report *report)
+{
+  int check;
+
+  for (check = 0; check < RE_CHECK_COUNT; check++)
+    if (report->checked[check] > 0)
+      return false;
+  return true;
+}
--- a/tests/scripts/lib.sh
+++ b/tests/scripts/lib.sh
@@ -98,6 +98,31 @@
 }
 trap stop_all EXIT
 
+# route_port NAME N: the port of route N of the fault proxy started as NAME.
+route_port ()
+{
+  sed -n "s/^route $2 \([0-9]*\)\$/\1/p" "$run_dir/$1.out"
+}
+
+# host_port HOSTS_URL NAME: the port of a host of the host list.
+host_port ()
+{
+  get "$1/hosts" | python3 -c '
+import json, sys
+for host in json.load(sys.stdin)["hosts"]:
+    if host["name"] == sys.argv[1]:
+        print(host["port"])
+' "$2"
+}
+
+# has TEXT COMMAND...: whether the output of the command contains the text.
+has ()
+{
+  local text=$1
+  shift
+  "$@" | grep -qF -- "$text"
+}
+
 # get URL, post URL JSON, delete URL: print the answer's body.
 get ()
 {
@@ -114,13 +139,22 @@
   curl -sS --max-time 30 -X DELETE "$1"
 }
 
-# status METHOD URL [JSON]: prints the answer's HTTP status; 000: none.
+# status METHOD URL [JSON]: prints the answer's HTTP status; 000: no answer
+# within status_limit_s seconds.
 status ()
 {
   local data=()
   [ $# -gt 2 ] && data=(--data "$3")
   curl -s --max-time "${status_limit_s:-30}" -o /dev/null -w '%{http_code}\n' \
-    -X "$1" "${data[@]}" "$2"
+    -X "$1" "${data[@]}" "$2" || true
+}
+
+# has_status CODE METHOD URL [JSON]: whether that is the answer's status.
+has_status ()
+{
+  local code=$1
+  shift
+  [ "$(status "$@")" = "$code" ]
 }
 
 # json FIELD...: prints a member of the JSON value on standard input.  FIELDs
