--- a/tests/scripts/faultproxy.t
+++ b/tests/scripts/faultproxy.t
@@ -34,6 +34,7 @@
 
 Cut: connections end, and new ones are refused; the other route goes on:
 
+  $ wait_for 10 eval '[ "$(connections)" = 0 ]'
   $ get "$log/streams/a?from=1&wait_ms=20000" > poll 2> poll_error &
   $ poll=$!
   $ wait_for 10 eval '[ "$(connections)" = 1 ]'
@@ -97,6 +98,7 @@
 
 Silent: the open connection carries nothing for good, new ones work:
 
+  $ wait_for 10 eval '[ "$(connections)" = 0 ]'
   $ get "$log/streams/a?from=4&wait_ms=20000" > poll 2> poll_error &
   $ poll=$!
   $ wait_for 10 eval '[ "$(connections)" = 1 ]'
