--- a/tests/faultproxy/main.c
+++ b/tests/faultproxy/main.c
@@ -182,8 +182,8 @@
   int status;
 
   sn_args_init (&args);
-  void *table[] = { ports,        servers,   args.address, args.port,
-                    args.history, args.seed, args.help,    args.end };
+  void *table[]
+      = { ports, servers, args.address, args.port, args.help, args.end };
   proxy.routes = g_ptr_array_new_with_free_func (free_route);
   status = sn_args_parse (argc, argv, table, &args);
   if (status >= 0)
--- a/tests/scripts/lib.sh
+++ b/tests/scripts/lib.sh
@@ -2,6 +2,8 @@
 # Functions for the scripted runs: programs are started in the background,
 # and every wait is for a condition.  To be sourced; needs BUILD and ROOT.
 
+set -u
+
 # Pids of what was started, by name; NAME_pid and NAME_port hold the same.
 declare -A started=()
 # Where a program's standard output and error go: NAME.out and NAME.err.
@@ -69,6 +71,16 @@
   [ "$state" = Z ]
 }
 
+# end_process PID SIGNAL: signals it, waits for its end, returns its status.
+end_process ()
+{
+  kill -s "$2" "$1"
+  if ! wait_for "$stop_limit_s" has_ended "$1"; then
+    kill -s KILL "$1"
+  fi
+  wait "$1"
+}
+
 # stop NAME [SIGNAL]: ends what was started as NAME, by SIGTERM unless another
 # signal is named.  Returns its exit status.
 stop ()
@@ -76,12 +88,19 @@
   local pid=${started[$1]:-}
   [ -n "$pid" ] || return 0
   unset "started[$1]"
-  kill -s "${2:-TERM}" "$pid" 2> /dev/null
-  if ! wait_for "$stop_limit_s" has_ended "$pid"; then
-    echo "$1 had to be killed"
-    kill -s KILL "$pid" 2> /dev/null
-  fi
-  wait "$pid" 2> /dev/null
+  # The shell's own note on a killed process is not wanted.
+  end_process "$pid" "${2:-TERM}" 2> /dev/null
+}
+
+# pause NAME, resume NAME: stops a process and lets it go on.
+pause ()
+{
+  kill -s STOP "${started[$1]}"
+}
+
+resume ()
+{
+  kill -s CONT "${started[$1]}"
 }
 
 # stop_all: ends all that was started and still runs.
--- a/tests/scripts/standin-log.t
+++ b/tests/scripts/standin-log.t
@@ -72,6 +72,21 @@
   $ post $log/streams/a six | json offset
   5
 
+So it has when the answer is an error:
+
+  $ post $log/control '{"error_answers":1}'; echo
+  {}
+  $ post $log/streams/c one | json error
+  internal
+  $ post $log/control '{"drop_percent":100}'; echo
+  {}
+  $ status POST $log/streams/c two
+  000
+  $ post $log/control '{"drop_percent":0}'; echo
+  {}
+  $ post $log/streams/c three | json offset
+  2
+
 An outage that answers with errors; a waiting read is closed:
 
   $ reads=$(get $log/control | json reads)
--- a/tests/scripts/standin-workers.t
+++ b/tests/scripts/standin-workers.t
@@ -170,6 +170,18 @@
   $ post $control '{"worker":"w01","refuse_start":false}'; echo
   {}
 
+Tasks that fail at random, each at its end:
+
+  $ post $control '{"worker":"*","fail_percent":100}'; echo
+  {}
+  $ lease 5 p1 32 | json granted
+  true
+  $ call start 5 p1
+  {}
+  $ wait_for 10 eval 'renew 0 600000 "[]" | has "\"job\":\"p1\",\"attempt\":1,\"task\":0,\"kind\":\"ended\",\"ok\":false" cat'
+  $ post $control '{"worker":"*","fail_percent":0}'; echo
+  {}
+
 A stop takes the time that the tasks take, but not more than the grace:
 
   $ call start 5 f4 ',"payload":{"run_ms":600000,"stop_ms":600000}'
--- a/tests/standins/common/standin.c
+++ b/tests/standins/common/standin.c
@@ -36,12 +36,22 @@
 {
   args->address = sn_str ("address", "127.0.0.1", "IP number to listen on");
   args->port = sn_int ("port", 0, "TCP port; 0: any free port");
-  args->history = sn_str ("history", NULL, "file to append effects to");
-  args->seed = sn_int ("seed", 1, "seed of the random numbers");
   args->help = arg_lit0 (NULL, "help", "shows the options");
   args->end = arg_end (SHOWN_ERRORS);
 }
 
+struct arg_str *
+sn_history (void)
+{
+  return sn_str ("history", NULL, "file to append effects to");
+}
+
+struct arg_int *
+sn_seed (void)
+{
+  return sn_int ("seed", 1, "seed of the random numbers");
+}
+
 int
 sn_args_parse (int argc, char **argv, void **table, const struct sn_args *args)
 {
--- a/tests/standins/common/standin.h
+++ b/tests/standins/common/standin.h
@@ -8,13 +8,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Options that every stand-in has.  */
+/* Options that all of them have.  */
 struct sn_args
 {
   struct arg_str *address;
   struct arg_int *port;
-  struct arg_str *history;
-  struct arg_int *seed;
   struct arg_lit *help;
   struct arg_end *end;
 };
@@ -28,6 +26,12 @@
 struct arg_int *sn_int (const char *name, int value, const char *help);
 struct arg_str *sn_str (const char *name, const char *value, const char *help);
 
+/*! sn_history (), sn_seed () :
+ *  @return : the option for the history file, and for the seed of random
+ *  numbers. */
+struct arg_str *sn_history (void);
+struct arg_int *sn_seed (void);
+
 /*! sn_args_parse () :
  *  Parses the command line; prints errors, or the help that was asked for.
  *  @table : all options, args->end last.
--- a/tests/standins/ft-hosts/main.c
+++ b/tests/standins/ft-hosts/main.c
@@ -166,17 +166,18 @@
 {
   struct sn_args args;
   struct arg_int *lag_ms = sn_int ("lag-ms", 0, "age of what is answered");
+  struct arg_str *history = sn_history ();
   struct service service = { .loop = EV_DEFAULT };
   int status;
 
   sn_args_init (&args);
-  void *table[] = { args.address, args.port, lag_ms,  args.history,
-                    args.seed,    args.help, args.end };
+  void *table[]
+      = { args.address, args.port, lag_ms, history, args.help, args.end };
   status = sn_args_parse (argc, argv, table, &args);
   if (status >= 0)
     goto done;
   status = 1;
-  service.history = hf_open (args.history->sval[0]);
+  service.history = hf_open (history->sval[0]);
   if (service.history == NULL)
     goto done;
   service.lag_ms = sn_number (lag_ms);
--- a/tests/standins/ft-log/log_service.c
+++ b/tests/standins/ft-log/log_service.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "http/http_server.h"
+#include "log_faults.h"
 #include "standins/common/delayed_answer.h"
 #include "standins/common/json_answer.h"
 #include "standins/common/standin.h"
@@ -26,14 +27,6 @@
 static const char streams_path[] = "/streams/";
 static const char who[] = "log";
 
-struct faults
-{
-  bool outage;
-  bool silent; /* in an outage: no answers */
-  uint32_t slow_ms;
-  uint32_t drop_answers;
-};
-
 struct counters
 {
   uint64_t appends;
@@ -50,7 +43,7 @@
   struct da_queue *delayed;
   struct da_queue *silent;
   struct tb_bucket bucket;
-  struct faults faults;
+  struct lf_faults faults;
   struct counters counters;
   int64_t time_ms; /* never goes back */
   GQueue waits;
@@ -284,7 +277,7 @@
   size_t size_bytes;
   const char *body = hs_body (request, &size_bytes);
   int64_t now_ms = log_time_ms (service);
-  bool dropped = service->faults.drop_answers > 0;
+  enum lf_answer answer;
   uint64_t offset;
 
   if (!tb_take (&service->bucket, ev_now (service->params.loop)))
@@ -295,12 +288,12 @@
   offset = ls_append (stream, body, size_bytes, now_ms);
   service->counters.appends++;
   service->counters.bytes += size_bytes;
-  note_append (service, name, offset, size_bytes, !dropped);
-  if (dropped)
-    {
-      service->faults.drop_answers--;
-      hs_drop (request);
-    }
+  answer = lf_choose_answer (&service->faults, service->params.random);
+  note_append (service, name, offset, size_bytes, answer == LF_ANSWER_OFFSET);
+  if (answer == LF_ANSWER_LOST)
+    hs_drop (request);
+  else if (answer == LF_ANSWER_ERROR)
+    ja_error (request, 500, "internal", "The log has met an error.");
   else
     respond (service, request, 201,
              json_pack ("{s:I,s:I}", "offset", (json_int_t)offset, "time_ms",
@@ -314,28 +307,20 @@
 static void
 control (struct lo_service *service, struct hs_request *request)
 {
-  struct faults *faults = &service->faults;
   struct ls_retention *retention = &service->params.retention;
-  json_t *body = ja_body (request);
+  json_t *command = ja_body (request);
 
-  if (body == NULL)
+  if (command == NULL)
     return;
-  faults->silent
-      = strcmp (ja_text (body, "mode", faults->silent ? "silent" : "error"),
-                "silent")
-        == 0;
-  faults->outage = ja_flag (body, "outage", faults->outage);
-  faults->slow_ms = (uint32_t)ja_number (body, "slow_ms", faults->slow_ms);
-  faults->drop_answers
-      = (uint32_t)ja_number (body, "drop_answers", faults->drop_answers);
+  lf_obey (&service->faults, command);
   retention->records
-      = ja_number (body, "retention_records", retention->records);
-  retention->ms = ja_number (body, "retention_ms", retention->ms);
-  if (faults->outage)
+      = ja_number (command, "retention_records", retention->records);
+  retention->ms = ja_number (command, "retention_ms", retention->ms);
+  if (service->faults.outage)
     interrupt_readers (service);
   else
     da_drop_all (service->silent);
-  json_decref (body);
+  json_decref (command);
   ja_respond (request, 200, json_object ());
 }
 
--- a/tests/standins/ft-log/log_service.h
+++ b/tests/standins/ft-log/log_service.h
@@ -4,6 +4,7 @@
 #define FT_LOG_SERVICE_H
 
 #include <ev.h>
+#include <glib.h>
 #include <stdint.h>
 
 #include "log_store.h"
@@ -18,6 +19,7 @@
   uint16_t port;
   uint32_t appends_per_s; /* 0: no limit */
   struct ls_retention retention;
+  GRand *random; /* chooses the answers that are lost */
   struct hf_file *history;
 };
 
--- a/tests/standins/ft-log/main.c
+++ b/tests/standins/ft-log/main.c
@@ -1,5 +1,6 @@
 /* ft-log: stand-in for the platform's append-only log.  */
 
+#include <glib.h>
 #include <stdio.h>
 
 #include "log_service.h"
@@ -36,18 +37,20 @@
       = sn_int ("retention-ms", 0, "age at which records expire; 0: never");
   struct arg_int *retention_records
       = sn_int ("retention-records", 0, "records kept of a stream; 0: all");
+  struct arg_str *history = sn_history ();
+  struct arg_int *seed = sn_seed ();
   struct lo_params params = { .loop = EV_DEFAULT };
   int status;
 
   sn_args_init (&args);
   void *table[]
       = { args.address, args.port, rate,      retention_ms, retention_records,
-          args.history, args.seed, args.help, args.end };
+          history,      seed,      args.help, args.end };
   status = sn_args_parse (argc, argv, table, &args);
   if (status >= 0)
     goto done;
   status = 1;
-  params.history = hf_open (args.history->sval[0]);
+  params.history = hf_open (history->sval[0]);
   if (params.history == NULL)
     goto done;
   params.address = args.address->sval[0];
@@ -55,7 +58,9 @@
   params.appends_per_s = sn_number (rate);
   params.retention.ms = sn_number (retention_ms);
   params.retention.records = sn_number (retention_records);
+  params.random = g_rand_new_with_seed (sn_number (seed));
   status = run (&params);
+  g_rand_free (params.random);
 
 done:
   hf_close (params.history);
--- a/tests/standins/ft-upstreams/main.c
+++ b/tests/standins/ft-upstreams/main.c
@@ -29,6 +29,8 @@
   struct arg_int *spread_percent;
   struct arg_str *data_centres;
   struct arg_str *hosts_url;
+  struct arg_str *history;
+  struct arg_int *seed;
 };
 
 static void
@@ -180,8 +182,9 @@
           .spread_percent
           = sn_int ("run-spread-percent", 0, "run times differ by that much"),
           .data_centres = sn_str ("data-centres", "local", "names, by commas"),
-          .hosts_url
-          = sn_str ("hosts-url", NULL, "host list to register at") };
+          .hosts_url = sn_str ("hosts-url", NULL, "host list to register at"),
+          .history = sn_history (),
+          .seed = sn_seed () };
   struct up_params params = { .loop = EV_DEFAULT };
   int status;
 
@@ -190,19 +193,19 @@
       = { options.service,        options.prefix,       options.count,
           options.slots,          options.connections,  options.run_ms,
           options.spread_percent, options.data_centres, options.hosts_url,
-          options.args.address,   options.args.port,    options.args.history,
-          options.args.seed,      options.args.help,    options.args.end };
+          options.args.address,   options.args.port,    options.history,
+          options.seed,           options.args.help,    options.args.end };
   status = sn_args_parse (argc, argv, table, &options.args);
   if (status >= 0)
     goto done;
   status = 1;
-  params.history = hf_open (options.args.history->sval[0]);
+  params.history = hf_open (options.history->sval[0]);
   if (params.history == NULL)
     goto done;
   params.slots = sn_number (options.slots);
   params.run_ms = sn_number (options.run_ms);
   params.spread_percent = MIN (sn_number (options.spread_percent), 100);
-  params.random = g_rand_new_with_seed (sn_number (options.args.seed));
+  params.random = g_rand_new_with_seed (sn_number (options.seed));
   status = run (&options, &params);
   g_rand_free (params.random);
 
--- a/tests/standins/ft-workers/main.c
+++ b/tests/standins/ft-workers/main.c
@@ -34,6 +34,8 @@
   struct arg_int *accelerators;
   struct arg_int *usage_lag_ms;
   struct arg_str *hosts_url;
+  struct arg_str *history;
+  struct arg_int *seed;
 };
 
 static void
@@ -46,13 +48,14 @@
 static void
 control (void *ctx, struct fl_instance *instance, const json_t *command)
 {
-  struct wk_worker *worker = wc_worker (fl_data (instance));
+  struct wk_faults *faults = wk_faults (wc_worker (fl_data (instance)));
 
   (void)ctx;
-  wk_set_fail_all (worker,
-                   ja_flag (command, "fail_all", wk_fail_all (worker)));
-  wk_set_refuse_start (
-      worker, ja_flag (command, "refuse_start", wk_refuse_start (worker)));
+  faults->fail_all = ja_flag (command, "fail_all", faults->fail_all);
+  faults->refuse_start
+      = ja_flag (command, "refuse_start", faults->refuse_start);
+  faults->fail_percent
+      = (uint32_t)ja_number (command, "fail_percent", faults->fail_percent);
 }
 
 static void
@@ -169,8 +172,9 @@
           .memory_mb = sn_int ("memory-mb", MEMORY_MB, "of a worker"),
           .accelerators = sn_int ("accelerators", ACCELERATORS, "of a worker"),
           .usage_lag_ms = sn_int ("usage-lag-ms", 0, "age of usage reports"),
-          .hosts_url
-          = sn_str ("hosts-url", NULL, "host list to register at") };
+          .hosts_url = sn_str ("hosts-url", NULL, "host list to register at"),
+          .history = sn_history (),
+          .seed = sn_seed () };
   struct wk_params params = { .loop = EV_DEFAULT };
   int status;
 
@@ -179,13 +183,13 @@
       = { options.count,        options.prefix,       options.rack_size,
           options.data_centres, options.cpus,         options.memory_mb,
           options.accelerators, options.usage_lag_ms, options.hosts_url,
-          options.args.address, options.args.port,    options.args.history,
-          options.args.seed,    options.args.help,    options.args.end };
+          options.args.address, options.args.port,    options.history,
+          options.seed,         options.args.help,    options.args.end };
   status = sn_args_parse (argc, argv, table, &options.args);
   if (status >= 0)
     goto done;
   status = 1;
-  params.history = hf_open (options.args.history->sval[0]);
+  params.history = hf_open (options.history->sval[0]);
   if (params.history == NULL)
     goto done;
   params.cpus_milli = sn_number (options.cpus) * CPU_MILLI;
@@ -193,7 +197,9 @@
   params.accelerators
       = MIN (sn_number (options.accelerators), ACCELERATOR_LIMIT);
   params.usage_lag_ms = sn_number (options.usage_lag_ms);
+  params.random = g_rand_new_with_seed (sn_number (options.seed));
   status = run (&options, &params);
+  g_rand_free (params.random);
 
 done:
   hf_close (params.history);
--- a/tests/standins/ft-workers/task.c
+++ b/tests/standins/ft-workers/task.c
@@ -86,7 +86,7 @@
   task->state = TK_RUNNING;
   task->run_ms = payload->run_ms;
   task->use_percent = payload->use_percent;
-  task->fails = fail_at_once || payload->fail
+  task->fails = task->fails || fail_at_once || payload->fail
                 || payload->fail_task == (int64_t)task->number;
   task->started_ms = tk_now_ms (task->loop);
   task->changed_ms = task->started_ms;
--- a/tests/standins/ft-workers/task.h
+++ b/tests/standins/ft-workers/task.h
@@ -40,7 +40,7 @@
   enum tk_state state;
   struct ev_loop *loop;
   ev_timer timer;
-  bool fails;
+  bool fails; /* may be set before the start */
   uint64_t run_ms;
   uint32_t use_percent;
   /* Progress is linear from the last change of speed on.  */
--- a/tests/standins/ft-workers/worker.c
+++ b/tests/standins/ft-workers/worker.c
@@ -10,7 +10,8 @@
 
 enum
 {
-  EVENTS_PER_BOOT_MS = 1000 /* see wk_up () */
+  EVENTS_PER_BOOT_MS = 1000, /* see wk_up () */
+  PERCENT = 100
 };
 
 /* How an attempt that is over has ended here.  */
@@ -29,8 +30,7 @@
   GHashTable *leases; /* "JOB/ATTEMPT" to struct le_lease * */
   GHashTable *ended;  /* "JOB/ATTEMPT" to enum end_kind */
   struct el_list *events;
-  bool fail_all;
-  bool refuse_start;
+  struct wk_faults faults;
 };
 
 static void
@@ -363,6 +363,15 @@
 
 /* --- Tasks --- */
 
+/* Chooses the tasks that fail at random.  */
+static bool
+is_unlucky (const struct wk_worker *worker)
+{
+  return worker->faults.fail_percent > 0
+         && g_rand_int_range (worker->params.random, 0, PERCENT)
+                < (gint32)worker->faults.fail_percent;
+}
+
 int
 wk_start (struct wk_worker *worker, const struct wk_attempt *id,
           struct tk_payload *payload)
@@ -375,7 +384,7 @@
     return end_of (worker, id) == END_FINISHED ? WK_OK : WK_ERR_NO_LEASE;
   if (lease->started)
     return WK_OK;
-  if (worker->refuse_start)
+  if (worker->faults.refuse_start)
     return WK_ERR_REFUSED;
   lease->started = true;
   lease->payload = *payload;
@@ -386,7 +395,8 @@
       task = g_ptr_array_index (lease->tasks, i);
       task->task.ended = on_task_ended;
       task->task.ctx = task;
-      tk_start (&task->task, &lease->payload, worker->fail_all);
+      task->task.fails = is_unlucky (worker);
+      tk_start (&task->task, &lease->payload, worker->faults.fail_all);
     }
   return WK_OK;
 }
@@ -453,28 +463,10 @@
             json_pack ("{s:I}", "boot", (json_int_t)worker->boot));
 }
 
-void
-wk_set_fail_all (struct wk_worker *worker, bool fail_all)
-{
-  worker->fail_all = fail_all;
-}
-
-void
-wk_set_refuse_start (struct wk_worker *worker, bool refuse_start)
-{
-  worker->refuse_start = refuse_start;
-}
-
-bool
-wk_fail_all (const struct wk_worker *worker)
-{
-  return worker->fail_all;
-}
-
-bool
-wk_refuse_start (const struct wk_worker *worker)
+struct wk_faults *
+wk_faults (struct wk_worker *worker)
 {
-  return worker->refuse_start;
+  return &worker->faults;
 }
 
 /* --- For answers --- */
--- a/tests/standins/ft-workers/worker.h
+++ b/tests/standins/ft-workers/worker.h
@@ -5,6 +5,7 @@
 #define FT_WORKER_H
 
 #include <ev.h>
+#include <glib.h>
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -35,9 +36,18 @@
   uint32_t memory_mb;
   uint32_t accelerators;
   uint32_t usage_lag_ms;
+  GRand *random; /* chooses the tasks that fail */
   struct hf_file *history;
 };
 
+/* How the worker fails; it outlasts a restart.  */
+struct wk_faults
+{
+  bool fail_all;         /* all tasks fail at once */
+  bool refuse_start;     /* no task is started */
+  uint32_t fail_percent; /* of the tasks fail at their end, at random */
+};
+
 /* One attempt of a job, as it is named in a call.  */
 struct wk_attempt
 {
@@ -106,10 +116,9 @@
 void wk_down (struct wk_worker *worker);
 void wk_up (struct wk_worker *worker);
 
-void wk_set_fail_all (struct wk_worker *worker, bool fail_all);
-void wk_set_refuse_start (struct wk_worker *worker, bool refuse_start);
-bool wk_fail_all (const struct wk_worker *worker);
-bool wk_refuse_start (const struct wk_worker *worker);
+/*! wk_faults () :
+ *  @return : the faults in force, which may be changed. */
+struct wk_faults *wk_faults (struct wk_worker *worker);
 
 /*! wk_refused () :
  *  Writes a refused call to the history. */
--- a/tests/standins/ft-workers/worker_view.c
+++ b/tests/standins/ft-workers/worker_view.c
@@ -72,10 +72,11 @@
   json_t *leases = json_array ();
 
   wk_each_lease (worker, add_state, leases);
-  return json_pack (
-      "{s:s,s:I,s:I,s:b,s:b,s:o,s:o}", "worker", wk_params (worker)->name,
-      "boot", (json_int_t)wk_boot (worker), "term",
-      (json_int_t)wk_term (worker), "fail_all", (int)wk_fail_all (worker),
-      "refuse_start", (int)wk_refuse_start (worker), "leases", leases,
-      "events", el_json (wk_events (worker)));
+  return json_pack ("{s:s,s:I,s:I,s:b,s:b,s:o,s:o}", "worker",
+                    wk_params (worker)->name, "boot",
+                    (json_int_t)wk_boot (worker), "term",
+                    (json_int_t)wk_term (worker), "fail_all",
+                    (int)wk_faults (worker)->fail_all, "refuse_start",
+                    (int)wk_faults (worker)->refuse_start, "leases", leases,
+                    "events", el_json (wk_events (worker)));
 }
