--- a/tests/unit/log_fixture.h
+++ b/tests/unit/log_fixture.h
@@ -110,8 +110,9 @@
   return ((struct lf_log *)ctx)->answered;
 }
 
+/* Starts a call without waiting for its answer.  */
 static inline void
-lf_post (struct lf_log *log, const char *path, const char *body)
+lf_send (struct lf_log *log, const char *path, const char *body)
 {
   char *url = g_strdup_printf ("%s%s", log->url, path);
   struct hc_request request = { .method = "POST",
@@ -126,10 +127,16 @@
 
   log->answered = false;
   CU_ASSERT_EQUAL_FATAL (hc_send (log->http, &request, NULL), HC_OK);
-  CU_ASSERT_TRUE (lf_run (log, lf_is_answered, log, LF_LIMIT_MS));
   g_free (url);
 }
 
+static inline void
+lf_post (struct lf_log *log, const char *path, const char *body)
+{
+  lf_send (log, path, body);
+  CU_ASSERT_TRUE (lf_run (log, lf_is_answered, log, LF_LIMIT_MS));
+}
+
 static inline void
 lf_control (struct lf_log *log, const char *body)
 {
--- a/tests/unit/test_log.c
+++ b/tests/unit/test_log.c
@@ -12,7 +12,10 @@
   TIMEOUT_MS = 150,
   COMMIT_MS = 5,
   POLL_WAIT_MS = 100,
-  DEADLINE_MS = 5000
+  DEADLINE_MS = 5000,
+  MANY_APPENDS = 400,       /* more than one read brings */
+  LARGE_BYTES = 900 * 1024, /* of a record: two need two appends */
+  SETTLE_MS = 150           /* longer than the first pause before a retry */
 };
 
 /* One client that follows the stream and settles what it reads.  */
@@ -232,7 +235,7 @@
 
   setup (&f, 0);
   open_client (&f, true);
-  f.wanted = 3 * LOG_READ_LIMIT_RECORDS;
+  f.wanted = MANY_APPENDS;
   for (i = 1; i <= f.wanted; i++)
     {
       append (&f, i, DEADLINE_MS);
@@ -256,8 +259,8 @@
                    LOG_ERR_TOO_LARGE);
   /* Two that do not fit into one append together.  */
   f.wanted = 2;
-  CU_ASSERT_EQUAL (append_sized (&f, 2, DEADLINE_MS, 900 * 1024), LOG_OK);
-  CU_ASSERT_EQUAL (append_sized (&f, 3, DEADLINE_MS, 900 * 1024), LOG_OK);
+  CU_ASSERT_EQUAL (append_sized (&f, 2, DEADLINE_MS, LARGE_BYTES), LOG_OK);
+  CU_ASSERT_EQUAL (append_sized (&f, 3, DEADLINE_MS, LARGE_BYTES), LOG_OK);
   CU_ASSERT_TRUE (wait_for (&f, all_seen));
   teardown (&f);
 }
@@ -276,7 +279,7 @@
   append (&f, 1, DEADLINE_MS);
   f.wanted = 1;
   CU_ASSERT_TRUE (wait_for (&f, all_seen));
-  lf_run_ms (&f.log, 3 * LOG_RETRY_MIN_MS);
+  lf_run_ms (&f.log, SETTLE_MS);
   CU_ASSERT_EQUAL (f.failed, 0);
   CU_ASSERT_EQUAL (times_seen (&f, 1), 1);
   log_stats (f.client, &stats);
