--- a/Makefile
+++ b/Makefile
@@ -112,7 +112,7 @@
 	  --enable=warning,portability --suppress=missingIncludeSystem \
 	  --suppress=normalCheckLevelMaxBranches -j$(JOBS) \
 	  -Ilib -Itests $(HAND_SRC)
-	@printf '%s\n' $(HAND_SRC) | xargs -P$(JOBS) -n2 sh -c \
+	@printf '%s\n' $(HAND_SRC) | xargs -P$(JOBS) -n1 sh -c \
 	  'clang-tidy --quiet "$$@" -- $(CPPFLAGS) $(PKG_CFLAGS) -std=gnu11 \
 	   2>/dev/null' sh
 	@echo "lint: clean"
--- a/lib/common/logging.c
+++ b/lib/common/logging.c
@@ -126,6 +126,7 @@
   GLogField fields[FIELD_LIMIT];
   gsize count = 0;
   const char *key;
+  const char *value;
   va_list pairs;
 
   if (level > lowest_level)
@@ -133,10 +134,10 @@
   fields[count++] = (GLogField){ "part", part, -1 };
   fields[count++] = (GLogField){ "msg", message, -1 };
   va_start (pairs, message);
-  while (count < FIELD_LIMIT && (key = va_arg (pairs, const char *)) != NULL)
+  for (key = va_arg (pairs, const char *); key != NULL && count < FIELD_LIMIT;
+       key = va_arg (pairs, const char *))
     {
-      const char *value = va_arg (pairs, const char *);
-
+      value = va_arg (pairs, const char *);
       fields[count++] = (GLogField){ key, value == NULL ? "" : value, -1 };
     }
   va_end (pairs);
--- a/programs/foxtailgapd/front_answer.c
+++ b/programs/foxtailgapd/front_answer.c
@@ -12,16 +12,18 @@
   MS_PER_S = 1000
 };
 
+static const struct hs_header json_header
+    = { "Content-Type", "application/json" };
+
+/* Takes VALUE.  */
 static void
 respond_json (struct hs_request *http, unsigned int status, json_t *value,
-              const struct hs_header *more, size_t more_count)
+              const struct hs_header *headers, size_t header_count)
 {
-  struct hs_header headers[4] = { { "Content-Type", "application/json" } };
   char *text = json_dumps (value, JSON_COMPACT);
   char *line = g_strdup_printf ("%s\n", text == NULL ? "{}" : text);
 
-  memcpy (&headers[1], more, more_count * sizeof *more);
-  hs_respond (http, status, headers, 1 + more_count, line, strlen (line));
+  hs_respond (http, status, headers, header_count, line, strlen (line));
   g_free (line);
   free (text);
   json_decref (value);
@@ -30,7 +32,7 @@
 void
 fr_json (struct hs_request *http, unsigned int status, json_t *value)
 {
-  respond_json (http, status, value, NULL, 0);
+  respond_json (http, status, value, &json_header, 1);
 }
 
 void
@@ -38,9 +40,9 @@
           const char *message, const char *state, uint32_t retry_after_ms)
 {
   json_t *value = json_pack ("{s:s, s:s}", "error", code, "message", message);
-  struct hs_header headers[2];
+  struct hs_header headers[3] = { json_header };
   char seconds[NUMBER_SIZE_BYTES];
-  size_t count = 0;
+  size_t count = 1;
 
   if (state != NULL)
     {
--- a/tests/scripts/cluster.sh
+++ b/tests/scripts/cluster.sh
@@ -2,27 +2,47 @@
 # Functions for scripted runs with the platform's stand-ins and real daemons.
 # To be sourced after lib.sh.
 
-# Users' names: USER SERVICE DATA_CENTRES CPUS_MILLI MEMORY_MB
-user_addis=(rounds-planning bole,merkato,kality 130000 262144)
-user_brazos=(face-fitting austin,waco,temple 64000 131072)
+# set_user USER: the service, the data centres and the workers' sizes.
+set_user ()
+{
+  case "$1" in
+    addis)
+      service=rounds-planning
+      data_centres=bole,merkato,kality
+      worker_cpus=130
+      worker_memory_mb=262144
+      ;;
+    brazos)
+      service=face-fitting
+      data_centres=austin,waco,temple
+      worker_cpus=64
+      worker_memory_mb=131072
+      ;;
+  esac
+}
+
+# url NAME: the address of a program that start () started.
+url ()
+{
+  local port=${1}_port
+  echo "http://127.0.0.1:${!port}"
+}
 
 # platform USER [WORKERS [INSTANCES]]: starts log, host list, workers and
 # upstream instances; writes their histories to *.history.
 platform ()
 {
-  local -n spec=user_$1
-  service=${spec[0]}
-  data_centres=${spec[1]}
+  set_user "$1"
   start log ft-log --port 0 --appends-per-second 300 --history log.history \
     "${log_options[@]}"
   start hosts ft-hosts --port 0 --lag-ms "${list_lag_ms:-200}" \
     --history hosts.history
   start workers ft-workers --port 0 --count "${2:-50}" \
-    --hosts-url "http://127.0.0.1:$hosts_port" \
-    --data-centres "$data_centres" --cpus-milli "${spec[2]}" \
-    --memory-mb "${spec[3]}" --accelerators 8 --history workers.history
+    --hosts-url "$(url hosts)" --data-centres "$data_centres" \
+    --cpus "$worker_cpus" --memory-mb "$worker_memory_mb" --accelerators 8 \
+    --history workers.history
   start upstreams ft-upstreams --port 0 --service "$service" \
-    --count "${3:-50}" --hosts-url "http://127.0.0.1:$hosts_port" \
+    --count "${3:-50}" --hosts-url "$(url hosts)" \
     --data-centres "$data_centres" --run-ms "${run_ms:-5}" \
     --history upstreams.history
 }
@@ -36,8 +56,8 @@
 data_centre: ${data_centres%%,*}
 callers: {address: 127.0.0.1, port: 0}
 peers: {address: 127.0.0.1, port: 0}
-log_url: ${log_url:-http://127.0.0.1:$log_port}
-hosts_url: http://127.0.0.1:$hosts_port
+log_url: ${log_url:-$(url log)}
+hosts_url: $(url hosts)
 stream: test
 log_level: ${log_level:-info}
 heartbeat_ms: 100
@@ -56,21 +76,15 @@
   local peer_port
   settings "$1"
   start "$1" foxtailgapd --settings "$1.yaml" || return 1
-  local port_name=${1}_port
+  local port=${1}_port
+  # shellcheck disable=SC2154 # set by lib.sh
   peer_port=$(sed -n 's/^peers //p' "$run_dir/$1.out")
-  post "http://127.0.0.1:$hosts_port/hosts" "{\"name\":\"$1\",\
-\"kind\":\"entry\",\"address\":\"127.0.0.1\",\"port\":${!port_name},\
+  post "$(url hosts)/hosts" "{\"name\":\"$1\",\
+\"kind\":\"entry\",\"address\":\"127.0.0.1\",\"port\":${!port},\
 \"peer_port\":$peer_port,\"data_centre\":\"${data_centres%%,*}\",\
 \"rack\":\"entry\",\"state\":\"live\"}" > /dev/null
 }
 
-# url NAME: the address of an entry host's interface to callers.
-url ()
-{
-  local port_name=${1}_port
-  echo "http://127.0.0.1:${!port_name}"
-}
-
 # status_field NAME FIELD...: a field of an entry host's status.
 status_field ()
 {
--- a/tests/unit/test_members.c
+++ b/tests/unit/test_members.c
@@ -107,10 +107,12 @@
       = "{\"version\":3,\"hosts\":[{\"name\":\"w1\",\"kind\":\"worker\","
         "\"address\":\"127.0.0.1\",\"port\":9,\"data_centre\":\"bole\","
         "\"rack\":\"r1\",\"state\":\"leaving\",\"accelerators\":8}]}";
+  static const char no_kind[] = "{\"hosts\":[{\"name\":\"x\"}]}";
+  static const char unknown_kind[]
+      = "{\"hosts\":[{\"name\":\"x\",\"kind\":\"robot\",\"address\":\"a\","
+        "\"port\":1,\"state\":\"live\"}]}";
   static const char *const bad[]
-      = { "", "[]", "{\"hosts\":3}", "{\"hosts\":[{\"name\":\"x\"}]}",
-          "{\"hosts\":[{\"name\":\"x\",\"kind\":\"robot\",\"address\":\"a\","
-          "\"port\":1,\"state\":\"live\"}]}" };
+      = { "", "[]", "{\"hosts\":3}", no_kind, unknown_kind };
   struct hl_list *list;
   size_t i;
 
