--- a/programs/foxtailgapctl/cmd_check.c
+++ b/programs/foxtailgapctl/cmd_check.c
@@ -6,7 +6,9 @@
 
 #include "cli.h"
 #include "config/environment_diff.h"
+#include "config/messages.h"
 #include "ctl.h"
+#include "feasibility.h"
 #include "print.h"
 
 struct result
@@ -95,8 +97,22 @@
   json_decref (teams);
 }
 
+/* Whether the guarantees fit the workers that were given.  */
+static void
+check_stock (struct result *result, const struct fs_stock *stock)
+{
+  char text[PLACE_TEXT_SIZE_BYTES];
+
+  if (result->document == NULL || stock->workers == 0
+      || fs_check (result->document, stock, text))
+    return;
+  em_add (&result->messages, 0, "%s", text);
+  env_free (result->document);
+  result->document = NULL;
+}
+
 static int
-check_file (const char *path, bool json)
+check_file (const char *path, const struct fs_stock *stock, bool json)
 {
   struct result result = { .path = path };
   char *text = NULL;
@@ -107,6 +123,7 @@
     return CTL_USAGE;
   env_digest (text, size_bytes, result.digest);
   env_parse (&result.document, text, size_bytes, &result.messages);
+  check_stock (&result, stock);
   if (json)
     print_json (&result);
   else
@@ -124,14 +141,26 @@
   struct arg_file *file = arg_file1 (NULL, NULL, "FILE",
                                      "environment document, - for standard "
                                      "input");
+  struct fs_args stock_args = fs_args ();
   struct cli_common common = cli_common ();
-  void *table[]
-      = { file, common.json, common.help, common.version, common.end };
+  void *table[] = { file,
+                    stock_args.workers,
+                    stock_args.rack_size,
+                    stock_args.cpus_milli,
+                    stock_args.memory_mb,
+                    stock_args.accelerators,
+                    common.json,
+                    common.help,
+                    common.version,
+                    common.end };
+  struct fs_stock stock;
   int code
       = cli_parse (command, &common, table, G_N_ELEMENTS (table), argc, argv);
 
+  if (code == CLI_GO_ON && !fs_stock (&stock_args, &stock))
+    code = CTL_USAGE;
   if (code == CLI_GO_ON)
-    code = check_file (file->filename[0], common.json->count > 0);
+    code = check_file (file->filename[0], &stock, common.json->count > 0);
   arg_freetable (table, G_N_ELEMENTS (table));
   return code;
 }
--- a/tests/scripts/ctl-help.t
+++ b/tests/scripts/ctl-help.t
@@ -54,10 +54,15 @@
   foxtailgapctl log-level 0.1.0
   $ for command in $commands; do echo "--- $command"; foxtailgapctl $command --help; done
   --- check
-  Usage: foxtailgapctl check FILE [--json] [--help] [--version]
+  Usage: foxtailgapctl check FILE [--workers=COUNT] [--rack-size=N] [--cpus-milli=N] [--memory-mb=N] [--accelerators=N] [--json] [--help] [--version]
   foxtailgapctl check checks an environment document.
   
     FILE                       environment document, - for standard input
+    --workers=COUNT            also checks that all guarantees fit these workers
+    --rack-size=N              workers of one rack (default 8)
+    --cpus-milli=N             of each worker
+    --memory-mb=N              of each worker
+    --accelerators=N           of each worker
     --json                     prints JSON
     --help                     shows this help and exits
     --version                  shows the version and exits
