--- a/programs/foxtailgapd/front.h
+++ b/programs/foxtailgapd/front.h
@@ -52,7 +52,6 @@
   GHashTable *jobs;          /* id -> struct st_job, one reference */
   GHashTable *claims;        /* key -> struct st_claim, one reference */
   GHashTable *waiting;       /* job id -> GPtrArray of struct fr_call */
-  GArray *history;           /* of struct fr_revision, oldest first */
   struct msg_config *config; /* in force; NULL for none */
   struct hl_list *hosts;
   struct msg_members *members;
@@ -65,14 +64,6 @@
   bool stopping;
 };
 
-struct fr_revision
-{
-  uint64_t revision;
-  char *digest;
-  char *author;
-  int64_t time_ms;
-};
-
 /* --- front_answer.c --- */
 
 /*! fr_json () :
@@ -152,6 +143,7 @@
                     const char *rest);
 void fr_get_history (struct front_task *task, struct hs_request *http,
                      const char *rest);
+void fr_history (struct front_task *task, const struct msg_history *history);
 void fr_post_config (struct front_task *task, struct hs_request *http,
                      const char *rest);
 
--- a/programs/foxtailgapd/front_config.c
+++ b/programs/foxtailgapd/front_config.c
@@ -20,46 +20,105 @@
 
 /* --- Reading --- */
 
+static json_t *
+revision_json (const struct msg_revision *revision)
+{
+  json_t *value = json_pack (
+      "{s:I, s:s, s:s, s:s, s:I}", "revision", (json_int_t)revision->revision,
+      "digest", revision->digest, "author", revision->author, "note",
+      revision->note, "time_ms", (json_int_t)revision->time_ms);
+
+  if (revision->document != NULL)
+    json_object_set_new (value, "document", json_string (revision->document));
+  return value;
+}
+
+static void
+answer_revision (struct hs_request *http, const struct msg_history *history)
+{
+  if (history->revision_count == 0 || history->revisions[0].document == NULL)
+    fr_error (http, STATUS_NOT_FOUND, "unknown_revision",
+              "The revision is not known, or its document is not kept any "
+              "more.",
+              NULL, 0);
+  else
+    fr_json (http, STATUS_OK, revision_json (&history->revisions[0]));
+}
+
 void
-fr_get_config (struct front_task *task, struct hs_request *http,
-               const char *rest)
+fr_history (struct front_task *task, const struct msg_history *history)
 {
-  const struct msg_config *config = task->config;
+  struct fr_call *call = g_hash_table_lookup (task->calls, &history->token);
+  json_t *list;
+  size_t i;
 
-  (void)rest;
-  if (config == NULL)
+  if (call == NULL)
+    return;
+  if (history->revision != 0)
+    answer_revision (call->http, history);
+  else
     {
-      fr_error (http, STATUS_NOT_FOUND, "no_configuration",
-                "No configuration is in force.", NULL, 0);
-      return;
+      list = json_array ();
+      for (i = 0; i < history->revision_count; i++)
+        json_array_append_new (list, revision_json (&history->revisions[i]));
+      fr_json (call->http, STATUS_OK, json_pack ("{s:o}", "revisions", list));
     }
-  fr_json (http, STATUS_OK,
-           json_pack ("{s:I, s:s, s:s, s:I, s:s}", "revision",
-                      (json_int_t)config->revision, "digest", config->digest,
-                      "author", config->author, "time_ms",
-                      (json_int_t)config->time_ms, "document", config->text));
+  fr_call_free (call);
+}
+
+static void
+on_caller_gone (void *ctx)
+{
+  fr_call_free (ctx);
+}
+
+/* Asks the state task; REVISION 0 for all.  */
+static void
+ask_history (struct front_task *task, struct hs_request *http,
+             uint64_t revision)
+{
+  struct fr_call *call = fr_call_create (task, http);
+  struct msg_history *history = g_new0 (struct msg_history, 1);
+
+  hs_on_gone (http, on_caller_gone, call);
+  history->reply = task->box;
+  history->token = call->token;
+  history->revision = revision;
+  mb_post (task->daemon->state, MSG_HISTORY, history);
 }
 
 void
 fr_get_history (struct front_task *task, struct hs_request *http,
                 const char *rest)
 {
-  json_t *list = json_array ();
-  guint i;
+  (void)rest;
+  ask_history (task, http, 0);
+}
+
+void
+fr_get_config (struct front_task *task, struct hs_request *http,
+               const char *rest)
+{
+  const struct msg_config *config = task->config;
+  const char *wanted = hs_query (http, "revision");
+  uint64_t revision = 0;
 
   (void)rest;
-  for (i = task->history->len; i > 0; i--)
-    {
-      const struct fr_revision *revision
-          = &g_array_index (task->history, struct fr_revision, i - 1);
-
-      json_array_append_new (
-          list, json_pack ("{s:I, s:s, s:s, s:I}", "revision",
-                           (json_int_t)revision->revision, "digest",
-                           revision->digest, "author", revision->author,
-                           "time_ms", (json_int_t)revision->time_ms));
-    }
-  fr_json (http, STATUS_OK, json_pack ("{s:o}", "revisions", list));
+  if (wanted != NULL && !fr_number (wanted, INT64_MAX, &revision))
+    fr_error (http, STATUS_BAD_REQUEST, "bad_request",
+              "The query revision must be a whole number.", NULL, 0);
+  else if (revision != 0)
+    ask_history (task, http, revision);
+  else if (config == NULL)
+    fr_error (http, STATUS_NOT_FOUND, "no_configuration",
+              "No configuration is in force.", NULL, 0);
+  else
+    fr_json (http, STATUS_OK,
+             json_pack ("{s:I, s:s, s:s, s:I, s:s}", "revision",
+                        (json_int_t)config->revision, "digest", config->digest,
+                        "author", config->author, "time_ms",
+                        (json_int_t)config->time_ms, "document",
+                        config->text));
 }
 
 /* --- Applying --- */
@@ -186,7 +245,7 @@
   record.body_case = FT__RECORD__BODY_CONFIG_CHANGE;
   record.config_change = change;
   call->digest = g_strdup (digest);
-  hs_on_gone (http, (hs_gone_handler)fr_call_free, call);
+  hs_on_gone (http, on_caller_gone, call);
   fr_append (call, &record, APPEND_DEADLINE_MS, on_applied);
 }
 
--- a/programs/foxtailgapd/front_status.c
+++ b/programs/foxtailgapd/front_status.c
@@ -9,8 +9,7 @@
 {
   STATUS_OK = 200,
   STATUS_BAD_REQUEST = 400,
-  STATUS_UNAVAILABLE = 503,
-  LEVEL_SIZE_BYTES = 16
+  STATUS_UNAVAILABLE = 503
 };
 
 static json_t *
@@ -135,18 +134,18 @@
 fr_put_log_level (struct front_task *task, struct hs_request *http,
                   const char *rest)
 {
-  char level[LEVEL_SIZE_BYTES] = "";
   size_t size_bytes;
   const char *body = hs_body (http, &size_bytes);
+  json_t *value = json_loadb (body, size_bytes, 0, NULL);
+  const char *level = json_string_value (json_object_get (value, "level"));
 
   (void)task;
   (void)rest;
-  if (size_bytes < sizeof level)
-    g_strlcpy (level, body, sizeof level);
-  g_strstrip (level);
-  if (lg_set_level (level))
+  if (level != NULL && lg_set_level (level))
     fr_json (http, STATUS_OK, json_pack ("{s:s}", "level", level));
   else
     fr_error (http, STATUS_BAD_REQUEST, "bad_request",
-              "The body must be debug, info, warning or error.", NULL, 0);
+              "The field level must be debug, info, warning or error.", NULL,
+              0);
+  json_decref (value);
 }
--- a/programs/foxtailgapd/front_task.c
+++ b/programs/foxtailgapd/front_task.c
@@ -12,8 +12,7 @@
 enum
 {
   STATUS_NOT_FOUND = 404,
-  STATUS_BAD_METHOD = 405,
-  HISTORY_LIMIT = 256
+  STATUS_BAD_METHOD = 405
 };
 
 /* --- Small helpers --- */
@@ -190,14 +189,6 @@
 static void
 on_config (struct front_task *task, struct msg_config *config)
 {
-  struct fr_revision revision = { .revision = config->revision,
-                                  .digest = g_strdup (config->digest),
-                                  .author = g_strdup (config->author),
-                                  .time_ms = config->time_ms };
-
-  g_array_append_val (task->history, revision);
-  if (task->history->len > HISTORY_LIMIT)
-    g_array_remove_index (task->history, 0);
   msg_free (MSG_CONFIG, task->config);
   task->config = config;
   configure_shadow (task);
@@ -301,6 +292,12 @@
     case MSG_JOB_DROPPED:
       g_hash_table_remove (task->jobs, body);
       break;
+    case MSG_CLAIM_DROPPED:
+      g_hash_table_remove (task->claims, body);
+      break;
+    case MSG_HISTORY:
+      fr_history (task, body);
+      break;
     case MSG_TERM:
       on_term (task, body);
       break;
@@ -342,15 +339,6 @@
   g_ptr_array_free (data, TRUE);
 }
 
-static void
-clear_revision (gpointer data)
-{
-  struct fr_revision *revision = data;
-
-  g_free (revision->digest);
-  g_free (revision->author);
-}
-
 static uint32_t
 random_number (void *ctx)
 {
@@ -427,8 +415,6 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_claim);
   task->waiting
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_list);
-  task->history = g_array_new (FALSE, TRUE, sizeof (struct fr_revision));
-  g_array_set_clear_func (task->history, clear_revision);
   task->box = mb_create (daemon->loop, on_message, msg_free, task);
   daemon->front = task->box;
   if (place_create (&task->shadow, &shadow) != PLACE_OK
@@ -464,7 +450,6 @@
   g_hash_table_destroy (task->waiting);
   g_hash_table_destroy (task->jobs);
   g_hash_table_destroy (task->claims);
-  g_array_free (task->history, TRUE);
   place_free (task->shadow);
   msg_free (MSG_CONFIG, task->config);
   msg_free (MSG_MEMBERS, task->members);
--- a/programs/foxtailgapd/messages.c
+++ b/programs/foxtailgapd/messages.c
@@ -57,6 +57,22 @@
   g_free (members);
 }
 
+static void
+free_history (struct msg_history *history)
+{
+  size_t i;
+
+  for (i = 0; i < history->revision_count; i++)
+    {
+      g_free (history->revisions[i].digest);
+      g_free (history->revisions[i].author);
+      g_free (history->revisions[i].note);
+      g_free (history->revisions[i].document);
+    }
+  g_free (history->revisions);
+  g_free (history);
+}
+
 void
 msg_free (int kind, void *body)
 {
@@ -90,6 +106,9 @@
       g_free (((struct msg_answer *)body)->body);
       g_free (body);
       break;
+    case MSG_HISTORY:
+      free_history (body);
+      break;
     case MSG_MEMBERS:
       free_members (body);
       break;
--- a/programs/foxtailgapd/messages.h
+++ b/programs/foxtailgapd/messages.h
@@ -33,7 +33,8 @@
   MSG_CLAIM_DROPPED,   /* from state: char *, the claim's key */
   MSG_SNAPSHOT_WANTED, /* from peers to state: struct msg_snapshot_wanted */
   MSG_SNAPSHOT,        /* state to peers and back: struct msg_snapshot */
-  MSG_USAGE            /* from renewal to planner: struct msg_usage */
+  MSG_USAGE,           /* from renewal to planner: struct msg_usage */
+  MSG_HISTORY          /* to state and back: struct msg_history */
 };
 
 /* Asks for a record in the log; answered once by MSG_APPENDED.  */
@@ -185,6 +186,27 @@
   size_t size_bytes;
 };
 
+/* Asks for the known revisions of the configuration; sent back with them,
+   newest first.  */
+struct msg_history
+{
+  struct mb_box *reply;
+  uint64_t token;
+  uint64_t revision; /* 0: all, without their documents */
+  struct msg_revision *revisions;
+  size_t revision_count;
+};
+
+struct msg_revision
+{
+  uint64_t revision;
+  char *digest;
+  char *author;
+  char *note;
+  int64_t time_ms;
+  char *document; /* NULL if it is not kept any more, or was not asked for */
+};
+
 /*! msg_free () :
  *  Frees the body of a message of any kind. */
 void msg_free (int kind, void *body);
--- /dev/null
+++ b/programs/foxtailgapd/state_history.c
@@ -0,0 +1,42 @@
+/* The configuration's revisions, for those who ask.  */
+
+#include "state_history.h"
+
+#include <glib.h>
+
+struct collect
+{
+  uint64_t wanted; /* 0: all */
+  GArray *revisions;
+};
+
+static void
+add_revision (void *ctx, const struct st_revision *from)
+{
+  struct collect *collect = ctx;
+  struct msg_revision revision
+      = { .revision = from->revision, .time_ms = from->time_ms };
+
+  if (collect->wanted != 0 && collect->wanted != from->revision)
+    return;
+  revision.digest = g_strdup (from->digest);
+  revision.author = g_strdup (from->author);
+  revision.note = g_strdup (from->note);
+  if (collect->wanted != 0 && from->document != NULL)
+    revision.document = g_strndup (from->document, from->document_size_bytes);
+  g_array_append_val (collect->revisions, revision);
+}
+
+void
+hist_answer (const struct st_state *state, struct msg_history *history)
+{
+  struct collect collect = { .wanted = history->revision,
+                             .revisions = g_array_new (
+                                 FALSE, TRUE, sizeof (struct msg_revision)) };
+
+  st_history (state, add_revision, &collect);
+  history->revision_count = collect.revisions->len;
+  history->revisions
+      = (struct msg_revision *)g_array_free (collect.revisions, FALSE);
+  mb_post (history->reply, MSG_HISTORY, history);
+}
--- a/programs/foxtailgapd/state_task.c
+++ b/programs/foxtailgapd/state_task.c
@@ -7,6 +7,7 @@
 #include "common/logging.h"
 #include "log/log_client.h"
 #include "messages.h"
+#include "state_history.h"
 #include "state_pending.h"
 #include "state_publish.h"
 #include "state_snapshots.h"
@@ -332,6 +333,9 @@
     case MSG_SUBSCRIBE:
       pub_subscribe (task->subscribers, body, task->state, task->own_term);
       break;
+    case MSG_HISTORY:
+      hist_answer (task->state, body);
+      return;
     case MSG_SNAPSHOT_WANTED:
       send_snapshot (task, body);
       break;
--- a/programs/foxtailgapd/upstream_task.c
+++ b/programs/foxtailgapd/upstream_task.c
@@ -377,6 +377,9 @@
     case MSG_CLAIM:
       up_claim_changed (task, body);
       return;
+    case MSG_CLAIM_DROPPED:
+      g_hash_table_remove (task->claims, body);
+      break;
     case MSG_APPENDED:
       up_claim_appended (task, body);
       break;
