--- a/tests/history/report.c
+++ b/tests/history/report.c
@@ -77,13 +77,14 @@
               const char *format, ...)
 {
   va_list args;
+  char *text;
 
-  report->violations++;
-  printf ("violation %s: ", check_names[check]);
   va_start (args, format);
-  vprintf (format, args);
+  text = g_strdup_vprintf (format, args);
   va_end (args);
-  printf ("\n");
+  printf ("violation %s: %s\n", check_names[check], text);
+  g_free (text);
+  report->violations++;
 }
 
 static gboolean
