--- a/tests/history/checks.h
+++ b/tests/history/checks.h
@@ -18,7 +18,7 @@
  *  Gangs run whole or not at all, but for BOUND_MS at their start and end; a
  *  non-repeatable job is started in one attempt at most; what was told not to
  *  have run was not started; a job that was told to have finished has an
- *  attempt of which every task ended well. */
+ *  attempt of which every task ended well, with the outputs that were told. */
 void ch_jobs (const struct hi_history *history, struct re_report *report,
               uint32_t bound_ms);
 
--- a/tests/scripts/history.t
+++ b/tests/scripts/history.t
@@ -179,6 +179,24 @@
   violation jobs: job j2 was told to have finished, and no attempt has ended whole
   violations: 1
 
+The outputs of a job: those of its tasks pass, those of another job do not, nor does a part of them:
+
+  $ sed -e '/"end","job":"j1"/s/}/,"output":"o1"}/' -e '/"end","job":"j2"/s/}/,"output":"o2"}/' jobs > outputs
+  $ told ()
+  > {
+  >   cat outputs
+  >   echo "{\"t_ms\":2000,\"who\":\"t\",\"what\":\"told\",\"job\":\"j1\",\"state\":\"finished\",\"outputs\":$1}"
+  > }
+  $ told '["o1","o1"]' | check --gang-bound-ms 100 | grep '^violation\|^checked'
+  checked: at_most_once 1 not_run 1 answers 1 jobs 2 gangs 3 leases 6 leaving 0
+  violations: 0
+  $ told '["o1","o2"]' | check --gang-bound-ms 100 | grep '^violation'
+  violation answers: job j1 was told outputs that none of its attempts gave
+  violations: 1
+  $ told '["o1"]' | check --gang-bound-ms 100 | grep '^violation'
+  violation answers: job j1 was told outputs that none of its attempts gave
+  violations: 1
+
 Two leases on one accelerator:
 
   $ { cat jobs; echo '{"t_ms":120,"who":"w1","what":"lease","job":"j9","attempt":1,"task":0,"accelerators":6}'; } | check --gang-bound-ms 100 | grep '^violation'
@@ -212,18 +230,10 @@
   $ start ups ft-upstreams --count 1 --history live
   $ start workers ft-workers --count 2 --history live
   $ up=http://127.0.0.1:$(get http://127.0.0.1:$ups_port/hosts | json hosts 0 port)
-  $ digest ()
-  > {
-  >   printf %s "$1" | sha256sum | cut -c 1-16
-  > }
-  $ note ()
-  > {
-  >   echo "{\"t_ms\":$(date +%s%3N),\"who\":\"test\",$1}" >> live
-  > }
-  $ note "\"what\":\"sent\",\"body\":\"$(digest hello)\",\"repeatable\":false"
+  $ note live sent "\"body\":\"$(digest hello)\",\"repeatable\":false"
   $ answer=$(curl -s -H 'Foxtailgap-Request-Id: r1' -d hello $up/work)
-  $ note "\"what\":\"told\",\"body\":\"$(digest hello)\",\"state\":\"finished\",\"answer\":\"$(digest "$answer")\""
-  $ note '"what":"sent","job":"j1","tasks":2'
+  $ note live told "\"body\":\"$(digest hello)\",\"state\":\"finished\",\"answer\":\"$(digest "$answer")\""
+  $ note live sent '"job":"j1","tasks":2'
   $ for i in 0 1; do
   >   port[$i]=$(get http://127.0.0.1:$workers_port/hosts | json hosts $i port)
   >   post http://127.0.0.1:${port[$i]}/lease "{\"term\":1,\"host\":\"a\",\"job\":\"j1\",\"attempt\":1,
@@ -237,11 +247,11 @@
   {}
   {}
   $ wait_for 10 eval '[ "$(grep -c "\"what\":\"end\"" live)" = 2 ]'
-  $ note '"what":"told","job":"j1","state":"finished"'
+  $ note live told "\"job\":\"j1\",\"state\":\"finished\",\"outputs\":[\"$(digest 'task 0 on w01 done')\",\"$(digest 'task 1 on w02 done')\"]"
   $ stop workers
   $ stop ups
   $ check --require sent,told,run,answer,lease,start,end < live
   events: answer 1 down 2 end 2 lease 2 run 1 sent 2 start 2 told 2 up 2
-  checked: at_most_once 1 not_run 0 answers 1 jobs 1 gangs 1 leases 2 leaving 0
+  checked: at_most_once 1 not_run 0 answers 2 jobs 1 gangs 1 leases 2 leaving 0
   violations: 0
   status 0
--- a/tests/scripts/lib.sh
+++ b/tests/scripts/lib.sh
@@ -191,3 +191,18 @@
 print(value if isinstance(value, str) else json.dumps(value))
 ' "$@"
 }
+
+# digest TEXT: by which histories name a body.
+digest ()
+{
+  printf %s "$1" | sha256sum | cut -c 1-16
+}
+
+# note FILE WHAT MEMBERS: appends a line of the test to a history; MEMBERS
+# are those of a JSON object, without its braces.
+note ()
+{
+  local now_us=${EPOCHREALTIME/./}
+  printf '{"t_ms":%s,"who":"test","what":"%s",%s}\n' \
+    "$((now_us / 1000))" "$2" "$3" >> "$1"
+}
--- a/tests/standins/common/history_file.c
+++ b/tests/standins/common/history_file.c
@@ -14,7 +14,8 @@
 enum
 {
   FILE_MODE = 0644,
-  NO_FILE = -1
+  NO_FILE = -1,
+  DIGEST_CHARS = 16
 };
 
 struct hf_file
@@ -79,3 +80,13 @@
     }
   json_decref (fields);
 }
+
+char *
+hf_digest (const char *data, size_t size_bytes)
+{
+  char *digest = g_compute_checksum_for_data (
+      G_CHECKSUM_SHA256, (const guchar *)data, size_bytes);
+
+  digest[DIGEST_CHARS] = '\0';
+  return digest;
+}
--- a/tests/standins/common/history_file.h
+++ b/tests/standins/common/history_file.h
@@ -4,6 +4,7 @@
 #define FT_HISTORY_FILE_H
 
 #include <jansson.h>
+#include <stddef.h>
 
 struct hf_file;
 
@@ -19,4 +20,9 @@
 void hf_write (struct hf_file *file, const char *who, const char *what,
                json_t *fields);
 
+/*! hf_digest () :
+ *  @return : the first 16 hexadecimal digits of SHA-256, by which histories
+ *  name bodies; to be freed by g_free (). */
+char *hf_digest (const char *data, size_t size_bytes);
+
 #endif
--- a/tests/standins/ft-upstreams/upstream.c
+++ b/tests/standins/ft-upstreams/upstream.c
@@ -11,7 +11,6 @@
 {
   MS_PER_S = 1000,
   PERCENT = 100,
-  DIGEST_CHARS = 16,
   ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
 };
 
@@ -83,16 +82,6 @@
     }
 }
 
-static char *
-digest_of (const char *data, size_t size_bytes)
-{
-  char *digest = g_compute_checksum_for_data (
-      G_CHECKSUM_SHA256, (const guchar *)data, size_bytes);
-
-  digest[DIGEST_CHARS] = '\0';
-  return digest;
-}
-
 /* --- Answers --- */
 
 static void
@@ -128,7 +117,7 @@
 static void
 note_answer (const struct work *work, unsigned int status, const GString *text)
 {
-  char *digest = digest_of (text->str, text->len);
+  char *digest = hf_digest (text->str, text->len);
 
   hf_write (work->instance->params.history, work->instance->params.name,
             "answer",
@@ -249,7 +238,7 @@
   work->request = request;
   work->id = g_strdup (header_of (request, "Foxtailgap-Request-Id"));
   work->body = g_strndup (body, size_bytes);
-  work->digest = digest_of (body, size_bytes);
+  work->digest = hf_digest (body, size_bytes);
   work->link.data = work;
   g_queue_push_tail_link (&instance->works, &work->link);
   hs_on_gone (request, on_gone, work);
--- a/tests/standins/ft-workers/worker.c
+++ b/tests/standins/ft-workers/worker.c
@@ -204,14 +204,17 @@
   struct wk_worker *worker = lease->owner;
   struct el_event event = { .ok = ok, .detail = ok ? "" : "the task failed" };
   char *output;
+  char *digest;
 
   if (ok && lease->payload.output == NULL)
     output = g_strdup_printf ("task %u on %s done", task->task.number,
                               worker->params.name);
   else
     output = g_strdup (ok ? lease->payload.output : "");
+  digest = hf_digest (output, strlen (output));
   note_task (worker, lease, &task->task, "end",
-             json_pack ("{s:b}", "ok", (int)ok));
+             json_pack ("{s:b,s:s}", "ok", (int)ok, "output", digest));
+  g_free (digest);
   event.output = output;
   add_event (worker, task, &event);
   g_free (output);
