--- a/tests/scripts/history.t
+++ b/tests/scripts/history.t
@@ -75,6 +75,31 @@
   violations: 1
   status 1
 
+A request may be sent again after that, and run then; a non-repeatable one may not have run before either. An id tells
+sendings of one body apart:
+
+  $ cat > again <<'END'
+  > {"t_ms":10,"who":"t","what":"sent","body":"b1"}
+  > {"t_ms":11,"who":"t","what":"told","body":"b1","state":"not_run"}
+  > {"t_ms":20,"who":"t","what":"sent","body":"b1"}
+  > {"t_ms":21,"who":"u1","what":"run","request":"r1","body":"b1"}
+  > {"t_ms":30,"who":"t","what":"sent","body":"b1"}
+  > {"t_ms":31,"who":"t","what":"told","body":"b1","request":"r2","state":"not_run"}
+  > END
+  $ check < again | grep '^violation'
+  violations: 0
+  $ sed 's/"t_ms":21/"t_ms":15/' again | check | grep '^violation'
+  violation not_run: body b1 was told not to have run, and ran on u1
+  violations: 1
+  $ sed 's/"request":"r2",//' again | check | grep '^violation'
+  violations: 0
+  $ sed 's/"request":"r2"/"request":"r1"/' again | check | grep '^violation'
+  violation not_run: request r1 was told not to have run, and ran on u1
+  violations: 1
+  $ sed -e 's/"request":"r2",//' -e 's/"body":"b1"}/"body":"b1","repeatable":false}/' again | check | grep '^violation'
+  violation not_run: body b1 was told not to have run, and ran on u1
+  violations: 1
+
 An answer of another request, and one of a request that did not run:
 
   $ { cat requests; echo '{"t_ms":40,"who":"t","what":"told","body":"b1","state":"finished","answer":"a2"}'; } | check | grep -v '^events\|^checked'
--- a/tests/standins/common/delayed_answer.h
+++ b/tests/standins/common/delayed_answer.h
@@ -24,7 +24,8 @@
                  json_t *value);
 
 /*! da_hold () :
- *  Keeps the request without an answer until da_drop_all (). */
+ *  Keeps the request without an answer; its connection is closed after a
+ *  minute, or by da_drop_all (). */
 void da_hold (struct da_queue *queue, struct hs_request *request);
 
 /*! da_drop_all () :
