--- a/lib/place/place_decide.c
+++ b/lib/place/place_decide.c
@@ -274,29 +274,15 @@
 static void
 queue_round (struct place *place)
 {
-  const struct place_policy *policy = place->params.policy;
-  guint i;
-
-  for (i = 0; i < place->team_list->len; i++)
-    {
-      struct place_team_state *team = place->team_list->pdata[i];
+  struct place_job_state *job;
+  bool left_queue;
 
-      team->cursor = 0;
-      team->urgent_cursor = 0;
-    }
-  for (;;)
+  place_picks_begin (place);
+  while ((job = place_pick (place)) != NULL)
     {
-      struct place_job_state *job = policy->pick (place);
-
-      if (job == NULL)
-        return;
-      if (try_job (place, job))
-        continue;
-      if (job->urgent)
-        job->team->urgent_cursor++;
-      else
-        job->team->cursor++;
-      if (policy->stops)
+      left_queue = try_job (place, job);
+      place_pick_done (place, job, left_queue);
+      if (!left_queue && place->params.policy->stops)
         return;
     }
 }
--- a/lib/place/place_firm.c
+++ b/lib/place/place_firm.c
@@ -394,6 +394,7 @@
       place_queue_insert (job);
       job->wait = "waits again: the owner of its workers came first";
       any = true;
+      place->changed = true; /* its team may have had no job waiting */
     }
   return any;
 }
@@ -448,10 +449,38 @@
   return false;
 }
 
+/* Whether the team has looked for no more in this round, and in vain.  */
+static bool
+failed_before (const struct place_job_state *job)
+{
+  const struct place_team_state *team = job->team;
+  uint32_t i;
+
+  for (i = 0; i < team->failed_count; i++)
+    if (team->failed[i].tasks <= job->shape.tasks
+        && team->failed[i].span <= job->shape.span
+        && place_covers (&job->each, &team->failed[i].each))
+      return true;
+  return false;
+}
+
+static void
+note_failed (struct place_job_state *job)
+{
+  struct place_team_state *team = job->team;
+
+  if (job->failed_count > 0 || job->centre != NULL
+      || team->failed_count == PLACE_FAILED_SEARCH_LIMIT)
+    return;
+  team->failed[team->failed_count++] = (struct place_failed_search){
+    .tasks = job->shape.tasks, .span = job->shape.span, .each = job->each
+  };
+}
+
 /* A larger unit is broken into only when no smaller one serves, even if that
    takes an eviction: otherwise the team would lose its larger shape.  */
-bool
-place_firm_try (struct place *place, struct place_job_state *job)
+static bool
+try_units (struct place *place, struct place_job_state *job)
 {
   g_autoptr (GPtrArray) units = units_for (job);
   struct take take = { .job = job };
@@ -471,3 +500,14 @@
                 && job->centre == NULL;
   return units->len > 1 && take.spread && use_units (place, &take, units);
 }
+
+bool
+place_firm_try (struct place *place, struct place_job_state *job)
+{
+  if (job->team->units->len == 0 || failed_before (job))
+    return false;
+  if (try_units (place, job))
+    return true;
+  note_failed (job);
+  return false;
+}
--- a/lib/place/place_fit.c
+++ b/lib/place/place_fit.c
@@ -1,9 +1,6 @@
 /* Search for workers: the group (worker, rack, data centre) that is left
    with the least, and in it the workers that are broken into already.  */
 
-#include <stdlib.h>
-#include <string.h>
-
 #include "place/place_inner.h"
 
 enum
@@ -240,19 +237,60 @@
   return true;
 }
 
-static int
-compare_options (const void *a, const void *b)
+static bool
+option_ahead (const struct option *a, const struct option *b)
+{
+  if (option_better (a, b) || option_better (b, a))
+    return option_better (a, b);
+  if (a->room != b->room)
+    return a->room > b->room;
+  return a->worker->number < b->worker->number;
+}
+
+/* Moves the option at AT down until it is ahead of both below it.  Only the
+   first few of many options are needed, so that a heap beats a sort.  */
+static void
+heap_sink (struct option *heap, guint len, guint at)
 {
-  const struct option *left = a;
-  const struct option *right = b;
+  struct option moved = heap[at];
 
-  if (option_better (left, right))
-    return -1;
-  if (option_better (right, left))
-    return 1;
-  if (left->room != right->room)
-    return left->room > right->room ? -1 : 1;
-  return strcmp (left->worker->name, right->worker->name);
+  for (;;)
+    {
+      guint below = 2 * at + 1;
+
+      if (below >= len)
+        break;
+      if (below + 1 < len && option_ahead (&heap[below + 1], &heap[below]))
+        below++;
+      if (!option_ahead (&heap[below], &moved))
+        break;
+      heap[at] = heap[below];
+      at = below;
+    }
+  heap[at] = moved;
+}
+
+static void
+heap_make (GArray *options)
+{
+  struct option *heap = (struct option *)options->data;
+  guint at;
+
+  for (at = options->len / 2; at-- > 0;)
+    heap_sink (heap, options->len, at);
+}
+
+static struct option
+heap_pop (GArray *options)
+{
+  struct option *heap = (struct option *)options->data;
+  struct option first = heap[0];
+
+  heap[0] = heap[options->len - 1];
+  g_array_set_size (options, options->len - 1);
+  if (options->len > 0)
+    heap_sink (heap, options->len, 0);
+  return first;
 }
 
 static void
@@ -283,57 +321,53 @@
     }
 }
 
-/* The tightest option that takes all TASKS that are left, or NULL.  */
-static struct option *
+/* The tightest option that takes all TASKS that are left; FIRST does.  */
+static struct option
 last_option (struct place *place, const struct place_search *search,
-             guint from, uint32_t tasks)
+             const struct option *first, uint32_t tasks)
 {
-  struct option *best = NULL;
-  struct option best_left = { 0 };
+  const struct option *list = (const struct option *)place->options->data;
+  struct option best = *first;
+  struct option best_left = option_of (search, first->worker, tasks, tasks);
   guint i;
 
-  for (i = from; i < place->options->len; i++)
+  for (i = 0; i < place->options->len; i++)
     {
-      struct option *option
-          = &g_array_index (place->options, struct option, i);
       struct option left;
 
-      if (option->room < tasks)
+      if (list[i].room < tasks)
         continue;
-      left = option_of (search, option->worker, tasks, tasks);
-      if (best == NULL || option_better (&left, &best_left))
-        {
-          best = option;
-          best_left = left;
-        }
+      left = option_of (search, list[i].worker, tasks, tasks);
+      if (!option_better (&left, &best_left))
+        continue;
+      best = list[i];
+      best_left = left;
     }
   return best;
 }
 
-static void
+/* Returns whether the group takes all tasks.  */
+static bool
 fill_group (struct place *place, const struct place_search *search,
             const struct group *group, struct place_spot *spots)
 {
   uint32_t done = 0;
-  guint i;
 
   collect_options (place, search, group);
-  qsort (place->options->data, place->options->len, sizeof (struct option),
-         compare_options);
-  for (i = 0; done < search->tasks && i < place->options->len; i++)
+  heap_make (place->options);
+  while (done < search->tasks && place->options->len > 0)
     {
-      struct option *option
-          = &g_array_index (place->options, struct option, i);
+      struct option option = heap_pop (place->options);
       uint32_t left = search->tasks - done;
       uint32_t taken;
 
-      if (option->room >= left)
-        option = last_option (place, search, i, left);
-      taken = MIN (option->room, left);
+      if (option.room >= left)
+        option = last_option (place, search, &option, left);
+      taken = MIN (option.room, left);
       while (taken-- > 0)
-        spots[done++] = (struct place_spot){ .worker = option->worker };
+        spots[done++] = (struct place_spot){ .worker = option.worker };
     }
-  g_assert (done == search->tasks);
+  return done == search->tasks;
 }
 
 /* The racks to look at: all, those of a data centre, or the anchor's.  */
@@ -363,11 +397,7 @@
         spots[i] = (struct place_spot){ .worker = worker };
       return true;
     }
-  group.room = room_of_rack (place, search, worker->rack);
-  if (group.room < search->tasks)
-    return false;
-  fill_group (place, search, &group, spots);
-  return true;
+  return fill_group (place, search, &group, spots);
 }
 
 bool
@@ -385,7 +415,11 @@
   if (search->span == PLACE_SPAN_RACK)
     consider_racks (place, search, racks, &best);
   else if (search->span == PLACE_SPAN_ANY || racks != place->racks)
-    consider_together (place, search, racks, &best);
+    {
+      best.racks = (struct place_rack **)racks->pdata;
+      best.rack_count = racks->len;
+      return fill_group (place, search, &best, spots);
+    }
   else
     for (i = 0; i < place->centre_list->len; i++)
       {
@@ -395,8 +429,7 @@
       }
   if (best.room == 0)
     return false;
-  fill_group (place, search, &best, spots);
-  return true;
+  return fill_group (place, search, &best, spots);
 }
 
 /* Whether a search that found nothing asked for no more than SEARCH.  */
--- a/lib/place/place_inner.h
+++ b/lib/place/place_inner.h
@@ -12,6 +12,7 @@
   PLACE_BLAME_LIMIT = 8,         /* jobs remembered that failed on a worker */
   PLACE_FAILED_WORKER_LIMIT = 8, /* workers remembered by a failed job */
   PLACE_BACKOFF_LIMIT = 10,      /* doublings of a quarantine */
+  PLACE_FAILED_SEARCH_LIMIT = 4, /* remembered in a round, for each team */
   PLACE_RESERVATION_LIMIT = 8,   /* reservations at a time */
   PLACE_KIND_LIMIT = 64,         /* kinds with a history, for each team */
   PLACE_WORKER_FORGET_MS = 3600000, /* after a worker went down */
@@ -56,6 +57,7 @@
 struct place_worker_state
 {
   char *name;
+  uint32_t number; /* by arrival, to break ties */
   struct place_rack *rack;
   struct place_amount capacity;
   struct place_amount used;     /* by running jobs */
@@ -111,6 +113,14 @@
   double run_ms;    /* mean run time */
 };
 
+/* A search for slots that found none in this round.  */
+struct place_failed_search
+{
+  uint32_t tasks;
+  enum place_span span;
+  struct place_amount each;
+};
+
 struct place_team_state
 {
   char *name;
@@ -123,7 +133,10 @@
   GPtrArray *units;          /* of struct place_unit */
   GPtrArray *queue;          /* of struct place_job_state, by arrival */
   GPtrArray *urgent;         /* ... those that are urgent */
-  uint32_t cursor;           /* next of QUEUE in this round */
+  double share;              /* dominant, by weight */
+  uint32_t failed_count;
+  struct place_failed_search failed[PLACE_FAILED_SEARCH_LIMIT];
+  uint32_t cursor; /* next of QUEUE in this round */
   uint32_t urgent_cursor;
   uint32_t jobs; /* queued or placed */
   GHashTable *kinds;
@@ -220,8 +233,10 @@
   bool guarantees;
   bool reserves;
   bool stops; /* the round ends at the first job that does not fit */
-  /* The next job to try in this round, or NULL.  */
-  struct place_job_state *(*pick) (struct place *place);
+  /* The next job of a team at its cursors, or NULL.  */
+  struct place_job_state *(*head) (const struct place_team_state *team);
+  /* Of the heads of all teams the least is tried next.  */
+  double (*rank) (const struct place_job_state *job, int64_t now_ms);
 };
 
 struct place
@@ -232,8 +247,12 @@
   GPtrArray *racks;
   GHashTable *workers; /* name -> struct place_worker_state */
   GPtrArray *worker_list;
-  GHashTable *teams; /* name -> struct place_team_state */
+  uint32_t worker_number; /* of the next new one */
+  GHashTable *teams;      /* name -> struct place_team_state */
   GPtrArray *team_list;
+  GPtrArray *active;       /* teams with jobs waiting, in this round */
+  GArray *candidates;      /* of struct place_candidate, for each of these */
+  uint32_t picked;         /* index of the last pick in both */
   GHashTable *jobs;        /* id -> struct place_job_state */
   GPtrArray *claims;       /* jobs in PLACE_CLAIMING */
   GPtrArray *reservations; /* jobs that hold one */
@@ -255,6 +274,13 @@
   GArray *options;   /* scratch of place_fit () */
 };
 
+/* What a team would start next.  */
+struct place_candidate
+{
+  struct place_job_state *job; /* NULL: nothing */
+  double rank;
+};
+
 /* A job to be told of and removed in the next round.  */
 struct place_notice
 {
@@ -444,6 +470,14 @@
 int64_t place_expected_end_ms (const struct place *place,
                                const struct place_job_state *job);
 
+/* ===== place_order.c ========================================== */
+
+/* The order of one round: the next job to try, and what became of it.  */
+void place_picks_begin (struct place *place);
+struct place_job_state *place_pick (struct place *place);
+void place_pick_done (struct place *place, struct place_job_state *job,
+                      bool left_queue);
+
 /* ===== place_decide.c ========================================= */
 
 struct place_command *place_emit (struct place *place,
--- a/lib/place/place_jobs.c
+++ b/lib/place/place_jobs.c
@@ -1,7 +1,6 @@
 /* Jobs: the queues by arrival, and what a job takes on its workers.  */
 
 #include <stdlib.h>
-#include <string.h>
 
 #include "place/place_inner.h"
 
@@ -216,7 +215,8 @@
   const struct place_spot *left = a;
   const struct place_spot *right = b;
 
-  return strcmp (left->worker->name, right->worker->name);
+  return (left->worker->number > right->worker->number)
+         - (left->worker->number < right->worker->number);
 }
 
 static struct place_amount
--- a/lib/place/place_order.c
+++ b/lib/place/place_order.c
@@ -2,43 +2,38 @@
 
 #include "place/place_inner.h"
 
+enum
+{
+  URGENT_RANK = 1000000 /* above any share and any waiting */
+};
+
 static struct place_job_state *
 at_cursor (GPtrArray *queue, uint32_t cursor)
 {
   return cursor < queue->len ? queue->pdata[cursor] : NULL;
 }
 
-static bool
-arrived_before (const struct place_job_state *a,
-                const struct place_job_state *b)
-{
-  if (b == NULL)
-    return true;
-  if (a->submitted_ms != b->submitted_ms)
-    return a->submitted_ms < b->submitted_ms;
-  return a->sequence < b->sequence;
-}
-
 /* ===== Arrival order ========================================== */
 
 static struct place_job_state *
-pick_by_arrival (struct place *place)
+head_by_arrival (const struct place_team_state *team)
 {
-  struct place_job_state *best = NULL;
-  guint i;
-
-  for (i = 0; i < place->team_list->len; i++)
-    {
-      struct place_team_state *team = place->team_list->pdata[i];
-      struct place_job_state *job = at_cursor (team->queue, team->cursor);
+  struct place_job_state *job = at_cursor (team->queue, team->cursor);
+  struct place_job_state *urgent
+      = at_cursor (team->urgent, team->urgent_cursor);
+
+  if (job == NULL || urgent == NULL)
+    return job == NULL ? urgent : job;
+  if (job->submitted_ms != urgent->submitted_ms)
+    return job->submitted_ms < urgent->submitted_ms ? job : urgent;
+  return job->sequence < urgent->sequence ? job : urgent;
+}
 
-      if (job != NULL && arrived_before (job, best))
-        best = job;
-      job = at_cursor (team->urgent, team->urgent_cursor);
-      if (job != NULL && arrived_before (job, best))
-        best = job;
-    }
-  return best;
+static double
+rank_by_arrival (const struct place_job_state *job, int64_t now_ms)
+{
+  (void)now_ms;
+  return (double)job->submitted_ms;
 }
 
 /* ===== Shares, urgency and ageing ============================= */
@@ -58,64 +53,124 @@
   double accelerators
       = part_of (team->used.accelerators, place->total.accelerators);
 
-  return MAX (share, MAX (memory, accelerators)) / MAX (team->weight, 1);
+  share = MAX (share, MAX (memory, accelerators));
+  return share / MAX (team->weight, 1);
+}
+
+static struct place_job_state *
+head_by_urgency (const struct place_team_state *team)
+{
+  struct place_job_state *job = at_cursor (team->urgent, team->urgent_cursor);
+
+  return job != NULL ? job : at_cursor (team->queue, team->cursor);
 }
 
 /* Waiting lowers the share that counts against a job.  */
 static double
-rank_of (const struct place *place, const struct place_job_state *job,
-         double share, int64_t now)
+rank_by_share (const struct place_job_state *job, int64_t now_ms)
 {
-  double waited = (double)MAX (now - job->submitted_ms, 0);
+  double waited = (double)MAX (now_ms - job->submitted_ms, 0);
+  double rank = job->team->share - waited / PLACE_AGEING_MS;
 
-  (void)place;
-  return share - waited / PLACE_AGEING_MS;
+  return job->urgent ? rank - URGENT_RANK : rank;
 }
 
-static struct place_job_state *
-pick_by_share (struct place *place)
+/* ===== Picks ================================================== */
+
+/* Looks anew at what team number AT would start next.  */
+static void
+candidate_note (struct place *place, guint at)
+{
+  const struct place_policy *policy = place->params.policy;
+  struct place_team_state *team = place->active->pdata[at];
+  struct place_candidate *list
+      = (struct place_candidate *)place->candidates->data;
+  struct place_candidate *candidate = &list[at];
+
+  team->share = share_of (place, team);
+  candidate->job = policy->head (team);
+  if (candidate->job != NULL)
+    candidate->rank = policy->rank (candidate->job, place_now (place));
+}
+
+void
+place_picks_begin (struct place *place)
 {
-  struct place_job_state *best = NULL;
-  double best_rank = 0;
-  int64_t now = place_now (place);
   guint i;
 
+  g_ptr_array_set_size (place->active, 0);
   for (i = 0; i < place->team_list->len; i++)
     {
       struct place_team_state *team = place->team_list->pdata[i];
-      struct place_job_state *job
-          = at_cursor (team->urgent, team->urgent_cursor);
-      double rank;
-
-      if (job == NULL)
-        job = at_cursor (team->queue, team->cursor);
-      if (job == NULL || (best != NULL && best->urgent && !job->urgent))
-        continue;
-      rank = rank_of (place, job, share_of (place, team), now);
-      if (best != NULL && best->urgent == job->urgent && rank >= best_rank)
-        continue;
-      best = job;
-      best_rank = rank;
+
+      team->cursor = 0;
+      team->urgent_cursor = 0;
+      team->failed_count = 0;
+      if (team->queue->len + team->urgent->len > 0)
+        g_ptr_array_add (place->active, team);
     }
-  return best;
+  g_array_set_size (place->candidates, place->active->len);
+  for (i = 0; i < place->active->len; i++)
+    candidate_note (place, i);
+}
+
+static bool
+ahead (const struct place_candidate *a, const struct place_candidate *b)
+{
+  if (a->rank != b->rank)
+    return a->rank < b->rank;
+  return a->job->sequence < b->job->sequence;
+}
+
+struct place_job_state *
+place_pick (struct place *place)
+{
+  const struct place_candidate *list
+      = (const struct place_candidate *)place->candidates->data;
+  const struct place_candidate *best = NULL;
+  guint i;
+
+  for (i = 0; i < place->candidates->len; i++)
+    if (list[i].job != NULL && (best == NULL || ahead (&list[i], best)))
+      best = &list[i];
+  if (best == NULL)
+    return NULL;
+  place->picked = (guint)(best - list);
+  return best->job;
+}
+
+void
+place_pick_done (struct place *place, struct place_job_state *job,
+                 bool left_queue)
+{
+  struct place_team_state *team = place->active->pdata[place->picked];
+
+  if (!left_queue && job->urgent)
+    team->urgent_cursor++;
+  else if (!left_queue)
+    team->cursor++;
+  candidate_note (place, place->picked);
 }
 
 /* ===== Tables ================================================= */
 
 const struct place_policy place_policy_first_fit = {
   .name = "first-fit",
-  .pick = pick_by_arrival,
+  .head = head_by_arrival,
+  .rank = rank_by_arrival,
 };
 
 const struct place_policy place_policy_strict = {
   .name = "strict",
   .stops = true,
-  .pick = pick_by_arrival,
+  .head = head_by_arrival,
+  .rank = rank_by_arrival,
 };
 
 const struct place_policy place_policy_guarantee = {
   .name = "guarantee",
   .guarantees = true,
   .reserves = true,
-  .pick = pick_by_share,
+  .head = head_by_urgency,
+  .rank = rank_by_share,
 };
--- a/lib/place/place_reserve.c
+++ b/lib/place/place_reserve.c
@@ -4,7 +4,6 @@
    could start without it.  */
 
 #include <stdlib.h>
-#include <string.h>
 
 #include "place/place_inner.h"
 
@@ -233,7 +232,7 @@
 
   if (left->room != right->room)
     return left->room > right->room ? -1 : 1;
-  return strcmp (left->worker->name, right->worker->name);
+  return left->worker->number < right->worker->number ? -1 : 1;
 }
 
 /* Keeps the workers with the most room until all tasks have a place.  */
--- a/lib/place/place_state.c
+++ b/lib/place/place_state.c
@@ -77,6 +77,9 @@
   place->team_list = g_ptr_array_new_with_free_func (team_free);
   place->jobs
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, place_job_free);
+  place->active = g_ptr_array_new ();
+  place->candidates
+      = g_array_new (FALSE, TRUE, sizeof (struct place_candidate));
   place->claims = g_ptr_array_new ();
   place->reservations = g_ptr_array_new ();
   place->notices = g_ptr_array_new_with_free_func (place_notice_free);
@@ -105,6 +108,8 @@
   g_ptr_array_free (place->worker_list, TRUE);
   g_ptr_array_free (place->racks, TRUE);
   g_ptr_array_free (place->centre_list, TRUE);
+  g_ptr_array_free (place->active, TRUE);
+  g_array_free (place->candidates, TRUE);
   g_ptr_array_free (place->claims, TRUE);
   g_ptr_array_free (place->reservations, TRUE);
   g_ptr_array_free (place->notices, TRUE);
@@ -176,6 +181,7 @@
     return worker;
   worker = g_new0 (struct place_worker_state, 1);
   worker->name = g_strdup (name);
+  worker->number = place->worker_number++;
   worker->jobs = g_ptr_array_new ();
   worker->down_ms = place_now (place);
   g_hash_table_insert (place->workers, worker->name, worker);
