--- a/lib/place/place_reserve.c
+++ b/lib/place/place_reserve.c
@@ -4,7 +4,6 @@
    could start without it.  */
 
 #include <stdlib.h>
-#include <string.h>
 
 #include "place/place_inner.h"
 
@@ -233,7 +232,7 @@
 
   if (left->room != right->room)
     return left->room > right->room ? -1 : 1;
-  return strcmp (left->worker->name, right->worker->name);
+  return left->worker->number < right->worker->number ? -1 : 1;
 }
 
 /* Keeps the workers with the most room until all tasks have a place.  */
@@ -278,6 +277,7 @@
       job->reservation->start_ms = choice.start_ms;
       job->reservation->first_ms = MIN (first_ms, choice.start_ms);
       job->reservation->renewed_ms = place_now (place);
+      job->wait = "waits for workers that are reserved for it";
       g_ptr_array_add (place->reservations, job);
       keep_workers (place, job, &choice);
     }
