HTTP server: sees callers leave while their request is held, can be freed then

Cause: libmicrohttpd neither watches nor ends suspended connections, so that a queued request of a caller who had left kept its place, and hs_free () aborted the process. Both shown first: test_http aborted at 'a caller leaves'.

--- a/lib/http/http_server.c
+++ b/lib/http/http_server.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <assert.h>
+#include <errno.h>
 #include <glib.h>
 #include <microhttpd.h>
 #include <stdlib.h>
@@ -30,6 +31,8 @@
 
 struct hs_request
 {
+  GList link; /* in server->suspended while it is held */
+  ev_io left; /* tells while it is held that the caller has left */
   struct hs_server *server;
   struct MHD_Connection *mhd;
   struct connection *connection;
@@ -57,8 +60,10 @@
   ev_timer sweep_timer;
   ev_prepare prepare;
   GQueue connections;
+  GQueue suspended; /* of struct hs_request */
   uint32_t open_requests;
   bool stopping;
+  bool freeing; /* what arrives now is dropped */
   bool resumed; /* libmicrohttpd must run to see a resumed connection */
 };
 
@@ -250,7 +255,9 @@
   request->delivered = true;
   if (request->connection != NULL)
     request->connection->receiving = false;
-  if (request->too_large)
+  if (server->freeing)
+    request->drop = true;
+  else if (request->too_large)
     hs_respond (request, MHD_HTTP_CONTENT_TOO_LARGE, &type, 1, message,
                 sizeof message - 1);
   else
@@ -268,6 +275,70 @@
                 > request->server->params.body_limit_bytes;
 }
 
+/* --- Held requests --- */
+
+static void
+resume (struct hs_request *request)
+{
+  struct hs_server *server = request->server;
+
+  if (!request->suspended)
+    return;
+  request->suspended = false;
+  g_queue_unlink (&server->suspended, &request->link);
+  ev_io_stop (server->params.loop, &request->left);
+  server->resumed = true;
+  MHD_resume_connection (request->mhd);
+}
+
+static void
+tell_gone (struct hs_request *request)
+{
+  hs_gone_handler gone = request->gone;
+
+  request->gone = NULL;
+  if (gone != NULL)
+    gone (request->gone_ctx);
+}
+
+/* libmicrohttpd does not look at the connection of a held request.  A caller
+   that closes its end, or half of it, is taken to have left.  */
+static void
+on_left (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct hs_request *request = watcher->data;
+  char byte;
+  ssize_t size;
+
+  (void)events;
+  size = recv (watcher->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (size < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  ev_io_stop (loop, watcher);
+  if (size > 0)
+    return; /* the next request, sent early */
+  request->drop = true;
+  resume (request);
+  tell_gone (request);
+}
+
+static void
+hold (struct hs_request *request)
+{
+  struct hs_server *server = request->server;
+
+  request->suspended = true;
+  request->link.data = request;
+  g_queue_push_tail_link (&server->suspended, &request->link);
+  if (request->connection != NULL)
+    {
+      ev_io_init (&request->left, on_left, request->connection->fd, EV_READ);
+      request->left.data = request;
+      ev_io_start (server->params.loop, &request->left);
+    }
+  MHD_suspend_connection (request->mhd);
+}
+
 static enum MHD_Result
 on_access (void *ctx, struct MHD_Connection *mhd, const char *url,
            const char *method, const char *version, const char *upload,
@@ -299,8 +370,7 @@
     deliver (request);
   if (request->status != 0 || request->drop)
     return queue_response (request);
-  request->suspended = true;
-  MHD_suspend_connection (mhd);
+  hold (request);
   return MHD_YES;
 }
 
@@ -319,8 +389,8 @@
   server->open_requests--;
   if (request->connection != NULL)
     expect_request (server, request->connection);
-  if (request->status == 0 && !request->drop && request->gone != NULL)
-    request->gone (request->gone_ctx);
+  if (request->status == 0 && !request->drop)
+    tell_gone (request);
   request_free (request);
 }
 
@@ -382,6 +452,7 @@
     return HS_ERR_MEMORY;
   server->params = *params;
   g_queue_init (&server->connections);
+  g_queue_init (&server->suspended);
   error = listen_socket (params, &fd);
   if (error != HS_OK)
     goto fail;
@@ -446,9 +517,19 @@
 {
   struct ev_loop *loop;
 
+  struct hs_request *request;
+
   if (server == NULL)
     return;
   loop = server->params.loop;
+  server->freeing = true;
+  while ((request = g_queue_peek_head (&server->suspended)) != NULL)
+    {
+      request->drop = true;
+      resume (request);
+      tell_gone (request);
+    }
+  run_daemon (server); /* ends the connections that were just resumed */
   ev_io_stop (loop, &server->readable);
   ev_timer_stop (loop, &server->run_timer);
   ev_timer_stop (loop, &server->sweep_timer);
@@ -496,16 +577,6 @@
   request->gone_ctx = ctx;
 }
 
-static void
-resume (struct hs_request *request)
-{
-  if (!request->suspended)
-    return;
-  request->suspended = false;
-  request->server->resumed = true;
-  MHD_resume_connection (request->mhd);
-}
-
 void
 hs_respond (struct hs_request *request, unsigned int status,
             const struct hs_header *headers, size_t header_count,
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -21,6 +21,7 @@
   struct hs_request *held;
   ev_timer delay;
   int answers;
+  int gone;
   int drops; /* requests that were dropped without an answer */
   int error;
   bool maybe_sent;
@@ -46,6 +47,11 @@
   const char *body;
   size_t size_bytes;
 
+  if (strcmp (hs_path (request), "/hold") == 0)
+    {
+      f->held = request;
+      return;
+    }
   if (strcmp (hs_path (request), "/late") == 0)
     {
       f->held = request;
@@ -193,6 +199,78 @@
   teardown (&f);
 }
 
+static void
+on_gone (void *ctx)
+{
+  struct fixture *f = ctx;
+
+  f->gone++;
+}
+
+/* Does nothing: ends one wait of the loop.  */
+static void
+on_limit (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)watcher;
+  (void)events;
+}
+
+/* Sends a request that is held, and runs until the server has it.  */
+static struct hc_call *
+call_held (struct fixture *f)
+{
+  char url[100];
+  struct hc_call *held;
+  struct hc_request request = { .method = "POST",
+                                .url = url,
+                                .body = "x",
+                                .body_size_bytes = 1,
+                                .timeout_ms = 5000,
+                                .connect_timeout_ms = 1000,
+                                .response_limit_bytes = 1000,
+                                .callback = on_answer,
+                                .ctx = f };
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/hold", hs_port (f->server));
+  CU_ASSERT_EQUAL_FATAL (hc_send (f->client, &request, &held), HC_OK);
+  while (f->held == NULL)
+    ev_run (f->loop, EVRUN_ONCE);
+  hs_on_gone (f->held, on_gone, f);
+  return held;
+}
+
+static void
+test_caller_leaves (void)
+{
+  struct fixture f;
+  ev_timer limit;
+
+  setup (&f);
+  hc_cancel (call_held (&f));
+  ev_timer_init (&limit, on_limit, 2.0, 0.0);
+  ev_timer_start (f.loop, &limit);
+  while (hs_open_requests (f.server) > 0 && ev_is_active (&limit))
+    ev_run (f.loop, EVRUN_ONCE);
+  ev_timer_stop (f.loop, &limit);
+  CU_ASSERT_EQUAL (f.gone, 1);
+  CU_ASSERT_EQUAL (hs_open_requests (f.server), 0);
+  teardown (&f);
+}
+
+static void
+test_free_with_held_request (void)
+{
+  struct fixture f;
+
+  setup (&f);
+  call_held (&f);
+  hs_free (f.server);
+  CU_ASSERT_EQUAL (f.gone, 1);
+  f.server = NULL;
+  teardown (&f);
+}
+
 int
 main (void)
 {
@@ -204,6 +282,9 @@
   CU_add_test (suite, "answers at once and later", test_answers);
   CU_add_test (suite, "body limit", test_body_limit);
   CU_add_test (suite, "not sent", test_no_connection_means_not_sent);
+  CU_add_test (suite, "a caller leaves", test_caller_leaves);
+  CU_add_test (suite, "freed with a held request",
+               test_free_with_held_request);
   CU_add_test (suite, "sent once", test_sent_once);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
