--- a/Makefile
+++ b/Makefile
@@ -107,7 +107,7 @@
 ## lint: clang-format, clang-tidy, cppcheck and shellcheck; warnings fail
 lint:
 	@clang-format --dry-run -Werror $(HAND_FILES)
-	@shellcheck $(SHELL_FILES)
+	@shellcheck -x $(SHELL_FILES)
 	@cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 	  --enable=warning,portability --suppress=missingIncludeSystem \
 	  --suppress=normalCheckLevelMaxBranches -j$(JOBS) \
