--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,8 @@
 HAND_SRC := $(filter-out %.pb-c.c,$(ALL_SRC))
 HAND_FILES := $(HAND_SRC) $(filter-out %.pb-c.h,$(wildcard lib/*.h lib/*/*.h \
               programs/*/*.h tests/*/*.h tests/*/*/*.h))
-SHELL_FILES := $(wildcard scripts/* tests/scripts/*.sh) tests/run .ci/run
+SHELL_FILES := $(wildcard scripts/* tests/scripts/*.sh tests/bench/*/run) \
+               tests/run .ci/run
 SHELL_FILES := $(filter-out %.txt %.py,$(SHELL_FILES))
 
 .PHONY: all help packages demo demo-brazos check check-built unit scripts \
--- a/lib/log/log_append.c
+++ b/lib/log/log_append.c
@@ -11,9 +11,15 @@
 {
   HTTP_CREATED = 201,
   HTTP_TOO_MANY_REQUESTS = 429,
-  HTTP_SERVICE_UNAVAILABLE = 503
+  HTTP_SERVICE_UNAVAILABLE = 503,
+  MS_PER_S = 1000
 };
 
+/* Appends a second of one client, when the log refuses some for their rate. */
+static const double RATE_MIN_PER_S = 1.0;
+static const double RATE_INCREASE_PER_S = 10.0; /* in each second */
+static const double RATE_DECREASE = 0.7;        /* by each refusal */
+
 /* ===== Entries ================================================ */
 
 /* Ids are random, so that any of their bytes make a hash.  */
@@ -130,13 +136,18 @@
 
 /* ===== Calls ================================================== */
 
+/* Records gather for the commit time at least, and until the append before
+   has been answered and its pace allows another.  */
 static void
-schedule (struct log_client *client, uint32_t delay_ms)
+schedule (struct log_client *client)
 {
+  int64_t wait_ms = client->send_after_ms - log_now_ms ();
+
   if (client->append_call != NULL || g_queue_is_empty (&client->waiting)
       || ev_is_active (&client->commit))
     return;
-  log_timer_start (client, &client->commit, delay_ms);
+  log_timer_start (client, &client->commit,
+                   MAX (wait_ms, (int64_t)client->params.commit_ms));
 }
 
 /* Moves what fits into one append from the waiting entries to the batch.  */
@@ -207,27 +218,38 @@
     }
 }
 
-/* The pace follows what the log lets through: doubled by a refusal for its
-   rate, shortened step by step otherwise.  */
+/* Additive increase by time, multiplicative decrease by refusals: the hosts
+   that share the log come to equal shares.  */
+static void
+adapt_rate (struct log_client *client, bool refused)
+{
+  double limit_per_s = (double)MS_PER_S / MAX (client->params.commit_ms, 1);
+  int64_t now_ms = log_now_ms ();
+  double elapsed_s = (double)(now_ms - client->rate_ms) / MS_PER_S;
+
+  client->rate_ms = now_ms;
+  if (refused)
+    client->rate_per_s *= RATE_DECREASE;
+  else
+    client->rate_per_s += RATE_INCREASE_PER_S * MIN (elapsed_s, 1.0);
+  client->rate_per_s = CLAMP (client->rate_per_s, RATE_MIN_PER_S, limit_per_s);
+}
+
 static uint32_t
 next_delay_ms (struct log_client *client, const struct hc_response *response,
                enum append_fate fate)
 {
-  uint32_t commit_ms = MAX (client->params.commit_ms, 1);
-
-  if (fate == FATE_TAKEN)
-    {
-      client->append_failures = 0;
-      client->pace_ms = MAX (client->pace_ms - client->pace_ms / 8, commit_ms);
-      return client->pace_ms;
-    }
-  if (response->status == HTTP_TOO_MANY_REQUESTS)
-    {
-      client->pace_ms = MIN (client->pace_ms * 2, LOG_PACE_MAX_MS);
-      return client->pace_ms / 2
-             + (uint32_t)g_random_int_range (0, (gint32)client->pace_ms);
-    }
-  return log_retry_ms (++client->append_failures);
+  bool overloaded = response->status == HTTP_TOO_MANY_REQUESTS;
+  double pace_ms;
+
+  if (fate != FATE_TAKEN && !overloaded)
+    return log_retry_ms (++client->append_failures);
+  client->append_failures = 0;
+  adapt_rate (client, overloaded);
+  pace_ms = MS_PER_S / client->rate_per_s;
+  if (overloaded)
+    pace_ms *= g_random_double_range (0.5, 1.0);
+  return (uint32_t)pace_ms;
 }
 
 static void
@@ -236,14 +258,14 @@
   struct log_client *client = ctx;
   enum append_fate fate = fate_of (response);
   bool overloaded = response->status == HTTP_TOO_MANY_REQUESTS;
-  uint32_t delay_ms;
 
   client->append_call = NULL;
   client->stats.refused += fate == FATE_REFUSED;
   client->stats.unknown += fate == FATE_UNKNOWN;
   settle_batch (client, fate);
-  delay_ms = next_delay_ms (client, response, fate);
-  schedule (client, delay_ms);
+  client->send_after_ms
+      = log_now_ms () + next_delay_ms (client, response, fate);
+  schedule (client);
   if (fate == FATE_TAKEN || overloaded)
     log_call_succeeded (client, client->append_number);
   else
@@ -276,7 +298,9 @@
     {
       client->append_call = NULL;
       settle_batch (client, FATE_REFUSED);
-      schedule (client, log_retry_ms (++client->append_failures));
+      client->send_after_ms
+          = log_now_ms () + log_retry_ms (++client->append_failures);
+      schedule (client);
     }
   g_byte_array_free (bytes, TRUE);
 }
@@ -323,7 +347,7 @@
   entry->deadline = g_sequence_insert_sorted (client->deadlines, entry,
                                               compare_deadlines, NULL);
   entry_wait (client, entry, false);
-  schedule (client, client->params.commit_ms);
+  schedule (client);
   if (g_sequence_iter_is_begin (entry->deadline))
     arm_deadline (client);
   return LOG_OK;
@@ -353,7 +377,8 @@
   client->entries = g_hash_table_new (id_hash, id_equal);
   client->deadlines = g_sequence_new (NULL);
   client->batch = g_ptr_array_new ();
-  client->pace_ms = MAX (client->params.commit_ms, 1);
+  client->rate_per_s = (double)MS_PER_S / MAX (client->params.commit_ms, 1);
+  client->rate_ms = log_now_ms ();
   g_queue_init (&client->waiting);
   ev_init (&client->commit, on_commit);
   client->commit.data = client;
--- a/lib/log/log_private.h
+++ b/lib/log/log_private.h
@@ -17,8 +17,7 @@
   LOG_READ_LIMIT_RECORDS = 128,           /* at first, see TOO_LARGE */
   LOG_RETRY_MIN_MS = 50,
   LOG_RETRY_MAX_MS = 1000,
-  LOG_PACE_MAX_MS = 500, /* between appends when the log is overloaded */
-  LOG_READ_GAP_MS = 5,   /* between reads that bring records */
+  LOG_READ_GAP_MS = 5, /* between reads that bring records */
   LOG_CONNECT_TIMEOUT_MS = 500
 };
 
@@ -50,7 +49,9 @@
   GPtrArray *batch;     /* struct log_entry of the append in flight */
   struct hc_call *append_call;
   uint64_t append_number;
-  uint32_t pace_ms;
+  double rate_per_s;        /* of appends, see adapt_rate () */
+  int64_t rate_ms;          /* when it was adapted */
+  int64_t send_after_ms;    /* monotonic; no append before */
   uint32_t append_failures; /* in a row */
   ev_timer commit;
   ev_timer deadline;
--- a/lib/log/snapshot_assembly.c
+++ b/lib/log/snapshot_assembly.c
@@ -19,7 +19,8 @@
   uint32_t parts;
   uint32_t seen;
   bool rescue;
-  GBytes **data; /* by part */
+  uint64_t position; /* of the last part in the stream */
+  GBytes **data;     /* by part */
 };
 
 struct snap_assembly
@@ -28,6 +29,7 @@
   GByteArray *best;
   uint64_t best_offset;
   bool best_is_rescue;
+  uint64_t best_position;
   uint64_t lowest_offset; /* of all parts seen */
 };
 
@@ -108,6 +110,7 @@
   assembly->best = g_byte_array_new ();
   assembly->best_offset = pending->offset;
   assembly->best_is_rescue = pending->rescue;
+  assembly->best_position = pending->position;
   for (i = 0; i < pending->parts; i++)
     {
       data = g_bytes_get_data (pending->data[i], &size_bytes);
@@ -122,11 +125,14 @@
     return true;
   if (pending->offset != assembly->best_offset)
     return pending->offset > assembly->best_offset;
-  return assembly->best_is_rescue && !pending->rescue;
+  if (pending->rescue != assembly->best_is_rescue)
+    return assembly->best_is_rescue;
+  return pending->position < assembly->best_position;
 }
 
 static void
-add_part (struct snap_assembly *assembly, const Ft__SnapshotPart *part)
+add_part (struct snap_assembly *assembly, const Ft__SnapshotPart *part,
+          uint64_t position)
 {
   struct pending *pending = find_pending (assembly, part);
 
@@ -134,6 +140,7 @@
   if (pending->parts != part->parts || pending->offset != part->offset
       || pending->data[part->part] != NULL)
     return;
+  pending->position = MAX (pending->position, position);
   pending->data[part->part] = g_bytes_new (part->data.data, part->data.len);
   if (++pending->seen < pending->parts)
     return;
@@ -143,15 +150,15 @@
 }
 
 void
-snap_assembly_add (struct snap_assembly *assembly, const uint8_t *data,
-                   size_t size_bytes)
+snap_assembly_add (struct snap_assembly *assembly, uint64_t position,
+                   const uint8_t *data, size_t size_bytes)
 {
   Ft__SnapshotPart *part = ft__snapshot_part__unpack (NULL, size_bytes, data);
 
   if (part == NULL)
     return;
   if (part_is_sound (part))
-    add_part (assembly, part);
+    add_part (assembly, part, position);
   ft__snapshot_part__free_unpacked (part, NULL);
 }
 
--- a/lib/log/snapshot_stream.c
+++ b/lib/log/snapshot_stream.c
@@ -1,5 +1,5 @@
 /* Writes and reads snapshots.  A read starts with the last appends of the
-   stream and goes back further while it finds no whole snapshot.  */
+   stream and goes back, in growing steps, until it has found a snapshot.  */
 
 #include "log/snapshot_stream.h"
 
@@ -17,7 +17,6 @@
   PART_TRIES = 8,   /* of one part, before the write is given up */
   PAGE_RECORDS = 8, /* of one read call */
   PAGE_LIMIT_BYTES = 2 * 1024 * 1024,
-  WINDOW_FACTOR = 4, /* how much further back the next try goes */
   URL_SIZE_BYTES = 512
 };
 
@@ -41,10 +40,11 @@
   uint64_t wanted; /* offset to reach */
   struct snap_assembly *assembly;
   struct hc_call *read_call;
-  uint64_t first; /* of the stream; known after the first answer */
-  uint64_t next;
-  uint64_t window; /* records from the end that are being read */
-  uint64_t position;
+  uint64_t first;    /* of the stream; known after the first answer */
+  uint64_t step;     /* records read in one step back */
+  uint64_t start;    /* of this step */
+  uint64_t end;      /* of this step */
+  uint64_t position; /* in this step */
 };
 
 /* ===== Writing ================================================ */
@@ -203,28 +203,25 @@
   snap_assembly_free (assembly);
 }
 
-/* Starts over from further back.  */
 static void
-start_window (struct snap_stream *stream)
+step_back (struct snap_stream *stream)
 {
-  uint64_t kept = stream->next - stream->first;
-
-  snap_assembly_free (stream->assembly);
-  stream->assembly = snap_assembly_new ();
-  stream->position = stream->next - MIN (stream->window, kept);
+  stream->end = stream->start;
+  stream->start -= MIN (stream->step, stream->end - stream->first);
+  stream->position = stream->start;
+  stream->step *= 2;
 }
 
 static void
-end_window (struct snap_stream *stream)
+end_step (struct snap_stream *stream)
 {
   if (snap_assembly_is_final (stream->assembly, stream->wanted)
-      || stream->window >= stream->next - stream->first)
+      || stream->start == stream->first)
     {
       end_read (stream, SNAP_OK);
       return;
     }
-  stream->window *= WINDOW_FACTOR;
-  start_window (stream);
+  step_back (stream);
   read_page (stream);
 }
 
@@ -237,28 +234,32 @@
   for (i = 0; i < answer->item_count; i++)
     {
       item = &answer->items[i];
-      if (item->offset < stream->position || item->offset >= stream->next)
+      if (item->offset < stream->position || item->offset >= stream->end)
         continue;
       stream->position = item->offset + 1;
-      snap_assembly_add (stream->assembly, item->data, item->size_bytes);
+      snap_assembly_add (stream->assembly, item->offset, item->data,
+                         item->size_bytes);
     }
   if (answer->item_count == 0)
-    stream->position = stream->next;
-  if (stream->position < stream->next)
+    stream->position = stream->end;
+  if (stream->position < stream->end)
     read_page (stream);
   else
-    end_window (stream);
+    end_step (stream);
 }
 
-/* The first answer, and one that says that records have expired meanwhile,
-   only tell where the stream starts and ends.  */
+/* The first answer only tells where the stream starts and ends.  So does one
+   that says that records have expired meanwhile: the read starts again.  */
 static void
 take_bounds (struct snap_stream *stream, const struct log_answer *answer)
 {
+  snap_assembly_free (stream->assembly);
+  stream->assembly = snap_assembly_new ();
   stream->first = answer->first;
-  stream->next = answer->next;
-  start_window (stream);
-  if (stream->position >= stream->next)
+  stream->start = answer->next;
+  stream->step = PAGE_RECORDS;
+  step_back (stream);
+  if (stream->start == stream->end)
     end_read (stream, SNAP_ERR_NONE);
   else
     read_page (stream);
@@ -318,7 +319,6 @@
     return SNAP_ERR_BUSY;
   stream->is_reading = true;
   stream->wanted = wanted;
-  stream->window = PAGE_RECORDS;
   read_page (stream);
   return SNAP_OK;
 }
--- a/lib/log/snapshot_stream.h
+++ b/lib/log/snapshot_stream.h
@@ -69,16 +69,17 @@
 
 /* ===== Assembly ============================================== */
 
-/* Puts parts together, in the order of the stream.  */
+/* Puts parts together, whatever order they are read in.  */
 struct snap_assembly;
 
 struct snap_assembly *snap_assembly_new (void);
 void snap_assembly_free (struct snap_assembly *assembly);
 
 /*! snap_assembly_add () :
- *  Takes one append of the stream; what is no part is passed over. */
-void snap_assembly_add (struct snap_assembly *assembly, const uint8_t *data,
-                        size_t size_bytes);
+ *  Takes one append of the stream; what is no part is passed over.
+ *  @position : its offset in the stream. */
+void snap_assembly_add (struct snap_assembly *assembly, uint64_t position,
+                        const uint8_t *data, size_t size_bytes);
 
 /*! snap_assembly_best () :
  *  @return : the best whole snapshot so far, borrowed, or NULL. */
--- a/tests/unit/test_log_snapshot.c
+++ b/tests/unit/test_log_snapshot.c
@@ -226,7 +226,7 @@
       damaged[g_rand_int_range (random, 0, (gint32)size_bytes)]
           = (uint8_t)g_rand_int (random);
       snap_assembly_add (
-          assembly, damaged,
+          assembly, (uint64_t)i, damaged,
           (size_t)g_rand_int_range (random, 0, (gint32)size_bytes + 1));
     }
   snap_assembly_free (assembly);
