--- a/lib/place/place_check.c
+++ b/lib/place/place_check.c
@@ -12,6 +12,8 @@
   struct place_amount used;
   struct place_amount firm;
   struct place_amount reserved;
+  struct place_amount held;
+  struct place_amount evicting;
   uint64_t busy;
 };
 
@@ -110,10 +112,16 @@
           job->spot_count, job->shape.tasks);
   for (i = 0; i < job->spot_count; i++)
     {
+      struct tally *tally = tally_of (check, job->spots[i].worker);
+
       if (runs)
         check_spot (check, job, &job->spots[i]);
+      else
+        place_add (&tally->held, &job->each);
+      if (job->phase == PLACE_EVICTING)
+        place_add (&tally->evicting, &job->each);
       if (!job->borrowed)
-        place_add (&tally_of (check, job->spots[i].worker)->firm, &job->each);
+        place_add (&tally->firm, &job->each);
     }
   check_span (check, job);
   if (job->borrowed && (!job->checkpointable || !job->repeatable))
@@ -187,6 +195,9 @@
 
   if (!same (&tally->used, &worker->used) || tally->busy != worker->busy)
     fail (check, "the sums of %.60s are wrong", worker->name);
+  if (!same (&tally->held, &worker->held)
+      || !same (&tally->evicting, &worker->evicting))
+    fail (check, "what is held on %.60s is wrong", worker->name);
   if (!same (&tally->firm, &worker->firm)
       || !same (&tally->reserved, &worker->reserved))
     fail (check, "the promises of %.60s are wrong", worker->name);
--- a/lib/place/place_decide.c
+++ b/lib/place/place_decide.c
@@ -374,6 +374,7 @@
 {
   reset_round (place);
   place->changed = false;
+  place->looked_ahead = false;
   place_forget_workers (place);
   rejudge (place);
   place_health_round (place);
--- a/lib/place/place_firm.c
+++ b/lib/place/place_firm.c
@@ -8,8 +8,7 @@
 
 enum
 {
-  MOVE_LIMIT = 16,  /* units moved for one job */
-  TRADE_LIMIT = 512 /* units of others looked at for an exchange */
+  MOVE_LIMIT = 16 /* units moved for one job */
 };
 
 /* Spots found so far.  */
@@ -22,23 +21,6 @@
   bool spread; /* tasks may be in several units */
 };
 
-/* Whether any worker of UNIT is one that JOB may not use.  */
-static bool
-worker_barred (const struct place_job_state *job,
-               const struct place_worker_state *worker)
-{
-  uint32_t i;
-
-  if (!place_usable (worker))
-    return true;
-  if (job->centre != NULL && worker->rack->centre != job->centre)
-    return true;
-  for (i = 0; i < job->failed_count; i++)
-    if (job->failed[i] == worker)
-      return true;
-  return false;
-}
-
 static bool
 unit_serves (const struct place_unit *unit, const struct place_job_state *job)
 {
@@ -83,7 +65,7 @@
     {
       struct place_slot *slot = &unit->slots[i];
 
-      if (slot->worker == NULL || worker_barred (job, slot->worker))
+      if (slot->worker == NULL || place_barred (job, slot->worker))
         continue;
       while (take->count < job->shape.tasks
              && place_covers (&slot->left, &job->each)
@@ -185,99 +167,6 @@
 
 /* ===== Moving units to free workers =========================== */
 
-/* Whether JOB may use all workers of UNIT and they are free.  */
-static bool
-unit_ready (const struct place_unit *unit, const struct place_job_state *job)
-{
-  struct place_amount free;
-  uint32_t i;
-
-  for (i = 0; i < unit->shape.tasks; i++)
-    {
-      if (unit->slots[i].worker == NULL
-          || worker_barred (job, unit->slots[i].worker))
-        return false;
-      free = place_view_of (unit->slots[i].worker, PLACE_VIEW_FREE);
-      if (!place_covers (&free, &unit->each))
-        return false;
-    }
-  return true;
-}
-
-static void
-exchange (struct place_unit *a, struct place_unit *b)
-{
-  struct place_spot spots_a[PLACE_TASK_LIMIT] = { 0 };
-  struct place_spot spots_b[PLACE_TASK_LIMIT] = { 0 };
-  uint32_t i;
-
-  for (i = 0; i < a->shape.tasks; i++)
-    {
-      spots_a[i].worker = a->slots[i].worker;
-      spots_b[i].worker = b->slots[i].worker;
-    }
-  place_unit_unbind (a);
-  place_unit_unbind (b);
-  place_unit_bind (a, spots_b);
-  place_unit_bind (b, spots_a);
-}
-
-/* Exchanges an unused unit with one of the same shape that stands on free
-   workers.  */
-static bool
-unit_trade (struct place *place, struct place_unit *unit,
-            const struct place_job_state *job)
-{
-  int looked = 0;
-  guint t;
-  guint u;
-
-  for (t = 0; t < place->team_list->len; t++)
-    {
-      struct place_team_state *team = place->team_list->pdata[t];
-
-      for (u = 0; u < team->units->len; u++)
-        {
-          struct place_unit *other = team->units->pdata[u];
-
-          if (other == unit || other->jobs > 0 || other->missing > 0
-              || !place_same_shape (&other->shape, &unit->shape))
-            continue;
-          if (looked++ >= TRADE_LIMIT)
-            return false;
-          if (!unit_ready (other, job))
-            continue;
-          exchange (unit, other);
-          return true;
-        }
-    }
-  return false;
-}
-
-/* Moves an unused unit to workers that are free now.  */
-static bool
-unit_move (struct place *place, struct place_unit *unit,
-           const struct place_job_state *job)
-{
-  struct place_search search = place_unit_search (unit, PLACE_VIEW_BOTH);
-  struct place_spot before[PLACE_TASK_LIMIT] = { 0 };
-  struct place_spot spots[PLACE_TASK_LIMIT];
-  uint32_t i;
-
-  for (i = 0; i < unit->shape.tasks; i++)
-    before[i].worker = unit->slots[i].worker;
-  place_unit_unbind (unit);
-  search.centre = job->centre;
-  search.job = job;
-  if (place_fit (place, &search, spots))
-    {
-      place_unit_bind (unit, spots);
-      return true;
-    }
-  place_unit_bind (unit, before);
-  return unit_trade (place, unit, job);
-}
-
 static bool
 move_and_take (struct place *place, struct take *take, GPtrArray *units)
 {
@@ -288,10 +177,11 @@
     {
       struct place_unit *unit = units->pdata[i];
 
-      if (unit->jobs > 0 || unit->missing > 0 || unit_ready (unit, take->job))
+      if (unit->jobs > 0 || unit->missing > 0
+          || place_unit_ready (unit, take->job))
         continue;
       moves++;
-      if (unit_move (place, unit, take->job)
+      if (place_unit_move (place, unit, take->job)
           && take_slots (place, take, units))
         return true;
     }
--- a/lib/place/place_guarantee.c
+++ b/lib/place/place_guarantee.c
@@ -222,11 +222,14 @@
       next = unplaced_first (order);
       if (size < best_size)
         {
-          g_clear_pointer (&best, g_ptr_array_unref);
-          best = g_steal_pointer (&order);
+          GPtrArray *worse = best;
+
+          best = order;
+          order = worse;
           best_size = size;
         }
-      g_clear_pointer (&order, g_ptr_array_unref);
+      if (order != NULL)
+        g_ptr_array_unref (order);
       order = next;
       if (size == 0)
         break;
--- a/lib/place/place_inner.h
+++ b/lib/place/place_inner.h
@@ -263,6 +263,7 @@
   bool dirty;                /* guarantees are to be looked at again */
   bool changed;              /* an event since the last round */
   bool rejudge;              /* queued jobs may have become impossible */
+  bool looked_ahead;         /* one reservation is looked at in a round */
   bool paused;
   bool wishes;      /* a unit is wanted in another data centre */
   int64_t unbar_ms; /* the last FAILED_UNTIL_MS of any job */
@@ -367,6 +368,9 @@
 uint32_t place_room (const struct place *place,
                      const struct place_search *search,
                      const struct place_worker_state *worker);
+
+/* ===== place_room.c ========================================== */
+
 struct place_amount place_view_of (const struct place_worker_state *worker,
                                    enum place_view view);
 /* COUNT free accelerators of a worker, adjacent where possible.  */
@@ -411,6 +415,18 @@
    no longer borrowed.  */
 bool place_attach (struct place *place, struct place_job_state *job);
 
+/* ===== place_move.c ========================================== */
+
+/* Whether JOB may not use a worker.  */
+bool place_barred (const struct place_job_state *job,
+                   const struct place_worker_state *worker);
+/* Whether JOB may use all workers of a unit and they are free.  */
+bool place_unit_ready (const struct place_unit *unit,
+                       const struct place_job_state *job);
+/* Moves an unused unit to workers that are free now, for JOB.  */
+bool place_unit_move (struct place *place, struct place_unit *unit,
+                      const struct place_job_state *job);
+
 /* ===== place_firm.c =========================================== */
 
 /* Starts a job within its team's guarantee, or claims workers for it and
--- /dev/null
+++ b/lib/place/place_move.c
@@ -0,0 +1,119 @@
+/* Moves unused guarantees to workers that are free now, alone or in exchange
+   for one of the same shape.  */
+
+#include "place/place_inner.h"
+
+enum
+{
+  TRADE_LIMIT = 512 /* units of others looked at for an exchange */
+};
+
+bool
+place_barred (const struct place_job_state *job,
+              const struct place_worker_state *worker)
+{
+  uint32_t i;
+
+  if (!place_usable (worker))
+    return true;
+  if (job->centre != NULL && worker->rack->centre != job->centre)
+    return true;
+  for (i = 0; i < job->failed_count; i++)
+    if (job->failed[i] == worker)
+      return true;
+  return false;
+}
+
+/* Whether JOB may use all workers of UNIT and they are free.  */
+bool
+place_unit_ready (const struct place_unit *unit,
+                  const struct place_job_state *job)
+{
+  struct place_amount free;
+  uint32_t i;
+
+  for (i = 0; i < unit->shape.tasks; i++)
+    {
+      if (unit->slots[i].worker == NULL
+          || place_barred (job, unit->slots[i].worker))
+        return false;
+      free = place_view_of (unit->slots[i].worker, PLACE_VIEW_FREE);
+      if (!place_covers (&free, &unit->each))
+        return false;
+    }
+  return true;
+}
+
+static void
+exchange (struct place_unit *a, struct place_unit *b)
+{
+  struct place_spot spots_a[PLACE_TASK_LIMIT] = { 0 };
+  struct place_spot spots_b[PLACE_TASK_LIMIT] = { 0 };
+  uint32_t i;
+
+  for (i = 0; i < a->shape.tasks; i++)
+    {
+      spots_a[i].worker = a->slots[i].worker;
+      spots_b[i].worker = b->slots[i].worker;
+    }
+  place_unit_unbind (a);
+  place_unit_unbind (b);
+  place_unit_bind (a, spots_b);
+  place_unit_bind (b, spots_a);
+}
+
+/* Exchanges an unused unit with one of the same shape that stands on free
+   workers.  */
+static bool
+unit_trade (struct place *place, struct place_unit *unit,
+            const struct place_job_state *job)
+{
+  int looked = 0;
+  guint t;
+  guint u;
+
+  for (t = 0; t < place->team_list->len; t++)
+    {
+      struct place_team_state *team = place->team_list->pdata[t];
+
+      for (u = 0; u < team->units->len; u++)
+        {
+          struct place_unit *other = team->units->pdata[u];
+
+          if (other == unit || other->jobs > 0 || other->missing > 0
+              || !place_same_shape (&other->shape, &unit->shape))
+            continue;
+          if (looked++ >= TRADE_LIMIT)
+            return false;
+          if (!place_unit_ready (other, job))
+            continue;
+          exchange (unit, other);
+          return true;
+        }
+    }
+  return false;
+}
+
+/* Moves an unused unit to workers that are free now.  */
+bool
+place_unit_move (struct place *place, struct place_unit *unit,
+                 const struct place_job_state *job)
+{
+  struct place_search search = place_unit_search (unit, PLACE_VIEW_BOTH);
+  struct place_spot before[PLACE_TASK_LIMIT] = { 0 };
+  struct place_spot spots[PLACE_TASK_LIMIT];
+  uint32_t i;
+
+  for (i = 0; i < unit->shape.tasks; i++)
+    before[i].worker = unit->slots[i].worker;
+  place_unit_unbind (unit);
+  search.centre = job->centre;
+  search.job = job;
+  if (place_fit (place, &search, spots))
+    {
+      place_unit_bind (unit, spots);
+      return true;
+    }
+  place_unit_bind (unit, before);
+  return unit_trade (place, unit, job);
+}
--- a/lib/place/place_reserve.c
+++ b/lib/place/place_reserve.c
@@ -293,8 +293,10 @@
       return;
     }
   if (place->reservations->len >= PLACE_RESERVATION_LIMIT
+      || place->looked_ahead
       || place_now (place) < job->no_reservation_until_ms)
     return;
+  place->looked_ahead = true;
   reserve (place, job, INT64_MAX);
   if (job->reservation == NULL)
     job->no_reservation_until_ms = place_now (place) + RENEW_MS;
@@ -323,8 +325,9 @@
 
   if (!reservation_lost (job))
     {
-      if (now < reservation->renewed_ms + RENEW_MS)
+      if (place->looked_ahead || now < reservation->renewed_ms + RENEW_MS)
         return;
+      place->looked_ahead = true;
       reservation->renewed_ms = now;
       start = group_start (place, job, reservation->workers, INT64_MAX);
       if (start <= reservation->first_ms + SLIP_MS)
--- /dev/null
+++ b/lib/place/place_room.c
@@ -0,0 +1,59 @@
+/* What is free on a worker, and which of its accelerators to take.  */
+
+#include "place/place_inner.h"
+
+struct place_amount
+place_view_of (const struct place_worker_state *worker, enum place_view view)
+{
+  struct place_amount free = worker->capacity;
+  struct place_amount firm = worker->capacity;
+
+  if (view == PLACE_VIEW_CAPACITY)
+    return free;
+  place_subtract (&free, &worker->used);
+  place_subtract (&free, &worker->held);
+  place_subtract (&firm, &worker->firm);
+  place_subtract (&firm, &worker->reserved);
+  if (view == PLACE_VIEW_FREE)
+    return free;
+  if (view == PLACE_VIEW_FIRM)
+    return firm;
+  return place_least (&free, &firm);
+}
+
+/* COUNT adjacent bits of FREE at a multiple of STEP, or 0.  */
+static uint64_t
+adjacent (uint64_t free, uint32_t count, uint32_t step)
+{
+  uint64_t block = count >= 64 ? UINT64_MAX : (UINT64_C (1) << count) - 1;
+  uint32_t at;
+
+  for (at = 0; at + count <= PLACE_ACCELERATOR_LIMIT; at += step)
+    if (((free >> at) & block) == block)
+      return block << at;
+  return 0;
+}
+
+uint64_t
+place_pick_accelerators (const struct place_worker_state *worker,
+                         uint32_t count)
+{
+  uint32_t have = (uint32_t)worker->capacity.accelerators;
+  uint64_t all = have >= 64 ? UINT64_MAX : (UINT64_C (1) << have) - 1;
+  uint64_t free = all & ~worker->busy;
+  uint64_t picked;
+
+  if (count == 0)
+    return 0;
+  picked = adjacent (free, count, count);
+  if (picked == 0)
+    picked = adjacent (free, count, 1);
+  while (picked == 0 || (uint32_t)__builtin_popcountll (picked) < count)
+    {
+      uint64_t bit = free & ~picked;
+
+      g_assert (bit != 0);
+      picked |= bit & (~bit + 1);
+    }
+  return picked;
+}
--- a/tests/bench/bench-place/cluster.c
+++ b/tests/bench/bench-place/cluster.c
@@ -247,7 +247,8 @@
     }
   c->tasks -= job->given.shape.tasks;
   g_ptr_array_remove_fast (c->running, job);
-  g_clear_pointer (&job->block, g_free);
+  g_free (job->block);
+  job->block = NULL;
 }
 
 static void
--- a/tests/unit/test_place_guarantee.c
+++ b/tests/unit/test_place_guarantee.c
@@ -205,8 +205,9 @@
   place_worker_down (f.place, "w1-1");
   pf_decide (&f);
   command = pf_find (&f, PLACE_UNMET, "a");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (command);
-  CU_ASSERT_PTR_NOT_NULL (strstr (command->reason, "2 x (8 accelerators"));
+  CU_ASSERT_PTR_NOT_NULL (command);
+  CU_ASSERT_TRUE (command != NULL
+                  && strstr (command->reason, "2 x (8 accelerators") != NULL);
   CU_ASSERT_FALSE (pf_was (&f, PLACE_UNMET, "b"));
   pf_worker (&f, 1, 1);
   pf_decide (&f);
--- a/tests/unit/test_place_health.c
+++ b/tests/unit/test_place_health.c
@@ -128,7 +128,7 @@
       CU_ASSERT_FALSE (pf_was (&f, PLACE_GIVE_UP, "bad"));
       worker_of (&f, "bad", worker);
       CU_ASSERT_STRING_NOT_EQUAL (worker, before);
-      strcpy (before, worker);
+      snprintf (before, sizeof before, "%s", worker);
       pf_end (&f, "bad", PLACE_END_FAILED, worker, true);
     }
   pf_decide (&f);
--- a/tests/unit/test_place_order.c
+++ b/tests/unit/test_place_order.c
@@ -7,11 +7,8 @@
 
 #include "unit/place_fixture.h"
 
-enum
-{
-  MINUTE_MS = 60000,
-  HOUR_MS = 3600000
-};
+static const int64_t MINUTE_MS = 60000;
+static const int64_t HOUR_MS = 3600000;
 
 static const struct place_team TEAMS[2]
     = { { .name = "a", .weight = 1, .may_borrow = true },
@@ -26,21 +23,21 @@
 
 static void
 submit_for (struct pf *f, const char *id, const char *kind, uint32_t tasks,
-            uint32_t accelerators, uint64_t run_ms)
+            uint32_t accelerators, int64_t run_ms)
 {
   struct place_job job = pf_job (id, "a", tasks, accelerators);
 
   job.kind = kind;
-  job.declared_run_ms = run_ms;
+  job.declared_run_ms = (uint64_t)run_ms;
   job.submitted_ms = f->now_ms;
   CU_ASSERT_EQUAL_FATAL (place_submit (f->place, &job, f->text), PLACE_OK);
 }
 
 static void
-end_after (struct pf *f, const char *id, uint64_t ran_ms)
+end_after (struct pf *f, const char *id, int64_t ran_ms)
 {
   struct place_ended ended
-      = { .job = id, .end = PLACE_END_OK, .ran_ms = ran_ms };
+      = { .job = id, .end = PLACE_END_OK, .ran_ms = (uint64_t)ran_ms };
 
   CU_ASSERT_EQUAL (place_ended (f->place, &ended), PLACE_OK);
 }
