--- a/lib/member/frames.h
+++ b/lib/member/frames.h
@@ -12,7 +12,7 @@
 enum
 {
   FM_LIMIT_BYTES = 4 * 1024 * 1024,
-  FM_OUTPUT_LIMIT_BYTES = 8 * 1024 * 1024
+  FM_OUTPUT_LIMIT_BYTES = 32 * 1024 * 1024
 };
 
 enum fm_error
--- a/lib/proto/peer.pb-c.c
+++ b/lib/proto/peer.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &ft__heartbeat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ft__snapshot_wanted__init
+                     (Ft__SnapshotWanted         *message)
+{
+  static const Ft__SnapshotWanted init_value = FT__SNAPSHOT_WANTED__INIT;
+  *message = init_value;
+}
+size_t ft__snapshot_wanted__get_packed_size
+                     (const Ft__SnapshotWanted *message)
+{
+  assert(message->base.descriptor == &ft__snapshot_wanted__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ft__snapshot_wanted__pack
+                     (const Ft__SnapshotWanted *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ft__snapshot_wanted__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ft__snapshot_wanted__pack_to_buffer
+                     (const Ft__SnapshotWanted *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ft__snapshot_wanted__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ft__SnapshotWanted *
+       ft__snapshot_wanted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ft__SnapshotWanted *)
+     protobuf_c_message_unpack (&ft__snapshot_wanted__descriptor,
+                                allocator, len, data);
+}
+void   ft__snapshot_wanted__free_unpacked
+                     (Ft__SnapshotWanted *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ft__snapshot_wanted__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ft__peer_frame__init
                      (Ft__PeerFrame         *message)
 {
@@ -265,7 +310,45 @@
   (ProtobufCMessageInit) ft__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ft__peer_frame__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ft__snapshot_wanted__field_descriptors[1] =
+{
+  {
+    "offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ft__SnapshotWanted, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ft__snapshot_wanted__field_indices_by_name[] = {
+  0,   /* field[0] = offset */
+};
+static const ProtobufCIntRange ft__snapshot_wanted__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ft__snapshot_wanted__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ft.SnapshotWanted",
+  "SnapshotWanted",
+  "Ft__SnapshotWanted",
+  "ft",
+  sizeof(Ft__SnapshotWanted),
+  1,
+  ft__snapshot_wanted__field_descriptors,
+  ft__snapshot_wanted__field_indices_by_name,
+  1,  ft__snapshot_wanted__number_ranges,
+  (ProtobufCMessageInit) ft__snapshot_wanted__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ft__peer_frame__field_descriptors[3] =
 {
   {
     "heartbeat",
@@ -279,14 +362,40 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "snapshot_wanted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ft__PeerFrame, body_case),
+    offsetof(Ft__PeerFrame, snapshot_wanted),
+    &ft__snapshot_wanted__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot_part",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ft__PeerFrame, body_case),
+    offsetof(Ft__PeerFrame, snapshot_part),
+    &ft__snapshot_part__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ft__peer_frame__field_indices_by_name[] = {
   0,   /* field[0] = heartbeat */
+  2,   /* field[2] = snapshot_part */
+  1,   /* field[1] = snapshot_wanted */
 };
 static const ProtobufCIntRange ft__peer_frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ft__peer_frame__descriptor =
 {
@@ -296,7 +405,7 @@
   "Ft__PeerFrame",
   "ft",
   sizeof(Ft__PeerFrame),
-  1,
+  3,
   ft__peer_frame__field_descriptors,
   ft__peer_frame__field_indices_by_name,
   1,  ft__peer_frame__number_ranges,
--- a/programs/foxtailgapd/peers_task.c
+++ b/programs/foxtailgapd/peers_task.c
@@ -13,6 +13,7 @@
 #include "member/frames.h"
 #include "member/members.h"
 #include "messages.h"
+#include "peers_snapshot.h"
 #include "tasks.h"
 
 static const char PART[] = "peers";
@@ -46,10 +47,11 @@
   GHashTable *peers;    /* name -> struct peer */
   GHashTable *incoming; /* set of struct fm_connection */
   struct mem_table *members;
+  struct ps_exchange *snapshots;
+  struct msg_log log;
   int64_t last_beat_ms;
   uint64_t incarnation;
   uint64_t revision;
-  uint64_t offset;
   uint64_t term;
   uint32_t in_flight;
   uint32_t queued;
@@ -94,8 +96,8 @@
   GArray *list = g_array_new (FALSE, TRUE, sizeof (struct msg_member));
 
   add_member (list, settings->host, settings->callers.address,
-              task->daemon->callers_port, task->revision, task->offset,
-              task->in_flight);
+              task->daemon->callers_port, task->revision,
+              task->log.next_offset, task->in_flight);
   mem_each (task->members, add_other, list);
   g_array_sort (list, compare_members);
   members->member_count = list->len;
@@ -110,7 +112,7 @@
 {
   struct daemon *daemon = task->daemon;
   struct mb_box *boxes[]
-      = { daemon->upstream, daemon->planner, daemon->renewal };
+      = { daemon->upstream, daemon->planner, daemon->renewal, daemon->state };
   size_t i;
 
   post_members (task, daemon->front);
@@ -128,11 +130,23 @@
   struct peers_task *task = ctx;
   Ft__PeerFrame *frame = ft__peer_frame__unpack (NULL, size_bytes, data);
 
-  (void)connection;
-  if (frame == NULL || frame->body_case != FT__PEER_FRAME__BODY_HEARTBEAT)
-    mt_add (task->daemon->metrics, "foxtailgap_peer_frames_invalid_total", 1);
-  else
-    mem_heartbeat (task->members, frame->heartbeat, clk_monotonic_ms (NULL));
+  switch (frame == NULL ? FT__PEER_FRAME__BODY__NOT_SET : frame->body_case)
+    {
+    case FT__PEER_FRAME__BODY_HEARTBEAT:
+      mem_heartbeat (task->members, frame->heartbeat, clk_monotonic_ms (NULL));
+      break;
+    case FT__PEER_FRAME__BODY_SNAPSHOT_WANTED:
+      if (frame->snapshot_wanted->offset < task->log.next_offset)
+        ps_wanted (task->snapshots, connection);
+      break;
+    case FT__PEER_FRAME__BODY_SNAPSHOT_PART:
+      ps_part (task->snapshots, frame->snapshot_part);
+      break;
+    default:
+      mt_add (task->daemon->metrics, "foxtailgap_peer_frames_invalid_total",
+              1);
+      break;
+    }
   if (frame != NULL)
     ft__peer_frame__free_unpacked (frame, NULL);
 }
@@ -150,7 +164,7 @@
   heartbeat.address = settings->callers.address;
   heartbeat.port = task->daemon->callers_port;
   heartbeat.revision = task->revision;
-  heartbeat.offset = task->offset;
+  heartbeat.offset = task->log.next_offset;
   heartbeat.in_flight = task->in_flight;
   heartbeat.queued = task->queued;
   heartbeat.term = task->term;
@@ -220,6 +234,39 @@
   g_byte_array_free (packed, TRUE);
 }
 
+/* The member that has folded most, and more than this host.  */
+struct newest
+{
+  const struct peers_task *task;
+  uint64_t offset;
+  struct peer *peer;
+};
+
+static void
+find_newest (void *ctx, const struct mem_host *host)
+{
+  struct newest *newest = ctx;
+  struct peer *peer = g_hash_table_lookup (newest->task->peers, host->name);
+
+  if (host->offset <= newest->offset || peer == NULL
+      || peer->connection == NULL)
+    return;
+  newest->offset = host->offset;
+  newest->peer = peer;
+}
+
+static void
+ask_for_snapshot (struct peers_task *task, int64_t now_ms)
+{
+  struct newest newest = { .task = task, .offset = task->log.next_offset };
+
+  if (!ps_due (task->snapshots, &task->log, now_ms))
+    return;
+  mem_each (task->members, find_newest, &newest);
+  if (newest.peer != NULL)
+    ps_ask (task->snapshots, newest.peer->connection, task->log.next_offset);
+}
+
 static void
 on_beat (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -239,6 +286,7 @@
   task->last_beat_ms = now_ms;
   send_heartbeats (task, now_ms);
   publish (task, mem_update (task->members, now_ms));
+  ask_for_snapshot (task, now_ms);
 }
 
 /* --- Incoming connections --- */
@@ -248,6 +296,7 @@
 {
   struct peers_task *task = ctx;
 
+  ps_closed (task->snapshots, connection);
   g_hash_table_remove (task->incoming, connection);
 }
 
@@ -348,11 +397,14 @@
       task->revision = ((struct msg_config *)body)->revision;
       break;
     case MSG_LOG:
-      task->offset = ((struct msg_log *)body)->next_offset;
+      task->log = *(struct msg_log *)body;
       break;
     case MSG_TERM:
       task->term = ((struct msg_term *)body)->term;
       break;
+    case MSG_SNAPSHOT:
+      ps_answer (task->snapshots, body);
+      break;
     case MSG_LOAD:
       task->in_flight = ((struct msg_load *)body)->in_flight;
       task->queued = ((struct msg_load *)body)->queued;
@@ -420,6 +472,7 @@
                                           free_incoming, NULL);
   task->box = mb_create (daemon->loop, on_message, msg_free, task);
   daemon->peers = task->box;
+  task->snapshots = ps_create (daemon, task->box);
   ev_io_init (&task->acceptable, on_acceptable, task->listen_fd, EV_READ);
   task->acceptable.data = task;
   ev_io_start (daemon->loop, &task->acceptable);
@@ -442,6 +495,7 @@
   g_hash_table_destroy (task->peers);
   g_hash_table_destroy (task->incoming);
   mem_free (task->members);
+  ps_free (task->snapshots);
   mb_free (task->box);
   g_free (task);
 }
