--- a/programs/foxtailgapd/front.h
+++ b/programs/foxtailgapd/front.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "http/http_client.h"
 #include "http/http_server.h"
 #include "messages.h"
 #include "tasks.h"
@@ -37,9 +38,10 @@
   char *id;                     /* of the request or job */
   char *digest;                 /* of an applied document */
   ev_timer timer;
-  bool forwarded; /* MSG_REQUEST was sent */
-  bool wait_end;  /* answer at the job's end, not at its submission */
-  bool waiting;   /* in task->waiting, for a job's change */
+  struct hc_call *forward; /* passed on to the planner's host */
+  bool forwarded;          /* MSG_REQUEST was sent */
+  bool wait_end;           /* answer at the job's end, not at its submission */
+  bool waiting;            /* in task->waiting, for a job's change */
   int64_t deadline_ms;
 };
 
@@ -48,6 +50,7 @@
   struct daemon *daemon;
   struct hs_server *server;
   struct mb_box *box;
+  struct hc_client *http;    /* to the planner's host */
   GHashTable *calls;         /* token -> struct fr_call */
   GHashTable *jobs;          /* id -> struct st_job, one reference */
   GHashTable *claims;        /* key -> struct st_claim, one reference */
@@ -125,6 +128,10 @@
 void fr_delete_job (struct front_task *task, struct hs_request *http,
                     const char *rest);
 
+/*! fr_has_ended () :
+ *  @return : whether the job will not change any more. */
+bool fr_has_ended (const struct st_job *job);
+
 /*! fr_job_changed () :
  *  Answers the calls that wait for a job's end. */
 void fr_job_changed (struct front_task *task, const struct st_job *job);
@@ -161,4 +168,12 @@
 void fr_put_log_level (struct front_task *task, struct hs_request *http,
                        const char *rest);
 
+/* front_planner.c */
+void fr_get_explain (struct front_task *task, struct hs_request *http,
+                     const char *rest);
+void fr_get_placement (struct front_task *task, struct hs_request *http,
+                       const char *rest);
+void fr_planner_answered (struct front_task *task,
+                          const struct msg_question *question);
+
 #endif
--- a/programs/foxtailgapd/front_jobs.c
+++ b/programs/foxtailgapd/front_jobs.c
@@ -87,8 +87,8 @@
   return value;
 }
 
-static bool
-has_ended (const struct st_job *job)
+bool
+fr_has_ended (const struct st_job *job)
 {
   return job->state >= ST_JOB_FINISHED;
 }
@@ -161,7 +161,7 @@
     {
       struct fr_call *call = list->pdata[i];
 
-      if (!call->wait_end || has_ended (job))
+      if (!call->wait_end || fr_has_ended (job))
         g_ptr_array_add (due, call);
     }
   for (i = 0; i < due->len; i++)
@@ -281,7 +281,7 @@
       fr_call_free (call);
       return;
     }
-  if (job != NULL && (!call->wait_end || has_ended (job)))
+  if (job != NULL && (!call->wait_end || fr_has_ended (job)))
     answer_job (call, job);
   else
     wait_for_job (call);
@@ -455,7 +455,7 @@
       answer_unknown_job (task, http);
       return;
     }
-  if (wait_ms == 0 || has_ended (job))
+  if (wait_ms == 0 || fr_has_ended (job))
     {
       fr_json (http, STATUS_OK, job_json (job));
       return;
@@ -479,12 +479,21 @@
   return strcmp (left->id, right->id);
 }
 
+/* A filter that is empty lets everything through.  */
+static const char *
+filter (const struct hs_request *http, const char *name)
+{
+  const char *text = hs_query (http, name);
+
+  return text == NULL || text[0] == '\0' ? NULL : text;
+}
+
 void
 fr_list_jobs (struct front_task *task, struct hs_request *http,
               const char *rest)
 {
-  const char *team = hs_query (http, "team");
-  const char *state = hs_query (http, "state");
+  const char *team = filter (http, "team");
+  const char *state = filter (http, "state");
   GPtrArray *found = g_ptr_array_new ();
   json_t *list = json_array ();
   GHashTableIter iter;
@@ -548,7 +557,7 @@
       answer_unknown_job (task, http);
       return;
     }
-  if (has_ended (job))
+  if (fr_has_ended (job))
     {
       fr_json (http, STATUS_OK, job_summary_json (job));
       return;
--- a/programs/foxtailgapd/front_task.c
+++ b/programs/foxtailgapd/front_task.c
@@ -83,6 +83,8 @@
   ev_timer_stop (call->task->daemon->loop, &call->timer);
   if (call->waiting)
     stop_waiting (call);
+  if (call->forward != NULL)
+    hc_cancel (call->forward);
   g_hash_table_remove (call->task->calls, &call->token);
   g_free (call->id);
   g_free (call->digest);
@@ -127,6 +129,8 @@
   { "GET", "/v1/config/history", fr_get_history },
   { "GET", "/v1/status", fr_get_status },
   { "GET", "/v1/workers", fr_get_workers },
+  { "GET", "/v1/explain/", fr_get_explain },
+  { "GET", "/v1/placement", fr_get_placement },
   { "PUT", "/v1/log-level", fr_put_log_level },
   { "GET", "/metrics", fr_get_metrics },
   { "GET", "/healthz", fr_get_health },
@@ -298,6 +302,9 @@
     case MSG_HISTORY:
       fr_history (task, body);
       break;
+    case MSG_QUESTION:
+      fr_planner_answered (task, body);
+      break;
     case MSG_TERM:
       on_term (task, body);
       break;
@@ -401,12 +408,13 @@
 front_create (struct daemon *daemon)
 {
   struct front_task *task = g_new0 (struct front_task, 1);
-  struct place_params shadow = { .policy = &place_policy_first_fit,
+  struct place_params shadow = { .policy = &place_policy_guarantee,
                                  .attempt_limit = 1,
                                  .quarantine_failures = 3,
                                  .quarantine_ms = 1000,
                                  .now_ms = clk_monotonic_ms,
                                  .random = random_number };
+  struct hc_params http = { .loop = daemon->loop };
 
   task->daemon = daemon;
   task->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -417,7 +425,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_list);
   task->box = mb_create (daemon->loop, on_message, msg_free, task);
   daemon->front = task->box;
-  if (place_create (&task->shadow, &shadow) != PLACE_OK
+  if (hc_create (&task->http, &http) != HC_OK
+      || place_create (&task->shadow, &shadow) != PLACE_OK
       || !start_server (task))
     {
       front_free (task);
@@ -436,6 +445,7 @@
   if (task == NULL)
     return;
   hs_free (task->server);
+  hc_free (task->http);
   g_hash_table_iter_init (&iter, task->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/programs/foxtailgapd/messages.c
+++ b/programs/foxtailgapd/messages.c
@@ -106,6 +106,11 @@
       g_free (((struct msg_answer *)body)->body);
       g_free (body);
       break;
+    case MSG_QUESTION:
+      g_free (((struct msg_question *)body)->job);
+      g_free (((struct msg_question *)body)->answer);
+      g_free (body);
+      break;
     case MSG_HISTORY:
       free_history (body);
       break;
--- a/programs/foxtailgapd/messages.h
+++ b/programs/foxtailgapd/messages.h
@@ -34,7 +34,8 @@
   MSG_SNAPSHOT_WANTED, /* from peers to state: struct msg_snapshot_wanted */
   MSG_SNAPSHOT,        /* state to peers and back: struct msg_snapshot */
   MSG_USAGE,           /* from renewal to planner: struct msg_usage */
-  MSG_HISTORY          /* to state and back: struct msg_history */
+  MSG_HISTORY,         /* to state and back: struct msg_history */
+  MSG_QUESTION         /* to planner and back: struct msg_question */
 };
 
 /* Asks for a record in the log; answered once by MSG_APPENDED.  */
@@ -207,6 +208,16 @@
   char *document; /* NULL if it is not kept any more, or was not asked for */
 };
 
+/* Asks the planner about its decisions.  Sent back with the answer, or
+   without one if this host does not hold the term.  */
+struct msg_question
+{
+  struct mb_box *reply;
+  uint64_t token;
+  char *job;    /* why it waits, or where it runs; NULL: about the whole */
+  char *answer; /* JSON; NULL: this host is not the planner */
+};
+
 /*! msg_free () :
  *  Frees the body of a message of any kind. */
 void msg_free (int kind, void *body);
--- a/programs/foxtailgapd/planner.h
+++ b/programs/foxtailgapd/planner.h
@@ -240,4 +240,11 @@
                      uint64_t term, struct planner_append *append);
 void planner_append_free (void *append);
 
+/* ===== planner_questions.c ==================================== */
+
+/*! planner_on_question () :
+ *  Sends the question back with its answer.  Takes QUESTION. */
+void planner_on_question (struct planner_task *task,
+                          struct msg_question *question);
+
 #endif
--- a/programs/foxtailgapd/planner_task.c
+++ b/programs/foxtailgapd/planner_task.c
@@ -86,6 +86,9 @@
     case MSG_HOSTS:
       planner_on_hosts (task, body);
       return true;
+    case MSG_QUESTION:
+      planner_on_question (task, body);
+      return true;
     case MSG_MEMBERS:
       msg_free (MSG_MEMBERS, task->members);
       task->members = body;
