--- a/lib/place/place_fit.c
+++ b/lib/place/place_fit.c
@@ -100,6 +100,26 @@
   return !place_covers (&rack->widest, &search->each);
 }
 
+/* Whether RACKS together have too little free for all tasks.  */
+static bool
+racks_too_full (const struct place_search *search, struct place_rack **racks,
+                guint count)
+{
+  struct place_amount need = place_times (&search->each, search->tasks);
+  struct place_amount have = { 0 };
+  guint i;
+
+  if (search->view != PLACE_VIEW_FREE && search->view != PLACE_VIEW_BOTH)
+    return false;
+  for (i = 0; i < count; i++)
+    {
+      place_add (&have, &racks[i]->total);
+      if (place_covers (&have, &need))
+        return false;
+    }
+  return true;
+}
+
 static uint64_t
 room_of_rack (const struct place *place, const struct place_search *search,
               const struct place_rack *rack)
@@ -334,6 +354,8 @@
 {
   uint32_t done = 0;
 
+  if (racks_too_full (search, group->racks, group->rack_count))
+    return false;
   collect_options (place, search, group);
   heap_make (place->options);
   while (done < search->tasks && place->options->len > 0)
@@ -425,24 +447,37 @@
          && place_covers (&search->each, &failed->each);
 }
 
+static bool
+failed_in_round (const struct place *place, const struct place_search *search)
+{
+  guint i;
+
+  for (i = 0; i < place->failed->len; i++)
+    if (asked_no_more (&g_array_index (place->failed, struct place_search, i),
+                       search))
+      return true;
+  return false;
+}
+
 bool
 place_fit_once (struct place *place, const struct place_search *search,
                 struct place_spot *spots)
 {
+  struct place_search unreserved = *search;
   bool alone
       = search->job != NULL
         && (search->job->failed_count > 0 || search->job->reservation != NULL);
-  guint i;
 
-  if (alone) /* what one job may use says nothing of others */
-    return place_fit (place, search, spots);
-  for (i = 0; i < place->failed->len; i++)
-    if (asked_no_more (&g_array_index (place->failed, struct place_search, i),
-                       search))
-      return false;
+  if (failed_in_round (place, search))
+    return false;
   if (place_fit (place, search, spots))
     return true;
-  if (place->failed->len < FAILED_LIMIT)
+  if (alone || place->failed->len >= FAILED_LIMIT)
+    return false;
+  /* Where reservations are not the reason, no job of any length fits.  */
+  if (place->reservations->len == 0 || !place_fit (place, &unreserved, spots))
+    g_array_append_val (place->failed, unreserved);
+  else
     g_array_append_val (place->failed, *search);
   return false;
 }
--- a/lib/place/place_inner.h
+++ b/lib/place/place_inner.h
@@ -44,6 +44,7 @@
   char *name;
   struct place_centre *centre;
   GPtrArray *workers;         /* of struct place_worker_state */
+  struct place_amount total;  /* free on its workers, no less */
   struct place_amount widest; /* largest free on any of them, no less */
 };
 
--- a/lib/place/place_state.c
+++ b/lib/place/place_state.c
@@ -195,26 +195,38 @@
   return worker->up && worker->health == PLACE_HEALTHY;
 }
 
+static struct place_amount
+greatest (const struct place_amount *a, const struct place_amount *b)
+{
+  struct place_amount amount
+      = { .cpus_milli = MAX (a->cpus_milli, b->cpus_milli),
+          .memory_mb = MAX (a->memory_mb, b->memory_mb),
+          .accelerators = MAX (a->accelerators, b->accelerators) };
+
+  return amount;
+}
+
 void
 place_touch (struct place_worker_state *worker)
 {
+  static const struct place_amount NONE;
   struct place_rack *rack = worker->rack;
   guint i;
 
   if (rack == NULL)
     return;
   rack->widest = (struct place_amount){ -1, -1, -1 };
+  rack->total = NONE;
   for (i = 0; i < rack->workers->len; i++)
     {
       const struct place_worker_state *one = rack->workers->pdata[i];
       struct place_amount free = place_view_of (one, PLACE_VIEW_FREE);
-      struct place_amount *widest = &rack->widest;
 
       if (!one->up || one->health == PLACE_QUARANTINED)
         continue;
-      widest->cpus_milli = MAX (widest->cpus_milli, free.cpus_milli);
-      widest->memory_mb = MAX (widest->memory_mb, free.memory_mb);
-      widest->accelerators = MAX (widest->accelerators, free.accelerators);
+      rack->widest = greatest (&rack->widest, &free);
+      free = greatest (&free, &NONE);
+      place_add (&rack->total, &free);
     }
 }
 
