--- a/lib/place/place_guarantee.c
+++ b/lib/place/place_guarantee.c
@@ -222,11 +222,14 @@
       next = unplaced_first (order);
       if (size < best_size)
         {
-          g_clear_pointer (&best, g_ptr_array_unref);
-          best = g_steal_pointer (&order);
+          GPtrArray *worse = best;
+
+          best = order;
+          order = worse;
           best_size = size;
         }
-      g_clear_pointer (&order, g_ptr_array_unref);
+      if (order != NULL)
+        g_ptr_array_unref (order);
       order = next;
       if (size == 0)
         break;
@@ -305,6 +308,8 @@
   command->reason = place_text (place, text);
 }
 
+/* Jobs that were restored, or whose guarantee was taken back, are put under
+   a guarantee where there is one for them.  */
 static void
 attach_all (struct place *place)
 {
@@ -316,8 +321,11 @@
     {
       struct place_job_state *job = value;
 
-      if (job->phase == PLACE_RUNNING && job->spots[0].slot == NULL)
-        place_attach (place, job);
+      if (job->phase != PLACE_RUNNING || job->spots[0].slot != NULL
+          || (job->borrowed && !job->detached))
+        continue;
+      job->detached = false;
+      place_attach (place, job);
     }
 }
 
