--- a/programs/foxtailgapd/planner_gangs.c
+++ b/programs/foxtailgapd/planner_gangs.c
@@ -366,33 +366,17 @@
           g_hash_table_size (task->gangs));
 }
 
-/* The core gives up what is not repeatable, and counts an attempt that no
-   worker was to blame for.  A job that did not start is queued anew instead,
-   within a limit.  */
-static bool
-must_submit_anew (const struct planner_job *entry,
-                  const struct planner_ended *item)
-{
-  if (entry == NULL || !item->ended.again)
-    return false;
-  return !entry->job->spec->repeatable
-         || (item->ended.end == PLACE_END_NOT_STARTED && item->worker == NULL);
-}
-
+/* The core counts every end as an attempt.  One that no worker was to blame
+   for, such as a lease that was busy, is hidden from it: the job is queued
+   anew.  */
 static void
-tell_core (struct planner_task *task, const struct planner_job *entry,
-           struct planner_ended *item)
+tell_core (struct planner_task *task, struct planner_ended *item)
 {
-  uint32_t limit = task->rules.attempt_limit * PLANNER_START_FACTOR;
-  bool anew = must_submit_anew (entry, item);
-
   item->ended.job = item->job;
   item->ended.worker = item->worker;
-  if (anew)
+  if (item->ended.end == PLACE_END_NOT_STARTED && item->worker == NULL)
     item->ended.again = false;
   place_ended (task->place, &item->ended);
-  if (anew && item->worker != NULL && entry->job->attempt >= limit)
-    planner_refuse (task, item->job, "no worker has started it");
 }
 
 void
@@ -405,7 +389,7 @@
       struct planner_job *entry = g_hash_table_lookup (task->jobs, item->job);
 
       if (task->place != NULL)
-        tell_core (task, entry, item);
+        tell_core (task, item);
       /* Also a job that the core had lost sight of.  */
       if (entry != NULL && entry->job->state == ST_JOB_QUEUED)
         planner_submit (task, entry);
--- a/programs/foxtailgapd/planner_jobs.c
+++ b/programs/foxtailgapd/planner_jobs.c
@@ -30,6 +30,10 @@
   return planner_now_ms () - MAX (age_ms, 0);
 }
 
+/* Whether an attempt may follow on another is decided here and not by the
+   core, as only the planner knows whether the last one has started.  So every
+   job counts as repeatable there, and what must not be stopped for others
+   does not count as checkpointable, which keeps it from borrowing.  */
 static struct place_job
 to_place_job (const struct st_job *job)
 {
@@ -51,8 +55,8 @@
     .progress_ms = job->progress_ms,
     .attempt = job->attempt,
     .urgent = spec->urgency > 0,
-    .checkpointable = spec->checkpointable,
-    .repeatable = spec->repeatable,
+    .checkpointable = spec->checkpointable && spec->repeatable,
+    .repeatable = true,
   };
 }
 
