--- a/Makefile
+++ b/Makefile
@@ -108,12 +108,12 @@
 ## lint: clang-format, clang-tidy, cppcheck and shellcheck; warnings fail
 lint:
 	@clang-format --dry-run -Werror $(HAND_FILES)
-	@shellcheck $(SHELL_FILES)
+	@shellcheck -x $(SHELL_FILES)
 	@cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 	  --enable=warning,portability --suppress=missingIncludeSystem \
 	  --suppress=normalCheckLevelMaxBranches -j$(JOBS) \
 	  -Ilib -Itests $(HAND_SRC)
-	@printf '%s\n' $(HAND_SRC) | xargs -P$(JOBS) -n2 sh -c \
+	@printf '%s\n' $(HAND_SRC) | xargs -P$(JOBS) -n1 sh -c \
 	  'clang-tidy --quiet "$$@" -- $(CPPFLAGS) $(PKG_CFLAGS) -std=gnu11 \
 	   2>/dev/null' sh
 	@echo "lint: clean"
--- /dev/null
+++ b/lib/place/place_order.c
@@ -0,0 +1,176 @@
+/* Policies: the order in which queued jobs are tried.  */
+
+#include "place/place_inner.h"
+
+enum
+{
+  URGENT_RANK = 1000000 /* above any share and any waiting */
+};
+
+static struct place_job_state *
+at_cursor (GPtrArray *queue, uint32_t cursor)
+{
+  return cursor < queue->len ? queue->pdata[cursor] : NULL;
+}
+
+/* ===== Arrival order ========================================== */
+
+static struct place_job_state *
+head_by_arrival (const struct place_team_state *team)
+{
+  struct place_job_state *job = at_cursor (team->queue, team->cursor);
+  struct place_job_state *urgent
+      = at_cursor (team->urgent, team->urgent_cursor);
+
+  if (job == NULL || urgent == NULL)
+    return job == NULL ? urgent : job;
+  if (job->submitted_ms != urgent->submitted_ms)
+    return job->submitted_ms < urgent->submitted_ms ? job : urgent;
+  return job->sequence < urgent->sequence ? job : urgent;
+}
+
+static double
+rank_by_arrival (const struct place_job_state *job, int64_t now_ms)
+{
+  (void)now_ms;
+  return (double)job->submitted_ms;
+}
+
+/* ===== Shares, urgency and ageing ============================= */
+
+static double
+part_of (int64_t used, int64_t total)
+{
+  return total > 0 ? (double)used / (double)total : 0;
+}
+
+/* The dominant share of a team by its weight.  */
+static double
+share_of (const struct place *place, const struct place_team_state *team)
+{
+  double share = part_of (team->used.cpus_milli, place->total.cpus_milli);
+  double memory = part_of (team->used.memory_mb, place->total.memory_mb);
+  double accelerators
+      = part_of (team->used.accelerators, place->total.accelerators);
+
+  share = MAX (share, MAX (memory, accelerators));
+  return share / MAX (team->weight, 1);
+}
+
+static struct place_job_state *
+head_by_urgency (const struct place_team_state *team)
+{
+  struct place_job_state *job = at_cursor (team->urgent, team->urgent_cursor);
+
+  return job != NULL ? job : at_cursor (team->queue, team->cursor);
+}
+
+/* Waiting lowers the share that counts against a job.  */
+static double
+rank_by_share (const struct place_job_state *job, int64_t now_ms)
+{
+  double waited = (double)MAX (now_ms - job->submitted_ms, 0);
+  double rank = job->team->share - waited / PLACE_AGEING_MS;
+
+  return job->urgent ? rank - URGENT_RANK : rank;
+}
+
+/* ===== Picks ================================================== */
+
+/* Looks anew at what team number AT would start next.  */
+static void
+candidate_note (struct place *place, guint at)
+{
+  const struct place_policy *policy = place->params.policy;
+  struct place_team_state *team = place->active->pdata[at];
+  struct place_candidate *list
+      = (struct place_candidate *)place->candidates->data;
+  struct place_candidate *candidate = &list[at];
+
+  team->share = share_of (place, team);
+  candidate->job = policy->head (team);
+  if (candidate->job != NULL)
+    candidate->rank = policy->rank (candidate->job, place_now (place));
+}
+
+void
+place_picks_begin (struct place *place)
+{
+  guint i;
+
+  g_ptr_array_set_size (place->active, 0);
+  for (i = 0; i < place->team_list->len; i++)
+    {
+      struct place_team_state *team = place->team_list->pdata[i];
+
+      team->cursor = 0;
+      team->urgent_cursor = 0;
+      team->failed_count = 0;
+      if (team->queue->len + team->urgent->len > 0)
+        g_ptr_array_add (place->active, team);
+    }
+  g_array_set_size (place->candidates, place->active->len);
+  for (i = 0; i < place->active->len; i++)
+    candidate_note (place, i);
+}
+
+static bool
+ahead (const struct place_candidate *a, const struct place_candidate *b)
+{
+  if (a->rank != b->rank)
+    return a->rank < b->rank;
+  return a->job->sequence < b->job->sequence;
+}
+
+struct place_job_state *
+place_pick (struct place *place)
+{
+  const struct place_candidate *list
+      = (const struct place_candidate *)place->candidates->data;
+  const struct place_candidate *best = NULL;
+  guint i;
+
+  for (i = 0; i < place->candidates->len; i++)
+    if (list[i].job != NULL && (best == NULL || ahead (&list[i], best)))
+      best = &list[i];
+  if (best == NULL)
+    return NULL;
+  place->picked = (guint)(best - list);
+  return best->job;
+}
+
+void
+place_pick_done (struct place *place, struct place_job_state *job,
+                 bool left_queue)
+{
+  struct place_team_state *team = place->active->pdata[place->picked];
+
+  if (!left_queue && job->urgent)
+    team->urgent_cursor++;
+  else if (!left_queue)
+    team->cursor++;
+  candidate_note (place, place->picked);
+}
+
+/* ===== Tables ================================================= */
+
+const struct place_policy place_policy_first_fit = {
+  .name = "first-fit",
+  .head = head_by_arrival,
+  .rank = rank_by_arrival,
+};
+
+const struct place_policy place_policy_strict = {
+  .name = "strict",
+  .stops = true,
+  .head = head_by_arrival,
+  .rank = rank_by_arrival,
+};
+
+const struct place_policy place_policy_guarantee = {
+  .name = "guarantee",
+  .guarantees = true,
+  .reserves = true,
+  .head = head_by_urgency,
+  .rank = rank_by_share,
+};
--- /dev/null
+++ b/programs/foxtailgapd/planner_workers.c
@@ -0,0 +1,118 @@
+/* Which workers the placement core may use.  */
+
+#include "common/logging.h"
+#include "planner.h"
+
+const struct hl_host *
+planner_worker (const struct planner_task *task, const char *name)
+{
+  return g_hash_table_lookup (task->workers, name);
+}
+
+static bool
+usable (const struct hl_host *host)
+{
+  return host != NULL && host->kind == HL_WORKER && !host->leaving;
+}
+
+static void
+worker_up (struct planner_task *task, const struct hl_host *host)
+{
+  struct place_worker worker
+      = { .name = host->name,
+          .rack = host->rack,
+          .data_centre = host->data_centre,
+          .capacity = { .cpus_milli = host->cpus_milli,
+                        .memory_mb = host->memory_mb,
+                        .accelerators = host->accelerators } };
+  int error = place_worker_up (task->place, &worker);
+
+  if (error == PLACE_OK)
+    g_hash_table_add (task->up, g_strdup (host->name));
+  else
+    lg_warning (PLANNER_PART, "A worker cannot be used.", "worker", host->name,
+                "error", place_strerror (error), NULL);
+}
+
+/* Workers that left the list or are leaving.  */
+static gboolean
+worker_down (gpointer name, gpointer value, gpointer ctx)
+{
+  struct planner_task *task = ctx;
+
+  (void)value;
+  if (usable (planner_worker (task, name)))
+    return FALSE;
+  place_worker_down (task->place, name);
+  lg_info (PLANNER_PART, "A worker gets nothing new.", "worker", name, NULL);
+  return TRUE;
+}
+
+static bool
+same_capacity (const struct hl_host *a, const struct hl_host *b)
+{
+  return a->cpus_milli == b->cpus_milli && a->memory_mb == b->memory_mb
+         && a->accelerators == b->accelerators
+         && g_str_equal (a->rack, b->rack)
+         && g_str_equal (a->data_centre, b->data_centre);
+}
+
+/* Removes workers from the set of usable ones if BEFORE had another capacity,
+   so that they are told anew.  */
+static void
+forget_changed (struct planner_task *task, const struct hl_list *before)
+{
+  const struct hl_host *host;
+  size_t i;
+
+  for (i = 0; i < before->host_count; i++)
+    {
+      if (before->hosts[i].kind != HL_WORKER)
+        continue;
+      host = planner_worker (task, before->hosts[i].name);
+      if (host != NULL && !same_capacity (host, &before->hosts[i]))
+        g_hash_table_remove (task->up, host->name);
+    }
+}
+
+void
+planner_on_hosts (struct planner_task *task, struct hl_list *hosts)
+{
+  struct hl_list *before = task->hosts;
+  size_t i;
+
+  if (before != NULL && before->version == hosts->version)
+    {
+      hl_unref (hosts);
+      return;
+    }
+  g_hash_table_remove_all (task->workers);
+  task->hosts = hosts;
+  for (i = 0; i < hosts->host_count; i++)
+    if (hosts->hosts[i].kind == HL_WORKER)
+      g_hash_table_insert (task->workers, hosts->hosts[i].name,
+                           &hosts->hosts[i]);
+  if (before != NULL)
+    forget_changed (task, before);
+  hl_unref (before);
+  if (task->place != NULL)
+    planner_apply_hosts (task);
+  else
+    planner_build (task);
+}
+
+void
+planner_apply_hosts (struct planner_task *task)
+{
+  const struct hl_host *host;
+  size_t i;
+
+  g_hash_table_foreach_remove (task->up, worker_down, task);
+  for (i = 0; i < task->hosts->host_count; i++)
+    {
+      host = &task->hosts->hosts[i];
+      if (usable (host) && !g_hash_table_contains (task->up, host->name))
+        worker_up (task, host);
+    }
+  planner_want_round (task);
+}
--- a/tests/scripts/lib.sh
+++ b/tests/scripts/lib.sh
@@ -2,6 +2,8 @@
 # Functions for the scripted runs: programs are started in the background,
 # and every wait is for a condition.  To be sourced; needs BUILD and ROOT.
 
+set -u
+
 # Pids of what was started, by name; NAME_pid and NAME_port hold the same.
 declare -A started=()
 # Where a program's standard output and error go: NAME.out and NAME.err.
@@ -69,6 +71,16 @@
   [ "$state" = Z ]
 }
 
+# end_process PID SIGNAL: signals it, waits for its end, returns its status.
+end_process ()
+{
+  kill -s "$2" "$1"
+  if ! wait_for "$stop_limit_s" has_ended "$1"; then
+    kill -s KILL "$1"
+  fi
+  wait "$1"
+}
+
 # stop NAME [SIGNAL]: ends what was started as NAME, by SIGTERM unless another
 # signal is named.  Returns its exit status.
 stop ()
@@ -76,12 +88,19 @@
   local pid=${started[$1]:-}
   [ -n "$pid" ] || return 0
   unset "started[$1]"
-  kill -s "${2:-TERM}" "$pid" 2> /dev/null
-  if ! wait_for "$stop_limit_s" has_ended "$pid"; then
-    echo "$1 had to be killed"
-    kill -s KILL "$pid" 2> /dev/null
-  fi
-  wait "$pid" 2> /dev/null
+  # The shell's own note on a killed process is not wanted.
+  end_process "$pid" "${2:-TERM}" 2> /dev/null
+}
+
+# pause NAME, resume NAME: stops a process and lets it go on.
+pause ()
+{
+  kill -s STOP "${started[$1]}"
+}
+
+resume ()
+{
+  kill -s CONT "${started[$1]}"
 }
 
 # stop_all: ends all that was started and still runs.
@@ -98,6 +117,31 @@
 }
 trap stop_all EXIT
 
+# route_port NAME N: the port of route N of the fault proxy started as NAME.
+route_port ()
+{
+  sed -n "s/^route $2 \([0-9]*\)\$/\1/p" "$run_dir/$1.out"
+}
+
+# host_port HOSTS_URL NAME: the port of a host of the host list.
+host_port ()
+{
+  get "$1/hosts" | python3 -c '
+import json, sys
+for host in json.load(sys.stdin)["hosts"]:
+    if host["name"] == sys.argv[1]:
+        print(host["port"])
+' "$2"
+}
+
+# has TEXT COMMAND...: whether the output of the command contains the text.
+has ()
+{
+  local text=$1
+  shift
+  "$@" | grep -qF -- "$text"
+}
+
 # get URL, post URL JSON, delete URL: print the answer's body.
 get ()
 {
@@ -114,13 +158,22 @@
   curl -sS --max-time 30 -X DELETE "$1"
 }
 
-# status METHOD URL [JSON]: prints the answer's HTTP status; 000: none.
+# status METHOD URL [JSON]: prints the answer's HTTP status; 000: no answer
+# within status_limit_s seconds.
 status ()
 {
   local data=()
   [ $# -gt 2 ] && data=(--data "$3")
   curl -s --max-time "${status_limit_s:-30}" -o /dev/null -w '%{http_code}\n' \
-    -X "$1" "${data[@]}" "$2"
+    -X "$1" "${data[@]}" "$2" || true
+}
+
+# has_status CODE METHOD URL [JSON]: whether that is the answer's status.
+has_status ()
+{
+  local code=$1
+  shift
+  [ "$(status "$@")" = "$code" ]
 }
 
 # json FIELD...: prints a member of the JSON value on standard input.  FIELDs
@@ -138,3 +191,18 @@
 print(value if isinstance(value, str) else json.dumps(value))
 ' "$@"
 }
+
+# digest TEXT: by which histories name a body.
+digest ()
+{
+  printf %s "$1" | sha256sum | cut -c 1-16
+}
+
+# note FILE WHAT MEMBERS: appends a line of the test to a history; MEMBERS
+# are those of a JSON object, without its braces.
+note ()
+{
+  local now_us=${EPOCHREALTIME/./}
+  printf '{"t_ms":%s,"who":"test","what":"%s",%s}\n' \
+    "$((now_us / 1000))" "$2" "$3" >> "$1"
+}
--- a/tests/standins/ft-upstreams/upstream.c
+++ b/tests/standins/ft-upstreams/upstream.c
@@ -11,7 +11,6 @@
 {
   MS_PER_S = 1000,
   PERCENT = 100,
-  DIGEST_CHARS = 16,
   ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
 };
 
@@ -32,6 +31,7 @@
   ev_timer timer;
   char *id;
   char *body;
+  char *digest; /* of the body */
   uint64_t run_ms;
   uint64_t size_bytes;
   bool fail;
@@ -65,6 +65,7 @@
   g_queue_unlink (&work->instance->works, &work->link);
   g_free (work->id);
   g_free (work->body);
+  g_free (work->digest);
   g_free (work);
 }
 
@@ -81,16 +82,6 @@
     }
 }
 
-static char *
-digest_of (const char *data, size_t size_bytes)
-{
-  char *digest = g_compute_checksum_for_data (
-      G_CHECKSUM_SHA256, (const guchar *)data, size_bytes);
-
-  digest[DIGEST_CHARS] = '\0';
-  return digest;
-}
-
 /* --- Answers --- */
 
 static void
@@ -126,13 +117,13 @@
 static void
 note_answer (const struct work *work, unsigned int status, const GString *text)
 {
-  char *digest = digest_of (text->str, text->len);
+  char *digest = hf_digest (text->str, text->len);
 
   hf_write (work->instance->params.history, work->instance->params.name,
             "answer",
-            json_pack ("{s:s,s:I,s:i,s:s}", "request", work->id, "bytes",
-                       (json_int_t)text->len, "status", (int)status, "answer",
-                       digest));
+            json_pack ("{s:s,s:s,s:I,s:i,s:s}", "request", work->id, "body",
+                       work->digest, "bytes", (json_int_t)text->len, "status",
+                       (int)status, "answer", digest));
   g_free (digest);
 }
 
@@ -208,16 +199,13 @@
 }
 
 static void
-note_run (const struct work *work, size_t size_bytes)
+note_run (const struct work *work)
 {
-  char *digest = digest_of (work->body, size_bytes);
-
   hf_write (work->instance->params.history, work->instance->params.name, "run",
             json_pack ("{s:s,s:s,s:I,s:s}", "request", work->id, "team",
                        header_of (work->request, "Foxtailgap-Team"),
                        "slots_used", (json_int_t)work->instance->works.length,
-                       "body", digest));
-  g_free (digest);
+                       "body", work->digest));
 }
 
 static void
@@ -250,11 +238,12 @@
   work->request = request;
   work->id = g_strdup (header_of (request, "Foxtailgap-Request-Id"));
   work->body = g_strndup (body, size_bytes);
+  work->digest = hf_digest (body, size_bytes);
   work->link.data = work;
   g_queue_push_tail_link (&instance->works, &work->link);
   hs_on_gone (request, on_gone, work);
   read_wishes (work, size_bytes);
-  note_run (work, size_bytes);
+  note_run (work);
   ev_timer_init (&work->timer, on_finished, (ev_tstamp)work->run_ms / MS_PER_S,
                  0.0);
   work->timer.data = work;
