Shutdown waits for requests without a caller and for records; its proof

Cause: the daemon ended as soon as no caller was waiting. A claimed request whose caller had gone was cut off, and an outcome that had just been handed to the log task could be lost with it. Ruled out: the log (it was up), the fold. Before: tests/scripts/shutdown.t failed, the key of a request whose caller had gone had no answer at the other host. After: it has it.

--- a/programs/foxtailgapd/main.c
+++ b/programs/foxtailgapd/main.c
@@ -20,7 +20,8 @@
   EXIT_DONE = 0,
   EXIT_NOT_STARTED = 1,
   EXIT_USAGE = 2,
-  DRAIN_CHECK_MS = 20
+  DRAIN_CHECK_MS = 20,
+  DRAIN_QUIET_CHECKS = 2 /* a message may be on its way between tasks */
 };
 
 /* Everything that runs, in the order of creation.  */
@@ -38,6 +39,7 @@
   ev_signal interrupted;
   ev_timer drain;
   int64_t drain_until_ms;
+  uint32_t quiet_checks;
 };
 
 /* --- Shutdown --- */
@@ -46,14 +48,20 @@
 on_drain (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct process *process = watcher->data;
-  uint32_t open = front_open_requests (process->front);
+  uint32_t calls = front_open_requests (process->front);
+  uint32_t requests = upstream_open_requests (process->upstream);
+  uint32_t appends = state_open_appends (process->state);
+  bool open = calls + requests + appends > 0;
 
   (void)events;
-  if (open > 0 && clk_monotonic_ms (NULL) < process->drain_until_ms)
+  process->quiet_checks = open ? 0 : process->quiet_checks + 1;
+  if (process->quiet_checks < DRAIN_QUIET_CHECKS
+      && clk_monotonic_ms (NULL) < process->drain_until_ms)
     return;
-  if (open > 0)
-    lg_warning (PART, "Requests are cut off after the shutdown timeout.",
-                "requests", lg_number (open), NULL);
+  if (open)
+    lg_warning (PART, "Work is cut off after the shutdown timeout.", "calls",
+                lg_number (calls), "requests", lg_number (requests), "appends",
+                lg_number (appends), NULL);
   ev_break (loop, EVBREAK_ALL);
 }
 
--- a/programs/foxtailgapd/state_pending.c
+++ b/programs/foxtailgapd/state_pending.c
@@ -71,6 +71,12 @@
   g_hash_table_replace (table->by_id, pending->id, pending);
 }
 
+uint32_t
+pend_size (const struct pend_table *table)
+{
+  return g_hash_table_size (table->by_id);
+}
+
 static void
 count (const struct pend_table *table, const struct pending *pending,
        enum msg_append_result result)
--- a/programs/foxtailgapd/state_pending.h
+++ b/programs/foxtailgapd/state_pending.h
@@ -16,6 +16,10 @@
 void pend_add (struct pend_table *table, const uint8_t id[ST_ID_SIZE_BYTES],
                struct mb_box *reply, uint64_t token);
 
+/*! pend_size () :
+ *  @return : how many appends wait. */
+uint32_t pend_size (const struct pend_table *table);
+
 /*! pend_tell () :
  *  Answers an append and forgets it; no effect for an id that is not known.
  *  @return : whether it was known. */
--- a/programs/foxtailgapd/state_task.c
+++ b/programs/foxtailgapd/state_task.c
@@ -432,6 +432,12 @@
   return task;
 }
 
+uint32_t
+state_open_appends (const struct state_task *task)
+{
+  return pend_size (task->pending);
+}
+
 void
 state_free (struct state_task *task)
 {
--- a/programs/foxtailgapd/tasks.h
+++ b/programs/foxtailgapd/tasks.h
@@ -38,9 +38,15 @@
 struct upstream_task *upstream_create (struct daemon *daemon);
 void upstream_free (struct upstream_task *task);
 
+/* Requests without an outcome, with or without a caller that waits.  */
+uint32_t upstream_open_requests (const struct upstream_task *task);
+
 struct state_task *state_create (struct daemon *daemon);
 void state_free (struct state_task *task);
 
+/* Records whose fate is not known yet.  */
+uint32_t state_open_appends (const struct state_task *task);
+
 struct hosts_task *hosts_create (struct daemon *daemon);
 void hosts_free (struct hosts_task *task);
 
--- a/programs/foxtailgapd/upstream_task.c
+++ b/programs/foxtailgapd/upstream_task.c
@@ -243,6 +243,11 @@
   if (request == NULL)
     return;
   request->gone = true;
+  if (request->stage == UP_WAITING_CLAIM)
+    {
+      g_hash_table_remove (task->requests, &token);
+      return;
+    }
   if (request->stage != UP_QUEUED || request->maybe_ran)
     return;
   if (!rt_cancel (request->service->router, token))
@@ -465,6 +470,12 @@
   return task;
 }
 
+uint32_t
+upstream_open_requests (const struct upstream_task *task)
+{
+  return g_hash_table_size (task->requests);
+}
+
 void
 upstream_free (struct upstream_task *task)
 {
