--- a/programs/foxtailgapd/front_task.c
+++ b/programs/foxtailgapd/front_task.c
@@ -299,9 +299,6 @@
     case MSG_JOB_DROPPED:
       g_hash_table_remove (task->jobs, body);
       break;
-    case MSG_CLAIM_DROPPED:
-      g_hash_table_remove (task->claims, body);
-      break;
     case MSG_HISTORY:
       fr_history (task, body);
       break;
