--- /dev/null
+++ b/lib/burn/burn.c
@@ -0,0 +1,276 @@
+/* Service-level burn.  */
+
+#include "burn/burn.h"
+
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+  MINUTE_MS = 60 * 1000,
+  BUCKETS = 360, /* of one minute, the longest window */
+  PERMILLE = 1000
+};
+
+/* A month's budget is gone in two days, or in five.  */
+static const double FAST_RATE = 14.4;
+static const double SLOW_RATE = 6.0;
+
+static const uint32_t window_minutes[BN_WINDOWS] = { 5, 30, 60, 360 };
+
+struct bucket
+{
+  uint32_t good;
+  uint32_t bad;
+};
+
+struct meter
+{
+  char *team;
+  char *kind;
+  uint32_t latency_ms;
+  uint32_t success_permille;
+  bool configured;
+  int64_t newest_minute;
+  struct bucket buckets[BUCKETS]; /* by minute modulo their number */
+};
+
+struct bn_book
+{
+  GTree *meters; /* "TEAM/KIND" -> struct meter */
+};
+
+/* --- Meters --- */
+
+/* Moves on to a minute; buckets that come round again start empty.  */
+static void
+advance (struct meter *meter, int64_t minute)
+{
+  int64_t m = meter->newest_minute + 1;
+
+  if (minute <= meter->newest_minute)
+    return;
+  if (minute - m >= BUCKETS)
+    m = minute - BUCKETS + 1;
+  for (; m <= minute; m++)
+    memset (&meter->buckets[m % BUCKETS], 0, sizeof meter->buckets[0]);
+  meter->newest_minute = minute;
+}
+
+static void
+count_end (struct meter *meter, int64_t minute, bool good)
+{
+  struct bucket *bucket;
+
+  advance (meter, minute);
+  if (minute <= meter->newest_minute - BUCKETS)
+    return; /* older than the longest window */
+  bucket = &meter->buckets[minute % BUCKETS];
+  if (good)
+    bucket->good++;
+  else
+    bucket->bad++;
+}
+
+static struct bn_counts
+sum_window (const struct meter *meter, int64_t now_minute, uint32_t minutes)
+{
+  struct bn_counts counts = { 0, 0 };
+  int64_t oldest
+      = MAX (now_minute - minutes + 1, meter->newest_minute - BUCKETS + 1);
+  int64_t m;
+
+  for (m = MAX (oldest, 0); m <= MIN (now_minute, meter->newest_minute); m++)
+    {
+      counts.good += meter->buckets[m % BUCKETS].good;
+      counts.bad += meter->buckets[m % BUCKETS].bad;
+    }
+  return counts;
+}
+
+static void
+free_meter (gpointer data)
+{
+  struct meter *meter = data;
+
+  g_free (meter->team);
+  g_free (meter->kind);
+  g_free (meter);
+}
+
+/* --- The book --- */
+
+static gint
+compare_names (gconstpointer a, gconstpointer b, gpointer ctx)
+{
+  (void)ctx;
+  return strcmp (a, b);
+}
+
+struct bn_book *
+bn_create (void)
+{
+  struct bn_book *book = g_new0 (struct bn_book, 1);
+
+  book->meters = g_tree_new_full (compare_names, NULL, g_free, free_meter);
+  return book;
+}
+
+void
+bn_free (struct bn_book *book)
+{
+  if (book == NULL)
+    return;
+  g_tree_destroy (book->meters);
+  g_free (book);
+}
+
+static gboolean
+unconfigure (gpointer key, gpointer value, gpointer ctx)
+{
+  (void)key;
+  (void)ctx;
+  ((struct meter *)value)->configured = false;
+  return FALSE;
+}
+
+static gboolean
+collect_unconfigured (gpointer key, gpointer value, gpointer ctx)
+{
+  if (!((struct meter *)value)->configured)
+    g_ptr_array_add (ctx, key);
+  return FALSE;
+}
+
+static void
+configure_meter (struct bn_book *book, const struct bn_objective *objective)
+{
+  char *key = g_strdup_printf ("%s/%s", objective->team, objective->kind);
+  struct meter *meter = g_tree_lookup (book->meters, key);
+
+  if (meter != NULL)
+    g_free (key);
+  else
+    {
+      meter = g_new0 (struct meter, 1);
+      meter->team = g_strdup (objective->team);
+      meter->kind = g_strdup (objective->kind);
+      g_tree_insert (book->meters, key, meter);
+    }
+  meter->latency_ms = objective->latency_ms;
+  meter->success_permille = objective->success_permille;
+  meter->configured = true;
+}
+
+void
+bn_configure (struct bn_book *book, const struct bn_objective *objectives,
+              size_t count)
+{
+  GPtrArray *gone = g_ptr_array_new ();
+  size_t i;
+
+  g_tree_foreach (book->meters, unconfigure, NULL);
+  for (i = 0; i < count; i++)
+    configure_meter (book, &objectives[i]);
+  g_tree_foreach (book->meters, collect_unconfigured, gone);
+  for (i = 0; i < gone->len; i++)
+    g_tree_remove (book->meters, gone->pdata[i]);
+  g_ptr_array_free (gone, TRUE);
+}
+
+void
+bn_count (struct bn_book *book, const char *team, const char *kind,
+          int64_t unix_ms, uint64_t latency_ms, bool ok)
+{
+  char *key = g_strdup_printf ("%s/%s", team, kind);
+  struct meter *meter = g_tree_lookup (book->meters, key);
+
+  g_free (key);
+  if (meter != NULL && unix_ms >= 0)
+    count_end (meter, unix_ms / MINUTE_MS,
+               ok && latency_ms <= meter->latency_ms);
+}
+
+struct visit
+{
+  int64_t now_minute;
+  void (*callback) (void *ctx, const struct bn_objective *objective,
+                    const struct bn_counts counts[BN_WINDOWS]);
+  void *ctx;
+};
+
+static gboolean
+visit_meter (gpointer key, gpointer value, gpointer ctx)
+{
+  const struct meter *meter = value;
+  const struct visit *visit = ctx;
+  struct bn_objective objective
+      = { .team = meter->team,
+          .kind = meter->kind,
+          .latency_ms = meter->latency_ms,
+          .success_permille = meter->success_permille };
+  struct bn_counts counts[BN_WINDOWS];
+  size_t i;
+
+  (void)key;
+  for (i = 0; i < BN_WINDOWS; i++)
+    counts[i] = sum_window (meter, visit->now_minute, window_minutes[i]);
+  visit->callback (visit->ctx, &objective, counts);
+  return FALSE;
+}
+
+void
+bn_each (const struct bn_book *book, int64_t now_unix_ms,
+         void (*callback) (void *ctx, const struct bn_objective *objective,
+                           const struct bn_counts counts[BN_WINDOWS]),
+         void *ctx)
+{
+  struct visit visit = { .now_minute = now_unix_ms / MINUTE_MS,
+                         .callback = callback,
+                         .ctx = ctx };
+
+  g_tree_foreach (book->meters, visit_meter, &visit);
+}
+
+/* --- Rates --- */
+
+double
+bn_rate (const struct bn_counts *counts, uint32_t success_permille)
+{
+  double all = (double)counts->good + (double)counts->bad;
+  double budget = (double)(PERMILLE - success_permille) / PERMILLE;
+
+  if (all == 0.0 || budget <= 0.0)
+    return 0.0;
+  return (double)counts->bad / all / budget;
+}
+
+enum bn_alarm
+bn_alarm (const struct bn_counts counts[BN_WINDOWS], uint32_t success_permille)
+{
+  double rates[BN_WINDOWS];
+  size_t i;
+
+  for (i = 0; i < BN_WINDOWS; i++)
+    rates[i] = bn_rate (&counts[i], success_permille);
+  if (rates[BN_WINDOW_1_H] >= FAST_RATE && rates[BN_WINDOW_5_MIN] >= FAST_RATE)
+    return BN_ALARM_FAST;
+  if (rates[BN_WINDOW_6_H] >= SLOW_RATE
+      && rates[BN_WINDOW_30_MIN] >= SLOW_RATE)
+    return BN_ALARM_SLOW;
+  return BN_ALARM_NONE;
+}
+
+uint32_t
+bn_window_minutes (enum bn_window window)
+{
+  return window_minutes[window];
+}
+
+const char *
+bn_alarm_name (enum bn_alarm alarm)
+{
+  static const char *const names[] = { "-", "slow", "fast" };
+
+  return names[alarm];
+}
--- a/programs/foxtailgapctl/main.c
+++ b/programs/foxtailgapctl/main.c
@@ -25,6 +25,8 @@
   { "jobs", "lists jobs", cmd_jobs },
   { "cancel", "cancels a job", cmd_cancel },
   { "workers", "lists the workers", cmd_workers },
+  { "report", "shows what objectives have used of their error budgets",
+    cmd_report },
   { "log-level", "sets the log level of the entry hosts", cmd_log_level },
 };
 
--- a/programs/foxtailgapd/front.h
+++ b/programs/foxtailgapd/front.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "burn/burn.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "messages.h"
@@ -39,9 +40,12 @@
   char *digest;                 /* of an applied document */
   ev_timer timer;
   struct hc_call *forward; /* passed on to the planner's host */
-  bool forwarded;          /* MSG_REQUEST was sent */
-  bool wait_end;           /* answer at the job's end, not at its submission */
-  bool waiting;            /* in task->waiting, for a job's change */
+  char *team;              /* of a request to a service */
+  char *service;           /* of a request to a service */
+  int64_t started_ms;
+  bool forwarded; /* MSG_REQUEST was sent */
+  bool wait_end;  /* answer at the job's end, not at its submission */
+  bool waiting;   /* in task->waiting, for a job's change */
   int64_t deadline_ms;
 };
 
@@ -60,6 +64,8 @@
   struct msg_members *members;
   struct place *shadow; /* teams and workers only, to refuse what can never
                            run */
+  struct bn_book *request_burn; /* of requests answered here */
+  struct bn_book *job_burn;     /* of all jobs, from the folded state */
   uint64_t term;
   char *planner;
   struct msg_log log;
@@ -176,4 +182,11 @@
 void fr_planner_answered (struct front_task *task,
                           const struct msg_question *question);
 
+/* front_burn.c */
+void fr_burn_configure (struct front_task *task);
+void fr_burn_request (struct fr_call *call, const struct msg_answer *answer);
+void fr_burn_job (struct front_task *task, const struct st_job *job);
+void fr_get_burn (struct front_task *task, struct hs_request *http,
+                  const char *rest);
+
 #endif
--- a/programs/foxtailgapd/front_requests.c
+++ b/programs/foxtailgapd/front_requests.c
@@ -54,6 +54,7 @@
 
   if (call == NULL)
     return;
+  fr_burn_request (call, answer);
   if (answer->state == MSG_ANSWER_FINISHED)
     answer_finished (call, answer);
   else
@@ -130,6 +131,9 @@
   fr_new_id (id);
   call->id = g_strdup (id);
   call->forwarded = true;
+  call->team = g_strdup (claims->team);
+  call->service = g_strdup (service->name);
+  call->started_ms = clk_monotonic_ms (NULL);
   hs_on_gone (http, on_caller_gone, call);
   message->token = call->token;
   message->reply = task->box;
--- a/programs/foxtailgapd/front_task.c
+++ b/programs/foxtailgapd/front_task.c
@@ -88,6 +88,8 @@
   g_hash_table_remove (call->task->calls, &call->token);
   g_free (call->id);
   g_free (call->digest);
+  g_free (call->team);
+  g_free (call->service);
   g_free (call);
 }
 
@@ -131,6 +133,7 @@
   { "GET", "/v1/workers", fr_get_workers },
   { "GET", "/v1/explain/", fr_get_explain },
   { "GET", "/v1/placement", fr_get_placement },
+  { "GET", "/v1/burn", fr_get_burn },
   { "PUT", "/v1/log-level", fr_put_log_level },
   { "GET", "/metrics", fr_get_metrics },
   { "GET", "/healthz", fr_get_health },
@@ -196,6 +199,7 @@
   msg_free (MSG_CONFIG, task->config);
   task->config = config;
   configure_shadow (task);
+  fr_burn_configure (task);
   lg_info (FR_PART, "A configuration is in force.", "revision",
            lg_number ((long long)config->revision), "author", config->author,
            NULL);
@@ -250,6 +254,10 @@
 static void
 on_job (struct front_task *task, struct st_job *job)
 {
+  const struct st_job *before = g_hash_table_lookup (task->jobs, job->id);
+
+  if (before == NULL || !fr_has_ended (before))
+    fr_burn_job (task, job);
   g_hash_table_replace (task->jobs, job->id, job);
   fr_job_changed (task, job);
 }
@@ -423,6 +431,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_claim);
   task->waiting
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_list);
+  task->request_burn = bn_create ();
+  task->job_burn = bn_create ();
   task->box = mb_create (daemon->loop, on_message, msg_free, task);
   daemon->front = task->box;
   if (hc_create (&task->http, &http) != HC_OK
@@ -461,6 +471,8 @@
   g_hash_table_destroy (task->jobs);
   g_hash_table_destroy (task->claims);
   place_free (task->shadow);
+  bn_free (task->request_burn);
+  bn_free (task->job_burn);
   msg_free (MSG_CONFIG, task->config);
   msg_free (MSG_MEMBERS, task->members);
   hl_unref (task->hosts);
--- a/tests/scripts/ctl-help.t
+++ b/tests/scripts/ctl-help.t
@@ -25,6 +25,7 @@
     jobs       lists jobs
     cancel     cancels a job
     workers    lists the workers
+    report     shows what objectives have used of their error budgets
     log-level  sets the log level of the entry hosts
   
   Entry hosts are given by --hosts IP:PORT[,IP:PORT...] or by the
@@ -51,6 +52,7 @@
   foxtailgapctl jobs 0.1.0
   foxtailgapctl cancel 0.1.0
   foxtailgapctl workers 0.1.0
+  foxtailgapctl report 0.1.0
   foxtailgapctl log-level 0.1.0
   $ for command in $commands; do echo "--- $command"; foxtailgapctl $command --help; done
   --- check
@@ -249,6 +251,17 @@
   Usage: foxtailgapctl workers [--hosts=IP:PORT,...] [--timeout-ms=N] [--json] [--help] [--version]
   foxtailgapctl workers lists the workers.
   
+    --hosts=IP:PORT,...        entry hosts, tried in this order (else $FOXTAILGAP_HOSTS)
+    --timeout-ms=N             for one answer (default 10000)
+    --json                     prints JSON
+    --help                     shows this help and exits
+    --version                  shows the version and exits
+  --- report
+  Usage: foxtailgapctl report REPORT [--plot=FILE] [--hosts=IP:PORT,...] [--timeout-ms=N] [--json] [--help] [--version]
+  foxtailgapctl report shows what objectives have used of their error budgets.
+  
+    REPORT                     burn
+    --plot=FILE                also writes a plot (SVG)
     --hosts=IP:PORT,...        entry hosts, tried in this order (else $FOXTAILGAP_HOSTS)
     --timeout-ms=N             for one answer (default 10000)
     --json                     prints JSON
