--- a/lib/place/place_guarantee.c
+++ b/lib/place/place_guarantee.c
@@ -8,6 +8,13 @@
 
 #include "place/place_inner.h"
 
+enum
+{
+  REPACK_WORK = 4096, /* units placed in the orders that are tried */
+  REPACK_TRIES_LEAST = 4,
+  REPACK_TRIES_MOST = 16
+};
+
 /* ===== Binding ================================================ */
 
 /* The data centre in which a job waits for a unit, or NULL.  */
@@ -203,17 +210,15 @@
 static void
 units_repack (struct place *place, GPtrArray *units)
 {
-  enum
-  {
-    TRIES = 4
-  };
+  guint tries = CLAMP (REPACK_WORK / MAX (units->len, 1), REPACK_TRIES_LEAST,
+                       REPACK_TRIES_MOST);
   GPtrArray *order = g_ptr_array_copy (units, NULL, NULL);
   GPtrArray *best = NULL;
   int64_t best_size = INT64_MAX;
   int64_t size = 0;
-  int n;
+  guint n;
 
-  for (n = 0; n < TRIES; n++)
+  for (n = 0; n < tries; n++)
     {
       GPtrArray *next;
 
--- a/tests/bench/bench-place/packing.c
+++ b/tests/bench/bench-place/packing.c
@@ -1,6 +1,8 @@
-/* Random sets of guarantees: how many buddy cells accept and how many the
-   joint packing test does, of those that fit by their sums.  */
+/* Random sets of guarantees that fit by their sums: how many buddy cells
+   accept, how many the joint packing test does, and how many an exhaustive
+   search proves to fit or not to fit.  */
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "bench.h"
@@ -11,7 +13,8 @@
   WORKERS = 16, /* two racks of eight */
   RACK_WORKERS = 8,
   ACCELERATORS = 8,
-  LEVELS = 8 /* cells of 1, 2, 4, 8 accelerators, 2, 4, 8 workers */
+  NODE_LIMIT = 200000, /* of one exhaustive search */
+  LEVELS = 8           /* cells of 1, 2, 4, 8 accelerators, 2, 4, 8 workers */
 };
 
 /* A set of shapes that takes a part of all accelerators.  */
@@ -135,6 +138,92 @@
   return true;
 }
 
+/* ===== Exhaustive search ====================================== */
+
+struct exact
+{
+  const struct place_guarantee *shapes[64];
+  size_t count;
+  uint32_t free[WORKERS];
+  uint32_t nodes;
+};
+
+static bool exact_shape (struct exact *e, size_t at);
+
+/* Places the tasks that are left of a shape, each on a worker no earlier
+   than the one before.  */
+static bool
+exact_task (struct exact *e, size_t at, uint32_t left, int from, int end)
+{
+  uint32_t each = e->shapes[at]->shape.task.accelerators;
+  uint32_t tried = 0; /* amounts free that were tried, as bits */
+  int w;
+
+  if (left == 0)
+    return exact_shape (e, at + 1);
+  for (w = from; w < end; w++)
+    {
+      bool again = left == e->shapes[at]->shape.tasks
+                   && (tried >> e->free[w] & 1) != 0;
+
+      if (e->free[w] < each || again || e->nodes++ > NODE_LIMIT)
+        continue;
+      tried |= UINT32_C (1) << e->free[w];
+      e->free[w] -= each;
+      if (exact_task (e, at, left - 1, w, end))
+        return true;
+      e->free[w] += each;
+    }
+  return false;
+}
+
+static bool
+exact_shape (struct exact *e, size_t at)
+{
+  uint32_t tasks;
+  int rack;
+
+  if (at == e->count)
+    return true;
+  tasks = e->shapes[at]->shape.tasks;
+  if (tasks == 1)
+    return exact_task (e, at, 1, 0, WORKERS);
+  for (rack = 0; rack < WORKERS; rack += RACK_WORKERS)
+    if (exact_task (e, at, tasks, rack, rack + RACK_WORKERS))
+      return true;
+  return false;
+}
+
+static int
+compare_shapes (const void *a, const void *b)
+{
+  const struct place_shape *left
+      = &(*(const struct place_guarantee *const *)a)->shape;
+  const struct place_shape *right
+      = &(*(const struct place_guarantee *const *)b)->shape;
+  uint32_t l = left->tasks * left->task.accelerators;
+  uint32_t r = right->tasks * right->task.accelerators;
+
+  return (l < r) - (l > r);
+}
+
+/* 1: fits; 0: does not; -1: not known within the limit.  */
+static int
+exact_accepts (const struct set *set)
+{
+  struct exact e = { .count = set->count };
+  size_t i;
+
+  for (i = 0; i < WORKERS; i++)
+    e.free[i] = ACCELERATORS;
+  for (i = 0; i < set->count; i++)
+    e.shapes[i] = &set->shapes[i];
+  qsort (e.shapes, e.count, sizeof (void *), compare_shapes);
+  if (exact_shape (&e, 0))
+    return 1;
+  return e.nodes > NODE_LIMIT ? -1 : 0;
+}
+
 static void
 compare_on (bool skewed, uint32_t percent, GString *json)
 {
@@ -142,6 +231,8 @@
   uint32_t joint = 0;
   uint32_t buddy = 0;
   uint32_t only_buddy = 0;
+  uint32_t fits = 0;
+  uint32_t unknown = 0;
   double took_us = 0;
   int i;
 
@@ -157,17 +248,25 @@
       joint += by_joint;
       buddy += by_buddy;
       only_buddy += by_buddy && !by_joint;
+      if (by_joint)
+        {
+          fits++;
+          continue;
+        }
+      fits += exact_accepts (&set) == 1;
+      unknown += exact_accepts (&set) < 0;
     }
-  g_print ("%-14s %3u%%  %5.1f%%  %5.1f%%  %8u  %8.0f\n",
+  g_print ("%-14s %3u%%  %5.1f%%  %5.1f%%  %5.1f%%  %5.1f%%  %8u  %8.0f\n",
            skewed ? "any size" : "powers of two", percent,
-           100.0 * buddy / SETS, 100.0 * joint / SETS, only_buddy,
-           took_us / SETS);
+           100.0 * buddy / SETS, 100.0 * joint / SETS, 100.0 * fits / SETS,
+           100.0 * unknown / SETS, only_buddy, took_us / SETS);
   g_string_append_printf (
       json,
       "%s{\"shapes\":\"%s\",\"percent\":%u,\"sets\":%d,\"buddy\":%u,"
-      "\"joint\":%u,\"buddy_only\":%u,\"joint_us\":%.1f}",
+      "\"joint\":%u,\"fits\":%u,\"unknown\":%u,\"buddy_only\":%u,\"joint_us\":"
+      "%.1f}",
       json->str[json->len - 1] == '[' ? "" : ",", skewed ? "any" : "even",
-      percent, SETS, buddy, joint, only_buddy, took_us / SETS);
+      percent, SETS, buddy, joint, fits, unknown, only_buddy, took_us / SETS);
 }
 
 void
@@ -176,7 +275,8 @@
   static const uint32_t PERCENTS[] = { 60, 80, 90, 100 };
   size_t i;
 
-  g_print ("guarantees    asked   buddy   joint  only buddy  joint us\n");
+  g_print ("guarantees    asked   buddy   joint    fits unknown  only buddy  "
+           "joint us\n");
   for (i = 0; i < G_N_ELEMENTS (PERCENTS); i++)
     compare_on (false, PERCENTS[i], json);
   for (i = 0; i < G_N_ELEMENTS (PERCENTS); i++)
