--- a/lib/place/place_cheapest.c
+++ b/lib/place/place_cheapest.c
@@ -35,9 +35,11 @@
   return place_evict_loss (place, worker, &need);
 }
 
-/* What is lost if the unit stays where it was.  */
+/* What is lost if the unit stays where it was; infinite if JOB may not run
+   there.  */
 static double
 loss_of_spots (struct place *place, const struct place_unit *unit,
+               const struct place_job_state *job,
                const struct place_spot *spots)
 {
   double loss = 0;
@@ -48,6 +50,8 @@
     {
       double one;
 
+      if (place_barred (job, spots[i].worker))
+        return INFINITY;
       for (run = 1; i + run < unit->shape.tasks
                     && spots[i + run].worker == spots[i].worker;)
         run++;
@@ -152,7 +156,7 @@
   for (i = 0; i < unit->shape.tasks; i++)
     best.spots[i].worker = unit->slots[i].worker;
   place_unit_unbind (unit);
-  best.loss = loss_of_spots (place, unit, best.spots);
+  best.loss = loss_of_spots (place, unit, job, best.spots);
   for (r = 0; r < place->racks->len && looked < LOOK_LIMIT; r++)
     {
       const struct place_rack *rack = place->racks->pdata[r];
