--- a/lib/place/place_attach.c
+++ b/lib/place/place_attach.c
@@ -159,6 +159,9 @@
   const struct place_spot *spots = range->job->spots + range->first;
   uint32_t i;
 
+  for (i = 0; i < range->count; i++)
+    if (spots[i].worker->rack == NULL) /* it is not known yet */
+      return false;
   for (i = 1; i < range->count; i++)
     {
       if (span == PLACE_SPAN_WORKER && spots[i].worker != spots[0].worker)
--- a/lib/place/place_decide.c
+++ b/lib/place/place_decide.c
@@ -289,6 +289,15 @@
 
 /* ===== Jobs that have become impossible ======================= */
 
+static int
+never_any_more (struct place *place, const struct place_job_state *job,
+                char text[PLACE_TEXT_SIZE_BYTES])
+{
+  if (place->capacity_lost)
+    return place_never (place, job, text);
+  return place_never_configured (place, job, text);
+}
+
 static void
 rejudge_queue (struct place *place, GPtrArray *queue)
 {
@@ -302,7 +311,7 @@
       if (job->team->gone)
         g_snprintf (text, sizeof text, "there is no team %s any more",
                     job->team->name);
-      else if (place_never (place, job, text) == PLACE_OK)
+      else if (never_any_more (place, job, text) == PLACE_OK)
         continue;
       place_notify (place, PLACE_REFUSE, job, text);
       place_queue_remove (job);
@@ -325,6 +334,7 @@
       rejudge_queue (place, team->queue);
       rejudge_queue (place, team->urgent);
     }
+  place->capacity_lost = false;
 }
 
 static void
--- a/lib/place/place_event.c
+++ b/lib/place/place_event.c
@@ -254,7 +254,10 @@
   job->wait = "is queued again";
   place_queue_insert (job);
   if (job->team->gone || place_never (place, job, text) != PLACE_OK)
-    place->rejudge = true;
+    {
+      place->rejudge = true;
+      place->capacity_lost = true;
+    }
 }
 
 int
--- a/lib/place/place_guarantee.c
+++ b/lib/place/place_guarantee.c
@@ -313,6 +313,17 @@
   command->reason = place_text (place, text);
 }
 
+static bool
+on_usable_workers (const struct place_job_state *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    if (!place_usable (job->spots[i].worker))
+      return false;
+  return true;
+}
+
 /* Jobs that were restored, or whose guarantee was taken back, are put under
    a guarantee where there is one for them.  */
 static void
@@ -329,7 +340,7 @@
       if (job->phase != PLACE_RUNNING || job->spots[0].slot != NULL
           || (job->borrowed && !job->detached))
         continue;
-      job->detached = false;
+      job->detached = !on_usable_workers (job);
       place_attach (place, job);
     }
 }
--- a/lib/place/place_inner.h
+++ b/lib/place/place_inner.h
@@ -265,6 +265,7 @@
   bool dirty;                /* guarantees are to be looked at again */
   bool changed;              /* an event since the last round */
   bool rejudge;              /* queued jobs may have become impossible */
+  bool capacity_lost;        /* ... because workers went or shrank */
   bool looked_ahead;         /* one reservation is looked at in a round */
   bool paused;
   bool wishes;      /* a unit is wanted in another data centre */
@@ -471,6 +472,11 @@
 int place_never (struct place *place, const struct place_job_state *job,
                  char text[PLACE_TEXT_SIZE_BYTES]);
 
+/* The same for a job that could run on these workers before.  */
+int place_never_configured (struct place *place,
+                            const struct place_job_state *job,
+                            char text[PLACE_TEXT_SIZE_BYTES]);
+
 /* ===== place_health.c ========================================= */
 
 /* RAN: the task failed; otherwise it did not start.  */
--- a/lib/place/place_never.c
+++ b/lib/place/place_never.c
@@ -213,15 +213,22 @@
 }
 
 int
-place_never (struct place *place, const struct place_job_state *job,
-             char text[PLACE_TEXT_SIZE_BYTES])
+place_never_configured (struct place *place, const struct place_job_state *job,
+                        char text[PLACE_TEXT_SIZE_BYTES])
 {
-  int error = never_on_workers (place, job, text);
+  int error = never_in_quota (job, text);
 
-  if (error == PLACE_OK)
-    error = never_in_quota (job, text);
   if (error == PLACE_OK && place->params.policy->guarantees
       && !place_may_borrow (job))
     error = never_in_guarantee (place, job, text);
   return error;
 }
+
+int
+place_never (struct place *place, const struct place_job_state *job,
+             char text[PLACE_TEXT_SIZE_BYTES])
+{
+  int error = never_on_workers (place, job, text);
+
+  return error == PLACE_OK ? place_never_configured (place, job, text) : error;
+}
--- a/lib/place/place_state.c
+++ b/lib/place/place_state.c
@@ -261,6 +261,7 @@
                                  or_empty (worker->rack)));
   state->shrunk = !place_covers (&capacity, &state->capacity);
   place->rejudge |= state->shrunk;
+  place->capacity_lost |= state->shrunk;
   state->capacity = capacity;
   state->up = true;
   place_touch (state);
@@ -328,6 +329,7 @@
         continue;
       forget_failures (place, worker);
       place->rejudge = true;
+      place->capacity_lost = true;
       if (worker->rack != NULL)
         g_ptr_array_remove (worker->rack->workers, worker);
       g_hash_table_remove (place->workers, worker->name);
--- a/tests/unit/test_place_guarantee.c
+++ b/tests/unit/test_place_guarantee.c
@@ -265,6 +265,27 @@
   pf_teardown (&f);
 }
 
+/* The same when the planner learns of the worker only later.  */
+static void
+test_a_job_may_be_restored_before_its_worker (void)
+{
+  struct pf f;
+  struct place_job job = pf_job ("four", "b", 1, 4);
+  struct place_assignment block
+      = { .task = 0, .worker = "w1-0", .accelerators = 0x0f };
+
+  setup (&f, 1);
+  CU_ASSERT_EQUAL (place_restore (f.place, &job, &block, 1, 0), PLACE_OK);
+  pf_decide (&f);
+  CU_ASSERT_EQUAL (place_explain (f.place, "four", f.text), PLACE_OK);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f.text, "borrowed"));
+  pf_worker (&f, 1, 0);
+  pf_decide (&f);
+  CU_ASSERT_EQUAL (place_explain (f.place, "four", f.text), PLACE_OK);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f.text, "within its team's guarantee"));
+  pf_teardown (&f);
+}
+
 static void
 test_clashing_guarantees_are_named (void)
 {
@@ -323,6 +344,8 @@
                test_of_one_worker_the_cheapest_goes);
   CU_add_test (suite, "unmet", test_lost_workers_make_it_unmet_at_once);
   CU_add_test (suite, "restore", test_a_restored_job_is_within_its_guarantee);
+  CU_add_test (suite, "restore before the worker",
+               test_a_job_may_be_restored_before_its_worker);
   CU_add_test (suite, "clash", test_clashing_guarantees_are_named);
   CU_add_test (suite, "large shape stays whole",
                test_small_jobs_leave_the_large_shape_whole);
