--- a/lib/place/place_attach.c
+++ b/lib/place/place_attach.c
@@ -207,26 +207,17 @@
   return false;
 }
 
-static bool
-unit_takes_span (const struct place_unit *unit,
-                 const struct place_job_state *job)
-{
-  return unit->shape.span >= job->shape.span;
-}
-
 static bool
 attach_range (struct place *place, struct range *range)
 {
-  struct place_team_state *team = range->job->team;
+  g_autoptr (GPtrArray) units = place_units_for (range->job);
   guint i;
 
-  for (i = 0; i < team->units->len; i++)
-    if (unit_takes_span (team->units->pdata[i], range->job)
-        && pick_slots (team->units->pdata[i], range))
+  for (i = 0; i < units->len; i++)
+    if (pick_slots (units->pdata[i], range))
       return true;
-  for (i = 0; i < team->units->len; i++)
-    if (unit_takes_span (team->units->pdata[i], range->job)
-        && move_under (place, team->units->pdata[i], range))
+  for (i = 0; i < units->len; i++)
+    if (move_under (place, units->pdata[i], range))
       return true;
   return false;
 }
--- a/lib/place/place_firm.c
+++ b/lib/place/place_firm.c
@@ -147,8 +147,8 @@
   return false;
 }
 
-static GPtrArray *
-units_for (struct place_job_state *job)
+GPtrArray *
+place_units_for (struct place_job_state *job)
 {
   GPtrArray *units = g_ptr_array_new ();
   guint i;
@@ -397,7 +397,7 @@
 static bool
 try_units (struct place *place, struct place_job_state *job)
 {
-  g_autoptr (GPtrArray) units = units_for (job);
+  g_autoptr (GPtrArray) units = place_units_for (job);
   struct take take = { .job = job };
   guint at = 0;
 
--- a/lib/place/place_guarantee.c
+++ b/lib/place/place_guarantee.c
@@ -327,7 +327,7 @@
 /* Jobs that were restored, or whose guarantee was taken back, are put under
    a guarantee where there is one for them.  */
 static void
-attach_all (struct place *place)
+attach_some (struct place *place, bool borrowed)
 {
   GHashTableIter iter;
   gpointer value;
@@ -338,13 +338,21 @@
       struct place_job_state *job = value;
 
       if (job->phase != PLACE_RUNNING || job->spots[0].slot != NULL
-          || (job->borrowed && !job->detached))
+          || job->borrowed != borrowed || (borrowed && !job->detached))
         continue;
       job->detached = !on_usable_workers (job);
       place_attach (place, job);
     }
 }
 
+/* Those that cannot be stopped come first.  */
+static void
+attach_all (struct place *place)
+{
+  attach_some (place, false);
+  attach_some (place, true);
+}
+
 static bool
 wishes_left (const GPtrArray *units)
 {
--- a/lib/place/place_inner.h
+++ b/lib/place/place_inner.h
@@ -438,6 +438,9 @@
 
 /* ===== place_firm.c =========================================== */
 
+/* The units that a job may use, the one to take first in front; the caller
+   frees the list.  */
+GPtrArray *place_units_for (struct place_job_state *job);
 /* Starts a job within its team's guarantee, or claims workers for it and
    evicts borrowed work there.  */
 bool place_firm_try (struct place *place, struct place_job_state *job);
--- a/tests/unit/test_place_guarantee.c
+++ b/tests/unit/test_place_guarantee.c
@@ -265,6 +265,44 @@
   pf_teardown (&f);
 }
 
+/* Of two restored jobs the one that cannot be stopped has the guarantee, in
+   whatever order they are restored.  */
+static void
+check_restored (bool firm_first)
+{
+  struct pf f;
+  struct place_job jobs[2]
+      = { pf_job ("borrows", "b", 1, 4), pf_job ("firm", "b", 1, 4) };
+  struct place_assignment blocks[2]
+      = { { .task = 0, .worker = "w0-0", .accelerators = 0x0f },
+          { .task = 0, .worker = "w0-1", .accelerators = 0x0f } };
+  int i;
+
+  setup (&f, 2);
+  jobs[1].checkpointable = false;
+  for (i = 0; i < 2; i++)
+    {
+      int at = firm_first ? 1 - i : i;
+
+      CU_ASSERT_EQUAL (place_restore (f.place, &jobs[at], &blocks[at], 1, 0),
+                       PLACE_OK);
+    }
+  pf_decide (&f);
+  CU_ASSERT_EQUAL (f.command_count, 0);
+  CU_ASSERT_EQUAL (place_explain (f.place, "firm", f.text), PLACE_OK);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f.text, "within its team's guarantee"));
+  CU_ASSERT_EQUAL (place_explain (f.place, "borrows", f.text), PLACE_OK);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f.text, "borrowed"));
+  pf_teardown (&f);
+}
+
+static void
+test_of_restored_jobs_the_firm_one_has_the_guarantee (void)
+{
+  check_restored (false);
+  check_restored (true);
+}
+
 /* The same when the planner learns of the worker only later.  */
 static void
 test_a_job_may_be_restored_before_its_worker (void)
@@ -344,6 +382,8 @@
                test_of_one_worker_the_cheapest_goes);
   CU_add_test (suite, "unmet", test_lost_workers_make_it_unmet_at_once);
   CU_add_test (suite, "restore", test_a_restored_job_is_within_its_guarantee);
+  CU_add_test (suite, "restore firm first",
+               test_of_restored_jobs_the_firm_one_has_the_guarantee);
   CU_add_test (suite, "restore before the worker",
                test_a_job_may_be_restored_before_its_worker);
   CU_add_test (suite, "clash", test_clashing_guarantees_are_named);
