--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,8 @@
 HAND_SRC := $(filter-out %.pb-c.c,$(ALL_SRC))
 HAND_FILES := $(HAND_SRC) $(filter-out %.pb-c.h,$(wildcard lib/*.h lib/*/*.h \
               programs/*/*.h tests/*/*.h tests/*/*/*.h))
-SHELL_FILES := $(wildcard scripts/* tests/scripts/*.sh) tests/run .ci/run
+SHELL_FILES := $(wildcard scripts/* tests/scripts/*.sh tests/bench/*/run) \
+               tests/run .ci/run
 SHELL_FILES := $(filter-out %.txt %.py,$(SHELL_FILES))
 
 .PHONY: all help packages demo demo-brazos check check-built unit scripts \
@@ -107,7 +108,7 @@
 ## lint: clang-format, clang-tidy, cppcheck and shellcheck; warnings fail
 lint:
 	@clang-format --dry-run -Werror $(HAND_FILES)
-	@shellcheck $(SHELL_FILES)
+	@shellcheck -x $(SHELL_FILES)
 	@cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 	  --enable=warning,portability --suppress=missingIncludeSystem \
 	  --suppress=normalCheckLevelMaxBranches -j$(JOBS) \
