--- a/programs/foxtailgapd/planner_term.c
+++ b/programs/foxtailgapd/planner_term.c
@@ -134,30 +134,51 @@
 {
   size_t i;
 
+  if (task->members == NULL)
+    return false;
   for (i = 0; i < task->members->member_count; i++)
     if (g_str_equal (task->members->members[i].host, task->holder))
       return true;
   return false;
 }
 
+/* Whether this host sees less than half of the entry hosts on the list.  */
+static bool
+is_in_minority (const struct planner_task *task)
+{
+  size_t seen = task->members == NULL ? 1 : task->members->member_count;
+  size_t listed = 0;
+  size_t i;
+
+  for (i = 0; i < task->hosts->host_count; i++)
+    if (task->hosts->hosts[i].kind == HL_ENTRY
+        && !task->hosts->hosts[i].leaving)
+      listed++;
+  return 2 * seen < listed;
+}
+
 /* How long the holder may be absent before this host claims the term.  Hosts
-   claim one after the other, so that one claim is enough.  */
+   claim one after the other, so that one claim is enough.  A host that is cut
+   off from the others, though not from the log, leaves the term to them for
+   much longer.  */
 static uint32_t
 patience_ms (const struct planner_task *task)
 {
   const struct settings *settings = task->daemon->settings;
   uint32_t stagger_ms = MAX (settings->heartbeat_ms, 2 * PLANNER_TICK_MS);
-  uint32_t rank = (uint32_t)task->members->self;
+  uint32_t rank = task->members == NULL ? 0 : (uint32_t)task->members->self;
+  uint32_t wait_ms
+      = task->holder[0] == '\0' ? 0 : settings->planner_timeout_ms;
 
-  if (task->holder[0] == '\0')
-    return rank * stagger_ms;
-  return settings->planner_timeout_ms + (rank * stagger_ms);
+  if (is_in_minority (task))
+    wait_ms = PLANNER_MINORITY_FACTOR * settings->planner_timeout_ms;
+  return wait_ms + (rank * stagger_ms);
 }
 
 void
 planner_tick_term (struct planner_task *task, int64_t now_ms)
 {
-  if (task->own_term != 0 || task->resigned || task->members == NULL
+  if (task->own_term != 0 || task->resigned || task->hosts == NULL
       || !task->log_up || !task->caught_up)
     return;
   if (now_ms - task->claimed_ms < PLANNER_CLAIM_INTERVAL_MS)
