--- a/programs/foxtailgapd/planner.h
+++ b/programs/foxtailgapd/planner.h
@@ -22,7 +22,7 @@
   PLANNER_APPEND_DEADLINE_MS = 5000,
   PLANNER_CLAIM_INTERVAL_MS = 500, /* between two claims of the term */
   PLANNER_REFUSE_RETRY_MS = 1000,
-  PLANNER_MINORITY_FACTOR = 10,   /* longer before a cut off host claims */
+  PLANNER_MINORITY_FACTOR = 3,    /* longer before a cut off host claims */
   PLANNER_WORKER_CONNECTIONS = 4, /* to one worker at once */
   PLANNER_IDLE_CONNECTIONS = 64
 };
