Changes and cancellations are refused at once while the log is away

Cause: only submissions and claims looked whether the log is reached. A change of the configuration during a silent outage was put into an append, and its author told after 10 s that nothing is known. After: refused with Retry-After, in both kinds of outage.

--- a/programs/foxtailgapd/front_config.c
+++ b/programs/foxtailgapd/front_config.c
@@ -223,6 +223,10 @@
   else if (!feasible (task, document, text))
     fr_error (http, STATUS_UNPROCESSABLE, "guarantees_clash", text, "refused",
               0);
+  else if (!task->log.up)
+    fr_error (http, STATUS_UNAVAILABLE, "log_unavailable",
+              "The platform's log is not reached; nothing was applied.",
+              "refused", FR_LOG_RETRY_AFTER_MS);
   else
     append_change (task, http, base, digest, body, size_bytes);
   env_free (document);
--- a/programs/foxtailgapd/front_jobs.c
+++ b/programs/foxtailgapd/front_jobs.c
@@ -553,6 +553,13 @@
       fr_json (http, STATUS_OK, job_summary_json (job));
       return;
     }
+  if (!task->log.up)
+    {
+      fr_error (http, STATUS_UNAVAILABLE, "log_unavailable",
+                "The platform's log is not reached; the job goes on.", NULL,
+                FR_LOG_RETRY_AFTER_MS);
+      return;
+    }
   cancel = g_new (Ft__JobCancel, 1);
   ft__job_cancel__init (cancel);
   cancel->job = g_strdup (rest);
--- a/programs/foxtailgapd/peers_task.c
+++ b/programs/foxtailgapd/peers_task.c
@@ -114,6 +114,7 @@
   size_t i;
 
   post_members (task, daemon->front);
+  post_members (task, daemon->state); /* it compares their offsets */
   for (i = 0; changed && i < G_N_ELEMENTS (boxes); i++)
     if (boxes[i] != NULL)
       post_members (task, boxes[i]);
