--- /dev/null
+++ b/tests/scripts/config-race.t
@@ -0,0 +1,96 @@
+Operators race; a host is replaced when the log's records have expired; no
+host ever goes back.
+
+  $ . "$ROOT/tests/scripts/lib.sh"; . "$ROOT/tests/scripts/cluster.sh"
+  $ cluster addis 3
+  $ document () { sed "s/^environment: .*/environment: addis # $1/" "$ROOT/examples/environments/addis.yaml" > "$1.yaml"; }
+
+What each host has in force is noted all the time:
+
+  $ watch_revisions ()
+  > {
+  >   while :; do
+  >     for host in e1 e2 e3; do
+  >       echo "$host $(get "http://127.0.0.1:$(program_port $host)/v1/status" 2> /dev/null | json revision 2> /dev/null)"
+  >     done >> revisions
+  >   done
+  > }
+  $ watch_revisions & watcher=$!
+
+Twelve rounds of two operators with the same base at two hosts:
+
+  $ base=1
+  $ for round in 1 2 3 4 5 6 7 8 9 10 11 12; do
+  >   document a$round; document b$round
+  >   post_as () { curl -sS --max-time 30 -H "Foxtailgap-Digest: $(sha256sum < "$2" | cut -d' ' -f1)" --data-binary "@$2" "$(url "$1")/v1/config?base=$base&author=$3"; }
+  >   post_as e1 a$round.yaml anna > a.answer & first=$!
+  >   post_as e2 b$round.yaml berhanu > b.answer; wait $first
+  >   python3 -c '
+  > import json
+  > a, b = json.load(open("a.answer")), json.load(open("b.answer"))
+  > won = [x for x in (a, b) if "error" not in x]
+  > lost = [x for x in (a, b) if x.get("error") == "stale_base"]
+  > winner = "anna" if won == [a] else "berhanu"
+  > if len(won) != 1 or len(lost) != 1 or lost[0]["author"] != winner:
+  >     print(a, b)'
+  >   base=$((base + 1))
+  > done
+  $ for host in e1 e2 e3; do wait_for 10 is_value 13 status_field $host revision; done
+
+In force everywhere soon after it was accepted:
+
+  $ document last
+  $ accepted=$(date +%s%3N); apply e1 last.yaml 13 | json revision
+  14
+  $ for host in e1 e2 e3; do wait_for 10 is_value 14 status_field $host revision; done
+  $ [ $(($(date +%s%3N) - accepted)) -lt 2000 ] && echo soon
+  soon
+
+The answer of the log is lost after the change took effect: one revision.
+
+  $ document lost; post "$(url log)/control" '{"drop_answers":1}' > /dev/null
+  $ apply e3 lost.yaml 14 | json revision
+  15
+
+Old records expire, and a host is killed and replaced: it starts from a
+snapshot and the rest, with the same revision and never an older one.
+
+  $ planner=$(status_field e1 planner)
+  $ wait_for 10 grep -E "A snapshot has been written.\" offset=$(status_field e1 offset) " $planner.err
+  $ post "$(url log)/control" '{"retention_records":4}'; echo
+  {}
+  $ status GET "$(url log)/streams/test?from=0"
+  410
+  $ stop e3 KILL; echo "status $?"
+  status 137
+  $ entry e3; wait_for 10 is_value 15 status_field e3 revision
+  $ document after; apply e3 after.yaml 15 | json revision
+  16
+  $ for host in e1 e2 e3; do wait_for 10 is_value 16 status_field $host revision; done
+  $ for host in e1 e2 e3; do get "$(url $host)/v1/config" | json digest; done | sort -u | diff - <(sha256sum < after.yaml | cut -d' ' -f1)
+  $ get "$(url e3)/v1/config/history" | json revisions 0 author
+  tester
+
+All hosts are replaced at once, none keeping anything:
+
+  $ stop e1 KILL; stop e2 KILL; stop e3 KILL
+  [137]
+  $ for host in e1 e2 e3; do entry $host; done
+  $ for host in e1 e2 e3; do wait_for 10 is_value 16 status_field $host revision; done
+
+No host that served was seen with an older revision than before (0: a new
+process that has read nothing yet):
+
+  $ kill $watcher
+  $ python3 -c '
+  > newest = {}
+  > for line in open("revisions"):
+  >     words = line.split()
+  >     if len(words) != 2 or int(words[1]) == 0:
+  >         continue
+  >     host, revision = words[0], int(words[1])
+  >     if revision < newest.get(host, 0):
+  >         print(host, "went from", newest[host], "to", revision)
+  >     newest[host] = revision
+  > print(sorted(newest.values()))'
+  [16, 16, 16]
