--- a/Makefile
+++ b/Makefile
@@ -43,11 +43,11 @@
 HAND_SRC := $(filter-out %.pb-c.c,$(ALL_SRC))
 HAND_FILES := $(HAND_SRC) $(filter-out %.pb-c.h,$(wildcard lib/*.h lib/*/*.h \
               programs/*/*.h tests/*/*.h tests/*/*/*.h))
-SHELL_FILES := $(wildcard scripts/* tests/scripts/*.sh) tests/run .ci/run
+SHELL_FILES := $(wildcard scripts/* tests/scripts/*.sh tests/chaos/*.sh) tests/run .ci/run
 SHELL_FILES := $(filter-out %.txt %.py,$(SHELL_FILES))
 
 .PHONY: all help packages demo demo-brazos check check-built unit scripts \
-        lint format generate sanitize bench bench-capacity clean
+        lint format generate sanitize chaos bench bench-capacity clean
 
 all: $(PROGRAMS)
 
@@ -131,5 +131,9 @@
 	  SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined" \
 	  check-built
 
+## chaos: random faults against seven daemons: SEED=1 DURATION_S=60
+chaos: all
+	@BUILD=$(BUILD) tests/chaos/chaos.sh
+
 clean:
 	rm -rf build
