--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -52,6 +52,7 @@
         TEXT_FIELD (CYAML_FLAG_POINTER, struct settings, hosts_url),
         TEXT_FIELD (OPTIONAL_TEXT, struct settings, stream),
         TEXT_FIELD (OPTIONAL_TEXT, struct settings, log_level),
+        TEXT_FIELD (OPTIONAL_TEXT, struct settings, placement_policy),
         TEXT_FIELD (OPTIONAL_TEXT, struct settings, peer_key_file),
         NUMBER_FIELD (connection_limit),
         NUMBER_FIELD (body_limit_bytes),
@@ -124,6 +125,20 @@
           text);
 }
 
+static void
+check_policy (const struct sc_place *place, const char *text)
+{
+  static const char *const policies[]
+      = { "guarantee", "first-fit", "strict", NULL };
+
+  if (g_strv_contains (policies, text))
+    return;
+  em_add (place->messages, yi_line (place->index, "placement_policy"),
+          "placement_policy: must be guarantee, first-fit or strict, not "
+          "'%.60s'",
+          text);
+}
+
 /* LONGER must leave room for two of SHORTER.  */
 static void
 check_twice (const struct sc_place *place, const char *longer,
@@ -149,6 +164,7 @@
   check_url (place, "log_url", settings->log_url);
   check_url (place, "hosts_url", settings->hosts_url);
   check_level (place, settings->log_level);
+  check_policy (place, settings->placement_policy);
   check_twice (place, "planner_timeout_ms", settings->planner_timeout_ms,
                "heartbeat_ms", settings->heartbeat_ms);
   check_twice (place, "lease_ttl_ms", settings->lease_ttl_ms, "lease_renew_ms",
@@ -183,7 +199,8 @@
     goto out;
   settings = data;
   if (!default_text (&settings->stream, "foxtailgap")
-      || !default_text (&settings->log_level, "info"))
+      || !default_text (&settings->log_level, "info")
+      || !default_text (&settings->placement_policy, "guarantee"))
     {
       error = ENV_ERR_MEMORY;
       goto out;
@@ -245,6 +262,7 @@
   free (settings->hosts_url);
   free (settings->stream);
   free (settings->log_level);
+  free (settings->placement_policy);
   free (settings->peer_key_file);
   free (settings);
 }
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -20,11 +20,12 @@
   char *data_centre;
   struct settings_listen callers;
   struct settings_listen peers;
-  char *log_url;       /* platform's log, http://IP:PORT */
-  char *hosts_url;     /* platform's host list */
-  char *stream;        /* prefix of the streams in the log */
-  char *log_level;     /* debug, info, warning, error */
-  char *peer_key_file; /* optional: shared key of the entry hosts */
+  char *log_url;          /* platform's log, http://IP:PORT */
+  char *hosts_url;        /* platform's host list */
+  char *stream;           /* prefix of the streams in the log */
+  char *log_level;        /* debug, info, warning, error */
+  char *placement_policy; /* guarantee, first-fit, strict */
+  char *peer_key_file;    /* optional: shared key of the entry hosts */
   uint32_t connection_limit;
   uint32_t body_limit_bytes;
   uint32_t receive_timeout_ms;
--- a/programs/foxtailgapd/planner_jobs.c
+++ b/programs/foxtailgapd/planner_jobs.c
@@ -112,12 +112,23 @@
   return g_random_int ();
 }
 
+/* The settings have been checked: any other name is that of the default.  */
+static const struct place_policy *
+policy_of (const struct settings *settings)
+{
+  if (g_str_equal (settings->placement_policy, "first-fit"))
+    return &place_policy_first_fit;
+  if (g_str_equal (settings->placement_policy, "strict"))
+    return &place_policy_strict;
+  return &place_policy_guarantee;
+}
+
 static int
 create_place (struct planner_task *task)
 {
   const struct env_rules *rules = &task->config->document->rules;
   struct place_params params
-      = { .policy = &place_policy_guarantee,
+      = { .policy = policy_of (task->daemon->settings),
           .checkpoint_grace_ms = rules->checkpoint_grace_ms,
           .attempt_limit = rules->attempt_limit,
           .quarantine_failures = rules->quarantine_failures,
--- a/tests/unit/test_config_settings.c
+++ b/tests/unit/test_config_settings.c
@@ -36,6 +36,8 @@
   { HEAD "lease_ttl_ms: 5999\n", 7, "lease_ttl_ms: must be at least twice" },
   { HEAD "connection_limit: 65536\n", 7, "connection_limit: must be from 1" },
   { HEAD "log_level: loud\n", 7, "log_level: must be debug, info" },
+  { HEAD "placement_policy: random\n", 7,
+    "placement_policy: must be guarantee, first-fit or strict" },
   { HEAD "stream: a/b\n", 7, "stream: must be 1 to 63" },
   { "host: h\ndata_centre: bole\n" URLS
     "callers: {address: localhost, port: 1}\n"
@@ -115,6 +117,7 @@
   CU_ASSERT_EQUAL_FATAL (load (&settings, HEAD, &messages), ENV_OK);
   CU_ASSERT_STRING_EQUAL (settings->stream, "foxtailgap");
   CU_ASSERT_STRING_EQUAL (settings->log_level, "info");
+  CU_ASSERT_STRING_EQUAL (settings->placement_policy, "guarantee");
   CU_ASSERT_PTR_NULL (settings->peer_key_file);
   CU_ASSERT_EQUAL (settings->callers.port, 0);
   CU_ASSERT_STRING_EQUAL (settings->peers.address, "::1");
@@ -124,6 +127,24 @@
   settings_free (settings);
 }
 
+static void
+test_placement_policy (void)
+{
+  static const char *const policies[] = { "guarantee", "first-fit", "strict" };
+  struct settings *settings;
+  struct env_messages messages;
+  char *text;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (policies); i++)
+    {
+      text = g_strdup_printf (HEAD "placement_policy: %s\n", policies[i]);
+      CU_ASSERT_EQUAL_FATAL (load (&settings, text, &messages), ENV_OK);
+      CU_ASSERT_STRING_EQUAL (settings->placement_policy, policies[i]);
+      settings_free (settings);
+      g_free (text);
+    }
+}
+
 static void
 test_example (void)
 {
@@ -164,6 +185,7 @@
   CU_add_test (suite, "faults, with line and field", test_faults);
   CU_add_test (suite, "no file", test_no_file);
   CU_add_test (suite, "defaults", test_defaults);
+  CU_add_test (suite, "placement policy", test_placement_policy);
   CU_add_test (suite, "example", test_example);
   CU_add_test (suite, "addresses", test_addresses);
   CU_basic_set_mode (CU_BRM_VERBOSE);
