--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 SHELL_FILES := $(filter-out %.txt %.py,$(SHELL_FILES))
 
 .PHONY: all help packages demo demo-brazos check check-built unit scripts \
-        lint format generate sanitize chaos bench bench-capacity clean
+        lint format generate sanitize chaos bench bench-capacity install clean
 
 all: $(PROGRAMS)
 
@@ -103,7 +103,7 @@
 	@$(MAKE) -s -j$(JOBS) check-built
 
 check-built: all $(UNIT)
-	@BUILD=$(BUILD) JOBS=$(JOBS) tests/run
+	@BUILD=$(BUILD) JOBS=$(JOBS) SAN_FLAGS="$(SAN)" tests/run
 
 ## lint: clang-format, clang-tidy, cppcheck and shellcheck; warnings fail
 lint:
@@ -136,5 +136,28 @@
 chaos: all
 	@BUILD=$(BUILD) tests/chaos/chaos.sh
 
+PREFIX ?= /usr/local
+DESTDIR ?=
+VERSION = $(shell sed -n 's/.*FT_VERSION "\(.*\)"/\1/p' lib/common/version.h)
+PUBLIC_HEADERS := $(wildcard lib/*.h lib/*/*.h)
+INSTALLED := foxtailgapd foxtailgapctl
+
+## install: programs, library, headers, man pages below DESTDIR and PREFIX
+install: all
+	@for program in $(INSTALLED); do \
+	  install -D -m 755 $(BUILD)/bin/$$program \
+	    $(DESTDIR)$(PREFIX)/bin/$$program; done
+	@install -D -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib/libfoxtailgap.a
+	@for header in $(PUBLIC_HEADERS:lib/%=%); do \
+	  install -D -m 644 lib/$$header \
+	    $(DESTDIR)$(PREFIX)/include/foxtailgap/$$header; done
+	@install -d $(DESTDIR)$(PREFIX)/lib/pkgconfig
+	@sed 's|@PREFIX@|$(PREFIX)|; s|@VERSION@|$(VERSION)|' foxtailgap.pc.in \
+	  > $(DESTDIR)$(PREFIX)/lib/pkgconfig/foxtailgap.pc
+	@install -D -m 644 docs/man/foxtailgapd.8 \
+	  $(DESTDIR)$(PREFIX)/share/man/man8/foxtailgapd.8
+	@install -D -m 644 docs/man/foxtailgapctl.1 \
+	  $(DESTDIR)$(PREFIX)/share/man/man1/foxtailgapctl.1
+
 clean:
 	rm -rf build
