--- a/lib/place/place_inner.h
+++ b/lib/place/place_inner.h
@@ -366,7 +366,7 @@
 bool place_fit (struct place *place, const struct place_search *search,
                 struct place_spot *spots);
 /* As place_fit (), but remembers what found nothing in this round.  */
-bool place_fit_once (struct place *place, const struct place_search *search,
+bool place_fit_once (struct place *place, const struct place_search *wanted,
                      struct place_spot *spots);
 uint32_t place_room (const struct place *place,
                      const struct place_search *search,
