--- a/lib/proto/record.pb-c.c
+++ b/lib/proto/record.pb-c.c
@@ -1319,7 +1319,7 @@
   (ProtobufCMessageInit) ft__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ft__term_claim__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ft__term_claim__field_descriptors[3] =
 {
   {
     "term",
@@ -1345,15 +1345,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "outcome_window_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ft__TermClaim, outcome_window_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ft__term_claim__field_indices_by_name[] = {
   1,   /* field[1] = host */
+  2,   /* field[2] = outcome_window_ms */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange ft__term_claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ft__term_claim__descriptor =
 {
@@ -1363,7 +1376,7 @@
   "Ft__TermClaim",
   "ft",
   sizeof(Ft__TermClaim),
-  2,
+  3,
   ft__term_claim__field_descriptors,
   ft__term_claim__field_indices_by_name,
   1,  ft__term_claim__number_ranges,
@@ -3031,7 +3044,7 @@
   (ProtobufCMessageInit) ft__snapshot_revision__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ft__snapshot__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ft__snapshot__field_descriptors[12] =
 {
   {
     "offset",
@@ -3165,12 +3178,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "outcome_window_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ft__Snapshot, outcome_window_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ft__snapshot__field_indices_by_name[] = {
   7,   /* field[7] = claims */
   2,   /* field[2] = holder */
   6,   /* field[6] = jobs */
   0,   /* field[0] = offset */
+  11,   /* field[11] = outcome_window_ms */
   9,   /* field[9] = recent_deltas_ms */
   8,   /* field[8] = recent_ids */
   10,   /* field[10] = recent_verdicts */
@@ -3182,7 +3208,7 @@
 static const ProtobufCIntRange ft__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ft__snapshot__descriptor =
 {
@@ -3192,7 +3218,7 @@
   "Ft__Snapshot",
   "ft",
   sizeof(Ft__Snapshot),
-  11,
+  12,
   ft__snapshot__field_descriptors,
   ft__snapshot__field_indices_by_name,
   1,  ft__snapshot__number_ranges,
--- a/lib/proto/record.pb-c.h
+++ b/lib/proto/record.pb-c.h
@@ -110,10 +110,14 @@
   ProtobufCMessage base;
   uint64_t term;
   char *host;
+  /*
+   * in force from here on; 0: as before
+   */
+  uint64_t outcome_window_ms;
 };
 #define FT__TERM_CLAIM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ft__term_claim__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -470,10 +474,11 @@
    */
   size_t n_recent_verdicts;
   uint32_t *recent_verdicts;
+  uint64_t outcome_window_ms;
 };
 #define FT__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ft__snapshot__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /* Ft__Assignment methods */
--- a/lib/state/decode.c
+++ b/lib/state/decode.c
@@ -224,11 +224,12 @@
 {
   size_t i;
 
-  if (snapshot->time_ms < 0
+  if (snapshot->time_ms < 0 || snapshot->outcome_window_ms > INT64_MAX
       || !is_text (snapshot->holder, ST_NAME_LIMIT_BYTES))
     return false;
   state->next_offset = snapshot->offset;
   state->time_ms = snapshot->time_ms;
+  state->outcome_window_ms = (int64_t)snapshot->outcome_window_ms;
   state->term = snapshot->term;
   state->term_ms = snapshot->term_ms;
   st_text_set (&state->holder, snapshot->holder);
--- a/lib/state/encode.c
+++ b/lib/state/encode.c
@@ -246,6 +246,7 @@
   snapshot.holder = state->holder;
   snapshot.term_ms = state->term_ms;
   snapshot.time_ms = state->time_ms;
+  snapshot.outcome_window_ms = (uint64_t)state->outcome_window_ms;
   fill_revisions (&arena, &snapshot, state);
   fill_jobs (&arena, &snapshot, state);
   fill_claims (&arena, &snapshot, state);
--- a/lib/state/state.c
+++ b/lib/state/state.c
@@ -72,6 +72,10 @@
     return ST_MALFORMED;
   if (record->term != state->term + 1)
     return ST_STALE_TERM;
+  if (record->outcome_window_ms > INT64_MAX)
+    return ST_MALFORMED;
+  if (record->outcome_window_ms > 0)
+    state->outcome_window_ms = (int64_t)record->outcome_window_ms;
   state->term = record->term;
   state->term_ms = state->time_ms;
   st_text_set (&state->holder, record->host);
--- a/lib/state/state.h
+++ b/lib/state/state.h
@@ -138,7 +138,7 @@
 
 /*! st_create () :
  *  @outcome_window_ms : how long ended jobs and claims are kept, by the
- *                       log's time. */
+ *                       log's time, until a term names another window. */
 int st_create (struct st_state **out, const struct st_observer *observer,
                int64_t outcome_window_ms);
 void st_free (struct st_state *state);
--- a/programs/foxtailgapd/state_task.c
+++ b/programs/foxtailgapd/state_task.c
@@ -298,6 +298,9 @@
     record->host = g_strdup (task->daemon->settings->host);
   if (append->term != 0)
     record->term = append->term;
+  if (record->body_case == FT__RECORD__BODY_TERM_CLAIM)
+    record->term_claim->outcome_window_ms
+        = task->daemon->settings->outcome_window_ms;
 }
 
 static void
--- a/tests/unit/state_fixture.h
+++ b/tests/unit/state_fixture.h
@@ -154,18 +154,26 @@
 }
 
 static inline enum st_verdict
-sf_claim_term (struct sf_fixture *f, uint64_t term, const char *host)
+sf_claim_term_with (struct sf_fixture *f, uint64_t term, const char *host,
+                    uint64_t outcome_window_ms)
 {
   Ft__Record record = FT__RECORD__INIT;
   Ft__TermClaim body = FT__TERM_CLAIM__INIT;
 
   body.term = term;
   body.host = (char *)host;
+  body.outcome_window_ms = outcome_window_ms;
   record.body_case = FT__RECORD__BODY_TERM_CLAIM;
   record.term_claim = &body;
   return sf_fold (f, &record);
 }
 
+static inline enum st_verdict
+sf_claim_term (struct sf_fixture *f, uint64_t term, const char *host)
+{
+  return sf_claim_term_with (f, term, host, 0);
+}
+
 static inline enum st_verdict
 sf_configure (struct sf_fixture *f, uint64_t base, const char *document)
 {
--- a/tests/unit/test_state.c
+++ b/tests/unit/test_state.c
@@ -353,6 +353,25 @@
   sf_close (&f);
 }
 
+/* All hosts use the window of the term, whatever their own settings say.  */
+static void
+test_window_of_the_term (void)
+{
+  struct sf_fixture f;
+
+  open_with_term (&f);
+  sf_submit (&f, "j", 1, true, "d");
+  sf_cancel (&f, "j");
+  f.time_ms += 10;
+  CU_ASSERT_EQUAL (sf_claim_term_with (&f, TERM + 1, "a", 20), ST_VALID);
+  CU_ASSERT_EQUAL (sf_job_state (&f, "j"), ST_JOB_CANCELLED);
+  f.time_ms += 10;
+  CU_ASSERT_EQUAL (sf_claim_term_with (&f, TERM + 2, "a", UINT64_MAX),
+                   ST_MALFORMED);
+  CU_ASSERT_EQUAL (sf_job_state (&f, "j"), 0);
+  sf_close (&f);
+}
+
 /* What an observer keeps does not change under it.  */
 static void
 test_kept_objects_are_immutable (void)
@@ -416,6 +435,7 @@
   CU_add_test (suite, "claims", test_claims);
   CU_add_test (suite, "claim again", test_claim_again_after_not_run);
   CU_add_test (suite, "expiry", test_expiry);
+  CU_add_test (suite, "window of the term", test_window_of_the_term);
   CU_add_test (suite, "immutable", test_kept_objects_are_immutable);
   CU_add_test (suite, "offsets", test_offsets);
   CU_basic_set_mode (CU_BRM_VERBOSE);
