--- a/programs/foxtailgapd/front_task.c
+++ b/programs/foxtailgapd/front_task.c
@@ -83,9 +83,13 @@
   ev_timer_stop (call->task->daemon->loop, &call->timer);
   if (call->waiting)
     stop_waiting (call);
+  if (call->forward != NULL)
+    hc_cancel (call->forward);
   g_hash_table_remove (call->task->calls, &call->token);
   g_free (call->id);
   g_free (call->digest);
+  g_free (call->team);
+  g_free (call->service);
   g_free (call);
 }
 
@@ -127,6 +131,9 @@
   { "GET", "/v1/config/history", fr_get_history },
   { "GET", "/v1/status", fr_get_status },
   { "GET", "/v1/workers", fr_get_workers },
+  { "GET", "/v1/explain/", fr_get_explain },
+  { "GET", "/v1/placement", fr_get_placement },
+  { "GET", "/v1/burn", fr_get_burn },
   { "PUT", "/v1/log-level", fr_put_log_level },
   { "GET", "/metrics", fr_get_metrics },
   { "GET", "/healthz", fr_get_health },
@@ -192,6 +199,7 @@
   msg_free (MSG_CONFIG, task->config);
   task->config = config;
   configure_shadow (task);
+  fr_burn_configure (task);
   lg_info (FR_PART, "A configuration is in force.", "revision",
            lg_number ((long long)config->revision), "author", config->author,
            NULL);
@@ -246,6 +254,10 @@
 static void
 on_job (struct front_task *task, struct st_job *job)
 {
+  const struct st_job *before = g_hash_table_lookup (task->jobs, job->id);
+
+  if (before == NULL || !fr_has_ended (before))
+    fr_burn_job (task, job);
   g_hash_table_replace (task->jobs, job->id, job);
   fr_job_changed (task, job);
 }
@@ -289,15 +301,18 @@
       msg_free (MSG_MEMBERS, task->members);
       task->members = body;
       return;
-    case MSG_JOB_DROPPED:
-      g_hash_table_remove (task->jobs, body);
-      break;
     case MSG_CLAIM_DROPPED:
       g_hash_table_remove (task->claims, body);
       break;
+    case MSG_JOB_DROPPED:
+      g_hash_table_remove (task->jobs, body);
+      break;
     case MSG_HISTORY:
       fr_history (task, body);
       break;
+    case MSG_QUESTION:
+      fr_planner_answered (task, body);
+      break;
     case MSG_TERM:
       on_term (task, body);
       break;
@@ -401,12 +416,13 @@
 front_create (struct daemon *daemon)
 {
   struct front_task *task = g_new0 (struct front_task, 1);
-  struct place_params shadow = { .policy = &place_policy_first_fit,
+  struct place_params shadow = { .policy = &place_policy_guarantee,
                                  .attempt_limit = 1,
                                  .quarantine_failures = 3,
                                  .quarantine_ms = 1000,
                                  .now_ms = clk_monotonic_ms,
                                  .random = random_number };
+  struct hc_params http = { .loop = daemon->loop };
 
   task->daemon = daemon;
   task->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -415,9 +431,12 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_claim);
   task->waiting
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_list);
+  task->request_burn = bn_create ();
+  task->job_burn = bn_create ();
   task->box = mb_create (daemon->loop, on_message, msg_free, task);
   daemon->front = task->box;
-  if (place_create (&task->shadow, &shadow) != PLACE_OK
+  if (hc_create (&task->http, &http) != HC_OK
+      || place_create (&task->shadow, &shadow) != PLACE_OK
       || !start_server (task))
     {
       front_free (task);
@@ -436,6 +455,7 @@
   if (task == NULL)
     return;
   hs_free (task->server);
+  hc_free (task->http);
   g_hash_table_iter_init (&iter, task->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -451,6 +471,8 @@
   g_hash_table_destroy (task->jobs);
   g_hash_table_destroy (task->claims);
   place_free (task->shadow);
+  bn_free (task->request_burn);
+  bn_free (task->job_burn);
   msg_free (MSG_CONFIG, task->config);
   msg_free (MSG_MEMBERS, task->members);
   hl_unref (task->hosts);
--- a/programs/foxtailgapd/planner.h
+++ b/programs/foxtailgapd/planner.h
@@ -22,7 +22,7 @@
   PLANNER_APPEND_DEADLINE_MS = 5000,
   PLANNER_CLAIM_INTERVAL_MS = 500, /* between two claims of the term */
   PLANNER_REFUSE_RETRY_MS = 1000,
-  PLANNER_START_FACTOR = 3, /* attempts that did not start, over the limit */
+  PLANNER_MINORITY_FACTOR = 3,    /* longer before a cut off host claims */
   PLANNER_WORKER_CONNECTIONS = 4, /* to one worker at once */
   PLANNER_IDLE_CONNECTIONS = 64
 };
@@ -240,4 +240,11 @@
                      uint64_t term, struct planner_append *append);
 void planner_append_free (void *append);
 
+/* ===== planner_questions.c ==================================== */
+
+/*! planner_on_question () :
+ *  Sends the question back with its answer.  Takes QUESTION. */
+void planner_on_question (struct planner_task *task,
+                          struct msg_question *question);
+
 #endif
--- a/programs/foxtailgapd/upstream_task.c
+++ b/programs/foxtailgapd/upstream_task.c
@@ -243,6 +243,11 @@
   if (request == NULL)
     return;
   request->gone = true;
+  if (request->stage == UP_WAITING_CLAIM)
+    {
+      g_hash_table_remove (task->requests, &token);
+      return;
+    }
   if (request->stage != UP_QUEUED || request->maybe_ran)
     return;
   if (!rt_cancel (request->service->router, token))
@@ -394,6 +399,7 @@
     case MSG_MEMBERS:
       msg_free (MSG_MEMBERS, task->members);
       task->members = body;
+      up_orphans_settle (task);
       each_service (task, set_members);
       return;
     default:
@@ -459,16 +465,24 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   ev_init (&task->timer, on_timer);
   task->timer.data = task;
+  up_orphans_init (task);
   subscribe (task);
   return task;
 }
 
+uint32_t
+upstream_open_requests (const struct upstream_task *task)
+{
+  return g_hash_table_size (task->requests);
+}
+
 void
 upstream_free (struct upstream_task *task)
 {
   if (task == NULL)
     return;
   ev_timer_stop (task->daemon->loop, &task->timer);
+  ev_timer_stop (task->daemon->loop, &task->settle);
   hc_free (task->http);
   g_hash_table_destroy (task->requests);
   g_hash_table_destroy (task->appends);
