--- a/Makefile
+++ b/Makefile
@@ -131,5 +131,10 @@
 	  SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined" \
 	  check-built
 
+## bench-capacity: slopes of bytes, processor time and memory; docs/CAPACITY.md
+bench-capacity: packages
+	@$(MAKE) -s -j$(JOBS) all
+	@BUILD=$(BUILD) scripts/bench-capacity
+
 clean:
 	rm -rf build
--- /dev/null
+++ b/scripts/bench-capacity-fit.py
@@ -0,0 +1,268 @@
+#!/usr/bin/env python3
+"""Fits the points of scripts/bench-capacity and works out the size to come.
+
+Arguments: the file of points, and the folder for capacity.json and
+capacity.txt.  A point is one line, NAME X Y.
+"""
+
+import json
+import os
+import sys
+
+BUDGET = {"cpu_percent": 2.7, "memory_mb": 32.0, "kb_per_s": 23.0}
+US_PER_PERCENT = 1e4  # of one core and second
+DAY_S = 86400.0
+MB = 1024.0 * 1024.0
+KB = 1024.0
+BASE64 = 4.0 / 3.0
+
+# The defaults of the daemon's settings.
+HEARTBEAT_S = 1.0
+POLL_S = 1.0
+RENEWALS_PER_WORKER_S = 1 / 3.0 + 1 / 5.0  # first host and its stand-in
+SNAPSHOT_S = 60.0
+WINDOW_S = 3600.0
+
+# The size to come.  A mean gang of 64 tasks is assumed.
+WHOLE = {"workers": 3300, "tasks": 45000, "jobs_a_day": 2100, "hosts": 56,
+         "teams": 320, "changes_a_day": 3800}
+REGIONS = 8
+GANG_TASKS = 64
+
+
+def read_points(path):
+    points = {}
+    with open(path, encoding="ascii") as lines:
+        for line in lines:
+            fields = line.split()
+            if len(fields) == 3 and fields[0][0] != "#":
+                points.setdefault(fields[0], []).append(
+                    (float(fields[1]), float(fields[2])))
+    return points
+
+
+def fit(points):
+    """Least squares: intercept, slope and coefficient of determination."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    total = sum((y - mean_y) ** 2 for _, y in points)
+    if spread == 0:
+        return {"intercept": mean_y, "slope": 0.0, "r2": None}
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    intercept = mean_y - slope * mean_x
+    left = sum((y - intercept - slope * x) ** 2 for x, y in points)
+    return {"intercept": intercept, "slope": slope,
+            "r2": 1 - left / total if total else None}
+
+
+class Fits:
+    """Fits by name; what was not measured is remembered as missing."""
+
+    def __init__(self, points):
+        self.points = points
+        self.fits = {name: fit(p) for name, p in points.items()}
+        self.missing = set()
+
+    def slope(self, name):
+        return self._part(name, "slope")
+
+    def intercept(self, name):
+        return self._part(name, "intercept")
+
+    def at(self, name, x):
+        return self.intercept(name) + self.slope(name) * x
+
+    def _part(self, name, part):
+        if name not in self.fits:
+            self.missing.add(name)
+            return 0.0
+        return self.fits[name][part]
+
+
+def region_share():
+    """One cell of the design: one region with its own streams."""
+    size = dict(WHOLE)
+    for name in ("workers", "tasks", "jobs_a_day", "hosts"):
+        size[name] = WHOLE[name] / REGIONS
+    return size
+
+
+def row(cpu_us=0.0, bytes_per_s=0.0, memory=0.0, messages=0.0):
+    return {"cpu_percent": cpu_us / US_PER_PERCENT,
+            "kb_per_s": bytes_per_s / KB,
+            "memory_mb": memory / MB, "messages_per_s": messages}
+
+
+def process(fits):
+    return row(cpu_us=fits.intercept("idle.cpu_us_per_s_by_heartbeat_pairs"),
+               memory=fits.intercept("idle.rss_bytes_by_hosts"))
+
+
+def peers(fits, size):
+    others = size["hosts"] - 1
+    pairs = others / HEARTBEAT_S
+    frame = fits.at("heartbeat.bytes_by_hosts", others)
+    slope = fits.slope("idle.cpu_us_per_s_by_heartbeat_pairs")
+    return row(cpu_us=slope * pairs, bytes_per_s=2 * pairs * frame,
+               messages=2 * pairs)
+
+
+def host_list(fits, size):
+    hosts = size["workers"] + size["hosts"]
+    return row(cpu_us=fits.at("hosts.cpu_us_per_poll_by_hosts",
+                              hosts) / POLL_S,
+               bytes_per_s=fits.at("hosts.bytes_per_poll_by_hosts",
+                                   hosts) / POLL_S,
+               memory=hosts * fits.slope("hosts.rss_bytes_by_hosts"),
+               messages=2 / POLL_S)
+
+
+def renewal(fits, size):
+    rate = size["workers"] * RENEWALS_PER_WORKER_S / size["hosts"]
+    leases = size["tasks"] / size["workers"]
+    cpu = (fits.slope("renewal.cpu_us_per_s_by_renewals_per_s")
+           + (leases - 1) * fits.slope("renewal.codec_cpu_us_by_leases"))
+    memory = (fits.slope("renewal.rss_bytes_by_workers") * 2
+              * size["workers"] / size["hosts"])
+    return row(cpu_us=cpu * rate, messages=2 * rate, memory=memory,
+               bytes_per_s=rate * fits.at(
+                   "renewal.bytes_by_leases_of_the_worker", leases))
+
+
+def jobs_kept(size):
+    """Running jobs, and jobs that ended within the outcome window."""
+    return (size["tasks"] / GANG_TASKS,
+            size["jobs_a_day"] * WINDOW_S / DAY_S)
+
+
+def state(fits, size):
+    running, ended = jobs_kept(size)
+    changes = size["changes_a_day"] / DAY_S
+    ends = size["jobs_a_day"] / DAY_S * GANG_TASKS
+    memory = ((running + ended) * fits.slope("state.heap_bytes_per_queued_job")
+              + size["tasks"] * fits.slope("state.heap_bytes_per_running_task")
+              + ended * GANG_TASKS
+              * fits.slope("state.heap_bytes_per_ended_task")
+              + fits.at("state.heap_bytes_of_revisions_by_teams",
+                        size["teams"]))
+    cpu = (changes * fits.at("config.host_cpu_us_per_change_by_teams",
+                             size["teams"])
+           + ends * fits.slope("fold.cpu_us_per_task_end"))
+    return row(cpu_us=cpu, memory=memory)
+
+
+def log_read(fits, size):
+    jobs = size["jobs_a_day"] / DAY_S
+    changes = size["changes_a_day"] / DAY_S
+    written = (changes * fits.at("config.log_bytes_per_change_by_teams",
+                                 size["teams"])
+               + jobs * fits.at("log.bytes_per_gang_by_tasks", GANG_TASKS))
+    appends = changes + jobs * fits.at("log.appends_per_gang_by_tasks",
+                                       GANG_TASKS)
+    return row(bytes_per_s=written * BASE64, messages=appends)
+
+
+def snapshot_bytes(fits, size):
+    running, ended = jobs_kept(size)
+    return ((running + ended) * fits.slope("snapshot.bytes_per_queued_job")
+            + size["tasks"] * fits.slope("snapshot.bytes_per_running_task")
+            + ended * GANG_TASKS * fits.slope("snapshot.bytes_per_ended_task")
+            + fits.at("snapshot.bytes_of_revisions_by_teams", size["teams"]))
+
+
+def snapshots(fits, size):
+    data = snapshot_bytes(fits, size)
+    part = 128 * KB
+    running, ended = jobs_kept(size)
+    cpu = (size["tasks"] * fits.slope("snapshot.cpu_us_per_running_task")
+           + (running + ended)
+           * fits.slope("snapshot.cpu_us_per_queued_job")
+           + fits.at("snapshot.cpu_us_of_revisions_by_teams", size["teams"]))
+    return row(cpu_us=cpu / SNAPSHOT_S, bytes_per_s=data / SNAPSHOT_S,
+               memory=data, messages=data / part / SNAPSHOT_S)
+
+
+def planner(fits, size):
+    rounds = size["jobs_a_day"] / DAY_S * 4
+    cpu = rounds * (fits.at("place.round_cpu_us_by_workers", size["workers"])
+                    + fits.slope("place.loss_round_cpu_us_by_running_tasks")
+                    * size["tasks"])
+    memory = (fits.at("place.heap_bytes_by_workers", size["workers"])
+              + fits.slope("place.heap_bytes_by_running_tasks")
+              * size["tasks"]
+              + fits.slope("place.heap_bytes_by_teams") * size["teams"])
+    return row(cpu_us=cpu, memory=memory)
+
+
+def add(rows):
+    names = ("cpu_percent", "kb_per_s", "memory_mb", "messages_per_s")
+    return {n: sum(r[n] for r in rows) for n in names}
+
+
+def roles(fits, size):
+    parts = {"process, idle": process(fits), "peers": peers(fits, size),
+             "host list": host_list(fits, size),
+             "renewal": renewal(fits, size),
+             "state": state(fits, size), "log, read": log_read(fits, size)}
+    entry = add(parts.values())
+    extra = {"planner: rounds": planner(fits, size),
+             "planner: snapshots": snapshots(fits, size)}
+    whole = {"ENTRY HOST": entry,
+             "PLANNER HOST": add([entry] + list(extra.values()))}
+    return {**parts, **extra, **whole}
+
+
+def verdict(values):
+    over = [f"{name} {values[name] / limit:.1f} x"
+            for name, limit in BUDGET.items() if values[name] > limit]
+    return "over: " + ", ".join(over) if over else "within"
+
+
+def print_roles(title, table, out):
+    print(f"\n{title}", file=out)
+    print(f"{'role':<20} {'CPU %':>8} {'KB/s':>9} {'MB':>8} {'msg/s':>8}"
+          "  budget 2.7 %, 23 KB/s, 32 MB", file=out)
+    for name, v in table.items():
+        print(f"{name:<20} {v['cpu_percent']:8.3f} {v['kb_per_s']:9.2f} "
+              f"{v['memory_mb']:8.2f} {v['messages_per_s']:8.2f}"
+              f"  {verdict(v)}", file=out)
+
+
+def print_fits(fits, out):
+    for name in sorted(fits.points):
+        f = fits.fits[name]
+        r2 = "-" if f["r2"] is None else f"{f['r2']:.3f}"
+        points = " ".join(f"({x:g}, {y:g})" for x, y in fits.points[name])
+        print(f"{name}\n    points {points}\n    fit    "
+              f"{f['intercept']:.6g} + {f['slope']:.6g} x   r2 {r2}",
+              file=out)
+
+
+def main():
+    path, folder = sys.argv[1:3]
+    fits = Fits(read_points(path))
+    sizes = {"one cell of all regions, 56 entry hosts (as built)": WHOLE,
+             "one region as a cell, 7 entry hosts (design)": region_share()}
+    tables = {title: roles(fits, size) for title, size in sizes.items()}
+    snapshot = {title: snapshot_bytes(fits, size)
+                for title, size in sizes.items()}
+    text = os.path.join(folder, "capacity.txt")
+    with open(text, "w", encoding="ascii") as out:
+        print_fits(fits, out)
+        for title, table in tables.items():
+            print_roles(title, table, out)
+            print(f"snapshot: {snapshot[title] / MB:.2f} MB", file=out)
+        for name in sorted(fits.missing):
+            print(f"not yet measured: {name}", file=out)
+    with open(os.path.join(folder, "capacity.json"), "w",
+              encoding="ascii") as out:
+        json.dump({"points": fits.points, "fits": fits.fits,
+                   "roles": tables, "snapshot_bytes": snapshot,
+                   "not_measured": sorted(fits.missing)}, out, indent=1)
+    with open(text, encoding="ascii") as lines:
+        sys.stdout.write(lines.read())
+
+
+main()
