--- a/Makefile
+++ b/Makefile
@@ -43,11 +43,12 @@
 HAND_SRC := $(filter-out %.pb-c.c,$(ALL_SRC))
 HAND_FILES := $(HAND_SRC) $(filter-out %.pb-c.h,$(wildcard lib/*.h lib/*/*.h \
               programs/*/*.h tests/*/*.h tests/*/*/*.h))
-SHELL_FILES := $(wildcard scripts/* tests/scripts/*.sh) tests/run .ci/run
+SHELL_FILES := $(wildcard scripts/* tests/scripts/*.sh tests/chaos/*.sh \
+               tests/bench/*/run) tests/run .ci/run
 SHELL_FILES := $(filter-out %.txt %.py,$(SHELL_FILES))
 
 .PHONY: all help packages demo demo-brazos check check-built unit scripts \
-        lint format generate sanitize bench bench-capacity clean
+        lint format generate sanitize chaos bench bench-capacity clean
 
 all: $(PROGRAMS)
 
@@ -107,7 +108,7 @@
 ## lint: clang-format, clang-tidy, cppcheck and shellcheck; warnings fail
 lint:
 	@clang-format --dry-run -Werror $(HAND_FILES)
-	@shellcheck $(SHELL_FILES)
+	@shellcheck -x $(SHELL_FILES)
 	@cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 	  --enable=warning,portability --suppress=missingIncludeSystem \
 	  --suppress=normalCheckLevelMaxBranches -j$(JOBS) \
@@ -136,5 +137,9 @@
 	@$(MAKE) -s -j$(JOBS) all
 	@BUILD=$(BUILD) scripts/bench-capacity
 
+## chaos: random faults against seven daemons: SEED=1 DURATION_S=60
+chaos: all
+	@BUILD=$(BUILD) tests/chaos/chaos.sh
+
 clean:
 	rm -rf build
--- a/lib/place/place_decide.c
+++ b/lib/place/place_decide.c
@@ -274,35 +274,30 @@
 static void
 queue_round (struct place *place)
 {
-  const struct place_policy *policy = place->params.policy;
-  guint i;
+  struct place_job_state *job;
+  bool left_queue;
 
-  for (i = 0; i < place->team_list->len; i++)
-    {
-      struct place_team_state *team = place->team_list->pdata[i];
-
-      team->cursor = 0;
-      team->urgent_cursor = 0;
-    }
-  for (;;)
+  place_picks_begin (place);
+  while ((job = place_pick (place)) != NULL)
     {
-      struct place_job_state *job = policy->pick (place);
-
-      if (job == NULL)
-        return;
-      if (try_job (place, job))
-        continue;
-      if (job->urgent)
-        job->team->urgent_cursor++;
-      else
-        job->team->cursor++;
-      if (policy->stops)
+      left_queue = try_job (place, job);
+      place_pick_done (place, job, left_queue);
+      if (!left_queue && place->params.policy->stops)
         return;
     }
 }
 
 /* ===== Jobs that have become impossible ======================= */
 
+static int
+never_any_more (struct place *place, const struct place_job_state *job,
+                char text[PLACE_TEXT_SIZE_BYTES])
+{
+  if (place->capacity_lost)
+    return place_never (place, job, text);
+  return place_never_configured (place, job, text);
+}
+
 static void
 rejudge_queue (struct place *place, GPtrArray *queue)
 {
@@ -316,7 +311,7 @@
       if (job->team->gone)
         g_snprintf (text, sizeof text, "there is no team %s any more",
                     job->team->name);
-      else if (place_never (place, job, text) == PLACE_OK)
+      else if (never_any_more (place, job, text) == PLACE_OK)
         continue;
       place_notify (place, PLACE_REFUSE, job, text);
       place_queue_remove (job);
@@ -339,6 +334,7 @@
       rejudge_queue (place, team->queue);
       rejudge_queue (place, team->urgent);
     }
+  place->capacity_lost = false;
 }
 
 static void
@@ -388,12 +384,14 @@
 {
   reset_round (place);
   place->changed = false;
+  place->looked_ahead = false;
   place_forget_workers (place);
   rejudge (place);
   place_health_round (place);
   place_settle (place);
   place_reservations_round (place);
   claims_round (place);
+  rejudge (place);
   place_settle (place);
   queue_round (place);
   tell_notices (place);
--- a/lib/place/place_event.c
+++ b/lib/place/place_event.c
@@ -146,6 +146,7 @@
   state->expected_ms = place_expected_run_ms (state);
   state->borrowed
       = place->params.policy->guarantees && place_may_borrow (state);
+  state->detached = true;
   place_spots_set (state, spots);
   job_add (place, state);
   place_occupy (place, state);
@@ -253,7 +254,10 @@
   job->wait = "is queued again";
   place_queue_insert (job);
   if (job->team->gone || place_never (place, job, text) != PLACE_OK)
-    place->rejudge = true;
+    {
+      place->rejudge = true;
+      place->capacity_lost = true;
+    }
 }
 
 int
--- a/lib/place/place_firm.c
+++ b/lib/place/place_firm.c
@@ -8,8 +8,8 @@
 
 enum
 {
-  MOVE_LIMIT = 16,  /* units moved for one job */
-  TRADE_LIMIT = 512 /* units of others looked at for an exchange */
+  MOVE_LIMIT = 16,   /* units moved for one job */
+  RECLAIM_LIMIT = 64 /* units whose evictions are weighed for one job */
 };
 
 /* Spots found so far.  */
@@ -22,23 +22,6 @@
   bool spread; /* tasks may be in several units */
 };
 
-/* Whether any worker of UNIT is one that JOB may not use.  */
-static bool
-worker_barred (const struct place_job_state *job,
-               const struct place_worker_state *worker)
-{
-  uint32_t i;
-
-  if (!place_usable (worker))
-    return true;
-  if (job->centre != NULL && worker->rack->centre != job->centre)
-    return true;
-  for (i = 0; i < job->failed_count; i++)
-    if (job->failed[i] == worker)
-      return true;
-  return false;
-}
-
 static bool
 unit_serves (const struct place_unit *unit, const struct place_job_state *job)
 {
@@ -83,7 +66,7 @@
     {
       struct place_slot *slot = &unit->slots[i];
 
-      if (slot->worker == NULL || worker_barred (job, slot->worker))
+      if (slot->worker == NULL || place_barred (job, slot->worker))
         continue;
       while (take->count < job->shape.tasks
              && place_covers (&slot->left, &job->each)
@@ -104,6 +87,17 @@
          && place_covers (&job->each, &unit->each);
 }
 
+/* Brings equal shapes together.  */
+static int
+compare_shapes (const struct place_shape *a, const struct place_shape *b)
+{
+  if (a->tasks != b->tasks)
+    return a->tasks < b->tasks ? -1 : 1;
+  if (a->task.memory_mb != b->task.memory_mb)
+    return a->task.memory_mb < b->task.memory_mb ? -1 : 1;
+  return (a->span > b->span) - (a->span < b->span);
+}
+
 /* The order in which units are used: the exact shape; then used ones, so
    that whole ones stay whole; then the smallest.  */
 static int
@@ -123,7 +117,9 @@
     return l < r ? -1 : 1;
   l = left->each.cpus_milli * left->shape.tasks;
   r = right->each.cpus_milli * right->shape.tasks;
-  return (l > r) - (l < r);
+  if (l != r)
+    return l < r ? -1 : 1;
+  return compare_shapes (&left->shape, &right->shape);
 }
 
 /* Finds slots for all tasks: in one unit, or in several if the tasks may be
@@ -151,8 +147,8 @@
   return false;
 }
 
-static GPtrArray *
-units_for (struct place_job_state *job)
+GPtrArray *
+place_units_for (struct place_job_state *job)
 {
   GPtrArray *units = g_ptr_array_new ();
   guint i;
@@ -185,99 +181,6 @@
 
 /* ===== Moving units to free workers =========================== */
 
-/* Whether JOB may use all workers of UNIT and they are free.  */
-static bool
-unit_ready (const struct place_unit *unit, const struct place_job_state *job)
-{
-  struct place_amount free;
-  uint32_t i;
-
-  for (i = 0; i < unit->shape.tasks; i++)
-    {
-      if (unit->slots[i].worker == NULL
-          || worker_barred (job, unit->slots[i].worker))
-        return false;
-      free = place_view_of (unit->slots[i].worker, PLACE_VIEW_FREE);
-      if (!place_covers (&free, &unit->each))
-        return false;
-    }
-  return true;
-}
-
-static void
-exchange (struct place_unit *a, struct place_unit *b)
-{
-  struct place_spot spots_a[PLACE_TASK_LIMIT] = { 0 };
-  struct place_spot spots_b[PLACE_TASK_LIMIT] = { 0 };
-  uint32_t i;
-
-  for (i = 0; i < a->shape.tasks; i++)
-    {
-      spots_a[i].worker = a->slots[i].worker;
-      spots_b[i].worker = b->slots[i].worker;
-    }
-  place_unit_unbind (a);
-  place_unit_unbind (b);
-  place_unit_bind (a, spots_b);
-  place_unit_bind (b, spots_a);
-}
-
-/* Exchanges an unused unit with one of the same shape that stands on free
-   workers.  */
-static bool
-unit_trade (struct place *place, struct place_unit *unit,
-            const struct place_job_state *job)
-{
-  int looked = 0;
-  guint t;
-  guint u;
-
-  for (t = 0; t < place->team_list->len; t++)
-    {
-      struct place_team_state *team = place->team_list->pdata[t];
-
-      for (u = 0; u < team->units->len; u++)
-        {
-          struct place_unit *other = team->units->pdata[u];
-
-          if (other == unit || other->jobs > 0 || other->missing > 0
-              || !place_same_shape (&other->shape, &unit->shape))
-            continue;
-          if (looked++ >= TRADE_LIMIT)
-            return false;
-          if (!unit_ready (other, job))
-            continue;
-          exchange (unit, other);
-          return true;
-        }
-    }
-  return false;
-}
-
-/* Moves an unused unit to workers that are free now.  */
-static bool
-unit_move (struct place *place, struct place_unit *unit,
-           const struct place_job_state *job)
-{
-  struct place_search search = place_unit_search (unit, PLACE_VIEW_BOTH);
-  struct place_spot before[PLACE_TASK_LIMIT] = { 0 };
-  struct place_spot spots[PLACE_TASK_LIMIT];
-  uint32_t i;
-
-  for (i = 0; i < unit->shape.tasks; i++)
-    before[i].worker = unit->slots[i].worker;
-  place_unit_unbind (unit);
-  search.centre = job->centre;
-  search.job = job;
-  if (place_fit (place, &search, spots))
-    {
-      place_unit_bind (unit, spots);
-      return true;
-    }
-  place_unit_bind (unit, before);
-  return unit_trade (place, unit, job);
-}
-
 static bool
 move_and_take (struct place *place, struct take *take, GPtrArray *units)
 {
@@ -288,10 +191,11 @@
     {
       struct place_unit *unit = units->pdata[i];
 
-      if (unit->jobs > 0 || unit->missing > 0 || unit_ready (unit, take->job))
+      if (unit->jobs > 0 || unit->missing > 0
+          || place_unit_ready (unit, take->job))
         continue;
       moves++;
-      if (unit_move (place, unit, take->job)
+      if (place_unit_move (place, unit, take->job)
           && take_slots (place, take, units))
         return true;
     }
@@ -331,7 +235,7 @@
   gpointer unit;
   guint i;
 
-  for (i = 0; i < units->len; i++)
+  for (i = 0; i < MIN (units->len, RECLAIM_LIMIT); i++)
     {
       double loss;
 
@@ -351,6 +255,24 @@
   g_ptr_array_insert (units, 0, unit);
 }
 
+/* Moves the first unused unit to where a reclaim loses the least.  */
+static void
+move_one_cheapest (struct place *place, const struct place_job_state *job,
+                   const GPtrArray *units)
+{
+  guint i;
+
+  for (i = 0; i < units->len; i++)
+    {
+      struct place_unit *unit = units->pdata[i];
+
+      if (unit->jobs > 0 || unit->missing > 0)
+        continue;
+      place_unit_move_cheapest (place, unit, job);
+      return;
+    }
+}
+
 static bool
 reclaim (struct place *place, struct take *take, GPtrArray *units)
 {
@@ -359,6 +281,7 @@
   uint32_t i;
 
   take->evict = true;
+  move_one_cheapest (place, take->job, units);
   cheapest_first (place, take, units);
   if (!take_slots (place, take, units))
     return false;
@@ -392,9 +315,9 @@
         continue;
       place_unclaim (place, job);
       place_queue_insert (job);
-      place->rejudge = true;
       job->wait = "waits again: the owner of its workers came first";
       any = true;
+      place->changed = true; /* its team may have had no job waiting */
     }
   return any;
 }
@@ -425,7 +348,7 @@
   return place_same_shape (&a->shape, &b->shape);
 }
 
-/* The units that are alike, from AT on.  */
+/* The units from AT on that are alike; they stand together.  */
 static GPtrArray *
 class_of (const GPtrArray *units, guint at)
 {
@@ -433,42 +356,71 @@
   guint i;
 
   for (i = at; i < units->len; i++)
-    if (same_class (units->pdata[at], units->pdata[i]))
+    {
+      if (!same_class (units->pdata[at], units->pdata[i]))
+        break;
       g_ptr_array_add (alike, units->pdata[i]);
+    }
   return alike;
 }
 
+/* Whether the team has looked for no more in this round, and in vain.  */
 static bool
-class_seen (const GPtrArray *units, guint at)
+failed_before (const struct place_job_state *job)
 {
-  guint i;
+  const struct place_team_state *team = job->team;
+  uint32_t i;
 
-  for (i = 0; i < at; i++)
-    if (same_class (units->pdata[i], units->pdata[at]))
+  for (i = 0; i < team->failed_count; i++)
+    if (team->failed[i].tasks <= job->shape.tasks
+        && team->failed[i].span <= job->shape.span
+        && place_covers (&job->each, &team->failed[i].each))
       return true;
   return false;
 }
 
+static void
+note_failed (struct place_job_state *job)
+{
+  struct place_team_state *team = job->team;
+
+  if (job->failed_count > 0 || job->centre != NULL
+      || team->failed_count == PLACE_FAILED_SEARCH_LIMIT)
+    return;
+  team->failed[team->failed_count++] = (struct place_failed_search){
+    .tasks = job->shape.tasks, .span = job->shape.span, .each = job->each
+  };
+}
+
 /* A larger unit is broken into only when no smaller one serves, even if that
    takes an eviction: otherwise the team would lose its larger shape.  */
-bool
-place_firm_try (struct place *place, struct place_job_state *job)
+static bool
+try_units (struct place *place, struct place_job_state *job)
 {
-  g_autoptr (GPtrArray) units = units_for (job);
+  g_autoptr (GPtrArray) units = place_units_for (job);
   struct take take = { .job = job };
-  guint i;
+  guint at = 0;
 
-  for (i = 0; i < units->len; i++)
+  while (at < units->len)
     {
-      g_autoptr (GPtrArray) alike = NULL;
+      g_autoptr (GPtrArray) alike = class_of (units, at);
 
-      if (class_seen (units, i))
-        continue;
-      alike = class_of (units, i);
       if (use_units (place, &take, alike))
         return true;
+      at += alike->len;
     }
   take.spread = job->shape.tasks > 1 && job->shape.span == PLACE_SPAN_ANY
                 && job->centre == NULL;
   return units->len > 1 && take.spread && use_units (place, &take, units);
 }
+
+bool
+place_firm_try (struct place *place, struct place_job_state *job)
+{
+  if (job->team->units->len == 0 || failed_before (job))
+    return false;
+  if (try_units (place, job))
+    return true;
+  note_failed (job);
+  return false;
+}
--- a/lib/place/place_fit.c
+++ b/lib/place/place_fit.c
@@ -1,9 +1,6 @@
 /* Search for workers: the group (worker, rack, data centre) that is left
    with the least, and in it the workers that are broken into already.  */
 
-#include <stdlib.h>
-#include <string.h>
-
 #include "place/place_inner.h"
 
 enum
@@ -35,25 +32,6 @@
   return g_array_new (FALSE, FALSE, sizeof (struct option));
 }
 
-struct place_amount
-place_view_of (const struct place_worker_state *worker, enum place_view view)
-{
-  struct place_amount free = worker->capacity;
-  struct place_amount firm = worker->capacity;
-
-  if (view == PLACE_VIEW_CAPACITY)
-    return free;
-  place_subtract (&free, &worker->used);
-  place_subtract (&free, &worker->held);
-  place_subtract (&firm, &worker->firm);
-  place_subtract (&firm, &worker->reserved);
-  if (view == PLACE_VIEW_FREE)
-    return free;
-  if (view == PLACE_VIEW_FIRM)
-    return firm;
-  return place_least (&free, &firm);
-}
-
 static bool
 failed_there (const struct place_job_state *job,
               const struct place_worker_state *worker)
@@ -122,6 +100,26 @@
   return !place_covers (&rack->widest, &search->each);
 }
 
+/* Whether RACKS together have too little free for all tasks.  */
+static bool
+racks_too_full (const struct place_search *search, struct place_rack **racks,
+                guint count)
+{
+  struct place_amount need = place_times (&search->each, search->tasks);
+  struct place_amount have = { 0 };
+  guint i;
+
+  if (search->view != PLACE_VIEW_FREE && search->view != PLACE_VIEW_BOTH)
+    return false;
+  for (i = 0; i < count; i++)
+    {
+      place_add (&have, &racks[i]->total);
+      if (place_covers (&have, &need))
+        return false;
+    }
+  return true;
+}
+
 static uint64_t
 room_of_rack (const struct place *place, const struct place_search *search,
               const struct place_rack *rack)
@@ -240,19 +238,60 @@
   return true;
 }
 
-static int
-compare_options (const void *a, const void *b)
+static bool
+option_ahead (const struct option *a, const struct option *b)
 {
-  const struct option *left = a;
-  const struct option *right = b;
-
-  if (option_better (left, right))
-    return -1;
-  if (option_better (right, left))
-    return 1;
-  if (left->room != right->room)
-    return left->room > right->room ? -1 : 1;
-  return strcmp (left->worker->name, right->worker->name);
+  if (option_better (a, b) || option_better (b, a))
+    return option_better (a, b);
+  if (a->room != b->room)
+    return a->room > b->room;
+  return a->worker->number < b->worker->number;
+}
+
+/* Moves the option at AT down until it is ahead of both below it.  Only the
+   first few of many options are needed, so that a heap beats a sort.  */
+static void
+heap_sink (struct option *heap, guint len, guint at)
+{
+  struct option moved = heap[at];
+
+  for (;;)
+    {
+      guint below = 2 * at + 1;
+
+      if (below >= len)
+        break;
+      if (below + 1 < len && option_ahead (&heap[below + 1], &heap[below]))
+        below++;
+      if (!option_ahead (&heap[below], &moved))
+        break;
+      heap[at] = heap[below];
+      at = below;
+    }
+  heap[at] = moved;
+}
+
+static void
+heap_make (GArray *options)
+{
+  struct option *heap = (struct option *)options->data;
+  guint at;
+
+  for (at = options->len / 2; at-- > 0;)
+    heap_sink (heap, options->len, at);
+}
+
+static struct option
+heap_pop (GArray *options)
+{
+  struct option *heap = (struct option *)options->data;
+  struct option first = heap[0];
+
+  heap[0] = heap[options->len - 1];
+  g_array_set_size (options, options->len - 1);
+  if (options->len > 0)
+    heap_sink (heap, options->len, 0);
+  return first;
 }
 
 static void
@@ -283,57 +322,55 @@
     }
 }
 
-/* The tightest option that takes all TASKS that are left, or NULL.  */
-static struct option *
+/* The tightest option that takes all TASKS that are left; FIRST does.  */
+static struct option
 last_option (struct place *place, const struct place_search *search,
-             guint from, uint32_t tasks)
+             const struct option *first, uint32_t tasks)
 {
-  struct option *best = NULL;
-  struct option best_left = { 0 };
+  const struct option *list = (const struct option *)place->options->data;
+  struct option best = *first;
+  struct option best_left = option_of (search, first->worker, tasks, tasks);
   guint i;
 
-  for (i = from; i < place->options->len; i++)
+  for (i = 0; i < place->options->len; i++)
     {
-      struct option *option
-          = &g_array_index (place->options, struct option, i);
       struct option left;
 
-      if (option->room < tasks)
+      if (list[i].room < tasks)
         continue;
-      left = option_of (search, option->worker, tasks, tasks);
-      if (best == NULL || option_better (&left, &best_left))
-        {
-          best = option;
-          best_left = left;
-        }
+      left = option_of (search, list[i].worker, tasks, tasks);
+      if (!option_better (&left, &best_left))
+        continue;
+      best = list[i];
+      best_left = left;
     }
   return best;
 }
 
-static void
+/* Returns whether the group takes all tasks.  */
+static bool
 fill_group (struct place *place, const struct place_search *search,
             const struct group *group, struct place_spot *spots)
 {
   uint32_t done = 0;
-  guint i;
 
+  if (racks_too_full (search, group->racks, group->rack_count))
+    return false;
   collect_options (place, search, group);
-  qsort (place->options->data, place->options->len, sizeof (struct option),
-         compare_options);
-  for (i = 0; done < search->tasks && i < place->options->len; i++)
+  heap_make (place->options);
+  while (done < search->tasks && place->options->len > 0)
     {
-      struct option *option
-          = &g_array_index (place->options, struct option, i);
+      struct option option = heap_pop (place->options);
       uint32_t left = search->tasks - done;
       uint32_t taken;
 
-      if (option->room >= left)
-        option = last_option (place, search, i, left);
-      taken = MIN (option->room, left);
+      if (option.room >= left)
+        option = last_option (place, search, &option, left);
+      taken = MIN (option.room, left);
       while (taken-- > 0)
-        spots[done++] = (struct place_spot){ .worker = option->worker };
+        spots[done++] = (struct place_spot){ .worker = option.worker };
     }
-  g_assert (done == search->tasks);
+  return done == search->tasks;
 }
 
 /* The racks to look at: all, those of a data centre, or the anchor's.  */
@@ -363,11 +400,7 @@
         spots[i] = (struct place_spot){ .worker = worker };
       return true;
     }
-  group.room = room_of_rack (place, search, worker->rack);
-  if (group.room < search->tasks)
-    return false;
-  fill_group (place, search, &group, spots);
-  return true;
+  return fill_group (place, search, &group, spots);
 }
 
 bool
@@ -385,7 +418,11 @@
   if (search->span == PLACE_SPAN_RACK)
     consider_racks (place, search, racks, &best);
   else if (search->span == PLACE_SPAN_ANY || racks != place->racks)
-    consider_together (place, search, racks, &best);
+    {
+      best.racks = (struct place_rack **)racks->pdata;
+      best.rack_count = racks->len;
+      return fill_group (place, search, &best, spots);
+    }
   else
     for (i = 0; i < place->centre_list->len; i++)
       {
@@ -395,8 +432,7 @@
       }
   if (best.room == 0)
     return false;
-  fill_group (place, search, &best, spots);
-  return true;
+  return fill_group (place, search, &best, spots);
 }
 
 /* Whether a search that found nothing asked for no more than SEARCH.  */
@@ -411,61 +447,37 @@
          && place_covers (&search->each, &failed->each);
 }
 
+static bool
+failed_in_round (const struct place *place, const struct place_search *search)
+{
+  guint i;
+
+  for (i = 0; i < place->failed->len; i++)
+    if (asked_no_more (&g_array_index (place->failed, struct place_search, i),
+                       search))
+      return true;
+  return false;
+}
+
 bool
 place_fit_once (struct place *place, const struct place_search *search,
                 struct place_spot *spots)
 {
+  struct place_search unreserved = *search;
   bool alone
       = search->job != NULL
         && (search->job->failed_count > 0 || search->job->reservation != NULL);
-  guint i;
 
-  if (alone) /* what one job may use says nothing of others */
-    return place_fit (place, search, spots);
-  for (i = 0; i < place->failed->len; i++)
-    if (asked_no_more (&g_array_index (place->failed, struct place_search, i),
-                       search))
-      return false;
+  if (failed_in_round (place, search))
+    return false;
   if (place_fit (place, search, spots))
     return true;
-  if (place->failed->len < FAILED_LIMIT)
+  if (alone || place->failed->len >= FAILED_LIMIT)
+    return false;
+  /* Where reservations are not the reason, no job of any length fits.  */
+  if (place->reservations->len == 0 || !place_fit (place, &unreserved, spots))
+    g_array_append_val (place->failed, unreserved);
+  else
     g_array_append_val (place->failed, *search);
   return false;
 }
-
-/* COUNT adjacent bits of FREE at a multiple of STEP, or 0.  */
-static uint64_t
-adjacent (uint64_t free, uint32_t count, uint32_t step)
-{
-  uint64_t block = count >= 64 ? UINT64_MAX : (UINT64_C (1) << count) - 1;
-  uint32_t at;
-
-  for (at = 0; at + count <= PLACE_ACCELERATOR_LIMIT; at += step)
-    if (((free >> at) & block) == block)
-      return block << at;
-  return 0;
-}
-
-uint64_t
-place_pick_accelerators (const struct place_worker_state *worker,
-                         uint32_t count)
-{
-  uint32_t have = (uint32_t)worker->capacity.accelerators;
-  uint64_t all = have >= 64 ? UINT64_MAX : (UINT64_C (1) << have) - 1;
-  uint64_t free = all & ~worker->busy;
-  uint64_t picked;
-
-  if (count == 0)
-    return 0;
-  picked = adjacent (free, count, count);
-  if (picked == 0)
-    picked = adjacent (free, count, 1);
-  while (picked == 0 || (uint32_t)__builtin_popcountll (picked) < count)
-    {
-      uint64_t bit = free & ~picked;
-
-      g_assert (bit != 0);
-      picked |= bit & (~bit + 1);
-    }
-  return picked;
-}
--- a/lib/place/place_reserve.c
+++ b/lib/place/place_reserve.c
@@ -4,7 +4,6 @@
    could start without it.  */
 
 #include <stdlib.h>
-#include <string.h>
 
 #include "place/place_inner.h"
 
@@ -233,7 +232,7 @@
 
   if (left->room != right->room)
     return left->room > right->room ? -1 : 1;
-  return strcmp (left->worker->name, right->worker->name);
+  return left->worker->number < right->worker->number ? -1 : 1;
 }
 
 /* Keeps the workers with the most room until all tasks have a place.  */
@@ -278,6 +277,7 @@
       job->reservation->start_ms = choice.start_ms;
       job->reservation->first_ms = MIN (first_ms, choice.start_ms);
       job->reservation->renewed_ms = place_now (place);
+      job->wait = "waits for workers that are reserved for it";
       g_ptr_array_add (place->reservations, job);
       keep_workers (place, job, &choice);
     }
@@ -293,8 +293,10 @@
       return;
     }
   if (place->reservations->len >= PLACE_RESERVATION_LIMIT
+      || place->looked_ahead
       || place_now (place) < job->no_reservation_until_ms)
     return;
+  place->looked_ahead = true;
   reserve (place, job, INT64_MAX);
   if (job->reservation == NULL)
     job->no_reservation_until_ms = place_now (place) + RENEW_MS;
@@ -323,8 +325,9 @@
 
   if (!reservation_lost (job))
     {
-      if (now < reservation->renewed_ms + RENEW_MS)
+      if (place->looked_ahead || now < reservation->renewed_ms + RENEW_MS)
         return;
+      place->looked_ahead = true;
       reservation->renewed_ms = now;
       start = group_start (place, job, reservation->workers, INT64_MAX);
       if (start <= reservation->first_ms + SLIP_MS)
--- a/lib/place/place_unit.c
+++ b/lib/place/place_unit.c
@@ -159,7 +159,7 @@
   else if (job->centre != NULL)
     {
       place->dirty = true;
-      place->repack = true;
+      place->wishes = true;
     }
 }
 
@@ -198,6 +198,7 @@
         }
       place_release_slots (job);
       place_set_borrowed (job, place_may_borrow (job));
+      job->detached = true;
     }
   g_assert (unit->jobs == 0);
 }
--- a/programs/foxtailgapd/planner_jobs.c
+++ b/programs/foxtailgapd/planner_jobs.c
@@ -30,6 +30,10 @@
   return planner_now_ms () - MAX (age_ms, 0);
 }
 
+/* Whether an attempt may follow on another is decided here and not by the
+   core, as only the planner knows whether the last one has started.  So every
+   job counts as repeatable there, and what must not be stopped for others
+   does not count as checkpointable, which keeps it from borrowing.  */
 static struct place_job
 to_place_job (const struct st_job *job)
 {
@@ -51,8 +55,8 @@
     .progress_ms = job->progress_ms,
     .attempt = job->attempt,
     .urgent = spec->urgency > 0,
-    .checkpointable = spec->checkpointable,
-    .repeatable = spec->repeatable,
+    .checkpointable = spec->checkpointable && spec->repeatable,
+    .repeatable = true,
   };
 }
 
@@ -108,12 +112,23 @@
   return g_random_int ();
 }
 
+/* The settings have been checked: any other name is that of the default.  */
+static const struct place_policy *
+policy_of (const struct settings *settings)
+{
+  if (g_str_equal (settings->placement_policy, "first-fit"))
+    return &place_policy_first_fit;
+  if (g_str_equal (settings->placement_policy, "strict"))
+    return &place_policy_strict;
+  return &place_policy_guarantee;
+}
+
 static int
 create_place (struct planner_task *task)
 {
   const struct env_rules *rules = &task->config->document->rules;
   struct place_params params
-      = { .policy = &place_policy_guarantee,
+      = { .policy = policy_of (task->daemon->settings),
           .checkpoint_grace_ms = rules->checkpoint_grace_ms,
           .attempt_limit = rules->attempt_limit,
           .quarantine_failures = rules->quarantine_failures,
