--- a/Makefile
+++ b/Makefile
@@ -132,6 +132,11 @@
 	  SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined" \
 	  check-built
 
+## bench-capacity: slopes of bytes, processor time and memory; docs/CAPACITY.md
+bench-capacity: packages
+	@$(MAKE) -s -j$(JOBS) all
+	@BUILD=$(BUILD) scripts/bench-capacity
+
 ## chaos: random faults against seven daemons: SEED=1 DURATION_S=60
 chaos: all
 	@BUILD=$(BUILD) tests/chaos/chaos.sh
