History: a lease of an earlier planner is not a task's end; chaos between hosts

Cause of the false alarm: a planner whose record of a placement was never taken had leased two workers under attempt 1; the next one leased and ran the whole gang elsewhere under the same number. When the first leases lapsed, the checker took that for the end of tasks that ran on other workers. Ends count now where the task runs; a new line in history.t holds that a lapse there is reported as before.

--- a/tests/history/job_table.c
+++ b/tests/history/job_table.c
@@ -133,11 +133,22 @@
   task->ok = ok;
 }
 
+/* A task that has not started may be leased elsewhere under the same number,
+   by the next planner; what became of the earlier lease is not its end.  */
 static void
 set_worker (struct jt_task *task, const char *worker)
 {
+  if (g_strcmp0 (task->worker, worker) == 0)
+    return;
   g_free (task->worker);
   task->worker = g_strdup (worker);
+  task->ended_ms = JT_NEVER_MS;
+}
+
+static bool
+is_elsewhere (const struct jt_task *task, const struct hi_event *event)
+{
+  return task->worker != NULL && strcmp (task->worker, event->who) != 0;
 }
 
 static void
@@ -151,8 +162,9 @@
                   ", was started on %s and on %s",
                   hi_number (event, "task"), attempt->job->name,
                   attempt->number, task->worker, event->who);
+  else
+    set_worker (task, event->who);
   task->started_ms = MIN (task->started_ms, event->t_ms);
-  set_worker (task, event->who);
 }
 
 static void
@@ -164,16 +176,21 @@
 
   if (strcmp (event->what, "start") == 0)
     add_start (reader, attempt, task, event);
+  else if (strcmp (event->what, "lease") == 0)
+    {
+      if (task->started_ms == JT_NEVER_MS)
+        set_worker (task, event->who);
+    }
+  else if (is_elsewhere (task, event))
+    return;
   else if (strcmp (event->what, "end") == 0)
     {
       end_task (task, event->t_ms, ja_flag (event->line, "ok", false));
       g_free (task->output);
       task->output = g_strdup (hi_text (event, "output"));
     }
-  else if (strcmp (event->what, "lease") != 0)
+  else
     end_task (task, event->t_ms, false);
-  else if (task->started_ms == JT_NEVER_MS)
-    set_worker (task, event->who);
 }
 
 static void
--- a/tests/scripts/history.t
+++ b/tests/scripts/history.t
@@ -183,6 +183,23 @@
   $ sed '/"t_ms":200/s/"end"/"lapse"/' jobs | check --gang-bound-ms 100 | grep '^violation gangs'
   violation gangs: job j1, attempt 1: task 1 ran on for 700 ms after a task was lost
 
+A lease of an earlier planner, under the same number, that lapses elsewhere is
+no loss of the task; a lapse where it runs is:
+
+  $ earlier ()  # WORKER: leases task 0 of j1 before, and has it lapse
+  > {
+  >   cat jobs
+  >   echo "{\"t_ms\":90,\"who\":\"$1\",\"what\":\"lease\",\"job\":\"j1\",\"attempt\":1,\"task\":0,\"accelerators\":64}"
+  >   echo "{\"t_ms\":150,\"who\":\"$1\",\"what\":\"lapse\",\"job\":\"j1\",\"attempt\":1,\"task\":0}"
+  > }
+  $ earlier w3 | check --gang-bound-ms 100 | grep -v '^events\|^checked'
+  violations: 0
+  status 0
+  $ earlier w1 | check --gang-bound-ms 100 | grep '^violation'
+  violation gangs: job j1, attempt 1: task 1 ran on for 750 ms after a task was lost
+  violation jobs: job j1 was told to have finished, and no attempt has ended whole
+  violations: 2
+
 One task started on two workers:
 
   $ { cat jobs; echo '{"t_ms":160,"who":"w3","what":"start","job":"j1","attempt":1,"task":1}'; } | check --gang-bound-ms 100 | grep '^violation'
