--- /dev/null
+++ b/tests/bench/bench-day/metrics.py
@@ -0,0 +1,253 @@
+"""Figures of one run, from the jobs' records, the workers' history and the
+entry hosts' logs."""
+
+import collections
+import json
+import math
+import re
+
+import cluster
+import workload
+
+MISS_SLACK_MS = 2000  # a reclaim takes the grace and 2 s at most
+FRAGMENT_OF_LARGE = 16  # accelerators of the smallest large gang
+ENDED = ("finished", "failed", "cancelled", "refused")
+EVICTED = re.compile(r'"A job is evicted\."? .*?\bjob=(\S+) for=(\S+)')
+UNMET = "A guarantee cannot be met now."
+
+
+def quantile(values, part):
+    """The nearest-rank quantile, or None."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(part * len(ordered)) - 1)]
+
+
+def summary(values):
+    """Count, mean, p50, p99 and largest."""
+    if not values:
+        return {"count": 0}
+    return {"count": len(values), "mean": sum(values) / len(values),
+            "p50": quantile(values, 0.5), "p99": quantile(values, 0.99),
+            "max": max(values)}
+
+
+# --- Sources ---
+
+def read_history(folder):
+    """job -> attempt -> task -> [(t_ms, what)] of starts and ends."""
+    tasks = collections.defaultdict(
+        lambda: collections.defaultdict(lambda: collections.defaultdict(list)))
+    downs = collections.defaultdict(list)
+    place = {}
+    with open(folder / "workers.history") as lines:
+        for line in lines:
+            event = json.loads(line)
+            if event["what"] == "down":
+                downs[event["who"]].append(event["t_ms"])
+            if event["what"] not in ("start", "end", "stop", "lapse"):
+                continue
+            key = (event["job"], event["attempt"], event["task"])
+            place[key] = event["who"]
+            tasks[event["job"]][event["attempt"]][event["task"]].append(
+                (event["t_ms"], event["what"]))
+    close_lost(tasks, place, downs)
+    return tasks
+
+
+def close_lost(tasks, place, downs):
+    """A task without an end on a worker that went down ended then."""
+    for (job, attempt, task), worker in place.items():
+        events = tasks[job][attempt][task]
+        if len(events) == 1 and events[0][1] == "start":
+            later = [t for t in downs[worker] if t >= events[0][0]]
+            if later:
+                events.append((later[0], "lost"))
+
+
+def read_evictions(folder):
+    """Victims, and the jobs for which they went."""
+    victims, owners = set(), set()
+    unmet = 0
+    for name in cluster.ENTRY_HOSTS:
+        text = (folder / f"{name}.err").read_text(errors="replace")
+        for victim, owner in EVICTED.findall(text):
+            victims.add(victim)
+            owners.add(owner.strip('"'))
+        unmet += text.count(UNMET)
+    return victims, owners, unmet
+
+
+# --- One job ---
+
+class Outcome:
+    """A submission with what became of it."""
+
+    def __init__(self, job, answer, listed, history):
+        self.job = job
+        self.status = answer[0] if answer else None
+        self.id = answer[1].get("job") if answer and answer[1] else None
+        self.record = listed.get(self.id)
+        self.attempts = history.get(self.id, {})
+
+    @property
+    def state(self):
+        """The job's last state, or how the submission was answered."""
+        if self.record is not None:
+            return self.record["state"]
+        if self.status is None or self.status >= 500:
+            return "unanswered"
+        return f"answered_{self.status}"
+
+    def started_ms(self):
+        """When all tasks of an attempt had started first, or None."""
+        for _, tasks in sorted(self.attempts.items()):
+            starts = [t for events in tasks.values() for t, what in events
+                      if what == "start"]
+            if len(starts) == self.job.body["tasks"]:
+                return max(starts)
+        return None
+
+    def ran_ms(self):
+        """Run time of the slowest task of each attempt, summed."""
+        total = 0
+        for tasks in self.attempts.values():
+            runs = [events[-1][0] - events[0][0] for events in tasks.values()
+                    if len(events) > 1 and events[0][1] == "start"]
+            total += max(runs, default=0)
+        return total
+
+    def over_ideal(self, end_ms):
+        """Completion time over the run time; a job that is not over counts
+        as if it ended when the run did."""
+        ended = self.state in ENDED
+        at_ms = self.record["changed_ms"] if ended else end_ms
+        return (at_ms - self.record["submitted_ms"]) / self.job.run_ms
+
+
+# --- Figures ---
+
+def completion(outcomes, end_ms):
+    """Completion time over ideal, by size; and what did not finish."""
+    result = {}
+    for size in ("small", "large", "owner"):
+        chosen = [o for o in outcomes if o.job.size == size]
+        done = [o for o in chosen if o.record is not None
+                and o.state not in ("failed", "refused", "cancelled")]
+        result[size] = summary([o.over_ideal(end_ms) for o in done])
+        result[size]["states"] = dict(
+            collections.Counter(o.state for o in chosen))
+        result[size]["ratios"] = [round(o.over_ideal(end_ms), 3)
+                                  for o in done]
+    return result
+
+
+def fragmentation(samples):
+    """Time-weighted means over the window of submissions."""
+    inside = [s for s in samples if s["at_s"] <= workload.WINDOW_S]
+    pairs = [(a, b["at_s"] - a["at_s"]) for a, b in zip(inside, inside[1:])]
+    free = [(s, w) for s, w in pairs if s["accelerators_free"] > 0]
+    whole = sum(w for _, w in free) or 1
+    amount = sum(s["accelerators_free"] * w for s, w in free) or 1
+    waiting = [(s, w) for s, w in free if s["queued"] > 0]
+    waited = sum(w for _, w in waiting) or 1
+    return {
+        "mean": sum(s["fragmentation"] * w for s, w in free) / whole,
+        "of_free": sum(s["fragmentation"] * s["accelerators_free"] * w
+                       for s, w in free) / amount,
+        "while_queued": sum(s["fragmentation"] * w
+                            for s, w in waiting) / waited,
+        "largest_block_over_free": sum(
+            s["largest_block"] / s["accelerators_free"] * w
+            for s, w in free) / whole,
+        "no_large_block": sum(
+            w for s, w in pairs if s["largest_block"] < FRAGMENT_OF_LARGE)
+        / (sum(w for _, w in pairs) or 1),
+        "free_mean": sum(s["accelerators_free"] * w for s, w in pairs)
+        / (sum(w for _, w in pairs) or 1),
+        "samples": len(inside),
+    }
+
+
+def shape_of(outcome):
+    """Names the guaranteed shape that a job of the owner asks for."""
+    return outcome.job.body["tasks"], outcome.job.body["accelerators"]
+
+
+def within_guarantee(user, owned, outcome):
+    """Whether all jobs of the shape that were not over when this one was
+    submitted fit the guarantee together with it."""
+    count = {(tasks, accelerators): count for tasks, accelerators, count, _
+             in workload.USERS[user].owner_shapes}[shape_of(outcome)]
+    at_ms = outcome.record["submitted_ms"]
+    before = [o for o in owned if o is not outcome
+              and shape_of(o) == shape_of(outcome)
+              and o.record["submitted_ms"] <= at_ms
+              and (o.state not in ENDED or o.record["changed_ms"] > at_ms)]
+    return len(before) < count
+
+
+def reclaim(user, outcomes, owners, end_ms):
+    """How long the owner's jobs within its guarantee waited."""
+    owned = [o for o in outcomes if o.job.size == "owner"
+             and o.record is not None]
+    limit_ms = cluster.RULES["checkpoint_grace_ms"] + MISS_SLACK_MS
+    waits, reclaims, missed = [], [], []
+    for outcome in owned:
+        if not within_guarantee(user, owned, outcome):
+            continue
+        started_ms = outcome.started_ms()
+        wait = (started_ms or end_ms) - outcome.record["submitted_ms"]
+        waits.append(wait)
+        if outcome.id in owners:
+            reclaims.append(wait)
+        if wait > limit_ms:
+            missed.append({"job": outcome.id, "wait_ms": wait,
+                           "at_s": outcome.job.at_s,
+                           "state": outcome.state,
+                           "tasks": outcome.job.body["tasks"]})
+    return {"within_guarantee": len(waits), "owner_jobs": len(owned),
+            "wait_ms": summary(waits), "reclaim_ms": summary(reclaims),
+            "waits": waits, "reclaims": reclaims, "missed": missed}
+
+
+def lost_work(outcomes, victims):
+    """Accelerator seconds run twice, by evictions and by other stops."""
+    lost = {"evicted": 0.0, "other": 0.0}
+    for outcome in outcomes:
+        if outcome.state != "finished" or len(outcome.attempts) < 2:
+            continue
+        twice_ms = max(0, outcome.ran_ms() - outcome.job.run_ms)
+        why = "evicted" if outcome.id in victims else "other"
+        lost[why] += twice_ms / 1000 * outcome.job.accelerators
+    return lost
+
+
+def evaluate(args, day, listed, folder, ended_s):
+    """All figures of a run."""
+    history = read_history(folder)
+    victims, owners, unmet = read_evictions(folder)
+    outcomes = [Outcome(job, answer, listed, history)
+                for job, answer in zip(day.jobs, day.answers)]
+    end_ms = max(job["changed_ms"] for job in listed.values())
+    states = collections.Counter((o.job.size, o.state) for o in outcomes)
+    return {
+        "user": args.user, "policy": args.policy, "seed": args.seed,
+        "jobs": len(day.jobs),
+        "demand": sum(workload.work(job) for job in day.jobs
+                      if job.size not in ("impossible", "wave"))
+        / workload.capacity(),
+        "ended_s": ended_s,
+        "load_average": max((s["load"] for s in day.samples), default=None),
+        "completion": completion(outcomes, end_ms),
+        "fragmentation": fragmentation(day.samples),
+        "guarantee": reclaim(args.user, outcomes, owners, end_ms),
+        "evictions": len(victims),
+        "lost_accelerator_s": lost_work(outcomes, victims),
+        "unmet_notices": unmet,
+        "states": {f"{size}/{state}": count
+                   for (size, state), count in sorted(states.items())},
+        "late_ms": quantile([(a[2] - j.at_s) * 1000 for j, a
+                             in zip(day.jobs, day.answers) if a], 0.99),
+    }
