--- a/Makefile
+++ b/Makefile
@@ -118,6 +118,11 @@
 	   2>/dev/null' sh
 	@echo "lint: clean"
 
+## bench: the users' day through real processes under three policies
+bench: packages
+	@$(MAKE) -s -j$(JOBS) all
+	@BUILD=$(BUILD) python3 tests/bench/bench-day/bench.py
+
 ## format: rewrites the sources by clang-format
 format:
 	clang-format -i $(HAND_FILES)
