--- a/lib/place/place_guarantee.c
+++ b/lib/place/place_guarantee.c
@@ -8,6 +8,13 @@
 
 #include "place/place_inner.h"
 
+enum
+{
+  REPACK_WORK = 4096, /* units placed in the orders that are tried */
+  REPACK_TRIES_LEAST = 4,
+  REPACK_TRIES_MOST = 16
+};
+
 /* ===== Binding ================================================ */
 
 /* The data centre in which a job waits for a unit, or NULL.  */
@@ -203,17 +210,15 @@
 static void
 units_repack (struct place *place, GPtrArray *units)
 {
-  enum
-  {
-    TRIES = 4
-  };
+  guint tries = CLAMP (REPACK_WORK / MAX (units->len, 1), REPACK_TRIES_LEAST,
+                       REPACK_TRIES_MOST);
   GPtrArray *order = g_ptr_array_copy (units, NULL, NULL);
   GPtrArray *best = NULL;
   int64_t best_size = INT64_MAX;
   int64_t size = 0;
-  int n;
+  guint n;
 
-  for (n = 0; n < TRIES; n++)
+  for (n = 0; n < tries; n++)
     {
       GPtrArray *next;
 
@@ -308,10 +313,21 @@
   command->reason = place_text (place, text);
 }
 
+static bool
+on_usable_workers (const struct place_job_state *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->spot_count; i++)
+    if (!place_usable (job->spots[i].worker))
+      return false;
+  return true;
+}
+
 /* Jobs that were restored, or whose guarantee was taken back, are put under
    a guarantee where there is one for them.  */
 static void
-attach_all (struct place *place)
+attach_some (struct place *place, bool borrowed)
 {
   GHashTableIter iter;
   gpointer value;
@@ -322,13 +338,21 @@
       struct place_job_state *job = value;
 
       if (job->phase != PLACE_RUNNING || job->spots[0].slot != NULL
-          || (job->borrowed && !job->detached))
+          || job->borrowed != borrowed || (borrowed && !job->detached))
         continue;
-      job->detached = false;
+      job->detached = !on_usable_workers (job);
       place_attach (place, job);
     }
 }
 
+/* Those that cannot be stopped come first.  */
+static void
+attach_all (struct place *place)
+{
+  attach_some (place, false);
+  attach_some (place, true);
+}
+
 static bool
 wishes_left (const GPtrArray *units)
 {
--- a/programs/foxtailgapd/peers_task.c
+++ b/programs/foxtailgapd/peers_task.c
@@ -112,10 +112,11 @@
 {
   struct daemon *daemon = task->daemon;
   struct mb_box *boxes[]
-      = { daemon->upstream, daemon->planner, daemon->renewal, daemon->state };
+      = { daemon->upstream, daemon->planner, daemon->renewal };
   size_t i;
 
   post_members (task, daemon->front);
+  post_members (task, daemon->state); /* it compares their offsets */
   for (i = 0; changed && i < G_N_ELEMENTS (boxes); i++)
     if (boxes[i] != NULL)
       post_members (task, boxes[i]);
