--- a/programs/foxtailgapd/front_requests.c
+++ b/programs/foxtailgapd/front_requests.c
@@ -14,7 +14,8 @@
   STATUS_TOO_LARGE = 413,
   STATUS_TOO_MANY = 429,
   STATUS_UNAVAILABLE = 503,
-  STATUS_TIMEOUT = 504
+  STATUS_TIMEOUT = 504,
+  KEY_AGE_MARGIN_MS = 60 * 1000 /* clocks may differ so much */
 };
 
 /* --- Answers --- */
@@ -66,47 +67,73 @@
 
 /* --- Admission --- */
 
-/* What a caller says of its request, as it stands in the headers.  */
-struct claims_of_caller
+/* What a caller says of its request.  */
+struct request_headers
 {
   const char *team;
   const char *key;
   bool repeatable;
   uint64_t deadline_ms;
+  uint64_t issued_ms; /* Unix time when the key was made; 0: not told */
 };
 
 /* Reads the headers; a complaint is returned, or NULL.  */
 static const char *
 read_headers (struct hs_request *http, const struct env_service *service,
-              struct claims_of_caller *claims)
+              struct request_headers *wanted)
 {
   const char *deadline = hs_header (http, "Foxtailgap-Deadline-Ms");
   const char *repeatable = hs_header (http, "Foxtailgap-Repeatable");
+  const char *issued = hs_header (http, "Foxtailgap-Issued-Ms");
 
-  claims->team = hs_header (http, "Foxtailgap-Team");
-  claims->key = hs_header (http, "Idempotency-Key");
-  if (claims->team == NULL || !fr_name_valid (claims->team))
+  wanted->team = hs_header (http, "Foxtailgap-Team");
+  wanted->key = hs_header (http, "Idempotency-Key");
+  if (wanted->team == NULL || !fr_name_valid (wanted->team))
     return "The header Foxtailgap-Team must name the team.";
-  if (claims->key != NULL && !fr_name_valid (claims->key))
+  if (wanted->key != NULL && !fr_name_valid (wanted->key))
     return "The header Idempotency-Key is too long or has characters that "
            "are not allowed.";
   if (repeatable == NULL || strcmp (repeatable, "yes") == 0)
-    claims->repeatable = true;
+    wanted->repeatable = true;
   else if (strcmp (repeatable, "no") == 0)
-    claims->repeatable = false;
+    wanted->repeatable = false;
   else
     return "The header Foxtailgap-Repeatable must be yes or no.";
-  if (!claims->repeatable && claims->key == NULL)
+  if (!wanted->repeatable && wanted->key == NULL)
     return "A request that is not repeatable needs an Idempotency-Key.";
-  claims->deadline_ms = service->deadline_ms;
+  wanted->issued_ms = 0;
+  if (issued != NULL && !fr_number (issued, INT64_MAX, &wanted->issued_ms))
+    return "The header Foxtailgap-Issued-Ms must be milliseconds since 1970.";
+  wanted->deadline_ms = service->deadline_ms;
   if (deadline != NULL
-      && (!fr_number (deadline, service->deadline_max_ms, &claims->deadline_ms)
-          || claims->deadline_ms == 0))
+      && (!fr_number (deadline, service->deadline_max_ms, &wanted->deadline_ms)
+          || wanted->deadline_ms == 0))
     return "The header Foxtailgap-Deadline-Ms must be a whole number from 1 "
            "to the service's deadline_max_ms.";
   return NULL;
 }
 
+/* Whether the outcome of a key this old may have been forgotten already.  A
+   key that is still known is answered whatever its age.  */
+static bool
+key_expired (const struct front_task *task,
+             const struct request_headers *wanted)
+{
+  int64_t window_ms = task->daemon->settings->outcome_window_ms;
+  int64_t margin_ms = MIN (KEY_AGE_MARGIN_MS, window_ms / 2);
+  int64_t age_ms = clk_unix_ms () - (int64_t)wanted->issued_ms;
+  char *key;
+  bool known;
+
+  if (wanted->repeatable || wanted->issued_ms == 0
+      || age_ms < window_ms - margin_ms)
+    return false;
+  key = g_strdup_printf ("%s/%s", wanted->team, wanted->key);
+  known = g_hash_table_contains (task->claims, key);
+  g_free (key);
+  return !known;
+}
+
 static void
 on_caller_gone (void *ctx)
 {
@@ -121,7 +148,7 @@
 static void
 forward (struct front_task *task, struct hs_request *http,
          const struct env_service *service,
-         const struct claims_of_caller *claims)
+         const struct request_headers *wanted)
 {
   struct fr_call *call = fr_call_create (task, http);
   struct msg_request *message = g_new0 (struct msg_request, 1);
@@ -131,19 +158,19 @@
   fr_new_id (id);
   call->id = g_strdup (id);
   call->forwarded = true;
-  call->team = g_strdup (claims->team);
+  call->team = g_strdup (wanted->team);
   call->service = g_strdup (service->name);
   call->started_ms = clk_monotonic_ms (NULL);
   hs_on_gone (http, on_caller_gone, call);
   message->token = call->token;
   message->reply = task->box;
   message->id = g_strdup (id);
-  message->team = g_strdup (claims->team);
+  message->team = g_strdup (wanted->team);
   message->service = g_strdup (service->name);
-  message->key = g_strdup (claims->key);
-  message->repeatable = claims->repeatable;
+  message->key = g_strdup (wanted->key);
+  message->repeatable = wanted->repeatable;
   message->deadline_ms
-      = clk_monotonic_ms (NULL) + (int64_t)claims->deadline_ms;
+      = clk_monotonic_ms (NULL) + (int64_t)wanted->deadline_ms;
   body = hs_body (http, &message->body_size_bytes);
   message->body = g_memdup2 (body, message->body_size_bytes);
   mb_post (task->daemon->upstream, MSG_REQUEST, message);
@@ -168,7 +195,7 @@
 {
   char *name = service_name (rest);
   const struct env_service *service = NULL;
-  struct claims_of_caller claims;
+  struct request_headers wanted;
   const char *complaint;
   size_t size_bytes;
 
@@ -189,13 +216,21 @@
                 "refused", 0);
       goto done;
     }
-  complaint = read_headers (http, service, &claims);
+  complaint = read_headers (http, service, &wanted);
   if (complaint != NULL)
     {
       fr_error (http, STATUS_BAD_REQUEST, "bad_request", complaint, "refused",
                 0);
       goto done;
     }
+  if (key_expired (task, &wanted))
+    {
+      fr_error (http, STATUS_CONFLICT, "key_expired",
+                "The key is older than outcomes are kept; the request was not "
+                "run anew.",
+                NULL, 0);
+      goto done;
+    }
   hs_body (http, &size_bytes);
   if (size_bytes > service->body_limit_bytes)
     {
@@ -204,7 +239,7 @@
                 "refused", 0);
       goto done;
     }
-  forward (task, http, service, &claims);
+  forward (task, http, service, &wanted);
 
 done:
   g_free (name);
--- a/tests/scripts/examples.t
+++ b/tests/scripts/examples.t
@@ -19,7 +19,7 @@
 
 Installed below another folder, and built from there by pkg-config alone:
 
-  $ make -s -C "$ROOT" install BUILD="$BUILD" DESTDIR= PREFIX="$PWD/installed" > /dev/null
+  $ env -u MAKEFLAGS -u MFLAGS make -s -C "$ROOT" install BUILD="$BUILD" DESTDIR= PREFIX="$PWD/installed" > /dev/null
   $ export PKG_CONFIG_PATH="$PWD/installed/lib/pkgconfig"
   $ gcc $SAN_FLAGS "$ROOT/examples/embed-fold/main.c" -o fold $(pkg-config --cflags --libs foxtailgap)
   $ ./fold | tail -n 1
