--- a/lib/place/place_evict.c
+++ b/lib/place/place_evict.c
@@ -63,18 +63,6 @@
   return free;
 }
 
-static struct place_amount
-amount_here (const struct place_job_state *job,
-             const struct place_worker_state *worker)
-{
-  int64_t tasks = 0;
-  uint32_t i;
-
-  for (i = 0; i < job->spot_count; i++)
-    tasks += job->spots[i].worker == worker;
-  return place_times (&job->each, tasks);
-}
-
 /* Whether AMOUNT gives any of what FREE is short of.  */
 static bool
 helps (const struct place_amount *free, const struct place_amount *need,
@@ -109,7 +97,7 @@
       if (job->phase != PLACE_RUNNING || !job->borrowed
           || (taken != NULL && g_ptr_array_find (taken, job, NULL)))
         continue;
-      amount = amount_here (job, worker);
+      amount = place_amount_on (job, worker);
       if (!helps (free, need, &amount))
         continue;
       place_add (&after, &amount);
@@ -144,7 +132,7 @@
 
       if (victim == NULL)
         return -1;
-      amount = amount_here (victim, worker);
+      amount = place_amount_on (victim, worker);
       place_add (&free, &amount);
       g_ptr_array_add (taken, victim);
       loss += place_loss (place, victim);
--- a/lib/place/place_inner.h
+++ b/lib/place/place_inner.h
@@ -336,6 +336,9 @@
 /* Gives JOB its spots; they are sorted by worker.  */
 void place_spots_set (struct place_job_state *job,
                       const struct place_spot *spots);
+/* What JOB has or holds on a worker.  */
+struct place_amount place_amount_on (const struct place_job_state *job,
+                                     const struct place_worker_state *worker);
 /* Marks the spots of JOB as in use; picks the accelerators where none are
    given.  */
 void place_occupy (struct place *place, struct place_job_state *job);
--- a/lib/place/place_jobs.c
+++ b/lib/place/place_jobs.c
@@ -195,6 +195,37 @@
   return i == 0 || job->spots[i].worker != job->spots[i - 1].worker;
 }
 
+/* The first spot whose worker's number is not below NUMBER.  */
+static uint32_t
+first_spot (const struct place_job_state *job, uint32_t number)
+{
+  uint32_t low = 0;
+  uint32_t high = job->spot_count;
+
+  while (low < high)
+    {
+      uint32_t middle = low + (high - low) / 2;
+
+      if (job->spots[middle].worker->number < number)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+struct place_amount
+place_amount_on (const struct place_job_state *job,
+                 const struct place_worker_state *worker)
+{
+  uint32_t at = first_spot (job, worker->number);
+  int64_t tasks = 0;
+
+  for (; at < job->spot_count && job->spots[at].worker == worker; at++)
+    tasks++;
+  return place_times (&job->each, tasks);
+}
+
 static void
 use_worker (struct place_job_state *job, struct place_spot *spot, bool first)
 {
--- a/lib/place/place_reserve.c
+++ b/lib/place/place_reserve.c
@@ -53,14 +53,13 @@
   for (i = 0; i < worker->jobs->len; i++)
     {
       const struct place_job_state *job = worker->jobs->pdata[i];
-      uint32_t s;
+      struct place_amount amount;
 
       if (job->phase != PLACE_EVICTING
           && place_expected_end_ms (place, job) > at_ms)
         continue;
-      for (s = 0; s < job->spot_count; s++)
-        if (job->spots[s].worker == worker)
-          place_add (&free, &job->each);
+      amount = place_amount_on (job, worker);
+      place_add (&free, &amount);
     }
   return free;
 }
@@ -367,13 +366,12 @@
   for (i = 0; i < worker->jobs->len; i++)
     {
       const struct place_job_state *other = worker->jobs->pdata[i];
-      uint32_t s;
+      struct place_amount amount;
 
       if (other->phase != PLACE_EVICTING && !gives_way (place, other, job))
         continue;
-      for (s = 0; s < other->spot_count; s++)
-        if (other->spots[s].worker == worker)
-          place_add (&free, &other->each);
+      amount = place_amount_on (other, worker);
+      place_add (&free, &amount);
     }
   return free;
 }
--- a/lib/place/place_room.c
+++ b/lib/place/place_room.c
@@ -2,23 +2,46 @@
 
 #include "place/place_inner.h"
 
-struct place_amount
-place_view_of (const struct place_worker_state *worker, enum place_view view)
+static struct place_amount
+free_now (const struct place_worker_state *worker)
 {
   struct place_amount free = worker->capacity;
-  struct place_amount firm = worker->capacity;
 
-  if (view == PLACE_VIEW_CAPACITY)
-    return free;
   place_subtract (&free, &worker->used);
   place_subtract (&free, &worker->held);
-  place_subtract (&firm, &worker->firm);
-  place_subtract (&firm, &worker->reserved);
-  if (view == PLACE_VIEW_FREE)
-    return free;
-  if (view == PLACE_VIEW_FIRM)
-    return firm;
-  return place_least (&free, &firm);
+  return free;
+}
+
+static struct place_amount
+not_promised (const struct place_worker_state *worker)
+{
+  struct place_amount left = worker->capacity;
+
+  place_subtract (&left, &worker->firm);
+  place_subtract (&left, &worker->reserved);
+  return left;
+}
+
+struct place_amount
+place_view_of (const struct place_worker_state *worker, enum place_view view)
+{
+  struct place_amount free;
+  struct place_amount left;
+
+  switch (view)
+    {
+    case PLACE_VIEW_FREE:
+      return free_now (worker);
+    case PLACE_VIEW_FIRM:
+      return not_promised (worker);
+    case PLACE_VIEW_CAPACITY:
+      return worker->capacity;
+    case PLACE_VIEW_BOTH:
+      break;
+    }
+  free = free_now (worker);
+  left = not_promised (worker);
+  return place_least (&free, &left);
 }
 
 /* COUNT adjacent bits of FREE at a multiple of STEP, or 0.  */
