--- a/lib/place/place_firm.c
+++ b/lib/place/place_firm.c
@@ -371,6 +371,8 @@
   const struct place_team_state *team = job->team;
   uint32_t i;
 
+  if (job->waits_for_unit) /* others failed because it is kept for this job */
+    return false;
   for (i = 0; i < team->failed_count; i++)
     if (team->failed[i].tasks <= job->shape.tasks
         && team->failed[i].span <= job->shape.span
--- a/lib/place/place_inner.h
+++ b/lib/place/place_inner.h
@@ -182,10 +182,11 @@
   bool urgent;
   bool checkpointable;
   bool repeatable;
-  bool borrowed;  /* may be evicted */
-  bool detached;  /* a guarantee is to be looked for where it runs */
-  bool backfill;  /* runs on a worker reserved for another job */
-  bool cancelled; /* while it holds workers */
+  bool borrowed;       /* may be evicted */
+  bool detached;       /* a guarantee is to be looked for where it runs */
+  bool waits_for_unit; /* is the waiter of a unit */
+  bool backfill;       /* runs on a worker reserved for another job */
+  bool cancelled;      /* while it holds workers */
   uint32_t spot_count;
   struct place_spot *spots;
   struct place_reservation *reservation;
--- a/lib/place/place_unit.c
+++ b/lib/place/place_unit.c
@@ -120,6 +120,9 @@
 {
   guint i;
 
+  if (!job->waits_for_unit)
+    return;
+  job->waits_for_unit = false;
   for (i = 0; i < job->team->units->len; i++)
     {
       struct place_unit *unit = job->team->units->pdata[i];
@@ -136,9 +139,9 @@
   uint32_t kept = 0;
   guint i;
 
-  for (i = 0; i < units->len; i++)
-    if (((struct place_unit *)units->pdata[i])->waiter == job)
-      return;
+  if (job->waits_for_unit)
+    return;
+  job->waits_for_unit = true;
   for (i = 0; i < units->len && kept < job->shape.tasks; i++)
     {
       struct place_unit *unit = units->pdata[i];
@@ -243,6 +246,8 @@
   struct place_unit *unit = team->units->pdata[at];
 
   unit_empty (place, unit);
+  if (unit->waiter != NULL)
+    place_unit_waiter_drop (unit->waiter);
   place_unit_unbind (unit);
   g_ptr_array_remove_index (team->units, at);
 }
--- a/tests/unit/test_place_guarantee.c
+++ b/tests/unit/test_place_guarantee.c
@@ -64,7 +64,7 @@
   struct pf f;
   struct place_job job = rack_job ("owner");
   const struct place_command *command;
-  char id[8];
+  char id[16];
   int i;
 
   setup (&f, 2);
@@ -151,7 +151,7 @@
   struct pf f;
   struct place_job job = rack_job ("owner");
   int i;
-  char id[8];
+  char id[16];
 
   setup (&f, 3);
   for (i = 0; i < 4; i++)
@@ -343,6 +343,34 @@
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "team a: 2 x (8 accelerators"));
 }
 
+/* Small jobs that fit beside do not keep the guarantee from the large job
+   for ever, nor does their own vain search.  */
+static void
+test_a_guarantee_drains_for_the_job_that_waits (void)
+{
+  struct pf f;
+  struct place_job small = pf_job ("small", "b", 1, 2);
+  struct place_job large = pf_job ("large", "b", 1, 4);
+
+  setup (&f, 2);
+  small.checkpointable = false;
+  large.checkpointable = false;
+  submit (&f, &small);
+  pf_decide (&f);
+  submit (&f, &large);
+  pf_decide (&f);
+  small.id = "next";
+  small.submitted_ms = -1; /* it is tried first */
+  submit (&f, &small);
+  pf_decide (&f);
+  CU_ASSERT_EQUAL (f.command_count, 0);
+  pf_end (&f, "small", PLACE_END_OK, NULL, false);
+  pf_decide (&f);
+  CU_ASSERT_TRUE (pf_started (&f, "large"));
+  CU_ASSERT_FALSE (pf_started (&f, "next"));
+  pf_teardown (&f);
+}
+
 /* A team's own small jobs do not break its large shape.  */
 static void
 test_small_jobs_leave_the_large_shape_whole (void)
@@ -387,6 +415,8 @@
   CU_add_test (suite, "restore before the worker",
                test_a_job_may_be_restored_before_its_worker);
   CU_add_test (suite, "clash", test_clashing_guarantees_are_named);
+  CU_add_test (suite, "a guarantee drains",
+               test_a_guarantee_drains_for_the_job_that_waits);
   CU_add_test (suite, "large shape stays whole",
                test_small_jobs_leave_the_large_shape_whole);
   CU_basic_set_mode (CU_BRM_VERBOSE);
--- a/tests/unit/test_place_health.c
+++ b/tests/unit/test_place_health.c
@@ -39,7 +39,7 @@
 static int
 fail_worker (struct pf *f, int limit)
 {
-  char id[8];
+  char id[16];
   char worker[16];
   int failures = 0;
   int i;
@@ -155,7 +155,7 @@
 static void
 remember_starts (const struct pf *f, char workers[3][16])
 {
-  char id[8];
+  char id[16];
   int j;
 
   for (j = 0; j < 3; j++)
@@ -173,7 +173,7 @@
 {
   struct pf f;
   char workers[3][16];
-  char id[8];
+  char id[16];
   bool quarantined = false;
   int round;
   int j;
--- a/tests/unit/test_place_order.c
+++ b/tests/unit/test_place_order.c
@@ -184,7 +184,7 @@
 test_declarations_are_corrected (void)
 {
   struct pf f;
-  char id[8];
+  char id[16];
   int i;
 
   setup (&f, 4, 1);
