--- a/lib/place/place_cheapest.c
+++ b/lib/place/place_cheapest.c
@@ -2,7 +2,6 @@
    those where evictions lose the least.  */
 
 #include <math.h>
-#include <stdlib.h>
 
 #include "place/place_inner.h"
 
@@ -105,7 +104,7 @@
   uint32_t i;
   guint b;
 
-  qsort (bids->data, bids->len, sizeof (struct bid), compare_bids);
+  g_array_sort (bids, compare_bids);
   for (b = 0; b < bids->len && done < unit->shape.tasks; b++)
     for (i = 0; i < list[b].room && done < unit->shape.tasks; i++)
       {
--- a/lib/place/place_guarantee.c
+++ b/lib/place/place_guarantee.c
@@ -3,7 +3,6 @@
    As long as every unit is bound, all unused shapes can be placed together
    by evicting only borrowed work.  */
 
-#include <stdlib.h>
 #include <string.h>
 
 #include "place/place_inner.h"
@@ -387,7 +386,7 @@
   add_units (place, units);
   units_release_lost (place, units);
   attach_all (place);
-  qsort (units->pdata, units->len, sizeof (gpointer), compare_units);
+  g_ptr_array_sort (units, compare_units);
   if (units_place (place, units) > 0 || place->wishes)
     units_repack (place, units);
   place->wishes = wishes_left (units);
--- a/lib/place/place_reserve.c
+++ b/lib/place/place_reserve.c
@@ -3,8 +3,6 @@
    work that stays longer than expected is evicted when the reserved job
    could start without it.  */
 
-#include <stdlib.h>
-
 #include "place/place_inner.h"
 
 enum
@@ -253,7 +251,7 @@
       if (one.room > 0)
         g_array_append_val (ranked, one);
     }
-  qsort (ranked->data, ranked->len, sizeof (struct ranked), compare_ranked);
+  g_array_sort (ranked, compare_ranked);
   list = (const struct ranked *)ranked->data;
   for (i = 0; i < ranked->len && room < job->shape.tasks; i++)
     {
