--- a/lib/place/place_inner.h
+++ b/lib/place/place_inner.h
@@ -182,10 +182,11 @@
   bool urgent;
   bool checkpointable;
   bool repeatable;
-  bool borrowed;  /* may be evicted */
-  bool detached;  /* a guarantee is to be looked for where it runs */
-  bool backfill;  /* runs on a worker reserved for another job */
-  bool cancelled; /* while it holds workers */
+  bool borrowed;       /* may be evicted */
+  bool detached;       /* a guarantee is to be looked for where it runs */
+  bool waits_for_unit; /* is the waiter of a unit */
+  bool backfill;       /* runs on a worker reserved for another job */
+  bool cancelled;      /* while it holds workers */
   uint32_t spot_count;
   struct place_spot *spots;
   struct place_reservation *reservation;
@@ -336,6 +337,9 @@
 /* Gives JOB its spots; they are sorted by worker.  */
 void place_spots_set (struct place_job_state *job,
                       const struct place_spot *spots);
+/* What JOB has or holds on a worker.  */
+struct place_amount place_amount_on (const struct place_job_state *job,
+                                     const struct place_worker_state *worker);
 /* Marks the spots of JOB as in use; picks the accelerators where none are
    given.  */
 void place_occupy (struct place *place, struct place_job_state *job);
--- a/lib/place/place_reserve.c
+++ b/lib/place/place_reserve.c
@@ -3,8 +3,6 @@
    work that stays longer than expected is evicted when the reserved job
    could start without it.  */
 
-#include <stdlib.h>
-
 #include "place/place_inner.h"
 
 enum
@@ -53,14 +51,13 @@
   for (i = 0; i < worker->jobs->len; i++)
     {
       const struct place_job_state *job = worker->jobs->pdata[i];
-      uint32_t s;
+      struct place_amount amount;
 
       if (job->phase != PLACE_EVICTING
           && place_expected_end_ms (place, job) > at_ms)
         continue;
-      for (s = 0; s < job->spot_count; s++)
-        if (job->spots[s].worker == worker)
-          place_add (&free, &job->each);
+      amount = place_amount_on (job, worker);
+      place_add (&free, &amount);
     }
   return free;
 }
@@ -254,7 +251,7 @@
       if (one.room > 0)
         g_array_append_val (ranked, one);
     }
-  qsort (ranked->data, ranked->len, sizeof (struct ranked), compare_ranked);
+  g_array_sort (ranked, compare_ranked);
   list = (const struct ranked *)ranked->data;
   for (i = 0; i < ranked->len && room < job->shape.tasks; i++)
     {
@@ -367,13 +364,12 @@
   for (i = 0; i < worker->jobs->len; i++)
     {
       const struct place_job_state *other = worker->jobs->pdata[i];
-      uint32_t s;
+      struct place_amount amount;
 
       if (other->phase != PLACE_EVICTING && !gives_way (place, other, job))
         continue;
-      for (s = 0; s < other->spot_count; s++)
-        if (other->spots[s].worker == worker)
-          place_add (&free, &other->each);
+      amount = place_amount_on (other, worker);
+      place_add (&free, &amount);
     }
   return free;
 }
