Slots are shared evenly among the entry hosts

Cause: with 80 slots over 7 hosts rendezvous hashing left some host with far fewer than an even share, and it refused while others were idle.

--- a/lib/route/route.c
+++ b/lib/route/route.c
@@ -148,12 +148,40 @@
     }
 }
 
+/* Shares the slots of the listed instances among the live hosts.  What an
+   instance says of itself is left out: the hosts learn it at different
+   times.  */
 static void
-share_slots (struct rt_router *router, struct instance *instance)
+share_slots (struct rt_router *router)
 {
-  instance->own_slots = sl_owned ((const char *const *)router->hosts->pdata,
-                                  router->hosts->len, router->self,
-                                  instance->name, instance->slots);
+  GArray *items = g_array_new (FALSE, TRUE, sizeof (struct sl_item));
+  GHashTableIter iter;
+  gpointer value;
+  guint i;
+
+  g_hash_table_iter_init (&iter, router->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct instance *instance = value;
+      struct sl_item item
+          = { .instance = instance->name, .slots = instance->slots };
+
+      instance->own_slots = 0;
+      if (instance->listed)
+        g_array_append_val (items, item);
+    }
+  sl_share ((const char *const *)router->hosts->pdata, router->hosts->len,
+            router->self, (struct sl_item *)items->data, items->len);
+  for (i = 0; i < items->len; i++)
+    {
+      const struct sl_item *item = &g_array_index (items, struct sl_item, i);
+      struct instance *instance
+          = g_hash_table_lookup (router->instances, item->instance);
+
+      instance->own_slots = item->owned;
+    }
+  g_array_free (items, TRUE);
+  count_own_slots (router);
 }
 
 static void
@@ -211,7 +239,6 @@
   instance->leaving = instance->leaving || from->leaving;
   instance->near = from->near;
   instance->slots = MIN (from->slots, RT_SLOT_LIMIT);
-  share_slots (router, instance);
 }
 
 static gboolean
@@ -238,14 +265,12 @@
   for (i = 0; i < count; i++)
     list_instance (router, &instances[i]);
   g_hash_table_foreach_remove (router->instances, unlisted_and_idle, NULL);
-  count_own_slots (router);
+  share_slots (router);
 }
 
 void
 rt_set_hosts (struct rt_router *router, const char *const *hosts, size_t count)
 {
-  GHashTableIter iter;
-  gpointer value;
   size_t i;
 
   g_ptr_array_set_size (router->hosts, 0);
@@ -258,10 +283,7 @@
     }
   if (router->self == count)
     g_ptr_array_add (router->hosts, g_strdup (router->host));
-  g_hash_table_iter_init (&iter, router->instances);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    share_slots (router, value);
-  count_own_slots (router);
+  share_slots (router);
 }
 
 void
--- a/lib/route/slots.c
+++ b/lib/route/slots.c
@@ -4,6 +4,7 @@
 
 #include <assert.h>
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 uint64_t
@@ -26,24 +27,70 @@
   return weight;
 }
 
-uint32_t
-sl_owned (const char *const *hosts, size_t host_count, size_t self,
-          const char *instance, uint32_t slots)
+static int
+compare_items (const void *a, const void *b)
 {
-  uint32_t owned = 0;
-  uint32_t slot;
+  return strcmp (((const struct sl_item *)a)->instance,
+                 ((const struct sl_item *)b)->instance);
+}
+
+/* The host of the greatest weight among those that own less than LIMIT.  */
+static size_t
+pick_owner (const char *const *hosts, size_t host_count, const uint32_t *owned,
+            uint32_t limit, const char *instance, uint32_t slot)
+{
+  size_t best = host_count;
+  uint64_t best_weight = 0;
+  size_t i;
+
+  for (i = 0; i < host_count; i++)
+    {
+      uint64_t weight;
+
+      if (owned[i] >= limit)
+        continue;
+      weight = sl_weight (hosts[i], instance, slot);
+      if (best != host_count && weight <= best_weight)
+        continue;
+      best = i;
+      best_weight = weight;
+    }
+  assert (best < host_count);
+  return best;
+}
+
+void
+sl_share (const char *const *hosts, size_t host_count, size_t self,
+          struct sl_item *items, size_t item_count)
+{
+  uint32_t *owned = g_new0 (uint32_t, host_count);
+  uint64_t total = 0;
+  uint64_t dealt = 0;
+  uint64_t even;
+  size_t i;
 
   assert (self < host_count);
-  for (slot = 0; slot < slots; slot++)
+  if (item_count > 0)
+    qsort (items, item_count, sizeof *items, compare_items);
+  for (i = 0; i < item_count; i++)
+    total += items[i].slots;
+  even = total / host_count;
+  for (i = 0; i < item_count; i++)
     {
-      uint64_t own = sl_weight (hosts[self], instance, slot);
-      size_t i;
-
-      for (i = 0; i < host_count; i++)
-        if (i != self && sl_weight (hosts[i], instance, slot) > own)
-          break;
-      if (i == host_count)
-        owned++;
+      uint32_t slot;
+
+      items[i].owned = 0;
+      for (slot = 0; slot < items[i].slots; slot++, dealt++)
+        {
+          uint32_t limit
+              = (uint32_t)(dealt < even * host_count ? even : even + 1);
+          size_t owner = pick_owner (hosts, host_count, owned, limit,
+                                     items[i].instance, slot);
+
+          owned[owner]++;
+          if (owner == self)
+            items[i].owned++;
+        }
     }
-  return owned;
+  g_free (owned);
 }
