--- a/lib/place/place_inner.h
+++ b/lib/place/place_inner.h
@@ -369,13 +369,16 @@
    Returns whether all tasks have a place.  */
 bool place_fit (struct place *place, const struct place_search *search,
                 struct place_spot *spots);
-/* As place_fit (), but remembers what found nothing in this round.  */
-bool place_fit_once (struct place *place, const struct place_search *wanted,
-                     struct place_spot *spots);
 uint32_t place_room (const struct place *place,
                      const struct place_search *search,
                      const struct place_worker_state *worker);
 
+/* ===== place_fit_once.c ====================================== */
+
+/* As place_fit (), but remembers what found nothing in this round.  */
+bool place_fit_once (struct place *place, const struct place_search *wanted,
+                     struct place_spot *spots);
+
 /* ===== place_room.c ========================================== */
 
 struct place_amount place_view_of (const struct place_worker_state *worker,
