--- a/programs/foxtailgapd/hosts_task.c
+++ b/programs/foxtailgapd/hosts_task.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "common/logging.h"
 #include "http/http_client.h"
@@ -25,6 +26,8 @@
   struct mb_box *box;
   ev_timer timer;
   struct hl_list *list; /* NULL before the first answer */
+  char *body;           /* of the answer that LIST was read from */
+  size_t body_size_bytes;
   bool asking;
   bool failing;
 };
@@ -55,6 +58,35 @@
 
 /* --- Polling --- */
 
+static void
+note_success (struct hosts_task *task)
+{
+  if (task->failing)
+    lg_info (PART, "The host list can be read again.", NULL);
+  task->failing = false;
+}
+
+/* Whether the answer is the same, byte by byte, as the newest one that was
+   read: reading a long list again costs more than all else that is done
+   with it.  */
+static bool
+is_same_body (const struct hosts_task *task,
+              const struct hc_response *response)
+{
+  return response->status == 200 && task->body != NULL
+         && task->body_size_bytes == response->body_size_bytes
+         && memcmp (task->body, response->body, response->body_size_bytes)
+                == 0;
+}
+
+static void
+keep_body (struct hosts_task *task, const struct hc_response *response)
+{
+  g_free (task->body);
+  task->body = g_memdup2 (response->body, response->body_size_bytes);
+  task->body_size_bytes = response->body_size_bytes;
+}
+
 static void
 on_answer (void *ctx, const struct hc_response *response)
 {
@@ -67,15 +99,19 @@
       note_failure (task, hc_strerror (response->error));
       return;
     }
+  if (is_same_body (task, response))
+    {
+      note_success (task);
+      return;
+    }
   if (response->status != 200
       || hl_parse (&list, response->body, response->body_size_bytes) != HL_OK)
     {
       note_failure (task, "answer not understood");
       return;
     }
-  if (task->failing)
-    lg_info (PART, "The host list can be read again.", NULL);
-  task->failing = false;
+  note_success (task);
+  keep_body (task, response);
   if (task->list != NULL && task->list->version == list->version)
     {
       hl_unref (list);
@@ -149,5 +185,6 @@
   hc_free (task->http);
   mb_free (task->box);
   hl_unref (task->list);
+  g_free (task->body);
   g_free (task);
 }
