--- a/scripts/bench-capacity-fit.py
+++ b/scripts/bench-capacity-fit.py
@@ -19,13 +19,20 @@
 # The defaults of the daemon's settings.
 HEARTBEAT_S = 1.0
 POLL_S = 1.0
-RENEWALS_PER_WORKER_S = 1 / 3.0 + 1 / 5.0  # first host and its stand-in
-SNAPSHOT_S = 60.0
+# Of the first host and of its stand-in: lease_renew_ms 3000 and lease_ttl_ms
+# 10000; and a proposal, 10000 and 30000.
+RENEWALS_PER_WORKER_S = 1 / 3.0 + 1 / 5.0
+FEWER_RENEWALS_PER_WORKER_S = 1 / 10.0 + 1 / 15.0
+SNAPSHOT_S = 60.0  # at least; longer if a snapshot is large
+SNAPSHOT_BYTES_PER_S = 8 * 1024
 WINDOW_S = 3600.0
 
 # The size to come.  A mean gang of 64 tasks is assumed.
 WHOLE = {"workers": 3300, "tasks": 45000, "jobs_a_day": 2100, "hosts": 56,
-         "teams": 320, "changes_a_day": 3800}
+         "teams": 320, "changes_a_day": 3800, "replaced_a_day": 1050,
+         "renewals_per_worker_s": RENEWALS_PER_WORKER_S,
+         "whole_list": True}
+SMALL_LIST_HOSTS = 10  # an answer as short as one that says "unchanged"
 REGIONS = 8
 GANG_TASKS = 64
 
@@ -84,11 +91,18 @@
 def region_share():
     """One cell of the design: one region with its own streams."""
     size = dict(WHOLE)
-    for name in ("workers", "tasks", "jobs_a_day", "hosts"):
+    for name in ("workers", "tasks", "jobs_a_day", "hosts",
+                 "replaced_a_day"):
         size[name] = WHOLE[name] / REGIONS
     return size
 
 
+def proposed():
+    """The same with the changes of mechanism that the page proposes."""
+    return dict(region_share(), whole_list=False,
+                renewals_per_worker_s=FEWER_RENEWALS_PER_WORKER_S)
+
+
 def row(cpu_us=0.0, bytes_per_s=0.0, memory=0.0, messages=0.0):
     return {"cpu_percent": cpu_us / US_PER_PERCENT,
             "kb_per_s": bytes_per_s / KB,
@@ -110,17 +124,22 @@
 
 
 def host_list(fits, size):
+    """A host that is replaced leaves the list and comes back: 2 changes."""
     hosts = size["workers"] + size["hosts"]
+    changes = 2 * size["replaced_a_day"] / DAY_S
+    listed = fits.at("hosts.bytes_per_poll_by_hosts", hosts)
+    polled = listed if size["whole_list"] else fits.at(
+        "hosts.bytes_per_poll_by_hosts", SMALL_LIST_HOSTS) + changes * listed
     return row(cpu_us=fits.at("hosts.cpu_us_per_poll_by_hosts",
-                              hosts) / POLL_S,
-               bytes_per_s=fits.at("hosts.bytes_per_poll_by_hosts",
-                                   hosts) / POLL_S,
+                              hosts) / POLL_S
+               + changes * fits.at("hosts.parse_cpu_us_by_hosts", hosts),
+               bytes_per_s=polled / POLL_S,
                memory=hosts * fits.slope("hosts.rss_bytes_by_hosts"),
                messages=2 / POLL_S)
 
 
 def renewal(fits, size):
-    rate = size["workers"] * RENEWALS_PER_WORKER_S / size["hosts"]
+    rate = size["workers"] * size["renewals_per_worker_s"] / size["hosts"]
     leases = size["tasks"] / size["workers"]
     cpu = (fits.slope("renewal.cpu_us_per_s_by_renewals_per_s")
            + (leases - 1) * fits.slope("renewal.codec_cpu_us_by_leases"))
@@ -141,12 +160,13 @@
     running, ended = jobs_kept(size)
     changes = size["changes_a_day"] / DAY_S
     ends = size["jobs_a_day"] / DAY_S * GANG_TASKS
-    memory = ((running + ended) * fits.slope("state.heap_bytes_per_queued_job")
-              + size["tasks"] * fits.slope("state.heap_bytes_per_running_task")
+    memory = ((running + ended)
+              * fits.slope("state.rss_bytes_by_queued_jobs_other")
+              + size["tasks"]
+              * fits.slope("state.rss_bytes_by_running_tasks_other")
               + ended * GANG_TASKS
               * fits.slope("state.heap_bytes_per_ended_task")
-              + fits.at("state.heap_bytes_of_revisions_by_teams",
-                        size["teams"]))
+              + size["teams"] * fits.slope("config.rss_bytes_by_teams"))
     cpu = (changes * fits.at("config.host_cpu_us_per_change_by_teams",
                              size["teams"])
            + ends * fits.slope("fold.cpu_us_per_task_end"))
@@ -180,19 +200,21 @@
            + (running + ended)
            * fits.slope("snapshot.cpu_us_per_queued_job")
            + fits.at("snapshot.cpu_us_of_revisions_by_teams", size["teams"]))
-    return row(cpu_us=cpu / SNAPSHOT_S, bytes_per_s=data / SNAPSHOT_S,
-               memory=data, messages=data / part / SNAPSHOT_S)
+    interval = max(SNAPSHOT_S, data / SNAPSHOT_BYTES_PER_S)
+    return row(cpu_us=cpu / interval, bytes_per_s=data / interval,
+               memory=data, messages=data / part / interval)
 
 
 def planner(fits, size):
+    # Submission, start, and two ends or retries of each job; at most the
+    # cost of a round at the whole size.
     rounds = size["jobs_a_day"] / DAY_S * 4
-    cpu = rounds * (fits.at("place.round_cpu_us_by_workers", size["workers"])
-                    + fits.slope("place.loss_round_cpu_us_by_running_tasks")
-                    * size["tasks"])
+    cpu = rounds * fits.at("place.whole_size.placement_p99_us", 1)
+    extra = (fits.slope("state.rss_bytes_by_running_tasks_planner")
+             - fits.slope("state.rss_bytes_by_running_tasks_other"))
     memory = (fits.at("place.heap_bytes_by_workers", size["workers"])
-              + fits.slope("place.heap_bytes_by_running_tasks")
-              * size["tasks"]
-              + fits.slope("place.heap_bytes_by_teams") * size["teams"])
+              + fits.slope("place.heap_bytes_by_teams") * size["teams"]
+              + extra * size["tasks"])
     return row(cpu_us=cpu, memory=memory)
 
 
@@ -233,6 +255,9 @@
 def print_fits(fits, out):
     for name in sorted(fits.points):
         f = fits.fits[name]
+        if len(fits.points[name]) == 1:
+            print(f"{name}\n    {fits.points[name][0][1]:g}", file=out)
+            continue
         r2 = "-" if f["r2"] is None else f"{f['r2']:.3f}"
         points = " ".join(f"({x:g}, {y:g})" for x, y in fits.points[name])
         print(f"{name}\n    points {points}\n    fit    "
@@ -244,7 +269,8 @@
     path, folder = sys.argv[1:3]
     fits = Fits(read_points(path))
     sizes = {"one cell of all regions, 56 entry hosts (as built)": WHOLE,
-             "one region as a cell, 7 entry hosts (design)": region_share()}
+             "one region as a cell, 7 entry hosts (design)": region_share(),
+             "the same, changes proposed (design)": proposed()}
     tables = {title: roles(fits, size) for title, size in sizes.items()}
     snapshot = {title: snapshot_bytes(fits, size)
                 for title, size in sizes.items()}
--- a/tests/bench/bench-slopes/slopes_place.c
+++ b/tests/bench/bench-slopes/slopes_place.c
@@ -94,7 +94,7 @@
                            .team = "team-0000",
                            .kind = kind,
                            .shape = { .tasks = tasks, .task = task },
-                           .declared_run_ms = 3600 * 1000,
+                           .declared_run_ms = 3600000,
                            .submitted_ms = bench->now_ms,
                            .checkpointable = true,
                            .repeatable = true };
--- a/tests/bench/bench-slopes/slopes_state.c
+++ b/tests/bench/bench-slopes/slopes_state.c
@@ -8,7 +8,7 @@
 
 enum
 {
-  WINDOW_MS = 3600 * 1000,
+  WINDOW_MS = 3600000,
   PAYLOAD_SIZE_BYTES = 200,
   ANSWER_SIZE_BYTES = 200,
   DIGEST_SIZE_BYTES = 32,
@@ -103,7 +103,7 @@
   shape.accelerators = 1;
   spec.team = (char *)"team-0001";
   spec.kind = (char *)"dawn-plan";
-  spec.declared_run_ms = 3600 * 1000;
+  spec.declared_run_ms = 3600000;
   spec.shape = &shape;
   spec.payload.data = filler;
   spec.payload.len = PAYLOAD_SIZE_BYTES;
