Heartbeat connections that have gone silent are replaced

Cause: heartbeats go one way on each connection, so the sender of one that carries nothing any more saw no fault, and both ends counted each other out for good. Ruled out: the list (both were on it), the settle time.

--- a/lib/member/members.c
+++ b/lib/member/members.c
@@ -209,6 +209,14 @@
   g_tree_foreach (table->hosts, visit_member, &visit);
 }
 
+bool
+mem_is_member (const struct mem_table *table, const char *name)
+{
+  const struct host *host = g_tree_lookup (table->hosts, name);
+
+  return host != NULL && host->member;
+}
+
 struct collect
 {
   const struct mem_table *table;
--- a/lib/member/members.h
+++ b/lib/member/members.h
@@ -60,6 +60,10 @@
                void (*callback) (void *ctx, const struct mem_host *host),
                void *ctx);
 
+/*! mem_is_member () :
+ *  @return : whether the host of that name is a member. */
+bool mem_is_member (const struct mem_table *table, const char *name);
+
 /*! mem_heard () :
  *  Names of all hosts whose heartbeats arrive here.
  *  @return : an array of *count names, to be freed by g_free (); the names
--- a/programs/foxtailgapd/peers_task.c
+++ b/programs/foxtailgapd/peers_task.c
@@ -22,6 +22,7 @@
 {
   TIMEOUT_HEARTBEATS = 4, /* silent for so many: no member */
   SETTLE_HEARTBEATS = 2,
+  RECONNECT_HEARTBEATS = 10, /* a connection to no member is as old at most */
   INCOMING_LIMIT = 1024
 };
 
@@ -33,6 +34,7 @@
   char *address;
   uint16_t port;
   struct fm_connection *connection; /* NULL: to be made */
+  int64_t connected_ms;
   bool listed;
 };
 
@@ -206,6 +208,28 @@
                   peer->port, &callbacks)
       != FM_OK)
     peer->connection = NULL;
+  peer->connected_ms = clk_monotonic_ms (NULL);
+}
+
+static void
+disconnect_peer (struct peer *peer)
+{
+  fm_free (peer->connection);
+  peer->connection = NULL;
+}
+
+/* A connection may have gone silent for good while new ones work.  The other
+   end says so by not counting this host among those it hears, which makes it
+   no member here.  */
+static bool
+is_stale (const struct peer *peer, int64_t now_ms)
+{
+  const struct peers_task *task = peer->task;
+  int64_t limit_ms
+      = (int64_t)task->daemon->settings->heartbeat_ms * RECONNECT_HEARTBEATS;
+
+  return peer->connection != NULL && now_ms - peer->connected_ms > limit_ms
+         && !mem_is_member (task->members, peer->name);
 }
 
 static void
@@ -220,15 +244,14 @@
     {
       struct peer *peer = value;
 
+      if (is_stale (peer, now_ms))
+        disconnect_peer (peer);
       if (peer->connection == NULL)
         connect_peer (peer);
       if (peer->connection == NULL)
         continue;
       if (fm_send (peer->connection, packed->data, packed->len) != FM_OK)
-        {
-          fm_free (peer->connection);
-          peer->connection = NULL;
-        }
+        disconnect_peer (peer);
       mt_add (task->daemon->metrics, "foxtailgap_peer_bytes_sent_total",
               packed->len);
     }
--- /dev/null
+++ b/tests/scripts/peers-cut.t
@@ -0,0 +1,43 @@
+Connections between entry hosts: one that goes silent for good is replaced,
+and a cut of one direction is seen alike by both ends.
+
+  $ . "$ROOT/tests/scripts/lib.sh"; . "$ROOT/tests/scripts/cluster.sh"
+  $ cluster addis 3
+  $ start proxy faultproxy --listen 0 --to 127.0.0.1:$(sed -n 's/^peers //p' e2.out)
+  $ get "$(url hosts)/hosts" | python3 -c '
+  > import json, sys
+  > for host in json.load(sys.stdin)["hosts"]:
+  >     if host["name"] == "e2":
+  >         host["peer_port"] = int(sys.argv[1]); print(json.dumps(host))' "$(route_port proxy 0)" > e2.json
+  $ post "$(url hosts)/hosts" "$(cat e2.json)" > /dev/null
+  $ tell () { post "$(url proxy)/control" "$1" > /dev/null; }
+  $ connections () { get "$(url proxy)/control" | json routes 0 connections; }
+  $ wait_for 10 is_value 2 connections
+  $ all_see () { members_seen e1 "$1" && members_seen e3 "$1" && members_seen e2 "$2"; }
+  $ wait_for 10 all_see 3 3
+
+Silent for good: what e1 and e3 send to e2 on these connections arrives no
+more, new connections work.
+
+  $ accepted () { get "$(url proxy)/control" | json routes 0 accepted; }
+  $ before=$(accepted)
+  $ tell '{"silent":true}'
+  $ wait_for 10 eval '[ "$(accepted)" = $((before + 2)) ]'
+  $ wait_for 10 all_see 3 3
+
+Only what goes to e2 is held: e2 hears nobody, and the others, which hear it,
+do not count it as a member either.
+
+  $ tell '{"freeze":"to"}'
+  $ wait_for 10 all_see 2 1
+  $ tell '{"freeze":"none"}'
+  $ wait_for 10 all_see 3 3
+
+Cut off and back:
+
+  $ tell '{"cut":true}'
+  $ wait_for 10 all_see 2 1
+  $ request e2 clinics '{"n":"cut off"}' | cut -d' ' -f1
+  answer
+  $ tell '{"cut":false}'
+  $ wait_for 10 all_see 3 3
