--- a/programs/foxtailgapd/planner.h
+++ b/programs/foxtailgapd/planner.h
@@ -114,6 +114,7 @@
   struct env_rules rules; /* under which PLACE was made */
   GHashTable *gangs;      /* job id -> struct planner_gang */
   GHashTable *up;         /* set of the names of usable workers */
+  GHashTable *silent;     /* worker -> int64_t, until when it is not used */
   GHashTable *appends;    /* token -> struct planner_append */
   GQueue failures;        /* struct planner_failure */
   GQueue ended;           /* struct planner_ended */
@@ -177,6 +178,11 @@
 
 /* Tells the placement core which workers may be used.  */
 void planner_apply_hosts (struct planner_task *task);
+
+/* A request to a worker found no connection or no whole answer.  The worker
+   gets nothing new for the time to live of a lease.  */
+void planner_worker_silent (struct planner_task *task, const char *name);
+void planner_tick_workers (struct planner_task *task, int64_t now_ms);
 const struct hl_host *planner_worker (const struct planner_task *task,
                                       const char *name);
 
--- a/programs/foxtailgapd/planner_calls.c
+++ b/programs/foxtailgapd/planner_calls.c
@@ -84,6 +84,12 @@
             ls_strerror (answer->error), NULL);
 }
 
+static bool
+is_silence (int error)
+{
+  return error == LS_ERR_NOT_SENT || error == LS_ERR_UNKNOWN;
+}
+
 static void
 on_answer (void *ctx, const struct ls_answer *answer)
 {
@@ -107,7 +113,11 @@
   if (answer->error == LS_ERR_STALE_TERM)
     planner_suspend (task, "a worker has seen a later term");
   else
-    planner_gang_event (pg, &event);
+    {
+      if (is_silence (answer->error))
+        planner_worker_silent (task, gang_worker (pg->gang, event.member));
+      planner_gang_event (pg, &event);
+    }
 }
 
 /* ===== Requests =============================================== */
--- a/programs/foxtailgapd/planner_jobs.c
+++ b/programs/foxtailgapd/planner_jobs.c
@@ -220,6 +220,7 @@
   g_hash_table_remove_all (task->gangs);
   g_hash_table_remove_all (task->appends);
   g_hash_table_remove_all (task->up);
+  g_hash_table_remove_all (task->silent);
   g_queue_clear_full (&task->failures, planner_failure_free);
   g_queue_clear_full (&task->ended, planner_ended_free);
   ev_timer_stop (task->daemon->loop, &task->round);
--- a/programs/foxtailgapd/planner_task.c
+++ b/programs/foxtailgapd/planner_task.c
@@ -175,6 +175,7 @@
   if (task->place == NULL)
     return;
   planner_tick_gangs (task, now_ms);
+  planner_tick_workers (task, now_ms);
   planner_tick_refusals (task, now_ms);
   if (now_ms >= place_next_ms (task->place))
     planner_want_round (task);
@@ -190,6 +191,8 @@
   task->gangs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        planner_gang_free);
   task->up = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  task->silent
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   task->appends = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
                                          planner_append_free);
   task->workers = g_hash_table_new (g_str_hash, g_str_equal);
@@ -246,6 +249,7 @@
     hc_free (task->http);
   g_hash_table_destroy (task->appends);
   g_hash_table_destroy (task->up);
+  g_hash_table_destroy (task->silent);
   g_hash_table_destroy (task->gangs);
   g_hash_table_destroy (task->jobs);
   g_hash_table_destroy (task->workers);
--- a/programs/foxtailgapd/planner_workers.c
+++ b/programs/foxtailgapd/planner_workers.c
@@ -10,9 +10,10 @@
 }
 
 static bool
-usable (const struct hl_host *host)
+usable (const struct planner_task *task, const struct hl_host *host)
 {
-  return host != NULL && host->kind == HL_WORKER && !host->leaving;
+  return host != NULL && host->kind == HL_WORKER && !host->leaving
+         && !g_hash_table_contains (task->silent, host->name);
 }
 
 static void
@@ -41,7 +42,7 @@
   struct planner_task *task = ctx;
 
   (void)value;
-  if (usable (planner_worker (task, name)))
+  if (usable (task, planner_worker (task, name)))
     return FALSE;
   place_worker_down (task->place, name);
   lg_info (PLANNER_PART, "A worker gets nothing new.", "worker", name, NULL);
@@ -111,8 +112,39 @@
   for (i = 0; i < task->hosts->host_count; i++)
     {
       host = &task->hosts->hosts[i];
-      if (usable (host) && !g_hash_table_contains (task->up, host->name))
+      if (usable (task, host) && !g_hash_table_contains (task->up, host->name))
         worker_up (task, host);
     }
   planner_want_round (task);
 }
+
+/* ===== Workers that do not answer ============================= */
+
+/* What is to be stopped there keeps its resources until its leases lapse, so
+   that a job waiting for them there would wait as long.  */
+void
+planner_worker_silent (struct planner_task *task, const char *name)
+{
+  int64_t *until_ms;
+
+  if (task->place == NULL || g_hash_table_contains (task->silent, name))
+    return;
+  until_ms = g_new (int64_t, 1);
+  *until_ms = planner_now_ms () + task->daemon->settings->lease_ttl_ms;
+  g_hash_table_insert (task->silent, g_strdup (name), until_ms);
+  planner_apply_hosts (task);
+}
+
+static gboolean
+silence_is_over (gpointer name, gpointer until_ms, gpointer now_ms)
+{
+  (void)name;
+  return *(int64_t *)now_ms >= *(int64_t *)until_ms;
+}
+
+void
+planner_tick_workers (struct planner_task *task, int64_t now_ms)
+{
+  if (g_hash_table_foreach_remove (task->silent, silence_is_over, &now_ms) > 0)
+    planner_apply_hosts (task);
+}
