--- a/tests/bench/bench-day/metrics.py
+++ b/tests/bench/bench-day/metrics.py
@@ -67,13 +67,14 @@
 
 
 def read_evictions(folder):
-    """Victims, and the jobs for which they went."""
-    victims, owners = set(), set()
+    """Victims with how often they went, the jobs for which they went, and
+    how often a guarantee was said to be unmet."""
+    victims, owners = collections.Counter(), set()
     unmet = 0
     for name in cluster.ENTRY_HOSTS:
         text = (folder / f"{name}.err").read_text(errors="replace")
         for victim, owner in EVICTED.findall(text):
-            victims.add(victim)
+            victims[victim] += 1
             owners.add(owner.strip('"'))
         unmet += text.count(UNMET)
     return victims, owners, unmet
@@ -166,6 +167,9 @@
         / (sum(w for _, w in pairs) or 1),
         "free_mean": sum(s["accelerators_free"] * w for s, w in pairs)
         / (sum(w for _, w in pairs) or 1),
+        "busy": 1 - sum(s["accelerators_free"] / max(s["accelerators"], 1) * w
+                        for s, w in pairs)
+        / (sum(w for _, w in pairs) or 1),
         "samples": len(inside),
     }
 
@@ -224,6 +228,18 @@
     return lost
 
 
+def done_and_run_again(outcomes):
+    """Attempts whose tasks had all ended by themselves, though the job was
+    run again."""
+    count = 0
+    for outcome in outcomes:
+        for attempt in sorted(outcome.attempts)[:-1]:
+            tasks = outcome.attempts[attempt]
+            count += len(tasks) == outcome.job.body["tasks"] and all(
+                events[-1][1] == "end" for events in tasks.values())
+    return count
+
+
 def evaluate(args, day, listed, folder, ended_s):
     """All figures of a run."""
     history = read_history(folder)
@@ -243,9 +259,12 @@
         "completion": completion(outcomes, end_ms),
         "fragmentation": fragmentation(day.samples),
         "guarantee": reclaim(args.user, outcomes, owners, end_ms),
-        "evictions": len(victims),
+        "evictions": sum(victims.values()),
+        "evicted_jobs": len(victims),
         "lost_accelerator_s": lost_work(outcomes, victims),
         "unmet_notices": unmet,
+        "attempts": sum(len(o.attempts) for o in outcomes),
+        "done_and_run_again": done_and_run_again(outcomes),
         "states": {f"{size}/{state}": count
                    for (size, state), count in sorted(states.items())},
         "late_ms": quantile([(a[2] - j.at_s) * 1000 for j, a
--- a/tests/bench/bench-day/report.py
+++ b/tests/bench/bench-day/report.py
@@ -41,7 +41,8 @@
             "p50": quantile(ratios, 0.5), "p99": quantile(ratios, 0.99),
             "max": max(ratios, default=None)}
     for name in ("mean", "of_free", "while_queued",
-                 "largest_block_over_free", "no_large_block", "free_mean"):
+                 "largest_block_over_free", "no_large_block", "free_mean",
+                 "busy"):
         figures[f"fragmentation_{name}"] = mean(
             run["fragmentation"][name] for run in runs)
     figures.update({
@@ -53,6 +54,8 @@
         "reclaim_p50_ms": quantile(reclaims, 0.5),
         "reclaim_max_ms": max(reclaims, default=None),
         "evictions": sum(run["evictions"] for run in runs),
+        "done_and_run_again": sum(
+            run["done_and_run_again"] for run in runs),
         "lost_evicted_s": sum(
             run["lost_accelerator_s"]["evicted"] for run in runs),
         "failed": count_state(runs, "failed"),
@@ -96,25 +99,25 @@
                      + " | ".join(cells) + " |")
     lines += ["", "| user | policy | fragmentation, mean | of all free "
               "| while jobs wait | largest block / free "
-              "| time without a block of 16 | free accelerators, mean |",
+              "| time without a block of 16 | accelerators in use |",
               "|---" * 8 + "|"]
     for r in rows:
         cells = [number(r[f"fragmentation_{name}"]) for name in
                  ("mean", "of_free", "while_queued",
-                  "largest_block_over_free", "no_large_block")]
-        cells.append(number(r["fragmentation_free_mean"], 0))
+                  "largest_block_over_free", "no_large_block", "busy")]
         lines.append(f"| {r['user']} | {r['policy']} | "
                      + " | ".join(cells) + " |")
     lines += ["", "| user | policy | owner's jobs within guarantee | missed "
               "| wait p50 ms | max | reclaims | p50 ms | max | evictions "
-              "| accelerator s lost to them | failed | refused though "
+              "| accelerator s lost to them | done, yet run again | failed | refused though "
               "possible | unfinished | cancelled | highest load average |",
-              "|---" * 16 + "|"]
+              "|---" * 17 + "|"]
     for r in rows:
         cells = [number(r[name], 0) for name in (
             "within_guarantee", "missed", "owner_wait_p50_ms",
             "owner_wait_max_ms", "reclaims", "reclaim_p50_ms",
-            "reclaim_max_ms", "evictions", "lost_evicted_s", "failed",
+            "reclaim_max_ms", "evictions", "lost_evicted_s",
+            "done_and_run_again", "failed",
             "refused", "unfinished", "cancelled", "load_average")]
         lines.append(f"| {r['user']} | {r['policy']} | "
                      + " | ".join(cells) + " |")
