--- a/lib/lease/gang.c
+++ b/lib/lease/gang.c
@@ -277,6 +277,17 @@
     }
 }
 
+static bool
+all_were_over (const struct gang *gang)
+{
+  size_t i;
+
+  for (i = 0; i < gang->member_count; i++)
+    if (!gang->members[i].checkpoint_late)
+      return false;
+  return true;
+}
+
 static void
 on_checkpointed (struct gang *gang, const struct gang_event *event)
 {
@@ -291,9 +302,13 @@
       member->checkpointed = true;
       member->progress_ms = event->progress_ms;
     }
+  member->checkpoint_late = event->reply == GANG_REPLY_ENDED;
   for (i = 0; i < gang->member_count; i++)
     if (gang->members[i].checkpoint_open)
       return;
+  /* How its tasks ended will be reported; a stop would run the job again.  */
+  if (all_were_over (gang))
+    return;
   gang_begin_stop (gang, event->now_ms, PLACE_END_EVICTED, NULL, "evicted");
 }
 
--- a/lib/lease/gang_internal.h
+++ b/lib/lease/gang_internal.h
@@ -27,6 +27,7 @@
   bool started;
   bool checkpoint_open;
   bool checkpointed;
+  bool checkpoint_late; /* its tasks were over when it was asked */
   bool stop_open;
   bool stopped; /* it cannot hold the lease any more */
   uint64_t progress_ms;
--- a/tests/unit/test_gang_stop.c
+++ b/tests/unit/test_gang_stop.c
@@ -278,6 +278,47 @@
   gf_teardown (&f);
 }
 
+static void
+checkpoint_too_late (struct gf_fixture *f, size_t member, const char *expected)
+{
+  CU_ASSERT_STRING_EQUAL (
+      gf_reply (f, GANG_EV_CHECKPOINTED, member, GANG_REPLY_ENDED), expected);
+}
+
+/* All tasks are over, and that is not known yet: the end is waited for, until
+   the grace is over.  A part that runs on is stopped at once.  */
+static void
+test_evicted_when_over (void)
+{
+  struct gf_fixture f;
+
+  gf_setup (&f, true);
+  gf_bring_to (&f, GANG_RUNNING);
+  evict (&f, "checkpoint 0;checkpoint 1;");
+  checkpoint_too_late (&f, 0, "");
+  checkpoint_too_late (&f, 1, "");
+  CU_ASSERT_STRING_EQUAL (gf_kind (&f, GANG_EV_FINISHED), "stop 0;stop 1;");
+  gf_stopped (&f, 0, true);
+  CU_ASSERT_STRING_EQUAL (gf_stopped (&f, 1, true), "ended;");
+  CU_ASSERT_EQUAL (f.ended.end, PLACE_END_OK);
+  gf_teardown (&f);
+
+  gf_setup (&f, true);
+  gf_bring_to (&f, GANG_RUNNING);
+  evict (&f, "checkpoint 0;checkpoint 1;");
+  checkpoint_too_late (&f, 0, "");
+  checkpoint_too_late (&f, 1, "");
+  CU_ASSERT_STRING_EQUAL (gf_pass (&f, GF_GRACE_MS), "stop 0;stop 1;");
+  gf_teardown (&f);
+
+  gf_setup (&f, true);
+  gf_bring_to (&f, GANG_RUNNING);
+  evict (&f, "checkpoint 0;checkpoint 1;");
+  checkpoint_too_late (&f, 0, "");
+  CU_ASSERT_STRING_EQUAL (checkpointed (&f, 1, 80), "stop 0;stop 1;");
+  gf_teardown (&f);
+}
+
 int
 main (void)
 {
@@ -302,6 +343,7 @@
                test_cancelled_while_stopping);
   CU_add_test (suite, "given up", test_given_up);
   CU_add_test (suite, "finished while evicted", test_finished_while_evicted);
+  CU_add_test (suite, "evicted when over", test_evicted_when_over);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
