--- a/tests/bench/bench-day/metrics.py
+++ b/tests/bench/bench-day/metrics.py
@@ -50,8 +50,11 @@
                 continue
             key = (event["job"], event["attempt"], event["task"])
             place[key] = event["who"]
+            what = event["what"]
+            if what == "end" and not event["ok"]:
+                what = "fail"
             tasks[event["job"]][event["attempt"]][event["task"]].append(
-                (event["t_ms"], event["what"]))
+                (event["t_ms"], what))
     close_lost(tasks, place, downs)
     return tasks
 
@@ -229,7 +232,7 @@
 
 
 def done_and_run_again(outcomes):
-    """Attempts whose tasks had all ended by themselves, though the job was
+    """Attempts whose tasks had all ended well, though the job was
     run again."""
     count = 0
     for outcome in outcomes:
