--- a/scripts/bench-capacity-fit.py
+++ b/scripts/bench-capacity-fit.py
@@ -81,6 +81,14 @@
     def at(self, name, x):
         return self.intercept(name) + self.slope(name) * x
 
+    def point(self, name, x):
+        """The measured value at X itself."""
+        for point_x, value in self.points.get(name, []):
+            if point_x == x:
+                return value
+        self.missing.add(name)
+        return 0.0
+
     def _part(self, name, part):
         if name not in self.fits:
             self.missing.add(name)
@@ -128,7 +136,7 @@
     hosts = size["workers"] + size["hosts"]
     changes = 2 * size["replaced_a_day"] / DAY_S
     listed = fits.at("hosts.bytes_per_poll_by_hosts", hosts)
-    polled = listed if size["whole_list"] else fits.at(
+    polled = listed if size["whole_list"] else fits.point(
         "hosts.bytes_per_poll_by_hosts", SMALL_LIST_HOSTS) + changes * listed
     return row(cpu_us=fits.at("hosts.cpu_us_per_poll_by_hosts",
                               hosts) / POLL_S
