Only claims whose host has been gone for a while end as unknown

Cause: one timer stood for all open claims. With a host cut off from the others but alive, a timer that an earlier claim had started ended a claim made a moment ago, and a caller elsewhere was told "unknown" while the request ran. Each claim is timed by itself now.

--- a/programs/foxtailgapd/upstream.h
+++ b/programs/foxtailgapd/upstream.h
@@ -62,7 +62,8 @@
   struct msg_config *config;
   struct msg_members *members;
   ev_timer timer;
-  ev_timer settle; /* runs: the members have changed lately */
+  GHashTable *orphans; /* request id -> since when its host is no member */
+  ev_timer settle;     /* runs: some are to be judged */
   uint64_t next_append;
   bool log_up;
 };
@@ -117,18 +118,21 @@
 /* --- upstream_orphans.c --- */
 
 void up_orphans_init (struct upstream_task *task);
+void up_orphans_free (struct upstream_task *task);
 
 /*! up_orphans_settle () :
  *  The members have changed, or may change: claims are judged when they have
  *  not done so for a while. */
 void up_orphans_settle (struct upstream_task *task);
 
-/*! up_orphans_claimed (), up_orphans_asked () :
- *  A claim has been folded; somebody waits for its outcome. */
+/*! up_orphans_claimed () :
+ *  A claim has been folded. */
 void up_orphans_claimed (struct upstream_task *task,
                          const struct st_claim *claim);
-void up_orphans_asked (struct upstream_task *task,
-                       const struct st_claim *claim);
+
+/*! up_orphans_dropped () :
+ *  The claim of that key, which is known still, will be forgotten. */
+void up_orphans_dropped (struct upstream_task *task, const char *key);
 
 /* --- upstream_send.c --- */
 
--- a/programs/foxtailgapd/upstream_claims.c
+++ b/programs/foxtailgapd/upstream_claims.c
@@ -112,9 +112,6 @@
                  0);
       break;
     case ST_CLAIM_OPEN:
-      request->stage = UP_WAITING_CLAIM;
-      up_orphans_asked (request->task, claim);
-      break;
     case ST_CLAIM_NOT_RUN:
       request->stage = UP_WAITING_CLAIM;
       break;
--- a/programs/foxtailgapd/upstream_orphans.c
+++ b/programs/foxtailgapd/upstream_orphans.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/logging.h"
 #include "upstream.h"
 
@@ -45,42 +46,85 @@
   return !is_member (task, claim->host);
 }
 
-static bool
-is_settled (const struct upstream_task *task)
+static double
+settle_s (const struct upstream_task *task)
 {
-  return task->members != NULL && !ev_is_active (&task->settle);
+  return task->daemon->settings->planner_timeout_ms / 1000.0;
 }
 
+/* One host is enough, but for claims that only this one can judge.  */
 static bool
-is_first_member (const struct upstream_task *task)
+is_mine_to_end (const struct upstream_task *task, const struct st_claim *claim)
 {
-  return task->members != NULL && task->members->self == 0;
+  return (task->members != NULL && task->members->self == 0)
+         || strcmp (claim->host, task->daemon->settings->host) == 0;
 }
 
 static void
-on_settled (struct ev_loop *loop, ev_timer *watcher, int events)
+arm (struct upstream_task *task)
+{
+  ev_timer_stop (task->daemon->loop, &task->settle);
+  ev_timer_set (&task->settle, settle_s (task), 0.0);
+  ev_timer_start (task->daemon->loop, &task->settle);
+}
+
+/* Notes since when the claim is without a host, or forgets it.  */
+static void
+judge (struct upstream_task *task, const struct st_claim *claim)
+{
+  int64_t *since_ms;
+
+  if (!is_orphan (task, claim))
+    {
+      g_hash_table_remove (task->orphans, claim->request);
+      return;
+    }
+  if (g_hash_table_contains (task->orphans, claim->request))
+    return;
+  since_ms = g_new (int64_t, 1);
+  *since_ms = clk_monotonic_ms (NULL);
+  g_hash_table_insert (task->orphans, g_strdup (claim->request), since_ms);
+}
+
+static void
+end_if_ripe (struct upstream_task *task, const struct st_claim *claim)
+{
+  const int64_t *since_ms
+      = g_hash_table_lookup (task->orphans, claim->request);
+
+  if (since_ms == NULL || !is_mine_to_end (task, claim)
+      || clk_monotonic_ms (NULL) - *since_ms
+             < task->daemon->settings->planner_timeout_ms)
+    return;
+  lg_info (UP_PART, "The host of an open claim is gone.", "host", claim->host,
+           "request", claim->request, NULL);
+  up_claim_unknown (task, claim);
+  g_hash_table_remove (task->orphans, claim->request);
+}
+
+static void
+each_claim (struct upstream_task *task,
+            void (*visit) (struct upstream_task *, const struct st_claim *))
 {
-  struct upstream_task *task = watcher->data;
   GHashTableIter iter;
   gpointer value;
-  struct st_claim *claim;
 
-  (void)loop;
-  (void)events;
   g_hash_table_iter_init (&iter, task->claims);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      claim = value;
-      /* One host is enough, but for claims that only this one can judge.  */
-      if ((is_first_member (task)
-           || strcmp (claim->host, task->daemon->settings->host) == 0)
-          && is_orphan (task, claim))
-        {
-          lg_info (UP_PART, "The host of an open claim is gone.", "host",
-                   claim->host, "request", claim->request, NULL);
-          up_claim_unknown (task, claim);
-        }
-    }
+    visit (task, value);
+}
+
+static void
+on_settled (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct upstream_task *task = watcher->data;
+
+  (void)loop;
+  (void)events;
+  each_claim (task, judge);
+  each_claim (task, end_if_ripe);
+  if (g_hash_table_size (task->orphans) > 0)
+    arm (task);
 }
 
 void
@@ -88,29 +132,37 @@
 {
   ev_init (&task->settle, on_settled);
   task->settle.data = task;
+  task->orphans
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void
-up_orphans_settle (struct upstream_task *task)
+up_orphans_free (struct upstream_task *task)
 {
-  double settle_s = task->daemon->settings->planner_timeout_ms / 1000.0;
-
   ev_timer_stop (task->daemon->loop, &task->settle);
-  ev_timer_set (&task->settle, settle_s, 0.0);
-  ev_timer_start (task->daemon->loop, &task->settle);
+  g_hash_table_destroy (task->orphans);
+}
+
+void
+up_orphans_settle (struct upstream_task *task)
+{
+  each_claim (task, judge);
+  arm (task);
 }
 
 void
 up_orphans_claimed (struct upstream_task *task, const struct st_claim *claim)
 {
-  if (claim->state == ST_CLAIM_OPEN && !ev_is_active (&task->settle)
-      && !is_member (task, claim->host))
-    up_orphans_settle (task);
+  judge (task, claim);
+  if (g_hash_table_size (task->orphans) > 0 && !ev_is_active (&task->settle))
+    arm (task);
 }
 
 void
-up_orphans_asked (struct upstream_task *task, const struct st_claim *claim)
+up_orphans_dropped (struct upstream_task *task, const char *key)
 {
-  if (is_settled (task) && is_orphan (task, claim))
-    up_claim_unknown (task, claim);
+  const struct st_claim *claim = g_hash_table_lookup (task->claims, key);
+
+  if (claim != NULL)
+    g_hash_table_remove (task->orphans, claim->request);
 }
--- a/programs/foxtailgapd/upstream_task.c
+++ b/programs/foxtailgapd/upstream_task.c
@@ -383,6 +383,7 @@
       up_claim_changed (task, body);
       return;
     case MSG_CLAIM_DROPPED:
+      up_orphans_dropped (task, body);
       g_hash_table_remove (task->claims, body);
       break;
     case MSG_APPENDED:
@@ -482,7 +483,7 @@
   if (task == NULL)
     return;
   ev_timer_stop (task->daemon->loop, &task->timer);
-  ev_timer_stop (task->daemon->loop, &task->settle);
+  up_orphans_free (task);
   hc_free (task->http);
   g_hash_table_destroy (task->requests);
   g_hash_table_destroy (task->appends);
