--- a/lib/place/place_estimate.c
+++ b/lib/place/place_estimate.c
@@ -73,9 +73,11 @@
 uint64_t
 place_expected_run_ms (const struct place_job_state *job)
 {
-  double left = expected_whole_ms (job) - (double)job->progress_ms;
+  double progress = (double)job->progress_ms;
+  double left = expected_whole_ms (job) - progress;
 
-  return (uint64_t)MAX (left, 1.0);
+  /* One that has overrun its expectation goes on for half as long again.  */
+  return (uint64_t)MAX (left, MAX (progress / 2, 1.0));
 }
 
 int64_t
--- a/tests/unit/test_place_order.c
+++ b/tests/unit/test_place_order.c
@@ -157,6 +157,29 @@
   pf_teardown (&f);
 }
 
+/* Both have saved more progress than they were declared to take.  Neither
+   that runs gives way to the other at once.  */
+static void
+test_overrun_jobs_do_not_evict_each_other_at_once (void)
+{
+  struct place_job job = pf_job ("first", "a", 2, 8);
+  struct pf f;
+
+  setup (&f, 2, 1);
+  job.declared_run_ms = 1000;
+  job.progress_ms = 5000;
+  CU_ASSERT_EQUAL (place_submit (f.place, &job, f.text), PLACE_OK);
+  pf_decide (&f);
+  CU_ASSERT_TRUE (pf_started (&f, "first"));
+  job.id = "second";
+  CU_ASSERT_EQUAL (place_submit (f.place, &job, f.text), PLACE_OK);
+  pf_decide (&f);
+  f.now_ms += 100;
+  pf_decide (&f);
+  CU_ASSERT_FALSE (pf_was (&f, PLACE_EVICT, "first"));
+  pf_teardown (&f);
+}
+
 /* What the large job waits for runs ten times as long as declared: it gives
    way once it has overrun and the start that was expected has passed.  */
 static void
@@ -248,6 +271,8 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("place: order", NULL, NULL);
   CU_add_test (suite, "shares", test_the_smaller_share_goes_first);
+  CU_add_test (suite, "overrun jobs do not evict each other",
+               test_overrun_jobs_do_not_evict_each_other_at_once);
   CU_add_test (suite, "urgency", test_urgent_goes_first);
   CU_add_test (suite, "ageing", test_waiting_outweighs_a_share);
   CU_add_test (suite, "broken blocks",
