--- a/scripts/bench-capacity-fit.py
+++ b/scripts/bench-capacity-fit.py
@@ -161,14 +161,20 @@
             size["jobs_a_day"] * WINDOW_S / DAY_S)
 
 
+def task_bytes(fits):
+    """Resident memory of a running task.  It depends on what peaks left
+    behind, more than on the host's role; the larger slope is taken."""
+    return max(fits.slope("state.rss_bytes_by_running_tasks_planner"),
+               fits.slope("state.rss_bytes_by_running_tasks_other"))
+
+
 def state(fits, size):
     running, ended = jobs_kept(size)
     changes = size["changes_a_day"] / DAY_S
     ends = size["jobs_a_day"] / DAY_S * GANG_TASKS
     memory = ((running + ended)
               * fits.slope("state.rss_bytes_by_queued_jobs_other")
-              + size["tasks"]
-              * fits.slope("state.rss_bytes_by_running_tasks_other")
+              + size["tasks"] * task_bytes(fits)
               + ended * GANG_TASKS
               * fits.slope("state.heap_bytes_per_ended_task")
               + size["teams"] * fits.slope("config.rss_bytes_by_teams"))
@@ -215,11 +221,10 @@
     # cost of a round at the whole size.
     rounds = size["jobs_a_day"] / DAY_S * 4
     cpu = rounds * fits.at("place.whole_size.placement_p99_us", 1)
-    extra = (fits.slope("state.rss_bytes_by_running_tasks_planner")
-             - fits.slope("state.rss_bytes_by_running_tasks_other"))
     memory = (fits.at("place.heap_bytes_by_workers", size["workers"])
               + fits.slope("place.heap_bytes_by_teams") * size["teams"]
-              + extra * size["tasks"])
+              + fits.slope("place.heap_bytes_by_running_tasks")
+              * size["tasks"])
     return row(cpu_us=cpu, memory=memory)
 
 
