--- a/scripts/bench-capacity-fit.py
+++ b/scripts/bench-capacity-fit.py
@@ -17,7 +17,7 @@
 BASE64 = 4.0 / 3.0
 
 # The defaults of the daemon's settings.
-HEARTBEAT_S = 1.0
+HEARTBEAT_S = 0.5
 POLL_S = 1.0
 # Of the first host and of its stand-in: lease_renew_ms 3000 and lease_ttl_ms
 # 10000; and a proposal, 10000 and 30000.
--- a/tests/scripts/cluster.sh
+++ b/tests/scripts/cluster.sh
@@ -48,7 +48,8 @@
 }
 log_options=()
 
-# settings NAME: writes NAME.yaml, the settings of one entry host.
+# settings NAME: writes NAME.yaml, the settings of one entry host; its times
+# are short unless default_timing is set.
 settings ()
 {
   cat > "$1.yaml" <<END
@@ -60,6 +61,8 @@
 hosts_url: $(url hosts)
 stream: test
 log_level: ${log_level:-info}
+END
+  [ -n "${default_timing:-}" ] || cat >> "$1.yaml" <<END
 heartbeat_ms: 100
 planner_timeout_ms: 1000
 lease_ttl_ms: 3000
