--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 SHELL_FILES := $(filter-out %.txt %.py,$(SHELL_FILES))
 
 .PHONY: all help packages demo demo-brazos check check-built unit scripts \
-        lint format generate sanitize chaos bench bench-capacity install clean
+        lint format generate sanitize chaos bench bench-requests bench-capacity install clean
 
 all: $(PROGRAMS)
 
@@ -137,6 +137,11 @@
 	  SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined" \
 	  check-built
 
+## bench-requests: latency, goodput and refusals of requests under load
+bench-requests: packages
+	@$(MAKE) -s -j$(JOBS) all
+	@BUILD=$(BUILD) scripts/bench-requests
+
 ## bench-capacity: slopes of bytes, processor time and memory; docs/CAPACITY.md
 bench-capacity: packages
 	@$(MAKE) -s -j$(JOBS) all
