--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -53,7 +53,6 @@
         TEXT_FIELD (OPTIONAL_TEXT, struct settings, stream),
         TEXT_FIELD (OPTIONAL_TEXT, struct settings, log_level),
         TEXT_FIELD (OPTIONAL_TEXT, struct settings, placement_policy),
-        TEXT_FIELD (OPTIONAL_TEXT, struct settings, peer_key_file),
         NUMBER_FIELD (connection_limit),
         NUMBER_FIELD (body_limit_bytes),
         NUMBER_FIELD (receive_timeout_ms),
@@ -263,6 +262,5 @@
   free (settings->stream);
   free (settings->log_level);
   free (settings->placement_policy);
-  free (settings->peer_key_file);
   free (settings);
 }
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -25,7 +25,6 @@
   char *stream;           /* prefix of the streams in the log */
   char *log_level;        /* debug, info, warning, error */
   char *placement_policy; /* guarantee, first-fit, strict */
-  char *peer_key_file;    /* optional: shared key of the entry hosts */
   uint32_t connection_limit;
   uint32_t body_limit_bytes;
   uint32_t receive_timeout_ms;
