Metrics: a histogram is one entry, its lines are made when it is shown

Each observed time formatted and looked up 17 names, on the path of every request, append and planning round. What is shown is the same: test_metrics, written first, passes on the code before and after.

--- a/lib/common/metrics.c
+++ b/lib/common/metrics.c
@@ -9,9 +9,22 @@
 static const uint32_t bucket_limits_ms[]
     = { 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 30000 };
 
+enum
+{
+  BUCKETS = G_N_ELEMENTS (bucket_limits_ms)
+};
+
+struct histogram
+{
+  int64_t within[BUCKETS]; /* of each bucket and all below it */
+  int64_t count;
+  int64_t sum_ms;
+};
+
 struct mt_registry
 {
-  GHashTable *values; /* name -> int64_t */
+  GHashTable *values;     /* name -> int64_t */
+  GHashTable *histograms; /* name -> struct histogram */
 };
 
 struct mt_registry *
@@ -21,6 +34,8 @@
 
   registry->values
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  registry->histograms
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return registry;
 }
 
@@ -30,6 +45,7 @@
   if (registry == NULL)
     return;
   g_hash_table_destroy (registry->values);
+  g_hash_table_destroy (registry->histograms);
   g_free (registry);
 }
 
@@ -75,31 +91,51 @@
                           label);
 }
 
+void
+mt_observe (struct mt_registry *registry, const char *name, uint32_t value_ms)
+{
+  struct histogram *histogram
+      = g_hash_table_lookup (registry->histograms, name);
+  size_t i;
+
+  if (histogram == NULL)
+    {
+      histogram = g_new0 (struct histogram, 1);
+      g_hash_table_insert (registry->histograms, g_strdup (name), histogram);
+    }
+  for (i = 0; i < BUCKETS; i++)
+    if (value_ms <= bucket_limits_ms[i])
+      histogram->within[i]++;
+  histogram->count++;
+  histogram->sum_ms += value_ms;
+}
+
 static void
-add_part (struct mt_registry *registry, const char *name, const char *suffix,
-          const char *label, uint64_t amount)
+set_part (struct mt_registry *registry, const char *name, const char *suffix,
+          const char *label, int64_t value)
 {
   char *full = bucket_name (name, suffix, label);
 
-  mt_add (registry, full, amount);
+  mt_set (registry, full, value);
   g_free (full);
 }
 
-void
-mt_observe (struct mt_registry *registry, const char *name, uint32_t value_ms)
+/* Sets the values that show one histogram.  */
+static void
+show_histogram (gpointer name, gpointer value, gpointer ctx)
 {
+  const struct histogram *histogram = value;
   char label[16];
   size_t i;
 
-  for (i = 0; i < G_N_ELEMENTS (bucket_limits_ms); i++)
+  for (i = 0; i < BUCKETS; i++)
     {
       g_snprintf (label, sizeof label, "%" PRIu32, bucket_limits_ms[i]);
-      add_part (registry, name, "_bucket", label,
-                value_ms <= bucket_limits_ms[i] ? 1 : 0);
+      set_part (ctx, name, "_bucket", label, histogram->within[i]);
     }
-  add_part (registry, name, "_bucket", "+Inf", 1);
-  add_part (registry, name, "_count", NULL, 1);
-  add_part (registry, name, "_sum", NULL, value_ms);
+  set_part (ctx, name, "_bucket", "+Inf", histogram->count);
+  set_part (ctx, name, "_count", NULL, histogram->count);
+  set_part (ctx, name, "_sum", NULL, histogram->sum_ms);
 }
 
 int64_t
@@ -117,12 +153,14 @@
 }
 
 char *
-mt_render (const struct mt_registry *registry)
+mt_render (struct mt_registry *registry)
 {
   GString *text = g_string_new (NULL);
-  GList *names = g_hash_table_get_keys (registry->values);
+  GList *names;
   GList *link;
 
+  g_hash_table_foreach (registry->histograms, show_histogram, registry);
+  names = g_hash_table_get_keys (registry->values);
   names = g_list_sort (names, compare_names);
   for (link = names; link != NULL; link = link->next)
     g_string_append_printf (text, "%s %" PRId64 "\n", (char *)link->data,
--- a/lib/common/metrics.h
+++ b/lib/common/metrics.h
@@ -26,11 +26,12 @@
                  uint32_t value_ms);
 
 /*! mt_value () :
- *  @return : a counter or gauge; 0 if it does not exist. */
+ *  @return : a counter or gauge; 0 if it does not exist.  The parts of a
+ *            histogram are as the last mt_render () showed them. */
 int64_t mt_value (const struct mt_registry *registry, const char *name);
 
 /*! mt_render () :
  *  @return : all values as text sorted by name, to be freed by g_free (). */
-char *mt_render (const struct mt_registry *registry);
+char *mt_render (struct mt_registry *registry);
 
 #endif
