--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm
 
 OPT ?= -O2 -D_FORTIFY_SOURCE=2
-CPPFLAGS = -Ilib -Itests -I$(BUILD) -D_GNU_SOURCE \
+CPPFLAGS = -Ilib -Iplatform -Itests -I$(BUILD) -D_GNU_SOURCE \
            -DG_LOG_USE_STRUCTURED
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
        -Wmissing-prototypes -Wpointer-arith -Wvla -Wformat=2
@@ -20,7 +20,7 @@
 CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(HARDEN) $(SAN)
 LDFLAGS = -pie -Wl,-z,relro,-z,now $(SAN)
 
-LIB_SRC := $(wildcard lib/*/*.c)
+LIB_SRC := $(wildcard lib/*/*.c platform/*.c)
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/libfoxtailgap.a
 STANDIN_SRC := $(wildcard tests/standins/common/*.c)
@@ -41,7 +41,7 @@
 ALL_SRC := $(LIB_SRC) $(STANDIN_SRC) $(UNIT_SRC) \
            $(foreach d,$(PROGRAM_DIRS),$(wildcard $(d)/*.c))
 HAND_SRC := $(filter-out %.pb-c.c,$(ALL_SRC))
-HAND_FILES := $(HAND_SRC) $(filter-out %.pb-c.h,$(wildcard lib/*.h lib/*/*.h \
+HAND_FILES := $(HAND_SRC) $(filter-out %.pb-c.h,$(wildcard lib/*.h lib/*/*.h platform/*.h \
               programs/*/*.h tests/*/*.h tests/*/*/*.h))
 SHELL_FILES := $(wildcard scripts/* tests/scripts/*.sh tests/chaos/*.sh \
                tests/bench/*/run) tests/run .ci/run
@@ -112,7 +112,7 @@
 	@cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 	  --enable=warning,portability --suppress=missingIncludeSystem \
 	  --suppress=normalCheckLevelMaxBranches -j$(JOBS) \
-	  -Ilib -Itests $(HAND_SRC)
+	  -Ilib -Iplatform -Itests $(HAND_SRC)
 	@printf '%s\n' $(HAND_SRC) | xargs -P$(JOBS) -n1 sh -c \
 	  'clang-tidy --quiet "$$@" -- $(CPPFLAGS) $(PKG_CFLAGS) -std=gnu11 \
 	   2>/dev/null' sh
--- /dev/null
+++ b/lib/jobs/catalog.c
@@ -0,0 +1,116 @@
+/* The operator's configuration as the scheduler uses it.  */
+
+#include "jobs/catalog.h"
+
+#include <glib.h>
+#include <string.h>
+
+void
+ct_free (struct ct_catalog *catalog)
+{
+  size_t i;
+
+  if (catalog == NULL)
+    return;
+  for (i = 0; i < catalog->queue_count; i++)
+    {
+      g_free (catalog->queues[i].name);
+      g_free (catalog->queues[i].host);
+      g_free (catalog->queues[i].path_prefix);
+      g_free (catalog->queues[i].service);
+    }
+  for (i = 0; i < catalog->team_count; i++)
+    {
+      g_free (catalog->teams[i].name);
+      g_strfreev (catalog->teams[i].keys);
+    }
+  for (i = 0; i < catalog->service_count; i++)
+    g_free (catalog->services[i].name);
+  g_free (catalog->queues);
+  g_free (catalog->teams);
+  g_free (catalog->services);
+  g_free (catalog);
+}
+
+static bool
+host_matches (const char *wanted, const char *host)
+{
+  size_t length = strcspn (host, ":");
+
+  return strlen (wanted) == length
+         && g_ascii_strncasecmp (wanted, host, length) == 0;
+}
+
+const struct ct_queue *
+ct_route (const struct ct_catalog *catalog, const char *host, const char *path,
+          const char **rest)
+{
+  const struct ct_queue *best = NULL;
+  size_t best_length = 0;
+  size_t i;
+
+  for (i = 0; i < catalog->queue_count; i++)
+    {
+      const struct ct_queue *queue = &catalog->queues[i];
+      size_t length = strlen (queue->path_prefix);
+
+      if (best != NULL && length <= best_length)
+        continue;
+      if (!g_str_has_prefix (path, queue->path_prefix)
+          || !host_matches (queue->host, host))
+        continue;
+      best = queue;
+      best_length = length;
+    }
+  if (best != NULL)
+    {
+      *rest = path + best_length;
+      if (**rest == '/')
+        (*rest)++;
+    }
+  return best;
+}
+
+const struct ct_queue *
+ct_queue (const struct ct_catalog *catalog, const char *name)
+{
+  size_t i;
+
+  for (i = 0; i < catalog->queue_count; i++)
+    if (strcmp (catalog->queues[i].name, name) == 0)
+      return &catalog->queues[i];
+  return NULL;
+}
+
+const struct ct_team *
+ct_team (const struct ct_catalog *catalog, const char *name)
+{
+  size_t i;
+
+  for (i = 0; name != NULL && i < catalog->team_count; i++)
+    if (strcmp (catalog->teams[i].name, name) == 0)
+      return &catalog->teams[i];
+  return NULL;
+}
+
+const struct ct_service *
+ct_service (const struct ct_catalog *catalog, const char *name)
+{
+  size_t i;
+
+  for (i = 0; i < catalog->service_count; i++)
+    if (strcmp (catalog->services[i].name, name) == 0)
+      return &catalog->services[i];
+  return NULL;
+}
+
+const struct ct_team *
+ct_team_of_key (const struct ct_catalog *catalog, const char *key)
+{
+  size_t i;
+
+  for (i = 0; i < catalog->team_count; i++)
+    if (g_strv_contains ((const char *const *)catalog->teams[i].keys, key))
+      return &catalog->teams[i];
+  return NULL;
+}
--- /dev/null
+++ b/lib/jobs/model.c
@@ -0,0 +1,281 @@
+/* Jobs as plain data.  */
+
+#include "jobs/model.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+void
+jb_spec_free (struct jb_spec *spec)
+{
+  size_t i;
+
+  if (spec == NULL)
+    return;
+  for (i = 0; i < spec->step_count; i++)
+    {
+      g_free (spec->steps[i].after);
+      g_free (spec->steps[i].label);
+      g_free (spec->steps[i].data_rack);
+      g_free (spec->steps[i].image);
+    }
+  g_free (spec->steps);
+  g_free (spec->queue);
+  g_free (spec->team);
+  g_free (spec->text);
+  g_free (spec);
+}
+
+static const char *
+check_step (const struct jb_spec *spec, size_t number)
+{
+  const struct jb_step_spec *step = &spec->steps[number];
+  size_t i;
+
+  if (step->count == 0)
+    return "a step has no tasks";
+  if (step->room.cpus_milli < 0 || step->room.memory_mib < 0
+      || step->room.accelerators < 0)
+    return "a step asks for less than nothing";
+  for (i = 0; i < step->after_count; i++)
+    if (step->after[i] >= number)
+      return "a step depends on a later one";
+  return NULL;
+}
+
+const char *
+jb_spec_check (const struct jb_spec *spec)
+{
+  uint64_t tasks = 0;
+  const char *wrong;
+  size_t i;
+
+  if (spec->step_count == 0)
+    return "the job has no steps";
+  if (spec->step_count > JB_STEPS_MAX)
+    return "the job has too many steps";
+  if (spec->times == 0 || spec->times > JB_TIMES_MAX)
+    return "the job has too many occurrences";
+  if (spec->interval_ms < 0)
+    return "the interval is negative";
+  for (i = 0; i < spec->step_count; i++)
+    {
+      wrong = check_step (spec, i);
+      if (wrong != NULL)
+        return wrong;
+      tasks += spec->steps[i].count;
+    }
+  if (tasks * spec->times > JB_TASKS_MAX)
+    return "the job has too many tasks";
+  return NULL;
+}
+
+bool
+jb_state_is_final (enum jb_state state)
+{
+  return state >= JB_COMPLETED;
+}
+
+const char *
+jb_state_name (enum jb_state state)
+{
+  static const char *const names[]
+      = { "queued", "running", "completed", "failed", "cancelled" };
+
+  return names[state];
+}
+
+char *
+jb_task_name (const struct jb_task *task)
+{
+  return g_strdup_printf ("%s.%u.%u.%u", task->job->id, task->step->occurrence,
+                          task->step->number, task->index);
+}
+
+int64_t
+jb_step_due_unix_ms (const struct jb_step *step)
+{
+  const struct jb_spec *spec = step->job->spec;
+
+  if (!spec->timed)
+    return 0;
+  return spec->first_unix_ms + step->occurrence * spec->interval_ms;
+}
+
+void
+jb_task_reset (struct jb_task *task)
+{
+  task->state = JB_TASK_WAITING;
+  g_clear_pointer (&task->worker, g_free);
+  task->confirmed = false;
+  task->started_ms = 0;
+  task->settled_ms = 0;
+  task->stop_sent_ms = 0;
+}
+
+void
+jb_job_forget_progress (struct jb_job *job)
+{
+  size_t i;
+
+  for (i = 0; i < job->task_total; i++)
+    {
+      jb_task_reset (&job->tasks[i]);
+      g_clear_pointer (&job->tasks[i].checkpoint, g_free);
+      job->tasks[i].run = 0;
+      job->tasks[i].failures = 0;
+    }
+  for (i = 0; i < job->step_total; i++)
+    job->steps[i].done_count = 0;
+  job->state = job->cancelled ? JB_CANCELLED : JB_QUEUED;
+  job->changed = false;
+}
+
+/* --- The table --- */
+
+static void
+job_free (void *data)
+{
+  struct jb_job *job = data;
+  size_t i;
+
+  for (i = 0; i < job->task_total; i++)
+    {
+      g_free (job->tasks[i].worker);
+      g_free (job->tasks[i].checkpoint);
+    }
+  g_free (job->tasks);
+  g_free (job->steps);
+  g_free (job->queue);
+  jb_spec_free (job->spec);
+  g_free (job);
+}
+
+struct jb_table *
+jb_table_create (void)
+{
+  struct jb_table *table = g_new0 (struct jb_table, 1);
+
+  table->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                       job_free);
+  return table;
+}
+
+void
+jb_table_free (struct jb_table *table)
+{
+  if (table == NULL)
+    return;
+  g_hash_table_destroy (table->jobs);
+  g_free (table);
+}
+
+struct jb_job *
+jb_table_find (const struct jb_table *table, const char *id)
+{
+  return g_hash_table_lookup (table->jobs, id);
+}
+
+static void
+lay_out_tasks (struct jb_job *job)
+{
+  const struct jb_spec *spec = job->spec;
+  size_t per_occurrence = 0;
+  struct jb_task *task;
+  size_t i;
+  uint32_t k;
+
+  for (i = 0; i < spec->step_count; i++)
+    per_occurrence += spec->steps[i].count;
+  job->step_total = spec->step_count * spec->times;
+  job->task_total = per_occurrence * spec->times;
+  job->steps = g_new0 (struct jb_step, job->step_total);
+  job->tasks = g_new0 (struct jb_task, job->task_total);
+  task = job->tasks;
+  for (i = 0; i < job->step_total; i++)
+    {
+      struct jb_step *step = &job->steps[i];
+
+      step->job = job;
+      step->number = (uint32_t)(i % spec->step_count);
+      step->occurrence = (uint32_t)(i / spec->step_count);
+      step->spec = &spec->steps[step->number];
+      step->tasks = task;
+      for (k = 0; k < step->spec->count; k++, task++)
+        {
+          task->job = job;
+          task->step = step;
+          task->index = k;
+        }
+    }
+}
+
+struct jb_job *
+jb_table_add (struct jb_table *table, const char *id, struct jb_spec *spec,
+              int64_t now_ms)
+{
+  struct jb_job *job = jb_table_find (table, id);
+
+  if (job == NULL)
+    {
+      job = g_new0 (struct jb_job, 1);
+      g_strlcpy (job->id, id, sizeof job->id);
+      job->seen_ms = now_ms;
+      g_hash_table_insert (table->jobs, job->id, job);
+    }
+  if (job->spec != NULL)
+    {
+      jb_spec_free (spec);
+      return job;
+    }
+  job->spec = spec;
+  job->queue = g_strdup (spec->queue);
+  lay_out_tasks (job);
+  return job;
+}
+
+void
+jb_table_remove (struct jb_table *table, const char *id)
+{
+  g_hash_table_remove (table->jobs, id);
+}
+
+struct jb_task *
+jb_table_find_task (const struct jb_table *table, const char *name)
+{
+  char id[JB_ID_DIGITS + 1];
+  unsigned int occurrence;
+  unsigned int number;
+  unsigned int index;
+  struct jb_job *job;
+  struct jb_step *step;
+  size_t at;
+
+  if (strlen (name) < JB_ID_DIGITS || name[JB_ID_DIGITS] != '.')
+    return NULL;
+  g_strlcpy (id, name, sizeof id);
+  // NOLINTNEXTLINE(cert-err34-c)
+  if (sscanf (name + JB_ID_DIGITS + 1, "%u.%u.%u", &occurrence, &number,
+              &index)
+      != 3)
+    return NULL;
+  job = jb_table_find (table, id);
+  if (job == NULL || job->spec == NULL || number >= job->spec->step_count
+      || occurrence >= job->spec->times)
+    return NULL;
+  at = (size_t)occurrence * job->spec->step_count + number;
+  step = &job->steps[at];
+  return index < step->spec->count ? &step->tasks[index] : NULL;
+}
+
+bool
+jb_id_valid (const char *text)
+{
+  size_t i;
+
+  for (i = 0; i < JB_ID_DIGITS; i++)
+    if (!g_ascii_isxdigit (text[i]))
+      return false;
+  return text[JB_ID_DIGITS] == '\0';
+}
--- /dev/null
+++ b/lib/jobs/records.c
@@ -0,0 +1,274 @@
+/* Records of the jobs' topic.  */
+
+#include "jobs/records.h"
+
+#include <string.h>
+
+#include "proto/jobs.pb-c.h"
+
+static GByteArray *
+pack (const ProtobufCMessage *message)
+{
+  size_t size = protobuf_c_message_get_packed_size (message);
+  GByteArray *bytes = g_byte_array_sized_new ((guint)size);
+
+  g_byte_array_set_size (bytes, (guint)size);
+  protobuf_c_message_pack (message, bytes->data);
+  return bytes;
+}
+
+static char *
+text_or_empty (const char *text)
+{
+  return text == NULL ? (char *)"" : (char *)text;
+}
+
+static char *
+dup_unless_empty (const char *text)
+{
+  return text == NULL || text[0] == '\0' ? NULL : g_strdup (text);
+}
+
+/* --- Specification --- */
+
+static void
+fill_step (Ftj__StepRecord *record, const struct jb_step_spec *step)
+{
+  ftj__step_record__init (record);
+  record->count = step->count;
+  record->cpus_milli = step->room.cpus_milli;
+  record->memory_mib = step->room.memory_mib;
+  record->accelerators = step->room.accelerators;
+  record->estimate_ms = step->estimate_ms;
+  record->after = step->after;
+  record->n_after = step->after_count;
+  record->gang = step->gang;
+  record->one_rack = step->one_rack;
+  record->checkpoints = step->checkpoints;
+  record->copies_allowed = step->copies_allowed;
+  record->lasting = step->lasting;
+  record->label = text_or_empty (step->label);
+  record->data_rack = text_or_empty (step->data_rack);
+  record->worker_limit = step->worker_limit;
+  record->image = text_or_empty (step->image);
+  record->target_ms = step->target_ms;
+  record->fills = step->fills;
+  record->absence_limit = step->absence_limit;
+}
+
+GByteArray *
+jb_encode_spec (const struct jb_spec *spec)
+{
+  Ftj__JobRecord record = FTJ__JOB_RECORD__INIT;
+  Ftj__StepRecord *steps = g_new0 (Ftj__StepRecord, spec->step_count);
+  Ftj__StepRecord **rows = g_new0 (Ftj__StepRecord *, spec->step_count);
+  GByteArray *bytes;
+  size_t i;
+
+  for (i = 0; i < spec->step_count; i++)
+    {
+      fill_step (&steps[i], &spec->steps[i]);
+      rows[i] = &steps[i];
+    }
+  record.queue = text_or_empty (spec->queue);
+  record.team = text_or_empty (spec->team);
+  record.accepted_unix_ms = spec->accepted_unix_ms;
+  record.text = text_or_empty (spec->text);
+  record.steps = rows;
+  record.n_steps = spec->step_count;
+  record.times = spec->timed ? spec->times : 0;
+  record.first_unix_ms = spec->first_unix_ms;
+  record.interval_ms = spec->interval_ms;
+  bytes = pack (&record.base);
+  g_free (rows);
+  g_free (steps);
+  return bytes;
+}
+
+static void
+read_step (struct jb_step_spec *step, const Ftj__StepRecord *record)
+{
+  *step = (struct jb_step_spec){
+    .count = record->count,
+    .room = { .cpus_milli = record->cpus_milli,
+              .memory_mib = record->memory_mib,
+              .accelerators = record->accelerators },
+    .estimate_ms = record->estimate_ms,
+    .after = g_memdup2 (record->after,
+                        record->n_after * sizeof record->after[0]),
+    .after_count = record->n_after,
+    .gang = record->gang,
+    .one_rack = record->one_rack,
+    .checkpoints = record->checkpoints,
+    .copies_allowed = record->copies_allowed,
+    .lasting = record->lasting,
+    .label = dup_unless_empty (record->label),
+    .data_rack = dup_unless_empty (record->data_rack),
+    .worker_limit = record->worker_limit,
+    .image = dup_unless_empty (record->image),
+    .target_ms = record->target_ms,
+    .fills = record->fills,
+    .absence_limit = record->absence_limit,
+  };
+}
+
+int
+jb_decode_spec (struct jb_spec **out, const uint8_t *bytes, size_t size)
+{
+  Ftj__JobRecord *record = ftj__job_record__unpack (NULL, size, bytes);
+  struct jb_spec *spec;
+  size_t i;
+
+  if (record == NULL)
+    return JB_ERR_FORMAT;
+  spec = g_new0 (struct jb_spec, 1);
+  spec->queue = g_strdup (record->queue);
+  spec->team = dup_unless_empty (record->team);
+  spec->text = g_strdup (record->text);
+  spec->accepted_unix_ms = record->accepted_unix_ms;
+  spec->timed = record->times > 0;
+  spec->times = MAX (record->times, 1);
+  spec->first_unix_ms = record->first_unix_ms;
+  spec->interval_ms = record->interval_ms;
+  spec->step_count = record->n_steps;
+  spec->steps = g_new0 (struct jb_step_spec, record->n_steps);
+  for (i = 0; i < record->n_steps; i++)
+    read_step (&spec->steps[i], record->steps[i]);
+  ftj__job_record__free_unpacked (record, NULL);
+  if (jb_spec_check (spec) != NULL)
+    {
+      jb_spec_free (spec);
+      return JB_ERR_LIMIT;
+    }
+  *out = spec;
+  return JB_OK;
+}
+
+/* --- Progress --- */
+
+GByteArray *
+jb_encode_progress (const struct jb_job *job, uint64_t term)
+{
+  Ftj__Progress record = FTJ__PROGRESS__INIT;
+  Ftj__TaskProgress *tasks = g_new0 (Ftj__TaskProgress, job->task_total);
+  Ftj__TaskProgress **rows = g_new0 (Ftj__TaskProgress *, job->task_total);
+  bool final = jb_state_is_final (job->state);
+  GByteArray *bytes;
+  size_t i;
+
+  for (i = 0; i < job->task_total; i++)
+    {
+      const struct jb_task *task = &job->tasks[i];
+
+      ftj__task_progress__init (&tasks[i]);
+      tasks[i].state = task->state;
+      tasks[i].run = task->run;
+      tasks[i].failures = task->failures;
+      tasks[i].worker = text_or_empty (task->worker);
+      if (!final && task->state != JB_TASK_DONE)
+        tasks[i].checkpoint = text_or_empty (task->checkpoint);
+      rows[i] = &tasks[i];
+    }
+  record.term = term;
+  record.state = job->state;
+  record.begun = job->begun;
+  record.tasks = rows;
+  record.n_tasks = job->task_total;
+  record.ended_unix_ms = job->ended_unix_ms;
+  bytes = pack (&record.base);
+  g_free (rows);
+  g_free (tasks);
+  return bytes;
+}
+
+static void
+apply_task (struct jb_task *task, const Ftj__TaskProgress *record)
+{
+  jb_task_reset (task);
+  task->state = MIN (record->state, JB_TASK_DONE);
+  task->run = record->run;
+  task->failures = record->failures;
+  task->worker = dup_unless_empty (record->worker);
+  if (task->worker == NULL && task->state != JB_TASK_DONE)
+    task->state = JB_TASK_WAITING;
+  if (record->checkpoint[0] != '\0')
+    {
+      g_free (task->checkpoint);
+      task->checkpoint = g_strdup (record->checkpoint);
+    }
+}
+
+static void
+count_done (struct jb_job *job)
+{
+  size_t i;
+
+  for (i = 0; i < job->step_total; i++)
+    job->steps[i].done_count = 0;
+  for (i = 0; i < job->task_total; i++)
+    if (job->tasks[i].state == JB_TASK_DONE)
+      job->tasks[i].step->done_count++;
+}
+
+int
+jb_apply_progress (struct jb_job *job, uint64_t *term, const uint8_t *bytes,
+                   size_t size)
+{
+  Ftj__Progress *record = ftj__progress__unpack (NULL, size, bytes);
+  size_t i;
+
+  if (record == NULL)
+    return JB_ERR_FORMAT;
+  *term = record->term;
+  job->state = MIN (record->state, JB_CANCELLED);
+  job->shown = job->state;
+  if (job->cancelled && !jb_state_is_final (job->shown))
+    job->shown = JB_CANCELLED;
+  job->begun = record->begun;
+  job->ended_unix_ms = record->ended_unix_ms;
+  job->changed = false;
+  if (job->spec != NULL && record->n_tasks == job->task_total)
+    {
+      for (i = 0; i < job->task_total; i++)
+        apply_task (&job->tasks[i], record->tasks[i]);
+      count_done (job);
+    }
+  ftj__progress__free_unpacked (record, NULL);
+  return JB_OK;
+}
+
+/* --- Cancelling and terms --- */
+
+GByteArray *
+jb_encode_cancel (int64_t unix_ms)
+{
+  Ftj__CancelRecord record = FTJ__CANCEL_RECORD__INIT;
+
+  record.cancelled_unix_ms = unix_ms;
+  return pack (&record.base);
+}
+
+GByteArray *
+jb_encode_term (const struct jb_term *term)
+{
+  Ftj__Term record = FTJ__TERM__INIT;
+
+  record.term = term->term;
+  record.host = (char *)term->host;
+  record.nonce = term->nonce;
+  return pack (&record.base);
+}
+
+int
+jb_decode_term (struct jb_term *out, const uint8_t *bytes, size_t size)
+{
+  Ftj__Term *record = ftj__term__unpack (NULL, size, bytes);
+
+  if (record == NULL)
+    return JB_ERR_FORMAT;
+  out->term = record->term;
+  out->nonce = record->nonce;
+  g_strlcpy (out->host, record->host, sizeof out->host);
+  ftj__term__free_unpacked (record, NULL);
+  return JB_OK;
+}
--- /dev/null
+++ b/lib/jobs/records.h
@@ -0,0 +1,34 @@
+/* Records of the jobs' topic: between the model and bytes.  Prefix: jb_.  */
+
+#ifndef FT_JOBS_RECORDS_H
+#define FT_JOBS_RECORDS_H
+
+#include "jobs/model.h"
+
+struct jb_term
+{
+  uint64_t term;
+  char host[128]; /* empty: released */
+  uint64_t nonce;
+};
+
+/* Each encoder returns bytes of its own, to be freed by the caller.  */
+GByteArray *jb_encode_spec (const struct jb_spec *spec);
+GByteArray *jb_encode_progress (const struct jb_job *job, uint64_t term);
+GByteArray *jb_encode_cancel (int64_t unix_ms);
+GByteArray *jb_encode_term (const struct jb_term *term);
+
+/*! jb_decode_spec () :
+ *  @return : JB_OK with *out set, owned by the caller; or a jb_error. */
+int jb_decode_spec (struct jb_spec **out, const uint8_t *bytes, size_t size);
+
+int jb_decode_term (struct jb_term *out, const uint8_t *bytes, size_t size);
+
+/*! jb_apply_progress () :
+ *  Sets JOB to what the record says, for a job whose specification is known;
+ *  else only its state.
+ *  @term : set to the term of the writer. */
+int jb_apply_progress (struct jb_job *job, uint64_t *term,
+                       const uint8_t *bytes, size_t size);
+
+#endif
--- /dev/null
+++ b/lib/sched/ledger.c
@@ -0,0 +1,109 @@
+/* Room on workers: what is placed where.  */
+
+#include <assert.h>
+#include <string.h>
+
+#include "sched/private.h"
+
+bool
+sd_room_fits (const struct jb_room *need, const struct jb_room *room)
+{
+  return need->cpus_milli <= room->cpus_milli
+         && need->memory_mib <= room->memory_mib
+         && need->accelerators <= room->accelerators;
+}
+
+void
+sd_room_add (struct jb_room *room, const struct jb_room *more)
+{
+  room->cpus_milli += more->cpus_milli;
+  room->memory_mib += more->memory_mib;
+  room->accelerators += more->accelerators;
+}
+
+void
+sd_room_take (struct jb_room *room, const struct jb_room *less)
+{
+  room->cpus_milli -= less->cpus_milli;
+  room->memory_mib -= less->memory_mib;
+  room->accelerators -= less->accelerators;
+}
+
+static uint32_t
+copies_of (int64_t need, int64_t have, uint32_t limit)
+{
+  if (need <= 0)
+    return limit;
+  if (have < need)
+    return 0;
+  return (uint32_t)MIN (have / need, (int64_t)limit);
+}
+
+uint32_t
+sd_room_copies (const struct jb_room *need, const struct jb_room *room,
+                uint32_t limit)
+{
+  limit = copies_of (need->cpus_milli, room->cpus_milli, limit);
+  limit = copies_of (need->memory_mib, room->memory_mib, limit);
+  return copies_of (need->accelerators, room->accelerators, limit);
+}
+
+void
+sd_mark_changed (struct sd_sched *sched, struct jb_job *job)
+{
+  if (job->changed)
+    return;
+  job->changed = true;
+  g_ptr_array_add (sched->changed, job);
+}
+
+void
+sd_place (struct sd_sched *sched, struct jb_task *task,
+          struct sd_worker *worker, uint32_t run, int64_t now_ms)
+{
+  assert (task->state == JB_TASK_WAITING);
+  jb_task_reset (task);
+  task->state = JB_TASK_PLACED;
+  task->run = run;
+  task->worker = g_strdup (worker->report.id);
+  task->placed_ms = now_ms;
+  task->settled_ms = INT64_MAX;
+  g_ptr_array_add (worker->tasks, task);
+  sd_room_add (&worker->used, &task->step->spec->room);
+  sd_mark_changed (sched, task->job);
+}
+
+void
+sd_release (struct sd_sched *sched, struct jb_task *task)
+{
+  struct sd_worker *worker;
+
+  if (task->worker != NULL)
+    {
+      worker = sd_worker_find (sched, task->worker);
+      if (worker != NULL && g_ptr_array_remove_fast (worker->tasks, task))
+        sd_room_take (&worker->used, &task->step->spec->room);
+    }
+  g_ptr_array_remove (sched->stops, task);
+  jb_task_reset (task);
+  sd_mark_changed (sched, task->job);
+}
+
+void
+sd_stop_task (struct sd_sched *sched, struct jb_task *task)
+{
+  if (task->state != JB_TASK_PLACED)
+    return;
+  task->state = JB_TASK_STOPPING;
+  g_ptr_array_add (sched->stops, task);
+  sd_mark_changed (sched, task->job);
+}
+
+void
+sd_stop_step (struct sd_sched *sched, struct jb_step *step)
+{
+  uint32_t i;
+
+  for (i = 0; i < step->spec->count; i++)
+    sd_stop_task (sched, &step->tasks[i]);
+}
--- /dev/null
+++ b/lib/sched/order.c
@@ -0,0 +1,185 @@
+/* The order in which waiting work is placed.  Load pattern: more work waits
+   than fits, of several priorities and teams; what is due first goes first
+   within a priority.  */
+
+#include <string.h>
+
+#include "sched/private.h"
+
+/* Work of a team at priority 0, to tell what its guarantee covers.  */
+struct team_use
+{
+  int64_t accelerators;
+};
+
+static int64_t
+chain_ms (const struct jb_spec *spec)
+{
+  int64_t longest[JB_STEPS_MAX];
+  int64_t whole = 0;
+  size_t i;
+  size_t k;
+
+  for (i = 0; i < spec->step_count; i++)
+    {
+      int64_t before = 0;
+
+      for (k = 0; k < spec->steps[i].after_count; k++)
+        before = MAX (before, longest[spec->steps[i].after[k]]);
+      longest[i] = before + spec->steps[i].estimate_ms;
+      whole = MAX (whole, longest[i]);
+    }
+  return whole;
+}
+
+static int64_t
+job_accelerators (const struct jb_job *job)
+{
+  int64_t most = 0;
+  size_t i;
+
+  for (i = 0; i < job->spec->step_count; i++)
+    most = MAX (most, job->spec->steps[i].count
+                          * job->spec->steps[i].room.accelerators);
+  return most;
+}
+
+static bool
+step_ready (const struct jb_step *step, int64_t now_unix_ms)
+{
+  const struct jb_spec *spec = step->job->spec;
+  const struct jb_step *first = step - step->number;
+  size_t i;
+
+  if (jb_step_due_unix_ms (step) > now_unix_ms)
+    return false;
+  for (i = 0; i < step->spec->after_count; i++)
+    {
+      const struct jb_step *before = &first[step->spec->after[i]];
+
+      if (before->done_count < before->spec->count)
+        return false;
+    }
+  (void)spec;
+  return true;
+}
+
+static uint32_t
+count_waiting (const struct jb_step *step)
+{
+  uint32_t waiting = 0;
+  uint32_t i;
+
+  if (step->done_count == step->spec->count)
+    return 0;
+  for (i = 0; i < step->spec->count; i++)
+    {
+      if (step->tasks[i].state == JB_TASK_WAITING)
+        waiting++;
+      else if (step->spec->gang)
+        return 0; /* an earlier run has not left yet, or it runs */
+    }
+  return waiting;
+}
+
+static int
+compare_units (const void *a, const void *b)
+{
+  const struct sd_unit *left = a;
+  const struct sd_unit *right = b;
+
+  if (left->priority != right->priority)
+    return left->priority < right->priority ? -1 : 1;
+  if (left->guaranteed != right->guaranteed)
+    return left->guaranteed ? -1 : 1;
+  if (left->due_ms != right->due_ms)
+    return left->due_ms < right->due_ms ? -1 : 1;
+  return strcmp (left->step->job->id, right->step->job->id);
+}
+
+static int
+compare_arrival (const void *a, const void *b)
+{
+  const struct jb_job *left = *(struct jb_job *const *)a;
+  const struct jb_job *right = *(struct jb_job *const *)b;
+
+  if (left->seen_ms != right->seen_ms)
+    return left->seen_ms < right->seen_ms ? -1 : 1;
+  return strcmp (left->id, right->id);
+}
+
+/* Whether the job's team has asked, at priority 0, for no more than its
+   guarantee with this job; jobs come in the order of arrival.  */
+static bool
+within_guarantee (const struct sd_sched *sched, GHashTable *uses,
+                  const struct jb_job *job)
+{
+  const struct ct_team *team = ct_team (sched->catalog, job->spec->team);
+  struct team_use *use;
+
+  if (team == NULL || team->guaranteed_accelerators <= 0)
+    return false;
+  use = g_hash_table_lookup (uses, team->name);
+  if (use == NULL)
+    {
+      use = g_new0 (struct team_use, 1);
+      g_hash_table_insert (uses, team->name, use);
+    }
+  if (use->accelerators + job_accelerators (job)
+      > team->guaranteed_accelerators)
+    return false;
+  use->accelerators += job_accelerators (job);
+  return true;
+}
+
+static void
+collect_job (GArray *units, struct jb_job *job, const struct ct_queue *queue,
+             bool guaranteed, int64_t now_unix_ms)
+{
+  int64_t objective_ms
+      = (int64_t)(queue->slack_factor * (double)chain_ms (job->spec))
+        + queue->target_ms;
+  size_t i;
+
+  for (i = 0; i < job->step_total; i++)
+    {
+      struct jb_step *step = &job->steps[i];
+      struct sd_unit unit = { .step = step,
+                              .queue = queue,
+                              .service = queue->service,
+                              .priority = queue->priority,
+                              .guaranteed = guaranteed,
+                              .due_ms = job->seen_ms + objective_ms };
+
+      unit.waiting = count_waiting (step);
+      if (unit.waiting > 0 && step_ready (step, now_unix_ms))
+        g_array_append_val (units, unit);
+    }
+}
+
+GArray *
+sd_collect_units (struct sd_sched *sched, int64_t now_ms, int64_t now_unix_ms)
+{
+  GArray *units = g_array_new (FALSE, FALSE, sizeof (struct sd_unit));
+  GHashTable *uses
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  guint i;
+
+  (void)now_ms;
+  g_ptr_array_sort (sched->active, compare_arrival);
+  for (i = 0; i < sched->active->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (sched->active, i);
+      const struct ct_queue *queue = ct_queue (sched->catalog, job->queue);
+      bool guaranteed;
+
+      if (queue == NULL)
+        continue; /* its queue is gone from the configuration: it waits */
+      guaranteed = queue->priority == 0
+                   && within_guarantee (sched, uses, job);
+      collect_job (units, job, queue, guaranteed, now_unix_ms);
+    }
+  g_hash_table_destroy (uses);
+  g_array_sort (units, compare_units);
+  return units;
+}
--- /dev/null
+++ b/lib/sched/preempt.c
@@ -0,0 +1,331 @@
+/* Room taken back for guaranteed work.  Load pattern: a team whose
+   accelerators others have borrowed hands in urgent work within its
+   guarantee; the tasks whose stop loses least work make room.  */
+
+#include <string.h>
+
+#include "sched/private.h"
+
+enum
+{
+  ACCELERATOR_AS_CORES = 8, /* the platform's price of lost work */
+};
+
+/* One way to make room: on which workers, and whom it stops.  */
+struct plan
+{
+  GHashTable *victims;  /* struct jb_task, as a set */
+  GPtrArray *places;    /* struct sd_worker, one for each waiting task */
+  struct jb_room *room; /* by index of worker */
+  double loss;
+};
+
+static uint32_t
+priority_of (const struct sd_sched *sched, const struct jb_task *task)
+{
+  const struct ct_queue *queue = ct_queue (sched->catalog, task->job->queue);
+
+  return queue == NULL ? UINT32_MAX : queue->priority;
+}
+
+static double
+work_lost (const struct jb_task *task, int64_t now_ms)
+{
+  const struct jb_room *room = &task->step->spec->room;
+  double cores = (double)room->cpus_milli / 1000.0
+                 + ACCELERATOR_AS_CORES * (double)room->accelerators;
+  double seconds = 1.0;
+
+  if (task->started_ms > 0 && !task->step->spec->checkpoints)
+    seconds += (double)(now_ms - task->started_ms) / 1000.0;
+  return cores * seconds;
+}
+
+/* What stopping TASK loses: all of its gang.  */
+static double
+loss_of (const struct jb_task *task, int64_t now_ms)
+{
+  const struct jb_step *step = task->step;
+  double loss = 0;
+  uint32_t i;
+
+  if (!step->spec->gang)
+    return work_lost (task, now_ms);
+  for (i = 0; i < step->spec->count; i++)
+    loss += work_lost (&step->tasks[i], now_ms);
+  return loss;
+}
+
+static bool
+may_stop (const struct sd_sched *sched, const struct sd_unit *unit,
+          const struct jb_task *task)
+{
+  return task->state == JB_TASK_PLACED
+         && priority_of (sched, task) > unit->priority;
+}
+
+static struct plan *
+plan_create (const struct sd_sched *sched)
+{
+  struct plan *plan = g_new0 (struct plan, 1);
+  guint i;
+  guint k;
+
+  plan->victims = g_hash_table_new (NULL, NULL);
+  plan->places = g_ptr_array_new ();
+  plan->room = g_new0 (struct jb_room, sched->workers->len);
+  for (i = 0; i < sched->workers->len; i++)
+    {
+      const struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
+
+      plan->room[i] = worker->round_free;
+      for (k = 0; k < worker->tasks->len; k++)
+        {
+          const struct jb_task *task = g_ptr_array_index (worker->tasks, k);
+
+          if (task->state == JB_TASK_STOPPING)
+            sd_room_add (&plan->room[i], &task->step->spec->room);
+        }
+    }
+  return plan;
+}
+
+static void
+plan_free (struct plan *plan)
+{
+  if (plan == NULL)
+    return;
+  g_hash_table_destroy (plan->victims);
+  g_ptr_array_free (plan->places, TRUE);
+  g_free (plan->room);
+  g_free (plan);
+}
+
+/* Enters that TASK, or its whole gang, is stopped.  */
+static void
+plan_stop (const struct sd_sched *sched, struct plan *plan,
+           struct jb_task *task)
+{
+  struct jb_step *step = task->step;
+  uint32_t i;
+
+  for (i = 0; i < step->spec->count; i++)
+    {
+      struct jb_task *other = &step->tasks[i];
+      struct sd_worker *worker;
+
+      if (!step->spec->gang && other != task)
+        continue;
+      if (other->state != JB_TASK_PLACED
+          || !g_hash_table_add (plan->victims, other))
+        continue;
+      worker = sd_worker_find (sched, other->worker);
+      if (worker != NULL)
+        sd_room_add (&plan->room[worker->index], &step->spec->room);
+    }
+}
+
+static struct jb_task *
+cheapest_victim (const struct sd_sched *sched, const struct sd_unit *unit,
+                 const struct plan *plan, const struct sd_worker *worker,
+                 GHashTable *besides, int64_t now_ms, double *loss)
+{
+  struct jb_task *best = NULL;
+  guint i;
+
+  for (i = 0; i < worker->tasks->len; i++)
+    {
+      struct jb_task *task = g_ptr_array_index (worker->tasks, i);
+      double lost;
+
+      if (!may_stop (sched, unit, task)
+          || g_hash_table_contains (plan->victims, task)
+          || g_hash_table_contains (besides, task))
+        continue;
+      lost = loss_of (task, now_ms);
+      if (best != NULL && lost >= *loss)
+        continue;
+      best = task;
+      *loss = lost;
+    }
+  return best;
+}
+
+/* The loss of making room for one more task on WORKER; negative if it cannot
+   be done.  The victims are added to VICTIMS.  */
+static double
+loss_of_room (const struct sd_sched *sched, const struct sd_unit *unit,
+              const struct plan *plan, const struct sd_worker *worker,
+              int64_t now_ms, GHashTable *victims)
+{
+  struct jb_room room = plan->room[worker->index];
+  const struct jb_room *need = &unit->step->spec->room;
+  double total = 0;
+
+  while (!sd_room_fits (need, &room))
+    {
+      double loss = 0;
+      struct jb_task *task = cheapest_victim (sched, unit, plan, worker,
+                                              victims, now_ms, &loss);
+
+      if (task == NULL)
+        return -1;
+      g_hash_table_add (victims, task);
+      sd_room_add (&room, &task->step->spec->room);
+      total += loss;
+    }
+  return total;
+}
+
+static bool
+usable (const struct sd_worker *worker, const struct sd_unit *unit,
+        const char *rack, int64_t now_ms)
+{
+  const char *label = unit->step->spec->label;
+
+  if (!worker->listed || worker->report.draining
+      || worker->contact != SD_CONTACT_GOOD
+      || sd_health_avoided (worker, now_ms))
+    return false;
+  if (g_strcmp0 (worker->report.service, unit->service) != 0)
+    return false;
+  if (label != NULL
+      && (worker->report.labels == NULL
+          || !g_strv_contains ((const char *const *)worker->report.labels,
+                               label)))
+    return false;
+  return rack == NULL || g_strcmp0 (worker->report.rack, rack) == 0;
+}
+
+static uint32_t
+planned_there (const struct plan *plan, const struct sd_worker *worker)
+{
+  uint32_t count = 0;
+  guint i;
+
+  for (i = 0; i < plan->places->len; i++)
+    if (g_ptr_array_index (plan->places, i) == worker)
+      count++;
+  return count;
+}
+
+/* Adds the worker on which one more task costs least.  */
+static bool
+plan_add_place (const struct sd_sched *sched, const struct sd_unit *unit,
+                struct plan *plan, const char *rack, int64_t now_ms)
+{
+  const struct jb_step_spec *spec = unit->step->spec;
+  struct sd_worker *best = NULL;
+  GHashTable *best_victims = NULL;
+  GHashTableIter iter;
+  void *victim;
+  double best_loss = 0;
+  guint i;
+
+  for (i = 0; i < sched->workers->len; i++)
+    {
+      struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
+      GHashTable *victims;
+      double loss;
+
+      if (!usable (worker, unit, rack, now_ms))
+        continue;
+      if (spec->worker_limit > 0
+          && planned_there (plan, worker) >= spec->worker_limit)
+        continue;
+      victims = g_hash_table_new (NULL, NULL);
+      loss = loss_of_room (sched, unit, plan, worker, now_ms, victims);
+      if (loss < 0 || (best != NULL && loss >= best_loss))
+        {
+          g_hash_table_destroy (victims);
+          continue;
+        }
+      if (best_victims != NULL)
+        g_hash_table_destroy (best_victims);
+      best = worker;
+      best_victims = victims;
+      best_loss = loss;
+      if (loss <= 0)
+        break;
+    }
+  if (best == NULL)
+    return false;
+  g_hash_table_iter_init (&iter, best_victims);
+  while (g_hash_table_iter_next (&iter, &victim, NULL))
+    plan_stop (sched, plan, victim);
+  g_hash_table_destroy (best_victims);
+  sd_room_take (&plan->room[best->index], &spec->room);
+  g_ptr_array_add (plan->places, best);
+  plan->loss += best_loss;
+  return true;
+}
+
+static struct plan *
+make_plan (const struct sd_sched *sched, const struct sd_unit *unit,
+           const char *rack, int64_t now_ms)
+{
+  struct plan *plan = plan_create (sched);
+
+  while (plan->places->len < unit->waiting)
+    if (!plan_add_place (sched, unit, plan, rack, now_ms))
+      {
+        plan_free (plan);
+        return NULL;
+      }
+  return plan;
+}
+
+static struct plan *
+cheapest_rack_plan (const struct sd_sched *sched, const struct sd_unit *unit,
+                    int64_t now_ms)
+{
+  GHashTable *tried = g_hash_table_new (g_str_hash, g_str_equal);
+  struct plan *best = NULL;
+  guint i;
+
+  for (i = 0; i < sched->workers->len; i++)
+    {
+      const struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
+      struct plan *plan;
+
+      if (worker->report.rack == NULL
+          || !g_hash_table_add (tried, worker->report.rack))
+        continue;
+      plan = make_plan (sched, unit, worker->report.rack, now_ms);
+      if (plan != NULL && best != NULL && plan->loss >= best->loss)
+        g_clear_pointer (&plan, plan_free);
+      if (plan == NULL)
+        continue;
+      plan_free (best);
+      best = plan;
+    }
+  g_hash_table_destroy (tried);
+  return best;
+}
+
+void
+sd_preempt (struct sd_sched *sched, const struct sd_unit *unit, int64_t now_ms)
+{
+  const struct jb_step_spec *spec = unit->step->spec;
+  struct plan *plan = NULL;
+  GHashTableIter iter;
+  void *victim;
+  guint i;
+
+  if (spec->gang && spec->one_rack)
+    plan = cheapest_rack_plan (sched, unit, now_ms);
+  if (plan == NULL)
+    plan = make_plan (sched, unit, NULL, now_ms);
+  if (plan == NULL)
+    return;
+  g_hash_table_iter_init (&iter, plan->victims);
+  while (g_hash_table_iter_next (&iter, &victim, NULL))
+    sd_stop_task (sched, victim);
+  for (i = 0; i < plan->places->len; i++)
+    {
+      struct sd_worker *worker = g_ptr_array_index (plan->places, i);
+
+      sd_room_take (&worker->round_free, &spec->room);
+    }
+  plan_free (plan);
+}
--- /dev/null
+++ b/lib/sched/private.h
@@ -0,0 +1,127 @@
+/* Inside the scheduling core; for its own files only.  */
+
+#ifndef FT_SCHED_PRIVATE_H
+#define FT_SCHED_PRIVATE_H
+
+#include "sched/sched.h"
+
+enum
+{
+  /* An end `failed` on a worker may be the job's own fault; two of different
+     jobs in a row are the worker's.  */
+  SD_BAD_STREAK = 2,
+  /* How long a worker that fails all is left alone before one more try:
+     about two heartbeats of the platform.  */
+  SD_AVOID_MS = 6000,
+  /* A worker that refused for want of room is asked again after this: a stop
+     takes 200 ms and is listed by then.  */
+  SD_ROOM_SHUT_MS = 300,
+};
+
+struct sd_sched
+{
+  struct sd_params params;
+  struct jb_table *table;
+  const struct ct_catalog *catalog; /* NULL: none yet */
+  GHashTable *workers_by_id;
+  GPtrArray *workers;
+  GPtrArray *active;  /* struct jb_job: not ended, or with tasks placed */
+  GPtrArray *changed; /* struct jb_job */
+  GPtrArray *stops;   /* struct jb_task: stops that events asked for */
+};
+
+/* --- ledger.c: room on workers --- */
+
+/*! sd_place () :
+ *  Enters TASK as placed on WORKER with the given run number. */
+void sd_place (struct sd_sched *sched, struct jb_task *task,
+               struct sd_worker *worker, uint32_t run, int64_t now_ms);
+
+/*! sd_release () :
+ *  Gives the room of TASK back and lets it wait. */
+void sd_release (struct sd_sched *sched, struct jb_task *task);
+
+/*! sd_mark_changed () :
+ *  The job's progress must be recorded. */
+void sd_mark_changed (struct sd_sched *sched, struct jb_job *job);
+
+/*! sd_stop_task () :
+ *  A placed task is to be stopped. */
+void sd_stop_task (struct sd_sched *sched, struct jb_task *task);
+
+/*! sd_stop_step () :
+ *  All placed tasks of a step are to be stopped. */
+void sd_stop_step (struct sd_sched *sched, struct jb_step *step);
+
+bool sd_room_fits (const struct jb_room *need, const struct jb_room *room);
+void sd_room_add (struct jb_room *room, const struct jb_room *more);
+void sd_room_take (struct jb_room *room, const struct jb_room *less);
+
+/*! sd_room_copies () :
+ *  @return : how many times NEED fits into ROOM, at most LIMIT. */
+uint32_t sd_room_copies (const struct jb_room *need,
+                         const struct jb_room *room, uint32_t limit);
+
+/* --- health.c --- */
+
+void sd_health_done (struct sd_worker *worker, int64_t now_ms);
+void sd_health_failed (struct sd_worker *worker, const struct jb_job *job,
+                       int64_t now_ms);
+void sd_health_refused (struct sd_worker *worker, int64_t now_ms);
+
+/*! sd_health_avoided () :
+ *  @return : whether nothing should be placed on the worker now. */
+bool sd_health_avoided (const struct sd_worker *worker, int64_t now_ms);
+
+/* --- order.c --- */
+
+/* What is placed as a whole: a gang, or the waiting tasks of a step.  */
+struct sd_unit
+{
+  struct jb_step *step;
+  const struct ct_queue *queue;
+  const char *service;
+  uint32_t waiting;
+  uint32_t priority;
+  int64_t due_ms; /* steady clock: the objective */
+  bool guaranteed; /* of its team's guarantee: may take room back */
+};
+
+/*! sd_collect_units () :
+ *  @return : struct sd_unit of all that could start now, in the order in
+ *            which they are placed; to be freed by g_array_free (). */
+GArray *sd_collect_units (struct sd_sched *sched, int64_t now_ms,
+                          int64_t now_unix_ms);
+
+/* --- place.c --- */
+
+/* A choice of workers for tasks: pairs of a task and its worker.  */
+struct sd_choice
+{
+  GPtrArray *tasks;   /* struct jb_task */
+  GPtrArray *workers; /* struct sd_worker */
+};
+
+/*! sd_choose () :
+ *  Chooses workers for the waiting tasks of UNIT by their round_free; of a
+ *  gang for all or none.
+ *  @return : whether all waiting tasks have a worker. */
+bool sd_choose (const struct sd_sched *sched, const struct sd_unit *unit,
+                int64_t now_ms, struct sd_choice *choice);
+
+/*! sd_could_ever_fit () :
+ *  @return : whether the unit fits on the listed workers when they are
+ *            empty. */
+bool sd_could_ever_fit (const struct sd_sched *sched,
+                        const struct sd_unit *unit, bool one_rack,
+                        int64_t now_ms);
+
+/* --- preempt.c --- */
+
+/*! sd_preempt () :
+ *  For a guaranteed unit that does not fit: has tasks of lower priority
+ *  stopped, and takes the room that they will leave from round_free. */
+void sd_preempt (struct sd_sched *sched, const struct sd_unit *unit,
+                 int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/lib/sched/round.c
@@ -0,0 +1,88 @@
+/* One round: all that can be decided with what is known now.  */
+
+#include "sched/private.h"
+
+static void
+start_round (struct sd_sched *sched)
+{
+  guint i;
+
+  for (i = 0; i < sched->workers->len; i++)
+    {
+      struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
+
+      worker->round_free = worker->report.room;
+      sd_room_take (&worker->round_free, &worker->used);
+    }
+}
+
+static uint32_t
+next_run (const struct jb_step *step)
+{
+  uint32_t highest = 0;
+  uint32_t i;
+
+  for (i = 0; i < step->spec->count; i++)
+    highest = MAX (highest, step->tasks[i].run);
+  return highest + 1;
+}
+
+static void
+place_choice (struct sd_sched *sched, const struct sd_unit *unit,
+              const struct sd_choice *choice, int64_t now_ms,
+              struct sd_commands *commands)
+{
+  const struct jb_step_spec *spec = unit->step->spec;
+  uint32_t gang_run = spec->gang ? next_run (unit->step) : 0;
+  guint i;
+
+  for (i = 0; i < choice->tasks->len; i++)
+    {
+      struct jb_task *task = g_ptr_array_index (choice->tasks, i);
+      struct sd_worker *worker = g_ptr_array_index (choice->workers, i);
+
+      sd_place (sched, task, worker, spec->gang ? gang_run : task->run + 1,
+                now_ms);
+      sd_room_take (&worker->round_free, &spec->room);
+      g_ptr_array_add (commands->starts, task);
+    }
+}
+
+static void
+place_unit (struct sd_sched *sched, const struct sd_unit *unit, int64_t now_ms,
+            struct sd_commands *commands)
+{
+  struct sd_choice choice = { .tasks = g_ptr_array_new (),
+                              .workers = g_ptr_array_new () };
+  bool whole = sd_choose (sched, unit, now_ms, &choice);
+  struct sd_unit rest = *unit;
+
+  if (whole || !unit->step->spec->gang)
+    place_choice (sched, unit, &choice, now_ms, commands);
+  rest.waiting -= choice.tasks->len;
+  if (!whole && unit->guaranteed && rest.waiting > 0)
+    sd_preempt (sched, &rest, now_ms);
+  g_ptr_array_free (choice.tasks, TRUE);
+  g_ptr_array_free (choice.workers, TRUE);
+}
+
+void
+sd_round (struct sd_sched *sched, int64_t now_ms, int64_t now_unix_ms,
+          struct sd_commands *commands)
+{
+  GArray *units;
+  guint i;
+
+  if (sched->catalog != NULL)
+    {
+      start_round (sched);
+      units = sd_collect_units (sched, now_ms, now_unix_ms);
+      for (i = 0; i < units->len; i++)
+        place_unit (sched, &g_array_index (units, struct sd_unit, i), now_ms,
+                    commands);
+      g_array_free (units, TRUE);
+    }
+  for (i = 0; i < sched->stops->len; i++)
+    g_ptr_array_add (commands->stops, g_ptr_array_index (sched->stops, i));
+  g_ptr_array_set_size (sched->stops, 0);
+}
--- /dev/null
+++ b/lib/sched/sched.c
@@ -0,0 +1,403 @@
+/* The scheduling core: its state, and what events do to it.  */
+
+#include <assert.h>
+#include <string.h>
+
+#include "sched/private.h"
+
+static void
+worker_free (void *data)
+{
+  struct sd_worker *worker = data;
+
+  sd_report_clear (&worker->report);
+  g_ptr_array_free (worker->tasks, TRUE);
+  g_free (worker);
+}
+
+struct sd_sched *
+sd_create (const struct sd_params *params, struct jb_table *table)
+{
+  struct sd_sched *sched = g_new0 (struct sd_sched, 1);
+
+  sched->params = *params;
+  sched->table = table;
+  sched->workers_by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  sched->workers = g_ptr_array_new_with_free_func (worker_free);
+  sched->active = g_ptr_array_new ();
+  sched->changed = g_ptr_array_new ();
+  sched->stops = g_ptr_array_new ();
+  return sched;
+}
+
+void
+sd_free (struct sd_sched *sched)
+{
+  if (sched == NULL)
+    return;
+  g_hash_table_destroy (sched->workers_by_id);
+  g_ptr_array_free (sched->workers, TRUE);
+  g_ptr_array_free (sched->active, TRUE);
+  g_ptr_array_free (sched->changed, TRUE);
+  g_ptr_array_free (sched->stops, TRUE);
+  g_free (sched);
+}
+
+void
+sd_set_catalog (struct sd_sched *sched, const struct ct_catalog *catalog)
+{
+  sched->catalog = catalog;
+}
+
+GPtrArray *
+sd_take_changed (struct sd_sched *sched)
+{
+  GPtrArray *taken = sched->changed;
+  guint i;
+
+  sched->changed = g_ptr_array_new ();
+  for (i = 0; i < taken->len; i++)
+    ((struct jb_job *)g_ptr_array_index (taken, i))->changed = false;
+  return taken;
+}
+
+bool
+sd_has_changed (const struct sd_sched *sched)
+{
+  return sched->changed->len > 0;
+}
+
+/* --- Workers --- */
+
+void
+sd_report_clear (struct sd_report *report)
+{
+  g_free (report->id);
+  g_free (report->address);
+  g_free (report->service);
+  g_free (report->data_centre);
+  g_free (report->rack);
+  g_strfreev (report->labels);
+  memset (report, 0, sizeof *report);
+}
+
+struct sd_worker *
+sd_worker_find (const struct sd_sched *sched, const char *id)
+{
+  return g_hash_table_lookup (sched->workers_by_id, id);
+}
+
+const GPtrArray *
+sd_workers (const struct sd_sched *sched)
+{
+  return sched->workers;
+}
+
+static struct sd_worker *
+worker_add (struct sd_sched *sched, struct sd_report *report)
+{
+  struct sd_worker *worker = g_new0 (struct sd_worker, 1);
+
+  worker->report = *report;
+  memset (report, 0, sizeof *report);
+  worker->tasks = g_ptr_array_new ();
+  worker->slowness = 1.0;
+  worker->index = sched->workers->len;
+  g_ptr_array_add (sched->workers, worker);
+  g_hash_table_insert (sched->workers_by_id, worker->report.id, worker);
+  return worker;
+}
+
+struct sd_worker *
+sd_worker_listed (struct sd_sched *sched, struct sd_report *report)
+{
+  struct sd_worker *worker = sd_worker_find (sched, report->id);
+  char *id;
+
+  if (worker == NULL)
+    worker = worker_add (sched, report);
+  else
+    {
+      /* The table of workers is keyed by the first copy of the id.  */
+      id = g_steal_pointer (&worker->report.id);
+      g_free (report->id);
+      report->id = NULL;
+      sd_report_clear (&worker->report);
+      worker->report = *report;
+      worker->report.id = id;
+      memset (report, 0, sizeof *report);
+    }
+  worker->listed = true;
+  return worker;
+}
+
+void
+sd_worker_unlisted (struct sd_sched *sched, const char *id)
+{
+  struct sd_worker *worker = sd_worker_find (sched, id);
+
+  if (worker != NULL)
+    worker->listed = false;
+}
+
+void
+sd_worker_contact (struct sd_sched *sched, struct sd_worker *worker,
+                   enum sd_contact contact)
+{
+  (void)sched;
+  worker->contact = contact;
+}
+
+/* --- Terms --- */
+
+static struct sd_worker *
+worker_of (struct sd_sched *sched, const char *id)
+{
+  struct sd_worker *worker = sd_worker_find (sched, id);
+  struct sd_report report = { 0 };
+
+  if (worker != NULL)
+    return worker;
+  report.id = g_strdup (id); /* it holds tasks, but is not listed */
+  return worker_add (sched, &report);
+}
+
+static void
+enter_placed (struct sd_sched *sched, struct jb_job *job, int64_t now_ms)
+{
+  struct sd_worker *worker;
+  size_t i;
+
+  for (i = 0; i < job->task_total; i++)
+    {
+      struct jb_task *task = &job->tasks[i];
+
+      if (task->state != JB_TASK_PLACED && task->state != JB_TASK_STOPPING)
+        continue;
+      worker = worker_of (sched, task->worker);
+      g_ptr_array_add (worker->tasks, task);
+      sd_room_add (&worker->used, &task->step->spec->room);
+      task->placed_ms = now_ms;
+      if (task->state == JB_TASK_STOPPING || job->cancelled)
+        {
+          task->state = JB_TASK_STOPPING;
+          g_ptr_array_add (sched->stops, task);
+        }
+    }
+}
+
+void
+sd_begin_term (struct sd_sched *sched, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value;
+  guint i;
+
+  for (i = 0; i < sched->workers->len; i++)
+    {
+      struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
+
+      g_ptr_array_set_size (worker->tasks, 0);
+      worker->used = (struct jb_room){ 0 };
+      worker->contact = SD_CONTACT_UNSEEN;
+    }
+  g_ptr_array_set_size (sched->active, 0);
+  g_ptr_array_set_size (sched->changed, 0);
+  g_ptr_array_set_size (sched->stops, 0);
+  g_hash_table_iter_init (&iter, sched->table->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct jb_job *job = value;
+
+      job->changed = false;
+      if (job->spec == NULL)
+        continue;
+      enter_placed (sched, job, now_ms);
+      if (!jb_state_is_final (job->state))
+        sd_job_added (sched, job);
+      if (job->cancelled)
+        sd_job_cancelled (sched, job, now_ms);
+    }
+}
+
+/* --- Jobs --- */
+
+void
+sd_job_added (struct sd_sched *sched, struct jb_job *job)
+{
+  if (!g_ptr_array_find (sched->active, job, NULL))
+    g_ptr_array_add (sched->active, job);
+}
+
+static void
+end_job (struct sd_sched *sched, struct jb_job *job, enum jb_state state,
+         int64_t now_unix_ms)
+{
+  size_t i;
+
+  job->state = state;
+  job->ended_unix_ms = now_unix_ms;
+  for (i = 0; i < job->step_total; i++)
+    sd_stop_step (sched, &job->steps[i]);
+  g_ptr_array_remove_fast (sched->active, job);
+  sd_mark_changed (sched, job);
+}
+
+void
+sd_job_cancelled (struct sd_sched *sched, struct jb_job *job, int64_t now_ms)
+{
+  (void)now_ms;
+  if (jb_state_is_final (job->state))
+    return;
+  end_job (sched, job, JB_CANCELLED, 0);
+}
+
+/* --- Tasks --- */
+
+void
+sd_task_running (struct sd_sched *sched, struct jb_task *task, int64_t now_ms)
+{
+  struct jb_job *job = task->job;
+
+  if (!task->confirmed)
+    task->started_ms = now_ms;
+  task->confirmed = true;
+  if (!job->begun)
+    {
+      job->begun = true;
+      if (job->state == JB_QUEUED)
+        job->state = JB_RUNNING;
+      sd_mark_changed (sched, job);
+    }
+}
+
+void
+sd_task_saved (struct jb_task *task, const char *checkpoint)
+{
+  struct jb_task *keeper = task->step->spec->gang ? task->step->tasks : task;
+
+  if (checkpoint == NULL || checkpoint[0] == '\0'
+      || g_strcmp0 (keeper->checkpoint, checkpoint) == 0)
+    return;
+  g_free (keeper->checkpoint);
+  keeper->checkpoint = g_strdup (checkpoint);
+}
+
+/* A member of a gang has not started or has ended: the others must end.  */
+static void
+break_gang (struct sd_sched *sched, struct jb_task *task)
+{
+  if (task->step->spec->gang)
+    sd_stop_step (sched, task->step);
+}
+
+void
+sd_task_refused (struct sd_sched *sched, struct jb_task *task,
+                 enum sd_refusal reason, int64_t now_ms)
+{
+  struct sd_worker *worker = sd_worker_find (sched, task->worker);
+
+  if (worker != NULL && reason == SD_REFUSED_ROOM)
+    worker->room_shut_until_ms = now_ms + SD_ROOM_SHUT_MS;
+  if (worker != NULL && reason == SD_REFUSED_UNWELL)
+    sd_health_refused (worker, now_ms);
+  sd_release (sched, task);
+  break_gang (sched, task);
+}
+
+void
+sd_task_lost (struct sd_sched *sched, struct jb_task *task, int64_t now_ms)
+{
+  (void)now_ms;
+  sd_release (sched, task);
+  break_gang (sched, task);
+}
+
+static void
+finish_task (struct jb_task *task)
+{
+  task->state = JB_TASK_DONE;
+  task->step->done_count++;
+}
+
+static void
+task_done (struct sd_sched *sched, struct jb_task *task, int64_t now_unix_ms)
+{
+  struct jb_step *step = task->step;
+  struct jb_job *job = task->job;
+  uint32_t i;
+  size_t k;
+
+  if (step->spec->lasting)
+    return; /* it waits to be started again */
+  if (step->spec->gang)
+    for (i = 0; i < step->spec->count; i++)
+      {
+        if (step->tasks[i].state == JB_TASK_DONE)
+          continue;
+        sd_release (sched, &step->tasks[i]);
+        finish_task (&step->tasks[i]);
+      }
+  else
+    finish_task (task);
+  if (jb_state_is_final (job->state))
+    return;
+  for (k = 0; k < job->step_total; k++)
+    if (job->steps[k].done_count < job->steps[k].spec->count)
+      return;
+  end_job (sched, job, JB_COMPLETED, now_unix_ms);
+}
+
+static uint32_t
+attempt_limit (const struct sd_sched *sched, const struct jb_job *job)
+{
+  const struct ct_queue *queue
+      = sched->catalog == NULL ? NULL : ct_queue (sched->catalog, job->queue);
+
+  return queue == NULL || queue->attempt_limit == 0 ? 1
+                                                    : queue->attempt_limit;
+}
+
+static void
+task_failed (struct sd_sched *sched, struct jb_task *task, int64_t now_unix_ms)
+{
+  struct jb_task *keeper = task->step->spec->gang ? task->step->tasks : task;
+
+  keeper->failures++;
+  if (jb_state_is_final (task->job->state) || task->step->spec->lasting)
+    return;
+  if (keeper->failures >= attempt_limit (sched, task->job))
+    end_job (sched, task->job, JB_FAILED, now_unix_ms);
+}
+
+void
+sd_task_ended (struct sd_sched *sched, struct jb_task *task, enum sd_end how,
+               const char *checkpoint, int64_t now_ms, int64_t now_unix_ms)
+{
+  struct sd_worker *worker = sd_worker_find (sched, task->worker);
+
+  assert (task->state == JB_TASK_PLACED || task->state == JB_TASK_STOPPING);
+  sd_task_running (sched, task, now_ms); /* what has ended has begun */
+  sd_task_saved (task, checkpoint);
+  sd_release (sched, task);
+  switch (how)
+    {
+    case SD_END_DONE:
+      if (worker != NULL)
+        sd_health_done (worker, now_ms);
+      task_done (sched, task, now_unix_ms);
+      return;
+    case SD_END_FAILED:
+      if (worker != NULL)
+        sd_health_failed (worker, task->job, now_ms);
+      task_failed (sched, task, now_unix_ms);
+      break_gang (sched, task);
+      return;
+    case SD_END_STOPPED:
+    case SD_END_LAPSED:
+    case SD_END_BROKEN:
+    case SD_END_ALONE:
+      break_gang (sched, task);
+      return;
+    }
+}
--- /dev/null
+++ b/lib/sched/sched.h
@@ -0,0 +1,176 @@
+/* The scheduling core on a store with epochs: which tasks start where, and
+   which are stopped.  Pure: no input, no output, no clock of its own; the
+   same events give the same commands.  One host at a time drives it with the
+   answers of the workers.  Prefix: sd_.  */
+
+#ifndef FT_SCHED_H
+#define FT_SCHED_H
+
+#include "jobs/catalog.h"
+#include "jobs/model.h"
+
+struct sd_sched;
+
+/* What a worker says of itself.  */
+struct sd_report
+{
+  char *id;
+  char *address; /* IP:PORT */
+  char *service;
+  char *data_centre;
+  char *rack;    /* NULL: unknown */
+  char **labels; /* NULL at the end */
+  struct jb_room room;
+  bool draining;
+  int64_t leaves_in_ms; /* least time left while draining; 0: unknown */
+};
+
+void sd_report_clear (struct sd_report *report);
+
+enum sd_contact
+{
+  SD_CONTACT_UNSEEN = 0, /* not asked yet under this term */
+  SD_CONTACT_GOOD = 1,
+  SD_CONTACT_LOST = 2, /* its last call failed */
+};
+
+/* A worker.  Fields are read by the driver, set by the core only, but for
+   `io`.  */
+struct sd_worker
+{
+  struct sd_report report;
+  bool listed; /* its entry stands in the store */
+  enum sd_contact contact;
+  struct jb_room used;
+  GPtrArray *tasks; /* struct jb_task: placed or stopping here */
+  int64_t room_shut_until_ms; /* it refused for want of room */
+  /* health */
+  uint32_t failure_streak;   /* ends `failed` since the last `done` */
+  char last_failed_job[JB_ID_DIGITS + 1];
+  uint32_t refusal_streak;
+  int64_t last_done_ms;
+  int64_t avoid_until_ms;
+  double slowness; /* its run times over what was expected; 1: as expected */
+  /* of a round */
+  struct jb_room round_free;
+  size_t index;
+  void *io; /* of the driver */
+};
+
+enum sd_end
+{
+  SD_END_DONE,
+  SD_END_FAILED,
+  SD_END_STOPPED,
+  SD_END_LAPSED,
+  SD_END_BROKEN, /* another member of its gang ended */
+  SD_END_ALONE,  /* it waited too long for the others of its gang */
+};
+
+enum sd_refusal
+{
+  SD_REFUSED_ROOM,
+  SD_REFUSED_OLD, /* the run number is not higher than one known there */
+  SD_REFUSED_UNWELL,
+  SD_REFUSED_LATE,
+  SD_REFUSED_OTHER,
+};
+
+struct sd_params
+{
+  uint32_t far_factor; /* slow-down of work away from its rack */
+  uint32_t stop_ms;    /* a stop takes at most this */
+};
+
+struct sd_sched *sd_create (const struct sd_params *params,
+                            struct jb_table *table);
+void sd_free (struct sd_sched *sched);
+
+/*! sd_set_catalog () :
+ *  CATALOG stays the caller's and must live until the next call. */
+void sd_set_catalog (struct sd_sched *sched, const struct ct_catalog *catalog);
+
+/*! sd_begin_term () :
+ *  Takes in what is recorded: every worker is unseen, every placed task is
+ *  unconfirmed. */
+void sd_begin_term (struct sd_sched *sched, int64_t now_ms);
+
+/* --- Workers --- */
+
+/*! sd_worker_listed () :
+ *  Adds a worker or takes its newest report; takes the report's contents. */
+struct sd_worker *sd_worker_listed (struct sd_sched *sched,
+                                    struct sd_report *report);
+
+/*! sd_worker_unlisted () :
+ *  Its entry is gone: nothing new is placed there. */
+void sd_worker_unlisted (struct sd_sched *sched, const char *id);
+
+struct sd_worker *sd_worker_find (const struct sd_sched *sched,
+                                  const char *id);
+
+/*! sd_workers () :
+ *  @return : all workers, struct sd_worker. */
+const GPtrArray *sd_workers (const struct sd_sched *sched);
+
+void sd_worker_contact (struct sd_sched *sched, struct sd_worker *worker,
+                        enum sd_contact contact);
+
+/* --- Jobs and tasks --- */
+
+/*! sd_job_added (), sd_job_cancelled () :
+ *  The table has learned of a job, or that it is cancelled. */
+void sd_job_added (struct sd_sched *sched, struct jb_job *job);
+void sd_job_cancelled (struct sd_sched *sched, struct jb_job *job,
+                       int64_t now_ms);
+
+/*! sd_task_running () :
+ *  Its worker says that the run recorded last is there. */
+void sd_task_running (struct sd_sched *sched, struct jb_task *task,
+                      int64_t now_ms);
+
+/*! sd_task_saved () :
+ *  Takes the newest checkpoint. */
+void sd_task_saved (struct jb_task *task, const char *checkpoint);
+
+/*! sd_task_refused () :
+ *  Its worker has refused the start: it did not run. */
+void sd_task_refused (struct sd_sched *sched, struct jb_task *task,
+                      enum sd_refusal reason, int64_t now_ms);
+
+/*! sd_task_ended () :
+ *  Its worker lists the end of the run recorded last. */
+void sd_task_ended (struct sd_sched *sched, struct jb_task *task,
+                    enum sd_end how, const char *checkpoint, int64_t now_ms,
+                    int64_t now_unix_ms);
+
+/*! sd_task_lost () :
+ *  The run recorded last is known not to be there, now or later. */
+void sd_task_lost (struct sd_sched *sched, struct jb_task *task,
+                   int64_t now_ms);
+
+/* --- Decisions --- */
+
+/* What a round decides.  */
+struct sd_commands
+{
+  GPtrArray *starts; /* struct jb_task: to be started once recorded */
+  GPtrArray *stops;  /* struct jb_task: to be stopped */
+};
+
+/*! sd_round () :
+ *  Decides with what is known now.  Starts are already entered in the tasks
+ *  (state, run, worker) and must be recorded before they are sent. */
+void sd_round (struct sd_sched *sched, int64_t now_ms, int64_t now_unix_ms,
+               struct sd_commands *commands);
+
+/*! sd_take_changed () :
+ *  @return : the jobs changed since the last call, struct jb_job; to be freed
+ *            by g_ptr_array_free (). */
+GPtrArray *sd_take_changed (struct sd_sched *sched);
+
+/*! sd_has_changed () :
+ *  @return : whether a job has changed since sd_take_changed (). */
+bool sd_has_changed (const struct sd_sched *sched);
+
+#endif
--- /dev/null
+++ b/programs/foxtailgap-hostd/hostd_settings.c
@@ -0,0 +1,168 @@
+/* Settings of one host of the scheduler on a store with epochs.  */
+
+#include "hostd_settings.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/address.h"
+#include "config/messages.h"
+#include "config/schema.h"
+#include "config/yaml_index.h"
+
+enum
+{
+  TEXT_LIMIT_BYTES = 255,
+  FILE_LIMIT_BYTES = 64 * 1024,
+  MINUTE_MS = 60 * 1000,
+  HOUR_MS = 60 * MINUTE_MS,
+  BODY_LIMIT_MAX_BYTES = 16 * 1024 * 1024
+};
+
+#define TEXT_FIELD(member)                                                    \
+  CYAML_FIELD_STRING_PTR (#member, CYAML_FLAG_POINTER, struct hostd_settings, \
+                          member, 0, TEXT_LIMIT_BYTES)
+#define NUMBER_FIELD(member)                                                  \
+  CYAML_FIELD_UINT (#member, CYAML_FLAG_OPTIONAL, struct hostd_settings,      \
+                    member)
+#define NUMBER(member, min, max, fallback)                                    \
+  {                                                                           \
+#member, offsetof (struct hostd_settings, member), min, max, fallback     \
+  }
+
+static const cyaml_schema_field_t settings_fields[]
+    = { TEXT_FIELD (host),
+        TEXT_FIELD (data_centre),
+        TEXT_FIELD (callers),
+        TEXT_FIELD (readiness),
+        TEXT_FIELD (metrics),
+        TEXT_FIELD (store),
+        CYAML_FIELD_STRING_PTR ("log_level",
+                                CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER,
+                                struct hostd_settings, log_level, 0,
+                                TEXT_LIMIT_BYTES),
+        NUMBER_FIELD (connection_limit),
+        NUMBER_FIELD (body_limit_bytes),
+        NUMBER_FIELD (receive_timeout_ms),
+        NUMBER_FIELD (lease_ttl_ms),
+        NUMBER_FIELD (stop_ms),
+        NUMBER_FIELD (key_validity_ms),
+        NUMBER_FIELD (shutdown_ms),
+        NUMBER_FIELD (far_factor),
+        NUMBER_FIELD (job_retention_ms),
+        CYAML_FIELD_END };
+
+static const cyaml_schema_value_t settings_schema = { CYAML_VALUE_MAPPING (
+    CYAML_FLAG_POINTER, struct hostd_settings, settings_fields) };
+
+static const struct sc_number settings_numbers[] = {
+  NUMBER (connection_limit, 1, 65535, 1024),
+  NUMBER (body_limit_bytes, 1, BODY_LIMIT_MAX_BYTES, 512 * 1024),
+  NUMBER (receive_timeout_ms, 100, 10 * MINUTE_MS, 3000),
+  NUMBER (lease_ttl_ms, 500, 10 * MINUTE_MS, 6000),
+  NUMBER (stop_ms, 1, MINUTE_MS, 200),
+  NUMBER (key_validity_ms, 500, HOUR_MS, 5000),
+  NUMBER (shutdown_ms, 100, HOUR_MS, 5000),
+  NUMBER (far_factor, 1, 1000, 3),
+  NUMBER (job_retention_ms, 1000, 24U * HOUR_MS, 180000),
+};
+
+static void
+check_address (const struct sc_place *place, const char *field,
+               const char *text)
+{
+  if (ad_is_ip_port (text))
+    return;
+  em_add (place->messages, yi_line (place->index, field),
+          "%s: must be IP:PORT, not '%.60s'", field, text);
+}
+
+static void
+check (struct hostd_settings *settings, const struct sc_place *place)
+{
+  sc_numbers (place, settings_numbers, G_N_ELEMENTS (settings_numbers));
+  check_address (place, "callers", settings->callers);
+  check_address (place, "readiness", settings->readiness);
+  check_address (place, "metrics", settings->metrics);
+  check_address (place, "store", settings->store);
+}
+
+static int
+parse (struct hostd_settings **out, const char *text, size_t size_bytes,
+       struct env_messages *messages)
+{
+  struct yi_index *index = NULL;
+  struct hostd_settings *settings = NULL;
+  struct sc_place place = { .path = "", .messages = messages };
+  void *data = NULL;
+  int error;
+
+  error = yi_create (&index, text, size_bytes, messages);
+  if (error != ENV_OK)
+    goto out;
+  error = sc_load (&data, &settings_schema, text, size_bytes, index, messages);
+  if (error != ENV_OK)
+    goto out;
+  settings = data;
+  if (settings->log_level == NULL)
+    settings->log_level = strdup ("info");
+  place.index = index;
+  place.target = settings;
+  check (settings, &place);
+  em_sort (messages);
+  if (messages->count > 0 || settings->log_level == NULL)
+    {
+      error = ENV_ERR_INVALID;
+      goto out;
+    }
+  *out = settings;
+  settings = NULL;
+
+out:
+  hostd_settings_free (settings);
+  yi_free (index);
+  return error;
+}
+
+int
+hostd_settings_load (struct hostd_settings **out, const char *path,
+                     struct env_messages *messages)
+{
+  GError *failure = NULL;
+  gchar *text = NULL;
+  gsize size_bytes = 0;
+  int error;
+
+  *out = NULL;
+  if (!g_file_get_contents (path, &text, &size_bytes, &failure))
+    {
+      em_add (messages, 0, "%s", failure->message);
+      g_error_free (failure);
+      return ENV_ERR_FILE;
+    }
+  if (size_bytes > FILE_LIMIT_BYTES)
+    {
+      em_add (messages, 0, "larger than %d bytes", FILE_LIMIT_BYTES);
+      error = ENV_ERR_INVALID;
+    }
+  else
+    error = parse (out, text, size_bytes, messages);
+  g_free (text);
+  return error;
+}
+
+void
+hostd_settings_free (struct hostd_settings *settings)
+{
+  if (settings == NULL)
+    return;
+  free (settings->host);
+  free (settings->data_centre);
+  free (settings->callers);
+  free (settings->readiness);
+  free (settings->metrics);
+  free (settings->store);
+  free (settings->log_level);
+  free (settings);
+}
--- /dev/null
+++ b/programs/foxtailgap-hostd/journal.c
@@ -0,0 +1,461 @@
+/* Follows the topics of jobs and of the operator.  */
+
+#include "journal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/logging.h"
+#include "journal_private.h"
+
+static const char PART[] = "journal";
+
+enum
+{
+  /* A read waits this long for a record; short, so that a connection that has
+     gone silent and a store that is away are noticed.  */
+  READ_WAIT_MS = 900,
+  READ_SLACK_MS = 700, /* above the slowest answer of a slow store */
+  NEWEST_TIMEOUT_MS = 1500,
+  RETRY_MS = 150, /* after a failed read */
+  /* Records are read in lots: each call to the store is priced, and callers
+     see a change this much later.  */
+  PAUSE_MS = 100,
+  PLANNER_PAUSE_MS = 8
+};
+
+static void read_on (struct follower *follower);
+
+/* --- Jobs --- */
+
+static void
+apply_job (struct journal *journal, const char *id,
+           const struct so_record *record)
+{
+  struct jb_job *job = jb_table_find (journal->table, id);
+  struct jb_spec *spec = NULL;
+  int error;
+
+  if (record->value == NULL)
+    {
+      if (job == NULL)
+        return;
+      if (journal->observer.job_removed != NULL)
+        journal->observer.job_removed (journal->observer.ctx, job);
+      jb_table_remove (journal->table, id);
+      return;
+    }
+  if (job != NULL && job->spec != NULL)
+    return; /* handed in twice: the first one counts */
+  error = jb_decode_spec (&spec, record->value, record->size_bytes);
+  if (error != JB_OK)
+    {
+      lg_warning (PART, "A job's record cannot be read.", "job", id, "error",
+                  lg_number (error), NULL);
+      return;
+    }
+  job = jb_table_add (journal->table, id, spec, clk_monotonic_ms (NULL));
+  if (journal->observer.job_added != NULL)
+    journal->observer.job_added (journal->observer.ctx, job);
+}
+
+static void
+apply_cancel (struct journal *journal, const char *id,
+              const struct so_record *record)
+{
+  struct jb_job *job = jb_table_find (journal->table, id);
+
+  if (job == NULL || record->value == NULL || job->cancelled
+      || jb_state_is_final (job->shown))
+    return;
+  job->cancelled = true;
+  job->shown = JB_CANCELLED;
+  job->final_ms = clk_monotonic_ms (NULL);
+  lg_info (PART, "A job is cancelled.", "job", id, NULL);
+  if (journal->observer.job_cancelled != NULL)
+    journal->observer.job_cancelled (journal->observer.ctx, job);
+}
+
+static void
+apply_progress (struct journal *journal, const char *id,
+                const struct so_record *record)
+{
+  struct jb_job *job = jb_table_find (journal->table, id);
+  uint64_t term = 0;
+
+  if (job == NULL || record->value == NULL)
+    return;
+  if (journal->own_term != 0 && journal->own_term == journal->term.term)
+    return; /* this host has written it */
+  if (jb_apply_progress (job, &term, record->value, record->size_bytes)
+      != JB_OK)
+    {
+      lg_warning (PART, "A progress record cannot be read.", "job", id, NULL);
+      return;
+    }
+  journal->planner_seen_ms = clk_monotonic_ms (NULL);
+  if (jb_state_is_final (job->shown) && job->final_ms == 0)
+    job->final_ms = journal->planner_seen_ms;
+}
+
+static void
+apply_term (struct journal *journal, const struct so_record *record)
+{
+  struct jb_term term = { 0 };
+
+  if (record->value == NULL
+      || jb_decode_term (&term, record->value, record->size_bytes) != JB_OK)
+    return;
+  if (term.term < journal->term.term)
+    return;
+  journal->planner_seen_ms = clk_monotonic_ms (NULL);
+  if (term.term != journal->term.term
+      || strcmp (term.host, journal->term.host) != 0)
+    lg_info (PART, "The planner's term.", "term",
+             lg_number ((long long)term.term), "host", term.host, NULL);
+  journal->term = term;
+  if (journal->observer.term_read != NULL)
+    journal->observer.term_read (journal->observer.ctx, &term);
+}
+
+static void
+apply_jobs_record (struct journal *journal, const struct so_record *record)
+{
+  const char *key = record->key;
+
+  if (key[0] == 't')
+    apply_term (journal, record);
+  else if (key[0] != '\0' && key[1] == '/' && jb_id_valid (key + 2))
+    {
+      if (key[0] == 'j')
+        apply_job (journal, key + 2, record);
+      else if (key[0] == 'c')
+        apply_cancel (journal, key + 2, record);
+      else if (key[0] == 'p')
+        apply_progress (journal, key + 2, record);
+      jr_writes_seen (journal, key);
+    }
+}
+
+/* --- The operator --- */
+
+static void
+apply_operator_record (struct journal *journal, const struct so_record *record)
+{
+  struct ct_catalog *catalog = NULL;
+
+  if (strcmp (record->key, journal->params.catalog_key) != 0
+      || record->value == NULL)
+    return;
+  if (journal->params.decode_catalog (&catalog, record->value,
+                                      record->size_bytes)
+      < 0)
+    {
+      lg_error (PART, "The configuration cannot be read.", NULL);
+      return;
+    }
+  if (journal->catalog != NULL
+      && catalog->version < journal->catalog->version)
+    {
+      ct_free (catalog);
+      return;
+    }
+  lg_info (PART, "A configuration is in force.", "version",
+           lg_number (catalog->version), "queues",
+           lg_number ((long long)catalog->queue_count), NULL);
+  if (journal->observer.catalog_changed != NULL)
+    journal->observer.catalog_changed (journal->observer.ctx, catalog);
+  ct_free (journal->catalog);
+  journal->catalog = catalog;
+}
+
+/* --- Following --- */
+
+static void
+schedule (struct follower *follower, uint32_t delay_ms)
+{
+  struct ev_loop *loop = follower->journal->params.loop;
+
+  ev_timer_stop (loop, &follower->pause);
+  ev_timer_set (&follower->pause, delay_ms / 1000.0, 0.0);
+  ev_timer_start (loop, &follower->pause);
+}
+
+static void
+count_answer (struct journal *journal, const char *call,
+              enum so_result result)
+{
+  char name[128];
+
+  g_snprintf (name, sizeof name,
+              "foxtailgap_store_calls_total{call=\"%s\",result=\"%s\"}", call,
+              so_result_name (result));
+  mt_add (journal->params.metrics, name, 1);
+}
+
+static uint32_t
+pause_ms (const struct follower *follower)
+{
+  const struct journal *journal = follower->journal;
+
+  if (follower != &journal->jobs)
+    return 0;
+  return journal->own_term != 0 ? PLANNER_PAUSE_MS : PAUSE_MS;
+}
+
+static void
+on_read (void *ctx, const struct so_read_answer *answer)
+{
+  struct follower *follower = ctx;
+  struct journal *journal = follower->journal;
+  uint32_t delay_ms = 0;
+  guint i;
+
+  follower->reading = false;
+  count_answer (journal, "read", answer->result);
+  if (answer->result == SO_EXPIRED)
+    {
+      lg_warning (PART, "Records have expired; the newest are read anew.",
+                  "topic", follower->topic, NULL);
+      follower->loaded = false;
+    }
+  else if (answer->result != SO_DONE)
+    delay_ms = RETRY_MS;
+  else
+    {
+      for (i = 0; i < answer->records->len; i++)
+        follower->apply (journal, g_ptr_array_index (answer->records, i));
+      follower->next = answer->next;
+      follower->fresh_ms = follower->sent_ms;
+      if (answer->waited)
+        follower->fresh_ms += READ_WAIT_MS;
+      else
+        delay_ms = pause_ms (follower);
+      follower->fresh_ms
+          = MIN (follower->fresh_ms, clk_monotonic_ms (NULL));
+    }
+  schedule (follower, delay_ms);
+  if (follower == &journal->jobs && answer->result == SO_DONE
+      && journal->observer.read_done != NULL)
+    journal->observer.read_done (journal->observer.ctx);
+}
+
+/* Jobs before what refers to them.  */
+static int
+compare_pages (const void *a, const void *b)
+{
+  static const char order[] = "tjcp";
+  const struct so_record *left = *(struct so_record *const *)a;
+  const struct so_record *right = *(struct so_record *const *)b;
+  const char *left_rank = strchr (order, left->key[0]);
+  const char *right_rank = strchr (order, right->key[0]);
+
+  if (left_rank != right_rank)
+    return left_rank < right_rank ? -1 : 1;
+  return left->offset < right->offset ? -1 : left->offset > right->offset;
+}
+
+static void
+apply_pages (struct follower *follower)
+{
+  guint i;
+
+  g_ptr_array_sort (follower->pages, compare_pages);
+  for (i = 0; i < follower->pages->len; i++)
+    follower->apply (follower->journal,
+                     g_ptr_array_index (follower->pages, i));
+  g_ptr_array_set_size (follower->pages, 0);
+  follower->next = follower->first_end;
+  follower->loaded = true;
+  follower->ever_loaded = true;
+  follower->fresh_ms = follower->sent_ms;
+  lg_info (PART, "A topic has been read.", "topic", follower->topic, "next",
+           lg_number (follower->next), NULL);
+}
+
+static void
+on_newest (void *ctx, const struct so_read_answer *answer)
+{
+  struct follower *follower = ctx;
+  struct so_record *record;
+  guint i;
+
+  follower->reading = false;
+  count_answer (follower->journal, "newest", answer->result);
+  if (answer->result != SO_DONE)
+    {
+      g_ptr_array_set_size (follower->pages, 0);
+      schedule (follower, RETRY_MS);
+      return;
+    }
+  if (follower->pages->len == 0)
+    follower->first_end = answer->next;
+  for (i = 0; i < answer->records->len; i++)
+    {
+      const struct so_record *found = g_ptr_array_index (answer->records, i);
+
+      record
+          = so_record_create (found->key, found->value, found->size_bytes);
+      record->offset = found->offset;
+      g_ptr_array_add (follower->pages, record);
+    }
+  if (!answer->more || answer->records->len == 0)
+    apply_pages (follower);
+  read_on (follower);
+}
+
+static void
+read_on (struct follower *follower)
+{
+  struct journal *journal = follower->journal;
+  const struct so_port *store = &journal->params.store;
+  const struct so_record *last;
+
+  if (follower->reading)
+    return;
+  follower->reading = true;
+  if (follower->loaded)
+    {
+      follower->sent_ms = clk_monotonic_ms (NULL);
+      store->read (store->ctx, follower->topic, follower->next, READ_WAIT_MS,
+                   READ_WAIT_MS + READ_SLACK_MS, on_read, follower);
+      return;
+    }
+  if (follower->pages->len == 0)
+    follower->sent_ms = clk_monotonic_ms (NULL);
+  last = follower->pages->len == 0
+             ? NULL
+             : g_ptr_array_index (follower->pages, follower->pages->len - 1);
+  store->newest (store->ctx, follower->topic, last == NULL ? NULL : last->key,
+                 NEWEST_TIMEOUT_MS, on_newest, follower);
+}
+
+static void
+on_pause_over (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  read_on (watcher->data);
+}
+
+static void
+follower_init (struct follower *follower, struct journal *journal,
+               const char *topic)
+{
+  follower->journal = journal;
+  follower->topic = topic;
+  follower->pages = so_records_create ();
+  ev_init (&follower->pause, on_pause_over);
+  follower->pause.data = follower;
+  schedule (follower, 0);
+}
+
+static void
+follower_clear (struct follower *follower)
+{
+  ev_timer_stop (follower->journal->params.loop, &follower->pause);
+  g_ptr_array_free (follower->pages, TRUE);
+}
+
+/* --- The journal --- */
+
+struct journal *
+jr_create (const struct jr_params *params)
+{
+  struct journal *journal = g_new0 (struct journal, 1);
+
+  journal->params = *params;
+  journal->table = jb_table_create ();
+  journal->jobs.apply = apply_jobs_record;
+  journal->operators.apply = apply_operator_record;
+  follower_init (&journal->jobs, journal, params->jobs_topic);
+  follower_init (&journal->operators, journal, params->operator_topic);
+  jr_writes_init (journal);
+  return journal;
+}
+
+void
+jr_free (struct journal *journal)
+{
+  if (journal == NULL)
+    return;
+  jr_writes_clear (journal);
+  follower_clear (&journal->jobs);
+  follower_clear (&journal->operators);
+  jb_table_free (journal->table);
+  ct_free (journal->catalog);
+  g_free (journal);
+}
+
+void
+jr_observe (struct journal *journal, const struct jr_observer *observer)
+{
+  journal->observer = *observer;
+}
+
+struct jb_table *
+jr_table (struct journal *journal)
+{
+  return journal->table;
+}
+
+const struct ct_catalog *
+jr_catalog (const struct journal *journal)
+{
+  return journal->catalog;
+}
+
+bool
+jr_loaded (const struct journal *journal)
+{
+  return journal->jobs.ever_loaded && journal->catalog != NULL;
+}
+
+bool
+jr_following (const struct journal *journal)
+{
+  return journal->jobs.loaded && journal->catalog != NULL;
+}
+
+void
+jr_reload (struct journal *journal)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, journal->table->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    jb_job_forget_progress (value);
+  journal->jobs.loaded = false;
+}
+
+int64_t
+jr_jobs_age_ms (const struct journal *journal)
+{
+  return clk_monotonic_ms (NULL) - journal->jobs.fresh_ms;
+}
+
+int64_t
+jr_catalog_age_ms (const struct journal *journal)
+{
+  return clk_monotonic_ms (NULL) - journal->operators.fresh_ms;
+}
+
+int64_t
+jr_planner_seen_ms (const struct journal *journal)
+{
+  return journal->planner_seen_ms;
+}
+
+void
+jr_set_own_term (struct journal *journal, uint64_t term)
+{
+  journal->own_term = term;
+}
+
+const struct jb_term *
+jr_term (const struct journal *journal)
+{
+  return &journal->term;
+}
--- /dev/null
+++ b/programs/foxtailgap-hostd/journal.h
@@ -0,0 +1,115 @@
+/* Task: follows the topics of jobs and of the operator, keeps the table of
+   jobs and the catalog, and appends what callers hand in.  Prefix: jr_.  */
+
+#ifndef FT_HOSTD_JOURNAL_H
+#define FT_HOSTD_JOURNAL_H
+
+#include <ev.h>
+
+#include "common/metrics.h"
+#include "jobs/catalog.h"
+#include "jobs/model.h"
+#include "jobs/records.h"
+#include "store/store_port.h"
+
+struct journal;
+
+/* What the journal tells its one observer (the planner).  */
+struct jr_observer
+{
+  void *ctx;
+  void (*job_added) (void *ctx, struct jb_job *job);
+  void (*job_cancelled) (void *ctx, struct jb_job *job);
+  void (*job_removed) (void *ctx, struct jb_job *job); /* before it is freed */
+  void (*term_read) (void *ctx, const struct jb_term *term);
+  void (*catalog_changed) (void *ctx, const struct ct_catalog *catalog);
+  void (*read_done) (void *ctx); /* after each answer of the jobs' topic */
+};
+
+/* Decodes the operator's document; of the platform.  */
+typedef int (*jr_decode_catalog) (struct ct_catalog **out, const void *text,
+                                  size_t size_bytes);
+
+struct jr_params
+{
+  struct ev_loop *loop;
+  struct so_port store;
+  const char *jobs_topic;
+  const char *operator_topic;
+  const char *catalog_key;
+  jr_decode_catalog decode_catalog;
+  struct mt_registry *metrics;
+};
+
+struct journal *jr_create (const struct jr_params *params);
+void jr_free (struct journal *journal);
+void jr_observe (struct journal *journal, const struct jr_observer *observer);
+
+/*! jr_table (), jr_catalog () :
+ *  What has been read; the catalog is NULL before the first one. */
+struct jb_table *jr_table (struct journal *journal);
+const struct ct_catalog *jr_catalog (const struct journal *journal);
+
+/*! jr_loaded () :
+ *  @return : whether jobs and catalog have been read up to a recent end. */
+bool jr_loaded (const struct journal *journal);
+
+/*! jr_following () :
+ *  @return : whether the newest state has been read and is followed now. */
+bool jr_following (const struct journal *journal);
+
+/*! jr_reload () :
+ *  Where jobs stand is read anew: this host has changed them on its own.
+ *  What callers are shown stays. */
+void jr_reload (struct journal *journal);
+
+/*! jr_jobs_age_ms (), jr_catalog_age_ms () :
+ *  @return : for how long what is known may have been superseded. */
+int64_t jr_jobs_age_ms (const struct journal *journal);
+int64_t jr_catalog_age_ms (const struct journal *journal);
+
+/*! jr_planner_seen_ms () :
+ *  @return : steady clock, when a record of the planner was read last. */
+int64_t jr_planner_seen_ms (const struct journal *journal);
+
+/*! jr_set_own_term () :
+ *  Progress written under this term is this host's own and is not read back;
+ *  0: none. */
+void jr_set_own_term (struct journal *journal, uint64_t term);
+
+/*! jr_term () :
+ *  @return : the newest term that was read. */
+const struct jb_term *jr_term (const struct journal *journal);
+
+/* --- What callers hand in --- */
+
+enum jr_outcome
+{
+  JR_STORED = 0,
+  JR_NOT_STORED = -1, /* and never will be */
+  JR_UNKNOWN = -2,    /* no answer in time: may be stored later */
+};
+
+typedef void (*jr_stored_callback) (void *ctx, enum jr_outcome outcome);
+
+/*! jr_submit () :
+ *  Has a job stored; SPEC is the caller's and is copied.
+ *  @ticket : set to a handle for jr_abandon (). */
+void jr_submit (struct journal *journal, const char *id,
+                const struct jb_spec *spec, uint32_t timeout_ms,
+                jr_stored_callback callback, void *ctx, uint64_t *ticket);
+
+/*! jr_cancel () :
+ *  Has the cancelling of a job stored. */
+void jr_cancel (struct journal *journal, const char *id, uint32_t timeout_ms,
+                jr_stored_callback callback, void *ctx, uint64_t *ticket);
+
+/*! jr_abandon () :
+ *  The callback is not called any more. */
+void jr_abandon (struct journal *journal, uint64_t ticket);
+
+/*! jr_open_writes () :
+ *  @return : writes of callers that have no outcome yet. */
+uint32_t jr_open_writes (const struct journal *journal);
+
+#endif
--- /dev/null
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -0,0 +1,50 @@
+/* Inside the journal: following in journal.c, writes in journal_write.c.  */
+
+#ifndef FT_HOSTD_JOURNAL_PRIVATE_H
+#define FT_HOSTD_JOURNAL_PRIVATE_H
+
+#include "journal.h"
+
+/* One topic that is followed.  */
+struct follower
+{
+  struct journal *journal;
+  const char *topic;
+  bool loaded;      /* the newest have been read; the tail is followed */
+  bool ever_loaded;
+  bool reading;
+  int64_t next;
+  int64_t sent_ms;
+  int64_t fresh_ms; /* nothing before this moment is missing */
+  GPtrArray *pages; /* struct so_record, while the newest are loaded */
+  int64_t first_end; /* end of the first page */
+  ev_timer pause;
+  void (*apply) (struct journal *journal, const struct so_record *record);
+};
+
+struct journal
+{
+  struct jr_params params;
+  struct jr_observer observer;
+  struct follower jobs;
+  struct follower operators;
+  struct jb_table *table;
+  struct ct_catalog *catalog;
+  struct jb_term term;
+  uint64_t own_term;
+  int64_t planner_seen_ms;
+  /* writes */
+  GQueue writes; /* struct jr_write, oldest first */
+  uint32_t appends_open;
+  uint64_t next_ticket;
+  ev_timer write_timer;
+};
+
+void jr_writes_init (struct journal *journal);
+void jr_writes_clear (struct journal *journal);
+
+/*! jr_writes_seen () :
+ *  The record with KEY has been read: who waits for it is told. */
+void jr_writes_seen (struct journal *journal, const char *key);
+
+#endif
--- /dev/null
+++ b/programs/foxtailgap-hostd/journal_write.c
@@ -0,0 +1,271 @@
+/* Writes of callers: grouped into few appends, and sent again until their
+   outcome is known.  A write that is sent twice is harmless: the first record
+   of a job counts.  */
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/logging.h"
+#include "journal_private.h"
+
+static const char PART[] = "journal";
+
+enum
+{
+  APPENDS_OPEN_MAX = 3,    /* an answer that is lost must not hold up others */
+  APPEND_TIMEOUT_MS = 700, /* above the answer of a slow store */
+  APPEND_AGAIN_MS = 60,    /* after a refusal */
+  REFUSED_FOR_MS = 250, /* a caller is told so once refusals last this long */
+  SWEEP_MS = 50,
+  LOT_MAX_BYTES = 1024 * 1024 /* half of the platform's limit of a call */
+};
+
+struct jr_write
+{
+  GList link; /* in journal->writes */
+  uint64_t ticket;
+  struct so_record *record;
+  int64_t made_ms;
+  int64_t until_ms;
+  bool in_flight;
+  bool maybe_stored; /* an append without an answer carried it */
+  jr_stored_callback callback; /* NULL: nobody waits any more */
+  void *ctx;
+};
+
+/* The writes that one append carries, by their tickets.  */
+struct lot
+{
+  struct journal *journal;
+  GArray *tickets; /* uint64_t */
+};
+
+static void send_lots (struct journal *journal);
+
+static struct jr_write *
+find_write (const struct journal *journal, uint64_t ticket)
+{
+  GList *link;
+
+  for (link = journal->writes.head; link != NULL; link = link->next)
+    if (((struct jr_write *)link->data)->ticket == ticket)
+      return link->data;
+  return NULL;
+}
+
+static void
+end_write (struct journal *journal, struct jr_write *write,
+           enum jr_outcome outcome)
+{
+  jr_stored_callback callback = write->callback;
+  void *ctx = write->ctx;
+
+  g_queue_unlink (&journal->writes, &write->link);
+  so_record_free (write->record);
+  g_free (write);
+  if (callback != NULL)
+    callback (ctx, outcome);
+}
+
+static void
+on_appended (void *ctx, const struct so_append_answer *answer)
+{
+  struct lot *lot = ctx;
+  struct journal *journal = lot->journal;
+  guint i;
+
+  journal->appends_open--;
+  for (i = 0; i < lot->tickets->len; i++)
+    {
+      struct jr_write *write
+          = find_write (journal, g_array_index (lot->tickets, uint64_t, i));
+
+      if (write == NULL)
+        continue;
+      write->in_flight = false;
+      if (answer->result == SO_DONE)
+        end_write (journal, write, JR_STORED);
+      else if (answer->result == SO_UNKNOWN)
+        write->maybe_stored = true;
+      else if (!write->maybe_stored
+               && clk_monotonic_ms (NULL) - write->made_ms > REFUSED_FOR_MS)
+        end_write (journal, write, JR_NOT_STORED);
+    }
+  if (answer->result != SO_DONE)
+    lg_info (PART, "An append of callers' writes failed.", "result",
+             so_result_name (answer->result), "writes",
+             lg_number (lot->tickets->len), NULL);
+  g_array_free (lot->tickets, TRUE);
+  g_free (lot);
+  if (answer->result == SO_DONE || answer->result == SO_UNKNOWN)
+    send_lots (journal);
+}
+
+static void
+send_lot (struct journal *journal)
+{
+  const struct so_port *store = &journal->params.store;
+  GPtrArray *records = g_ptr_array_new ();
+  struct lot *lot = g_new0 (struct lot, 1);
+  size_t size_bytes = 0;
+  GList *link;
+
+  lot->journal = journal;
+  lot->tickets = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  for (link = journal->writes.head; link != NULL; link = link->next)
+    {
+      struct jr_write *write = link->data;
+
+      if (write->in_flight)
+        continue;
+      if (size_bytes + write->record->size_bytes > LOT_MAX_BYTES
+          && records->len > 0)
+        break;
+      size_bytes += write->record->size_bytes;
+      write->in_flight = true;
+      g_ptr_array_add (records, write->record);
+      g_array_append_val (lot->tickets, write->ticket);
+    }
+  journal->appends_open++;
+  store->append (store->ctx, journal->params.jobs_topic, records, NULL,
+                 APPEND_TIMEOUT_MS, on_appended, lot);
+  g_ptr_array_free (records, TRUE);
+}
+
+static bool
+any_idle_write (const struct journal *journal)
+{
+  GList *link;
+
+  for (link = journal->writes.head; link != NULL; link = link->next)
+    if (!((struct jr_write *)link->data)->in_flight)
+      return true;
+  return false;
+}
+
+static void
+send_lots (struct journal *journal)
+{
+  if (journal->appends_open < APPENDS_OPEN_MAX && any_idle_write (journal))
+    send_lot (journal);
+}
+
+/* Ends writes whose time is over, and sends again what was refused.  A write
+   in flight has no known outcome.  */
+static void
+on_sweep (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct journal *journal = watcher->data;
+  int64_t now_ms = clk_monotonic_ms (NULL);
+  GList *link = journal->writes.head;
+
+  (void)loop;
+  (void)events;
+  while (link != NULL)
+    {
+      struct jr_write *write = link->data;
+
+      link = link->next;
+      if (write->until_ms > now_ms)
+        continue;
+      end_write (journal, write,
+                 write->in_flight || write->maybe_stored ? JR_UNKNOWN
+                                                         : JR_NOT_STORED);
+      link = journal->writes.head; /* the callback may have changed it */
+    }
+  send_lots (journal);
+}
+
+static void
+add_write (struct journal *journal, char kind, const char *id,
+           GByteArray *value, uint32_t timeout_ms, jr_stored_callback callback,
+           void *ctx, uint64_t *ticket)
+{
+  struct jr_write *write = g_new0 (struct jr_write, 1);
+  char key[JB_ID_DIGITS + 3];
+
+  g_snprintf (key, sizeof key, "%c/%s", kind, id);
+  write->record = so_record_create (key, value->data, value->len);
+  write->ticket = ++journal->next_ticket;
+  write->made_ms = clk_monotonic_ms (NULL);
+  write->until_ms = write->made_ms + timeout_ms;
+  write->callback = callback;
+  write->ctx = ctx;
+  write->link.data = write;
+  *ticket = write->ticket;
+  g_queue_push_tail_link (&journal->writes, &write->link);
+  g_byte_array_free (value, TRUE);
+  send_lots (journal);
+}
+
+void
+jr_submit (struct journal *journal, const char *id, const struct jb_spec *spec,
+           uint32_t timeout_ms, jr_stored_callback callback, void *ctx,
+           uint64_t *ticket)
+{
+  add_write (journal, 'j', id, jb_encode_spec (spec), timeout_ms, callback,
+             ctx, ticket);
+}
+
+void
+jr_cancel (struct journal *journal, const char *id, uint32_t timeout_ms,
+           jr_stored_callback callback, void *ctx, uint64_t *ticket)
+{
+  add_write (journal, 'c', id, jb_encode_cancel (clk_unix_ms ()), timeout_ms,
+             callback, ctx, ticket);
+}
+
+void
+jr_abandon (struct journal *journal, uint64_t ticket)
+{
+  struct jr_write *write = find_write (journal, ticket);
+
+  if (write == NULL)
+    return;
+  write->callback = NULL;
+  if (!write->in_flight)
+    end_write (journal, write, JR_UNKNOWN);
+}
+
+void
+jr_writes_seen (struct journal *journal, const char *key)
+{
+  GList *link = journal->writes.head;
+
+  while (link != NULL)
+    {
+      struct jr_write *write = link->data;
+
+      link = link->next;
+      if (strcmp (write->record->key, key) != 0)
+        continue;
+      end_write (journal, write, JR_STORED);
+      link = journal->writes.head;
+    }
+}
+
+uint32_t
+jr_open_writes (const struct journal *journal)
+{
+  return g_queue_get_length ((GQueue *)&journal->writes);
+}
+
+void
+jr_writes_init (struct journal *journal)
+{
+  g_queue_init (&journal->writes);
+  ev_timer_init (&journal->write_timer, on_sweep, SWEEP_MS / 1000.0,
+                 SWEEP_MS / 1000.0);
+  journal->write_timer.data = journal;
+  ev_timer_start (journal->params.loop, &journal->write_timer);
+}
+
+void
+jr_writes_clear (struct journal *journal)
+{
+  struct jr_write *write;
+
+  ev_timer_stop (journal->params.loop, &journal->write_timer);
+  while ((write = g_queue_peek_head (&journal->writes)) != NULL)
+    end_write (journal, write, JR_UNKNOWN);
+}
--- /dev/null
+++ b/programs/foxtailgap-hostd/planner_list.c
@@ -0,0 +1,130 @@
+/* The list of workers in the store, read by the planner only.  */
+
+#include "common/clock.h"
+#include "common/logging.h"
+#include "planner_private.h"
+
+static const char PART[] = "planner";
+
+enum
+{
+  /* Every worker's heartbeat is a record, so the list is read in lots; well
+     within the time in which a leaving worker gets nothing new.  */
+  LIST_INTERVAL_MS = 400,
+  LIST_TIMEOUT_MS = 1200
+};
+
+static void
+apply (struct planner *planner, const struct so_record *record)
+{
+  struct sd_report report = { 0 };
+  struct sd_worker *worker;
+
+  if (record->value == NULL
+      || planner->params.decode_report (&report, record->key, record->value,
+                                        record->size_bytes)
+             < 0)
+    {
+      worker = sd_worker_find (planner->sched, record->key);
+      if (worker != NULL && worker->listed)
+        lg_info (PART, "A worker is listed no more.", "worker", record->key,
+                 NULL);
+      sd_worker_unlisted (planner->sched, record->key);
+      return;
+    }
+  worker = sd_worker_find (planner->sched, report.id);
+  if (worker == NULL || !worker->listed)
+    lg_info (PART, "A worker is listed.", "worker", report.id, "address",
+             report.address, "service", report.service, NULL);
+  else if (report.draining && !worker->report.draining)
+    lg_info (PART, "A worker is leaving.", "worker", report.id, NULL);
+  sd_worker_listed (planner->sched, &report);
+}
+
+static void
+apply_all (struct planner *planner, const struct so_read_answer *answer)
+{
+  guint i;
+
+  for (i = 0; i < answer->records->len; i++)
+    apply (planner, g_ptr_array_index (answer->records, i));
+  if (answer->records->len > 0)
+    pl_wake (planner);
+}
+
+static void
+on_list_read (void *ctx, const struct so_read_answer *answer)
+{
+  struct planner *planner = ctx;
+
+  planner->list_reading = false;
+  if (planner->role != PL_PLANNER)
+    return;
+  if (answer->result == SO_EXPIRED)
+    {
+      pl_list_reset (planner);
+      return;
+    }
+  if (answer->result != SO_DONE)
+    return;
+  apply_all (planner, answer);
+  planner->list_next = answer->next;
+}
+
+static void
+on_list_newest (void *ctx, const struct so_read_answer *answer)
+{
+  struct planner *planner = ctx;
+  const struct so_record *last;
+
+  planner->list_reading = false;
+  if (planner->role != PL_PLANNER)
+    return;
+  if (answer->result != SO_DONE)
+    {
+      pl_list_reset (planner);
+      return;
+    }
+  if (planner->list_last_key == NULL)
+    planner->list_next = answer->next;
+  apply_all (planner, answer);
+  g_clear_pointer (&planner->list_last_key, g_free);
+  if (answer->more && answer->records->len > 0)
+    {
+      last = g_ptr_array_index (answer->records, answer->records->len - 1);
+      planner->list_last_key = g_strdup (last->key);
+      planner->list_read_ms = 0;
+    }
+  else
+    planner->list_loaded = true;
+  pl_list_check (planner);
+  pl_wake (planner);
+}
+
+void
+pl_list_reset (struct planner *planner)
+{
+  planner->list_loaded = false;
+  g_clear_pointer (&planner->list_last_key, g_free);
+}
+
+void
+pl_list_check (struct planner *planner)
+{
+  const struct so_port *store = &planner->params.store;
+  int64_t now_ms = clk_monotonic_ms (NULL);
+
+  if (planner->list_reading
+      || now_ms - planner->list_read_ms < LIST_INTERVAL_MS)
+    return;
+  planner->list_reading = true;
+  planner->list_read_ms = now_ms;
+  if (planner->list_loaded)
+    store->read (store->ctx, planner->params.workers_topic,
+                 planner->list_next, 0, LIST_TIMEOUT_MS, on_list_read,
+                 planner);
+  else
+    store->newest (store->ctx, planner->params.workers_topic,
+                   planner->list_last_key, LIST_TIMEOUT_MS, on_list_newest,
+                   planner);
+}
--- /dev/null
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -0,0 +1,86 @@
+/* Inside the planner: the term in planner_term.c, the list of workers in
+   planner_list.c, rounds and records in planner.c.  */
+
+#ifndef FT_HOSTD_PLANNER_PRIVATE_H
+#define FT_HOSTD_PLANNER_PRIVATE_H
+
+#include "planner.h"
+#include "workers.h"
+
+enum pl_role
+{
+  PL_FOLLOWER,
+  PL_CLAIMING, /* a claim has been sent, its record not read yet */
+  PL_PLANNER,
+  PL_RELEASED, /* shutting down */
+};
+
+/* One append of the planner, sent again until its outcome is known.  */
+struct pl_batch
+{
+  GPtrArray *records; /* struct so_record */
+  GPtrArray *jobs;    /* struct pl_stored_job */
+  GArray *starts;     /* struct pl_start */
+  GArray *heard;      /* of wk_mark_heard () */
+  bool release;
+};
+
+struct planner
+{
+  struct pl_params params;
+  struct sd_sched *sched;
+  struct workers *workers;
+  enum pl_role role;
+  /* term */
+  uint64_t term;
+  uint64_t nonce;
+  uint64_t sequence;
+  int64_t claim_sent_ms;
+  int64_t claim_jitter_ms;
+  int64_t term_began_ms;
+  bool settled; /* the workers have been asked, rounds go on */
+  /* list of workers */
+  bool list_loaded;
+  bool list_reading;
+  int64_t list_next;
+  int64_t list_read_ms;
+  char *list_last_key;
+  /* records */
+  struct pl_batch *sending; /* NULL: none */
+  bool append_open;         /* of `sending`, without an outcome yet */
+  bool releasing;
+  GArray *starts;           /* struct pl_start, for the next batch */
+  int64_t written_ms;
+  /* rounds */
+  ev_timer tick;
+  ev_timer round;
+  int64_t woke_ms;
+};
+
+/* --- planner_term.c --- */
+
+void pl_term_init (struct planner *planner);
+void pl_term_read (struct planner *planner, const struct jb_term *term);
+void pl_term_check (struct planner *planner);
+/*! pl_term_lost () :
+ *  Another host holds the term: nothing is ordered any more. */
+void pl_term_lost (struct planner *planner, const char *why);
+struct so_record *pl_term_record (const struct planner *planner, bool release);
+
+/* --- planner_list.c --- */
+
+/*! pl_list_check () :
+ *  Reads the list of workers when it is time. */
+void pl_list_check (struct planner *planner);
+void pl_list_reset (struct planner *planner);
+
+/* --- planner.c --- */
+
+void pl_begin (struct planner *planner);
+void pl_wake (struct planner *planner);
+void pl_batch_free (struct pl_batch *batch);
+/*! pl_flush () :
+ *  Writes what has changed, if nothing is being written. */
+void pl_flush (struct planner *planner, bool heartbeat, bool release);
+
+#endif
--- /dev/null
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -0,0 +1,152 @@
+/* The planner's term.  A claim is a record in the jobs' topic under a new
+   epoch: from then on the store refuses the planner before.  The claimant is
+   the planner once it has read its own claim, for then it has read all that
+   came before it.  */
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/logging.h"
+#include "planner_private.h"
+
+static const char PART[] = "planner";
+static const char WRITER[] = "planner";
+
+enum
+{
+  /* Silence after which a term is claimed: three heartbeats of the planner,
+     each up to 400 ms late on a store that is 90 times as slow.  */
+  SILENCE_MS = 1300,
+  SILENCE_JITTER_MS = 400,  /* so that seldom two claim at once */
+  RELEASED_JITTER_MS = 120, /* the same after a release */
+  CLAIM_TIMEOUT_MS = 800,
+  CLAIM_AGAIN_MS = 1500, /* a claim whose record does not show has failed */
+};
+
+static int64_t
+jitter_ms (int64_t limit_ms)
+{
+  return g_random_int_range (0, (gint32)limit_ms);
+}
+
+void
+pl_term_init (struct planner *planner)
+{
+  planner->claim_jitter_ms = jitter_ms (SILENCE_JITTER_MS);
+}
+
+struct so_record *
+pl_term_record (const struct planner *planner, bool release)
+{
+  struct jb_term term = { .term = planner->term, .nonce = planner->nonce };
+  GByteArray *bytes;
+  struct so_record *record;
+
+  if (!release)
+    g_strlcpy (term.host, planner->params.settings->host, sizeof term.host);
+  bytes = jb_encode_term (&term);
+  record = so_record_create ("t", bytes->data, bytes->len);
+  g_byte_array_free (bytes, TRUE);
+  return record;
+}
+
+/* --- Claims --- */
+
+static void
+on_claimed (void *ctx, const struct so_append_answer *answer)
+{
+  struct planner *planner = ctx;
+
+  /* Whether it is ours shows when its record is read.  */
+  if (answer->result == SO_DONE)
+    return;
+  lg_info (PART, "A claim of the term was not taken.", "term",
+           lg_number ((long long)planner->term), "result",
+           so_result_name (answer->result), NULL);
+  if (planner->role == PL_CLAIMING && answer->result != SO_UNKNOWN)
+    planner->role = PL_FOLLOWER;
+}
+
+static void
+claim (struct planner *planner, const char *why)
+{
+  const struct so_port *store = &planner->params.store;
+  GPtrArray *records = so_records_create ();
+  struct so_writer writer = { .name = WRITER };
+
+  planner->role = PL_CLAIMING;
+  planner->term = jr_term (planner->params.journal)->term + 1;
+  planner->nonce = ((uint64_t)g_random_int () << 32) | g_random_int ();
+  planner->claim_sent_ms = clk_monotonic_ms (NULL);
+  planner->claim_jitter_ms = jitter_ms (SILENCE_JITTER_MS);
+  writer.epoch = planner->term;
+  g_ptr_array_add (records, pl_term_record (planner, false));
+  lg_info (PART, "The term is claimed.", "term",
+           lg_number ((long long)planner->term), "why", why, NULL);
+  store->append (store->ctx, planner->params.jobs_topic, records, &writer,
+                 CLAIM_TIMEOUT_MS, on_claimed, planner);
+  g_ptr_array_free (records, TRUE);
+}
+
+void
+pl_term_check (struct planner *planner)
+{
+  struct journal *journal = planner->params.journal;
+  const struct jb_term *term = jr_term (journal);
+  int64_t now_ms = clk_monotonic_ms (NULL);
+  int64_t silent_ms = now_ms - jr_planner_seen_ms (journal);
+
+  if (planner->role == PL_CLAIMING
+      && now_ms - planner->claim_sent_ms > CLAIM_AGAIN_MS)
+    planner->role = PL_FOLLOWER;
+  if (planner->role != PL_FOLLOWER || !jr_following (journal))
+    return;
+  if (term->term == 0)
+    claim (planner, "no term yet");
+  else if (strcmp (term->host, planner->params.settings->host) == 0)
+    claim (planner, "an earlier life of this host held it");
+  else if (term->host[0] == '\0' && silent_ms > planner->claim_jitter_ms * RELEASED_JITTER_MS
+                              / SILENCE_JITTER_MS)
+    claim (planner, "released");
+  else if (silent_ms > SILENCE_MS + planner->claim_jitter_ms)
+    claim (planner, "silence");
+}
+
+/* --- What is read --- */
+
+void
+pl_term_lost (struct planner *planner, const char *why)
+{
+  if (planner->role != PL_PLANNER)
+    return;
+  lg_warning (PART, "The term is over.", "term",
+              lg_number ((long long)planner->term), "why", why, NULL);
+  planner->role = PL_FOLLOWER;
+  wk_end_term (planner->workers);
+  jr_set_own_term (planner->params.journal, 0);
+  jr_reload (planner->params.journal);
+  g_array_set_size (planner->starts, 0);
+  pl_list_reset (planner);
+  ev_timer_stop (planner->params.loop, &planner->round);
+}
+
+void
+pl_term_read (struct planner *planner, const struct jb_term *term)
+{
+  bool own = term->nonce == planner->nonce && planner->nonce != 0;
+
+  if (planner->role == PL_PLANNER)
+    {
+      if (!own)
+        pl_term_lost (planner, "another host has claimed it");
+      return;
+    }
+  if (planner->role == PL_CLAIMING && !own && term->term >= planner->term)
+    planner->role = PL_FOLLOWER;
+  if (!own || term->host[0] == '\0' || planner->role == PL_RELEASED)
+    return;
+  if (term->term != planner->term)
+    return;
+  planner->role = PL_PLANNER;
+  pl_begin (planner);
+}
--- /dev/null
+++ b/programs/foxtailgap-hostd/worker_orders.c
@@ -0,0 +1,238 @@
+/* Orders to workers: start and stop.  */
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/logging.h"
+#include "workers_private.h"
+
+static const char PART[] = "workers";
+
+enum
+{
+  /* A start that is carried out later than this is void, so that an order
+     without an answer is settled soon; long enough for three tries.  */
+  START_VALID_MS = 1500,
+  START_TIMEOUT_MS = 450,
+  STOP_TIMEOUT_MS = 600,
+  /* The deadline is on the worker's clock, which may be 2% slow.  */
+  START_SETTLE_MS = 60
+};
+
+static void send_start (struct wk_call *call, struct jb_task *task,
+                        struct sd_worker *worker);
+
+static struct jb_task *
+task_of_call (const struct wk_call *call)
+{
+  struct jb_task *task
+      = jb_table_find_task (call->workers->params.table, call->task);
+
+  if (task == NULL || task->run != call->run || task->worker == NULL
+      || strcmp (task->worker, call->worker) != 0)
+    return NULL;
+  return task;
+}
+
+/* --- Start --- */
+
+static int64_t
+start_void_ms (const struct wk_call *call)
+{
+  return call->first_sent_ms + START_VALID_MS + START_SETTLE_MS;
+}
+
+static void
+refuse (struct wk_call *call, struct jb_task *task, enum sd_refusal reason,
+        int64_t now_ms)
+{
+  struct workers *workers = call->workers;
+
+  if (task->state == JB_TASK_PLACED)
+    sd_task_refused (workers->params.sched, task, reason, now_ms);
+  else
+    sd_task_lost (workers->params.sched, task, now_ms);
+}
+
+static void
+start_answered (struct wk_call *call, struct jb_task *task,
+                struct sd_worker *worker, const struct wp_answer *answer)
+{
+  struct workers *workers = call->workers;
+  int64_t now_ms = clk_monotonic_ms (NULL);
+
+  switch (answer->result)
+    {
+    case WP_DONE:
+      task->settled_ms = now_ms;
+      if (task->state == JB_TASK_PLACED)
+        sd_task_running (workers->params.sched, task, now_ms);
+      return;
+    case WP_SILENT:
+      if (now_ms < call->first_sent_ms + START_VALID_MS - START_TIMEOUT_MS
+          && task->state == JB_TASK_PLACED)
+        {
+          send_start (call, task, worker);
+          return;
+        }
+      task->settled_ms = start_void_ms (call);
+      return;
+    case WP_ROOM:
+      refuse (call, task, SD_REFUSED_ROOM, now_ms);
+      return;
+    case WP_OLD:
+      refuse (call, task, SD_REFUSED_OLD, now_ms);
+      return;
+    case WP_UNWELL:
+      refuse (call, task, SD_REFUSED_UNWELL, now_ms);
+      return;
+    case WP_LATE:
+      refuse (call, task, SD_REFUSED_LATE, now_ms);
+      return;
+    case WP_OTHER:
+    case WP_INVALID:
+      refuse (call, task, SD_REFUSED_OTHER, now_ms);
+      return;
+    case WP_FENCED:
+      workers->params.fenced (workers->params.ctx);
+      return;
+    }
+}
+
+static void
+on_start (void *ctx, const struct wp_answer *answer)
+{
+  struct wk_call *call = ctx;
+  struct workers *workers = call->workers;
+  struct sd_worker *worker;
+  struct jb_task *task;
+  char name[96];
+  int64_t sent_ms = call->sent_ms;
+
+  if (!wk_call_current (call))
+    {
+      wk_call_free (call);
+      return;
+    }
+  g_snprintf (name, sizeof name, "foxtailgap_starts_total{result=\"%s\"}",
+              wp_result_name (answer->result));
+  mt_add (workers->params.metrics, name, 1);
+  worker = sd_worker_find (workers->params.sched, call->worker);
+  task = task_of_call (call);
+  if (answer->result != WP_DONE)
+    lg_info (PART, "A start was not answered with success.", "task",
+             call->task, "run", lg_number (call->run), "worker", call->worker,
+             "result", wp_result_name (answer->result), NULL);
+  if (worker != NULL && worker->io != NULL)
+    wk_take_clock (worker->io, answer, clk_monotonic_ms (NULL));
+  if (task != NULL && worker != NULL)
+    {
+      start_answered (call, task, worker, answer);
+      if (wk_call_current (call))
+        workers->params.changed (workers->params.ctx);
+    }
+  if (call->sent_ms == sent_ms)
+    wk_call_free (call); /* else it was sent again */
+}
+
+static void
+send_start (struct wk_call *call, struct jb_task *task,
+            struct sd_worker *worker)
+{
+  struct workers *workers = call->workers;
+  struct worker_io *io = wk_io (workers, worker);
+  int64_t now_ms = clk_monotonic_ms (NULL);
+  int64_t left_ms = call->first_sent_ms + START_VALID_MS - now_ms;
+  struct wp_target target = wk_target (worker);
+  const struct jb_task *keeper
+      = task->step->spec->gang ? task->step->tasks : task;
+  struct wp_start start = {
+    .task = call->task,
+    .run = call->run,
+    .text = task->job->spec->text,
+    .deadline_ms = wk_clock_ms (io, now_ms) + left_ms,
+    .term = workers->term,
+    .checkpoint = keeper->checkpoint,
+  };
+
+  call->sent_ms = MAX (now_ms, call->sent_ms + 1);
+  wk_lease_granted (io, now_ms, (uint32_t)MAX (left_ms, 0));
+  workers->params.port.start (workers->params.port.ctx, &target, &start,
+                              START_TIMEOUT_MS, on_start, call);
+}
+
+void
+wk_start (struct workers *workers, struct jb_task *task)
+{
+  struct sd_worker *worker
+      = sd_worker_find (workers->params.sched, task->worker);
+  char *name = jb_task_name (task);
+
+  if (workers->term != 0 && worker != NULL)
+    send_start (wk_call_create (workers, worker, name, task->run), task,
+                worker);
+  g_free (name);
+}
+
+/* --- Stop --- */
+
+static void
+on_stop (void *ctx, const struct wp_answer *answer)
+{
+  struct wk_call *call = ctx;
+  struct workers *workers = call->workers;
+  struct sd_worker *worker;
+  struct jb_task *task;
+
+  if (!wk_call_current (call))
+    goto done;
+  worker = sd_worker_find (workers->params.sched, call->worker);
+  if (worker != NULL && worker->io != NULL)
+    wk_take_clock (worker->io, answer, clk_monotonic_ms (NULL));
+  if (answer->result == WP_FENCED)
+    {
+      workers->params.fenced (workers->params.ctx);
+      goto done;
+    }
+  task = task_of_call (call);
+  /* The run is ending, or can never start there any more.  */
+  if (answer->result == WP_DONE && task != NULL)
+    task->settled_ms = MIN (task->settled_ms, clk_monotonic_ms (NULL));
+  if (task != NULL && task->state == JB_TASK_STOPPING && worker != NULL
+      && worker->io != NULL)
+    {
+      ((struct worker_io *)worker->io)->look_at_once = true;
+      workers->params.changed (workers->params.ctx);
+    }
+
+done:
+  wk_call_free (call);
+}
+
+void
+wk_stop_run (struct workers *workers, struct sd_worker *worker,
+             const char *task, uint32_t run)
+{
+  struct wp_target target = wk_target (worker);
+  struct wp_stop stop = { .task = task, .run = run, .term = workers->term };
+
+  if (workers->term == 0 || target.address == NULL)
+    return;
+  workers->params.port.stop (workers->params.port.ctx, &target, &stop,
+                             STOP_TIMEOUT_MS, on_stop,
+                             wk_call_create (workers, worker, task, run));
+  mt_add (workers->params.metrics, "foxtailgap_stops_total", 1);
+}
+
+void
+wk_stop (struct workers *workers, struct jb_task *task)
+{
+  struct sd_worker *worker
+      = sd_worker_find (workers->params.sched, task->worker);
+  char *name = jb_task_name (task);
+
+  task->stop_sent_ms = clk_monotonic_ms (NULL);
+  if (worker != NULL)
+    wk_stop_run (workers, worker, name, task->run);
+  g_free (name);
+}
--- /dev/null
+++ b/programs/foxtailgap-hostd/workers.c
@@ -0,0 +1,474 @@
+/* Holds and looks: what runs on each worker.  */
+
+#include "workers.h"
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/logging.h"
+#include "workers_private.h"
+
+static const char PART[] = "workers";
+
+enum
+{
+  HOLD_WAIT_MS = 1900, /* the platform's limit is 2,000 ms */
+  HOLD_TIMEOUT_MS = 700, /* above the wait */
+  /* After a failed hold the lease is still renewed for this long, so that a
+     blip costs nothing; then only looks are sent, so that the end of the
+     lease is bounded.  */
+  RENEW_AFTER_FAILURE_MS = 1500,
+  RETRY_MS = 250,
+  /* A worker's clock may be 2% slow; and an order takes its time.  */
+  CLOCK_SLOW_PERCENT = 3,
+  LEASE_SLACK_MS = 300,
+  STOP_AGAIN_MS = 400 /* twice the time that a stop may take */
+};
+
+/* --- Paths --- */
+
+struct worker_io *
+wk_io (struct workers *workers, struct sd_worker *worker)
+{
+  struct worker_io *io = worker->io;
+
+  if (io != NULL)
+    return io;
+  io = g_new0 (struct worker_io, 1);
+  io->workers = workers;
+  io->worker = worker;
+  io->clock_ms = -1;
+  worker->io = io;
+  g_hash_table_insert (workers->ios, worker->report.id, io);
+  return io;
+}
+
+int64_t
+wk_clock_ms (const struct worker_io *io, int64_t now_ms)
+{
+  return io->clock_ms < 0 ? 0 : io->clock_ms + (now_ms - io->clock_at_ms);
+}
+
+void
+wk_take_clock (struct worker_io *io, const struct wp_answer *answer,
+               int64_t now_ms)
+{
+  if (answer->clock_ms < 0)
+    return;
+  io->clock_ms = answer->clock_ms;
+  io->clock_at_ms = now_ms;
+}
+
+void
+wk_lease_granted (struct worker_io *io, int64_t now_ms, uint32_t ttl_ms)
+{
+  int64_t end_ms = now_ms + ttl_ms + ttl_ms * CLOCK_SLOW_PERCENT / 100
+                   + LEASE_SLACK_MS;
+
+  io->lease_end_ms = MAX (io->lease_end_ms, end_ms);
+}
+
+struct wp_target
+wk_target (const struct sd_worker *worker)
+{
+  return (struct wp_target){ .address = worker->report.address,
+                             .worker = worker->report.id };
+}
+
+struct wk_call *
+wk_call_create (struct workers *workers, const struct sd_worker *worker,
+                const char *task, uint32_t run)
+{
+  struct wk_call *call = g_new0 (struct wk_call, 1);
+
+  call->workers = workers;
+  call->generation = workers->generation;
+  call->worker = g_strdup (worker->report.id);
+  call->task = g_strdup (task);
+  call->run = run;
+  call->sent_ms = clk_monotonic_ms (NULL);
+  call->first_sent_ms = call->sent_ms;
+  g_hash_table_add (workers->calls, call);
+  return call;
+}
+
+bool
+wk_call_current (struct wk_call *call)
+{
+  return call->workers != NULL
+         && call->generation == call->workers->generation
+         && call->workers->term != 0;
+}
+
+void
+wk_call_free (struct wk_call *call)
+{
+  if (call->workers != NULL)
+    g_hash_table_remove (call->workers->calls, call);
+  g_free (call->worker);
+  g_free (call->task);
+  g_free (call);
+}
+
+/* --- What a hold shows --- */
+
+static struct jb_task *
+task_here (const struct workers *workers, const struct sd_worker *worker,
+           const char *name, uint32_t run)
+{
+  struct jb_task *task = jb_table_find_task (workers->params.table, name);
+
+  if (task == NULL || task->run != run
+      || (task->state != JB_TASK_PLACED && task->state != JB_TASK_STOPPING)
+      || strcmp (task->worker, worker->report.id) != 0)
+    return NULL;
+  return task;
+}
+
+static void
+take_end (struct worker_io *io, const struct wp_end *end, int64_t now_ms)
+{
+  struct workers *workers = io->workers;
+  struct jb_task *task = task_here (workers, io->worker, end->task, end->run);
+  static const char *const how[]
+      = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+  char name[96];
+
+  if (end->number <= io->heard)
+    return;
+  io->heard = end->number;
+  g_snprintf (name, sizeof name, "foxtailgap_ends_total{how=\"%s\"}",
+              how[end->how]);
+  mt_add (workers->params.metrics, name, 1);
+  lg_info (PART, "A run has ended.", "task", end->task, "run",
+           lg_number (end->run), "how", how[end->how], "worker",
+           io->worker->report.id, "current", task == NULL ? "no" : "yes",
+           NULL);
+  if (task != NULL)
+    sd_task_ended (workers->params.sched, task, end->how, end->checkpoint,
+                   now_ms, clk_unix_ms ());
+}
+
+static void
+take_run (struct worker_io *io, const struct wp_run *run, GHashTable *shown,
+          int64_t now_ms)
+{
+  struct workers *workers = io->workers;
+  struct jb_task *task = task_here (workers, io->worker, run->task, run->run);
+
+  if (task == NULL)
+    {
+      lg_warning (PART, "A worker runs what is not wanted there.", "task",
+                  run->task, "run", lg_number (run->run), "worker",
+                  io->worker->report.id, NULL);
+      wk_stop_run (workers, io->worker, run->task, run->run);
+      return;
+    }
+  g_hash_table_add (shown, task);
+  sd_task_saved (task, run->checkpoint);
+  if (task->state == JB_TASK_PLACED)
+    sd_task_running (workers->params.sched, task, now_ms);
+  else if (now_ms - task->stop_sent_ms > STOP_AGAIN_MS)
+    wk_stop (workers, task);
+}
+
+/* Tasks that the worker does not show, although what it shows of them is
+   settled, are not there and never will be.  */
+static void
+drop_missing (struct worker_io *io, GHashTable *shown, int64_t now_ms)
+{
+  GPtrArray *lost = g_ptr_array_new ();
+  guint i;
+
+  for (i = 0; i < io->worker->tasks->len; i++)
+    {
+      struct jb_task *task = g_ptr_array_index (io->worker->tasks, i);
+
+      if (!g_hash_table_contains (shown, task)
+          && io->hold_sent_ms > task->settled_ms)
+        g_ptr_array_add (lost, task);
+    }
+  for (i = 0; i < lost->len; i++)
+    {
+      struct jb_task *task = g_ptr_array_index (lost, i);
+
+      if (task->state != JB_TASK_PLACED && task->state != JB_TASK_STOPPING)
+        continue; /* lost with another of its gang */
+      lg_info (PART, "A run is gone without an end.", "job", task->job->id,
+               "step", lg_number (task->step->number), "index",
+               lg_number (task->index), "run", lg_number (task->run),
+               "worker", io->worker->report.id, NULL);
+      sd_task_lost (io->workers->params.sched, task, now_ms);
+    }
+  g_ptr_array_free (lost, TRUE);
+}
+
+static void
+take_lists (struct worker_io *io, const struct wp_answer *answer,
+            int64_t now_ms)
+{
+  GHashTable *shown = g_hash_table_new (NULL, NULL);
+  guint i;
+
+  if (answer->born_ms != 0 && answer->born_ms != io->born_ms)
+    {
+      if (io->born_ms != 0)
+        lg_info (PART, "A worker has started anew.", "worker",
+                 io->worker->report.id, NULL);
+      io->born_ms = answer->born_ms;
+      io->heard = 0;
+      io->stored = 0;
+    }
+  for (i = 0; i < answer->ends->len; i++)
+    take_end (io, &g_array_index (answer->ends, struct wp_end, i), now_ms);
+  for (i = 0; i < answer->runs->len; i++)
+    take_run (io, &g_array_index (answer->runs, struct wp_run, i), shown,
+              now_ms);
+  drop_missing (io, shown, now_ms);
+  g_hash_table_destroy (shown);
+}
+
+/* --- Holds --- */
+
+static void
+on_hold (void *ctx, const struct wp_answer *answer)
+{
+  struct wk_call *call = ctx;
+  struct workers *workers = call->workers;
+  int64_t now_ms = clk_monotonic_ms (NULL);
+  struct sd_worker *worker;
+  struct worker_io *io;
+
+  if (!wk_call_current (call))
+    goto done;
+  worker = sd_worker_find (workers->params.sched, call->worker);
+  if (worker == NULL || worker->io == NULL)
+    goto done;
+  io = worker->io;
+  io->holding = false;
+  if (answer->result == WP_FENCED)
+    {
+      workers->params.fenced (workers->params.ctx);
+      goto done;
+    }
+  if (answer->result != WP_DONE)
+    {
+      if (worker->contact != SD_CONTACT_LOST)
+        lg_info (PART, "A worker is out of touch.", "worker", call->worker,
+                 "result", wp_result_name (answer->result), NULL);
+      sd_worker_contact (workers->params.sched, worker, SD_CONTACT_LOST);
+      goto done;
+    }
+  if (worker->contact != SD_CONTACT_GOOD)
+    lg_info (PART, "A worker is in touch.", "worker", call->worker, NULL);
+  sd_worker_contact (workers->params.sched, worker, SD_CONTACT_GOOD);
+  io->hold_good_ms = io->hold_sent_ms;
+  wk_take_clock (io, answer, now_ms);
+  take_lists (io, answer, now_ms);
+  workers->params.changed (workers->params.ctx);
+
+done:
+  wk_call_free (call);
+}
+
+static void
+send_hold (struct workers *workers, struct worker_io *io, int64_t now_ms)
+{
+  struct sd_worker *worker = io->worker;
+  struct wp_target target = wk_target (worker);
+  bool good = worker->contact == SD_CONTACT_GOOD;
+  bool renew = good || io->clock_ms < 0
+               || now_ms - io->hold_good_ms < RENEW_AFTER_FAILURE_MS;
+  struct wp_hold hold = {
+    .term = workers->term,
+    .seen = io->stored,
+    .deadline_ms = -1,
+    .wait_ms = good && !io->look_at_once ? HOLD_WAIT_MS : 0,
+  };
+
+  if (renew && io->clock_ms >= 0 && worker->tasks->len > 0)
+    {
+      hold.deadline_ms
+          = wk_clock_ms (io, now_ms) + workers->params.lease_ttl_ms;
+      wk_lease_granted (io, now_ms, workers->params.lease_ttl_ms);
+    }
+  io->holding = true;
+  io->look_at_once = false;
+  io->hold_sent_ms = now_ms;
+  io->hold_tried_ms = now_ms;
+  workers->params.port.hold (
+      workers->params.port.ctx, &target, &hold,
+      hold.wait_ms + HOLD_TIMEOUT_MS, on_hold,
+      wk_call_create (workers, worker, "", 0));
+  mt_add (workers->params.metrics, "foxtailgap_holds_total", 1);
+}
+
+/* The lease of a worker that is out of touch is over: nothing runs there.  */
+static void
+drop_lapsed (struct worker_io *io, int64_t now_ms)
+{
+  struct sd_worker *worker = io->worker;
+
+  lg_info (PART, "The lease of a worker is over.", "worker",
+           worker->report.id, "tasks", lg_number (worker->tasks->len), NULL);
+  while (worker->tasks->len > 0)
+    sd_task_lost (io->workers->params.sched,
+                  g_ptr_array_index (worker->tasks, 0), now_ms);
+  io->workers->params.changed (io->workers->params.ctx);
+}
+
+static void
+visit (struct workers *workers, struct sd_worker *worker, int64_t now_ms)
+{
+  struct worker_io *io = wk_io (workers, worker);
+
+  if (worker->contact == SD_CONTACT_LOST && worker->tasks->len > 0
+      && now_ms > io->lease_end_ms)
+    drop_lapsed (io, now_ms);
+  if (io->holding || worker->report.address == NULL)
+    return;
+  if (worker->contact == SD_CONTACT_LOST)
+    {
+      if ((worker->tasks->len > 0 || worker->listed)
+          && now_ms - io->hold_tried_ms >= RETRY_MS)
+        send_hold (workers, io, now_ms);
+      return;
+    }
+  if (worker->tasks->len > 0
+      || (worker->contact == SD_CONTACT_UNSEEN && worker->listed)
+      || io->heard > io->stored)
+    send_hold (workers, io, now_ms);
+}
+
+void
+wk_visit (struct workers *workers)
+{
+  const GPtrArray *all = sd_workers (workers->params.sched);
+  int64_t now_ms = clk_monotonic_ms (NULL);
+  guint i;
+
+  if (workers->term == 0)
+    return;
+  for (i = 0; i < all->len; i++)
+    visit (workers, g_ptr_array_index (all, i), now_ms);
+}
+
+uint32_t
+wk_unseen (const struct workers *workers)
+{
+  const GPtrArray *all = sd_workers (workers->params.sched);
+  uint32_t unseen = 0;
+  guint i;
+
+  for (i = 0; i < all->len; i++)
+    {
+      const struct sd_worker *worker = g_ptr_array_index (all, i);
+
+      if (worker->listed && worker->contact == SD_CONTACT_UNSEEN)
+        unseen++;
+    }
+  return unseen;
+}
+
+/* --- Acknowledging ends --- */
+
+struct heard_mark
+{
+  struct worker_io *io;
+  int64_t born_ms;
+  int64_t heard;
+};
+
+GArray *
+wk_mark_heard (const struct workers *workers)
+{
+  GArray *mark = g_array_new (FALSE, FALSE, sizeof (struct heard_mark));
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, workers->ios);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct worker_io *io = value;
+      struct heard_mark row
+          = { .io = io, .born_ms = io->born_ms, .heard = io->heard };
+
+      if (io->heard > io->stored)
+        g_array_append_val (mark, row);
+    }
+  return mark;
+}
+
+void
+wk_mark_stored (struct workers *workers, GArray *mark)
+{
+  guint i;
+
+  (void)workers;
+  for (i = 0; i < mark->len; i++)
+    {
+      struct heard_mark *row = &g_array_index (mark, struct heard_mark, i);
+
+      if (row->io->born_ms == row->born_ms)
+        row->io->stored = MAX (row->io->stored, row->heard);
+    }
+  g_array_free (mark, TRUE);
+}
+
+/* --- Terms --- */
+
+void
+wk_begin_term (struct workers *workers, uint64_t term)
+{
+  const GPtrArray *all = sd_workers (workers->params.sched);
+  int64_t now_ms = clk_monotonic_ms (NULL);
+  guint i;
+
+  workers->term = term;
+  workers->generation++;
+  for (i = 0; i < all->len; i++)
+    {
+      struct sd_worker *worker = g_ptr_array_index (all, i);
+      struct worker_io *io = wk_io (workers, worker);
+
+      *io = (struct worker_io){ .workers = workers,
+                                .worker = worker,
+                                .clock_ms = -1 };
+      /* The planner before may have held it until just now.  */
+      wk_lease_granted (io, now_ms, workers->params.lease_ttl_ms);
+    }
+}
+
+void
+wk_end_term (struct workers *workers)
+{
+  workers->term = 0;
+  workers->generation++;
+}
+
+struct workers *
+wk_create (const struct wk_params *params)
+{
+  struct workers *workers = g_new0 (struct workers, 1);
+
+  workers->params = *params;
+  workers->ios = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  workers->calls = g_hash_table_new (NULL, NULL);
+  return workers;
+}
+
+void
+wk_free (struct workers *workers)
+{
+  GHashTableIter iter;
+  void *call;
+
+  if (workers == NULL)
+    return;
+  g_hash_table_iter_init (&iter, workers->calls);
+  while (g_hash_table_iter_next (&iter, &call, NULL))
+    ((struct wk_call *)call)->workers = NULL;
+  g_hash_table_destroy (workers->calls);
+  g_hash_table_destroy (workers->ios);
+  g_free (workers);
+}
--- /dev/null
+++ b/programs/foxtailgap-hostd/workers.h
@@ -0,0 +1,62 @@
+/* Task: the calls to workers while this host holds the planner's term: holds
+   what runs, looks, starts, stops.  Tells the scheduling core what it hears.
+   Prefix: wk_.  */
+
+#ifndef FT_HOSTD_WORKERS_H
+#define FT_HOSTD_WORKERS_H
+
+#include <ev.h>
+
+#include "common/metrics.h"
+#include "sched/sched.h"
+#include "worker/worker_port.h"
+
+struct workers;
+
+struct wk_params
+{
+  struct ev_loop *loop;
+  struct wp_port port;
+  struct sd_sched *sched;
+  struct jb_table *table;
+  struct mt_registry *metrics;
+  uint32_t lease_ttl_ms;
+  void *ctx;
+  void (*changed) (void *ctx); /* something is to be decided or recorded */
+  void (*fenced) (void *ctx);  /* a worker has seen a higher term */
+};
+
+struct workers *wk_create (const struct wk_params *params);
+
+/*! wk_free () :
+ *  Answers that are still to come are dropped. */
+void wk_free (struct workers *workers);
+
+/*! wk_begin_term (), wk_end_term () :
+ *  Orders carry TERM from now on; or no orders are sent. */
+void wk_begin_term (struct workers *workers, uint64_t term);
+void wk_end_term (struct workers *workers);
+
+/*! wk_start () :
+ *  Sends the start of a task that is recorded as placed. */
+void wk_start (struct workers *workers, struct jb_task *task);
+
+/*! wk_stop () :
+ *  Sends the stop of a task, and again until it is known to be gone. */
+void wk_stop (struct workers *workers, struct jb_task *task);
+
+/*! wk_visit () :
+ *  Sends the holds that are due. */
+void wk_visit (struct workers *workers);
+
+/*! wk_unseen () :
+ *  @return : listed workers that have not been asked yet under this term. */
+uint32_t wk_unseen (const struct workers *workers);
+
+/*! wk_mark_heard () :
+ *  Takes down which ends have been heard of so far.  Returned to
+ *  wk_mark_stored () once what they changed is stored. */
+GArray *wk_mark_heard (const struct workers *workers);
+void wk_mark_stored (struct workers *workers, GArray *mark);
+
+#endif
--- /dev/null
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -0,0 +1,79 @@
+/* Inside the task of workers: holds in workers.c, orders in worker_orders.c.
+ */
+
+#ifndef FT_HOSTD_WORKERS_PRIVATE_H
+#define FT_HOSTD_WORKERS_PRIVATE_H
+
+#include "workers.h"
+
+/* What is known of the path to one worker.  */
+struct worker_io
+{
+  struct workers *workers;
+  struct sd_worker *worker;
+  /* clock of the worker */
+  int64_t clock_ms; /* as told last; negative: never */
+  int64_t clock_at_ms;
+  int64_t born_ms;
+  /* ends */
+  int64_t heard;  /* the highest number processed */
+  int64_t stored; /* the highest number whose effects are stored */
+  /* holds */
+  bool holding;
+  bool look_at_once; /* the next hold does not wait */
+  int64_t hold_sent_ms;
+  int64_t hold_good_ms; /* sending time of the last hold that was answered */
+  int64_t hold_tried_ms;
+  int64_t lease_end_ms; /* nothing runs there after this without a new hold */
+};
+
+struct workers
+{
+  struct wk_params params;
+  uint64_t term;      /* 0: none */
+  uint64_t generation; /* of calls: those of earlier terms are dropped */
+  GHashTable *ios;    /* id -> struct worker_io */
+  GHashTable *calls;  /* open calls, so that their answers find us gone */
+};
+
+/* One order of a task.  */
+struct wk_call
+{
+  struct workers *workers;
+  uint64_t generation;
+  char *worker;
+  char *task;
+  uint32_t run;
+  int64_t first_sent_ms;
+  int64_t sent_ms;
+};
+
+struct worker_io *wk_io (struct workers *workers, struct sd_worker *worker);
+
+/*! wk_clock_ms () :
+ *  @return : the worker's clock now, as far as is known. */
+int64_t wk_clock_ms (const struct worker_io *io, int64_t now_ms);
+
+void wk_take_clock (struct worker_io *io, const struct wp_answer *answer,
+                    int64_t now_ms);
+
+/*! wk_lease_granted () :
+ *  An order has been sent that lets things run there for TTL_MS. */
+void wk_lease_granted (struct worker_io *io, int64_t now_ms, uint32_t ttl_ms);
+
+/*! wk_stop_run () :
+ *  Stops a run that nobody wants, maybe of a task that is not known. */
+void wk_stop_run (struct workers *workers, struct sd_worker *worker,
+                  const char *task, uint32_t run);
+
+struct wp_target wk_target (const struct sd_worker *worker);
+
+struct wk_call *wk_call_create (struct workers *workers,
+                                const struct sd_worker *worker,
+                                const char *task, uint32_t run);
+/*! wk_call_end () :
+ *  @return : whether its answer still counts. */
+bool wk_call_current (struct wk_call *call);
+void wk_call_free (struct wk_call *call);
+
+#endif
