A worker that is gone before a takeover: its tasks end with its lease

The end of the lease now counts for every worker that is not in touch. Ruled out: the gang's broken ends (they are recorded and read back).

--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -322,7 +322,7 @@
 {
   struct worker_io *io = wk_io (workers, worker);
 
-  if (worker->contact == SD_CONTACT_LOST && worker->tasks->len > 0
+  if (worker->contact != SD_CONTACT_GOOD && worker->tasks->len > 0
       && now_ms > io->lease_end_ms)
     drop_lapsed (io, now_ms);
   if (io->holding || worker->report.address == NULL)
