A refused start is final only if no earlier try may still take effect

Ruled out: ends acknowledged before they are stored; overtaking holds. Tests: test_hostd_workers (two cases fail on the code before).

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,10 @@
 PART_SRC := $(STANDIN_SRC) $(filter-out %/main.c, \
             $(wildcard programs/foxtailgapd/*.c tests/standins/ft-log/*.c))
 PARTS := $(BUILD)/libtestparts.a
+# The same for the host of the scheduler; a library of its own, since some
+# files of the two daemons have the same names.
+HOSTD_SRC := $(filter-out %/main.c,$(wildcard programs/foxtailgap-hostd/*.c))
+HOSTD_PARTS := $(BUILD)/libhostdparts.a
 
 PROGRAM_DIRS := $(wildcard programs/* tests/standins/ft-* tests/faultproxy \
                 tests/history tests/bench/* examples/*)
@@ -77,6 +81,15 @@
 	@rm -f $@
 	ar rcs $@ $^
 
+$(HOSTD_PARTS): $(HOSTD_SRC:%.c=$(BUILD)/%.o)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/unit/test_hostd_%: $(BUILD)/tests/unit/test_hostd_%.o \
+    $(HOSTD_PARTS) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) $^ -o $@ $(PKG_LIBS) -lcunit
+
 $(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(PARTS) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ -o $@ $(PKG_LIBS) -lcunit
--- a/programs/foxtailgap-hostd/worker_orders.c
+++ b/programs/foxtailgap-hostd/worker_orders.c
@@ -42,12 +42,19 @@
   return call->first_sent_ms + START_VALID_MS + START_SETTLE_MS;
 }
 
+/* A refusal says that the run is not there only if no earlier try may still
+   take effect; else what the worker shows decides once all tries are void.  */
 static void
 refuse (struct wk_call *call, struct jb_task *task, enum sd_refusal reason,
         int64_t now_ms)
 {
   struct workers *workers = call->workers;
 
+  if (call->unsure)
+    {
+      task->settled_ms = MIN (task->settled_ms, start_void_ms (call));
+      return;
+    }
   if (task->state == JB_TASK_PLACED)
     sd_task_refused (workers->params.sched, task, reason, now_ms);
   else
@@ -69,6 +76,7 @@
         sd_task_running (workers->params.sched, task, now_ms);
       return;
     case WP_SILENT:
+      call->unsure = true;
       if (now_ms < call->first_sent_ms + START_VALID_MS - START_TIMEOUT_MS
           && task->state == JB_TASK_PLACED)
         {
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -46,6 +46,7 @@
   uint32_t run;
   int64_t first_sent_ms;
   int64_t sent_ms;
+  bool unsure; /* an earlier try had no answer: it may take effect yet */
 };
 
 struct worker_io *wk_io (struct workers *workers, struct sd_worker *worker);
@@ -71,7 +72,7 @@
 struct wk_call *wk_call_create (struct workers *workers,
                                 const struct sd_worker *worker,
                                 const char *task, uint32_t run);
-/*! wk_call_end () :
+/*! wk_call_current () :
  *  @return : whether its answer still counts. */
 bool wk_call_current (struct wk_call *call);
 void wk_call_free (struct wk_call *call);
--- /dev/null
+++ b/tests/unit/hostd_fixture.h
@@ -0,0 +1,231 @@
+/* Shared by tests of the scheduler's host: jobs, workers of a fake port.  */
+
+#ifndef FT_HOSTD_FIXTURE_H
+#define FT_HOSTD_FIXTURE_H
+
+#include <CUnit/CUnit.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "jobs/model.h"
+#include "sched/sched.h"
+#include "worker/worker_port.h"
+
+/* --- Jobs --- */
+
+struct fixture_step
+{
+  uint32_t count;
+  int64_t accelerators;
+  bool gang;
+  bool one_rack;
+};
+
+static inline struct jb_spec *
+fixture_spec (const char *queue, const char *team,
+              const struct fixture_step *step)
+{
+  struct jb_spec *spec = g_new0 (struct jb_spec, 1);
+
+  spec->queue = g_strdup (queue);
+  spec->team = g_strdup (team);
+  spec->text = g_strdup ("work");
+  spec->times = 1;
+  spec->step_count = 1;
+  spec->steps = g_new0 (struct jb_step_spec, 1);
+  spec->steps[0].count = step->count;
+  spec->steps[0].room = (struct jb_room){ .cpus_milli = 1000,
+                                          .memory_mib = 1000,
+                                          .accelerators
+                                          = step->accelerators };
+  spec->steps[0].estimate_ms = 1000;
+  spec->steps[0].gang = step->gang;
+  spec->steps[0].one_rack = step->one_rack;
+  return spec;
+}
+
+/* --- Configuration --- */
+
+static inline struct ct_catalog *
+fixture_catalog (void)
+{
+  struct ct_catalog *catalog = g_new0 (struct ct_catalog, 1);
+  size_t i;
+
+  catalog->version = 1;
+  catalog->queue_count = 2;
+  catalog->queues = g_new0 (struct ct_queue, 2);
+  for (i = 0; i < 2; i++)
+    catalog->queues[i]
+        = (struct ct_queue){ .name = g_strdup (i == 0 ? "urgent" : "batch"),
+                             .host = g_strdup ("h"),
+                             .path_prefix = g_strdup ("/q/"),
+                             .service = g_strdup ("desk"),
+                             .priority = (uint32_t)i,
+                             .attempt_limit = 2,
+                             .slack_factor = 3.0,
+                             .target_ms = 1000 };
+  catalog->team_count = 1;
+  catalog->teams = g_new0 (struct ct_team, 1);
+  catalog->teams[0] = (struct ct_team){ .name = g_strdup ("clinic"),
+                                        .keys = g_new0 (char *, 1),
+                                        .guaranteed_accelerators = 64 };
+  return catalog;
+}
+
+/* --- Workers --- */
+
+static inline struct sd_worker *
+fixture_worker (struct sd_sched *sched, const char *id, const char *rack,
+                int64_t accelerators)
+{
+  struct sd_report report = {
+    .id = g_strdup (id),
+    .address = g_strdup ("127.0.0.1:1"),
+    .service = g_strdup ("desk"),
+    .data_centre = g_strdup ("dc"),
+    .rack = g_strdup (rack),
+    .labels = g_new0 (char *, 1),
+    .room = { .cpus_milli = 64000,
+              .memory_mib = 64000,
+              .accelerators = accelerators },
+  };
+  struct sd_worker *worker = sd_worker_listed (sched, &report);
+
+  sd_worker_contact (sched, worker, SD_CONTACT_GOOD);
+  return worker;
+}
+
+/* One round; what it starts is taken to be stored.  */
+static inline uint32_t
+fixture_round (struct sd_sched *sched, int64_t now_ms)
+{
+  struct sd_commands commands = { .starts = g_ptr_array_new (),
+                                  .stops = g_ptr_array_new () };
+  uint32_t starts;
+
+  sd_round (sched, now_ms, 0, &commands);
+  starts = commands.starts->len;
+  g_ptr_array_free (commands.starts, TRUE);
+  g_ptr_array_free (commands.stops, TRUE);
+  return starts;
+}
+
+/* --- A fake worker port: calls are kept until the test answers them --- */
+
+enum
+{
+  FAKE_CALLS_MAX = 64
+};
+
+struct fake_call
+{
+  char kind; /* 's' start, 'x' stop, 'h' hold */
+  bool open;
+  char worker[32];
+  char task[64];
+  uint32_t run;
+  int64_t seen;
+  int64_t deadline_ms;
+  wp_callback callback;
+  void *ctx;
+};
+
+struct fake_port
+{
+  struct fake_call calls[FAKE_CALLS_MAX];
+  size_t count;
+};
+
+static inline struct fake_call *
+fake_add (struct fake_port *port, char kind, const struct wp_target *target,
+          wp_callback callback, void *ctx)
+{
+  struct fake_call *call = &port->calls[port->count++ % FAKE_CALLS_MAX];
+
+  *call = (struct fake_call){ .kind = kind, .open = true,
+                              .callback = callback, .ctx = ctx };
+  g_strlcpy (call->worker, target->worker, sizeof call->worker);
+  return call;
+}
+
+static inline void
+fake_start (void *ctx, const struct wp_target *target,
+            const struct wp_start *start, uint32_t timeout_ms,
+            wp_callback callback, void *callback_ctx)
+{
+  struct fake_call *call = fake_add (ctx, 's', target, callback,
+                                     callback_ctx);
+
+  (void)timeout_ms;
+  g_strlcpy (call->task, start->task, sizeof call->task);
+  call->run = start->run;
+  call->deadline_ms = start->deadline_ms;
+}
+
+static inline void
+fake_stop (void *ctx, const struct wp_target *target,
+           const struct wp_stop *stop, uint32_t timeout_ms,
+           wp_callback callback, void *callback_ctx)
+{
+  struct fake_call *call = fake_add (ctx, 'x', target, callback,
+                                     callback_ctx);
+
+  (void)timeout_ms;
+  g_strlcpy (call->task, stop->task, sizeof call->task);
+  call->run = stop->run;
+}
+
+static inline void
+fake_hold (void *ctx, const struct wp_target *target,
+           const struct wp_hold *hold, uint32_t timeout_ms,
+           wp_callback callback, void *callback_ctx)
+{
+  struct fake_call *call = fake_add (ctx, 'h', target, callback,
+                                     callback_ctx);
+
+  (void)timeout_ms;
+  call->seen = hold->seen;
+  call->deadline_ms = hold->deadline_ms;
+}
+
+/* The oldest open call of a kind; NULL if there is none.  */
+static inline struct fake_call *
+fake_open (struct fake_port *port, char kind)
+{
+  size_t i;
+
+  for (i = 0; i < port->count && i < FAKE_CALLS_MAX; i++)
+    if (port->calls[i].open && port->calls[i].kind == kind)
+      return &port->calls[i];
+  return NULL;
+}
+
+static inline void
+fake_answer (struct fake_call *call, const struct wp_answer *answer)
+{
+  GArray *none = g_array_new (FALSE, FALSE, sizeof (struct wp_run));
+  struct wp_answer whole = *answer;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (call);
+  if (whole.runs == NULL)
+    whole.runs = none;
+  if (whole.ends == NULL)
+    whole.ends = none;
+  if (whole.clock_ms == 0)
+    whole.clock_ms = 1000;
+  call->open = false;
+  call->callback (call->ctx, &whole);
+  g_array_free (none, TRUE);
+}
+
+static inline struct wp_port
+fake_wp_port (struct fake_port *port)
+{
+  return (struct wp_port){ .ctx = port,
+                           .start = fake_start,
+                           .stop = fake_stop,
+                           .hold = fake_hold };
+}
+
+#endif
--- /dev/null
+++ b/tests/unit/test_hostd_workers.c
@@ -0,0 +1,236 @@
+/* The task of workers: what is known of a run after answers that are lost,
+   late or refused.  */
+
+#include <unistd.h>
+
+#include "../../programs/foxtailgap-hostd/workers.h"
+#include "check.h"
+#include "hostd_fixture.h"
+
+static const char JOB[] = "00000000000000aa";
+
+struct setup
+{
+  struct fake_port port;
+  struct jb_table *table;
+  struct sd_sched *sched;
+  struct ct_catalog *catalog;
+  struct mt_registry *metrics;
+  struct workers *workers;
+  struct jb_job *job;
+  int fenced;
+};
+
+static void
+on_changed (void *ctx)
+{
+  (void)ctx;
+}
+
+static void
+on_fenced (void *ctx)
+{
+  struct setup *setup = ctx;
+
+  setup->fenced++;
+}
+
+static void
+begin (struct setup *setup, uint32_t lease_ttl_ms)
+{
+  struct sd_params sched = { .far_factor = 3, .stop_ms = 200 };
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct wk_params workers = {
+    .port = fake_wp_port (&setup->port),
+    .lease_ttl_ms = lease_ttl_ms,
+    .ctx = setup,
+    .changed = on_changed,
+    .fenced = on_fenced,
+  };
+
+  memset (setup, 0, sizeof *setup);
+  setup->table = jb_table_create ();
+  setup->sched = sd_create (&sched, setup->table);
+  setup->catalog = fixture_catalog ();
+  sd_set_catalog (setup->sched, setup->catalog);
+  setup->metrics = mt_create ();
+  workers.sched = setup->sched;
+  workers.table = setup->table;
+  workers.metrics = setup->metrics;
+  setup->workers = wk_create (&workers);
+  setup->job = jb_table_add (setup->table, JOB,
+                             fixture_spec ("batch", "clinic", &step), 0);
+}
+
+static void
+finish (struct setup *setup)
+{
+  wk_free (setup->workers);
+  sd_free (setup->sched);
+  jb_table_free (setup->table);
+  ct_free (setup->catalog);
+  mt_free (setup->metrics);
+}
+
+/* A worker in touch, and the job's task placed there.  */
+static struct jb_task *
+place (struct setup *setup)
+{
+  fixture_worker (setup->sched, "w1", "r1", 8);
+  wk_begin_term (setup->workers, 1);
+  wk_visit (setup->workers);
+  sd_job_added (setup->sched, setup->job);
+  CU_ASSERT_EQUAL (fixture_round (setup->sched, clk_monotonic_ms (NULL)), 1);
+  wk_visit (setup->workers);
+  fake_answer (fake_open (&setup->port, 'h'),
+               &(struct wp_answer){ .result = WP_DONE });
+  return &setup->job->tasks[0];
+}
+
+/* Found on the grown bofl site, day trouble-3: a start without an answer was
+   sent again, the second try came late and was refused, and the task was
+   started elsewhere while the first try ran.  */
+static void
+test_refusal_after_silence_is_not_final (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+
+  begin (&setup, 6000);
+  task = place (&setup);
+  wk_start (setup.workers, task);
+  fake_answer (fake_open (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_SILENT });
+  fake_answer (fake_open (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_LATE });
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  CU_ASSERT_EQUAL (task->run, 1);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, clk_monotonic_ms (NULL)), 0);
+  finish (&setup);
+}
+
+static void
+test_refusal_at_once_is_final (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+
+  begin (&setup, 6000);
+  task = place (&setup);
+  wk_start (setup.workers, task);
+  fake_answer (fake_open (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_ROOM });
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  finish (&setup);
+}
+
+/* Found on anla-rounds, day scale-2: a worker that is gone for good before a
+   takeover is never asked, and what it ran was never started again.  */
+static void
+test_worker_known_from_records_only (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+
+  begin (&setup, 500);
+  task = &setup.job->tasks[0];
+  task->state = JB_TASK_PLACED;
+  task->run = 1;
+  task->worker = g_strdup ("gone");
+  sd_begin_term (setup.sched, clk_monotonic_ms (NULL));
+  wk_begin_term (setup.workers, 2);
+  wk_visit (setup.workers);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  usleep (1000 * 900); /* the lease, 3% and 300 ms */
+  wk_visit (setup.workers);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  finish (&setup);
+}
+
+static void
+test_run_missing_after_answer_is_gone (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+
+  begin (&setup, 6000);
+  task = place (&setup);
+  wk_start (setup.workers, task);
+  fake_answer (fake_open (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE });
+  CU_ASSERT_TRUE (task->confirmed);
+  usleep (1000 * 3);
+  wk_visit (setup.workers);
+  fake_answer (fake_open (&setup.port, 'h'),
+               &(struct wp_answer){ .result = WP_DONE });
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  finish (&setup);
+}
+
+static void
+test_end_is_acknowledged_when_stored (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+  GArray *ends = g_array_new (FALSE, FALSE, sizeof (struct wp_end));
+  struct wp_end end = { .number = 1,
+                        .task = (char *)"00000000000000aa.0.0.0",
+                        .run = 1,
+                        .how = SD_END_DONE,
+                        .checkpoint = (char *)"" };
+  GArray *mark;
+
+  g_array_append_val (ends, end);
+  begin (&setup, 6000);
+  task = place (&setup);
+  wk_start (setup.workers, task);
+  fake_answer (fake_open (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE });
+  wk_visit (setup.workers);
+  fake_answer (fake_open (&setup.port, 'h'),
+               &(struct wp_answer){ .result = WP_DONE, .ends = ends });
+  CU_ASSERT_EQUAL (task->state, JB_TASK_DONE);
+  CU_ASSERT_EQUAL (setup.job->state, JB_COMPLETED);
+  mark = wk_mark_heard (setup.workers);
+  wk_visit (setup.workers);
+  CU_ASSERT_EQUAL (fake_open (&setup.port, 'h')->seen, 0);
+  fake_answer (fake_open (&setup.port, 'h'),
+               &(struct wp_answer){ .result = WP_DONE, .ends = ends });
+  wk_mark_stored (setup.workers, mark);
+  wk_mark_stored (setup.workers, wk_mark_heard (setup.workers));
+  g_array_free (ends, TRUE);
+  finish (&setup);
+}
+
+static void
+test_fence_ends_the_term (void)
+{
+  struct setup setup;
+
+  begin (&setup, 6000);
+  place (&setup);
+  wk_visit (setup.workers);
+  fake_answer (fake_open (&setup.port, 'h'),
+               &(struct wp_answer){ .result = WP_FENCED });
+  CU_ASSERT_EQUAL (setup.fenced, 1);
+  finish (&setup);
+}
+
+int
+main (void)
+{
+  static const struct check_test tests[] = {
+    { "a refusal after silence is not final",
+      test_refusal_after_silence_is_not_final },
+    { "a refusal at once is final", test_refusal_at_once_is_final },
+    { "a worker known from records only",
+      test_worker_known_from_records_only },
+    { "a run missing after its start's answer is gone",
+      test_run_missing_after_answer_is_gone },
+    { "an end is acknowledged when stored",
+      test_end_is_acknowledged_when_stored },
+    { "a fence ends the term", test_fence_ends_the_term },
+  };
+
+  return check_run ("hostd workers", tests, G_N_ELEMENTS (tests));
+}
