--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -354,6 +354,22 @@
 
 /* --- Events of other tasks --- */
 
+static void
+log_job (const struct jb_job *job)
+{
+  const struct jb_step_spec *step = &job->spec->steps[0];
+
+  lg_info (PART, "A job is taken in.", "job", job->id, "queue",
+           job->spec->queue, "team",
+           job->spec->team == NULL ? "" : job->spec->team, "steps",
+           lg_number ((long long)job->spec->step_count), "tasks",
+           lg_number (step->count), "gang", step->gang ? "yes" : "no",
+           "one_rack", step->one_rack ? "yes" : "no", "accelerators",
+           lg_number (step->room.accelerators), "memory_mib",
+           lg_number (step->room.memory_mib), "estimate_ms",
+           lg_number (step->estimate_ms), NULL);
+}
+
 static void
 on_job_added (void *ctx, struct jb_job *job)
 {
@@ -361,6 +377,7 @@
 
   if (planner->role != PL_PLANNER)
     return;
+  log_job (job);
   sd_job_added (planner->sched, job);
   pl_wake (planner);
 }
