A strong host plans: hosts announce processor and link, weak ones wait longer before a claim

Cause: on hosts of unequal size the first to claim planned, at 0.12 of a core or 10 Mbit/s; its starts and holds ran into their time limits.

--- a/lib/jobs/records.c
+++ b/lib/jobs/records.c
@@ -248,6 +248,27 @@
   return pack (&record.base);
 }
 
+GByteArray *
+jb_encode_host (uint32_t strength)
+{
+  Ftj__HostRecord record = FTJ__HOST_RECORD__INIT;
+
+  record.strength = strength;
+  return pack (&record.base);
+}
+
+int
+jb_decode_host (uint32_t *strength, const uint8_t *bytes, size_t size)
+{
+  Ftj__HostRecord *record = ftj__host_record__unpack (NULL, size, bytes);
+
+  if (record == NULL)
+    return JB_ERR_FORMAT;
+  *strength = record->strength;
+  ftj__host_record__free_unpacked (record, NULL);
+  return JB_OK;
+}
+
 GByteArray *
 jb_encode_term (const struct jb_term *term)
 {
--- a/lib/proto/jobs.pb-c.c
+++ b/lib/proto/jobs.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &ftj__progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ftj__host_record__init
+                     (Ftj__HostRecord         *message)
+{
+  static const Ftj__HostRecord init_value = FTJ__HOST_RECORD__INIT;
+  *message = init_value;
+}
+size_t ftj__host_record__get_packed_size
+                     (const Ftj__HostRecord *message)
+{
+  assert(message->base.descriptor == &ftj__host_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ftj__host_record__pack
+                     (const Ftj__HostRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ftj__host_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ftj__host_record__pack_to_buffer
+                     (const Ftj__HostRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ftj__host_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ftj__HostRecord *
+       ftj__host_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ftj__HostRecord *)
+     protobuf_c_message_unpack (&ftj__host_record__descriptor,
+                                allocator, len, data);
+}
+void   ftj__host_record__free_unpacked
+                     (Ftj__HostRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ftj__host_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ftj__term__init
                      (Ftj__Term         *message)
 {
@@ -883,6 +928,44 @@
   (ProtobufCMessageInit) ftj__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ftj__host_record__field_descriptors[1] =
+{
+  {
+    "strength",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__HostRecord, strength),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ftj__host_record__field_indices_by_name[] = {
+  0,   /* field[0] = strength */
+};
+static const ProtobufCIntRange ftj__host_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ftj__host_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ftj.HostRecord",
+  "HostRecord",
+  "Ftj__HostRecord",
+  "ftj",
+  sizeof(Ftj__HostRecord),
+  1,
+  ftj__host_record__field_descriptors,
+  ftj__host_record__field_indices_by_name,
+  1,  ftj__host_record__number_ranges,
+  (ProtobufCMessageInit) ftj__host_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ftj__term__field_descriptors[3] =
 {
   {
--- a/lib/proto/jobs.pb-c.h
+++ b/lib/proto/jobs.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Ftj__CancelRecord Ftj__CancelRecord;
 typedef struct Ftj__TaskProgress Ftj__TaskProgress;
 typedef struct Ftj__Progress Ftj__Progress;
+typedef struct Ftj__HostRecord Ftj__HostRecord;
 typedef struct Ftj__Term Ftj__Term;
 
 
@@ -125,6 +126,19 @@
     , 0, 0, 0, 0,NULL, 0 }
 
 
+struct  Ftj__HostRecord
+{
+  ProtobufCMessage base;
+  /*
+   * processor and link, to choose the planner by
+   */
+  uint32_t strength;
+};
+#define FTJ__HOST_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ftj__host_record__descriptor) \
+    , 0 }
+
+
 struct  Ftj__Term
 {
   ProtobufCMessage base;
@@ -238,6 +252,25 @@
 void   ftj__progress__free_unpacked
                      (Ftj__Progress *message,
                       ProtobufCAllocator *allocator);
+/* Ftj__HostRecord methods */
+void   ftj__host_record__init
+                     (Ftj__HostRecord         *message);
+size_t ftj__host_record__get_packed_size
+                     (const Ftj__HostRecord   *message);
+size_t ftj__host_record__pack
+                     (const Ftj__HostRecord   *message,
+                      uint8_t             *out);
+size_t ftj__host_record__pack_to_buffer
+                     (const Ftj__HostRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Ftj__HostRecord *
+       ftj__host_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ftj__host_record__free_unpacked
+                     (Ftj__HostRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Ftj__Term methods */
 void   ftj__term__init
                      (Ftj__Term         *message);
@@ -274,6 +307,9 @@
 typedef void (*Ftj__Progress_Closure)
                  (const Ftj__Progress *message,
                   void *closure_data);
+typedef void (*Ftj__HostRecord_Closure)
+                 (const Ftj__HostRecord *message,
+                  void *closure_data);
 typedef void (*Ftj__Term_Closure)
                  (const Ftj__Term *message,
                   void *closure_data);
@@ -288,6 +324,7 @@
 extern const ProtobufCMessageDescriptor ftj__cancel_record__descriptor;
 extern const ProtobufCMessageDescriptor ftj__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor ftj__progress__descriptor;
+extern const ProtobufCMessageDescriptor ftj__host_record__descriptor;
 extern const ProtobufCMessageDescriptor ftj__term__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/programs/foxtailgap-hostd/hostd_settings.c
+++ b/programs/foxtailgap-hostd/hostd_settings.c
@@ -26,6 +26,9 @@
 #define NUMBER_FIELD(member)                                                  \
   CYAML_FIELD_UINT (#member, CYAML_FLAG_OPTIONAL, struct hostd_settings,      \
                     member)
+#define REAL_FIELD(member)                                                    \
+  CYAML_FIELD_FLOAT (#member, CYAML_FLAG_OPTIONAL, struct hostd_settings,     \
+                     member)
 #define NUMBER(member, min, max, fallback)                                    \
   {                                                                           \
 #member, offsetof (struct hostd_settings, member), min, max, fallback     \
@@ -51,6 +54,8 @@
         NUMBER_FIELD (shutdown_ms),
         NUMBER_FIELD (far_factor),
         NUMBER_FIELD (job_retention_ms),
+        REAL_FIELD (cpu_share),
+        REAL_FIELD (link_mbps),
         CYAML_FIELD_END };
 
 static const cyaml_schema_value_t settings_schema = { CYAML_VALUE_MAPPING (
@@ -78,10 +83,24 @@
           "%s: must be IP:PORT, not '%.60s'", field, text);
 }
 
+/* Absent: the fallback.  */
+static void
+check_real (const struct sc_place *place, const char *field, double *value,
+            double fallback)
+{
+  if (!yi_entry (place->index, field))
+    *value = fallback;
+  else if (*value <= 0)
+    em_add (place->messages, yi_line (place->index, field),
+            "%s: must be above 0", field);
+}
+
 static void
 check (struct hostd_settings *settings, const struct sc_place *place)
 {
   sc_numbers (place, settings_numbers, G_N_ELEMENTS (settings_numbers));
+  check_real (place, "cpu_share", &settings->cpu_share, 1.0);
+  check_real (place, "link_mbps", &settings->link_mbps, 1000.0);
   check_address (place, "callers", settings->callers);
   check_address (place, "readiness", settings->readiness);
   check_address (place, "metrics", settings->metrics);
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -19,9 +19,12 @@
   READ_SLACK_MS = 700, /* above the slowest answer of a slow store */
   NEWEST_TIMEOUT_MS = 1500,
   RETRY_MS = 150, /* after a failed read */
+  ANNOUNCE_TIMEOUT_MS = 30 * 1000, /* a host is of use without it */
   /* Records are read in lots: each call to the store is priced, and callers
      see a change this much later.  */
   PAUSE_MS = 100,
+  PAUSE_HOSTS = 7, /* with more hosts each reads more seldom */
+  PAUSE_MAX_MS = 400,
   PLANNER_PAUSE_MS = 8
 };
 
@@ -119,6 +122,20 @@
     journal->observer.term_read (journal->observer.ctx, &term);
 }
 
+static void
+apply_host (struct journal *journal, const char *name,
+            const struct so_record *record)
+{
+  uint32_t strength = 0;
+
+  if (record->value == NULL)
+    g_hash_table_remove (journal->hosts, name);
+  else if (jb_decode_host (&strength, record->value, record->size_bytes)
+           == JB_OK)
+    g_hash_table_insert (journal->hosts, g_strdup (name),
+                         GUINT_TO_POINTER (strength));
+}
+
 static void
 apply_jobs_record (struct journal *journal, const struct so_record *record)
 {
@@ -126,6 +143,11 @@
 
   if (key[0] == 't')
     apply_term (journal, record);
+  else if (g_str_has_prefix (key, "h/"))
+    {
+      apply_host (journal, key + 2, record);
+      jr_writes_seen (journal, key);
+    }
   else if (key[0] != '\0' && key[1] == '/' && jb_id_valid (key + 2))
     {
       if (key[0] == 'j')
@@ -138,6 +160,32 @@
     }
 }
 
+void
+jr_announce (struct journal *journal, const char *host, uint32_t strength)
+{
+  jr_write (journal, 'h', host, jb_encode_host (strength),
+            ANNOUNCE_TIMEOUT_MS);
+}
+
+uint32_t
+jr_strongest (const struct journal *journal)
+{
+  GHashTableIter iter;
+  void *value;
+  uint32_t strongest = 0;
+
+  g_hash_table_iter_init (&iter, journal->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    strongest = MAX (strongest, GPOINTER_TO_UINT (value));
+  return strongest;
+}
+
+uint32_t
+jr_host_count (const struct journal *journal)
+{
+  return g_hash_table_size (journal->hosts);
+}
+
 /* --- The operator --- */
 
 static void
@@ -201,7 +249,10 @@
 
   if (follower != &journal->jobs)
     return 0;
-  return journal->own_term != 0 ? PLANNER_PAUSE_MS : PAUSE_MS;
+  if (journal->own_term != 0)
+    return PLANNER_PAUSE_MS;
+  return CLAMP (PAUSE_MS * jr_host_count (journal) / PAUSE_HOSTS, PAUSE_MS,
+                PAUSE_MAX_MS);
 }
 
 static void
@@ -245,7 +296,7 @@
 static int
 compare_pages (const void *a, const void *b)
 {
-  static const char order[] = "tjcp";
+  static const char order[] = "thjcp";
   const struct so_record *left = *(struct so_record *const *)a;
   const struct so_record *right = *(struct so_record *const *)b;
   const char *left_rank = strchr (order, left->key[0]);
@@ -367,6 +418,8 @@
 
   journal->params = *params;
   journal->table = jb_table_create ();
+  journal->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                          NULL);
   journal->jobs.apply = apply_jobs_record;
   journal->operators.apply = apply_operator_record;
   follower_init (&journal->jobs, journal, params->jobs_topic);
@@ -384,6 +437,7 @@
   follower_clear (&journal->jobs);
   follower_clear (&journal->operators);
   jb_table_free (journal->table);
+  g_hash_table_destroy (journal->hosts);
   ct_free (journal->catalog);
   g_free (journal);
 }
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -41,6 +41,16 @@
   struct mt_registry *metrics;
 };
 
+/*! jr_announce () :
+ *  Has this host's record stored. */
+void jr_announce (struct journal *journal, const char *host,
+                  uint32_t strength);
+
+/*! jr_strongest (), jr_host_count () :
+ *  Of the hosts that have announced themselves. */
+uint32_t jr_strongest (const struct journal *journal);
+uint32_t jr_host_count (const struct journal *journal);
+
 struct journal *jr_create (const struct jr_params *params);
 void jr_free (struct journal *journal);
 void jr_observe (struct journal *journal, const struct jr_observer *observer);
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -29,6 +29,7 @@
   struct follower jobs;
   struct follower operators;
   struct jb_table *table;
+  GHashTable *hosts; /* name -> strength */
   struct ct_catalog *catalog;
   struct jb_term term;
   uint64_t own_term;
@@ -43,6 +44,11 @@
 void jr_writes_init (struct journal *journal);
 void jr_writes_clear (struct journal *journal);
 
+/*! jr_write () :
+ *  Has a record of another kind stored; nobody waits for it. */
+void jr_write (struct journal *journal, char kind, const char *name,
+               GByteArray *value, uint32_t timeout_ms);
+
 /*! jr_writes_seen () :
  *  The record with KEY has been read: who waits for it is told. */
 void jr_writes_seen (struct journal *journal, const char *key);
--- a/programs/foxtailgap-hostd/journal_write.c
+++ b/programs/foxtailgap-hostd/journal_write.c
@@ -87,7 +87,7 @@
         end_write (journal, write, JR_STORED);
       else if (answer->result == SO_UNKNOWN)
         write->maybe_stored = true;
-      else if (!write->maybe_stored
+      else if (!write->maybe_stored && write->callback != NULL
                && clk_monotonic_ms (NULL) - write->made_ms > REFUSED_FOR_MS)
         end_write (journal, write, JR_NOT_STORED);
     }
@@ -182,10 +182,10 @@
            void *ctx, uint64_t *ticket)
 {
   struct jr_write *write = g_new0 (struct jr_write, 1);
-  char key[JB_ID_DIGITS + 3];
+  char *key = g_strdup_printf ("%c/%s", kind, id);
 
-  g_snprintf (key, sizeof key, "%c/%s", kind, id);
   write->record = so_record_create (key, value->data, value->len);
+  g_free (key);
   write->ticket = ++journal->next_ticket;
   write->made_ms = clk_monotonic_ms (NULL);
   write->until_ms = write->made_ms + timeout_ms;
@@ -198,6 +198,15 @@
   send_lots (journal);
 }
 
+void
+jr_write (struct journal *journal, char kind, const char *name,
+          GByteArray *value, uint32_t timeout_ms)
+{
+  uint64_t ticket;
+
+  add_write (journal, kind, name, value, timeout_ms, NULL, NULL, &ticket);
+}
+
 void
 jr_submit (struct journal *journal, const char *id, const struct jb_spec *spec,
            uint32_t timeout_ms, jr_stored_callback callback, void *ctx,
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -461,6 +461,8 @@
   planner->woke_ms = clk_monotonic_ms (NULL);
   pl_term_init (planner);
   jr_observe (params->journal, &observer);
+  jr_announce (params->journal, params->settings->host,
+               pl_strength (params->settings));
   ev_init (&planner->round, on_round);
   planner->round.data = planner;
   ev_timer_init (&planner->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -37,6 +37,7 @@
   uint64_t sequence;
   int64_t claim_sent_ms;
   int64_t claim_jitter_ms;
+  int64_t first_check_ms;
   int64_t term_began_ms;
   bool settled; /* the workers have been asked, rounds go on */
   /* list of workers */
@@ -59,6 +60,9 @@
 
 /* --- planner_term.c --- */
 
+/*! pl_strength () :
+ *  @return : how much work a host can take on as the planner. */
+uint32_t pl_strength (const struct hostd_settings *settings);
 void pl_term_init (struct planner *planner);
 void pl_term_read (struct planner *planner, const struct jb_term *term);
 void pl_term_check (struct planner *planner);
--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -17,12 +17,26 @@
   /* Silence after which a term is claimed: three heartbeats of the planner,
      each up to 400 ms late on a store that is 90 times as slow.  */
   SILENCE_MS = 1300,
+  /* The first term of all waits for the hosts to announce themselves; they
+     start within 300 ms of each other.  */
+  FIRST_CLAIM_MS = 400,
   SILENCE_JITTER_MS = 400,  /* so that seldom two claim at once */
+  WEAKNESS_MS = 700, /* more than the jitter, so that strength decides */
   RELEASED_JITTER_MS = 120, /* the same after a release */
   CLAIM_TIMEOUT_MS = 800,
+  LINK_ENOUGH_MBPS = 50, /* a planner of 350 workers sends 3 Mbit/s */
+  STRENGTH_SCALE = 1000,
   CLAIM_AGAIN_MS = 1500, /* a claim whose record does not show has failed */
 };
 
+uint32_t
+pl_strength (const struct hostd_settings *settings)
+{
+  double link = MIN (settings->link_mbps / LINK_ENOUGH_MBPS, 1.0);
+
+  return (uint32_t)(settings->cpu_share * link * STRENGTH_SCALE);
+}
+
 static int64_t
 jitter_ms (int64_t limit_ms)
 {
@@ -50,6 +64,19 @@
   return record;
 }
 
+/* A weak host leaves the term to a stronger one: an extra delay that grows
+   with the gap to the strongest known.  */
+static int64_t
+weakness_ms (const struct planner *planner)
+{
+  uint32_t strongest = jr_strongest (planner->params.journal);
+  uint32_t own = pl_strength (planner->params.settings);
+
+  if (strongest <= own)
+    return 0;
+  return (int64_t)WEAKNESS_MS * (strongest - own) / strongest;
+}
+
 /* --- Claims --- */
 
 static void
@@ -102,13 +129,20 @@
   if (planner->role != PL_FOLLOWER || !jr_following (journal))
     return;
   if (term->term == 0)
-    claim (planner, "no term yet");
+    {
+      if (planner->first_check_ms == 0)
+        planner->first_check_ms = now_ms;
+      if (now_ms - planner->first_check_ms >= weakness_ms (planner)
+                                                + FIRST_CLAIM_MS)
+        claim (planner, "no term yet");
+    }
   else if (strcmp (term->host, planner->params.settings->host) == 0)
     claim (planner, "an earlier life of this host held it");
   else if (term->host[0] == '\0' && silent_ms > planner->claim_jitter_ms * RELEASED_JITTER_MS
                               / SILENCE_JITTER_MS)
     claim (planner, "released");
-  else if (silent_ms > SILENCE_MS + planner->claim_jitter_ms)
+  else if (silent_ms > SILENCE_MS + planner->claim_jitter_ms
+                           + weakness_ms (planner))
     claim (planner, "silence");
 }
 
