A run that stands in neither list is gone only after a stop's time

Cause: a member of a gang that is ending is in no list until its end is; it was taken to be gone. Now it must be missing for stop_ms and its listing, unless the worker has started anew.

--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -112,6 +112,7 @@
   task->started_ms = 0;
   task->settled_ms = 0;
   task->stop_sent_ms = 0;
+  task->missing_ms = 0;
 }
 
 void
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -16,6 +16,7 @@
   /* A read waits this long for a record; short, so that a connection that has
      gone silent and a store that is away are noticed.  */
   READ_WAIT_MS = 900,
+  JOBS_WAIT_MS = 450, /* the planner's heartbeat and a slow answer */
   READ_SLACK_MS = 700, /* above the slowest answer of a slow store */
   NEWEST_TIMEOUT_MS = 1500,
   RETRY_MS = 150, /* after a failed read */
@@ -280,7 +281,7 @@
       follower->next = answer->next;
       follower->fresh_ms = follower->sent_ms;
       if (answer->waited)
-        follower->fresh_ms += READ_WAIT_MS;
+        follower->fresh_ms += follower->wait_ms;
       else
         delay_ms = pause_ms (follower);
       follower->fresh_ms
@@ -369,8 +370,9 @@
   if (follower->loaded)
     {
       follower->sent_ms = clk_monotonic_ms (NULL);
-      store->read (store->ctx, follower->topic, follower->next, READ_WAIT_MS,
-                   READ_WAIT_MS + READ_SLACK_MS, on_read, follower);
+      store->read (store->ctx, follower->topic, follower->next,
+                   follower->wait_ms, follower->wait_ms + READ_SLACK_MS,
+                   on_read, follower);
       return;
     }
   if (follower->pages->len == 0)
@@ -392,10 +394,11 @@
 
 static void
 follower_init (struct follower *follower, struct journal *journal,
-               const char *topic)
+               const char *topic, uint32_t wait_ms)
 {
   follower->journal = journal;
   follower->topic = topic;
+  follower->wait_ms = wait_ms;
   follower->pages = so_records_create ();
   ev_init (&follower->pause, on_pause_over);
   follower->pause.data = follower;
@@ -422,8 +425,9 @@
                                           NULL);
   journal->jobs.apply = apply_jobs_record;
   journal->operators.apply = apply_operator_record;
-  follower_init (&journal->jobs, journal, params->jobs_topic);
-  follower_init (&journal->operators, journal, params->operator_topic);
+  follower_init (&journal->jobs, journal, params->jobs_topic, JOBS_WAIT_MS);
+  follower_init (&journal->operators, journal, params->operator_topic,
+                 READ_WAIT_MS);
   jr_writes_init (journal);
   return journal;
 }
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -10,6 +10,7 @@
 {
   struct journal *journal;
   const char *topic;
+  uint32_t wait_ms; /* a read waits this long for a record */
   bool loaded;      /* the newest have been read; the tail is followed */
   bool ever_loaded;
   bool reading;
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -19,7 +19,7 @@
   /* Rounds leave three quarters of the processor to the calls.  */
   ROUND_REST = 3,
   ROUND_DELAY_MAX_MS = 100,
-  HEARTBEAT_MS = 400,
+  HEARTBEAT_MS = 250,
   APPEND_TIMEOUT_MS = 900,
   APPEND_AGAIN_MS = 50,
   /* After a takeover rounds wait this long for the workers' first answers. */
@@ -473,6 +473,7 @@
     .table = jr_table (params->journal),
     .metrics = params->metrics,
     .lease_ttl_ms = params->settings->lease_ttl_ms,
+    .stop_ms = params->settings->stop_ms,
     .ctx = planner,
     .changed = on_workers_changed,
     .fenced = on_fenced,
--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -14,13 +14,13 @@
 
 enum
 {
-  /* Silence after which a term is claimed: three heartbeats of the planner,
-     each up to 400 ms late on a store that is 90 times as slow.  */
-  SILENCE_MS = 1300,
+  /* Silence after which a term is claimed: a heartbeat of the planner and
+     twice the answer of a store that is 90 times as slow (370 ms).  */
+  SILENCE_MS = 950,
   /* The first term of all waits for the hosts to announce themselves; they
      start within 300 ms of each other.  */
   FIRST_CLAIM_MS = 400,
-  SILENCE_JITTER_MS = 400,  /* so that seldom two claim at once */
+  SILENCE_JITTER_MS = 250,  /* so that seldom two claim at once */
   WEAKNESS_MS = 700, /* more than the jitter, so that strength decides */
   RELEASED_JITTER_MS = 120, /* the same after a release */
   CLAIM_TIMEOUT_MS = 800,
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -22,7 +22,8 @@
   /* A worker's clock may be 2% slow; and an order takes its time.  */
   CLOCK_SLOW_PERCENT = 3,
   LEASE_SLACK_MS = 300,
-  STOP_AGAIN_MS = 400 /* twice the time that a stop may take */
+  STOP_AGAIN_MS = 400, /* twice the time that a stop may take */
+  STOP_LISTED_MS = 60  /* from the end of a run to its place in the list */
 };
 
 /* --- Paths --- */
@@ -172,10 +173,32 @@
     wk_stop (workers, task);
 }
 
-/* Tasks that the worker does not show, although what it shows of them is
-   settled, are not there and never will be.  */
+/* Whether a task that the worker does not show is not there and never will
+   be.  A run that is being stopped or broken stands in neither list until its
+   end does, unless the worker has started anew.  */
+static bool
+is_gone (struct worker_io *io, struct jb_task *task, bool anew,
+         int64_t now_ms)
+{
+  if (io->hold_sent_ms <= task->settled_ms)
+    return false;
+  if (anew)
+    return true;
+  if (task->missing_ms == 0)
+    task->missing_ms = now_ms;
+  if (io->hold_sent_ms
+      > task->missing_ms + io->workers->params.stop_ms + STOP_LISTED_MS)
+    return true;
+  if (now_ms > task->missing_ms)
+    io->look_at_once = true;
+  else
+    io->look_soon = true;
+  return false;
+}
+
 static void
-drop_missing (struct worker_io *io, GHashTable *shown, int64_t now_ms)
+drop_missing (struct worker_io *io, GHashTable *shown, bool anew,
+              int64_t now_ms)
 {
   GPtrArray *lost = g_ptr_array_new ();
   guint i;
@@ -184,8 +207,9 @@
     {
       struct jb_task *task = g_ptr_array_index (io->worker->tasks, i);
 
-      if (!g_hash_table_contains (shown, task)
-          && io->hold_sent_ms > task->settled_ms)
+      if (g_hash_table_contains (shown, task))
+        task->missing_ms = 0;
+      else if (is_gone (io, task, anew, now_ms))
         g_ptr_array_add (lost, task);
     }
   for (i = 0; i < lost->len; i++)
@@ -208,11 +232,13 @@
             int64_t now_ms)
 {
   GHashTable *shown = g_hash_table_new (NULL, NULL);
+  bool anew = false;
   guint i;
 
   if (answer->born_ms != 0 && answer->born_ms != io->born_ms)
     {
-      if (io->born_ms != 0)
+      anew = io->born_ms != 0;
+      if (anew)
         lg_info (PART, "A worker has started anew.", "worker",
                  io->worker->report.id, NULL);
       io->born_ms = answer->born_ms;
@@ -224,7 +250,7 @@
   for (i = 0; i < answer->runs->len; i++)
     take_run (io, &g_array_index (answer->runs, struct wp_run, i), shown,
               now_ms);
-  drop_missing (io, shown, now_ms);
+  drop_missing (io, shown, anew, now_ms);
   g_hash_table_destroy (shown);
 }
 
@@ -283,9 +309,14 @@
     .term = workers->term,
     .seen = io->stored,
     .deadline_ms = -1,
-    .wait_ms = good && !io->look_at_once ? HOLD_WAIT_MS : 0,
+    .wait_ms = HOLD_WAIT_MS,
   };
 
+  if (!good || io->look_at_once)
+    hold.wait_ms = 0;
+  else if (io->look_soon)
+    hold.wait_ms = workers->params.stop_ms + STOP_LISTED_MS;
+
   if (renew && io->clock_ms >= 0 && worker->tasks->len > 0)
     {
       hold.deadline_ms
@@ -294,6 +325,7 @@
     }
   io->holding = true;
   io->look_at_once = false;
+  io->look_soon = false;
   io->hold_sent_ms = now_ms;
   io->hold_tried_ms = now_ms;
   workers->params.port.hold (
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -21,6 +21,7 @@
   struct jb_table *table;
   struct mt_registry *metrics;
   uint32_t lease_ttl_ms;
+  uint32_t stop_ms; /* a run that ends may be in no list for this long */
   void *ctx;
   void (*changed) (void *ctx); /* something is to be decided or recorded */
   void (*fenced) (void *ctx);  /* a worker has seen a higher term */
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -21,6 +21,7 @@
   /* holds */
   bool holding;
   bool look_at_once; /* the next hold does not wait */
+  bool look_soon;    /* the next hold waits for as long as a stop takes */
   int64_t hold_sent_ms;
   int64_t hold_good_ms; /* sending time of the last hold that was answered */
   int64_t hold_tried_ms;
