--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -75,7 +75,7 @@
   rest.waiting -= choice.tasks->len;
   if (claimed && whole)
     sd_claim_end (sched, unit);
-  if (!whole && unit->guaranteed && rest.waiting > 0)
+  if (!whole && unit->priority == 0 && rest.waiting > 0)
     sd_preempt (sched, &rest, now_ms);
   g_ptr_array_free (choice.tasks, TRUE);
   g_ptr_array_free (choice.workers, TRUE);
