A gang that fits a rack is not made room for across racks

Cause: the plan across racks stopped work, but the choice then waits for one rack; the stops were for nothing.

--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -386,11 +386,11 @@
            int64_t now_ms)
 {
   const struct jb_step_spec *spec = unit->step->spec;
-  struct plan *plan = NULL;
 
-  if (spec->gang && spec->one_rack)
-    plan = cheapest_rack_plan (sched, unit, now_ms);
-  return plan != NULL ? plan : make_plan (sched, unit, NULL, now_ms);
+  if (spec->gang && spec->one_rack
+      && sd_could_ever_fit (sched, unit, true, now_ms))
+    return cheapest_rack_plan (sched, unit, now_ms);
+  return make_plan (sched, unit, NULL, now_ms);
 }
 
 void
