--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -16,6 +16,9 @@
   /* A worker that refused for want of room is asked again after this: a stop
      takes 200 ms and is listed by then.  */
   SD_ROOM_SHUT_MS = 300,
+  /* A worker that left an order unanswered: until most looks would show that
+     it is out of touch.  */
+  SD_SILENT_SHUT_MS = 800,
 };
 
 struct sd_sched
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -153,6 +153,13 @@
   worker->contact = contact;
 }
 
+void
+sd_worker_silent (struct sd_worker *worker, int64_t now_ms)
+{
+  worker->room_shut_until_ms
+      = MAX (worker->room_shut_until_ms, now_ms + SD_SILENT_SHUT_MS);
+}
+
 /* --- Terms --- */
 
 static struct sd_worker *
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -116,6 +116,10 @@
 void sd_worker_contact (struct sd_sched *sched, struct sd_worker *worker,
                         enum sd_contact contact);
 
+/*! sd_worker_silent () :
+ *  An order was not answered: others go elsewhere for a while. */
+void sd_worker_silent (struct sd_worker *worker, int64_t now_ms);
+
 /* --- Jobs and tasks --- */
 
 /*! sd_job_added (), sd_job_cancelled () :
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -22,7 +22,7 @@
   RETRY_MS = 150, /* after a failed read */
   ANNOUNCE_TIMEOUT_MS = 30 * 1000, /* a host is of use without it */
   /* Records are read in lots: each call to the store is priced, and callers
-     see a change this much later.  */
+     see a change this much later.  From one call to the next.  */
   PAUSE_MS = 100,
   PAUSE_HOSTS = 7, /* with more hosts each reads more seldom */
   PAUSE_MAX_MS = 400,
@@ -248,12 +248,16 @@
 {
   const struct journal *journal = follower->journal;
 
+  int64_t took_ms = clk_monotonic_ms (NULL) - follower->sent_ms;
+  int64_t pause_ms;
+
   if (follower != &journal->jobs)
     return 0;
   if (journal->own_term != 0)
     return PLANNER_PAUSE_MS;
-  return CLAMP (PAUSE_MS * jr_host_count (journal) / PAUSE_HOSTS, PAUSE_MS,
-                PAUSE_MAX_MS);
+  pause_ms = CLAMP (PAUSE_MS * jr_host_count (journal) / PAUSE_HOSTS,
+                    PAUSE_MS, PAUSE_MAX_MS);
+  return (uint32_t)MAX (pause_ms - took_ms, 0);
 }
 
 static void
--- a/programs/foxtailgap-hostd/worker_orders.c
+++ b/programs/foxtailgap-hostd/worker_orders.c
@@ -12,8 +12,8 @@
 {
   /* A start that is carried out later than this is void, so that an order
      without an answer is settled soon; long enough for three tries.  */
-  START_VALID_MS = 1500,
-  START_TIMEOUT_MS = 450,
+  START_VALID_MS = 1200,
+  START_TIMEOUT_MS = 350,
   STOP_TIMEOUT_MS = 600,
   /* The deadline is on the worker's clock, which may be 2% slow.  */
   START_SETTLE_MS = 60
@@ -77,6 +77,7 @@
       return;
     case WP_SILENT:
       call->unsure = true;
+      sd_worker_silent (worker, now_ms);
       if (now_ms < call->first_sent_ms + START_VALID_MS - START_TIMEOUT_MS
           && task->state == JB_TASK_PLACED)
         {
