That there is no such job is said only of a whole view

Cause: a host back from a cut had read a first lot of what it missed (reads give 1 MB at most), held its view for fresh, and answered DELETE with 410. A lot that does not reach the end no longer counts as fresh, and an unknown job's cancelling waits for a read sent after it. Tests: test_hostd_journal.

--- a/lib/store/store_port.h
+++ b/lib/store/store_port.h
@@ -55,6 +55,7 @@
   int64_t next;             /* offset to go on from */
   bool more;                /* of so_newest: call again after the last key */
   bool waited;              /* there was nothing new for the whole wait */
+  bool at_end;              /* nothing more stood in the topic */
 };
 
 typedef void (*so_append_callback) (void *ctx,
--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -27,6 +27,7 @@
   /* A key is trusted for this part of the time in which one that was taken
      away must be refused.  */
   KEY_AGE_PERCENT = 60,
+  FRESH_TIMEOUT_MS = 1200, /* a pause, a wait and a slow answer */
   RETRY_AFTER_STORE_S = 1 /* the store is looked for several times a second */
 };
 
@@ -228,6 +229,34 @@
   jb_spec_free (spec);
 }
 
+static void cancel (struct front *front, struct hs_request *request,
+                    const char *id);
+
+/* A job that is not known may have been handed in elsewhere just now: that
+   there is none is said only after all of the topic has been read.  */
+static void
+on_fresh (void *ctx, bool fresh)
+{
+  struct pending *pending = ctx;
+  struct front *front = pending->front;
+  struct hs_request *request = pending->request;
+
+  if (request == NULL)
+    goto done;
+  hs_on_gone (request, NULL, NULL);
+  if (!fresh)
+    answer_later (front, request, "cancel", 503, RETRY_AFTER_STORE_S,
+                  "the store is out of reach");
+  else if (jb_table_find (jr_table (front->params.journal), pending->id)
+           == NULL)
+    answer_error (front, request, "cancel", 410, "no such job");
+  else
+    cancel (front, request, pending->id);
+
+done:
+  g_free (pending);
+}
+
 static void
 cancel (struct front *front, struct hs_request *request, const char *id)
 {
@@ -235,15 +264,10 @@
   struct jb_job *job = jb_table_find (jr_table (journal), id);
   struct pending *pending;
 
-  if (job == NULL && jr_jobs_age_ms (journal) > JOBS_AGE_MAX_MS)
-    {
-      answer_later (front, request, "cancel", 503, RETRY_AFTER_STORE_S,
-                    "the store is out of reach");
-      return;
-    }
   if (job == NULL)
     {
-      answer_error (front, request, "cancel", 410, "no such job");
+      pending = wait_for_write (front, request, id, "cancel");
+      jr_when_fresh (journal, FRESH_TIMEOUT_MS, on_fresh, pending);
       return;
     }
   if (jb_state_is_final (job->shown))
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -260,6 +260,21 @@
   return (uint32_t)MAX (pause_ms - took_ms, 0);
 }
 
+/* A lot that does not reach the end says nothing of what is missing.  */
+static void
+take_freshness (struct follower *follower, const struct so_read_answer *answer)
+{
+  int64_t fresh_ms = follower->sent_ms;
+
+  if (!answer->at_end)
+    return;
+  if (answer->waited)
+    fresh_ms += follower->wait_ms;
+  follower->fresh_ms = MIN (fresh_ms, clk_monotonic_ms (NULL));
+  if (follower == &follower->journal->jobs)
+    jr_waiters_told (follower->journal);
+}
+
 static void
 on_read (void *ctx, const struct so_read_answer *answer)
 {
@@ -283,13 +298,9 @@
       for (i = 0; i < answer->records->len; i++)
         follower->apply (journal, g_ptr_array_index (answer->records, i));
       follower->next = answer->next;
-      follower->fresh_ms = follower->sent_ms;
-      if (answer->waited)
-        follower->fresh_ms += follower->wait_ms;
-      else
+      take_freshness (follower, answer);
+      if (answer->at_end && !answer->waited)
         delay_ms = pause_ms (follower);
-      follower->fresh_ms
-          = MIN (follower->fresh_ms, clk_monotonic_ms (NULL));
     }
   schedule (follower, delay_ms);
   if (follower == &journal->jobs && answer->result == SO_DONE
@@ -325,7 +336,6 @@
   follower->next = follower->first_end;
   follower->loaded = true;
   follower->ever_loaded = true;
-  follower->fresh_ms = follower->sent_ms;
   lg_info (PART, "A topic has been read.", "topic", follower->topic, "next",
            lg_number (follower->next), NULL);
 }
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -78,6 +78,14 @@
 int64_t jr_jobs_age_ms (const struct journal *journal);
 int64_t jr_catalog_age_ms (const struct journal *journal);
 
+typedef void (*jr_fresh_callback) (void *ctx, bool fresh);
+
+/*! jr_when_fresh () :
+ *  Calls back once all that stood in the jobs' topic at the time of this call
+ *  has been read, or with false if that takes longer than timeout_ms. */
+void jr_when_fresh (struct journal *journal, uint32_t timeout_ms,
+                    jr_fresh_callback callback, void *ctx);
+
 /*! jr_planner_seen_ms () :
  *  @return : steady clock, when a record of the planner was read last. */
 int64_t jr_planner_seen_ms (const struct journal *journal);
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -40,6 +40,7 @@
   uint32_t appends_open;
   uint64_t next_ticket;
   ev_timer write_timer;
+  GQueue waiters; /* struct jr_waiter, oldest first */
 };
 
 void jr_writes_init (struct journal *journal);
@@ -54,4 +55,8 @@
  *  The record with KEY has been read: who waits for it is told. */
 void jr_writes_seen (struct journal *journal, const char *key);
 
+/*! jr_waiters_told () :
+ *  The jobs' topic has been read up to its end. */
+void jr_waiters_told (struct journal *journal);
+
 #endif
--- a/programs/foxtailgap-hostd/journal_write.c
+++ b/programs/foxtailgap-hostd/journal_write.c
@@ -150,6 +150,66 @@
     send_lot (journal);
 }
 
+/* --- Who waits for a fresh view --- */
+
+struct jr_waiter
+{
+  int64_t since_ms;
+  int64_t until_ms;
+  jr_fresh_callback callback;
+  void *ctx;
+};
+
+static void
+end_waiter (struct journal *journal, GList *link, bool fresh)
+{
+  struct jr_waiter *waiter = link->data;
+
+  g_queue_delete_link (&journal->waiters, link);
+  waiter->callback (waiter->ctx, fresh);
+  g_free (waiter);
+}
+
+void
+jr_when_fresh (struct journal *journal, uint32_t timeout_ms,
+               jr_fresh_callback callback, void *ctx)
+{
+  struct jr_waiter *waiter = g_new0 (struct jr_waiter, 1);
+
+  waiter->since_ms = clk_monotonic_ms (NULL);
+  waiter->until_ms = waiter->since_ms + timeout_ms;
+  waiter->callback = callback;
+  waiter->ctx = ctx;
+  g_queue_push_tail (&journal->waiters, waiter);
+}
+
+void
+jr_waiters_told (struct journal *journal)
+{
+  GList *link = journal->waiters.head;
+
+  while (link != NULL
+         && ((struct jr_waiter *)link->data)->since_ms
+                <= journal->jobs.fresh_ms)
+    {
+      end_waiter (journal, link, true);
+      link = journal->waiters.head;
+    }
+}
+
+static void
+end_late_waiters (struct journal *journal, int64_t now_ms)
+{
+  GList *link = journal->waiters.head;
+
+  while (link != NULL
+         && ((struct jr_waiter *)link->data)->until_ms <= now_ms)
+    {
+      end_waiter (journal, link, false);
+      link = journal->waiters.head;
+    }
+}
+
 /* Ends writes whose time is over, and sends again what was refused.  A write
    in flight has no known outcome.  */
 static void
@@ -173,6 +233,7 @@
                                                          : JR_NOT_STORED);
       link = journal->writes.head; /* the callback may have changed it */
     }
+  end_late_waiters (journal, now_ms);
   send_lots (journal);
 }
 
@@ -263,6 +324,7 @@
 jr_writes_init (struct journal *journal)
 {
   g_queue_init (&journal->writes);
+  g_queue_init (&journal->waiters);
   ev_timer_init (&journal->write_timer, on_sweep, SWEEP_MS / 1000.0,
                  SWEEP_MS / 1000.0);
   journal->write_timer.data = journal;
@@ -277,4 +339,6 @@
   ev_timer_stop (journal->params.loop, &journal->write_timer);
   while ((write = g_queue_peek_head (&journal->writes)) != NULL)
     end_write (journal, write, JR_UNKNOWN);
+  while (journal->waiters.head != NULL)
+    end_waiter (journal, journal->waiters.head, false);
 }
--- /dev/null
+++ b/tests/unit/test_hostd_journal.c
@@ -0,0 +1,341 @@
+/* The journal: when its view of the jobs is fresh, and what becomes of
+   callers' writes.  */
+
+#include <unistd.h>
+
+#include "../../programs/foxtailgap-hostd/journal.h"
+#include "check.h"
+#include "hostd_fixture.h"
+
+static const char JOB[] = "00000000000000aa";
+
+/* A store port whose calls are kept until the test answers them.  */
+struct fake_store
+{
+  so_append_callback appended;
+  void *append_ctx;
+  uint32_t append_count;
+  uint32_t append_records;
+  so_read_callback jobs_read;
+  void *jobs_ctx;
+  so_read_callback operator_read;
+  void *operator_ctx;
+};
+
+static void
+store_append (void *ctx, const char *topic, const GPtrArray *records,
+              const struct so_writer *writer, uint32_t timeout_ms,
+              so_append_callback callback, void *callback_ctx)
+{
+  struct fake_store *store = ctx;
+
+  (void)topic;
+  (void)writer;
+  (void)timeout_ms;
+  store->appended = callback;
+  store->append_ctx = callback_ctx;
+  store->append_count++;
+  store->append_records += records->len;
+}
+
+static void
+keep_read (struct fake_store *store, const char *topic,
+           so_read_callback callback, void *callback_ctx)
+{
+  if (strcmp (topic, "jobs") == 0)
+    {
+      store->jobs_read = callback;
+      store->jobs_ctx = callback_ctx;
+    }
+  else
+    {
+      store->operator_read = callback;
+      store->operator_ctx = callback_ctx;
+    }
+}
+
+static void
+store_read (void *ctx, const char *topic, int64_t from, uint32_t wait_ms,
+            uint32_t timeout_ms, so_read_callback callback,
+            void *callback_ctx)
+{
+  (void)from;
+  (void)wait_ms;
+  (void)timeout_ms;
+  keep_read (ctx, topic, callback, callback_ctx);
+}
+
+static void
+store_newest (void *ctx, const char *topic, const char *after_key,
+              uint32_t timeout_ms, so_read_callback callback,
+              void *callback_ctx)
+{
+  (void)after_key;
+  (void)timeout_ms;
+  keep_read (ctx, topic, callback, callback_ctx);
+}
+
+struct setup
+{
+  struct fake_store store;
+  struct ev_loop *loop;
+  struct mt_registry *metrics;
+  struct journal *journal;
+  GPtrArray *records;
+  int outcomes;
+  enum jr_outcome outcome;
+  int fresh; /* -1: not told */
+};
+
+static int
+decode_nothing (struct ct_catalog **out, const void *text, size_t size_bytes)
+{
+  (void)out;
+  (void)text;
+  (void)size_bytes;
+  return -1;
+}
+
+static void
+run_for_ms (struct setup *setup, uint32_t time_ms)
+{
+  int64_t until_ms = clk_monotonic_ms (NULL) + time_ms;
+
+  while (clk_monotonic_ms (NULL) < until_ms)
+    {
+      ev_run (setup->loop, EVRUN_NOWAIT);
+      usleep (2000);
+    }
+}
+
+/* Answers the call that is open on the jobs' topic.  */
+static void
+answer_jobs (struct setup *setup, bool at_end)
+{
+  struct so_read_answer answer = { .result = SO_DONE,
+                                   .records = setup->records,
+                                   .at_end = at_end };
+  so_read_callback callback = setup->store.jobs_read;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (callback);
+  setup->store.jobs_read = NULL;
+  answer.waited = setup->records->len == 0;
+  callback (setup->store.jobs_ctx, &answer);
+  g_ptr_array_set_size (setup->records, 0);
+}
+
+static void
+begin (struct setup *setup)
+{
+  struct jr_params params = { .jobs_topic = "jobs",
+                              .operator_topic = "operator",
+                              .catalog_key = "config",
+                              .decode_catalog = decode_nothing };
+
+  memset (setup, 0, sizeof *setup);
+  setup->fresh = -1;
+  setup->records = so_records_create ();
+  setup->loop = ev_loop_new (EVFLAG_AUTO);
+  setup->metrics = mt_create ();
+  params.loop = setup->loop;
+  params.metrics = setup->metrics;
+  params.store = (struct so_port){ .ctx = &setup->store,
+                                   .append = store_append,
+                                   .read = store_read,
+                                   .newest = store_newest };
+  setup->journal = jr_create (&params);
+  run_for_ms (setup, 20);
+  answer_jobs (setup, true); /* the newest: none */
+  run_for_ms (setup, 20);
+}
+
+static void
+finish (struct setup *setup)
+{
+  jr_free (setup->journal);
+  mt_free (setup->metrics);
+  g_ptr_array_free (setup->records, TRUE);
+  ev_loop_destroy (setup->loop);
+}
+
+static void
+on_outcome (void *ctx, enum jr_outcome outcome)
+{
+  struct setup *setup = ctx;
+
+  setup->outcomes++;
+  setup->outcome = outcome;
+}
+
+static void
+on_fresh (void *ctx, bool fresh)
+{
+  ((struct setup *)ctx)->fresh = fresh;
+}
+
+static void
+add_job (struct setup *setup, const char *id)
+{
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", &step);
+  GByteArray *bytes = jb_encode_spec (spec);
+  char *key = g_strdup_printf ("j/%s", id);
+
+  g_ptr_array_add (setup->records,
+                   so_record_create (key, bytes->data, bytes->len));
+  g_free (key);
+  g_byte_array_free (bytes, TRUE);
+  jb_spec_free (spec);
+}
+
+/* Found on the grown bofl site, day scale-2: a host that came back after a cut
+   had read a first lot only, held its view for fresh, and told a caller who
+   cancelled that there was no such job; the job ran on.  */
+static void
+test_lot_before_the_end_is_not_fresh (void)
+{
+  struct setup setup;
+
+  begin (&setup);
+  jr_when_fresh (setup.journal, 5000, on_fresh, &setup);
+  run_for_ms (&setup, 5);
+  add_job (&setup, "00000000000000bb");
+  answer_jobs (&setup, false); /* of a read sent before */
+  run_for_ms (&setup, 20);
+  add_job (&setup, "00000000000000cc");
+  answer_jobs (&setup, false);
+  CU_ASSERT_EQUAL (setup.fresh, -1);
+  run_for_ms (&setup, 20);
+  add_job (&setup, JOB);
+  answer_jobs (&setup, true);
+  CU_ASSERT_EQUAL (setup.fresh, 1);
+  CU_ASSERT_PTR_NOT_NULL (jb_table_find (jr_table (setup.journal), JOB));
+  finish (&setup);
+}
+
+static void
+test_age_grows_while_behind (void)
+{
+  struct setup setup;
+  int64_t before_ms;
+
+  begin (&setup);
+  answer_jobs (&setup, true);
+  before_ms = jr_jobs_age_ms (setup.journal);
+  run_for_ms (&setup, 120);
+  add_job (&setup, JOB);
+  answer_jobs (&setup, false);
+  CU_ASSERT_TRUE (jr_jobs_age_ms (setup.journal) >= before_ms + 100);
+  finish (&setup);
+}
+
+static void
+submit (struct setup *setup, uint32_t timeout_ms)
+{
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", &step);
+  uint64_t ticket;
+
+  jr_submit (setup->journal, JOB, spec, timeout_ms, on_outcome, setup,
+             &ticket);
+  jb_spec_free (spec);
+}
+
+static void
+answer_append (struct setup *setup, enum so_result result)
+{
+  struct so_append_answer answer = { .result = result };
+  so_append_callback callback = setup->store.appended;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (callback);
+  setup->store.appended = NULL;
+  callback (setup->store.append_ctx, &answer);
+}
+
+static void
+test_write_without_answer_is_unknown (void)
+{
+  struct setup setup;
+
+  begin (&setup);
+  submit (&setup, 100);
+  answer_append (&setup, SO_UNKNOWN);
+  answer_append (&setup, SO_REFUSED); /* sent again, refused */
+  run_for_ms (&setup, 200);
+  CU_ASSERT_EQUAL (setup.outcomes, 1);
+  CU_ASSERT_EQUAL (setup.outcome, JR_UNKNOWN);
+  finish (&setup);
+}
+
+static void
+test_write_always_refused_is_not_stored (void)
+{
+  struct setup setup;
+  int i;
+
+  begin (&setup);
+  submit (&setup, 2000);
+  for (i = 0; i < 10 && setup.outcomes == 0; i++)
+    {
+      answer_append (&setup, SO_REFUSED);
+      run_for_ms (&setup, 80);
+    }
+  CU_ASSERT_EQUAL (setup.outcomes, 1);
+  CU_ASSERT_EQUAL (setup.outcome, JR_NOT_STORED);
+  finish (&setup);
+}
+
+static void
+test_write_is_stored_once_its_record_is_read (void)
+{
+  struct setup setup;
+
+  begin (&setup);
+  submit (&setup, 2000);
+  answer_append (&setup, SO_UNKNOWN);
+  add_job (&setup, JOB);
+  answer_jobs (&setup, true);
+  CU_ASSERT_EQUAL (setup.outcomes, 1);
+  CU_ASSERT_EQUAL (setup.outcome, JR_STORED);
+  finish (&setup);
+}
+
+static void
+test_writes_share_an_append (void)
+{
+  struct setup setup;
+  uint64_t ticket;
+  char id[JB_ID_DIGITS + 1];
+  int i;
+
+  begin (&setup);
+  for (i = 0; i < 10; i++)
+    {
+      g_snprintf (id, sizeof id, "%016x", i);
+      jr_cancel (setup.journal, id, 2000, on_outcome, &setup, &ticket);
+    }
+  CU_ASSERT_EQUAL (setup.store.append_count, 3); /* three may be open */
+  answer_append (&setup, SO_DONE);
+  CU_ASSERT_EQUAL (setup.store.append_count, 4);
+  CU_ASSERT_EQUAL (setup.store.append_records, 10);
+  finish (&setup);
+}
+
+int
+main (void)
+{
+  static const struct check_test tests[] = {
+    { "a lot before the end is not fresh",
+      test_lot_before_the_end_is_not_fresh },
+    { "age grows while behind", test_age_grows_while_behind },
+    { "a write without an answer is unknown",
+      test_write_without_answer_is_unknown },
+    { "a write always refused is not stored",
+      test_write_always_refused_is_not_stored },
+    { "a write is stored once its record is read",
+      test_write_is_stored_once_its_record_is_read },
+    { "writes share an append", test_writes_share_an_append },
+  };
+
+  return check_run ("hostd journal", tests, G_N_ELEMENTS (tests));
+}
