--- a/lib/jobs/catalog.h
+++ b/lib/jobs/catalog.h
@@ -48,7 +48,7 @@
   size_t team_count;
   struct ct_service *services;
   size_t service_count;
-  uint64_t body_limit_bytes; /* 0: no limit given */
+  uint64_t body_limit_bytes;  /* 0: no limit given */
   GHashTable *queues_by_name; /* of ct_index () */
 };
 
--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -158,8 +158,8 @@
 {
   struct jb_table *table = g_new0 (struct jb_table, 1);
 
-  table->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                       job_free);
+  table->jobs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_free);
   return table;
 }
 
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -12,8 +12,8 @@
 enum
 {
   JB_ID_DIGITS = 16,
-  JB_STEPS_MAX = 64,      /* of one job */
-  JB_TASKS_MAX = 4096,    /* of one job over all its occurrences */
+  JB_STEPS_MAX = 64,        /* of one job */
+  JB_TASKS_MAX = 4096,      /* of one job over all its occurrences */
   JB_TEXT_MAX_BYTES = 4000, /* the platform's limit of a job's text */
   JB_TIMES_MAX = 1000
 };
@@ -46,9 +46,9 @@
   bool one_rack;
   bool checkpoints;
   bool copies_allowed;
-  bool lasting;  /* runs until the job is cancelled */
-  char *label;   /* the worker must have it; NULL: any */
-  char *data_rack; /* rack of its data; NULL: anywhere */
+  bool lasting;          /* runs until the job is cancelled */
+  char *label;           /* the worker must have it; NULL: any */
+  char *data_rack;       /* rack of its data; NULL: anywhere */
   uint32_t worker_limit; /* tasks of the step on one worker; 0: any number */
   char *image;
   uint32_t target_ms;
@@ -103,19 +103,19 @@
   struct jb_job *job;
   struct jb_step *step;
   uint32_t index;
-  uint32_t state; /* enum jb_task_state */
-  uint32_t run;   /* number of the last start; 0: never started */
-  uint32_t failures; /* of a gang: kept by its first task */
-  char *worker;      /* id; NULL unless placed or stopping */
-  char *checkpoint;  /* NULL: none */
-  bool confirmed;    /* the worker has said that it runs */
-  int64_t placed_ms;   /* steady clock of the planner */
-  int64_t started_ms;  /* steady clock; 0: not confirmed */
+  uint32_t state;     /* enum jb_task_state */
+  uint32_t run;       /* number of the last start; 0: never started */
+  uint32_t failures;  /* of a gang: kept by its first task */
+  char *worker;       /* id; NULL unless placed or stopping */
+  char *checkpoint;   /* NULL: none */
+  bool confirmed;     /* the worker has said that it runs */
+  int64_t placed_ms;  /* steady clock of the planner */
+  int64_t started_ms; /* steady clock; 0: not confirmed */
   /* Steady clock: what the worker shows of the run after this moment is the
      truth; no start of it can take effect any more.  INT64_MAX: not yet.  */
   int64_t settled_ms;
-  int64_t stop_sent_ms;  /* steady clock; 0: no stop sent */
-  int64_t missing_ms; /* steady clock: not shown since; 0: shown */
+  int64_t stop_sent_ms; /* steady clock; 0: no stop sent */
+  int64_t missing_ms;   /* steady clock: not shown since; 0: shown */
 };
 
 /* One step of one occurrence.  */
@@ -134,10 +134,10 @@
   char id[JB_ID_DIGITS + 1];
   struct jb_spec *spec; /* NULL while only its progress is known */
   enum jb_state state;
-  enum jb_state shown; /* what is stored and may be told */
-  bool cancelled;      /* asked for, maybe not carried out yet */
-  bool begun;          /* a task has started */
-  bool changed;        /* since its progress was written */
+  enum jb_state shown;   /* what is stored and may be told */
+  bool cancelled;        /* asked for, maybe not carried out yet */
+  bool begun;            /* a task has started */
+  bool changed;          /* since its progress was written */
   struct jb_step *steps; /* times * step_count */
   size_t step_total;
   struct jb_task *tasks;
--- a/lib/jobs/records.c
+++ b/lib/jobs/records.c
@@ -94,8 +94,8 @@
               .memory_mib = record->memory_mib,
               .accelerators = record->accelerators },
     .estimate_ms = record->estimate_ms,
-    .after = g_memdup2 (record->after,
-                        record->n_after * sizeof record->after[0]),
+    .after
+    = g_memdup2 (record->after, record->n_after * sizeof record->after[0]),
     .after_count = record->n_after,
     .gang = record->gang,
     .one_rack = record->one_rack,
--- a/lib/sched/health.c
+++ b/lib/sched/health.c
@@ -32,10 +32,9 @@
 sd_health_refused (struct sd_worker *worker, int64_t now_ms)
 {
   worker->refusal_streak++;
-  worker->avoid_until_ms
-      = MAX (worker->avoid_until_ms,
-             now_ms + (worker->refusal_streak > 1 ? SD_AVOID_MS
-                                                  : SD_ROOM_SHUT_MS));
+  worker->avoid_until_ms = MAX (
+      worker->avoid_until_ms,
+      now_ms + (worker->refusal_streak > 1 ? SD_AVOID_MS : SD_ROOM_SHUT_MS));
 }
 
 bool
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -162,8 +162,7 @@
       job->priority = queue == NULL ? UINT32_MAX : queue->priority;
       if (queue == NULL)
         continue; /* its queue is gone from the configuration: it waits */
-      guaranteed = queue->priority == 0
-                   && within_guarantee (sched, uses, job);
+      guaranteed = queue->priority == 0 && within_guarantee (sched, uses, job);
       collect_job (units, job, queue, guaranteed, now_unix_ms);
     }
   g_hash_table_destroy (uses);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -20,8 +20,8 @@
 {
   return label == NULL
          || (worker->report.labels != NULL
-             && g_strv_contains (
-                 (const char *const *)worker->report.labels, label));
+             && g_strv_contains ((const char *const *)worker->report.labels,
+                                 label));
 }
 
 static bool
@@ -147,7 +147,8 @@
       const struct candidate *candidate
           = &g_array_index (candidates, struct candidate, i);
 
-      if (rack == NULL || g_strcmp0 (candidate->worker->report.rack, rack) == 0)
+      if (rack == NULL
+          || g_strcmp0 (candidate->worker->report.rack, rack) == 0)
         copies += candidate->copies;
     }
   return (uint32_t)MIN (copies, limit);
@@ -186,8 +187,8 @@
     return data_rack;
   for (i = 0; i < candidates->len; i++)
     {
-      const char *rack
-          = g_array_index (candidates, struct candidate, i).worker->report.rack;
+      const char *rack = g_array_index (candidates, struct candidate, i)
+                             .worker->report.rack;
       int64_t room;
 
       if (rack == NULL || (best != NULL && strcmp (rack, best) == 0))
@@ -254,8 +255,8 @@
   guint i;
 
   for (i = 0; i < sched->misfits->len; i++)
-    if (asks_no_less (unit, &g_array_index (sched->misfits, struct sd_unit,
-                                            i)))
+    if (asks_no_less (unit,
+                      &g_array_index (sched->misfits, struct sd_unit, i)))
       return true;
   return false;
 }
--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -18,8 +18,8 @@
 /* One way to make room: on which workers, and whom it stops.  */
 struct plan
 {
-  GHashTable *victims;  /* struct jb_task, as a set */
-  GPtrArray *places;    /* struct sd_worker, one for each waiting task */
+  GHashTable *victims;      /* struct jb_task, as a set */
+  GPtrArray *places;        /* struct sd_worker, one for each waiting task */
   struct jb_room *room;     /* by index of worker */
   struct jb_room *borrowed; /* held there by tasks that may be stopped */
   double loss;
@@ -158,8 +158,7 @@
       struct jb_task *task = g_ptr_array_index (worker->tasks, i);
       double lost;
 
-      if (!may_stop (unit, task)
-          || g_hash_table_contains (plan->victims, task)
+      if (!may_stop (unit, task) || g_hash_table_contains (plan->victims, task)
           || is_among (besides, task))
         continue;
       lost = loss_of (task, now_ms);
@@ -305,10 +304,13 @@
           || !g_hash_table_add (tried, worker->report.rack))
         continue;
       plan = make_plan (sched, unit, worker->report.rack, now_ms);
-      if (plan != NULL && best != NULL && plan->loss >= best->loss)
-        g_clear_pointer (&plan, plan_free);
       if (plan == NULL)
         continue;
+      if (best != NULL && plan->loss >= best->loss)
+        {
+          plan_free (plan);
+          continue;
+        }
       plan_free (best);
       best = plan;
     }
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -88,7 +88,7 @@
   const char *service;
   uint32_t waiting;
   uint32_t priority;
-  int64_t due_ms; /* steady clock: the objective */
+  int64_t due_ms;  /* steady clock: the objective */
   bool guaranteed; /* of its team's guarantee: may take room back */
 };
 
@@ -136,7 +136,7 @@
   GPtrArray *workers; /* struct sd_worker, one for each task */
 };
 
-void sd_claim_free (void *claim);
+void sd_claim_free (void *data);
 
 /*! sd_claims_take () :
  *  At the start of a round: claimed room is not free for others. */
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -54,8 +54,8 @@
 place_unit (struct sd_sched *sched, const struct sd_unit *unit, int64_t now_ms,
             struct sd_commands *commands)
 {
-  struct sd_choice choice = { .tasks = g_ptr_array_new (),
-                              .workers = g_ptr_array_new () };
+  struct sd_choice choice
+      = { .tasks = g_ptr_array_new (), .workers = g_ptr_array_new () };
   bool claimed = sd_claim_give_back (sched, unit, now_ms);
   bool whole = false;
   struct sd_unit rest = *unit;
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -28,8 +28,7 @@
   sched->changed = g_ptr_array_new ();
   sched->stops = g_ptr_array_new ();
   sched->misfits = g_array_new (FALSE, FALSE, sizeof (struct sd_unit));
-  sched->claims
-      = g_hash_table_new_full (NULL, NULL, NULL, sd_claim_free);
+  sched->claims = g_hash_table_new_full (NULL, NULL, NULL, sd_claim_free);
   return sched;
 }
 
@@ -381,8 +380,7 @@
   const struct ct_queue *queue
       = sched->catalog == NULL ? NULL : ct_queue (sched->catalog, job->queue);
 
-  return queue == NULL || queue->attempt_limit == 0 ? 1
-                                                    : queue->attempt_limit;
+  return queue == NULL || queue->attempt_limit == 0 ? 1 : queue->attempt_limit;
 }
 
 static void
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -42,10 +42,10 @@
   bool listed; /* its entry stands in the store */
   enum sd_contact contact;
   struct jb_room used;
-  GPtrArray *tasks; /* struct jb_task: placed or stopping here */
+  GPtrArray *tasks;           /* struct jb_task: placed or stopping here */
   int64_t room_shut_until_ms; /* it refused for want of room */
   /* health */
-  uint32_t failure_streak;   /* ends `failed` since the last `done` */
+  uint32_t failure_streak; /* ends `failed` since the last `done` */
   char last_failed_job[JB_ID_DIGITS + 1];
   uint32_t refusal_streak;
   int64_t last_done_ms;
--- a/lib/store/store_port.h
+++ b/lib/store/store_port.h
@@ -93,7 +93,7 @@
  *  @return : to be freed by so_record_free (). */
 struct so_record *so_record_create (const char *key, const void *value,
                                     size_t size_bytes);
-void so_record_free (void *record);
+void so_record_free (void *data);
 
 /*! so_records_create () :
  *  @return : an empty list that frees its records. */
--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -22,13 +22,14 @@
   READY_AGE_MAX_MS = 1900,
   DEADLINE_DEFAULT_MS = 3000,
   DEADLINE_MIN_MS = 200,
+  DEADLINE_MAX_MS = 12000,
   /* Left for the answer to reach the caller.  */
   DEADLINE_MARGIN_MS = 150,
   /* A key is trusted for this part of the time in which one that was taken
      away must be refused.  */
   KEY_AGE_PERCENT = 60,
   FRESH_TIMEOUT_MS = 1200, /* a pause, a wait and a slow answer */
-  RETRY_AFTER_STORE_S = 1 /* the store is looked for several times a second */
+  RETRY_AFTER_STORE_S = 1  /* the store is looked for several times a second */
 };
 
 struct front
@@ -163,7 +164,7 @@
   if (deadline_ms <= 0)
     deadline_ms = DEADLINE_DEFAULT_MS;
   return (uint32_t)CLAMP (deadline_ms - DEADLINE_MARGIN_MS, DEADLINE_MIN_MS,
-                          DEADLINE_DEFAULT_MS * 4);
+                          DEADLINE_MAX_MS);
 }
 
 static struct pending *
@@ -369,8 +370,8 @@
                     "no configuration yet");
       return;
     }
-  queue = ct_route (catalog, host == NULL ? "" : host, hs_path (request),
-                    &rest);
+  queue
+      = ct_route (catalog, host == NULL ? "" : host, hs_path (request), &rest);
   if (queue == NULL)
     {
       answer_error (front, request, "any", 404, "no such queue");
@@ -396,8 +397,7 @@
 {
   struct front *front = ctx;
   bool ready = front->taking && jr_loaded (front->params.journal)
-               && jr_catalog_age_ms (front->params.journal)
-                      < READY_AGE_MAX_MS;
+               && jr_catalog_age_ms (front->params.journal) < READY_AGE_MAX_MS;
 
   if (strcmp (hs_path (request), front->params.dialect.ready_path) != 0)
     hs_respond (request, 404, NULL, 0, "", 0);
--- a/programs/foxtailgap-hostd/hostd_settings.c
+++ b/programs/foxtailgap-hostd/hostd_settings.c
@@ -31,7 +31,7 @@
                      member)
 #define NUMBER(member, min, max, fallback)                                    \
   {                                                                           \
-#member, offsetof (struct hostd_settings, member), min, max, fallback     \
+#member, offsetof(struct hostd_settings, member), min, max, fallback      \
   }
 
 static const cyaml_schema_field_t settings_fields[]
@@ -41,10 +41,9 @@
         TEXT_FIELD (readiness),
         TEXT_FIELD (metrics),
         TEXT_FIELD (store),
-        CYAML_FIELD_STRING_PTR ("log_level",
-                                CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER,
-                                struct hostd_settings, log_level, 0,
-                                TEXT_LIMIT_BYTES),
+        CYAML_FIELD_STRING_PTR (
+            "log_level", CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER,
+            struct hostd_settings, log_level, 0, TEXT_LIMIT_BYTES),
         NUMBER_FIELD (connection_limit),
         NUMBER_FIELD (body_limit_bytes),
         NUMBER_FIELD (receive_timeout_ms),
--- a/programs/foxtailgap-hostd/hostd_settings.h
+++ b/programs/foxtailgap-hostd/hostd_settings.h
@@ -26,8 +26,8 @@
   uint32_t shutdown_ms;      /* from SIGTERM to the end */
   uint32_t far_factor;       /* slow-down of work away from its rack */
   uint32_t job_retention_ms; /* an ended job can be asked for */
-  double cpu_share; /* of a processor */
-  double link_mbps; /* of the host's network link */
+  double cpu_share;          /* of a processor */
+  double link_mbps;          /* of the host's network link */
 };
 
 /*! hostd_settings_load () :
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -16,10 +16,10 @@
   /* A read waits this long for a record; short, so that a connection that has
      gone silent and a store that is away are noticed.  */
   READ_WAIT_MS = 900,
-  JOBS_WAIT_MS = 450, /* the planner's heartbeat and a slow answer */
+  JOBS_WAIT_MS = 450,  /* the planner's heartbeat and a slow answer */
   READ_SLACK_MS = 700, /* above the slowest answer of a slow store */
   NEWEST_TIMEOUT_MS = 1500,
-  RETRY_MS = 150, /* after a failed read */
+  RETRY_MS = 150,                  /* after a failed read */
   ANNOUNCE_TIMEOUT_MS = 30 * 1000, /* a host is of use without it */
   /* Records are read in lots: each call to the store is priced, and callers
      see a change this much later.  From one call to the next.  */
@@ -204,8 +204,7 @@
       lg_error (PART, "The configuration cannot be read.", NULL);
       return;
     }
-  if (journal->catalog != NULL
-      && catalog->version < journal->catalog->version)
+  if (journal->catalog != NULL && catalog->version < journal->catalog->version)
     {
       ct_free (catalog);
       return;
@@ -232,8 +231,7 @@
 }
 
 static void
-count_answer (struct journal *journal, const char *call,
-              enum so_result result)
+count_answer (struct journal *journal, const char *call, enum so_result result)
 {
   char name[128];
 
@@ -255,8 +253,8 @@
     return 0;
   if (journal->own_term != 0)
     return PLANNER_PAUSE_MS;
-  pause_ms = CLAMP (PAUSE_MS * jr_host_count (journal) / PAUSE_HOSTS,
-                    PAUSE_MS, PAUSE_MAX_MS);
+  pause_ms = CLAMP (PAUSE_MS * jr_host_count (journal) / PAUSE_HOSTS, PAUSE_MS,
+                    PAUSE_MAX_MS);
   return (uint32_t)MAX (pause_ms - took_ms, 0);
 }
 
@@ -361,8 +359,7 @@
     {
       const struct so_record *found = g_ptr_array_index (answer->records, i);
 
-      record
-          = so_record_create (found->key, found->value, found->size_bytes);
+      record = so_record_create (found->key, found->value, found->size_bytes);
       record->offset = found->offset;
       g_ptr_array_add (follower->pages, record);
     }
@@ -435,8 +432,8 @@
 
   journal->params = *params;
   journal->table = jb_table_create ();
-  journal->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                          NULL);
+  journal->hosts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   journal->jobs.apply = apply_jobs_record;
   journal->operators.apply = apply_operator_record;
   follower_init (&journal->jobs, journal, params->jobs_topic, JOBS_WAIT_MS);
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -16,8 +16,8 @@
   bool reading;
   int64_t next;
   int64_t sent_ms;
-  int64_t fresh_ms; /* nothing before this moment is missing */
-  GPtrArray *pages; /* struct so_record, while the newest are loaded */
+  int64_t fresh_ms;  /* nothing before this moment is missing */
+  GPtrArray *pages;  /* struct so_record, while the newest are loaded */
   int64_t first_end; /* end of the first page */
   ev_timer pause;
   void (*apply) (struct journal *journal, const struct so_record *record);
--- a/programs/foxtailgap-hostd/journal_write.c
+++ b/programs/foxtailgap-hostd/journal_write.c
@@ -28,7 +28,7 @@
   int64_t made_ms;
   int64_t until_ms;
   bool in_flight;
-  bool maybe_stored; /* an append without an answer carried it */
+  bool maybe_stored;           /* an append without an answer carried it */
   jr_stored_callback callback; /* NULL: nobody waits any more */
   void *ctx;
 };
@@ -202,8 +202,7 @@
 {
   GList *link = journal->waiters.head;
 
-  while (link != NULL
-         && ((struct jr_waiter *)link->data)->until_ms <= now_ms)
+  while (link != NULL && ((struct jr_waiter *)link->data)->until_ms <= now_ms)
     {
       end_waiter (journal, link, false);
       link = journal->waiters.head;
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -59,7 +59,13 @@
   g_free (batch);
 }
 
-/* Not for jobs that have been removed meanwhile.  */
+static void
+drop_batch (struct planner *planner)
+{
+  pl_batch_free (planner->sending);
+  planner->sending = NULL;
+}
+
 static void
 send_stored_starts (struct planner *planner, const struct pl_batch *batch)
 {
@@ -67,8 +73,8 @@
 
   for (i = 0; i < batch->starts->len; i++)
     {
-      struct pl_start *start = &g_array_index (batch->starts, struct pl_start,
-                                               i);
+      struct pl_start *start
+          = &g_array_index (batch->starts, struct pl_start, i);
 
       if (start->task->state == JB_TASK_PLACED
           && start->task->run == start->run)
@@ -126,7 +132,7 @@
 
   if (planner->role != PL_PLANNER || planner->sending == NULL)
     {
-      g_clear_pointer (&planner->sending, pl_batch_free);
+      drop_batch (planner);
       planner->append_open = false;
       return;
     }
@@ -139,7 +145,7 @@
       return;
     case SO_FENCED:
     case SO_ORDER:
-      g_clear_pointer (&planner->sending, pl_batch_free);
+      drop_batch (planner);
       pl_term_lost (planner, so_result_name (answer->result));
       return;
     case SO_REFUSED:
@@ -231,8 +237,8 @@
 static void
 decide (struct planner *planner)
 {
-  struct sd_commands commands = { .starts = g_ptr_array_new (),
-                                  .stops = g_ptr_array_new () };
+  struct sd_commands commands
+      = { .starts = g_ptr_array_new (), .stops = g_ptr_array_new () };
   guint i;
 
   sd_round (planner->sched, clk_monotonic_ms (NULL), clk_unix_ms (),
@@ -245,8 +251,8 @@
       g_array_append_val (planner->starts, start);
       lg_info (PART, "A task is placed.", "job", task->job->id, "step",
                lg_number (task->step->number), "index",
-               lg_number (task->index), "run", lg_number (task->run),
-               "worker", task->worker, NULL);
+               lg_number (task->index), "run", lg_number (task->run), "worker",
+               task->worker, NULL);
     }
   for (i = 0; i < commands.stops->len; i++)
     wk_stop (planner->workers, g_ptr_array_index (commands.stops, i));
@@ -369,7 +375,7 @@
   lg_info (PART, "This host is the planner.", "term",
            lg_number ((long long)planner->term), "after_ms",
            lg_number (now_ms - planner->claim_sent_ms), NULL);
-  g_clear_pointer (&planner->sending, pl_batch_free);
+  drop_batch (planner);
   g_array_set_size (planner->starts, 0);
   planner->append_open = false;
   planner->sequence = 1;
--- a/programs/foxtailgap-hostd/planner_list.c
+++ b/programs/foxtailgap-hostd/planner_list.c
@@ -120,9 +120,8 @@
   planner->list_reading = true;
   planner->list_read_ms = now_ms;
   if (planner->list_loaded)
-    store->read (store->ctx, planner->params.workers_topic,
-                 planner->list_next, 0, LIST_TIMEOUT_MS, on_list_read,
-                 planner);
+    store->read (store->ctx, planner->params.workers_topic, planner->list_next,
+                 0, LIST_TIMEOUT_MS, on_list_read, planner);
   else
     store->newest (store->ctx, planner->params.workers_topic,
                    planner->list_last_key, LIST_TIMEOUT_MS, on_list_newest,
--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -20,8 +20,8 @@
   /* The first term of all waits for the hosts to announce themselves; they
      start within 300 ms of each other.  */
   FIRST_CLAIM_MS = 400,
-  SILENCE_JITTER_MS = 250,  /* so that seldom two claim at once */
-  WEAKNESS_MS = 700, /* more than the jitter, so that strength decides */
+  SILENCE_JITTER_MS = 250, /* so that seldom two claim at once */
+  WEAKNESS_MS = 700,       /* more than the jitter, so that strength decides */
   RELEASED_JITTER_MS = 120, /* the same after a release */
   CLAIM_TIMEOUT_MS = 800,
   LINK_ENOUGH_MBPS = 50, /* a planner of 350 workers sends 3 Mbit/s */
@@ -132,17 +132,18 @@
     {
       if (planner->first_check_ms == 0)
         planner->first_check_ms = now_ms;
-      if (now_ms - planner->first_check_ms >= weakness_ms (planner)
-                                                + FIRST_CLAIM_MS)
+      if (now_ms - planner->first_check_ms
+          >= weakness_ms (planner) + FIRST_CLAIM_MS)
         claim (planner, "no term yet");
     }
   else if (strcmp (term->host, planner->params.settings->host) == 0)
     claim (planner, "an earlier life of this host held it");
-  else if (term->host[0] == '\0' && silent_ms > planner->claim_jitter_ms * RELEASED_JITTER_MS
+  else if (term->host[0] == '\0'
+           && silent_ms > planner->claim_jitter_ms * RELEASED_JITTER_MS
                               / SILENCE_JITTER_MS)
     claim (planner, "released");
-  else if (silent_ms > SILENCE_MS + planner->claim_jitter_ms
-                           + weakness_ms (planner))
+  else if (silent_ms
+           > SILENCE_MS + planner->claim_jitter_ms + weakness_ms (planner))
     claim (planner, "silence");
 }
 
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -12,7 +12,7 @@
 
 enum
 {
-  HOLD_WAIT_MS = 1900, /* the platform's limit is 2,000 ms */
+  HOLD_WAIT_MS = 1900,   /* the platform's limit is 2,000 ms */
   HOLD_TIMEOUT_MS = 700, /* above the wait */
   /* After a failed hold the lease is still renewed for this long, so that a
      blip costs nothing; then only looks are sent, so that the end of the
@@ -63,8 +63,8 @@
 void
 wk_lease_granted (struct worker_io *io, int64_t now_ms, uint32_t ttl_ms)
 {
-  int64_t end_ms = now_ms + ttl_ms + ttl_ms * CLOCK_SLOW_PERCENT / 100
-                   + LEASE_SLACK_MS;
+  int64_t end_ms
+      = now_ms + ttl_ms + ttl_ms * CLOCK_SLOW_PERCENT / 100 + LEASE_SLACK_MS;
 
   io->lease_end_ms = MAX (io->lease_end_ms, end_ms);
 }
@@ -96,8 +96,7 @@
 bool
 wk_call_current (struct wk_call *call)
 {
-  return call->workers != NULL
-         && call->generation == call->workers->generation
+  return call->workers != NULL && call->generation == call->workers->generation
          && call->workers->term != 0;
 }
 
@@ -177,8 +176,7 @@
    be.  A run that is being stopped or broken stands in neither list until its
    end does, unless the worker has started anew.  */
 static bool
-is_gone (struct worker_io *io, struct jb_task *task, bool anew,
-         int64_t now_ms)
+is_gone (struct worker_io *io, struct jb_task *task, bool anew, int64_t now_ms)
 {
   if (io->hold_sent_ms <= task->settled_ms)
     return false;
@@ -220,8 +218,8 @@
         continue; /* lost with another of its gang */
       lg_info (PART, "A run is gone without an end.", "job", task->job->id,
                "step", lg_number (task->step->number), "index",
-               lg_number (task->index), "run", lg_number (task->run),
-               "worker", io->worker->report.id, NULL);
+               lg_number (task->index), "run", lg_number (task->run), "worker",
+               io->worker->report.id, NULL);
       sd_task_lost (io->workers->params.sched, task, now_ms);
     }
   g_ptr_array_free (lost, TRUE);
@@ -328,10 +326,9 @@
   io->look_soon = false;
   io->hold_sent_ms = now_ms;
   io->hold_tried_ms = now_ms;
-  workers->params.port.hold (
-      workers->params.port.ctx, &target, &hold,
-      hold.wait_ms + HOLD_TIMEOUT_MS, on_hold,
-      wk_call_create (workers, worker, "", 0));
+  workers->params.port.hold (workers->params.port.ctx, &target, &hold,
+                             hold.wait_ms + HOLD_TIMEOUT_MS, on_hold,
+                             wk_call_create (workers, worker, "", 0));
   mt_add (workers->params.metrics, "foxtailgap_holds_total", 1);
 }
 
@@ -341,8 +338,8 @@
 {
   struct sd_worker *worker = io->worker;
 
-  lg_info (PART, "The lease of a worker is over.", "worker",
-           worker->report.id, "tasks", lg_number (worker->tasks->len), NULL);
+  lg_info (PART, "The lease of a worker is over.", "worker", worker->report.id,
+           "tasks", lg_number (worker->tasks->len), NULL);
   while (worker->tasks->len > 0)
     sd_task_lost (io->workers->params.sched,
                   g_ptr_array_index (worker->tasks, 0), now_ms);
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -31,10 +31,10 @@
 struct workers
 {
   struct wk_params params;
-  uint64_t term;      /* 0: none */
+  uint64_t term;       /* 0: none */
   uint64_t generation; /* of calls: those of earlier terms are dropped */
-  GHashTable *ios;    /* id -> struct worker_io */
-  GHashTable *calls;  /* open calls, so that their answers find us gone */
+  GHashTable *ios;     /* id -> struct worker_io */
+  GHashTable *calls;   /* open calls, so that their answers find us gone */
 };
 
 /* One order of a task.  */
--- a/tests/unit/hostd_fixture.h
+++ b/tests/unit/hostd_fixture.h
@@ -36,8 +36,7 @@
   spec->steps[0].count = step->count;
   spec->steps[0].room = (struct jb_room){ .cpus_milli = 1000,
                                           .memory_mib = 1000,
-                                          .accelerators
-                                          = step->accelerators };
+                                          .accelerators = step->accelerators };
   spec->steps[0].estimate_ms = 1000;
   spec->steps[0].gang = step->gang;
   spec->steps[0].one_rack = step->one_rack;
@@ -101,8 +100,8 @@
 static inline uint32_t
 fixture_round (struct sd_sched *sched, int64_t now_ms)
 {
-  struct sd_commands commands = { .starts = g_ptr_array_new (),
-                                  .stops = g_ptr_array_new () };
+  struct sd_commands commands
+      = { .starts = g_ptr_array_new (), .stops = g_ptr_array_new () };
   uint32_t starts;
 
   sd_round (sched, now_ms, 0, &commands);
@@ -144,8 +143,9 @@
 {
   struct fake_call *call = &port->calls[port->count++ % FAKE_CALLS_MAX];
 
-  *call = (struct fake_call){ .kind = kind, .open = true,
-                              .callback = callback, .ctx = ctx };
+  *call = (struct fake_call){
+    .kind = kind, .open = true, .callback = callback, .ctx = ctx
+  };
   g_strlcpy (call->worker, target->worker, sizeof call->worker);
   return call;
 }
@@ -155,8 +155,7 @@
             const struct wp_start *start, uint32_t timeout_ms,
             wp_callback callback, void *callback_ctx)
 {
-  struct fake_call *call = fake_add (ctx, 's', target, callback,
-                                     callback_ctx);
+  struct fake_call *call = fake_add (ctx, 's', target, callback, callback_ctx);
 
   (void)timeout_ms;
   g_strlcpy (call->task, start->task, sizeof call->task);
@@ -169,8 +168,7 @@
            const struct wp_stop *stop, uint32_t timeout_ms,
            wp_callback callback, void *callback_ctx)
 {
-  struct fake_call *call = fake_add (ctx, 'x', target, callback,
-                                     callback_ctx);
+  struct fake_call *call = fake_add (ctx, 'x', target, callback, callback_ctx);
 
   (void)timeout_ms;
   g_strlcpy (call->task, stop->task, sizeof call->task);
@@ -182,8 +180,7 @@
            const struct wp_hold *hold, uint32_t timeout_ms,
            wp_callback callback, void *callback_ctx)
 {
-  struct fake_call *call = fake_add (ctx, 'h', target, callback,
-                                     callback_ctx);
+  struct fake_call *call = fake_add (ctx, 'h', target, callback, callback_ctx);
 
   (void)timeout_ms;
   call->seen = hold->seen;
@@ -209,6 +206,8 @@
   struct wp_answer whole = *answer;
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (call);
+  if (call == NULL)
+    return;
   if (whole.runs == NULL)
     whole.runs = none;
   if (whole.ends == NULL)
@@ -223,10 +222,9 @@
 static inline struct wp_port
 fake_wp_port (struct fake_port *port)
 {
-  return (struct wp_port){ .ctx = port,
-                           .start = fake_start,
-                           .stop = fake_stop,
-                           .hold = fake_hold };
+  return (struct wp_port){
+    .ctx = port, .start = fake_start, .stop = fake_stop, .hold = fake_hold
+  };
 }
 
 #endif
--- a/tests/unit/test_hostd_journal.c
+++ b/tests/unit/test_hostd_journal.c
@@ -56,8 +56,7 @@
 
 static void
 store_read (void *ctx, const char *topic, int64_t from, uint32_t wait_ms,
-            uint32_t timeout_ms, so_read_callback callback,
-            void *callback_ctx)
+            uint32_t timeout_ms, so_read_callback callback, void *callback_ctx)
 {
   (void)from;
   (void)wait_ms;
@@ -112,12 +111,13 @@
 static void
 answer_jobs (struct setup *setup, bool at_end)
 {
-  struct so_read_answer answer = { .result = SO_DONE,
-                                   .records = setup->records,
-                                   .at_end = at_end };
+  struct so_read_answer answer
+      = { .result = SO_DONE, .records = setup->records, .at_end = at_end };
   so_read_callback callback = setup->store.jobs_read;
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (callback);
+  if (callback == NULL)
+    return;
   setup->store.jobs_read = NULL;
   answer.waited = setup->records->len == 0;
   callback (setup->store.jobs_ctx, &answer);
@@ -248,6 +248,8 @@
   so_append_callback callback = setup->store.appended;
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (callback);
+  if (callback == NULL)
+    return;
   setup->store.appended = NULL;
   callback (setup->store.append_ctx, &answer);
 }
