Holds wait until ends are stored; tasks that stand still go on elsewhere

Causes: (1) a hold that does not acknowledge all listed ends is answered at once, so each end cost about four looks until it was stored; (2) on workers that hang, gangs stood still for as long as they did.

--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -113,6 +113,8 @@
   task->settled_ms = 0;
   task->stop_sent_ms = 0;
   task->missing_ms = 0;
+  task->percent = 0;
+  task->progress_ms = 0;
 }
 
 void
--- a/lib/sched/health.c
+++ b/lib/sched/health.c
@@ -1,6 +1,7 @@
-/* Bad workers told from bad jobs.  Load pattern: some workers fail all that
-   they start while their entries look well; without this, the worker that
-   fails fastest draws the most work.  */
+/* Bad workers told from bad jobs.  Load patterns: some workers fail all that
+   they start while their entries look well, and the one that fails fastest
+   would draw the most work; on some workers tasks stand still, and a gang
+   with one such member would stand still as a whole.  */
 
 #include <string.h>
 
@@ -37,6 +38,22 @@
       now_ms + (worker->refusal_streak > 1 ? SD_AVOID_MS : SD_ROOM_SHUT_MS));
 }
 
+void
+sd_health_suspect (struct sd_worker *worker, int64_t now_ms)
+{
+  worker->avoid_until_ms
+      = MAX (worker->avoid_until_ms, now_ms + SD_AVOID_MS);
+}
+
+bool
+sd_health_stalled (const struct jb_task *task, int64_t now_ms)
+{
+  int64_t limit_ms = task->percent == 0 ? SD_STALL_FIRST_MS : SD_STALL_MS;
+
+  return task->progress_ms > 0 && task->percent < 99
+         && now_ms - task->progress_ms > limit_ms;
+}
+
 bool
 sd_health_avoided (const struct sd_worker *worker, int64_t now_ms)
 {
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -297,6 +297,35 @@
     }
 }
 
+/* A member of a gang has not started or has ended: the others must end.  */
+static void
+break_gang (struct sd_sched *sched, struct jb_task *task)
+{
+  if (task->step->spec->gang)
+    sd_stop_step (sched, task->step);
+}
+
+void
+sd_task_progress (struct sd_sched *sched, struct jb_task *task,
+                  int64_t percent, int64_t now_ms)
+{
+  struct sd_worker *worker = sd_worker_find (sched, task->worker);
+
+  if (percent != task->percent || task->progress_ms == 0)
+    {
+      task->percent = percent;
+      task->progress_ms = now_ms;
+      return;
+    }
+  if (task->state != JB_TASK_PLACED || task->step->spec->lasting
+      || !sd_health_stalled (task, now_ms))
+    return;
+  if (worker != NULL)
+    sd_health_suspect (worker, now_ms);
+  sd_stop_task (sched, task);
+  break_gang (sched, task);
+}
+
 void
 sd_task_saved (struct jb_task *task, const char *checkpoint)
 {
@@ -309,14 +338,6 @@
   keeper->checkpoint = g_strdup (checkpoint);
 }
 
-/* A member of a gang has not started or has ended: the others must end.  */
-static void
-break_gang (struct sd_sched *sched, struct jb_task *task)
-{
-  if (task->step->spec->gang)
-    sd_stop_step (sched, task->step);
-}
-
 void
 sd_task_refused (struct sd_sched *sched, struct jb_task *task,
                  enum sd_refusal reason, int64_t now_ms)
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -133,6 +133,12 @@
 void sd_task_running (struct sd_sched *sched, struct jb_task *task,
                       int64_t now_ms);
 
+/*! sd_task_progress () :
+ *  Its worker shows how far it is.  A task that stands still is stopped, to
+ *  go on elsewhere, and its worker is avoided. */
+void sd_task_progress (struct sd_sched *sched, struct jb_task *task,
+                       int64_t percent, int64_t now_ms);
+
 /*! sd_task_saved () :
  *  Takes the newest checkpoint. */
 void sd_task_saved (struct jb_task *task, const char *checkpoint);
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -19,6 +19,9 @@
      lease is bounded.  */
   RENEW_AFTER_FAILURE_MS = 1500,
   RETRY_MS = 250,
+  /* A hold for ends that are not stored yet is sent after this all the same:
+     well within the lease, and above the answer of a slow store.  */
+  STORE_WAIT_MS = 1000,
   /* A worker's clock may be 2% slow; and an order takes its time.  */
   CLOCK_SLOW_PERCENT = 3,
   LEASE_SLACK_MS = 300,
@@ -167,7 +170,10 @@
   g_hash_table_add (shown, task);
   sd_task_saved (task, run->checkpoint);
   if (task->state == JB_TASK_PLACED)
-    sd_task_running (workers->params.sched, task, now_ms);
+    {
+      sd_task_running (workers->params.sched, task, now_ms);
+      sd_task_progress (workers->params.sched, task, run->percent, now_ms);
+    }
   else if (now_ms - task->stop_sent_ms > STOP_AGAIN_MS)
     wk_stop (workers, task);
 }
@@ -346,6 +352,15 @@
   io->workers->params.changed (io->workers->params.ctx);
 }
 
+/* A hold is answered at once as long as it does not acknowledge all ends that
+   the worker lists, so it waits until they are stored.  */
+static bool
+waits_for_store (const struct worker_io *io, int64_t now_ms)
+{
+  return io->heard > io->stored && io->worker->contact == SD_CONTACT_GOOD
+         && now_ms - io->hold_sent_ms < STORE_WAIT_MS;
+}
+
 static void
 visit (struct workers *workers, struct sd_worker *worker, int64_t now_ms)
 {
@@ -356,6 +371,8 @@
     drop_lapsed (io, now_ms);
   if (io->holding || worker->report.address == NULL)
     return;
+  if (waits_for_store (io, now_ms))
+    return;
   if (worker->contact == SD_CONTACT_LOST)
     {
       if ((worker->tasks->len > 0 || worker->listed)
