--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -115,8 +115,8 @@
      truth; no start of it can take effect any more.  INT64_MAX: not yet.  */
   int64_t settled_ms;
   int64_t stop_sent_ms; /* steady clock; 0: no stop sent */
-  int64_t percent;     /* of its work, as its worker showed it last */
-  int64_t progress_ms; /* steady clock: when that changed last */
+  int64_t percent;      /* of its work, as its worker showed it last */
+  int64_t progress_ms;  /* steady clock: when that changed last */
   int64_t missing_ms;   /* steady clock: not shown since; 0: shown */
 };
 
--- a/lib/jobs/records.c
+++ b/lib/jobs/records.c
@@ -249,22 +249,24 @@
 }
 
 GByteArray *
-jb_encode_host (uint32_t strength)
+jb_encode_host (const struct jb_host *host)
 {
   Ftj__HostRecord record = FTJ__HOST_RECORD__INIT;
 
-  record.strength = strength;
+  record.strength = host->strength;
+  record.address = (char *)host->address;
   return pack (&record.base);
 }
 
 int
-jb_decode_host (uint32_t *strength, const uint8_t *bytes, size_t size)
+jb_decode_host (struct jb_host *out, const uint8_t *bytes, size_t size)
 {
   Ftj__HostRecord *record = ftj__host_record__unpack (NULL, size, bytes);
 
   if (record == NULL)
     return JB_ERR_FORMAT;
-  *strength = record->strength;
+  out->strength = record->strength;
+  g_strlcpy (out->address, record->address, sizeof out->address);
   ftj__host_record__free_unpacked (record, NULL);
   return JB_OK;
 }
--- a/lib/proto/jobs.pb-c.c
+++ b/lib/proto/jobs.pb-c.c
@@ -928,7 +928,7 @@
   (ProtobufCMessageInit) ftj__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ftj__host_record__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ftj__host_record__field_descriptors[2] =
 {
   {
     "strength",
@@ -942,14 +942,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__HostRecord, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ftj__host_record__field_indices_by_name[] = {
+  1,   /* field[1] = address */
   0,   /* field[0] = strength */
 };
 static const ProtobufCIntRange ftj__host_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor ftj__host_record__descriptor =
 {
@@ -959,7 +972,7 @@
   "Ftj__HostRecord",
   "ftj",
   sizeof(Ftj__HostRecord),
-  1,
+  2,
   ftj__host_record__field_descriptors,
   ftj__host_record__field_indices_by_name,
   1,  ftj__host_record__number_ranges,
--- a/lib/proto/jobs.pb-c.h
+++ b/lib/proto/jobs.pb-c.h
@@ -133,10 +133,14 @@
    * processor and link, to choose the planner by
    */
   uint32_t strength;
+  /*
+   * IP:PORT of its callers' interface
+   */
+  char *address;
 };
 #define FTJ__HOST_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ftj__host_record__descriptor) \
-    , 0 }
+    , 0, (char *)protobuf_c_empty_string }
 
 
 struct  Ftj__Term
--- a/lib/sched/health.c
+++ b/lib/sched/health.c
@@ -41,8 +41,7 @@
 void
 sd_health_suspect (struct sd_worker *worker, int64_t now_ms)
 {
-  worker->avoid_until_ms
-      = MAX (worker->avoid_until_ms, now_ms + SD_AVOID_MS);
+  worker->avoid_until_ms = MAX (worker->avoid_until_ms, now_ms + SD_AVOID_MS);
 }
 
 bool
--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -8,6 +8,7 @@
 #include "common/clock.h"
 #include "common/logging.h"
 #include "http/http_server.h"
+#include "relay.h"
 
 static const char PART[] = "front";
 
@@ -38,6 +39,7 @@
   struct hs_server *callers;
   struct hs_server *readiness;
   struct hs_server *metrics;
+  struct relay *relay;
   bool taking;
 };
 
@@ -106,6 +108,37 @@
   g_free (body);
 }
 
+/* --- Out of reach --- */
+
+static void
+on_relayed (void *ctx, struct hs_request *request, unsigned int status,
+            const char *retry_after, const char *body)
+{
+  struct front *front = ctx;
+  struct hs_header headers[]
+      = { { .name = "Content-Type", .value = "application/json" },
+          { .name = "Retry-After", .value = retry_after } };
+
+  if (status == 0)
+    {
+      answer_later (front, request, "relayed", 503, RETRY_AFTER_STORE_S,
+                    "the store is out of reach: not accepted");
+      return;
+    }
+  count (front, "relayed", status);
+  hs_respond (request, status, headers, retry_after == NULL ? 1 : 2, body,
+              strlen (body));
+}
+
+/* This host cannot serve the request now: another host may.  */
+static void
+pass_on (struct front *front, struct hs_request *request, const char *what)
+{
+  if (!rl_pass_on (front->relay, request, on_relayed, front))
+    answer_later (front, request, what, 503, RETRY_AFTER_STORE_S,
+                  "the store is out of reach: not accepted");
+}
+
 /* --- Writes --- */
 
 static void
@@ -142,8 +175,8 @@
         answer (front, request, pending->what, 200, "{}");
         break;
       case JR_NOT_STORED:
-        answer_later (front, request, pending->what, 503, RETRY_AFTER_STORE_S,
-                      "the store does not take it now: not accepted");
+        hs_on_gone (request, NULL, NULL);
+        pass_on (front, request, pending->what);
         break;
       case JR_UNKNOWN:
         answer_error (front, request, pending->what, 504,
@@ -246,8 +279,7 @@
     goto done;
   hs_on_gone (request, NULL, NULL);
   if (!fresh)
-    answer_later (front, request, "cancel", 503, RETRY_AFTER_STORE_S,
-                  "the store is out of reach");
+    pass_on (front, request, "cancel");
   else if (jb_table_find (jr_table (front->params.journal), pending->id)
            == NULL)
     answer_error (front, request, "cancel", 410, "no such job");
@@ -290,8 +322,7 @@
 
   if (job == NULL && jr_jobs_age_ms (journal) > JOBS_AGE_MAX_MS)
     {
-      answer_later (front, request, "state", 503, RETRY_AFTER_STORE_S,
-                    "the store is out of reach");
+      pass_on (front, request, "state");
       return;
     }
   if (job == NULL)
@@ -380,8 +411,7 @@
   team = key == NULL ? NULL : ct_team_of_key (catalog, key);
   if (!queue->open && jr_catalog_age_ms (journal) > key_age_max_ms)
     {
-      answer_later (front, request, "any", 503, RETRY_AFTER_STORE_S,
-                    "keys cannot be checked now");
+      pass_on (front, request, "any"); /* keys cannot be checked now */
       return;
     }
   if (!queue->open && team == NULL)
@@ -451,17 +481,24 @@
 {
   struct front *front = g_new0 (struct front, 1);
   const struct hostd_settings *settings = params->settings;
+  struct rl_params relay
+      = { .loop = params->loop,
+          .journal = params->journal,
+          .host = settings->host,
+          .key_header = params->dialect.key_header,
+          .deadline_header = params->dialect.deadline_header };
 
   front->params = *params;
   front->taking = true;
+  front->relay = rl_create (&relay);
   front->readiness = listen_on (front, settings->readiness, INNER_CONNECTIONS,
                                 on_readiness);
   front->metrics
       = listen_on (front, settings->metrics, INNER_CONNECTIONS, on_metrics);
   front->callers = listen_on (front, settings->callers,
                               settings->connection_limit, on_request);
-  if (front->readiness == NULL || front->metrics == NULL
-      || front->callers == NULL)
+  if (front->relay == NULL || front->readiness == NULL
+      || front->metrics == NULL || front->callers == NULL)
     {
       fr_free (front);
       return NULL;
@@ -480,6 +517,7 @@
     hs_free (front->readiness);
   if (front->metrics != NULL)
     hs_free (front->metrics);
+  rl_free (front->relay);
   g_free (front);
 }
 
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -127,14 +127,18 @@
 apply_host (struct journal *journal, const char *name,
             const struct so_record *record)
 {
-  uint32_t strength = 0;
+  struct jb_host *host;
 
   if (record->value == NULL)
-    g_hash_table_remove (journal->hosts, name);
-  else if (jb_decode_host (&strength, record->value, record->size_bytes)
-           == JB_OK)
-    g_hash_table_insert (journal->hosts, g_strdup (name),
-                         GUINT_TO_POINTER (strength));
+    {
+      g_hash_table_remove (journal->hosts, name);
+      return;
+    }
+  host = g_new0 (struct jb_host, 1);
+  if (jb_decode_host (host, record->value, record->size_bytes) == JB_OK)
+    g_hash_table_insert (journal->hosts, g_strdup (name), host);
+  else
+    g_free (host);
 }
 
 static void
@@ -162,10 +166,10 @@
 }
 
 void
-jr_announce (struct journal *journal, const char *host, uint32_t strength)
+jr_announce (struct journal *journal, const char *name,
+             const struct jb_host *host)
 {
-  jr_write (journal, 'h', host, jb_encode_host (strength),
-            ANNOUNCE_TIMEOUT_MS);
+  jr_write (journal, 'h', name, jb_encode_host (host), ANNOUNCE_TIMEOUT_MS);
 }
 
 uint32_t
@@ -177,10 +181,34 @@
 
   g_hash_table_iter_init (&iter, journal->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    strongest = MAX (strongest, GPOINTER_TO_UINT (value));
+    strongest = MAX (strongest, ((const struct jb_host *)value)->strength);
   return strongest;
 }
 
+const char *
+jr_pick_peer (const struct journal *journal, const char *name,
+              const char *besides)
+{
+  const char *picked = NULL;
+  GHashTableIter iter;
+  void *key;
+  void *value;
+  gint32 seen = 0;
+
+  g_hash_table_iter_init (&iter, journal->hosts);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const struct jb_host *host = value;
+
+      if (strcmp (key, name) == 0 || host->address[0] == '\0'
+          || g_strcmp0 (host->address, besides) == 0)
+        continue;
+      if (g_random_int_range (0, ++seen) == 0)
+        picked = host->address;
+    }
+  return picked;
+}
+
 uint32_t
 jr_host_count (const struct journal *journal)
 {
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -43,8 +43,16 @@
 
 /*! jr_announce () :
  *  Has this host's record stored. */
-void jr_announce (struct journal *journal, const char *host,
-                  uint32_t strength);
+void jr_announce (struct journal *journal, const char *name,
+                  const struct jb_host *host);
+
+/*! jr_pick_peer () :
+ *  @name : of this host.
+ *  @besides : an address that was tried already; or NULL.
+ *  @return : the address of another host, drawn by chance; NULL if there is
+ *            none.  Valid until the next record is read. */
+const char *jr_pick_peer (const struct journal *journal, const char *name,
+                          const char *besides);
 
 /*! jr_strongest (), jr_host_count () :
  *  Of the hosts that have announced themselves. */
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -30,7 +30,7 @@
   struct follower jobs;
   struct follower operators;
   struct jb_table *table;
-  GHashTable *hosts; /* name -> strength */
+  GHashTable *hosts; /* name -> struct jb_host */
   struct ct_catalog *catalog;
   struct jb_term term;
   uint64_t own_term;
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -484,6 +484,7 @@
     .changed = on_workers_changed,
     .fenced = on_fenced,
   };
+  struct jb_host host = { 0 };
   struct jr_observer observer = {
     .ctx = planner,
     .job_added = on_job_added,
@@ -501,8 +502,9 @@
   planner->woke_ms = clk_monotonic_ms (NULL);
   pl_term_init (planner);
   jr_observe (params->journal, &observer);
-  jr_announce (params->journal, params->settings->host,
-               pl_strength (params->settings));
+  host.strength = pl_strength (params->settings);
+  g_strlcpy (host.address, params->settings->callers, sizeof host.address);
+  jr_announce (params->journal, params->settings->host, &host);
   ev_init (&planner->round, on_round);
   planner->round.data = planner;
   ev_timer_init (&planner->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
--- /dev/null
+++ b/programs/foxtailgap-hostd/relay.c
@@ -0,0 +1,199 @@
+/* Passes a caller's request on to another host.  Load pattern: the store turns
+   some hosts away and serves the others; callers of the former would come back
+   a second later, too late for urgent work.  */
+
+#include "relay.h"
+
+#include <string.h>
+
+#include "common/logging.h"
+#include "http/http_client.h"
+
+static const char PART[] = "relay";
+/* A request with this header is not passed on again.  */
+static const char MARK[] = "Foxtailgap-Relayed";
+
+enum
+{
+  TRIES = 2,
+  TIMEOUT_MS = 900, /* the other host's append, and its own patience */
+  CONNECT_TIMEOUT_MS = 250,
+  ANSWER_LIMIT_BYTES = 64 * 1024,
+  HEADERS = 5
+};
+
+struct relay
+{
+  struct rl_params params;
+  struct hc_client *http;
+};
+
+/* One request that is passed on.  */
+struct passage
+{
+  struct relay *relay;
+  struct hs_request *request; /* NULL: the caller has left */
+  rl_callback callback;
+  void *ctx;
+  char *address;
+  uint32_t tries;
+};
+
+static bool send_on (struct passage *passage);
+
+static void
+on_caller_gone (void *ctx)
+{
+  struct passage *passage = ctx;
+
+  passage->request = NULL;
+}
+
+static void
+passage_free (struct passage *passage)
+{
+  g_free (passage->address);
+  g_free (passage);
+}
+
+static void
+tell (struct passage *passage, unsigned int status, const char *retry_after,
+      const char *body)
+{
+  struct hs_request *request = passage->request;
+
+  if (request != NULL)
+    {
+      hs_on_gone (request, NULL, NULL);
+      passage->callback (passage->ctx, request, status, retry_after, body);
+    }
+  passage_free (passage);
+}
+
+static void
+on_answer (void *ctx, const struct hc_response *response)
+{
+  struct passage *passage = ctx;
+
+  lg_info (PART, "A request was passed on.", "to", passage->address, "status",
+           lg_number (response->status), "result",
+           hc_strerror (response->error), NULL);
+  if (response->error == HC_OK)
+    {
+      tell (passage, (unsigned int)response->status,
+            hc_response_header (response, "Retry-After"), response->body);
+      return;
+    }
+  if (response->maybe_sent)
+    {
+      tell (passage, 504, NULL, "{\"error\":\"not known: ask again\"}");
+      return;
+    }
+  if (passage->request == NULL || passage->tries >= TRIES
+      || !send_on (passage))
+    tell (passage, 0, NULL, "");
+}
+
+static char *
+header_line (const char *name, const char *value)
+{
+  return value == NULL ? NULL : g_strdup_printf ("%s: %s", name, value);
+}
+
+static bool
+send_on (struct passage *passage)
+{
+  struct relay *relay = passage->relay;
+  const struct rl_params *params = &relay->params;
+  struct hs_request *request = passage->request;
+  const char *peer
+      = jr_pick_peer (params->journal, params->host, passage->address);
+  char *lines[HEADERS] = { NULL };
+  const char *headers[HEADERS + 1] = { NULL };
+  size_t body_size_bytes = 0;
+  const char *body = hs_body (request, &body_size_bytes);
+  struct hc_request call = {
+    .method = hs_method (request),
+    .headers = headers,
+    .body = body_size_bytes > 0 ? body : NULL,
+    .body_size_bytes = body_size_bytes,
+    .timeout_ms = TIMEOUT_MS,
+    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+    .response_limit_bytes = ANSWER_LIMIT_BYTES,
+    .callback = on_answer,
+    .ctx = passage,
+  };
+  char *url;
+  size_t count = 0;
+  size_t i;
+  bool sent;
+
+  if (peer == NULL)
+    return false;
+  passage->tries++;
+  g_free (passage->address);
+  passage->address = g_strdup (peer);
+  lines[0] = header_line ("Host", hs_header (request, "Host"));
+  lines[1] = header_line (params->key_header,
+                          hs_header (request, params->key_header));
+  lines[2] = header_line (params->deadline_header,
+                          hs_header (request, params->deadline_header));
+  lines[3] = header_line (MARK, params->host);
+  lines[4] = header_line ("Content-Type", "application/json");
+  for (i = 0; i < HEADERS; i++)
+    if (lines[i] != NULL)
+      headers[count++] = lines[i];
+  url = g_strdup_printf ("http://%s%s", passage->address, hs_path (request));
+  call.url = url;
+  sent = hc_send (relay->http, &call, NULL) == HC_OK;
+  for (i = 0; i < HEADERS; i++)
+    g_free (lines[i]);
+  g_free (url);
+  return sent;
+}
+
+bool
+rl_pass_on (struct relay *relay, struct hs_request *request,
+            rl_callback callback, void *ctx)
+{
+  struct passage *passage;
+
+  if (hs_header (request, MARK) != NULL)
+    return false;
+  passage = g_new0 (struct passage, 1);
+  passage->relay = relay;
+  passage->request = request;
+  passage->callback = callback;
+  passage->ctx = ctx;
+  if (!send_on (passage))
+    {
+      passage_free (passage);
+      return false;
+    }
+  hs_on_gone (request, on_caller_gone, passage);
+  return true;
+}
+
+struct relay *
+rl_create (const struct rl_params *params)
+{
+  struct relay *relay = g_new0 (struct relay, 1);
+  struct hc_params http = { .loop = params->loop };
+
+  relay->params = *params;
+  if (hc_create (&relay->http, &http) != HC_OK)
+    {
+      g_free (relay);
+      return NULL;
+    }
+  return relay;
+}
+
+void
+rl_free (struct relay *relay)
+{
+  if (relay == NULL)
+    return;
+  hc_free (relay->http);
+  g_free (relay);
+}
