--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -16,7 +16,7 @@
   /* A read waits this long for a record; short, so that a connection that has
      gone silent and a store that is away are noticed.  */
   READ_WAIT_MS = 900,
-  JOBS_WAIT_MS = 450,  /* the planner's heartbeat and a slow answer */
+  JOBS_WAIT_MS = 350,  /* the planner's heartbeat and an answer */
   READ_SLACK_MS = 700, /* above the slowest answer of a slow store */
   NEWEST_TIMEOUT_MS = 1500,
   RETRY_MS = 150,                  /* after a failed read */
@@ -277,7 +277,8 @@
   int64_t took_ms = clk_monotonic_ms (NULL) - follower->sent_ms;
   int64_t pause_ms;
 
-  if (follower != &journal->jobs)
+  if (follower != &journal->jobs
+      || clk_monotonic_ms (NULL) < journal->hurry_until_ms)
     return 0;
   if (journal->own_term != 0)
     return PLANNER_PAUSE_MS;
@@ -301,6 +302,17 @@
     jr_waiters_told (follower->journal);
 }
 
+/* The shortest of the last answers: most contain a wait for a record.  Rises
+   by a quarter with each answer, so that a store that turns slow is believed
+   after a few.  */
+static void
+measure_answer (struct journal *journal, int64_t took_ms)
+{
+  int64_t risen_ms = journal->answer_ms + journal->answer_ms / 4 + 1;
+
+  journal->answer_ms = MIN (took_ms, risen_ms);
+}
+
 static void
 on_read (void *ctx, const struct so_read_answer *answer)
 {
@@ -327,6 +339,8 @@
       take_freshness (follower, answer);
       if (answer->at_end && !answer->waited)
         delay_ms = pause_ms (follower);
+      if (follower == &journal->jobs && !answer->waited)
+        measure_answer (journal, clk_monotonic_ms (NULL) - follower->sent_ms);
     }
   schedule (follower, delay_ms);
   if (follower == &journal->jobs && answer->result == SO_DONE
@@ -539,6 +553,20 @@
   return clk_monotonic_ms (NULL) - journal->operators.fresh_ms;
 }
 
+void
+jr_hurry (struct journal *journal, uint32_t for_ms)
+{
+  journal->hurry_until_ms = clk_monotonic_ms (NULL) + for_ms;
+  if (!journal->jobs.reading)
+    schedule (&journal->jobs, 0);
+}
+
+int64_t
+jr_answer_ms (const struct journal *journal)
+{
+  return journal->answer_ms;
+}
+
 int64_t
 jr_planner_seen_ms (const struct journal *journal)
 {
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -94,6 +94,14 @@
 void jr_when_fresh (struct journal *journal, uint32_t timeout_ms,
                     jr_fresh_callback callback, void *ctx);
 
+/*! jr_hurry () :
+ *  Reads the jobs' topic without pauses for a while. */
+void jr_hurry (struct journal *journal, uint32_t for_ms);
+
+/*! jr_answer_ms () :
+ *  @return : about how long the store takes for an answer now. */
+int64_t jr_answer_ms (const struct journal *journal);
+
 /*! jr_planner_seen_ms () :
  *  @return : steady clock, when a record of the planner was read last. */
 int64_t jr_planner_seen_ms (const struct journal *journal);
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -35,6 +35,8 @@
   struct jb_term term;
   uint64_t own_term;
   int64_t planner_seen_ms;
+  int64_t hurry_until_ms;
+  int64_t answer_ms; /* shortest of the last answers, which include waits */
   /* writes */
   GQueue writes; /* struct jr_write, oldest first */
   uint32_t appends_open;
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -19,7 +19,7 @@
   /* Rounds leave three quarters of the processor to the calls.  */
   ROUND_REST = 3,
   ROUND_DELAY_MAX_MS = 100,
-  HEARTBEAT_MS = 250,
+  HEARTBEAT_MS = 200,
   APPEND_TIMEOUT_MS = 900,
   APPEND_AGAIN_MS = 50,
   /* After a takeover rounds wait this long for the workers' first answers. */
--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -14,13 +14,15 @@
 
 enum
 {
-  /* Silence after which a term is claimed: a heartbeat of the planner and
-     twice the answer of a store that is 90 times as slow (370 ms).  */
-  SILENCE_MS = 950,
+  /* Silence after which a term is claimed: two heartbeats of the planner and
+     100 ms for a host that is slow, and three answers of the store: the
+     planner's append, its reading, and one more to be sure.  */
+  SILENCE_MS = 500,
+  SILENCE_ANSWERS = 3,
   /* The first term of all waits for the hosts to announce themselves; they
      start within 300 ms of each other.  */
   FIRST_CLAIM_MS = 400,
-  SILENCE_JITTER_MS = 250, /* so that seldom two claim at once */
+  SILENCE_JITTER_MS = 150, /* so that seldom two claim at once */
   WEAKNESS_MS = 700,       /* more than the jitter, so that strength decides */
   RELEASED_JITTER_MS = 120, /* the same after a release */
   CLAIM_TIMEOUT_MS = 800,
@@ -105,6 +107,7 @@
   planner->term = jr_term (planner->params.journal)->term + 1;
   planner->nonce = ((uint64_t)g_random_int () << 32) | g_random_int ();
   planner->claim_sent_ms = clk_monotonic_ms (NULL);
+  jr_hurry (planner->params.journal, CLAIM_AGAIN_MS);
   planner->claim_jitter_ms = jitter_ms (SILENCE_JITTER_MS);
   writer.epoch = planner->term;
   g_ptr_array_add (records, pl_term_record (planner, false));
@@ -142,8 +145,8 @@
            && silent_ms > planner->claim_jitter_ms * RELEASED_JITTER_MS
                               / SILENCE_JITTER_MS)
     claim (planner, "released");
-  else if (silent_ms
-           > SILENCE_MS + planner->claim_jitter_ms + weakness_ms (planner))
+  else if (silent_ms > SILENCE_MS + SILENCE_ANSWERS * jr_answer_ms (journal)
+                           + planner->claim_jitter_ms + weakness_ms (planner))
     claim (planner, "silence");
 }
 
