--- a/lib/common/logging.c
+++ b/lib/common/logging.c
@@ -2,10 +2,12 @@
 
 #include "common/logging.h"
 
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 enum
 {
@@ -17,6 +19,23 @@
 
 static GLogLevelFlags lowest_level = G_LOG_LEVEL_INFO;
 
+/* Lines of one message in the present second.  */
+struct budget
+{
+  int64_t second;
+  uint32_t lines;
+};
+
+/* The bounded output; fd is negative while it is not in use.  */
+static struct
+{
+  int fd;
+  uint32_t lines_per_s;
+  GHashTable *budgets; /* message -> struct budget */
+  uint64_t left_out;
+  uint64_t left_out_told;
+} bounded = { .fd = -1 };
+
 static const char *
 level_name (GLogLevelFlags level)
 {
@@ -65,6 +84,95 @@
   g_string_append_printf (line, "time=%s.%03ldZ", text, now.tv_nsec / 1000000);
 }
 
+/* --- Bounded output --- */
+
+static bool
+within_budget (const char *message)
+{
+  struct budget *budget = g_hash_table_lookup (bounded.budgets, message);
+  int64_t second = g_get_monotonic_time () / G_USEC_PER_SEC;
+
+  if (budget == NULL)
+    {
+      budget = g_new0 (struct budget, 1);
+      g_hash_table_insert (bounded.budgets, g_strdup (message), budget);
+    }
+  if (budget->second != second)
+    *budget = (struct budget){ .second = second };
+  return budget->lines++ < bounded.lines_per_s;
+}
+
+/* A line is written whole or left out: pipes take lines of this size whole. */
+static bool
+put_bounded (const GString *line)
+{
+  return write (bounded.fd, line->str, line->len) == (ssize_t)line->len;
+}
+
+static void
+tell_left_out (void)
+{
+  GString *line;
+
+  if (bounded.left_out == bounded.left_out_told)
+    return;
+  line = g_string_sized_new (128);
+  append_time (line);
+  g_string_append_printf (
+      line,
+      " level=warning part=logs msg=\"Lines were left out.\""
+      " lines=%" G_GUINT64_FORMAT "\n",
+      bounded.left_out - bounded.left_out_told);
+  if (put_bounded (line))
+    bounded.left_out_told = bounded.left_out;
+  g_string_free (line, TRUE);
+}
+
+static void
+write_bounded (const GString *line, const char *message)
+{
+  if (!within_budget (message) || !put_bounded (line))
+    {
+      bounded.left_out++;
+      return;
+    }
+  tell_left_out ();
+}
+
+void
+lg_init_bounded (int fd, uint32_t lines_per_s)
+{
+  int flags = fcntl (fd, F_GETFL);
+
+  if (flags >= 0)
+    fcntl (fd, F_SETFL, flags | O_NONBLOCK);
+  bounded.fd = fd;
+  bounded.lines_per_s = lines_per_s;
+  if (bounded.budgets == NULL)
+    bounded.budgets
+        = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  lg_init ();
+}
+
+uint64_t
+lg_left_out (void)
+{
+  return bounded.left_out;
+}
+
+/* --- Lines --- */
+
+static const char *
+message_of (const GLogField *fields, gsize count)
+{
+  gsize i;
+
+  for (i = 0; i < count; i++)
+    if (strcmp (fields[i].key, "msg") == 0)
+      return fields[i].value;
+  return "";
+}
+
 static GLogWriterOutput
 write_line (GLogLevelFlags level, const GLogField *fields, gsize count,
             gpointer ctx)
@@ -87,7 +195,10 @@
       append_quoted (line, fields[i].value);
     }
   g_string_append_c (line, '\n');
-  fwrite (line->str, 1, line->len, stderr);
+  if (bounded.fd >= 0)
+    write_bounded (line, message_of (fields, count));
+  else
+    fwrite (line->str, 1, line->len, stderr);
   g_string_free (line, TRUE);
   return G_LOG_WRITER_HANDLED;
 }
--- a/lib/common/logging.h
+++ b/lib/common/logging.h
@@ -6,11 +6,23 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 /*! lg_init () :
  *  Installs the writer; lines go to standard error. */
 void lg_init (void);
 
+/*! lg_init_bounded () :
+ *  The same with lines to FD, never waiting for its reader: a line that it
+ *  does not take is left out.  Of each message at most LINES_PER_S lines are
+ *  written in a second.  What was left out is counted and told in a line of
+ *  its own, once lines are taken again. */
+void lg_init_bounded (int fd, uint32_t lines_per_s);
+
+/*! lg_left_out () :
+ *  @return : lines left out so far, for metrics. */
+uint64_t lg_left_out (void);
+
 /*! lg_set_level () :
  *  May be called at any time.
  *  @level : "debug", "info", "warning" or "error".
--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -117,6 +117,18 @@
   task->progress_ms = 0;
 }
 
+bool
+jb_job_is_at_rest (const struct jb_job *job)
+{
+  size_t i;
+
+  for (i = 0; i < job->task_total; i++)
+    if (job->tasks[i].state == JB_TASK_PLACED
+        || job->tasks[i].state == JB_TASK_STOPPING)
+      return false;
+  return true;
+}
+
 void
 jb_job_forget_progress (struct jb_job *job)
 {
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -169,6 +169,10 @@
  *  Lets a task wait again; its run number and checkpoint stay. */
 void jb_task_reset (struct jb_task *task);
 
+/*! jb_job_is_at_rest () :
+ *  @return : whether no task of the job is placed or stopping. */
+bool jb_job_is_at_rest (const struct jb_job *job);
+
 /*! jb_job_forget_progress () :
  *  As if nothing of the job had started; what is shown stays. */
 void jb_job_forget_progress (struct jb_job *job);
--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -435,11 +435,32 @@
     hs_respond (request, ready ? 200 : 503, NULL, 0, "", 0);
 }
 
+static void
+tell_gauges (struct front *front)
+{
+  struct mt_registry *metrics = front->params.metrics;
+  struct journal *journal = front->params.journal;
+  const struct ct_catalog *catalog = jr_catalog (journal);
+
+  mt_set (metrics, "foxtailgap_jobs_age_ms", jr_jobs_age_ms (journal));
+  mt_set (metrics, "foxtailgap_catalog_age_ms", jr_catalog_age_ms (journal));
+  mt_set (metrics, "foxtailgap_catalog_version",
+          catalog == NULL ? -1 : catalog->version);
+  mt_set (metrics, "foxtailgap_term", (int64_t)jr_term (journal)->term);
+  mt_set (metrics, "foxtailgap_jobs",
+          g_hash_table_size (jr_table (journal)->jobs));
+  mt_set (metrics, "foxtailgap_open_writes", jr_open_writes (journal));
+  mt_set (metrics, "foxtailgap_log_lines_left_out", (int64_t)lg_left_out ());
+}
+
 static void
 on_metrics (void *ctx, struct hs_request *request)
 {
   struct front *front = ctx;
-  char *text = mt_render (front->params.metrics);
+  char *text;
+
+  tell_gauges (front);
+  text = mt_render (front->params.metrics);
 
   hs_respond (request, 200, NULL, 0, text, strlen (text));
   g_free (text);
--- a/programs/foxtailgap-hostd/main.c
+++ b/programs/foxtailgap-hostd/main.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "common/clock.h"
 #include "common/logging.h"
@@ -29,6 +30,9 @@
   EXIT_NOT_STARTED = 1,
   EXIT_USAGE = 2,
   DRAIN_CHECK_MS = 50,
+  /* Of each message; the busiest planner of the bench writes 350 ends a
+     second, and a line takes about 10 us.  */
+  LOG_LINES_PER_S = 200,
   /* The platform stops sending callers after two checks a second apart that
      find this host not ready.  */
   CALLERS_COME_MS = 2300
@@ -270,7 +274,7 @@
   const char *file = getenv ("FOXTAILGAP_CONFIG");
   int code = EXIT_USAGE;
 
-  lg_init ();
+  lg_init_bounded (STDOUT_FILENO, LOG_LINES_PER_S);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   if (path->count > 0)
     file = path->filename[0];
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -25,6 +25,7 @@
   /* After a takeover rounds wait this long for the workers' first answers. */
   SETTLE_MS = 400,
   /* A tick that comes this late shows that the process was paused.  */
+  DROP_INTERVAL_MS = 1000,
   LOAD_INTERVAL_MS = 5000,
   PAUSE_MS = 700,
   BATCH_MAX_BYTES = 1024 * 1024 /* half of the platform's limit of a call */
@@ -193,6 +194,25 @@
   g_byte_array_free (bytes, TRUE);
 }
 
+static void
+add_drops (struct planner *planner, struct pl_batch *batch)
+{
+  static const char kinds[] = "pcj"; /* the job itself last */
+  guint i;
+  size_t k;
+
+  for (i = 0; i < planner->drops->len; i++)
+    for (k = 0; k < sizeof kinds - 1; k++)
+      {
+        char *key = g_strdup_printf (
+            "%c/%s", kinds[k], (char *)g_ptr_array_index (planner->drops, i));
+
+        g_ptr_array_add (batch->records, so_record_create (key, NULL, 0));
+        g_free (key);
+      }
+  g_ptr_array_set_size (planner->drops, 0);
+}
+
 static bool
 nothing_heard (struct planner *planner)
 {
@@ -226,6 +246,7 @@
   for (i = 0; i < changed->len; i++)
     add_progress (planner, batch, g_ptr_array_index (changed, i));
   g_ptr_array_free (changed, TRUE);
+  add_drops (planner, batch);
   if (batch->records->len == 0 || release)
     g_ptr_array_add (batch->records, pl_term_record (planner, release));
   planner->sending = batch;
@@ -332,6 +353,31 @@
   planner->rounds = 0;
 }
 
+/* Drops the records of jobs that ended long ago: all hosts, this one too,
+   forget a job when they read that it was dropped.  */
+static void
+drop_old_jobs (struct planner *planner, int64_t now_ms)
+{
+  struct jb_table *table = jr_table (planner->params.journal);
+  int64_t before_ms = now_ms - planner->params.settings->job_retention_ms;
+  GHashTableIter iter;
+  void *value;
+
+  if (now_ms - planner->dropped_ms < DROP_INTERVAL_MS
+      || planner->sending != NULL)
+    return;
+  planner->dropped_ms = now_ms;
+  g_hash_table_iter_init (&iter, table->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_job *job = value;
+
+      if (job->final_ms > 0 && job->final_ms < before_ms && !job->changed
+          && jb_job_is_at_rest (job))
+        g_ptr_array_add (planner->drops, g_strdup (job->id));
+    }
+}
+
 static void
 tick_as_planner (struct planner *planner, int64_t now_ms)
 {
@@ -341,6 +387,7 @@
   pl_list_check (planner);
   wk_visit (planner->workers);
   tell_load (planner, now_ms);
+  drop_old_jobs (planner, now_ms);
   if (planner->releasing)
     {
       pl_flush (planner, false, true);
@@ -499,6 +546,7 @@
   workers.sched = planner->sched;
   planner->workers = wk_create (&workers);
   planner->starts = g_array_new (FALSE, FALSE, sizeof (struct pl_start));
+  planner->drops = g_ptr_array_new_with_free_func (g_free);
   planner->woke_ms = clk_monotonic_ms (NULL);
   pl_term_init (planner);
   jr_observe (params->journal, &observer);
@@ -524,6 +572,7 @@
   sd_free (planner->sched);
   pl_batch_free (planner->sending);
   g_array_free (planner->starts, TRUE);
+  g_ptr_array_free (planner->drops, TRUE);
   g_free (planner->list_last_key);
   g_free (planner);
 }
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -50,7 +50,9 @@
   struct pl_batch *sending; /* NULL: none */
   bool append_open;         /* of `sending`, without an outcome yet */
   bool releasing;
-  GArray *starts; /* struct pl_start, for the next batch */
+  GArray *starts;   /* struct pl_start, for the next batch */
+  GPtrArray *drops; /* ids of jobs whose records are dropped next */
+  int64_t dropped_ms;
   int64_t written_ms;
   /* rounds */
   ev_timer tick;
