--- /dev/null
+++ b/tests/unit/test_hostd_platform.c
@@ -0,0 +1,214 @@
+/* The platform's documents: what is read, and that any bytes do no harm.  */
+
+#include <string.h>
+
+#include "check.h"
+#include "hostd_fixture.h"
+#include "jobs/records.h"
+#include "pf_decode.h"
+#include "pf_http.h"
+
+enum
+{
+  MUTATIONS = 20000
+};
+
+static const char CONFIG[]
+    = "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"a.example\","
+      "\"path_prefix\":\"/q/\",\"target_latency_ms\":250,\"priority\":0,"
+      "\"service\":\"s\",\"max_attempts\":3,\"slack_factor\":1.5,"
+      "\"public\":false},{\"name\":\"r-2\",\"host\":\"a.example\","
+      "\"path_prefix\":\"/q/deep/\",\"priority\":1,\"service\":\"s\","
+      "\"public\":true}],\"services\":[{\"name\":\"s\","
+      "\"enforces_capacity\":true}],\"limits\":{\"max_body_bytes\":1000},"
+      "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"],"
+      "\"guaranteed\":{\"gpu\":72}}]}";
+
+static const char ENTRY[]
+    = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+      "\"capacity\":{\"cpu\":16000,\"mem_mb\":32768,\"gpu\":8},"
+      "\"labels\":[\"a\",\"r1-3\"],\"clock_ms\":482113,\"seq\":4}";
+
+static const char JOB[]
+    = "{\"spec\":\"text\",\"phases\":[{\"count\":4,\"cpu\":500,"
+      "\"mem_mb\":256,\"gpu\":1,\"estimate_ms\":900,\"gang\":true,"
+      "\"same_rack\":true,\"affinity\":\"r1-3\",\"requirements\":\"a\","
+      "\"anti_affinity\":2},{\"count\":20,\"cpu\":2000,\"mem_mb\":1024,"
+      "\"estimate_ms\":7000,\"depends_on\":[0],\"checkpointing\":true}]}";
+
+static void
+test_config_is_read (void)
+{
+  struct ct_catalog *catalog = NULL;
+  const struct ct_queue *queue;
+  const char *rest = NULL;
+
+  CU_ASSERT_EQUAL (pf_decode_catalog (&catalog, CONFIG, strlen (CONFIG)),
+                   PF_OK);
+  CU_ASSERT_EQUAL (catalog->version, 7);
+  queue = ct_route (catalog, "a.example:8080", "/q/00000000000000aa", &rest);
+  CU_ASSERT_STRING_EQUAL (queue->name, "r-1");
+  CU_ASSERT_STRING_EQUAL (rest, "00000000000000aa");
+  CU_ASSERT_EQUAL (queue->attempt_limit, 3);
+  CU_ASSERT_DOUBLE_EQUAL (queue->slack_factor, 1.5, 0.001);
+  queue = ct_route (catalog, "A.Example", "/q/deep/", &rest);
+  CU_ASSERT_STRING_EQUAL (queue->name, "r-2");
+  CU_ASSERT_STRING_EQUAL (rest, "");
+  CU_ASSERT_TRUE (queue->open);
+  CU_ASSERT_PTR_NULL (ct_route (catalog, "b.example", "/q/", &rest));
+  CU_ASSERT_STRING_EQUAL (ct_team_of_key (catalog, "k2")->name, "t");
+  CU_ASSERT_PTR_NULL (ct_team_of_key (catalog, "k3"));
+  CU_ASSERT_EQUAL (ct_team (catalog, "t")->guaranteed_accelerators, 72);
+  ct_free (catalog);
+}
+
+static void
+test_entry_is_read (void)
+{
+  struct sd_report report = { 0 };
+  static const char unknown_state[]
+      = "{\"service\":\"s\",\"address\":\"a\",\"capacity\":{},"
+        "\"state\":\"odd\"}";
+
+  CU_ASSERT_EQUAL (pf_decode_report (&report, "i-1", ENTRY, strlen (ENTRY)),
+                   PF_OK);
+  CU_ASSERT_STRING_EQUAL (report.rack, "r1-3");
+  CU_ASSERT_EQUAL (report.room.accelerators, 8);
+  CU_ASSERT_FALSE (report.draining);
+  sd_report_clear (&report);
+  CU_ASSERT_EQUAL (
+      pf_decode_report (&report, "i-1", unknown_state, strlen (unknown_state)),
+      PF_ERR_FORMAT);
+  CU_ASSERT_EQUAL (pf_decode_report (&report, "i-1", "\xff\x00", 2),
+                   PF_ERR_FORMAT);
+}
+
+static void
+test_job_is_read_and_recorded (void)
+{
+  struct jb_spec *spec = NULL;
+  struct jb_spec *copy = NULL;
+  GByteArray *bytes;
+
+  CU_ASSERT_EQUAL (pf_decode_job (&spec, JOB, strlen (JOB)), PF_OK);
+  CU_ASSERT_PTR_NULL (jb_spec_check (spec));
+  spec->queue = g_strdup ("r-1");
+  bytes = jb_encode_spec (spec);
+  CU_ASSERT_EQUAL (jb_decode_spec (&copy, bytes->data, bytes->len), JB_OK);
+  CU_ASSERT_EQUAL (copy->step_count, 2);
+  CU_ASSERT_TRUE (copy->steps[0].gang && copy->steps[0].one_rack);
+  CU_ASSERT_STRING_EQUAL (copy->steps[0].label, "a");
+  CU_ASSERT_STRING_EQUAL (copy->steps[0].data_rack, "r1-3");
+  CU_ASSERT_EQUAL (copy->steps[0].worker_limit, 2);
+  CU_ASSERT_EQUAL (copy->steps[1].after[0], 0);
+  CU_ASSERT_TRUE (copy->steps[1].checkpoints);
+  CU_ASSERT_EQUAL (copy->times, 1);
+  CU_ASSERT_FALSE (copy->timed);
+  g_byte_array_free (bytes, TRUE);
+  jb_spec_free (copy);
+  jb_spec_free (spec);
+}
+
+static void
+test_wrong_jobs_are_told (void)
+{
+  static const char *const jobs[]
+      = { "{\"spec\":\"x\",\"phases\":[]}",
+          "{\"spec\":\"x\",\"phases\":[{\"count\":0}]}",
+          "{\"spec\":\"x\",\"phases\":[{\"count\":1,\"depends_on\":[0]}]}",
+          "{\"spec\":\"x\",\"phases\":[{\"count\":4000000000}]}",
+          "{\"spec\":\"x\",\"phases\":[{\"count\":1,\"cpu\":-5}]}",
+          "{\"spec\":\"x\",\"times\":1000000,\"phases\":[{\"count\":1}]}" };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (jobs); i++)
+    {
+      struct jb_spec *spec = NULL;
+
+      CU_ASSERT_EQUAL (pf_decode_job (&spec, jobs[i], strlen (jobs[i])),
+                       PF_OK);
+      CU_ASSERT_PTR_NOT_NULL (jb_spec_check (spec));
+      jb_spec_free (spec);
+    }
+}
+
+static void
+decode_all (const char *text, size_t size)
+{
+  struct ct_catalog *catalog = NULL;
+  struct sd_report report = { 0 };
+  struct jb_spec *spec = NULL;
+  struct jb_spec *record = NULL;
+  struct jb_term term;
+
+  if (pf_decode_catalog (&catalog, text, size) == PF_OK)
+    ct_free (catalog);
+  if (pf_decode_report (&report, "i", text, size) == PF_OK)
+    sd_report_clear (&report);
+  if (pf_decode_job (&spec, text, size) == PF_OK)
+    {
+      (void)jb_spec_check (spec);
+      jb_spec_free (spec);
+    }
+  if (jb_decode_spec (&record, (const uint8_t *)text, size) == JB_OK)
+    jb_spec_free (record);
+  (void)jb_decode_term (&term, (const uint8_t *)text, size);
+}
+
+static void
+mutate (GRand *chance, char *text, size_t size)
+{
+  static const char bytes[] = "{}[],:\"0123456789-truefalsn\\\xff\x01";
+  int changes = g_rand_int_range (chance, 1, 6);
+
+  while (changes-- > 0)
+    text[g_rand_int_range (chance, 0, (gint32)size)]
+        = bytes[g_rand_int_range (chance, 0, sizeof bytes - 1)];
+}
+
+static void
+test_any_bytes_do_no_harm (void)
+{
+  static const char *const seeds[] = { CONFIG, ENTRY, JOB };
+  GRand *chance = g_rand_new_with_seed (20261204);
+  int i;
+
+  for (i = 0; i < MUTATIONS; i++)
+    {
+      const char *seed = seeds[i % G_N_ELEMENTS (seeds)];
+      size_t size = strlen (seed);
+      char *text = g_strdup (seed);
+
+      mutate (chance, text, size);
+      decode_all (text,
+                  (size_t)g_rand_int_range (chance, 0, (gint32)size + 1));
+      g_free (text);
+    }
+  g_rand_free (chance);
+  CU_PASS ("no crash");
+}
+
+static void
+test_states_are_told (void)
+{
+  char *text = pf_encode_state (JB_COMPLETED);
+
+  CU_ASSERT_STRING_EQUAL (text, "{\"state\":\"completed\"}");
+  g_free (text);
+}
+
+int
+main (void)
+{
+  static const struct check_test tests[] = {
+    { "the configuration is read", test_config_is_read },
+    { "a worker's entry is read", test_entry_is_read },
+    { "a job is read and recorded", test_job_is_read_and_recorded },
+    { "wrong jobs are told", test_wrong_jobs_are_told },
+    { "any bytes do no harm", test_any_bytes_do_no_harm },
+    { "states are told", test_states_are_told },
+  };
+
+  return check_run ("hostd platform", tests, G_N_ELEMENTS (tests));
+}
--- /dev/null
+++ b/tests/unit/test_hostd_sched.c
@@ -0,0 +1,630 @@
+/* The scheduling core: order, placement, room taken back, health.  Each load
+   that was found on the bench is replayed in small.  */
+
+#include "check.h"
+#include "hostd_fixture.h"
+#include "jobs/records.h"
+
+enum
+{
+  FAR_FACTOR = 3,
+  STOP_MS = 200,
+  RANDOM_STEPS = 6000
+};
+
+struct setup
+{
+  struct jb_table *table;
+  struct sd_sched *sched;
+  struct ct_catalog *catalog;
+};
+
+static void
+begin (struct setup *setup)
+{
+  struct sd_params params = { .far_factor = FAR_FACTOR, .stop_ms = STOP_MS };
+
+  setup->table = jb_table_create ();
+  setup->sched = sd_create (&params, setup->table);
+  setup->catalog = fixture_catalog ();
+  sd_set_catalog (setup->sched, setup->catalog);
+}
+
+static void
+finish (struct setup *setup)
+{
+  sd_free (setup->sched);
+  jb_table_free (setup->table);
+  ct_free (setup->catalog);
+}
+
+static struct jb_job *
+add (struct setup *setup, const char *id, const char *queue,
+     const struct fixture_step *step, int64_t now_ms)
+{
+  struct jb_job *job = jb_table_add (
+      setup->table, id, fixture_spec (queue, "clinic", step), now_ms);
+
+  sd_job_added (setup->sched, job);
+  return job;
+}
+
+static void
+run_all (struct setup *setup, struct jb_job *job, int64_t now_ms)
+{
+  size_t i;
+
+  for (i = 0; i < job->task_total; i++)
+    if (job->tasks[i].state == JB_TASK_PLACED)
+      sd_task_running (setup->sched, &job->tasks[i], now_ms);
+}
+
+static uint32_t
+count_in (const struct jb_job *job, uint32_t state)
+{
+  uint32_t count = 0;
+  size_t i;
+
+  for (i = 0; i < job->task_total; i++)
+    if (job->tasks[i].state == state)
+      count++;
+  return count;
+}
+
+/* --- Gangs --- */
+
+static void
+test_gang_whole_or_not_at_all (void)
+{
+  struct setup setup;
+  struct fixture_step gang = { .count = 3, .accelerators = 8, .gang = true };
+  struct jb_job *job;
+
+  begin (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  fixture_worker (setup.sched, "w2", "r1", 8);
+  job = add (&setup, "00000000000000a1", "batch", &gang, 0);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 0), 0);
+  fixture_worker (setup.sched, "w3", "r2", 8);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 1), 3);
+  CU_ASSERT_EQUAL (count_in (job, JB_TASK_PLACED), 3);
+  finish (&setup);
+}
+
+static void
+test_gang_of_one_rack_waits_for_it (void)
+{
+  struct setup setup;
+  struct fixture_step gang
+      = { .count = 2, .accelerators = 8, .gang = true, .one_rack = true };
+  struct fixture_step one = { .count = 1, .accelerators = 8 };
+  struct jb_job *holder;
+  struct jb_job *job;
+
+  begin (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  fixture_worker (setup.sched, "w2", "r1", 8);
+  holder = add (&setup, "00000000000000b1", "batch", &one, 0);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 0), 1);
+  fixture_worker (setup.sched, "w3", "r2", 8);
+  job = add (&setup, "00000000000000b2", "batch", &one, 1);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 1), 1);
+  (void)job;
+  job = add (&setup, "00000000000000b3", "batch", &gang, 2);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 2), 0);
+  run_all (&setup, holder, 3);
+  sd_task_ended (setup.sched, &holder->tasks[0], SD_END_DONE, "", 4, 4);
+  fixture_round (setup.sched, 5);
+  CU_ASSERT_EQUAL (
+      count_in (job, JB_TASK_PLACED) + count_in (job, JB_TASK_WAITING), 2);
+  finish (&setup);
+}
+
+static void
+test_one_end_done_stands_for_the_gang (void)
+{
+  struct setup setup;
+  struct fixture_step gang = { .count = 4, .accelerators = 2, .gang = true };
+  struct jb_job *job;
+
+  begin (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  job = add (&setup, "00000000000000c1", "batch", &gang, 0);
+  fixture_round (setup.sched, 0);
+  run_all (&setup, job, 1);
+  sd_task_ended (setup.sched, &job->tasks[2], SD_END_DONE, "", 2, 2);
+  CU_ASSERT_EQUAL (job->state, JB_COMPLETED);
+  CU_ASSERT_EQUAL (sd_worker_find (setup.sched, "w1")->used.accelerators, 0);
+  finish (&setup);
+}
+
+static void
+test_gang_counts_a_failure_once (void)
+{
+  struct setup setup;
+  struct fixture_step gang = { .count = 2, .accelerators = 2, .gang = true };
+  struct jb_job *job;
+
+  begin (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  job = add (&setup, "00000000000000d1", "batch", &gang, 0);
+  fixture_round (setup.sched, 0);
+  run_all (&setup, job, 1);
+  sd_task_ended (setup.sched, &job->tasks[0], SD_END_FAILED, "", 2, 2);
+  CU_ASSERT_EQUAL (job->tasks[1].state, JB_TASK_STOPPING);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 3), 0); /* one is there yet */
+  sd_task_ended (setup.sched, &job->tasks[1], SD_END_BROKEN, "", 4, 4);
+  CU_ASSERT_EQUAL (job->state, JB_RUNNING);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 5), 2);
+  CU_ASSERT_EQUAL (job->tasks[0].run, 2);
+  CU_ASSERT_EQUAL (job->tasks[1].run, 2);
+  sd_task_ended (setup.sched, &job->tasks[1], SD_END_FAILED, "", 6, 6);
+  CU_ASSERT_EQUAL (job->state, JB_FAILED);
+  finish (&setup);
+}
+
+/* --- Room taken back --- */
+
+/* Replays the bursts of route-match on scale-1: borrowed room, then an urgent
+   gang; the youngest borrowed work makes room, and only as much as needed.  */
+static void
+test_urgent_gang_takes_room_back (void)
+{
+  struct setup setup;
+  struct fixture_step small = { .count = 1, .accelerators = 8 };
+  struct fixture_step gang
+      = { .count = 1, .accelerators = 8, .gang = true, .one_rack = true };
+  struct jb_job *old;
+  struct jb_job *young;
+  struct jb_job *urgent;
+
+  begin (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  fixture_worker (setup.sched, "w2", "r1", 8);
+  old = add (&setup, "00000000000000e1", "batch", &small, 100);
+  fixture_round (setup.sched, 100);
+  run_all (&setup, old, 100);
+  young = add (&setup, "00000000000000e2", "batch", &small, 5000);
+  fixture_round (setup.sched, 5000);
+  run_all (&setup, young, 5000);
+  urgent = add (&setup, "00000000000000e3", "urgent", &gang, 6000);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 6000), 0);
+  CU_ASSERT_EQUAL (young->tasks[0].state, JB_TASK_STOPPING);
+  CU_ASSERT_EQUAL (old->tasks[0].state, JB_TASK_PLACED);
+  sd_task_ended (setup.sched, &young->tasks[0], SD_END_STOPPED, "", 6200, 0);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 6201), 1);
+  CU_ASSERT_EQUAL (urgent->tasks[0].state, JB_TASK_PLACED);
+  CU_ASSERT_EQUAL (young->tasks[0].state, JB_TASK_WAITING);
+  finish (&setup);
+}
+
+/* Found on the grown site: another unit, earlier in the order, took the room
+   that the victims of the first had left.  */
+static void
+test_room_being_freed_is_kept (void)
+{
+  struct setup setup;
+  struct fixture_step small = { .count = 1, .accelerators = 8 };
+  struct jb_job *borrower;
+  struct jb_job *first;
+  struct jb_job *second;
+
+  begin (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  borrower = add (&setup, "00000000000000f1", "batch", &small, 0);
+  fixture_round (setup.sched, 0);
+  run_all (&setup, borrower, 0);
+  first = add (&setup, "00000000000000f2", "urgent", &small, 100);
+  fixture_round (setup.sched, 100);
+  CU_ASSERT_EQUAL (borrower->tasks[0].state, JB_TASK_STOPPING);
+  second = add (&setup, "00000000000000f0", "urgent", &small, 100);
+  sd_task_ended (setup.sched, &borrower->tasks[0], SD_END_STOPPED, "", 300, 0);
+  fixture_round (setup.sched, 301);
+  CU_ASSERT_EQUAL (first->tasks[0].state, JB_TASK_PLACED);
+  CU_ASSERT_EQUAL (second->tasks[0].state, JB_TASK_WAITING);
+  finish (&setup);
+}
+
+/* --- Health --- */
+
+static void
+fail_on (struct setup *setup, const char *id, int64_t now_ms)
+{
+  struct fixture_step one = { .count = 1, .accelerators = 8 };
+  struct jb_job *job = add (setup, id, "batch", &one, now_ms);
+
+  fixture_round (setup->sched, now_ms);
+  if (job->tasks[0].state == JB_TASK_PLACED)
+    sd_task_ended (setup->sched, &job->tasks[0], SD_END_FAILED, "", now_ms,
+                   now_ms);
+  sd_job_cancelled (setup->sched, job, now_ms);
+}
+
+/* Replays srv_grey (errors): two jobs in a row fail on a worker.  */
+static void
+test_worker_that_fails_two_jobs_is_avoided (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 8 };
+  struct jb_job *job;
+
+  begin (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  fail_on (&setup, "0000000000000001", 0);
+  fail_on (&setup, "0000000000000002", 10);
+  job = add (&setup, "0000000000000003", "batch", &one, 20);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 20), 0);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 7000), 1); /* one more try */
+  CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_PLACED);
+  finish (&setup);
+}
+
+static void
+test_job_that_fails_twice_is_not_the_worker_s_fault (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 4 };
+  struct jb_job *job;
+
+  begin (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  job = add (&setup, "0000000000000011", "batch", &one, 0);
+  fixture_round (setup.sched, 0);
+  sd_task_ended (setup.sched, &job->tasks[0], SD_END_FAILED, "", 1, 1);
+  fixture_round (setup.sched, 2);
+  sd_task_ended (setup.sched, &job->tasks[0], SD_END_FAILED, "", 3, 3);
+  CU_ASSERT_EQUAL (job->state, JB_FAILED);
+  add (&setup, "0000000000000012", "batch", &one, 4);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 4), 1);
+  finish (&setup);
+}
+
+/* Replays srv_grey (hang): the percentage stands still.  */
+static void
+test_task_that_stands_still_goes_elsewhere (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 8 };
+  struct jb_job *job;
+  char *before;
+
+  begin (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  fixture_worker (setup.sched, "w2", "r1", 8);
+  job = add (&setup, "0000000000000021", "batch", &one, 0);
+  fixture_round (setup.sched, 0);
+  before = g_strdup (job->tasks[0].worker);
+  run_all (&setup, job, 10);
+  sd_task_progress (setup.sched, &job->tasks[0], 20, 1000);
+  sd_task_progress (setup.sched, &job->tasks[0], 20, 2000);
+  CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_PLACED);
+  sd_task_progress (setup.sched, &job->tasks[0], 20, 2900);
+  CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_STOPPING);
+  sd_task_ended (setup.sched, &job->tasks[0], SD_END_STOPPED, "c1", 3000, 0);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 3001), 1);
+  CU_ASSERT_STRING_NOT_EQUAL (job->tasks[0].worker, before);
+  CU_ASSERT_STRING_EQUAL (job->tasks[0].checkpoint, "c1");
+  CU_ASSERT_EQUAL (job->tasks[0].failures, 0);
+  g_free (before);
+  finish (&setup);
+}
+
+/* --- Steps, times, labels --- */
+
+static void
+test_step_waits_for_those_before_it (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 2, .accelerators = 1 };
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", &one);
+  struct jb_job *job;
+
+  begin (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  spec->steps = g_renew (struct jb_step_spec, spec->steps, 2);
+  spec->step_count = 2;
+  spec->steps[1] = spec->steps[0];
+  spec->steps[1].after = g_new0 (uint32_t, 1);
+  spec->steps[1].after_count = 1;
+  job = jb_table_add (setup.table, "0000000000000031", spec, 0);
+  sd_job_added (setup.sched, job);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 0), 2);
+  sd_task_ended (setup.sched, &job->tasks[0], SD_END_DONE, "", 1, 1);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 1), 0);
+  sd_task_ended (setup.sched, &job->tasks[1], SD_END_DONE, "", 2, 2);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 2), 2);
+  CU_ASSERT_EQUAL (job->state, JB_RUNNING);
+  finish (&setup);
+}
+
+static void
+test_occurrence_waits_for_its_time (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 1 };
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", &one);
+  struct sd_commands commands
+      = { .starts = g_ptr_array_new (), .stops = g_ptr_array_new () };
+  struct jb_job *job;
+
+  begin (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  spec->timed = true;
+  spec->times = 2;
+  spec->first_unix_ms = 1000;
+  spec->interval_ms = 500;
+  job = jb_table_add (setup.table, "0000000000000041", spec, 0);
+  sd_job_added (setup.sched, job);
+  sd_round (setup.sched, 0, 999, &commands);
+  CU_ASSERT_EQUAL (commands.starts->len, 0);
+  sd_round (setup.sched, 0, 1000, &commands);
+  CU_ASSERT_EQUAL (commands.starts->len, 1);
+  sd_round (setup.sched, 0, 1500, &commands);
+  CU_ASSERT_EQUAL (commands.starts->len, 2);
+  CU_ASSERT_EQUAL (job->steps[1].tasks[0].state, JB_TASK_PLACED);
+  g_ptr_array_free (commands.starts, TRUE);
+  g_ptr_array_free (commands.stops, TRUE);
+  finish (&setup);
+}
+
+static void
+test_label_and_limit_per_worker (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 4, .accelerators = 1 };
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", &one);
+  struct jb_job *job;
+  struct sd_worker *worker;
+
+  begin (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  worker = fixture_worker (setup.sched, "w2", "r1", 8);
+  g_strfreev (worker->report.labels);
+  worker->report.labels = g_strsplit ("big,r1", ",", -1);
+  spec->steps[0].label = g_strdup ("big");
+  spec->steps[0].worker_limit = 3;
+  job = jb_table_add (setup.table, "0000000000000051", spec, 0);
+  sd_job_added (setup.sched, job);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 0), 3);
+  CU_ASSERT_STRING_EQUAL (job->tasks[0].worker, "w2");
+  finish (&setup);
+}
+
+static void
+test_lasting_task_is_started_again (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 1 };
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", &one);
+  struct jb_job *job;
+  int64_t now_ms;
+
+  begin (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  spec->steps[0].lasting = true;
+  job = jb_table_add (setup.table, "0000000000000061", spec, 0);
+  sd_job_added (setup.sched, job);
+  for (now_ms = 0; now_ms < 5; now_ms++)
+    {
+      CU_ASSERT_EQUAL (fixture_round (setup.sched, now_ms), 1);
+      sd_task_ended (setup.sched, &job->tasks[0],
+                     now_ms % 2 == 0 ? SD_END_FAILED : SD_END_DONE, "", now_ms,
+                     now_ms);
+    }
+  CU_ASSERT_EQUAL (job->state, JB_RUNNING);
+  sd_job_cancelled (setup.sched, job, 10);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 11), 0);
+  finish (&setup);
+}
+
+static void
+test_leaving_worker_gets_nothing_new (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 1 };
+  struct sd_worker *worker;
+
+  begin (&setup);
+  worker = fixture_worker (setup.sched, "w1", "r1", 8);
+  worker->report.draining = true;
+  add (&setup, "0000000000000071", "urgent", &one, 0);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, 0), 0);
+  finish (&setup);
+}
+
+/* --- By chance --- */
+
+static void
+check_invariants (const struct setup *setup)
+{
+  const GPtrArray *workers = sd_workers (setup->sched);
+  GHashTableIter iter;
+  void *value;
+  guint i;
+  size_t k;
+  uint32_t n;
+
+  for (i = 0; i < workers->len; i++)
+    {
+      const struct sd_worker *worker = g_ptr_array_index (workers, i);
+      struct jb_room sum = { 0 };
+
+      for (n = 0; n < worker->tasks->len; n++)
+        {
+          const struct jb_task *task = g_ptr_array_index (worker->tasks, n);
+
+          sum.accelerators += task->step->spec->room.accelerators;
+        }
+      CU_ASSERT_EQUAL (sum.accelerators, worker->used.accelerators);
+      CU_ASSERT_TRUE (sum.accelerators <= worker->report.room.accelerators);
+    }
+  g_hash_table_iter_init (&iter, setup->table->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_job *job = value;
+
+      for (k = 0; k < job->step_total; k++)
+        {
+          const struct jb_step *step = &job->steps[k];
+          uint32_t placed = 0;
+          uint32_t stopping = 0;
+
+          for (n = 0; n < step->spec->count; n++)
+            {
+              placed += step->tasks[n].state == JB_TASK_PLACED;
+              stopping += step->tasks[n].state == JB_TASK_STOPPING;
+            }
+          /* All of a gang is placed, or none of it.  */
+          if (step->spec->gang)
+            CU_ASSERT_TRUE (placed == 0 || placed == step->spec->count);
+          if (jb_state_is_final (job->state))
+            CU_ASSERT_EQUAL (placed, 0);
+          (void)stopping;
+        }
+    }
+}
+
+static void
+random_event (struct setup *setup, GRand *chance, int64_t now_ms,
+              uint32_t number)
+{
+  static const enum sd_end ends[]
+      = { SD_END_DONE,   SD_END_DONE,   SD_END_FAILED, SD_END_STOPPED,
+          SD_END_LAPSED, SD_END_BROKEN, SD_END_ALONE };
+  const GPtrArray *workers = sd_workers (setup->sched);
+  struct sd_worker *worker = g_ptr_array_index (
+      workers, (guint)g_rand_int_range (chance, 0, (gint32)workers->len));
+  struct jb_task *task;
+  char id[JB_ID_DIGITS + 1];
+
+  if (g_rand_int_range (chance, 0, 3) == 0)
+    {
+      struct fixture_step step
+          = { .count = (uint32_t)g_rand_int_range (chance, 1, 7),
+              .accelerators = 1 << g_rand_int_range (chance, 0, 4),
+              .gang = g_rand_boolean (chance),
+              .one_rack = g_rand_boolean (chance) };
+
+      g_snprintf (id, sizeof id, "%016x", number);
+      add (setup, id, g_rand_boolean (chance) ? "urgent" : "batch", &step,
+           now_ms);
+      return;
+    }
+  if (worker->tasks->len == 0)
+    return;
+  task = g_ptr_array_index (
+      worker->tasks,
+      (guint)g_rand_int_range (chance, 0, (gint32)worker->tasks->len));
+  switch (g_rand_int_range (chance, 0, 10))
+    {
+    case 0:
+      sd_job_cancelled (setup->sched, task->job, now_ms);
+      break;
+    case 1:
+      sd_task_lost (setup->sched, task, now_ms);
+      break;
+    case 2:
+      if (task->state == JB_TASK_PLACED)
+        sd_task_refused (setup->sched, task, SD_REFUSED_ROOM, now_ms);
+      break;
+    default:
+      sd_task_ended (setup->sched, task,
+                     ends[g_rand_int_range (chance, 0, G_N_ELEMENTS (ends))],
+                     "", now_ms, now_ms);
+      break;
+    }
+}
+
+static void
+test_random_events (void)
+{
+  struct setup setup;
+  GRand *chance = g_rand_new_with_seed (20261204);
+  char id[8];
+  char rack[8];
+  uint32_t i;
+
+  begin (&setup);
+  for (i = 0; i < 12; i++)
+    {
+      g_snprintf (id, sizeof id, "w%u", i);
+      g_snprintf (rack, sizeof rack, "r%u", i / 4);
+      fixture_worker (setup.sched, id, rack, 8);
+    }
+  for (i = 0; i < RANDOM_STEPS; i++)
+    {
+      random_event (&setup, chance, i * 20, i);
+      if (i % 3 == 0)
+        fixture_round (setup.sched, i * 20);
+      if (i % 50 == 0)
+        check_invariants (&setup);
+    }
+  check_invariants (&setup);
+  g_rand_free (chance);
+  finish (&setup);
+}
+
+/* A host that takes the term over sees what its predecessor recorded.  */
+static void
+test_progress_is_read_back (void)
+{
+  struct setup setup;
+  struct setup other;
+  struct fixture_step gang = { .count = 3, .accelerators = 2, .gang = true };
+  struct jb_job *job;
+  struct jb_job *copy;
+  GByteArray *bytes;
+  uint64_t term = 0;
+
+  begin (&setup);
+  begin (&other);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  job = add (&setup, "0000000000000081", "batch", &gang, 0);
+  fixture_round (setup.sched, 0);
+  run_all (&setup, job, 1);
+  bytes = jb_encode_progress (job, 7);
+  copy = jb_table_add (other.table, "0000000000000081",
+                       fixture_spec ("batch", "clinic", &gang), 0);
+  CU_ASSERT_EQUAL (jb_apply_progress (copy, &term, bytes->data, bytes->len),
+                   JB_OK);
+  CU_ASSERT_EQUAL (term, 7);
+  sd_begin_term (other.sched, 10);
+  CU_ASSERT_EQUAL (count_in (copy, JB_TASK_PLACED), 3);
+  CU_ASSERT_EQUAL (copy->state, JB_RUNNING);
+  CU_ASSERT_EQUAL (sd_worker_find (other.sched, "w1")->used.accelerators, 6);
+  CU_ASSERT_EQUAL (fixture_round (other.sched, 11), 0);
+  g_byte_array_free (bytes, TRUE);
+  finish (&other);
+  finish (&setup);
+}
+
+int
+main (void)
+{
+  static const struct check_test tests[] = {
+    { "a gang whole or not at all", test_gang_whole_or_not_at_all },
+    { "a gang of one rack waits for it", test_gang_of_one_rack_waits_for_it },
+    { "one end done stands for the gang",
+      test_one_end_done_stands_for_the_gang },
+    { "a gang counts a failure once", test_gang_counts_a_failure_once },
+    { "an urgent gang takes room back", test_urgent_gang_takes_room_back },
+    { "room being freed is kept", test_room_being_freed_is_kept },
+    { "a worker that fails two jobs is avoided",
+      test_worker_that_fails_two_jobs_is_avoided },
+    { "a job that fails twice is not the worker's fault",
+      test_job_that_fails_twice_is_not_the_worker_s_fault },
+    { "a task that stands still goes elsewhere",
+      test_task_that_stands_still_goes_elsewhere },
+    { "a step waits for those before it",
+      test_step_waits_for_those_before_it },
+    { "an occurrence waits for its time", test_occurrence_waits_for_its_time },
+    { "label and limit per worker", test_label_and_limit_per_worker },
+    { "a lasting task is started again", test_lasting_task_is_started_again },
+    { "a leaving worker gets nothing new",
+      test_leaving_worker_gets_nothing_new },
+    { "progress is read back", test_progress_is_read_back },
+    { "random events", test_random_events },
+  };
+
+  return check_run ("hostd sched", tests, G_N_ELEMENTS (tests));
+}
