Test of acknowledged ends: no hold goes out before they are stored

The test asked the hold that was sent at once for what it acknowledges; since holds wait until ends are stored there is none then (it crashed).

--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -88,6 +88,18 @@
   return &setup->job->tasks[0];
 }
 
+static void
+place_another (struct setup *setup)
+{
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct jb_job *job
+      = jb_table_add (setup->table, "00000000000000ab",
+                      fixture_spec ("batch", "clinic", &step), 0);
+
+  sd_job_added (setup->sched, job);
+  CU_ASSERT_EQUAL (fixture_round (setup->sched, clk_monotonic_ms (NULL)), 1);
+}
+
 /* Found on the grown bofl site, day trouble-3: a start without an answer was
    sent again, the second try came late and was refused, and the task was
    started elsewhere while the first try ran.  */
@@ -193,6 +205,7 @@
                         .run = 1,
                         .how = SD_END_DONE,
                         .checkpoint = (char *)"" };
+  struct fake_call *hold;
   GArray *mark;
 
   g_array_append_val (ends, end);
@@ -208,11 +221,14 @@
   CU_ASSERT_EQUAL (setup.job->state, JB_COMPLETED);
   mark = wk_mark_heard (setup.workers);
   wk_visit (setup.workers);
-  CU_ASSERT_EQUAL (fake_open (&setup.port, 'h')->seen, 0);
-  fake_answer (fake_open (&setup.port, 'h'),
-               &(struct wp_answer){ .result = WP_DONE, .ends = ends });
+  CU_ASSERT_PTR_NULL (fake_open (&setup.port, 'h')); /* not stored yet */
   wk_mark_stored (setup.workers, mark);
-  wk_mark_stored (setup.workers, wk_mark_heard (setup.workers));
+  place_another (&setup);
+  wk_visit (setup.workers);
+  hold = fake_open (&setup.port, 'h');
+  CU_ASSERT_PTR_NOT_NULL (hold);
+  if (hold != NULL)
+    CU_ASSERT_EQUAL (hold->seen, 1);
   g_array_free (ends, TRUE);
   finish (&setup);
 }
