--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -9,6 +9,7 @@
 #include "common/logging.h"
 #include "http/http_server.h"
 #include "relay.h"
+#include "sched/retry.h"
 
 static const char PART[] = "front";
 
@@ -110,6 +111,21 @@
 
 /* --- Out of reach --- */
 
+static uint32_t
+retry_after_s (struct front *front, struct hs_request *request)
+{
+  const struct ct_catalog *catalog = jr_catalog (front->params.journal);
+  const char *host = hs_header (request, "Host");
+  const char *rest;
+  const struct ct_queue *queue
+      = catalog == NULL ? NULL
+                        : ct_route (catalog, host == NULL ? "" : host,
+                                    hs_path (request), &rest);
+
+  return rt_after_s (jr_store_away_ms (front->params.journal),
+                     queue == NULL ? 0 : queue->priority, g_random_int ());
+}
+
 static void
 on_relayed (void *ctx, struct hs_request *request, unsigned int status,
             const char *retry_after, const char *body)
@@ -121,7 +137,8 @@
 
   if (status == 0)
     {
-      answer_later (front, request, "relayed", 503, RETRY_AFTER_STORE_S,
+      answer_later (front, request, "relayed", 503,
+                    retry_after_s (front, request),
                     "the store is out of reach: not accepted");
       return;
     }
@@ -135,7 +152,7 @@
 pass_on (struct front *front, struct hs_request *request, const char *what)
 {
   if (!rl_pass_on (front->relay, request, on_relayed, front))
-    answer_later (front, request, what, 503, RETRY_AFTER_STORE_S,
+    answer_later (front, request, what, 503, retry_after_s (front, request),
                   "the store is out of reach: not accepted");
 }
 
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -19,6 +19,9 @@
   JOBS_WAIT_MS = 350,  /* the planner's heartbeat and an answer */
   READ_SLACK_MS = 700, /* above the slowest answer of a slow store */
   NEWEST_TIMEOUT_MS = 1500,
+  /* Without any answer for this long the store is away: the jobs' topic is
+     read about twice a second.  */
+  AWAY_MS = 1000,
   RETRY_MS = 150,                  /* after a failed read */
   ANNOUNCE_TIMEOUT_MS = 30 * 1000, /* a host is of use without it */
   /* Records are read in lots: each call to the store is priced, and callers
@@ -323,6 +326,8 @@
 
   follower->reading = false;
   count_answer (journal, "read", answer->result);
+  if (answer->result == SO_DONE)
+    journal->answered_ms = clk_monotonic_ms (NULL);
   if (answer->result == SO_EXPIRED)
     {
       lg_warning (PART, "Records have expired; the newest are read anew.",
@@ -389,6 +394,8 @@
 
   follower->reading = false;
   count_answer (follower->journal, "newest", answer->result);
+  if (answer->result == SO_DONE)
+    follower->journal->answered_ms = clk_monotonic_ms (NULL);
   if (answer->result != SO_DONE)
     {
       g_ptr_array_set_size (follower->pages, 0);
@@ -473,6 +480,7 @@
   struct journal *journal = g_new0 (struct journal, 1);
 
   journal->params = *params;
+  journal->answered_ms = clk_monotonic_ms (NULL);
   journal->table = jb_table_create ();
   journal->hosts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -553,6 +561,14 @@
   return clk_monotonic_ms (NULL) - journal->operators.fresh_ms;
 }
 
+int64_t
+jr_store_away_ms (const struct journal *journal)
+{
+  int64_t silent_ms = clk_monotonic_ms (NULL) - journal->answered_ms;
+
+  return silent_ms > AWAY_MS ? silent_ms : 0;
+}
+
 void
 jr_hurry (struct journal *journal, uint32_t for_ms)
 {
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -98,6 +98,10 @@
  *  Reads the jobs' topic without pauses for a while. */
 void jr_hurry (struct journal *journal, uint32_t for_ms);
 
+/*! jr_store_away_ms () :
+ *  @return : 0 while the store answers; else for how long it has not. */
+int64_t jr_store_away_ms (const struct journal *journal);
+
 /*! jr_answer_ms () :
  *  @return : about how long the store takes for an answer now. */
 int64_t jr_answer_ms (const struct journal *journal);
@@ -127,7 +131,8 @@
 typedef void (*jr_stored_callback) (void *ctx, enum jr_outcome outcome);
 
 /*! jr_submit () :
- *  Has a job stored; SPEC is the caller's and is copied.
+ *  Has a job stored, or tells at once that the store is away; SPEC is the
+ * caller's and is copied.
  *  @ticket : set to a handle for jr_abandon (). */
 void jr_submit (struct journal *journal, const char *id,
                 const struct jb_spec *spec, uint32_t timeout_ms,
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -36,7 +36,8 @@
   uint64_t own_term;
   int64_t planner_seen_ms;
   int64_t hurry_until_ms;
-  int64_t answer_ms; /* shortest of the last answers, which include waits */
+  int64_t answered_ms; /* when the store answered last */
+  int64_t answer_ms;   /* shortest of the last answers, which include waits */
   /* writes */
   GQueue writes; /* struct jr_write, oldest first */
   uint32_t appends_open;
--- a/programs/foxtailgap-hostd/journal_write.c
+++ b/programs/foxtailgap-hostd/journal_write.c
@@ -75,6 +75,8 @@
   guint i;
 
   journal->appends_open--;
+  if (answer->result == SO_DONE)
+    journal->answered_ms = clk_monotonic_ms (NULL);
   for (i = 0; i < lot->tickets->len; i++)
     {
       struct jr_write *write
@@ -209,6 +211,16 @@
     }
 }
 
+/* While the store is away, a caller is told so once its write has been sent in
+   vain, so that it can come back before its own time is over.  */
+static bool
+is_given_up (const struct journal *journal, const struct jr_write *write,
+             int64_t now_ms)
+{
+  return write->callback != NULL && jr_store_away_ms (journal) > 0
+         && now_ms - write->made_ms > APPEND_TIMEOUT_MS;
+}
+
 /* Ends writes whose time is over, and sends again what was refused.  A write
    in flight has no known outcome.  */
 static void
@@ -225,7 +237,7 @@
       struct jr_write *write = link->data;
 
       link = link->next;
-      if (write->until_ms > now_ms)
+      if (write->until_ms > now_ms && !is_given_up (journal, write, now_ms))
         continue;
       end_write (journal, write,
                  write->in_flight || write->maybe_stored ? JR_UNKNOWN
@@ -255,7 +267,10 @@
   *ticket = write->ticket;
   g_queue_push_tail_link (&journal->writes, &write->link);
   g_byte_array_free (value, TRUE);
-  send_lots (journal);
+  if (callback != NULL && jr_store_away_ms (journal) > 0)
+    end_write (journal, write, JR_NOT_STORED);
+  else
+    send_lots (journal);
 }
 
 void
--- a/tests/unit/test_hostd_journal.c
+++ b/tests/unit/test_hostd_journal.c
@@ -302,6 +302,28 @@
   finish (&setup);
 }
 
+/* Incident inc-7934 on anla-rounds: with the store silent for all, callers
+   waited 2.9 s for an answer that nothing was known.  */
+static void
+test_store_away_is_told_at_once (void)
+{
+  struct setup setup;
+
+  begin (&setup);
+  submit (&setup, 3000);
+  answer_append (&setup, SO_UNKNOWN);
+  run_for_ms (&setup, 1200);
+  CU_ASSERT_TRUE (jr_store_away_ms (setup.journal) > 0);
+  CU_ASSERT_EQUAL (setup.outcomes, 1);
+  CU_ASSERT_EQUAL (setup.outcome, JR_UNKNOWN);
+  submit (&setup, 3000);
+  CU_ASSERT_EQUAL (setup.outcomes, 2);
+  CU_ASSERT_EQUAL (setup.outcome, JR_NOT_STORED);
+  answer_jobs (&setup, true);
+  CU_ASSERT_EQUAL (jr_store_away_ms (setup.journal), 0);
+  finish (&setup);
+}
+
 static void
 test_writes_share_an_append (void)
 {
@@ -336,6 +358,7 @@
       test_write_always_refused_is_not_stored },
     { "a write is stored once its record is read",
       test_write_is_stored_once_its_record_is_read },
+    { "the store away is told at once", test_store_away_is_told_at_once },
     { "writes share an append", test_writes_share_an_append },
   };
 
