With a slow store the planner's host is asked itself; refusals are logged

The planner's host knows what it has written without reading it, so other hosts pass requests on to it meanwhile.

--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -31,6 +31,7 @@
      away must be refused.  */
   KEY_AGE_PERCENT = 60,
   FRESH_TIMEOUT_MS = 1200, /* a pause, a wait and a slow answer */
+  SLOW_STORE_MS = 60,      /* an answer takes 4 to 10 ms on a calm day */
   RETRY_AFTER_STORE_S = 1  /* the store is looked for several times a second */
 };
 
@@ -80,12 +81,22 @@
               strlen (body));
 }
 
+static void
+log_refusal (const struct hs_request *request, const char *what,
+             unsigned int status, uint32_t after_s, const char *reason)
+{
+  lg_info (PART, "A call is refused.", "path", hs_path (request), "what", what,
+           "status", lg_number (status), "reason", reason, "after_s",
+           lg_number (after_s), NULL);
+}
+
 static void
 answer_error (struct front *front, struct hs_request *request,
               const char *what, unsigned int status, const char *text)
 {
   char *body = g_strdup_printf ("{\"error\":\"%s\"}", text);
 
+  log_refusal (request, what, status, 0, text);
   answer (front, request, what, status, body);
   g_free (body);
 }
@@ -102,6 +113,7 @@
       = { { .name = "Content-Type", .value = "application/json" },
           { .name = "Retry-After", .value = after } };
 
+  log_refusal (request, what, status, after_s, text);
   count (front, what, status);
   hs_respond (request, status, headers, G_N_ELEMENTS (headers), body,
               strlen (body));
@@ -151,7 +163,7 @@
 static void
 pass_on (struct front *front, struct hs_request *request, const char *what)
 {
-  if (!rl_pass_on (front->relay, request, on_relayed, front))
+  if (!rl_pass_on (front->relay, request, NULL, on_relayed, front))
     answer_later (front, request, what, 503, retry_after_s (front, request),
                   "the store is out of reach: not accepted");
 }
@@ -375,20 +387,50 @@
   g_free (body);
 }
 
+/* --- A slow store --- */
+
+static void dispatch (struct front *front, struct hs_request *request,
+                      bool at_planner);
+
+static void
+on_planner_answered (void *ctx, struct hs_request *request,
+                     unsigned int status, const char *retry_after,
+                     const char *body)
+{
+  struct front *front = ctx;
+
+  if (status == 0)
+    dispatch (front, request, true); /* it could not be asked */
+  else
+    on_relayed (front, request, status, retry_after, body);
+}
+
+/* With a slow store the planner's host is asked itself: it needs not read what
+   it has written, which saves callers two answers of the store.  */
+static bool
+ask_planner (struct front *front, struct hs_request *request)
+{
+  struct journal *journal = front->params.journal;
+  const char *address;
+
+  if (jr_answer_ms (journal) < SLOW_STORE_MS)
+    return false;
+  address = jr_planner_address (journal, front->params.settings->host);
+  return address != NULL
+         && rl_pass_on (front->relay, request, address, on_planner_answered,
+                        front);
+}
+
 /* --- Requests --- */
 
 static void
-dispatch (struct front *front, struct hs_request *request,
-          const struct ct_queue *queue, const struct ct_team *team,
-          const char *rest)
+dispatch_method (struct front *front, struct hs_request *request,
+                 const struct ct_queue *queue, const struct ct_team *team,
+                 const char *rest)
 {
   const char *method = hs_method (request);
 
-  if (rest[0] == '\0' && strcmp (method, "GET") == 0)
-    tell_waiting (front, request, queue);
-  else if (!jb_id_valid (rest))
-    answer_error (front, request, "unknown", 404, "no such job id");
-  else if (strcmp (method, "POST") == 0 || strcmp (method, "PUT") == 0)
+  if (strcmp (method, "POST") == 0 || strcmp (method, "PUT") == 0)
     submit (front, request, queue, team, rest);
   else if (strcmp (method, "DELETE") == 0)
     cancel (front, request, rest);
@@ -398,10 +440,10 @@
     answer_error (front, request, "unknown", 405, "no such method");
 }
 
+/* AT_PLANNER: the planner's host has been tried, or it is this one.  */
 static void
-on_request (void *ctx, struct hs_request *request)
+dispatch (struct front *front, struct hs_request *request, bool at_planner)
 {
-  struct front *front = ctx;
   struct journal *journal = front->params.journal;
   const struct ct_catalog *catalog = jr_catalog (journal);
   const char *host = hs_header (request, "Host");
@@ -412,31 +454,33 @@
   int64_t key_age_max_ms = (int64_t)front->params.settings->key_validity_ms
                            * KEY_AGE_PERCENT / 100;
 
-  if (!jr_loaded (journal))
-    {
-      answer_later (front, request, "any", 503, RETRY_AFTER_STORE_S,
-                    "no configuration yet");
-      return;
-    }
   queue
       = ct_route (catalog, host == NULL ? "" : host, hs_path (request), &rest);
-  if (queue == NULL)
-    {
-      answer_error (front, request, "any", 404, "no such queue");
-      return;
-    }
   team = key == NULL ? NULL : ct_team_of_key (catalog, key);
-  if (!queue->open && jr_catalog_age_ms (journal) > key_age_max_ms)
-    {
-      pass_on (front, request, "any"); /* keys cannot be checked now */
-      return;
-    }
-  if (!queue->open && team == NULL)
-    {
-      answer_error (front, request, "any", 401, "the key is not known");
-      return;
-    }
-  dispatch (front, request, queue, team, rest);
+  if (queue == NULL)
+    answer_error (front, request, "any", 404, "no such queue");
+  else if (!queue->open && jr_catalog_age_ms (journal) > key_age_max_ms)
+    pass_on (front, request, "any"); /* keys cannot be checked now */
+  else if (!queue->open && team == NULL)
+    answer_error (front, request, "any", 401, "the key is not known");
+  else if (rest[0] == '\0' && strcmp (hs_method (request), "GET") == 0)
+    tell_waiting (front, request, queue);
+  else if (!jb_id_valid (rest))
+    answer_error (front, request, "unknown", 404, "no such job id");
+  else if (at_planner || !ask_planner (front, request))
+    dispatch_method (front, request, queue, team, rest);
+}
+
+static void
+on_request (void *ctx, struct hs_request *request)
+{
+  struct front *front = ctx;
+
+  if (!jr_loaded (front->params.journal))
+    answer_later (front, request, "any", 503, RETRY_AFTER_STORE_S,
+                  "no configuration yet");
+  else
+    dispatch (front, request, false);
 }
 
 static void
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -67,6 +67,13 @@
     journal->observer.job_added (journal->observer.ctx, job);
 }
 
+void
+jr_apply_stored (struct journal *journal, const struct so_record *record)
+{
+  if (record->key[0] == 'j')
+    apply_job (journal, record->key + 2, record);
+}
+
 static void
 apply_cancel (struct journal *journal, const char *id,
               const struct so_record *record)
@@ -175,6 +182,17 @@
   jr_write (journal, 'h', name, jb_encode_host (host), ANNOUNCE_TIMEOUT_MS);
 }
 
+const char *
+jr_planner_address (const struct journal *journal, const char *name)
+{
+  const struct jb_host *host;
+
+  if (strcmp (journal->term.host, name) == 0)
+    return NULL;
+  host = g_hash_table_lookup (journal->hosts, journal->term.host);
+  return host == NULL || host->address[0] == '\0' ? NULL : host->address;
+}
+
 uint32_t
 jr_strongest (const struct journal *journal)
 {
@@ -290,6 +308,12 @@
   return (uint32_t)MAX (pause_ms - took_ms, 0);
 }
 
+static void
+journal_took (struct follower *follower, int64_t took_ms)
+{
+  follower->journal->answer_ms = MAX (took_ms, 0);
+}
+
 /* A lot that does not reach the end says nothing of what is missing.  */
 static void
 take_freshness (struct follower *follower, const struct so_read_answer *answer)
@@ -299,23 +323,17 @@
   if (!answer->at_end)
     return;
   if (answer->waited)
-    fresh_ms += follower->wait_ms;
+    {
+      /* What is above the wait is the store's own time.  */
+      journal_took (follower, clk_monotonic_ms (NULL) - follower->sent_ms
+                                  - follower->wait_ms);
+      fresh_ms += follower->wait_ms;
+    }
   follower->fresh_ms = MIN (fresh_ms, clk_monotonic_ms (NULL));
   if (follower == &follower->journal->jobs)
     jr_waiters_told (follower->journal);
 }
 
-/* The shortest of the last answers: most contain a wait for a record.  Rises
-   by a quarter with each answer, so that a store that turns slow is believed
-   after a few.  */
-static void
-measure_answer (struct journal *journal, int64_t took_ms)
-{
-  int64_t risen_ms = journal->answer_ms + journal->answer_ms / 4 + 1;
-
-  journal->answer_ms = MIN (took_ms, risen_ms);
-}
-
 static void
 on_read (void *ctx, const struct so_read_answer *answer)
 {
@@ -344,8 +362,6 @@
       take_freshness (follower, answer);
       if (answer->at_end && !answer->waited)
         delay_ms = pause_ms (follower);
-      if (follower == &journal->jobs && !answer->waited)
-        measure_answer (journal, clk_monotonic_ms (NULL) - follower->sent_ms);
     }
   schedule (follower, delay_ms);
   if (follower == &journal->jobs && answer->result == SO_DONE
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -54,6 +54,13 @@
 const char *jr_pick_peer (const struct journal *journal, const char *name,
                           const char *besides);
 
+/*! jr_planner_address () :
+ *  @name : of this host.
+ *  @return : the address of the planner's host; NULL if it is this host or not
+ *            known. */
+const char *jr_planner_address (const struct journal *journal,
+                                const char *name);
+
 /*! jr_strongest (), jr_host_count () :
  *  Of the hosts that have announced themselves. */
 uint32_t jr_strongest (const struct journal *journal);
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -37,9 +37,8 @@
   int64_t planner_seen_ms;
   int64_t hurry_until_ms;
   int64_t answered_ms; /* when the store answered last */
-  int64_t answer_ms;   /* shortest of the last answers, which include waits */
-  /* writes */
-  GQueue writes; /* struct jr_write, oldest first */
+  int64_t answer_ms;   /* the store's own time for an answer, as of late */
+  GQueue writes;       /* struct jr_write, oldest first */
   uint32_t appends_open;
   uint64_t next_ticket;
   ev_timer write_timer;
@@ -58,6 +57,10 @@
  *  The record with KEY has been read: who waits for it is told. */
 void jr_writes_seen (struct journal *journal, const char *key);
 
+/*! jr_apply_stored () :
+ *  A job that this host has stored is known at once. */
+void jr_apply_stored (struct journal *journal, const struct so_record *record);
+
 /*! jr_waiters_told () :
  *  The jobs' topic has been read up to its end. */
 void jr_waiters_told (struct journal *journal);
--- a/programs/foxtailgap-hostd/journal_write.c
+++ b/programs/foxtailgap-hostd/journal_write.c
@@ -37,6 +37,7 @@
 struct lot
 {
   struct journal *journal;
+  int64_t sent_ms;
   GArray *tickets; /* uint64_t */
 };
 
@@ -76,7 +77,10 @@
 
   journal->appends_open--;
   if (answer->result == SO_DONE)
-    journal->answered_ms = clk_monotonic_ms (NULL);
+    {
+      journal->answered_ms = clk_monotonic_ms (NULL);
+      journal->answer_ms = journal->answered_ms - lot->sent_ms;
+    }
   for (i = 0; i < lot->tickets->len; i++)
     {
       struct jr_write *write
@@ -86,7 +90,10 @@
         continue;
       write->in_flight = false;
       if (answer->result == SO_DONE)
-        end_write (journal, write, JR_STORED);
+        {
+          jr_apply_stored (journal, write->record);
+          end_write (journal, write, JR_STORED);
+        }
       else if (answer->result == SO_UNKNOWN)
         write->maybe_stored = true;
       else if (!write->maybe_stored && write->callback != NULL
@@ -113,6 +120,7 @@
   GList *link;
 
   lot->journal = journal;
+  lot->sent_ms = clk_monotonic_ms (NULL);
   lot->tickets = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   for (link = journal->writes.head; link != NULL; link = link->next)
     {
--- a/programs/foxtailgap-hostd/relay.c
+++ b/programs/foxtailgap-hostd/relay.c
@@ -36,7 +36,9 @@
   rl_callback callback;
   void *ctx;
   char *address;
+  char method[8];
   uint32_t tries;
+  const char *wanted; /* during rl_pass_on () only; NULL: any host */
 };
 
 static bool send_on (struct passage *passage);
@@ -84,7 +86,7 @@
             hc_response_header (response, "Retry-After"), response->body);
       return;
     }
-  if (response->maybe_sent)
+  if (response->maybe_sent && strcmp (passage->method, "GET") != 0)
     {
       tell (passage, 504, NULL, "{\"error\":\"not known: ask again\"}");
       return;
@@ -106,8 +108,7 @@
   struct relay *relay = passage->relay;
   const struct rl_params *params = &relay->params;
   struct hs_request *request = passage->request;
-  const char *peer
-      = jr_pick_peer (params->journal, params->host, passage->address);
+  const char *peer = passage->wanted;
   char *lines[HEADERS] = { NULL };
   const char *headers[HEADERS + 1] = { NULL };
   size_t body_size_bytes = 0;
@@ -128,8 +129,11 @@
   size_t i;
   bool sent;
 
+  if (peer == NULL)
+    peer = jr_pick_peer (params->journal, params->host, passage->address);
   if (peer == NULL)
     return false;
+  passage->wanted = NULL;
   passage->tries++;
   g_free (passage->address);
   passage->address = g_strdup (peer);
@@ -154,7 +158,7 @@
 
 bool
 rl_pass_on (struct relay *relay, struct hs_request *request,
-            rl_callback callback, void *ctx)
+            const char *address, rl_callback callback, void *ctx)
 {
   struct passage *passage;
 
@@ -163,8 +167,12 @@
   passage = g_new0 (struct passage, 1);
   passage->relay = relay;
   passage->request = request;
+  g_strlcpy (passage->method, hs_method (request), sizeof passage->method);
   passage->callback = callback;
   passage->ctx = ctx;
+  passage->wanted = address;
+  if (address != NULL)
+    passage->tries = TRIES - 1;
   if (!send_on (passage))
     {
       passage_free (passage);
--- a/programs/foxtailgap-hostd/relay.h
+++ b/programs/foxtailgap-hostd/relay.h
@@ -34,9 +34,10 @@
 /*! rl_pass_on () :
  *  Sends the request to another host, and to a second one if the first does
  *  not answer.
+ *  @address : of the host to try, and no other; NULL: any.
  *  @return : false if it may not be passed on: it has been passed on by
  *            another host, or no other host is known. */
 bool rl_pass_on (struct relay *relay, struct hs_request *request,
-                 rl_callback callback, void *ctx);
+                 const char *address, rl_callback callback, void *ctx);
 
 #endif
