--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -9,8 +9,6 @@
 enum
 {
   ACCELERATOR_AS_CORES = 8, /* the platform's price of lost work */
-  ENDS_SOON_MS = 250,       /* a stop takes 200 ms and its listing */
-  ENDS_SOON_PERCENT = 20,   /* below this the rate is not known well */
   VICTIMS_MAX = 32,         /* tasks stopped on one worker for one task */
   /* A stop takes 200 ms and is listed soon after; a plan that cannot be made
      is tried again after as long.  */
@@ -61,26 +59,8 @@
   return task->state == JB_TASK_PLACED && task->job->priority > unit->priority;
 }
 
-/* Whether a task will end by itself before a stop could end it: by how far it
-   was, and since when it runs.  */
-static bool
-ends_soon (const struct jb_task *task, int64_t now_ms)
-{
-  int64_t ran_ms = task->progress_ms - task->started_ms;
-  int64_t whole_ms;
-  int64_t left_ms;
-
-  if (task->percent < ENDS_SOON_PERCENT || task->started_ms == 0
-      || ran_ms <= 0)
-    return false;
-  whole_ms = ran_ms * 100 / task->percent;
-  left_ms = task->started_ms + whole_ms - now_ms;
-  return left_ms < ENDS_SOON_MS && left_ms > -ENDS_SOON_MS;
-}
-
 static struct plan *
-plan_create (const struct sd_sched *sched, const struct sd_unit *unit,
-             int64_t now_ms)
+plan_create (const struct sd_sched *sched, const struct sd_unit *unit)
 {
   struct plan *plan = g_new0 (struct plan, 1);
   guint i;
@@ -99,7 +79,7 @@
         {
           const struct jb_task *task = g_ptr_array_index (worker->tasks, k);
 
-          if (task->state == JB_TASK_STOPPING || ends_soon (task, now_ms))
+          if (task->state == JB_TASK_STOPPING)
             sd_room_add (&plan->room[i], &task->step->spec->room);
           else if (may_stop (unit, task))
             sd_room_add (&plan->borrowed[i], &task->step->spec->room);
@@ -296,7 +276,7 @@
 make_plan (const struct sd_sched *sched, const struct sd_unit *unit,
            const char *rack, int64_t now_ms)
 {
-  struct plan *plan = plan_create (sched, unit, now_ms);
+  struct plan *plan = plan_create (sched, unit);
 
   while (plan->places->len < unit->waiting)
     if (!plan_add_place (sched, unit, plan, rack, now_ms))
