--- a/lib/config/schema.c
+++ b/lib/config/schema.c
@@ -256,3 +256,27 @@
           "letter or a digit, not '%.40s'",
           path, SC_NAME_LIMIT_BYTES, text);
 }
+
+int
+sc_load_file (void **out, const char *path, size_t limit_bytes, sc_parse parse,
+              struct env_messages *messages)
+{
+  GError *failure = NULL;
+  gchar *text = NULL;
+  gsize size_bytes = 0;
+  int error = ENV_ERR_INVALID;
+
+  *out = NULL;
+  if (!g_file_get_contents (path, &text, &size_bytes, &failure))
+    {
+      em_add (messages, 0, "%s", failure->message);
+      g_error_free (failure);
+      return ENV_ERR_FILE;
+    }
+  if (size_bytes > limit_bytes)
+    em_add (messages, 0, "larger than %zu bytes", limit_bytes);
+  else
+    error = parse (out, text, size_bytes, messages);
+  g_free (text);
+  return error;
+}
--- a/lib/config/schema.h
+++ b/lib/config/schema.h
@@ -46,6 +46,16 @@
              size_t size_bytes, const struct yi_index *index,
              struct env_messages *messages);
 
+/* Parses a whole text into *out, or complains in MESSAGES.  */
+typedef int (*sc_parse) (void **out, const char *text, size_t size_bytes,
+                         struct env_messages *messages);
+
+/*! sc_load_file () :
+ *  Reads a file of at most limit_bytes and parses it.
+ *  @return : ENV_OK, ENV_ERR_FILE, ENV_ERR_INVALID, or what PARSE returned. */
+int sc_load_file (void **out, const char *path, size_t limit_bytes,
+                  sc_parse parse, struct env_messages *messages);
+
 /*! sc_numbers (), sc_flags () :
  *  Give defaults and check; complaints go to the place's messages. */
 void sc_numbers (const struct sc_place *place, const struct sc_number *numbers,
--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -181,7 +181,7 @@
 }
 
 static int
-parse (struct settings **out, const char *text, size_t size_bytes,
+parse (void **out, const char *text, size_t size_bytes,
        struct env_messages *messages)
 {
   struct yi_index *index = NULL;
@@ -225,26 +225,10 @@
 settings_load (struct settings **out, const char *path,
                struct env_messages *messages)
 {
-  GError *failure = NULL;
-  gchar *text = NULL;
-  gsize size_bytes = 0;
-  int error;
+  void *loaded = NULL;
+  int error = sc_load_file (&loaded, path, FILE_LIMIT_BYTES, parse, messages);
 
-  *out = NULL;
-  if (!g_file_get_contents (path, &text, &size_bytes, &failure))
-    {
-      em_add (messages, 0, "%s", failure->message);
-      g_error_free (failure);
-      return ENV_ERR_FILE;
-    }
-  if (size_bytes > FILE_LIMIT_BYTES)
-    {
-      em_add (messages, 0, "larger than %d bytes", FILE_LIMIT_BYTES);
-      error = ENV_ERR_INVALID;
-    }
-  else
-    error = parse (out, text, size_bytes, messages);
-  g_free (text);
+  *out = loaded;
   return error;
 }
 
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -65,6 +65,12 @@
   return taken;
 }
 
+void
+sd_job_changed (struct sd_sched *sched, struct jb_job *job)
+{
+  sd_mark_changed (sched, job);
+}
+
 bool
 sd_has_changed (const struct sd_sched *sched)
 {
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -179,6 +179,10 @@
  *            by g_ptr_array_free (). */
 GPtrArray *sd_take_changed (struct sd_sched *sched);
 
+/*! sd_job_changed () :
+ *  Its progress is to be recorded after all. */
+void sd_job_changed (struct sd_sched *sched, struct jb_job *job);
+
 /*! sd_has_changed () :
  *  @return : whether a job has changed since sd_take_changed (). */
 bool sd_has_changed (const struct sd_sched *sched);
--- /dev/null
+++ b/programs/foxtailgap-hostd/front_jobs.c
@@ -0,0 +1,250 @@
+/* Jobs are handed in, cancelled, asked for.  */
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/logging.h"
+#include "front_private.h"
+
+static const char PART[] = "front";
+
+enum
+{
+  /* What is known of jobs is told as current for this long; the platform's
+     bound for what callers see is 3 s.  */
+  JOBS_AGE_MAX_MS = 2000,
+  DEADLINE_DEFAULT_MS = 3000,
+  DEADLINE_MIN_MS = 200,
+  DEADLINE_MAX_MS = 12000,
+  /* Left for the answer to reach the caller.  */
+  DEADLINE_MARGIN_MS = 150,
+  FRESH_TIMEOUT_MS = 1200, /* a pause, a wait and a slow answer */
+};
+
+/* A write that a caller waits for.  */
+struct pending
+{
+  struct front *front;
+  struct hs_request *request; /* NULL: the caller has left */
+  uint64_t ticket;
+  char id[JB_ID_DIGITS + 1];
+  const char *what; /* "submit" or "cancel" */
+  int64_t since_ms;
+};
+
+/* --- Writes --- */
+
+static void
+on_caller_gone (void *ctx)
+{
+  struct pending *pending = ctx;
+
+  pending->request = NULL;
+}
+
+static void
+on_stored (void *ctx, enum jr_outcome outcome)
+{
+  struct pending *pending = ctx;
+  struct front *front = pending->front;
+  struct hs_request *request = pending->request;
+  int64_t took_ms = clk_monotonic_ms (NULL) - pending->since_ms;
+
+  mt_observe (front->params.metrics,
+              outcome == JR_STORED ? "foxtailgap_store_ms"
+                                   : "foxtailgap_store_failed_ms",
+              (uint32_t)took_ms);
+  lg_info (PART, "A caller's write has an outcome.", "job", pending->id,
+           "what", pending->what, "outcome",
+           outcome == JR_STORED       ? "stored"
+           : outcome == JR_NOT_STORED ? "not stored"
+                                      : "unknown",
+           "took_ms", lg_number (took_ms), "caller",
+           request == NULL ? "gone" : "waits", NULL);
+  if (request != NULL)
+    switch (outcome)
+      {
+      case JR_STORED:
+        fr_answer (front, request, pending->what, 200, "{}");
+        break;
+      case JR_NOT_STORED:
+        hs_on_gone (request, NULL, NULL);
+        fr_pass_on (front, request, pending->what);
+        break;
+      case JR_UNKNOWN:
+        fr_answer_error (front, request, pending->what, 504,
+                         "not known whether it is stored: ask again");
+        break;
+      }
+  g_free (pending);
+}
+
+static uint32_t
+time_left_ms (struct front *front, struct hs_request *request)
+{
+  const char *text
+      = hs_header (request, front->params.dialect.deadline_header);
+  int64_t deadline_ms
+      = text == NULL ? DEADLINE_DEFAULT_MS : g_ascii_strtoll (text, NULL, 10);
+
+  if (deadline_ms <= 0)
+    deadline_ms = DEADLINE_DEFAULT_MS;
+  return (uint32_t)CLAMP (deadline_ms - DEADLINE_MARGIN_MS, DEADLINE_MIN_MS,
+                          DEADLINE_MAX_MS);
+}
+
+static struct pending *
+wait_for_write (struct front *front, struct hs_request *request,
+                const char *id, const char *what)
+{
+  struct pending *pending = g_new0 (struct pending, 1);
+
+  pending->front = front;
+  pending->request = request;
+  pending->what = what;
+  pending->since_ms = clk_monotonic_ms (NULL);
+  g_strlcpy (pending->id, id, sizeof pending->id);
+  hs_on_gone (request, on_caller_gone, pending);
+  return pending;
+}
+
+/* --- Jobs --- */
+
+void
+fr_submit (struct front *front, struct hs_request *request,
+           const struct ct_queue *queue, const struct ct_team *team,
+           const char *id)
+{
+  const struct ct_catalog *catalog = jr_catalog (front->params.journal);
+  struct jb_job *job = jb_table_find (jr_table (front->params.journal), id);
+  struct jb_spec *spec = NULL;
+  struct pending *pending;
+  const char *wrong;
+  const char *body;
+  size_t size_bytes;
+
+  if (job != NULL && job->spec != NULL)
+    {
+      fr_answer (front, request, "submit", 200, "{}");
+      return;
+    }
+  body = hs_body (request, &size_bytes);
+  if (catalog->body_limit_bytes > 0 && size_bytes > catalog->body_limit_bytes)
+    {
+      fr_answer_error (front, request, "submit", 413, "the body is too large");
+      return;
+    }
+  if (front->params.dialect.decode_job (&spec, body, size_bytes) < 0)
+    {
+      fr_answer_error (front, request, "submit", 400,
+                       "the job cannot be read");
+      return;
+    }
+  wrong = jb_spec_check (spec);
+  if (wrong != NULL)
+    {
+      fr_answer_error (front, request, "submit", 400, wrong);
+      goto done;
+    }
+  spec->queue = g_strdup (queue->name);
+  spec->team = team == NULL ? NULL : g_strdup (team->name);
+  spec->accepted_unix_ms = clk_unix_ms ();
+  pending = wait_for_write (front, request, id, "submit");
+  jr_submit (front->params.journal, id, spec, time_left_ms (front, request),
+             on_stored, pending, &pending->ticket);
+
+done:
+  jb_spec_free (spec);
+}
+
+/* A job that is not known may have been handed in elsewhere just now: that
+   there is none is said only after all of the topic has been read.  */
+static void
+on_fresh (void *ctx, bool fresh)
+{
+  struct pending *pending = ctx;
+  struct front *front = pending->front;
+  struct hs_request *request = pending->request;
+
+  if (request == NULL)
+    goto done;
+  hs_on_gone (request, NULL, NULL);
+  if (!fresh)
+    fr_pass_on (front, request, "cancel");
+  else if (jb_table_find (jr_table (front->params.journal), pending->id)
+           == NULL)
+    fr_answer_error (front, request, "cancel", 410, "no such job");
+  else
+    fr_cancel (front, request, pending->id);
+
+done:
+  g_free (pending);
+}
+
+void
+fr_cancel (struct front *front, struct hs_request *request, const char *id)
+{
+  struct journal *journal = front->params.journal;
+  struct jb_job *job = jb_table_find (jr_table (journal), id);
+  struct pending *pending;
+
+  if (job == NULL)
+    {
+      pending = wait_for_write (front, request, id, "cancel");
+      jr_when_fresh (journal, FRESH_TIMEOUT_MS, on_fresh, pending);
+      return;
+    }
+  if (jb_state_is_final (job->shown))
+    {
+      fr_answer (front, request, "cancel", 200, "{}");
+      return;
+    }
+  pending = wait_for_write (front, request, id, "cancel");
+  jr_cancel (journal, id, time_left_ms (front, request), on_stored, pending,
+             &pending->ticket);
+}
+
+void
+fr_tell_state (struct front *front, struct hs_request *request, const char *id)
+{
+  struct journal *journal = front->params.journal;
+  struct jb_job *job = jb_table_find (jr_table (journal), id);
+  char *body;
+
+  if (job == NULL && jr_jobs_age_ms (journal) > JOBS_AGE_MAX_MS)
+    {
+      fr_pass_on (front, request, "state");
+      return;
+    }
+  if (job == NULL)
+    {
+      fr_answer_error (front, request, "state", 410, "no such job");
+      return;
+    }
+  body = front->params.dialect.encode_state (job->shown);
+  fr_answer (front, request, "state", 200, body);
+  g_free (body);
+}
+
+void
+fr_tell_waiting (struct front *front, struct hs_request *request,
+                 const struct ct_queue *queue)
+{
+  GHashTableIter iter;
+  void *value;
+  uint32_t jobs = 0;
+  char *body;
+
+  g_hash_table_iter_init (&iter, jr_table (front->params.journal)->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_job *job = value;
+
+      if (!job->begun && !jb_state_is_final (job->shown) && job->queue != NULL
+          && strcmp (job->queue, queue->name) == 0)
+        jobs++;
+    }
+  body = front->params.dialect.encode_waiting (jobs);
+  fr_answer (front, request, "queue", 200, body);
+  g_free (body);
+}
--- /dev/null
+++ b/programs/foxtailgap-hostd/front_private.h
@@ -0,0 +1,56 @@
+/* Inside the front: requests in front.c, jobs in front_jobs.c, answers in
+   front_answer.c.  */
+
+#ifndef FT_HOSTD_FRONT_PRIVATE_H
+#define FT_HOSTD_FRONT_PRIVATE_H
+
+#include "front.h"
+#include "http/http_server.h"
+#include "relay.h"
+
+struct front
+{
+  struct fr_params params;
+  struct hs_server *callers;
+  struct hs_server *readiness;
+  struct hs_server *metrics;
+  struct relay *relay;
+  bool taking;
+};
+
+/* --- front_answer.c --- */
+
+/*! fr_answer (), fr_answer_error (), fr_answer_later () :
+ *  Answer, count and log; WHAT names the call.  The last tells when to come
+ *  back: the request has not run. */
+void fr_answer (struct front *front, struct hs_request *request,
+                const char *what, unsigned int status, const char *body);
+void fr_answer_error (struct front *front, struct hs_request *request,
+                      const char *what, unsigned int status, const char *text);
+void fr_answer_later (struct front *front, struct hs_request *request,
+                      const char *what, unsigned int status, uint32_t after_s,
+                      const char *text);
+
+/*! fr_relayed () :
+ *  Hands on the answer of another host. */
+void fr_relayed (void *ctx, struct hs_request *request, unsigned int status,
+                 const char *retry_after, const char *body);
+
+/*! fr_pass_on () :
+ *  This host cannot serve the request now: another host may. */
+void fr_pass_on (struct front *front, struct hs_request *request,
+                 const char *what);
+
+/* --- front_jobs.c --- */
+
+void fr_submit (struct front *front, struct hs_request *request,
+                const struct ct_queue *queue, const struct ct_team *team,
+                const char *id);
+void fr_cancel (struct front *front, struct hs_request *request,
+                const char *id);
+void fr_tell_state (struct front *front, struct hs_request *request,
+                    const char *id);
+void fr_tell_waiting (struct front *front, struct hs_request *request,
+                      const struct ct_queue *queue);
+
+#endif
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -34,146 +34,7 @@
 
 static void read_on (struct follower *follower);
 
-/* --- Jobs --- */
-
-static void
-apply_job (struct journal *journal, const char *id,
-           const struct so_record *record)
-{
-  struct jb_job *job = jb_table_find (journal->table, id);
-  struct jb_spec *spec = NULL;
-  int error;
-
-  if (record->value == NULL)
-    {
-      if (job == NULL)
-        return;
-      if (journal->observer.job_removed != NULL)
-        journal->observer.job_removed (journal->observer.ctx, job);
-      jb_table_remove (journal->table, id);
-      return;
-    }
-  if (job != NULL && job->spec != NULL)
-    return; /* handed in twice: the first one counts */
-  error = jb_decode_spec (&spec, record->value, record->size_bytes);
-  if (error != JB_OK)
-    {
-      lg_warning (PART, "A job's record cannot be read.", "job", id, "error",
-                  lg_number (error), NULL);
-      return;
-    }
-  job = jb_table_add (journal->table, id, spec, clk_monotonic_ms (NULL));
-  if (journal->observer.job_added != NULL)
-    journal->observer.job_added (journal->observer.ctx, job);
-}
-
-void
-jr_apply_stored (struct journal *journal, const struct so_record *record)
-{
-  if (record->key[0] == 'j')
-    apply_job (journal, record->key + 2, record);
-}
-
-static void
-apply_cancel (struct journal *journal, const char *id,
-              const struct so_record *record)
-{
-  struct jb_job *job = jb_table_find (journal->table, id);
-
-  if (job == NULL || record->value == NULL || job->cancelled
-      || jb_state_is_final (job->shown))
-    return;
-  job->cancelled = true;
-  job->shown = JB_CANCELLED;
-  job->final_ms = clk_monotonic_ms (NULL);
-  lg_info (PART, "A job is cancelled.", "job", id, NULL);
-  if (journal->observer.job_cancelled != NULL)
-    journal->observer.job_cancelled (journal->observer.ctx, job);
-}
-
-static void
-apply_progress (struct journal *journal, const char *id,
-                const struct so_record *record)
-{
-  struct jb_job *job = jb_table_find (journal->table, id);
-  uint64_t term = 0;
-
-  if (job == NULL || record->value == NULL)
-    return;
-  if (journal->own_term != 0 && journal->own_term == journal->term.term)
-    return; /* this host has written it */
-  if (jb_apply_progress (job, &term, record->value, record->size_bytes)
-      != JB_OK)
-    {
-      lg_warning (PART, "A progress record cannot be read.", "job", id, NULL);
-      return;
-    }
-  journal->planner_seen_ms = clk_monotonic_ms (NULL);
-  if (jb_state_is_final (job->shown) && job->final_ms == 0)
-    job->final_ms = journal->planner_seen_ms;
-}
-
-static void
-apply_term (struct journal *journal, const struct so_record *record)
-{
-  struct jb_term term = { 0 };
-
-  if (record->value == NULL
-      || jb_decode_term (&term, record->value, record->size_bytes) != JB_OK)
-    return;
-  if (term.term < journal->term.term)
-    return;
-  journal->planner_seen_ms = clk_monotonic_ms (NULL);
-  if (term.term != journal->term.term
-      || strcmp (term.host, journal->term.host) != 0)
-    lg_info (PART, "The planner's term.", "term",
-             lg_number ((long long)term.term), "host", term.host, NULL);
-  journal->term = term;
-  if (journal->observer.term_read != NULL)
-    journal->observer.term_read (journal->observer.ctx, &term);
-}
-
-static void
-apply_host (struct journal *journal, const char *name,
-            const struct so_record *record)
-{
-  struct jb_host *host;
-
-  if (record->value == NULL)
-    {
-      g_hash_table_remove (journal->hosts, name);
-      return;
-    }
-  host = g_new0 (struct jb_host, 1);
-  if (jb_decode_host (host, record->value, record->size_bytes) == JB_OK)
-    g_hash_table_insert (journal->hosts, g_strdup (name), host);
-  else
-    g_free (host);
-}
-
-static void
-apply_jobs_record (struct journal *journal, const struct so_record *record)
-{
-  const char *key = record->key;
-
-  if (key[0] == 't')
-    apply_term (journal, record);
-  else if (g_str_has_prefix (key, "h/"))
-    {
-      apply_host (journal, key + 2, record);
-      jr_writes_seen (journal, key);
-    }
-  else if (key[0] != '\0' && key[1] == '/' && jb_id_valid (key + 2))
-    {
-      if (key[0] == 'j')
-        apply_job (journal, key + 2, record);
-      else if (key[0] == 'c')
-        apply_cancel (journal, key + 2, record);
-      else if (key[0] == 'p')
-        apply_progress (journal, key + 2, record);
-      jr_writes_seen (journal, key);
-    }
-}
+/* --- Hosts --- */
 
 void
 jr_announce (struct journal *journal, const char *name,
@@ -182,17 +43,6 @@
   jr_write (journal, 'h', name, jb_encode_host (host), ANNOUNCE_TIMEOUT_MS);
 }
 
-const char *
-jr_planner_address (const struct journal *journal, const char *name)
-{
-  const struct jb_host *host;
-
-  if (strcmp (journal->term.host, name) == 0)
-    return NULL;
-  host = g_hash_table_lookup (journal->hosts, journal->term.host);
-  return host == NULL || host->address[0] == '\0' ? NULL : host->address;
-}
-
 uint32_t
 jr_strongest (const struct journal *journal)
 {
@@ -206,6 +56,12 @@
   return strongest;
 }
 
+uint32_t
+jr_host_count (const struct journal *journal)
+{
+  return g_hash_table_size (journal->hosts);
+}
+
 const char *
 jr_pick_peer (const struct journal *journal, const char *name,
               const char *besides)
@@ -230,41 +86,15 @@
   return picked;
 }
 
-uint32_t
-jr_host_count (const struct journal *journal)
-{
-  return g_hash_table_size (journal->hosts);
-}
-
-/* --- The operator --- */
-
-static void
-apply_operator_record (struct journal *journal, const struct so_record *record)
+const char *
+jr_planner_address (const struct journal *journal, const char *name)
 {
-  struct ct_catalog *catalog = NULL;
+  const struct jb_host *host;
 
-  if (strcmp (record->key, journal->params.catalog_key) != 0
-      || record->value == NULL)
-    return;
-  if (journal->params.decode_catalog (&catalog, record->value,
-                                      record->size_bytes)
-      < 0)
-    {
-      lg_error (PART, "The configuration cannot be read.", NULL);
-      return;
-    }
-  if (journal->catalog != NULL && catalog->version < journal->catalog->version)
-    {
-      ct_free (catalog);
-      return;
-    }
-  lg_info (PART, "A configuration is in force.", "version",
-           lg_number (catalog->version), "queues",
-           lg_number ((long long)catalog->queue_count), NULL);
-  if (journal->observer.catalog_changed != NULL)
-    journal->observer.catalog_changed (journal->observer.ctx, catalog);
-  ct_free (journal->catalog);
-  journal->catalog = catalog;
+  if (strcmp (journal->term.host, name) == 0)
+    return NULL;
+  host = g_hash_table_lookup (journal->hosts, journal->term.host);
+  return host == NULL || host->address[0] == '\0' ? NULL : host->address;
 }
 
 /* --- Following --- */
@@ -500,8 +330,8 @@
   journal->table = jb_table_create ();
   journal->hosts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  journal->jobs.apply = apply_jobs_record;
-  journal->operators.apply = apply_operator_record;
+  journal->jobs.apply = jr_fold_jobs_record;
+  journal->operators.apply = jr_fold_operator_record;
   follower_init (&journal->jobs, journal, params->jobs_topic, JOBS_WAIT_MS);
   follower_init (&journal->operators, journal, params->operator_topic,
                  READ_WAIT_MS);
--- /dev/null
+++ b/programs/foxtailgap-hostd/journal_fold.c
@@ -0,0 +1,183 @@
+/* What the records of the topics do to the table of jobs, the term, the hosts
+   and the catalog.  */
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/logging.h"
+#include "journal_private.h"
+
+static const char PART[] = "journal";
+
+/* --- Jobs --- */
+
+static void
+apply_job (struct journal *journal, const char *id,
+           const struct so_record *record)
+{
+  struct jb_job *job = jb_table_find (journal->table, id);
+  struct jb_spec *spec = NULL;
+  int error;
+
+  if (record->value == NULL)
+    {
+      if (job == NULL)
+        return;
+      if (journal->observer.job_removed != NULL)
+        journal->observer.job_removed (journal->observer.ctx, job);
+      jb_table_remove (journal->table, id);
+      return;
+    }
+  if (job != NULL && job->spec != NULL)
+    return; /* handed in twice: the first one counts */
+  error = jb_decode_spec (&spec, record->value, record->size_bytes);
+  if (error != JB_OK)
+    {
+      lg_warning (PART, "A job's record cannot be read.", "job", id, "error",
+                  lg_number (error), NULL);
+      return;
+    }
+  job = jb_table_add (journal->table, id, spec, clk_monotonic_ms (NULL));
+  if (journal->observer.job_added != NULL)
+    journal->observer.job_added (journal->observer.ctx, job);
+}
+
+void
+jr_apply_stored (struct journal *journal, const struct so_record *record)
+{
+  if (record->key[0] == 'j')
+    apply_job (journal, record->key + 2, record);
+}
+
+static void
+apply_cancel (struct journal *journal, const char *id,
+              const struct so_record *record)
+{
+  struct jb_job *job = jb_table_find (journal->table, id);
+
+  if (job == NULL || record->value == NULL || job->cancelled
+      || jb_state_is_final (job->shown))
+    return;
+  job->cancelled = true;
+  job->shown = JB_CANCELLED;
+  job->final_ms = clk_monotonic_ms (NULL);
+  lg_info (PART, "A job is cancelled.", "job", id, NULL);
+  if (journal->observer.job_cancelled != NULL)
+    journal->observer.job_cancelled (journal->observer.ctx, job);
+}
+
+static void
+apply_progress (struct journal *journal, const char *id,
+                const struct so_record *record)
+{
+  struct jb_job *job = jb_table_find (journal->table, id);
+  uint64_t term = 0;
+
+  if (job == NULL || record->value == NULL)
+    return;
+  if (journal->own_term != 0 && journal->own_term == journal->term.term)
+    return; /* this host has written it */
+  if (jb_apply_progress (job, &term, record->value, record->size_bytes)
+      != JB_OK)
+    {
+      lg_warning (PART, "A progress record cannot be read.", "job", id, NULL);
+      return;
+    }
+  journal->planner_seen_ms = clk_monotonic_ms (NULL);
+  if (jb_state_is_final (job->shown) && job->final_ms == 0)
+    job->final_ms = journal->planner_seen_ms;
+}
+
+static void
+apply_term (struct journal *journal, const struct so_record *record)
+{
+  struct jb_term term = { 0 };
+
+  if (record->value == NULL
+      || jb_decode_term (&term, record->value, record->size_bytes) != JB_OK)
+    return;
+  if (term.term < journal->term.term)
+    return;
+  journal->planner_seen_ms = clk_monotonic_ms (NULL);
+  if (term.term != journal->term.term
+      || strcmp (term.host, journal->term.host) != 0)
+    lg_info (PART, "The planner's term.", "term",
+             lg_number ((long long)term.term), "host", term.host, NULL);
+  journal->term = term;
+  if (journal->observer.term_read != NULL)
+    journal->observer.term_read (journal->observer.ctx, &term);
+}
+
+static void
+apply_host (struct journal *journal, const char *name,
+            const struct so_record *record)
+{
+  struct jb_host *host;
+
+  if (record->value == NULL)
+    {
+      g_hash_table_remove (journal->hosts, name);
+      return;
+    }
+  host = g_new0 (struct jb_host, 1);
+  if (jb_decode_host (host, record->value, record->size_bytes) == JB_OK)
+    g_hash_table_insert (journal->hosts, g_strdup (name), host);
+  else
+    g_free (host);
+}
+
+void
+jr_fold_jobs_record (struct journal *journal, const struct so_record *record)
+{
+  const char *key = record->key;
+
+  if (key[0] == 't')
+    apply_term (journal, record);
+  else if (g_str_has_prefix (key, "h/"))
+    {
+      apply_host (journal, key + 2, record);
+      jr_writes_seen (journal, key);
+    }
+  else if (key[0] != '\0' && key[1] == '/' && jb_id_valid (key + 2))
+    {
+      if (key[0] == 'j')
+        apply_job (journal, key + 2, record);
+      else if (key[0] == 'c')
+        apply_cancel (journal, key + 2, record);
+      else if (key[0] == 'p')
+        apply_progress (journal, key + 2, record);
+      jr_writes_seen (journal, key);
+    }
+}
+
+/* --- The operator --- */
+
+void
+jr_fold_operator_record (struct journal *journal,
+                         const struct so_record *record)
+{
+  struct ct_catalog *catalog = NULL;
+
+  if (strcmp (record->key, journal->params.catalog_key) != 0
+      || record->value == NULL)
+    return;
+  if (journal->params.decode_catalog (&catalog, record->value,
+                                      record->size_bytes)
+      < 0)
+    {
+      lg_error (PART, "The configuration cannot be read.", NULL);
+      return;
+    }
+  if (journal->catalog != NULL && catalog->version < journal->catalog->version)
+    {
+      ct_free (catalog);
+      return;
+    }
+  lg_info (PART, "A configuration is in force.", "version",
+           lg_number (catalog->version), "queues",
+           lg_number ((long long)catalog->queue_count), NULL);
+  if (journal->observer.catalog_changed != NULL)
+    journal->observer.catalog_changed (journal->observer.ctx, catalog);
+  ct_free (journal->catalog);
+  journal->catalog = catalog;
+}
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -1,4 +1,5 @@
-/* Inside the journal: following in journal.c, writes in journal_write.c.  */
+/* Inside the journal: following in journal.c, what records do in
+   journal_fold.c, writes in journal_write.c.  */
 
 #ifndef FT_HOSTD_JOURNAL_PRIVATE_H
 #define FT_HOSTD_JOURNAL_PRIVATE_H
@@ -45,6 +46,15 @@
   GQueue waiters; /* struct jr_waiter, oldest first */
 };
 
+/* --- journal_fold.c --- */
+
+void jr_fold_jobs_record (struct journal *journal,
+                          const struct so_record *record);
+void jr_fold_operator_record (struct journal *journal,
+                              const struct so_record *record);
+
+/* --- journal_write.c --- */
+
 void jr_writes_init (struct journal *journal);
 void jr_writes_clear (struct journal *journal);
 
--- a/programs/foxtailgap-hostd/main.c
+++ b/programs/foxtailgap-hostd/main.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "common/clock.h"
@@ -30,6 +31,7 @@
   EXIT_NOT_STARTED = 1,
   EXIT_USAGE = 2,
   DRAIN_CHECK_MS = 50,
+  LOOK_INTERVAL_MS = 1000, /* at the settings file */
   /* Of each message; the busiest planner of the bench writes 350 ends a
      second, and a line takes about 10 us.  */
   LOG_LINES_PER_S = 200,
@@ -53,6 +55,8 @@
   ev_signal interrupted;
   ev_signal reload;
   ev_timer drain;
+  ev_timer look;
+  struct timespec settings_seen; /* time of the file when last looked at */
   int64_t drain_since_ms;
   bool closed;
 };
@@ -117,14 +121,11 @@
 
 /* Only what may change in a running process is taken over.  */
 static void
-on_reload (struct ev_loop *loop, ev_signal *watcher, int events)
+reload (struct process *process)
 {
-  struct process *process = watcher->data;
   struct hostd_settings *settings = NULL;
   struct env_messages messages = { 0 };
 
-  (void)loop;
-  (void)events;
   if (hostd_settings_load (&settings, process->settings_path, &messages)
       != ENV_OK)
     report (process->settings_path, &messages);
@@ -140,6 +141,33 @@
   hostd_settings_free (settings);
 }
 
+static void
+on_reload (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  reload (watcher->data);
+}
+
+/* The file may change without a signal.  */
+static void
+on_look (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct process *process = watcher->data;
+  struct stat file;
+  bool changed;
+
+  (void)loop;
+  (void)events;
+  if (stat (process->settings_path, &file) != 0)
+    return; /* the platform is replacing it */
+  changed = file.st_mtim.tv_sec != process->settings_seen.tv_sec
+            || file.st_mtim.tv_nsec != process->settings_seen.tv_nsec;
+  if (changed && process->settings_seen.tv_sec != 0)
+    reload (process);
+  process->settings_seen = file.st_mtim;
+}
+
 /* --- Start --- */
 
 static void
@@ -155,6 +183,9 @@
   ev_signal_start (process->loop, &process->terminated);
   ev_signal_start (process->loop, &process->interrupted);
   ev_signal_start (process->loop, &process->reload);
+  ev_timer_init (&process->look, on_look, 0.0, LOOK_INTERVAL_MS / 1000.0);
+  process->look.data = process;
+  ev_timer_start (process->loop, &process->look);
 }
 
 static bool
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -1,5 +1,4 @@
-/* The planner's rounds and records.  A start is sent only once it is stored,
-   an end is acknowledged only once its effects are.  */
+/* The planner's rounds, and what other tasks tell it.  */
 
 #include "planner.h"
 
@@ -10,7 +9,6 @@
 #include "planner_private.h"
 
 static const char PART[] = "planner";
-static const char WRITER[] = "planner";
 
 enum
 {
@@ -20,239 +18,15 @@
   ROUND_REST = 3,
   ROUND_DELAY_MAX_MS = 100,
   HEARTBEAT_MS = 200,
-  APPEND_TIMEOUT_MS = 900,
   APPEND_AGAIN_MS = 50,
   /* After a takeover rounds wait this long for the workers' first answers. */
   SETTLE_MS = 400,
-  /* A tick that comes this late shows that the process was paused.  */
   DROP_INTERVAL_MS = 1000,
   LOAD_INTERVAL_MS = 5000,
-  PAUSE_MS = 700,
-  BATCH_MAX_BYTES = 1024 * 1024 /* half of the platform's limit of a call */
-};
-
-struct pl_start
-{
-  struct jb_task *task;
-  uint32_t run;
-};
-
-struct pl_stored_job
-{
-  char id[JB_ID_DIGITS + 1];
-  enum jb_state state;
+  /* A tick that comes this late shows that the process was paused.  */
+  PAUSE_MS = 700
 };
 
-static void send_batch (struct planner *planner);
-
-/* --- Records --- */
-
-void
-pl_batch_free (struct pl_batch *batch)
-{
-  if (batch == NULL)
-    return;
-  g_ptr_array_free (batch->records, TRUE);
-  g_ptr_array_free (batch->jobs, TRUE);
-  g_array_free (batch->starts, TRUE);
-  if (batch->heard != NULL)
-    g_array_free (batch->heard, TRUE);
-  g_free (batch);
-}
-
-static void
-drop_batch (struct planner *planner)
-{
-  pl_batch_free (planner->sending);
-  planner->sending = NULL;
-}
-
-static void
-send_stored_starts (struct planner *planner, const struct pl_batch *batch)
-{
-  guint i;
-
-  for (i = 0; i < batch->starts->len; i++)
-    {
-      struct pl_start *start
-          = &g_array_index (batch->starts, struct pl_start, i);
-
-      if (start->task->state == JB_TASK_PLACED
-          && start->task->run == start->run)
-        wk_start (planner->workers, start->task);
-      else if (start->task->state == JB_TASK_STOPPING
-               && start->task->run == start->run)
-        start->task->settled_ms
-            = MIN (start->task->settled_ms, clk_monotonic_ms (NULL));
-    }
-}
-
-static void
-show_stored_jobs (struct planner *planner, const struct pl_batch *batch)
-{
-  struct jb_table *table = jr_table (planner->params.journal);
-  guint i;
-
-  for (i = 0; i < batch->jobs->len; i++)
-    {
-      const struct pl_stored_job *stored = g_ptr_array_index (batch->jobs, i);
-      struct jb_job *job = jb_table_find (table, stored->id);
-
-      if (job == NULL || job->shown == stored->state)
-        continue;
-      if (!job->cancelled || jb_state_is_final (stored->state))
-        job->shown = stored->state;
-      if (jb_state_is_final (job->shown) && job->final_ms == 0)
-        job->final_ms = clk_monotonic_ms (NULL);
-      lg_info (PART, "A job's state is stored.", "job", job->id, "state",
-               jb_state_name (stored->state), NULL);
-    }
-}
-
-static void
-batch_stored (struct planner *planner)
-{
-  struct pl_batch *batch = g_steal_pointer (&planner->sending);
-
-  planner->append_open = false;
-  planner->sequence++;
-  planner->written_ms = clk_monotonic_ms (NULL);
-  show_stored_jobs (planner, batch);
-  wk_mark_stored (planner->workers, g_steal_pointer (&batch->heard));
-  if (!batch->release)
-    send_stored_starts (planner, batch);
-  else
-    planner->role = PL_RELEASED;
-  pl_batch_free (batch);
-}
-
-static void
-on_appended (void *ctx, const struct so_append_answer *answer)
-{
-  struct planner *planner = ctx;
-
-  if (planner->role != PL_PLANNER || planner->sending == NULL)
-    {
-      drop_batch (planner);
-      planner->append_open = false;
-      return;
-    }
-  switch (answer->result)
-    {
-    case SO_DONE:
-      batch_stored (planner);
-      if (planner->role == PL_PLANNER)
-        pl_wake (planner);
-      return;
-    case SO_FENCED:
-    case SO_ORDER:
-      drop_batch (planner);
-      pl_term_lost (planner, so_result_name (answer->result));
-      return;
-    case SO_REFUSED:
-    case SO_UNKNOWN:
-    case SO_EXPIRED:
-    case SO_FORMAT:
-      /* The same sequence number: it is stored once at most.  The tick sends
-         it again.  */
-      lg_info (PART, "An append of the planner failed.", "result",
-               so_result_name (answer->result), NULL);
-      planner->written_ms = clk_monotonic_ms (NULL);
-      planner->append_open = false;
-      return;
-    }
-}
-
-static void
-send_batch (struct planner *planner)
-{
-  const struct so_port *store = &planner->params.store;
-  struct so_writer writer = { .name = WRITER,
-                              .epoch = planner->term,
-                              .sequence = planner->sequence };
-
-  planner->append_open = true;
-  store->append (store->ctx, planner->params.jobs_topic,
-                 planner->sending->records, &writer, APPEND_TIMEOUT_MS,
-                 on_appended, planner);
-}
-
-static void
-add_progress (struct planner *planner, struct pl_batch *batch,
-              struct jb_job *job)
-{
-  struct pl_stored_job *stored = g_new0 (struct pl_stored_job, 1);
-  GByteArray *bytes = jb_encode_progress (job, planner->term);
-  char key[JB_ID_DIGITS + 3];
-
-  g_snprintf (key, sizeof key, "p/%s", job->id);
-  g_ptr_array_add (batch->records,
-                   so_record_create (key, bytes->data, bytes->len));
-  g_strlcpy (stored->id, job->id, sizeof stored->id);
-  stored->state = job->state;
-  g_ptr_array_add (batch->jobs, stored);
-  g_byte_array_free (bytes, TRUE);
-}
-
-static void
-add_drops (struct planner *planner, struct pl_batch *batch)
-{
-  static const char kinds[] = "pcj"; /* the job itself last */
-  guint i;
-  size_t k;
-
-  for (i = 0; i < planner->drops->len; i++)
-    for (k = 0; k < sizeof kinds - 1; k++)
-      {
-        char *key = g_strdup_printf (
-            "%c/%s", kinds[k], (char *)g_ptr_array_index (planner->drops, i));
-
-        g_ptr_array_add (batch->records, so_record_create (key, NULL, 0));
-        g_free (key);
-      }
-  g_ptr_array_set_size (planner->drops, 0);
-}
-
-static bool
-nothing_heard (struct planner *planner)
-{
-  GArray *heard = wk_mark_heard (planner->workers);
-  bool nothing = heard->len == 0;
-
-  g_array_free (heard, TRUE);
-  return nothing;
-}
-
-void
-pl_flush (struct planner *planner, bool heartbeat, bool release)
-{
-  struct pl_batch *batch;
-  GPtrArray *changed;
-  guint i;
-
-  if (planner->sending != NULL)
-    return;
-  if (!heartbeat && !release && !sd_has_changed (planner->sched)
-      && planner->starts->len == 0 && nothing_heard (planner))
-    return;
-  batch = g_new0 (struct pl_batch, 1);
-  batch->records = so_records_create ();
-  batch->jobs = g_ptr_array_new_with_free_func (g_free);
-  batch->starts = planner->starts;
-  batch->heard = wk_mark_heard (planner->workers);
-  batch->release = release;
-  planner->starts = g_array_new (FALSE, FALSE, sizeof (struct pl_start));
-  changed = sd_take_changed (planner->sched);
-  for (i = 0; i < changed->len; i++)
-    add_progress (planner, batch, g_ptr_array_index (changed, i));
-  g_ptr_array_free (changed, TRUE);
-  add_drops (planner, batch);
-  if (batch->records->len == 0 || release)
-    g_ptr_array_add (batch->records, pl_term_record (planner, release));
-  planner->sending = batch;
-  send_batch (planner);
-}
-
 /* --- Rounds --- */
 
 static void
@@ -383,7 +157,7 @@
 {
   if (planner->sending != NULL && !planner->append_open
       && now_ms - planner->written_ms >= APPEND_AGAIN_MS)
-    send_batch (planner);
+    pl_send_batch (planner);
   pl_list_check (planner);
   wk_visit (planner->workers);
   tell_load (planner, now_ms);
@@ -422,7 +196,7 @@
   lg_info (PART, "This host is the planner.", "term",
            lg_number ((long long)planner->term), "after_ms",
            lg_number (now_ms - planner->claim_sent_ms), NULL);
-  drop_batch (planner);
+  pl_drop_batch (planner);
   g_array_set_size (planner->starts, 0);
   planner->append_open = false;
   planner->sequence = 1;
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -1,5 +1,5 @@
 /* Inside the planner: the term in planner_term.c, the list of workers in
-   planner_list.c, rounds and records in planner.c.  */
+   planner_list.c, records in planner_write.c, rounds in planner.c.  */
 
 #ifndef FT_HOSTD_PLANNER_PRIVATE_H
 #define FT_HOSTD_PLANNER_PRIVATE_H
@@ -15,6 +15,13 @@
   PL_RELEASED, /* shutting down */
 };
 
+/* A start that is to be sent once it is stored.  */
+struct pl_start
+{
+  struct jb_task *task;
+  uint32_t run;
+};
+
 /* One append of the planner, sent again until its outcome is known.  */
 struct pl_batch
 {
@@ -90,7 +97,16 @@
 
 void pl_begin (struct planner *planner);
 void pl_wake (struct planner *planner);
+
+/* --- planner_write.c --- */
+
 void pl_batch_free (struct pl_batch *batch);
+void pl_drop_batch (struct planner *planner);
+
+/*! pl_send_batch () :
+ *  Sends what is being written, maybe again. */
+void pl_send_batch (struct planner *planner);
+
 /*! pl_flush () :
  *  Writes what has changed, if nothing is being written. */
 void pl_flush (struct planner *planner, bool heartbeat, bool release);
--- /dev/null
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -0,0 +1,242 @@
+/* The planner's records.  A start is sent only once it is stored, an end is
+   acknowledged only once its effects are; an append is sent again with the
+   same sequence number until its outcome is known.  */
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/logging.h"
+#include "planner_private.h"
+
+static const char PART[] = "planner";
+static const char WRITER[] = "planner";
+
+enum
+{
+  APPEND_TIMEOUT_MS = 900,
+  BATCH_MAX_BYTES = 1024 * 1024 /* half of the platform's limit of a call */
+};
+
+struct pl_stored_job
+{
+  char id[JB_ID_DIGITS + 1];
+  enum jb_state state;
+};
+
+void
+pl_batch_free (struct pl_batch *batch)
+{
+  if (batch == NULL)
+    return;
+  g_ptr_array_free (batch->records, TRUE);
+  g_ptr_array_free (batch->jobs, TRUE);
+  g_array_free (batch->starts, TRUE);
+  if (batch->heard != NULL)
+    g_array_free (batch->heard, TRUE);
+  g_free (batch);
+}
+
+void
+pl_drop_batch (struct planner *planner)
+{
+  pl_batch_free (planner->sending);
+  planner->sending = NULL;
+}
+
+static void
+send_stored_starts (struct planner *planner, const struct pl_batch *batch)
+{
+  guint i;
+
+  for (i = 0; i < batch->starts->len; i++)
+    {
+      struct pl_start *start
+          = &g_array_index (batch->starts, struct pl_start, i);
+
+      if (start->task->state == JB_TASK_PLACED
+          && start->task->run == start->run)
+        wk_start (planner->workers, start->task);
+      else if (start->task->state == JB_TASK_STOPPING
+               && start->task->run == start->run)
+        start->task->settled_ms
+            = MIN (start->task->settled_ms, clk_monotonic_ms (NULL));
+    }
+}
+
+static void
+show_stored_jobs (struct planner *planner, const struct pl_batch *batch)
+{
+  struct jb_table *table = jr_table (planner->params.journal);
+  guint i;
+
+  for (i = 0; i < batch->jobs->len; i++)
+    {
+      const struct pl_stored_job *stored = g_ptr_array_index (batch->jobs, i);
+      struct jb_job *job = jb_table_find (table, stored->id);
+
+      if (job == NULL || job->shown == stored->state)
+        continue;
+      if (!job->cancelled || jb_state_is_final (stored->state))
+        job->shown = stored->state;
+      if (jb_state_is_final (job->shown) && job->final_ms == 0)
+        job->final_ms = clk_monotonic_ms (NULL);
+      lg_info (PART, "A job's state is stored.", "job", job->id, "state",
+               jb_state_name (stored->state), NULL);
+    }
+}
+
+static void
+batch_stored (struct planner *planner)
+{
+  struct pl_batch *batch = g_steal_pointer (&planner->sending);
+
+  planner->append_open = false;
+  planner->sequence++;
+  planner->written_ms = clk_monotonic_ms (NULL);
+  show_stored_jobs (planner, batch);
+  wk_mark_stored (planner->workers, g_steal_pointer (&batch->heard));
+  if (!batch->release)
+    send_stored_starts (planner, batch);
+  else
+    planner->role = PL_RELEASED;
+  pl_batch_free (batch);
+}
+
+static void
+on_appended (void *ctx, const struct so_append_answer *answer)
+{
+  struct planner *planner = ctx;
+
+  if (planner->role != PL_PLANNER || planner->sending == NULL)
+    {
+      pl_drop_batch (planner);
+      planner->append_open = false;
+      return;
+    }
+  switch (answer->result)
+    {
+    case SO_DONE:
+      batch_stored (planner);
+      if (planner->role == PL_PLANNER)
+        pl_wake (planner);
+      return;
+    case SO_FENCED:
+    case SO_ORDER:
+      pl_drop_batch (planner);
+      pl_term_lost (planner, so_result_name (answer->result));
+      return;
+    case SO_REFUSED:
+    case SO_UNKNOWN:
+    case SO_EXPIRED:
+    case SO_FORMAT:
+      /* The same sequence number: it is stored once at most.  The tick sends
+         it again.  */
+      lg_info (PART, "An append of the planner failed.", "result",
+               so_result_name (answer->result), NULL);
+      planner->written_ms = clk_monotonic_ms (NULL);
+      planner->append_open = false;
+      return;
+    }
+}
+
+void
+pl_send_batch (struct planner *planner)
+{
+  const struct so_port *store = &planner->params.store;
+  struct so_writer writer = { .name = WRITER,
+                              .epoch = planner->term,
+                              .sequence = planner->sequence };
+
+  planner->append_open = true;
+  store->append (store->ctx, planner->params.jobs_topic,
+                 planner->sending->records, &writer, APPEND_TIMEOUT_MS,
+                 on_appended, planner);
+}
+
+/* @return : bytes added.  */
+static size_t
+add_progress (struct planner *planner, struct pl_batch *batch,
+              struct jb_job *job)
+{
+  struct pl_stored_job *stored = g_new0 (struct pl_stored_job, 1);
+  GByteArray *bytes = jb_encode_progress (job, planner->term);
+  char key[JB_ID_DIGITS + 3];
+  size_t size_bytes;
+
+  g_snprintf (key, sizeof key, "p/%s", job->id);
+  g_ptr_array_add (batch->records,
+                   so_record_create (key, bytes->data, bytes->len));
+  g_strlcpy (stored->id, job->id, sizeof stored->id);
+  stored->state = job->state;
+  g_ptr_array_add (batch->jobs, stored);
+  size_bytes = bytes->len;
+  g_byte_array_free (bytes, TRUE);
+  return size_bytes;
+}
+
+static void
+add_drops (struct planner *planner, struct pl_batch *batch)
+{
+  static const char kinds[] = "pcj"; /* the job itself last */
+  guint i;
+  size_t k;
+
+  for (i = 0; i < planner->drops->len; i++)
+    for (k = 0; k < sizeof kinds - 1; k++)
+      {
+        char *key = g_strdup_printf (
+            "%c/%s", kinds[k], (char *)g_ptr_array_index (planner->drops, i));
+
+        g_ptr_array_add (batch->records, so_record_create (key, NULL, 0));
+        g_free (key);
+      }
+  g_ptr_array_set_size (planner->drops, 0);
+}
+
+static bool
+nothing_heard (struct planner *planner)
+{
+  GArray *heard = wk_mark_heard (planner->workers);
+  bool nothing = heard->len == 0;
+
+  g_array_free (heard, TRUE);
+  return nothing;
+}
+
+void
+pl_flush (struct planner *planner, bool heartbeat, bool release)
+{
+  struct pl_batch *batch;
+  GPtrArray *changed;
+  size_t size_bytes = 0;
+  guint i;
+
+  if (planner->sending != NULL)
+    return;
+  if (!heartbeat && !release && !sd_has_changed (planner->sched)
+      && planner->starts->len == 0 && nothing_heard (planner))
+    return;
+  batch = g_new0 (struct pl_batch, 1);
+  batch->records = so_records_create ();
+  batch->jobs = g_ptr_array_new_with_free_func (g_free);
+  batch->starts = planner->starts;
+  batch->heard = wk_mark_heard (planner->workers);
+  batch->release = release;
+  planner->starts = g_array_new (FALSE, FALSE, sizeof (struct pl_start));
+  changed = sd_take_changed (planner->sched);
+  for (i = 0; i < changed->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (changed, i);
+
+      if (size_bytes < BATCH_MAX_BYTES)
+        size_bytes += add_progress (planner, batch, job);
+      else
+        sd_job_changed (planner->sched, job); /* for the next batch */
+    }
+  g_ptr_array_free (changed, TRUE);
+  add_drops (planner, batch);
+  if (batch->records->len == 0 || release)
+    g_ptr_array_add (batch->records, pl_term_record (planner, release));
+  planner->sending = batch;
+  pl_send_batch (planner);
+}
--- /dev/null
+++ b/tests/scripts/hostd-settings.t
@@ -0,0 +1,19 @@
+Settings of foxtailgap-hostd are checked before it starts.
+
+  $ HOSTD="$BUILD/bin/foxtailgap-hostd"
+  $ "$HOSTD" --settings "$ROOT/examples/settings/foxtailgap-hostd.yaml" --check
+  $ sed 's/^stop_ms.*/stop_ms: 0/; s/^store.*/store: nowhere/; s/^cpu_share.*/cpu_share: -1/' \
+  >   "$ROOT/examples/settings/foxtailgap-hostd.yaml" > wrong.yaml
+  $ "$HOSTD" --settings wrong.yaml --check | sed 's/^time=[^ ]* //'
+  level=error part=daemon msg="The settings are not valid." file=wrong.yaml line=7 reason="store: must be IP:PORT, not 'nowhere'"
+  level=error part=daemon msg="The settings are not valid." file=wrong.yaml line=10 reason="stop_ms: must be from 1 to 60000, not 0"
+  level=error part=daemon msg="The settings are not valid." file=wrong.yaml line=12 reason="cpu_share: must be above 0"
+  $ "$HOSTD" --settings wrong.yaml --check > /dev/null; echo $?
+  2
+  $ "$HOSTD" --settings none.yaml --check | grep -c 'file=none.yaml line=0 .*No such file'
+  1
+  $ "$HOSTD"
+  foxtailgap-hostd: the option --settings is needed
+  [2]
+  $ "$HOSTD" --version
+  foxtailgap-hostd 0.1.0
