--- a/tests/unit/hostd_fixture.h
+++ b/tests/unit/hostd_fixture.h
@@ -219,6 +219,18 @@
   g_array_free (none, TRUE);
 }
 
+/* Ends all calls that are open, as their port would.  */
+static inline void
+fake_end (struct fake_port *port)
+{
+  struct wp_answer silent = { .result = WP_SILENT, .clock_ms = -1 };
+  size_t i;
+
+  for (i = 0; i < port->count && i < FAKE_CALLS_MAX; i++)
+    if (port->calls[i].open)
+      fake_answer (&port->calls[i], &silent);
+}
+
 static inline struct wp_port
 fake_wp_port (struct fake_port *port)
 {
--- a/tests/unit/test_hostd_journal.c
+++ b/tests/unit/test_hostd_journal.c
@@ -9,11 +9,16 @@
 
 static const char JOB[] = "00000000000000aa";
 
+enum
+{
+  APPENDS_MAX = 32
+};
+
 /* A store port whose calls are kept until the test answers them.  */
 struct fake_store
 {
-  so_append_callback appended;
-  void *append_ctx;
+  so_append_callback appended[APPENDS_MAX]; /* NULL: answered */
+  void *append_ctx[APPENDS_MAX];
   uint32_t append_count;
   uint32_t append_records;
   so_read_callback jobs_read;
@@ -32,8 +37,8 @@
   (void)topic;
   (void)writer;
   (void)timeout_ms;
-  store->appended = callback;
-  store->append_ctx = callback_ctx;
+  store->appended[store->append_count] = callback;
+  store->append_ctx[store->append_count] = callback_ctx;
   store->append_count++;
   store->append_records += records->len;
 }
@@ -149,9 +154,27 @@
   run_for_ms (setup, 20);
 }
 
+/* Leaves no append open; done, so that none is sent again.  */
+static void
+end_appends (struct setup *setup)
+{
+  struct so_append_answer answer = { .result = SO_DONE };
+  uint32_t i;
+
+  for (i = 0; i < setup->store.append_count; i++)
+    if (setup->store.appended[i] != NULL)
+      {
+        so_append_callback callback = setup->store.appended[i];
+
+        setup->store.appended[i] = NULL;
+        callback (setup->store.append_ctx[i], &answer);
+      }
+}
+
 static void
 finish (struct setup *setup)
 {
+  end_appends (setup);
   jr_free (setup->journal);
   mt_free (setup->metrics);
   g_ptr_array_free (setup->records, TRUE);
@@ -241,17 +264,21 @@
   jb_spec_free (spec);
 }
 
+/* Answers the append that was sent last.  */
 static void
 answer_append (struct setup *setup, enum so_result result)
 {
   struct so_append_answer answer = { .result = result };
-  so_append_callback callback = setup->store.appended;
+  uint32_t last = setup->store.append_count;
+  so_append_callback callback = NULL;
 
+  while (last > 0 && callback == NULL)
+    callback = setup->store.appended[--last];
   CU_ASSERT_PTR_NOT_NULL_FATAL (callback);
   if (callback == NULL)
     return;
-  setup->store.appended = NULL;
-  callback (setup->store.append_ctx, &answer);
+  setup->store.appended[last] = NULL;
+  callback (setup->store.append_ctx[last], &answer);
 }
 
 static void
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -66,6 +66,8 @@
 static void
 finish (struct setup *setup)
 {
+  wk_end_term (setup->workers);
+  fake_end (&setup->port);
   wk_free (setup->workers);
   sd_free (setup->sched);
   jb_table_free (setup->table);
