A term begins with all of the state: newest records of the term are applied last, later ones from the tail

Found by reading: a claim without an answer that turns up among the newest records was applied before the jobs' progress, and the term would have begun with tasks taken for waiting that run.

--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -199,11 +199,12 @@
     journal->observer.read_done (journal->observer.ctx);
 }
 
-/* Jobs before what refers to them.  */
+/* Jobs before what refers to them, and the term last: who finds its own claim
+   there begins with all that came before it.  */
 static int
 compare_pages (const void *a, const void *b)
 {
-  static const char order[] = "thjcp";
+  static const char order[] = "hjcpt";
   const struct so_record *left = *(struct so_record *const *)a;
   const struct so_record *right = *(struct so_record *const *)b;
   const char *left_rank = strchr (order, left->key[0]);
@@ -221,8 +222,13 @@
 
   g_ptr_array_sort (follower->pages, compare_pages);
   for (i = 0; i < follower->pages->len; i++)
-    follower->apply (follower->journal,
-                     g_ptr_array_index (follower->pages, i));
+    {
+      const struct so_record *record = g_ptr_array_index (follower->pages, i);
+
+      /* What came while the pages were read is read again in order.  */
+      if (record->offset < follower->first_end)
+        follower->apply (follower->journal, record);
+    }
   g_ptr_array_set_size (follower->pages, 0);
   follower->next = follower->first_end;
   follower->loaded = true;
--- a/tests/unit/test_hostd_journal.c
+++ b/tests/unit/test_hostd_journal.c
@@ -88,7 +88,8 @@
   GPtrArray *records;
   int outcomes;
   enum jr_outcome outcome;
-  int fresh; /* -1: not told */
+  int fresh;         /* -1: not told */
+  int state_at_term; /* of the job when the term was read */
 };
 
 static int
@@ -372,6 +373,60 @@
   finish (&setup);
 }
 
+static void
+on_term (void *ctx, const struct jb_term *term)
+{
+  struct setup *setup = ctx;
+  struct jb_job *job = jb_table_find (jr_table (setup->journal), JOB);
+
+  (void)term;
+  setup->state_at_term = job == NULL ? -1 : (int)job->state;
+}
+
+static void
+add_bytes (struct setup *setup, const char *key, GByteArray *bytes)
+{
+  g_ptr_array_add (setup->records,
+                   so_record_create (key, bytes->data, bytes->len));
+  g_byte_array_free (bytes, TRUE);
+}
+
+/* A host whose claim turns up among the newest records begins its term with
+   what they say: the term is applied last.  */
+static void
+test_term_comes_after_the_state (void)
+{
+  struct setup setup;
+  struct jr_observer observer = { .ctx = &setup, .term_read = on_term };
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct jb_table *table = jb_table_create ();
+  struct jb_term term = { .term = 4, .host = "h", .nonce = 9 };
+  struct so_read_answer expired = { .result = SO_EXPIRED };
+  struct jb_job *job
+      = jb_table_add (table, JOB, fixture_spec ("batch", "clinic", &step), 0);
+  so_read_callback callback;
+
+  begin (&setup);
+  setup.state_at_term = -2;
+  jr_observe (setup.journal, &observer);
+  callback = setup.store.jobs_read;
+  setup.store.jobs_read = NULL;
+  if (callback != NULL)
+    {
+      expired.records = setup.records;
+      callback (setup.store.jobs_ctx, &expired);
+    }
+  run_for_ms (&setup, 30);
+  job->state = JB_RUNNING;
+  add_bytes (&setup, "t", jb_encode_term (&term));
+  add_bytes (&setup, "p/00000000000000aa", jb_encode_progress (job, 3));
+  add_job (&setup, JOB);
+  answer_jobs (&setup, true); /* the newest */
+  CU_ASSERT_EQUAL (setup.state_at_term, JB_RUNNING);
+  jb_table_free (table);
+  finish (&setup);
+}
+
 int
 main (void)
 {
@@ -386,6 +441,7 @@
     { "a write is stored once its record is read",
       test_write_is_stored_once_its_record_is_read },
     { "the store away is told at once", test_store_away_is_told_at_once },
+    { "the term comes after the state", test_term_comes_after_the_state },
     { "writes share an append", test_writes_share_an_append },
   };
 
