--- a/tests/unit/test_hostd_journal.c
+++ b/tests/unit/test_hostd_journal.c
@@ -117,8 +117,9 @@
 static void
 answer_jobs (struct setup *setup, bool at_end)
 {
-  struct so_read_answer answer
-      = { .result = SO_DONE, .records = setup->records, .at_end = at_end };
+  struct so_read_answer answer = {
+    .result = SO_DONE, .records = setup->records, .next = 100, .at_end = at_end
+  };
   so_read_callback callback = setup->store.jobs_read;
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (callback);
