--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -172,6 +172,13 @@
   pl_wake (planner);
 }
 
+bool
+pl_was_paused (const struct planner *planner, int64_t since_ms)
+{
+  return planner->paused_ms > since_ms
+         || clk_monotonic_ms (NULL) - planner->woke_ms > PAUSE_MS;
+}
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -181,8 +188,11 @@
   (void)loop;
   (void)events;
   if (now_ms - planner->woke_ms > PAUSE_MS)
-    lg_warning (PART, "The process was paused.", "for_ms",
-                lg_number (now_ms - planner->woke_ms), NULL);
+    {
+      lg_warning (PART, "The process was paused.", "for_ms",
+                  lg_number (now_ms - planner->woke_ms), NULL);
+      planner->paused_ms = now_ms;
+    }
   planner->woke_ms = now_ms;
   if (planner->role == PL_PLANNER)
     tick_as_planner (planner, now_ms);
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -30,6 +30,7 @@
   GArray *starts;     /* struct pl_start */
   GArray *heard;      /* of wk_mark_heard () */
   bool release;
+  int64_t sent_ms;
 };
 
 struct planner
@@ -64,7 +65,8 @@
   /* rounds */
   ev_timer tick;
   ev_timer round;
-  int64_t woke_ms;
+  int64_t woke_ms;   /* of the last tick */
+  int64_t paused_ms; /* end of the last pause of the process */
   /* load of this host as the planner, told now and then */
   int64_t load_told_ms;
   int64_t load_cpu_us;
@@ -103,6 +105,10 @@
 void pl_batch_free (struct pl_batch *batch);
 void pl_drop_batch (struct planner *planner);
 
+/*! pl_was_paused () :
+ *  @return : whether the process has been paused since a moment. */
+bool pl_was_paused (const struct planner *planner, int64_t since_ms);
+
 /*! pl_send_batch () :
  *  Sends what is being written, maybe again. */
 void pl_send_batch (struct planner *planner);
--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -95,8 +95,13 @@
   planner->written_ms = clk_monotonic_ms (NULL);
   show_stored_jobs (planner, batch);
   wk_mark_stored (planner->workers, g_steal_pointer (&batch->heard));
-  if (!batch->release)
+  if (!batch->release && !pl_was_paused (planner, batch->sent_ms))
     send_stored_starts (planner, batch);
+  else if (!batch->release)
+    /* The answer may be older than a pause: that the term still holds is
+       known once one more record is stored.  */
+    g_array_append_vals (planner->starts, batch->starts->data,
+                         batch->starts->len);
   else
     planner->role = PL_RELEASED;
   pl_batch_free (batch);
@@ -148,6 +153,7 @@
                               .sequence = planner->sequence };
 
   planner->append_open = true;
+  planner->sending->sent_ms = clk_monotonic_ms (NULL);
   store->append (store->ctx, planner->params.jobs_topic,
                  planner->sending->records, &writer, APPEND_TIMEOUT_MS,
                  on_appended, planner);
