Unused parts removed; claims of room last as long as a stop takes

Found by reading: room was kept for 350 ms whatever stop_ms says (900 ms on the grown bofl site), so that more work was stopped than needed there; far_factor and stop_ms had no effect in the core.

--- a/lib/sched/health.c
+++ b/lib/sched/health.c
@@ -45,9 +45,12 @@
 }
 
 bool
-sd_health_stalled (const struct jb_task *task, int64_t now_ms)
+sd_health_stalled (const struct sd_sched *sched, const struct jb_task *task,
+                   int64_t now_ms)
 {
-  int64_t limit_ms = task->percent == 0 ? SD_STALL_FIRST_MS : SD_STALL_MS;
+  int64_t limit_ms = task->percent == 0
+                         ? SD_STALL_FIRST_MS
+                         : (int64_t)SD_STALL_MS * sched->params.far_factor;
 
   return task->progress_ms > 0 && task->percent < 99
          && now_ms - task->progress_ms > limit_ms;
--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -10,9 +10,9 @@
 {
   ACCELERATOR_AS_CORES = 8, /* the platform's price of lost work */
   VICTIMS_MAX = 32,         /* tasks stopped on one worker for one task */
-  /* A stop takes 200 ms and is listed soon after; a plan that cannot be made
-     is tried again after as long.  */
-  CLAIM_MS = 350
+  /* From the end of a stop to its listing, and to the next round.  A plan that
+     cannot be made is tried again after as long as a stop and this.  */
+  CLAIM_LISTED_MS = 150
 };
 
 /* One way to make room: on which workers, and whom it stops.  */
@@ -410,7 +410,7 @@
     }
   plan = find_plan (sched, unit, now_ms);
   claim = g_new0 (struct sd_claim, 1);
-  claim->until_ms = now_ms + CLAIM_MS;
+  claim->until_ms = now_ms + sched->params.stop_ms + CLAIM_LISTED_MS;
   claim->workers = g_ptr_array_new ();
   g_hash_table_insert (sched->claims, unit->step, claim);
   if (plan == NULL)
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -13,9 +13,9 @@
   /* How long a worker that fails all is left alone before one more try:
      about two heartbeats of the platform.  */
   SD_AVOID_MS = 6000,
-  /* A task of 11 s that runs three times as long, for it is away from its
-     rack, makes a percent in 0.33 s; looks come each 1.9 s.  */
-  SD_STALL_MS = 1500,
+  /* A percent of a task of 11 s takes 0.11 s; times the slow-down of work away
+     from its rack; looks come each 1.9 s.  */
+  SD_STALL_MS = 500,
   /* Until all of a gang are there, and a checkpoint is restored, the work
      does not begin.  */
   SD_STALL_FIRST_MS = 3500,
@@ -84,7 +84,8 @@
 
 /*! sd_health_stalled () :
  *  @return : whether a task has stood still for too long. */
-bool sd_health_stalled (const struct jb_task *task, int64_t now_ms);
+bool sd_health_stalled (const struct sd_sched *sched,
+                        const struct jb_task *task, int64_t now_ms);
 
 /*! sd_health_avoided () :
  *  @return : whether nothing should be placed on the worker now. */
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -111,7 +111,6 @@
   worker->report = *report;
   memset (report, 0, sizeof *report);
   worker->tasks = g_ptr_array_new ();
-  worker->slowness = 1.0;
   worker->index = sched->workers->len;
   g_ptr_array_add (sched->workers, worker);
   g_hash_table_insert (sched->workers_by_id, worker->report.id, worker);
@@ -324,7 +323,7 @@
       return;
     }
   if (task->state != JB_TASK_PLACED || task->step->spec->lasting
-      || !sd_health_stalled (task, now_ms))
+      || !sd_health_stalled (sched, task, now_ms))
     return;
   if (worker != NULL)
     sd_health_suspect (worker, now_ms);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -50,7 +50,6 @@
   uint32_t refusal_streak;
   int64_t last_done_ms;
   int64_t avoid_until_ms;
-  double slowness; /* its run times over what was expected; 1: as expected */
   /* of a round */
   struct jb_room round_free;
   size_t index;
--- a/programs/foxtailgap-hostd/front_jobs.c
+++ b/programs/foxtailgap-hostd/front_jobs.c
@@ -26,7 +26,6 @@
 {
   struct front *front;
   struct hs_request *request; /* NULL: the caller has left */
-  uint64_t ticket;
   char id[JB_ID_DIGITS + 1];
   const char *what; /* "submit" or "cancel" */
   int64_t since_ms;
@@ -151,7 +150,7 @@
   spec->accepted_unix_ms = clk_unix_ms ();
   pending = wait_for_write (front, request, id, "submit");
   jr_submit (front->params.journal, id, spec, time_left_ms (front, request),
-             on_stored, pending, &pending->ticket);
+             on_stored, pending);
 
 done:
   jb_spec_free (spec);
@@ -200,8 +199,7 @@
       return;
     }
   pending = wait_for_write (front, request, id, "cancel");
-  jr_cancel (journal, id, time_left_ms (front, request), on_stored, pending,
-             &pending->ticket);
+  jr_cancel (journal, id, time_left_ms (front, request), on_stored, pending);
 }
 
 void
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -139,20 +139,15 @@
 
 /*! jr_submit () :
  *  Has a job stored, or tells at once that the store is away; SPEC is the
- * caller's and is copied.
- *  @ticket : set to a handle for jr_abandon (). */
+ * caller's and is copied. */
 void jr_submit (struct journal *journal, const char *id,
                 const struct jb_spec *spec, uint32_t timeout_ms,
-                jr_stored_callback callback, void *ctx, uint64_t *ticket);
+                jr_stored_callback callback, void *ctx);
 
 /*! jr_cancel () :
  *  Has the cancelling of a job stored. */
 void jr_cancel (struct journal *journal, const char *id, uint32_t timeout_ms,
-                jr_stored_callback callback, void *ctx, uint64_t *ticket);
-
-/*! jr_abandon () :
- *  The callback is not called any more. */
-void jr_abandon (struct journal *journal, uint64_t ticket);
+                jr_stored_callback callback, void *ctx);
 
 /*! jr_open_writes () :
  *  @return : writes of callers that have no outcome yet. */
--- a/programs/foxtailgap-hostd/journal_write.c
+++ b/programs/foxtailgap-hostd/journal_write.c
@@ -259,7 +259,7 @@
 static void
 add_write (struct journal *journal, char kind, const char *id,
            GByteArray *value, uint32_t timeout_ms, jr_stored_callback callback,
-           void *ctx, uint64_t *ticket)
+           void *ctx)
 {
   struct jr_write *write = g_new0 (struct jr_write, 1);
   char *key = g_strdup_printf ("%c/%s", kind, id);
@@ -272,7 +272,6 @@
   write->callback = callback;
   write->ctx = ctx;
   write->link.data = write;
-  *ticket = write->ticket;
   g_queue_push_tail_link (&journal->writes, &write->link);
   g_byte_array_free (value, TRUE);
   if (callback != NULL && jr_store_away_ms (journal) > 0)
@@ -285,38 +284,23 @@
 jr_write (struct journal *journal, char kind, const char *name,
           GByteArray *value, uint32_t timeout_ms)
 {
-  uint64_t ticket;
-
-  add_write (journal, kind, name, value, timeout_ms, NULL, NULL, &ticket);
+  add_write (journal, kind, name, value, timeout_ms, NULL, NULL);
 }
 
 void
 jr_submit (struct journal *journal, const char *id, const struct jb_spec *spec,
-           uint32_t timeout_ms, jr_stored_callback callback, void *ctx,
-           uint64_t *ticket)
+           uint32_t timeout_ms, jr_stored_callback callback, void *ctx)
 {
   add_write (journal, 'j', id, jb_encode_spec (spec), timeout_ms, callback,
-             ctx, ticket);
+             ctx);
 }
 
 void
 jr_cancel (struct journal *journal, const char *id, uint32_t timeout_ms,
-           jr_stored_callback callback, void *ctx, uint64_t *ticket)
+           jr_stored_callback callback, void *ctx)
 {
   add_write (journal, 'c', id, jb_encode_cancel (clk_unix_ms ()), timeout_ms,
-             callback, ctx, ticket);
-}
-
-void
-jr_abandon (struct journal *journal, uint64_t ticket)
-{
-  struct jr_write *write = find_write (journal, ticket);
-
-  if (write == NULL)
-    return;
-  write->callback = NULL;
-  if (!write->in_flight)
-    end_write (journal, write, JR_UNKNOWN);
+             callback, ctx);
 }
 
 void
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -376,9 +376,3 @@
 {
   return planner->role == PL_RELEASED;
 }
-
-bool
-pl_is_planner (const struct planner *planner)
-{
-  return planner->role == PL_PLANNER;
-}
--- a/programs/foxtailgap-hostd/planner.h
+++ b/programs/foxtailgap-hostd/planner.h
@@ -42,8 +42,4 @@
  *  @return : whether nothing is left to hand over. */
 bool pl_released (const struct planner *planner);
 
-/*! pl_is_planner () :
- *  @return : whether this host holds the term, as far as it knows. */
-bool pl_is_planner (const struct planner *planner);
-
 #endif
--- a/tests/unit/test_hostd_journal.c
+++ b/tests/unit/test_hostd_journal.c
@@ -259,10 +259,8 @@
 {
   struct fixture_step step = { .count = 1, .accelerators = 1 };
   struct jb_spec *spec = fixture_spec ("batch", "clinic", &step);
-  uint64_t ticket;
 
-  jr_submit (setup->journal, JOB, spec, timeout_ms, on_outcome, setup,
-             &ticket);
+  jr_submit (setup->journal, JOB, spec, timeout_ms, on_outcome, setup);
   jb_spec_free (spec);
 }
 
@@ -357,7 +355,6 @@
 test_writes_share_an_append (void)
 {
   struct setup setup;
-  uint64_t ticket;
   char id[JB_ID_DIGITS + 1];
   int i;
 
@@ -365,7 +362,7 @@
   for (i = 0; i < 10; i++)
     {
       g_snprintf (id, sizeof id, "%016x", i);
-      jr_cancel (setup.journal, id, 2000, on_outcome, &setup, &ticket);
+      jr_cancel (setup.journal, id, 2000, on_outcome, &setup);
     }
   CU_ASSERT_EQUAL (setup.store.append_count, 3); /* three may be open */
   answer_append (&setup, SO_DONE);
