--- a/tests/unit/test_hostd_retry.c
+++ b/tests/unit/test_hostd_retry.c
@@ -16,15 +16,17 @@
 outlasts (uint32_t priority, int64_t first_ms, uint32_t fixed_s)
 {
   int64_t now_ms = first_ms;
+  uint32_t wait_s;
   int i;
 
   for (i = 0; i < TRIES; i++)
     {
       if (now_ms >= OUTAGE_MS)
         return true;
-      now_ms += 1000
-                * (fixed_s > 0 ? fixed_s
-                               : rt_after_s (now_ms, priority, (uint32_t)i));
+      wait_s = fixed_s;
+      if (fixed_s == 0)
+        wait_s = rt_after_s (now_ms, priority, (uint32_t)i);
+      now_ms += wait_s * (int64_t)1000;
     }
   return false;
 }
--- a/tests/unit/test_hostd_sched.c
+++ b/tests/unit/test_hostd_sched.c
@@ -553,9 +553,9 @@
     }
   for (i = 0; i < RANDOM_STEPS; i++)
     {
-      random_event (&setup, chance, i * 20, i);
+      random_event (&setup, chance, (int64_t)i * 20, i);
       if (i % 3 == 0)
-        fixture_round (setup.sched, i * 20);
+        fixture_round (setup.sched, (int64_t)i * 20);
       if (i % 50 == 0)
         check_invariants (&setup);
     }
