--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -24,8 +24,8 @@
                                  label));
 }
 
-static bool
-suits (const struct sd_worker *worker, const struct sd_unit *unit)
+bool
+sd_suits (const struct sd_worker *worker, const struct sd_unit *unit)
 {
   return worker->listed && !worker->report.draining
          && g_strcmp0 (worker->report.service, unit->service) == 0
@@ -36,7 +36,7 @@
 may_take (const struct sd_worker *worker, const struct sd_unit *unit,
           int64_t now_ms)
 {
-  return suits (worker, unit) && worker->contact == SD_CONTACT_GOOD
+  return sd_suits (worker, unit) && worker->contact == SD_CONTACT_GOOD
          && worker->room_shut_until_ms <= now_ms
          && !sd_health_avoided (worker, now_ms);
 }
@@ -220,7 +220,7 @@
                                                           : (char *)"";
       uint32_t copies;
 
-      if (!suits (worker, unit))
+      if (!sd_suits (worker, unit))
         continue;
       copies = sd_room_copies (&unit->step->spec->room, &worker->report.room,
                                unit->waiting);
--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -205,20 +205,9 @@
 usable (const struct sd_worker *worker, const struct sd_unit *unit,
         const char *rack, int64_t now_ms)
 {
-  const char *label = unit->step->spec->label;
-
-  if (!worker->listed || worker->report.draining
-      || worker->contact != SD_CONTACT_GOOD
-      || sd_health_avoided (worker, now_ms))
-    return false;
-  if (g_strcmp0 (worker->report.service, unit->service) != 0)
-    return false;
-  if (label != NULL
-      && (worker->report.labels == NULL
-          || !g_strv_contains ((const char *const *)worker->report.labels,
-                               label)))
-    return false;
-  return rack == NULL || g_strcmp0 (worker->report.rack, rack) == 0;
+  return sd_suits (worker, unit) && worker->contact == SD_CONTACT_GOOD
+         && !sd_health_avoided (worker, now_ms)
+         && (rack == NULL || g_strcmp0 (worker->report.rack, rack) == 0);
 }
 
 static uint32_t
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -120,6 +120,11 @@
   GPtrArray *workers; /* struct sd_worker */
 };
 
+/*! sd_suits () :
+ *  @return : whether the unit's tasks may run on the worker at all: it is
+ *            listed, stays, and has the service and the label. */
+bool sd_suits (const struct sd_worker *worker, const struct sd_unit *unit);
+
 /*! sd_choose () :
  *  Chooses workers for the waiting tasks of UNIT by their round_free; of a
  *  gang for all or none.
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -124,7 +124,6 @@
 pause_ms (const struct follower *follower)
 {
   const struct journal *journal = follower->journal;
-
   int64_t took_ms = clk_monotonic_ms (NULL) - follower->sent_ms;
   int64_t pause_ms;
 
@@ -335,7 +334,7 @@
   journal->answered_ms = clk_monotonic_ms (NULL);
   journal->table = jb_table_create ();
   journal->hosts
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   journal->jobs.apply = jr_fold_jobs_record;
   journal->operators.apply = jr_fold_operator_record;
   follower_init (&journal->jobs, journal, params->jobs_topic, JOBS_WAIT_MS);
--- a/programs/foxtailgap-hostd/journal_write.c
+++ b/programs/foxtailgap-hostd/journal_write.c
@@ -14,7 +14,6 @@
 {
   APPENDS_OPEN_MAX = 3,    /* an answer that is lost must not hold up others */
   APPEND_TIMEOUT_MS = 700, /* above the answer of a slow store */
-  APPEND_AGAIN_MS = 60,    /* after a refusal */
   REFUSED_FOR_MS = 250, /* a caller is told so once refusals last this long */
   SWEEP_MS = 50,
   LOT_MAX_BYTES = 1024 * 1024 /* half of the platform's limit of a call */
