With a slow store one append at a time and longer timeouts

Ruled out: the relay to the planner's host, which works. Change: an append without an answer counts as a measure of the store; while it is slow a host has one append open and waits 2.6 s for it.

--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -18,8 +18,7 @@
   READY_AGE_MAX_MS = 1900,
   /* A key is trusted for this part of the time in which one that was taken
      away must be refused.  */
-  KEY_AGE_PERCENT = 60,
-  SLOW_STORE_MS = 60 /* an answer takes 4 to 10 ms on a calm day */
+  KEY_AGE_PERCENT = 60
 };
 
 /* --- A slow store --- */
@@ -48,7 +47,7 @@
   struct journal *journal = front->params.journal;
   const char *address;
 
-  if (jr_answer_ms (journal) < SLOW_STORE_MS)
+  if (!jr_is_slow (journal))
     return false;
   address = jr_planner_address (journal, front->params.settings->host);
   return address != NULL
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -29,7 +29,8 @@
   PAUSE_MS = 100,
   PAUSE_HOSTS = 7, /* with more hosts each reads more seldom */
   PAUSE_MAX_MS = 400,
-  PLANNER_PAUSE_MS = 8
+  PLANNER_PAUSE_MS = 8,
+  SLOW_MS = 60 /* an answer takes 4 to 10 ms on a calm day */
 };
 
 static void read_on (struct follower *follower);
@@ -438,6 +439,12 @@
   return journal->answer_ms;
 }
 
+bool
+jr_is_slow (const struct journal *journal)
+{
+  return journal->answer_ms >= SLOW_MS;
+}
+
 int64_t
 jr_planner_seen_ms (const struct journal *journal)
 {
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -113,6 +113,15 @@
  *  @return : about how long the store takes for an answer now. */
 int64_t jr_answer_ms (const struct journal *journal);
 
+/*! jr_is_slow () :
+ *  @return : whether that is many times what it takes on a calm day. */
+bool jr_is_slow (const struct journal *journal);
+
+/*! jr_append_timeout_ms () :
+ *  @return : how long an append may take.  One that is given up too soon still
+ *            keeps the topic busy, and is sent again behind itself. */
+uint32_t jr_append_timeout_ms (const struct journal *journal);
+
 /*! jr_planner_seen_ms () :
  *  @return : steady clock, when a record of the planner was read last. */
 int64_t jr_planner_seen_ms (const struct journal *journal);
--- a/programs/foxtailgap-hostd/journal_write.c
+++ b/programs/foxtailgap-hostd/journal_write.c
@@ -12,8 +12,12 @@
 
 enum
 {
-  APPENDS_OPEN_MAX = 3,    /* an answer that is lost must not hold up others */
-  APPEND_TIMEOUT_MS = 700, /* above the answer of a slow store */
+  APPENDS_OPEN_MAX = 3, /* an answer that is lost must not hold up others */
+  /* A slow store takes the appends of all hosts one at a time.  */
+  SLOW_APPENDS_OPEN_MAX = 1,
+  APPEND_TIMEOUT_MS = 700, /* many times the answer on a calm day */
+  /* The store refuses an append that would have to wait for over 2 s.  */
+  SLOW_APPEND_TIMEOUT_MS = 2600,
   REFUSED_FOR_MS = 250, /* a caller is told so once refusals last this long */
   SWEEP_MS = 50,
   LOT_MAX_BYTES = 1024 * 1024 /* half of the platform's limit of a call */
@@ -42,6 +46,12 @@
 
 static void send_lots (struct journal *journal);
 
+uint32_t
+jr_append_timeout_ms (const struct journal *journal)
+{
+  return jr_is_slow (journal) ? SLOW_APPEND_TIMEOUT_MS : APPEND_TIMEOUT_MS;
+}
+
 static struct jr_write *
 find_write (const struct journal *journal, uint64_t ticket)
 {
@@ -80,6 +90,9 @@
       journal->answered_ms = clk_monotonic_ms (NULL);
       journal->answer_ms = journal->answered_ms - lot->sent_ms;
     }
+  else if (answer->result == SO_UNKNOWN)
+    journal->answer_ms
+        = MAX (journal->answer_ms, clk_monotonic_ms (NULL) - lot->sent_ms);
   for (i = 0; i < lot->tickets->len; i++)
     {
       struct jr_write *write
@@ -137,7 +150,7 @@
     }
   journal->appends_open++;
   store->append (store->ctx, journal->params.jobs_topic, records, NULL,
-                 APPEND_TIMEOUT_MS, on_appended, lot);
+                 jr_append_timeout_ms (journal), on_appended, lot);
   g_ptr_array_free (records, TRUE);
 }
 
@@ -155,7 +168,10 @@
 static void
 send_lots (struct journal *journal)
 {
-  if (journal->appends_open < APPENDS_OPEN_MAX && any_idle_write (journal))
+  uint32_t open_max
+      = jr_is_slow (journal) ? SLOW_APPENDS_OPEN_MAX : APPENDS_OPEN_MAX;
+
+  if (journal->appends_open < open_max && any_idle_write (journal))
     send_lot (journal);
 }
 
--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -13,7 +13,6 @@
 
 enum
 {
-  APPEND_TIMEOUT_MS = 900,
   BATCH_MAX_BYTES = 1024 * 1024 /* half of the platform's limit of a call */
 };
 
@@ -155,8 +154,9 @@
   planner->append_open = true;
   planner->sending->sent_ms = clk_monotonic_ms (NULL);
   store->append (store->ctx, planner->params.jobs_topic,
-                 planner->sending->records, &writer, APPEND_TIMEOUT_MS,
-                 on_appended, planner);
+                 planner->sending->records, &writer,
+                 jr_append_timeout_ms (planner->params.journal), on_appended,
+                 planner);
 }
 
 /* @return : bytes added.  */
--- a/programs/foxtailgap-hostd/relay.c
+++ b/programs/foxtailgap-hostd/relay.c
@@ -16,7 +16,8 @@
 enum
 {
   TRIES = 2,
-  TIMEOUT_MS = 900, /* the other host's append, and its own patience */
+  TIMEOUT_MS = 900,       /* the other host's append, and its own patience */
+  SLOW_TIMEOUT_MS = 2600, /* the same with a slow store */
   CONNECT_TIMEOUT_MS = 250,
   ANSWER_LIMIT_BYTES = 64 * 1024,
   HEADERS = 5
@@ -118,7 +119,7 @@
     .headers = headers,
     .body = body_size_bytes > 0 ? body : NULL,
     .body_size_bytes = body_size_bytes,
-    .timeout_ms = TIMEOUT_MS,
+    .timeout_ms = jr_is_slow (params->journal) ? SLOW_TIMEOUT_MS : TIMEOUT_MS,
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
     .response_limit_bytes = ANSWER_LIMIT_BYTES,
     .callback = on_answer,
