--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -23,7 +23,8 @@
   void (*job_removed) (void *ctx, struct jb_job *job); /* before it is freed */
   void (*term_read) (void *ctx, const struct jb_term *term);
   void (*catalog_changed) (void *ctx, const struct ct_catalog *catalog);
-  void (*read_done) (void *ctx); /* after each answer of the jobs' topic */
+  void (*read_done) (void *ctx);   /* after each answer of the jobs' topic */
+  void (*writes_wait) (void *ctx); /* for the planner's next append */
 };
 
 /* Decodes the operator's document; of the platform.  */
@@ -158,6 +159,23 @@
 void jr_cancel (struct journal *journal, const char *id, uint32_t timeout_ms,
                 jr_stored_callback callback, void *ctx);
 
+struct jr_lot;
+
+/*! jr_carry () :
+ *  While the store is slow the planner's append carries the writes of its
+ *  host: adds copies of those that wait to RECORDS, at most about MAX_BYTES.
+ *  @return : NULL if there are none; else to be given to jr_carried (). */
+struct jr_lot *jr_carry (struct journal *journal, GPtrArray *records,
+                         size_t max_bytes);
+
+/*! jr_carried () :
+ *  The append that carried LOT has this outcome, which is final. */
+void jr_carried (struct jr_lot *lot, enum so_result result);
+
+/*! jr_wants_carrier () :
+ *  @return : whether writes wait for the planner's append. */
+bool jr_wants_carrier (const struct journal *journal);
+
 /*! jr_open_writes () :
  *  @return : writes of callers that have no outcome yet. */
 uint32_t jr_open_writes (const struct journal *journal);
--- a/programs/foxtailgap-hostd/journal_write.c
+++ b/programs/foxtailgap-hostd/journal_write.c
@@ -37,7 +37,7 @@
 };
 
 /* The writes that one append carries, by their tickets.  */
-struct lot
+struct jr_lot
 {
   struct journal *journal;
   int64_t sent_ms;
@@ -78,21 +78,11 @@
 }
 
 static void
-on_appended (void *ctx, const struct so_append_answer *answer)
+end_lot (struct jr_lot *lot, enum so_result result)
 {
-  struct lot *lot = ctx;
   struct journal *journal = lot->journal;
   guint i;
 
-  journal->appends_open--;
-  if (answer->result == SO_DONE)
-    {
-      journal->answered_ms = clk_monotonic_ms (NULL);
-      journal->answer_ms = journal->answered_ms - lot->sent_ms;
-    }
-  else if (answer->result == SO_UNKNOWN)
-    journal->answer_ms
-        = MAX (journal->answer_ms, clk_monotonic_ms (NULL) - lot->sent_ms);
   for (i = 0; i < lot->tickets->len; i++)
     {
       struct jr_write *write
@@ -101,33 +91,50 @@
       if (write == NULL)
         continue;
       write->in_flight = false;
-      if (answer->result == SO_DONE)
+      if (result == SO_DONE)
         {
           jr_apply_stored (journal, write->record);
           end_write (journal, write, JR_STORED);
         }
-      else if (answer->result == SO_UNKNOWN)
+      else if (result == SO_UNKNOWN)
         write->maybe_stored = true;
       else if (!write->maybe_stored && write->callback != NULL
                && clk_monotonic_ms (NULL) - write->made_ms > REFUSED_FOR_MS)
         end_write (journal, write, JR_NOT_STORED);
     }
-  if (answer->result != SO_DONE)
+  if (result != SO_DONE)
     lg_info (PART, "An append of callers' writes failed.", "result",
-             so_result_name (answer->result), "writes",
-             lg_number (lot->tickets->len), NULL);
+             so_result_name (result), "writes", lg_number (lot->tickets->len),
+             NULL);
   g_array_free (lot->tickets, TRUE);
   g_free (lot);
+}
+
+static void
+on_appended (void *ctx, const struct so_append_answer *answer)
+{
+  struct jr_lot *lot = ctx;
+  struct journal *journal = lot->journal;
+  int64_t took_ms = clk_monotonic_ms (NULL) - lot->sent_ms;
+
+  journal->appends_open--;
+  if (answer->result == SO_DONE)
+    {
+      journal->answered_ms = clk_monotonic_ms (NULL);
+      journal->answer_ms = took_ms;
+    }
+  else if (answer->result == SO_UNKNOWN)
+    journal->answer_ms = MAX (journal->answer_ms, took_ms);
+  end_lot (lot, answer->result);
   if (answer->result == SO_DONE || answer->result == SO_UNKNOWN)
     send_lots (journal);
 }
 
-static void
-send_lot (struct journal *journal)
+/* The writes that are in no append, up to about MAX_BYTES.  */
+static struct jr_lot *
+fill_lot (struct journal *journal, size_t max_bytes, GPtrArray *records)
 {
-  const struct so_port *store = &journal->params.store;
-  GPtrArray *records = g_ptr_array_new ();
-  struct lot *lot = g_new0 (struct lot, 1);
+  struct jr_lot *lot = g_new0 (struct jr_lot, 1);
   size_t size_bytes = 0;
   GList *link;
 
@@ -140,7 +147,7 @@
 
       if (write->in_flight)
         continue;
-      if (size_bytes + write->record->size_bytes > LOT_MAX_BYTES
+      if (size_bytes + write->record->size_bytes > max_bytes
           && records->len > 0)
         break;
       size_bytes += write->record->size_bytes;
@@ -148,6 +155,16 @@
       g_ptr_array_add (records, write->record);
       g_array_append_val (lot->tickets, write->ticket);
     }
+  return lot;
+}
+
+static void
+send_lot (struct journal *journal)
+{
+  const struct so_port *store = &journal->params.store;
+  GPtrArray *records = g_ptr_array_new ();
+  struct jr_lot *lot = fill_lot (journal, LOT_MAX_BYTES, records);
+
   journal->appends_open++;
   store->append (store->ctx, journal->params.jobs_topic, records, NULL,
                  jr_append_timeout_ms (journal), on_appended, lot);
@@ -171,10 +188,52 @@
   uint32_t open_max
       = jr_is_slow (journal) ? SLOW_APPENDS_OPEN_MAX : APPENDS_OPEN_MAX;
 
-  if (journal->appends_open < open_max && any_idle_write (journal))
+  if (jr_wants_carrier (journal))
+    {
+      if (journal->observer.writes_wait != NULL)
+        journal->observer.writes_wait (journal->observer.ctx);
+    }
+  else if (journal->appends_open < open_max && any_idle_write (journal))
     send_lot (journal);
 }
 
+/* --- Carried by the planner's append --- */
+
+bool
+jr_wants_carrier (const struct journal *journal)
+{
+  return journal->own_term != 0 && jr_is_slow (journal)
+         && any_idle_write (journal);
+}
+
+struct jr_lot *
+jr_carry (struct journal *journal, GPtrArray *records, size_t max_bytes)
+{
+  GPtrArray *found;
+  struct jr_lot *lot;
+  guint i;
+
+  if (!jr_wants_carrier (journal))
+    return NULL;
+  found = g_ptr_array_new ();
+  lot = fill_lot (journal, max_bytes, found);
+  for (i = 0; i < found->len; i++)
+    {
+      const struct so_record *record = g_ptr_array_index (found, i);
+
+      g_ptr_array_add (records, so_record_create (record->key, record->value,
+                                                  record->size_bytes));
+    }
+  g_ptr_array_free (found, TRUE);
+  return lot;
+}
+
+void
+jr_carried (struct jr_lot *lot, enum so_result result)
+{
+  end_lot (lot, result);
+}
+
 /* --- Who waits for a fresh view --- */
 
 struct jr_waiter
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -323,6 +323,7 @@
     .term_read = on_term_read,
     .catalog_changed = on_catalog,
     .read_done = on_read_done,
+    .writes_wait = on_workers_changed,
   };
 
   planner->params = *params;
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -25,10 +25,11 @@
 /* One append of the planner, sent again until its outcome is known.  */
 struct pl_batch
 {
-  GPtrArray *records; /* struct so_record */
-  GPtrArray *jobs;    /* struct pl_stored_job */
-  GArray *starts;     /* struct pl_start */
-  GArray *heard;      /* of wk_mark_heard () */
+  GPtrArray *records;     /* struct so_record */
+  GPtrArray *jobs;        /* struct pl_stored_job */
+  GArray *starts;         /* struct pl_start */
+  GArray *heard;          /* of wk_mark_heard () */
+  struct jr_lot *carried; /* callers' writes; NULL: none */
   bool release;
   int64_t sent_ms;
 };
--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -32,6 +32,8 @@
   g_array_free (batch->starts, TRUE);
   if (batch->heard != NULL)
     g_array_free (batch->heard, TRUE);
+  if (batch->carried != NULL)
+    jr_carried (batch->carried, SO_UNKNOWN);
   g_free (batch);
 }
 
@@ -92,6 +94,8 @@
   planner->append_open = false;
   planner->sequence++;
   planner->written_ms = clk_monotonic_ms (NULL);
+  if (batch->carried != NULL)
+    jr_carried (g_steal_pointer (&batch->carried), SO_DONE);
   show_stored_jobs (planner, batch);
   wk_mark_stored (planner->workers, g_steal_pointer (&batch->heard));
   if (!batch->release && !pl_was_paused (planner, batch->sent_ms))
@@ -220,7 +224,8 @@
   if (planner->sending != NULL)
     return;
   if (!heartbeat && !release && !sd_has_changed (planner->sched)
-      && planner->starts->len == 0 && nothing_heard (planner))
+      && planner->starts->len == 0 && nothing_heard (planner)
+      && !jr_wants_carrier (planner->params.journal))
     return;
   batch = g_new0 (struct pl_batch, 1);
   batch->records = so_records_create ();
@@ -241,6 +246,9 @@
     }
   g_ptr_array_free (changed, TRUE);
   add_drops (planner, batch);
+  if (!release && size_bytes < BATCH_MAX_BYTES)
+    batch->carried = jr_carry (planner->params.journal, batch->records,
+                               BATCH_MAX_BYTES - size_bytes);
   if (batch->records->len == 0 || release)
     g_ptr_array_add (batch->records, pl_term_record (planner, release));
   planner->sending = batch;
