What is left of the leases of workers out of touch is recorded for the next planner

Change: record w: workers that are only looked at any more, and how long things may still run there at most. A worker on the list is neither held nor given a start until a list without it is stored, so that the list stays true also for a planner that has been cut off since; this also narrows the accepted risk of such a planner. Tests that failed first (no such record): test_hostd_workers (a recorded lease is not waited for anew; a listed worker is held again once that is stored; leases are recorded).

--- a/lib/jobs/records.c
+++ b/lib/jobs/records.c
@@ -295,3 +295,51 @@
   ftj__term__free_unpacked (record, NULL);
   return JB_OK;
 }
+
+/* --- Leases --- */
+
+GByteArray *
+jb_encode_leases (GHashTable *leases)
+{
+  Ftj__Leases record = FTJ__LEASES__INIT;
+  guint count = g_hash_table_size (leases);
+  Ftj__LeaseLeft *rows = g_new0 (Ftj__LeaseLeft, count);
+  Ftj__LeaseLeft **list = g_new0 (Ftj__LeaseLeft *, count);
+  GByteArray *bytes;
+  GHashTableIter iter;
+  void *worker;
+  void *left_ms;
+  size_t next = 0;
+
+  g_hash_table_iter_init (&iter, leases);
+  while (g_hash_table_iter_next (&iter, &worker, &left_ms))
+    {
+      ftj__lease_left__init (&rows[next]);
+      rows[next].worker = worker;
+      rows[next].left_ms = GPOINTER_TO_UINT (left_ms);
+      list[next] = &rows[next];
+      next++;
+    }
+  record.workers = list;
+  record.n_workers = count;
+  bytes = pack (&record.base);
+  g_free (list);
+  g_free (rows);
+  return bytes;
+}
+
+int
+jb_decode_leases (GHashTable **out, const uint8_t *bytes, size_t size)
+{
+  Ftj__Leases *record = ftj__leases__unpack (NULL, size, bytes);
+  size_t i;
+
+  if (record == NULL)
+    return JB_ERR_FORMAT;
+  *out = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (i = 0; i < record->n_workers; i++)
+    g_hash_table_insert (*out, g_strdup (record->workers[i]->worker),
+                         GUINT_TO_POINTER (record->workers[i]->left_ms));
+  ftj__leases__free_unpacked (record, NULL);
+  return JB_OK;
+}
--- a/lib/jobs/records.h
+++ b/lib/jobs/records.h
@@ -25,11 +25,19 @@
 GByteArray *jb_encode_host (const struct jb_host *host);
 GByteArray *jb_encode_term (const struct jb_term *term);
 
+/*! jb_encode_leases () :
+ *  @leases : id of a worker -> GUINT_TO_POINTER (what is left in ms). */
+GByteArray *jb_encode_leases (GHashTable *leases);
+
 /*! jb_decode_spec () :
  *  @return : JB_OK with *out set, owned by the caller; or a jb_error. */
 int jb_decode_spec (struct jb_spec **out, const uint8_t *bytes, size_t size);
 
 int jb_decode_host (struct jb_host *out, const uint8_t *bytes, size_t size);
+/*! jb_decode_leases () :
+ *  @return : JB_OK with *out set, as above, owned by the caller. */
+int jb_decode_leases (GHashTable **out, const uint8_t *bytes, size_t size);
+
 int jb_decode_term (struct jb_term *out, const uint8_t *bytes, size_t size);
 
 /*! jb_apply_progress () :
--- a/lib/proto/jobs.pb-c.c
+++ b/lib/proto/jobs.pb-c.c
@@ -232,6 +232,96 @@
   assert(message->base.descriptor == &ftj__progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ftj__leases__init
+                     (Ftj__Leases         *message)
+{
+  static const Ftj__Leases init_value = FTJ__LEASES__INIT;
+  *message = init_value;
+}
+size_t ftj__leases__get_packed_size
+                     (const Ftj__Leases *message)
+{
+  assert(message->base.descriptor == &ftj__leases__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ftj__leases__pack
+                     (const Ftj__Leases *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ftj__leases__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ftj__leases__pack_to_buffer
+                     (const Ftj__Leases *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ftj__leases__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ftj__Leases *
+       ftj__leases__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ftj__Leases *)
+     protobuf_c_message_unpack (&ftj__leases__descriptor,
+                                allocator, len, data);
+}
+void   ftj__leases__free_unpacked
+                     (Ftj__Leases *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ftj__leases__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ftj__lease_left__init
+                     (Ftj__LeaseLeft         *message)
+{
+  static const Ftj__LeaseLeft init_value = FTJ__LEASE_LEFT__INIT;
+  *message = init_value;
+}
+size_t ftj__lease_left__get_packed_size
+                     (const Ftj__LeaseLeft *message)
+{
+  assert(message->base.descriptor == &ftj__lease_left__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ftj__lease_left__pack
+                     (const Ftj__LeaseLeft *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ftj__lease_left__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ftj__lease_left__pack_to_buffer
+                     (const Ftj__LeaseLeft *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ftj__lease_left__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ftj__LeaseLeft *
+       ftj__lease_left__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ftj__LeaseLeft *)
+     protobuf_c_message_unpack (&ftj__lease_left__descriptor,
+                                allocator, len, data);
+}
+void   ftj__lease_left__free_unpacked
+                     (Ftj__LeaseLeft *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ftj__lease_left__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ftj__host_record__init
                      (Ftj__HostRecord         *message)
 {
@@ -928,6 +1018,95 @@
   (ProtobufCMessageInit) ftj__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ftj__leases__field_descriptors[1] =
+{
+  {
+    "workers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ftj__Leases, n_workers),
+    offsetof(Ftj__Leases, workers),
+    &ftj__lease_left__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ftj__leases__field_indices_by_name[] = {
+  0,   /* field[0] = workers */
+};
+static const ProtobufCIntRange ftj__leases__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ftj__leases__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ftj.Leases",
+  "Leases",
+  "Ftj__Leases",
+  "ftj",
+  sizeof(Ftj__Leases),
+  1,
+  ftj__leases__field_descriptors,
+  ftj__leases__field_indices_by_name,
+  1,  ftj__leases__number_ranges,
+  (ProtobufCMessageInit) ftj__leases__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ftj__lease_left__field_descriptors[2] =
+{
+  {
+    "worker",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__LeaseLeft, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__LeaseLeft, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ftj__lease_left__field_indices_by_name[] = {
+  1,   /* field[1] = left_ms */
+  0,   /* field[0] = worker */
+};
+static const ProtobufCIntRange ftj__lease_left__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ftj__lease_left__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ftj.LeaseLeft",
+  "LeaseLeft",
+  "Ftj__LeaseLeft",
+  "ftj",
+  sizeof(Ftj__LeaseLeft),
+  2,
+  ftj__lease_left__field_descriptors,
+  ftj__lease_left__field_indices_by_name,
+  1,  ftj__lease_left__number_ranges,
+  (ProtobufCMessageInit) ftj__lease_left__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ftj__host_record__field_descriptors[2] =
 {
   {
--- a/lib/proto/jobs.pb-c.h
+++ b/lib/proto/jobs.pb-c.h
@@ -20,6 +20,8 @@
 typedef struct Ftj__CancelRecord Ftj__CancelRecord;
 typedef struct Ftj__TaskProgress Ftj__TaskProgress;
 typedef struct Ftj__Progress Ftj__Progress;
+typedef struct Ftj__Leases Ftj__Leases;
+typedef struct Ftj__LeaseLeft Ftj__LeaseLeft;
 typedef struct Ftj__HostRecord Ftj__HostRecord;
 typedef struct Ftj__Term Ftj__Term;
 
@@ -126,6 +128,34 @@
     , 0, 0, 0, 0,NULL, 0 }
 
 
+/*
+ * What may still run on workers that are out of touch.
+ */
+struct  Ftj__Leases
+{
+  ProtobufCMessage base;
+  size_t n_workers;
+  Ftj__LeaseLeft **workers;
+};
+#define FTJ__LEASES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ftj__leases__descriptor) \
+    , 0,NULL }
+
+
+struct  Ftj__LeaseLeft
+{
+  ProtobufCMessage base;
+  char *worker;
+  /*
+   * when the record was made
+   */
+  uint32_t left_ms;
+};
+#define FTJ__LEASE_LEFT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ftj__lease_left__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Ftj__HostRecord
 {
   ProtobufCMessage base;
@@ -256,6 +286,44 @@
 void   ftj__progress__free_unpacked
                      (Ftj__Progress *message,
                       ProtobufCAllocator *allocator);
+/* Ftj__Leases methods */
+void   ftj__leases__init
+                     (Ftj__Leases         *message);
+size_t ftj__leases__get_packed_size
+                     (const Ftj__Leases   *message);
+size_t ftj__leases__pack
+                     (const Ftj__Leases   *message,
+                      uint8_t             *out);
+size_t ftj__leases__pack_to_buffer
+                     (const Ftj__Leases   *message,
+                      ProtobufCBuffer     *buffer);
+Ftj__Leases *
+       ftj__leases__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ftj__leases__free_unpacked
+                     (Ftj__Leases *message,
+                      ProtobufCAllocator *allocator);
+/* Ftj__LeaseLeft methods */
+void   ftj__lease_left__init
+                     (Ftj__LeaseLeft         *message);
+size_t ftj__lease_left__get_packed_size
+                     (const Ftj__LeaseLeft   *message);
+size_t ftj__lease_left__pack
+                     (const Ftj__LeaseLeft   *message,
+                      uint8_t             *out);
+size_t ftj__lease_left__pack_to_buffer
+                     (const Ftj__LeaseLeft   *message,
+                      ProtobufCBuffer     *buffer);
+Ftj__LeaseLeft *
+       ftj__lease_left__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ftj__lease_left__free_unpacked
+                     (Ftj__LeaseLeft *message,
+                      ProtobufCAllocator *allocator);
 /* Ftj__HostRecord methods */
 void   ftj__host_record__init
                      (Ftj__HostRecord         *message);
@@ -311,6 +379,12 @@
 typedef void (*Ftj__Progress_Closure)
                  (const Ftj__Progress *message,
                   void *closure_data);
+typedef void (*Ftj__Leases_Closure)
+                 (const Ftj__Leases *message,
+                  void *closure_data);
+typedef void (*Ftj__LeaseLeft_Closure)
+                 (const Ftj__LeaseLeft *message,
+                  void *closure_data);
 typedef void (*Ftj__HostRecord_Closure)
                  (const Ftj__HostRecord *message,
                   void *closure_data);
@@ -328,6 +402,8 @@
 extern const ProtobufCMessageDescriptor ftj__cancel_record__descriptor;
 extern const ProtobufCMessageDescriptor ftj__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor ftj__progress__descriptor;
+extern const ProtobufCMessageDescriptor ftj__leases__descriptor;
+extern const ProtobufCMessageDescriptor ftj__lease_left__descriptor;
 extern const ProtobufCMessageDescriptor ftj__host_record__descriptor;
 extern const ProtobufCMessageDescriptor ftj__term__descriptor;
 
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -205,7 +205,7 @@
 static int
 compare_pages (const void *a, const void *b)
 {
-  static const char order[] = "hjcpt";
+  static const char order[] = "hjcpwt";
   const struct so_record *left = *(struct so_record *const *)a;
   const struct so_record *right = *(struct so_record *const *)b;
   const char *left_rank = strchr (order, left->key[0]);
@@ -360,6 +360,7 @@
   jb_table_free (journal->table);
   g_hash_table_destroy (journal->hosts);
   ct_free (journal->catalog);
+  g_clear_pointer (&journal->leases, g_hash_table_destroy);
   g_free (journal);
 }
 
@@ -457,6 +458,12 @@
   journal->own_term = term;
 }
 
+GHashTable *
+jr_leases (const struct journal *journal)
+{
+  return journal->leases;
+}
+
 const struct jb_term *
 jr_term (const struct journal *journal)
 {
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -132,6 +132,11 @@
  *  0: none. */
 void jr_set_own_term (struct journal *journal, uint64_t term);
 
+/*! jr_leases () :
+ *  @return : what the planner recorded last of workers that are out of touch
+ *            (as of jb_decode_leases ()); NULL: nothing yet. */
+GHashTable *jr_leases (const struct journal *journal);
+
 /*! jr_term () :
  *  @return : the newest term that was read. */
 const struct jb_term *jr_term (const struct journal *journal);
--- a/programs/foxtailgap-hostd/journal_fold.c
+++ b/programs/foxtailgap-hostd/journal_fold.c
@@ -108,6 +108,23 @@
     journal->observer.term_read (journal->observer.ctx, &term);
 }
 
+static void
+apply_leases (struct journal *journal, const struct so_record *record)
+{
+  GHashTable *leases = NULL;
+
+  if (record->value == NULL
+      || jb_decode_leases (&leases, record->value, record->size_bytes)
+             != JB_OK)
+    {
+      lg_warning (PART, "A record of leases cannot be read.", NULL);
+      return;
+    }
+  if (journal->leases != NULL)
+    g_hash_table_destroy (journal->leases);
+  journal->leases = leases;
+}
+
 static void
 apply_host (struct journal *journal, const char *name,
             const struct so_record *record)
@@ -133,6 +150,8 @@
 
   if (key[0] == 't')
     apply_term (journal, record);
+  else if (strcmp (key, "w") == 0)
+    apply_leases (journal, record);
   else if (g_str_has_prefix (key, "h/"))
     {
       apply_host (journal, key + 2, record);
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -36,6 +36,7 @@
   GHashTable *hosts; /* name -> struct jb_host */
   struct ct_catalog *catalog;
   struct jb_term term;
+  GHashTable *leases; /* of jb_decode_leases (); NULL: none yet */
   uint64_t own_term;
   int64_t planner_seen_ms;
   int64_t hurry_until_ms;
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -217,7 +217,8 @@
   pl_list_reset (planner);
   jr_set_own_term (planner->params.journal, planner->term);
   sd_begin_term (planner->sched, now_ms);
-  wk_begin_term (planner->workers, planner->term);
+  wk_begin_term (planner->workers, planner->term,
+                 jr_leases (planner->params.journal));
   pl_list_check (planner);
   pl_wake (planner);
 }
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -29,6 +29,7 @@
   GPtrArray *jobs;        /* struct pl_stored_job */
   GArray *starts;         /* struct pl_start */
   GArray *heard;          /* of wk_mark_heard () */
+  GHashTable *leases;     /* of wk_list_leases (); NULL: not written */
   struct jr_lot *carried; /* callers' writes; NULL: none */
   bool release;
   int64_t sent_ms;
--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -32,6 +32,8 @@
   g_array_free (batch->starts, TRUE);
   if (batch->heard != NULL)
     g_array_free (batch->heard, TRUE);
+  if (batch->leases != NULL)
+    g_hash_table_destroy (batch->leases);
   if (batch->carried != NULL)
     jr_carried (batch->carried, SO_UNKNOWN);
   g_free (batch);
@@ -98,6 +100,8 @@
     jr_carried (g_steal_pointer (&batch->carried), SO_DONE);
   show_stored_jobs (planner, batch);
   wk_mark_stored (planner->workers, g_steal_pointer (&batch->heard));
+  if (batch->leases != NULL)
+    wk_leases_stored (planner->workers, g_steal_pointer (&batch->leases));
   if (!batch->release && !pl_was_paused (planner, batch->sent_ms))
     send_stored_starts (planner, batch);
   else if (!batch->release)
@@ -203,6 +207,18 @@
   g_ptr_array_set_size (planner->drops, 0);
 }
 
+static void
+add_leases (struct planner *planner, struct pl_batch *batch)
+{
+  GByteArray *bytes;
+
+  batch->leases = wk_list_leases (planner->workers);
+  bytes = jb_encode_leases (batch->leases);
+  g_ptr_array_add (batch->records,
+                   so_record_create ("w", bytes->data, bytes->len));
+  g_byte_array_free (bytes, TRUE);
+}
+
 static bool
 nothing_heard (struct planner *planner)
 {
@@ -225,7 +241,8 @@
     return;
   if (!heartbeat && !release && !sd_has_changed (planner->sched)
       && planner->starts->len == 0 && nothing_heard (planner)
-      && !jr_wants_carrier (planner->params.journal))
+      && !jr_wants_carrier (planner->params.journal)
+      && !wk_leases_changed (planner->workers))
     return;
   batch = g_new0 (struct pl_batch, 1);
   batch->records = so_records_create ();
@@ -246,6 +263,8 @@
     }
   g_ptr_array_free (changed, TRUE);
   add_drops (planner, batch);
+  if (wk_leases_changed (planner->workers))
+    add_leases (planner, batch);
   if (!release && size_bytes < BATCH_MAX_BYTES)
     batch->carried = jr_carry (planner->params.journal, batch->records,
                                BATCH_MAX_BYTES - size_bytes);
--- a/programs/foxtailgap-hostd/worker_orders.c
+++ b/programs/foxtailgap-hostd/worker_orders.c
@@ -177,7 +177,12 @@
       = sd_worker_find (workers->params.sched, task->worker);
   char *name = jb_task_name (task);
 
-  if (workers->term != 0 && worker != NULL)
+  if (workers->term != 0 && worker != NULL
+      && wk_io (workers, worker)->lease_listed)
+    /* Never sent: the record of its lease must stay true.  */
+    sd_task_refused (workers->params.sched, task, SD_REFUSED_OTHER,
+                     clk_monotonic_ms (NULL));
+  else if (workers->term != 0 && worker != NULL)
     send_start (wk_call_create (workers, worker, name, task->run), task,
                 worker);
   g_free (name);
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -19,6 +19,7 @@
      lease is bounded.  */
   RENEW_AFTER_FAILURE_MS = 1500,
   RETRY_MS = 250,
+  LISTED_RETRY_MS = 50, /* an append takes 10 ms on a calm day */
   /* A hold for ends that are not stored yet is sent after this all the same:
      well within the lease, and above the answer of a slow store.  */
   STORE_WAIT_MS = 1000,
@@ -307,8 +308,7 @@
   struct sd_worker *worker = io->worker;
   struct wp_target target = wk_target (worker);
   bool good = worker->contact == SD_CONTACT_GOOD;
-  bool renew = good || io->clock_ms < 0
-               || now_ms - io->hold_good_ms < RENEW_AFTER_FAILURE_MS;
+  bool renew = !io->lease_listed && !wk_is_out_of_touch (io, now_ms);
   struct wp_hold hold = {
     .term = workers->term,
     .seen = io->stored,
@@ -316,7 +316,7 @@
     .wait_ms = HOLD_WAIT_MS,
   };
 
-  if (!good || io->look_at_once)
+  if (!good || io->look_at_once || io->lease_listed)
     hold.wait_ms = 0;
   else if (io->look_soon)
     hold.wait_ms = workers->params.stop_ms + STOP_LISTED_MS;
@@ -338,6 +338,15 @@
   mt_add (workers->params.metrics, "foxtailgap_holds_total", 1);
 }
 
+bool
+wk_is_out_of_touch (const struct worker_io *io, int64_t now_ms)
+{
+  if (io->clock_ms < 0) /* it has never answered under this term */
+    return io->worker->contact == SD_CONTACT_LOST;
+  return io->worker->contact != SD_CONTACT_GOOD
+         && now_ms - io->hold_good_ms >= RENEW_AFTER_FAILURE_MS;
+}
+
 /* The lease of a worker that is out of touch is over: nothing runs there.  */
 static void
 drop_lapsed (struct worker_io *io, int64_t now_ms)
@@ -373,6 +382,8 @@
     return;
   if (waits_for_store (io, now_ms))
     return;
+  if (io->lease_listed && now_ms - io->hold_tried_ms < LISTED_RETRY_MS)
+    return;
   if (worker->contact == SD_CONTACT_LOST)
     {
       if ((worker->tasks->len > 0 || worker->listed)
@@ -464,7 +475,7 @@
 /* --- Terms --- */
 
 void
-wk_begin_term (struct workers *workers, uint64_t term)
+wk_begin_term (struct workers *workers, uint64_t term, GHashTable *leases)
 {
   const GPtrArray *all = sd_workers (workers->params.sched);
   int64_t now_ms = clk_monotonic_ms (NULL);
@@ -482,6 +493,7 @@
                                 .clock_ms = -1 };
       /* The planner before may have held it until just now.  */
       wk_lease_granted (io, now_ms, workers->params.lease_ttl_ms);
+      wk_leases_begin (io, leases, now_ms);
     }
 }
 
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -34,8 +34,11 @@
 void wk_free (struct workers *workers);
 
 /*! wk_begin_term (), wk_end_term () :
- *  Orders carry TERM from now on; or no orders are sent. */
-void wk_begin_term (struct workers *workers, uint64_t term);
+ *  Orders carry TERM from now on; or no orders are sent.
+ *  @leases : what the planner before has recorded of workers that were out of
+ *            touch, see jb_decode_leases (); NULL: nothing. */
+void wk_begin_term (struct workers *workers, uint64_t term,
+                    GHashTable *leases);
 void wk_end_term (struct workers *workers);
 
 /*! wk_start () :
@@ -54,6 +57,23 @@
  *  @return : listed workers that have not been asked yet under this term. */
 uint32_t wk_unseen (const struct workers *workers);
 
+/*! wk_leases_changed () :
+ *  @return : whether the workers that are out of touch should be recorded
+ *            anew. */
+bool wk_leases_changed (const struct workers *workers);
+
+/*! wk_list_leases () :
+ *  Takes down the workers that are out of touch and what is left of their
+ *  leases, for the next planner.  A worker on the list is not held again and
+ *  starts nothing until a list without it is stored, so that the list stays
+ *  true whatever this host does.
+ *  @return : as of jb_decode_leases (), the caller's. */
+GHashTable *wk_list_leases (struct workers *workers);
+
+/*! wk_leases_stored () :
+ *  That list is stored. */
+void wk_leases_stored (struct workers *workers, GHashTable *list);
+
 /*! wk_mark_heard () :
  *  Takes down which ends have been heard of so far.  Returned to
  *  wk_mark_stored () once what they changed is stored. */
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -26,15 +26,18 @@
   int64_t hold_good_ms; /* sending time of the last hold that was answered */
   int64_t hold_tried_ms;
   int64_t lease_end_ms; /* nothing runs there after this without a new hold */
+  bool lease_listed; /* a list of leases that holds it is or may be stored */
+  int64_t listed_ms; /* since when */
 };
 
 struct workers
 {
   struct wk_params params;
-  uint64_t term;       /* 0: none */
-  uint64_t generation; /* of calls: those of earlier terms are dropped */
-  GHashTable *ios;     /* id -> struct worker_io */
-  GHashTable *calls;   /* open calls, so that their answers find us gone */
+  uint64_t term;            /* 0: none */
+  uint64_t generation;      /* of calls: those of earlier terms are dropped */
+  GHashTable *ios;          /* id -> struct worker_io */
+  int64_t leases_listed_ms; /* when the last list was made */
+  GHashTable *calls; /* open calls, so that their answers find us gone */
 };
 
 /* One order of a task.  */
@@ -63,6 +66,16 @@
  *  An order has been sent that lets things run there for TTL_MS. */
 void wk_lease_granted (struct worker_io *io, int64_t now_ms, uint32_t ttl_ms);
 
+/*! wk_leases_begin () :
+ *  Takes over what the planner before has recorded. */
+void wk_leases_begin (struct worker_io *io, GHashTable *leases,
+                      int64_t now_ms);
+
+/*! wk_is_out_of_touch () :
+ *  @return : whether the worker has not answered for so long that it is only
+ *            looked at. */
+bool wk_is_out_of_touch (const struct worker_io *io, int64_t now_ms);
+
 /*! wk_stop_run () :
  *  Stops a run that nobody wants, maybe of a task that is not known. */
 void wk_stop_run (struct workers *workers, struct sd_worker *worker,
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -6,6 +6,7 @@
 #include "../../programs/foxtailgap-hostd/workers.h"
 #include "check.h"
 #include "hostd_fixture.h"
+#include "jobs/records.h"
 
 static const char JOB[] = "00000000000000aa";
 
@@ -80,7 +81,7 @@
 place (struct setup *setup)
 {
   fixture_worker (setup->sched, "w1", "r1", 8);
-  wk_begin_term (setup->workers, 1);
+  wk_begin_term (setup->workers, 1, NULL);
   wk_visit (setup->workers);
   sd_job_added (setup->sched, setup->job);
   CU_ASSERT_EQUAL (fixture_round (setup->sched, clk_monotonic_ms (NULL)), 1);
@@ -153,7 +154,7 @@
   task->run = 1;
   task->worker = g_strdup ("gone");
   sd_begin_term (setup.sched, clk_monotonic_ms (NULL));
-  wk_begin_term (setup.workers, 2);
+  wk_begin_term (setup.workers, 2, NULL);
   wk_visit (setup.workers);
   CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
   usleep (1000 * 900); /* the lease, 3% and 300 ms */
@@ -162,6 +163,100 @@
   finish (&setup);
 }
 
+/* Found on anla-rounds, day trouble-1 with seed 1: six workers crashed at
+   29.7 s, all hosts lost power at 34.8 s, and what the workers had run was
+   started again only at 43.6 s, a whole lease after the takeover.  */
+static void
+test_recorded_lease_is_not_waited_for_anew (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+  GHashTable *leases = g_hash_table_new (g_str_hash, g_str_equal);
+
+  begin (&setup, 6000);
+  task = &setup.job->tasks[0];
+  task->state = JB_TASK_PLACED;
+  task->run = 1;
+  task->worker = g_strdup ("gone");
+  g_hash_table_insert (leases, (char *)"gone", GUINT_TO_POINTER (100));
+  sd_begin_term (setup.sched, clk_monotonic_ms (NULL));
+  wk_begin_term (setup.workers, 2, leases);
+  wk_visit (setup.workers);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  usleep (1000 * 130);
+  wk_visit (setup.workers);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  g_hash_table_destroy (leases);
+  finish (&setup);
+}
+
+static void
+fail_look (struct setup *setup)
+{
+  wk_visit (setup->workers);
+  fake_answer (fake_open (&setup->port, 'h'),
+               &(struct wp_answer){ .result = WP_SILENT });
+}
+
+/* The list must stay true: whoever is on it is neither held nor started.  */
+static void
+test_listed_worker_is_held_again_once_that_is_stored (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+  struct wp_answer good = { .result = WP_DONE, .clock_ms = 1000 };
+  GHashTable *list;
+
+  begin (&setup, 6000);
+  task = place (&setup);
+  wk_visit (setup.workers);
+  fake_answer (fake_open (&setup.port, 'h'), &good);
+  CU_ASSERT_FALSE (wk_leases_changed (setup.workers));
+  usleep (1000 * 1520);
+  fail_look (&setup);
+  CU_ASSERT_TRUE (wk_leases_changed (setup.workers));
+  list = wk_list_leases (setup.workers);
+  CU_ASSERT_EQUAL (g_hash_table_size (list), 1);
+  wk_leases_stored (setup.workers, list);
+  usleep (1000 * 260);
+  wk_visit (setup.workers);
+  CU_ASSERT_TRUE (fake_open (&setup.port, 'h')->deadline_ms < 0);
+  fake_answer (fake_open (&setup.port, 'h'), &good); /* back in touch */
+  usleep (1000 * 60);
+  wk_visit (setup.workers);
+  CU_ASSERT_TRUE (fake_open (&setup.port, 'h')->deadline_ms < 0);
+  wk_start (setup.workers, task); /* recorded when it was still in touch */
+  CU_ASSERT_PTR_NULL (fake_open (&setup.port, 's'));
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  CU_ASSERT_TRUE (wk_leases_changed (setup.workers));
+  list = wk_list_leases (setup.workers);
+  CU_ASSERT_EQUAL (g_hash_table_size (list), 0);
+  wk_leases_stored (setup.workers, list);
+  CU_ASSERT_EQUAL (fixture_round (setup.sched, clk_monotonic_ms (NULL)), 1);
+  fake_answer (fake_open (&setup.port, 'h'), &good);
+  wk_visit (setup.workers);
+  CU_ASSERT_TRUE (fake_open (&setup.port, 'h')->deadline_ms > 0);
+  finish (&setup);
+}
+
+static void
+test_leases_are_recorded (void)
+{
+  GHashTable *leases = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTable *read = NULL;
+  GByteArray *bytes;
+
+  g_hash_table_insert (leases, (char *)"w1", GUINT_TO_POINTER (4321));
+  bytes = jb_encode_leases (leases);
+  CU_ASSERT_EQUAL (jb_decode_leases (&read, bytes->data, bytes->len), JB_OK);
+  CU_ASSERT_EQUAL (GPOINTER_TO_UINT (g_hash_table_lookup (read, "w1")), 4321);
+  CU_ASSERT_EQUAL (jb_decode_leases (&leases, (const uint8_t *)"\xff\xff", 2),
+                   JB_ERR_FORMAT);
+  g_byte_array_free (bytes, TRUE);
+  g_hash_table_destroy (read);
+  g_hash_table_destroy (leases);
+}
+
 static void
 look (struct setup *setup)
 {
@@ -258,6 +353,11 @@
     { "a refusal at once is final", test_refusal_at_once_is_final },
     { "a worker known from records only",
       test_worker_known_from_records_only },
+    { "a recorded lease is not waited for anew",
+      test_recorded_lease_is_not_waited_for_anew },
+    { "a listed worker is held again once that is stored",
+      test_listed_worker_is_held_again_once_that_is_stored },
+    { "leases are recorded", test_leases_are_recorded },
     { "a run missing is gone after a stop's time",
       test_run_missing_is_gone_after_a_stop_s_time },
     { "an end is acknowledged when stored",
