--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -6,15 +6,10 @@
 
 #include "sched/private.h"
 
-/* Work of a team at priority 0, to tell what its guarantee covers.  */
-struct team_use
-{
-  int64_t accelerators;
-};
-
 static int64_t
-chain_ms (const struct jb_spec *spec)
+chain_ms (const struct sd_sched *sched, const struct jb_job *job)
 {
+  const struct jb_spec *spec = job->spec;
   int64_t longest[JB_STEPS_MAX];
   int64_t whole = 0;
   size_t i;
@@ -26,7 +21,9 @@
 
       for (k = 0; k < spec->steps[i].after_count; k++)
         before = MAX (before, longest[spec->steps[i].after[k]]);
-      longest[i] = before + spec->steps[i].estimate_ms;
+      longest[i] = before
+                   + es_expect_ms (sched->estimates, job->queue,
+                                   spec->steps[i].estimate_ms);
       whole = MAX (whole, longest[i]);
     }
   return whole;
@@ -96,35 +93,36 @@
 }
 
 /* Whether the job's team has asked, at priority 0, for no more than its
-   guarantee with this job; jobs come in the order of arrival.  */
+   guarantee with this job; jobs come in the order of arrival.
+   USES: name of a team -> int64_t, accelerators asked for so far.  */
 static bool
 within_guarantee (const struct sd_sched *sched, GHashTable *uses,
                   const struct jb_job *job)
 {
   const struct ct_team *team = ct_team (sched->catalog, job->spec->team);
-  struct team_use *use;
+  int64_t *used;
 
   if (team == NULL || team->guaranteed_accelerators <= 0)
     return false;
-  use = g_hash_table_lookup (uses, team->name);
-  if (use == NULL)
+  used = g_hash_table_lookup (uses, team->name);
+  if (used == NULL)
     {
-      use = g_new0 (struct team_use, 1);
-      g_hash_table_insert (uses, team->name, use);
+      used = g_new0 (int64_t, 1);
+      g_hash_table_insert (uses, team->name, used);
     }
-  if (use->accelerators + job_accelerators (job)
-      > team->guaranteed_accelerators)
+  if (*used + job_accelerators (job) > team->guaranteed_accelerators)
     return false;
-  use->accelerators += job_accelerators (job);
+  *used += job_accelerators (job);
   return true;
 }
 
 static void
-collect_job (GArray *units, struct jb_job *job, const struct ct_queue *queue,
-             bool guaranteed, int64_t now_unix_ms)
+collect_job (const struct sd_sched *sched, GArray *units, struct jb_job *job,
+             const struct ct_queue *queue, bool guaranteed,
+             int64_t now_unix_ms)
 {
   int64_t objective_ms
-      = (int64_t)(queue->slack_factor * (double)chain_ms (job->spec))
+      = (int64_t)(queue->slack_factor * (double)chain_ms (sched, job))
         + queue->target_ms;
   size_t i;
 
@@ -145,14 +143,13 @@
 }
 
 GArray *
-sd_collect_units (struct sd_sched *sched, int64_t now_ms, int64_t now_unix_ms)
+sd_collect_units (struct sd_sched *sched, int64_t now_unix_ms)
 {
   GArray *units = g_array_new (FALSE, FALSE, sizeof (struct sd_unit));
   GHashTable *uses
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   guint i;
 
-  (void)now_ms;
   for (i = 0; i < sched->active->len; i++)
     {
       struct jb_job *job = g_ptr_array_index (sched->active, i);
@@ -163,7 +160,7 @@
       if (queue == NULL)
         continue; /* its queue is gone from the configuration: it waits */
       guaranteed = queue->priority == 0 && within_guarantee (sched, uses, job);
-      collect_job (units, job, queue, guaranteed, now_unix_ms);
+      collect_job (sched, units, job, queue, guaranteed, now_unix_ms);
     }
   g_hash_table_destroy (uses);
   g_array_sort (units, compare_units);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -32,13 +32,20 @@
          && has_label (worker, unit->step->spec->label);
 }
 
+bool
+sd_usable (const struct sd_worker *worker, const struct sd_unit *unit,
+           int64_t now_ms)
+{
+  return sd_suits (worker, unit) && worker->contact == SD_CONTACT_GOOD
+         && !sd_health_avoided (worker, now_ms);
+}
+
 static bool
 may_take (const struct sd_worker *worker, const struct sd_unit *unit,
           int64_t now_ms)
 {
-  return sd_suits (worker, unit) && worker->contact == SD_CONTACT_GOOD
-         && worker->room_shut_until_ms <= now_ms
-         && !sd_health_avoided (worker, now_ms);
+  return sd_usable (worker, unit, now_ms)
+         && worker->room_shut_until_ms <= now_ms;
 }
 
 static uint32_t
@@ -113,7 +120,7 @@
 
 static GArray *
 collect_candidates (const struct sd_sched *sched, const struct sd_unit *unit,
-                    int64_t now_ms)
+                    bool any_held, int64_t now_ms)
 {
   GArray *found = g_array_new (FALSE, FALSE, sizeof (struct candidate));
   guint i;
@@ -122,10 +129,14 @@
     {
       struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
       struct candidate candidate = { .worker = worker };
+      struct jb_room room;
 
       if (!may_take (worker, unit, now_ms))
         continue;
-      candidate.copies = copies_on (worker, unit, &worker->round_free);
+      room = worker->round_free;
+      if (!any_held)
+        sd_room_take (&room, &worker->held);
+      candidate.copies = copies_on (worker, unit, &room);
       candidate.penalty = penalty_of (worker, unit);
       if (candidate.copies > 0)
         g_array_append_val (found, candidate);
@@ -206,13 +217,12 @@
 
 bool
 sd_could_ever_fit (const struct sd_sched *sched, const struct sd_unit *unit,
-                   bool one_rack, int64_t now_ms)
+                   bool one_rack)
 {
   GHashTable *racks = g_hash_table_new (g_str_hash, g_str_equal);
   uint32_t most = 0;
   guint i;
 
-  (void)now_ms;
   for (i = 0; i < sched->workers->len; i++)
     {
       const struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
@@ -291,12 +301,12 @@
     }
 }
 
-bool
-sd_choose (const struct sd_sched *sched, const struct sd_unit *unit,
-           int64_t now_ms, struct sd_choice *choice)
+static bool
+choose (const struct sd_sched *sched, const struct sd_unit *unit,
+        bool any_held, int64_t now_ms, struct sd_choice *choice)
 {
   const struct jb_step_spec *spec = unit->step->spec;
-  GArray *candidates = collect_candidates (sched, unit, now_ms);
+  GArray *candidates = collect_candidates (sched, unit, any_held, now_ms);
   const char *rack = NULL;
 
   if (spec->gang)
@@ -305,7 +315,7 @@
         goto done;
       rack = choose_rack (sched, unit, candidates);
       if (rack == NULL && spec->one_rack
-          && sd_could_ever_fit (sched, unit, true, now_ms))
+          && sd_could_ever_fit (sched, unit, true))
         goto done;
     }
   choose_from (unit, candidates, rack, choice);
@@ -314,3 +324,16 @@
   g_array_free (candidates, TRUE);
   return choice->tasks->len == unit->waiting;
 }
+
+bool
+sd_choose (const struct sd_sched *sched, const struct sd_unit *unit,
+           int64_t now_ms, struct sd_choice *choice)
+{
+  if (choose (sched, unit, false, now_ms, choice))
+    return true;
+  if (unit->priority > 0)
+    return false;
+  g_ptr_array_set_size (choice->tasks, 0);
+  g_ptr_array_set_size (choice->workers, 0);
+  return choose (sched, unit, true, now_ms, choice);
+}
--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -201,15 +201,6 @@
   return true;
 }
 
-static bool
-usable (const struct sd_worker *worker, const struct sd_unit *unit,
-        const char *rack, int64_t now_ms)
-{
-  return sd_suits (worker, unit) && worker->contact == SD_CONTACT_GOOD
-         && !sd_health_avoided (worker, now_ms)
-         && (rack == NULL || g_strcmp0 (worker->report.rack, rack) == 0);
-}
-
 static uint32_t
 planned_there (const struct plan *plan, const struct sd_worker *worker)
 {
@@ -238,7 +229,8 @@
     {
       struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
 
-      if (!usable (worker, unit, rack, now_ms))
+      if (!sd_usable (worker, unit, now_ms)
+          || (rack != NULL && g_strcmp0 (worker->report.rack, rack) != 0))
         continue;
       if (spec->worker_limit > 0
           && planned_there (plan, worker) >= spec->worker_limit)
@@ -378,8 +370,7 @@
 {
   const struct jb_step_spec *spec = unit->step->spec;
 
-  if (spec->gang && spec->one_rack
-      && sd_could_ever_fit (sched, unit, true, now_ms))
+  if (spec->gang && spec->one_rack && sd_could_ever_fit (sched, unit, true))
     return cheapest_rack_plan (sched, unit, now_ms);
   return make_plan (sched, unit, NULL, now_ms);
 }
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -3,6 +3,7 @@
 #ifndef FT_SCHED_PRIVATE_H
 #define FT_SCHED_PRIVATE_H
 
+#include "sched/estimate.h"
 #include "sched/sched.h"
 
 enum
@@ -38,7 +39,11 @@
   GPtrArray *changed; /* struct jb_job */
   GPtrArray *stops;   /* struct jb_task: stops that events asked for */
   GArray *misfits;    /* struct sd_unit: found not to fit in this round */
-  GHashTable *claims; /* struct jb_step -> struct sd_claim */
+  struct es_table *estimates; /* what queues have shown of their work */
+  uint32_t held_count; /* tasks of gangs that room is held for, in a round */
+  uint32_t hold_tries; /* new holds looked for, in a round */
+  GHashTable *holds;   /* struct jb_step -> struct sd_hold */
+  GHashTable *claims;  /* struct jb_step -> struct sd_claim */
 };
 
 /* --- ledger.c: room on workers --- */
@@ -108,8 +113,7 @@
 /*! sd_collect_units () :
  *  @return : struct sd_unit of all that could start now, in the order in
  *            which they are placed; to be freed by g_array_free (). */
-GArray *sd_collect_units (struct sd_sched *sched, int64_t now_ms,
-                          int64_t now_unix_ms);
+GArray *sd_collect_units (struct sd_sched *sched, int64_t now_unix_ms);
 
 /* --- place.c --- */
 
@@ -125,6 +129,11 @@
  *            listed, stays, and has the service and the label. */
 bool sd_suits (const struct sd_worker *worker, const struct sd_unit *unit);
 
+/*! sd_usable () :
+ *  @return : whether it also is in touch and not avoided. */
+bool sd_usable (const struct sd_worker *worker, const struct sd_unit *unit,
+                int64_t now_ms);
+
 /*! sd_choose () :
  *  Chooses workers for the waiting tasks of UNIT by their round_free; of a
  *  gang for all or none.
@@ -136,8 +145,7 @@
  *  @return : whether the unit fits on the listed workers when they are
  *            empty. */
 bool sd_could_ever_fit (const struct sd_sched *sched,
-                        const struct sd_unit *unit, bool one_rack,
-                        int64_t now_ms);
+                        const struct sd_unit *unit, bool one_rack);
 
 /*! sd_known_misfit () :
  *  @return : whether a unit that asks for no more has been found not to fit in
@@ -145,6 +153,31 @@
 bool sd_known_misfit (const struct sd_sched *sched,
                       const struct sd_unit *unit);
 
+/* --- reserve.c --- */
+
+void sd_hold_free (void *data);
+
+/*! sd_holds_begin (), sd_holds_end () :
+ *  Around a round: what is held is entered; holds of gangs that wait no more
+ *  are dropped. */
+void sd_holds_begin (struct sd_sched *sched);
+void sd_holds_end (struct sd_sched *sched);
+
+/*! sd_hold_give_back () :
+ *  The unit itself may use the room that is held for it.
+ *  @return : whether room is held for it. */
+bool sd_hold_give_back (struct sd_sched *sched, const struct sd_unit *unit);
+
+/*! sd_hold_room () :
+ *  For a gang that does not fit: room on the workers that will have it
+ *  soonest is kept from others. */
+void sd_hold_room (struct sd_sched *sched, const struct sd_unit *unit,
+                   int64_t now_ms);
+
+/*! sd_hold_end () :
+ *  The gang has been placed. */
+void sd_hold_end (struct sd_sched *sched, const struct sd_unit *unit);
+
 /* --- preempt.c --- */
 
 /* Room that tasks which are being stopped will leave for a step.  */
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -28,6 +28,8 @@
   sched->changed = g_ptr_array_new ();
   sched->stops = g_ptr_array_new ();
   sched->misfits = g_array_new (FALSE, FALSE, sizeof (struct sd_unit));
+  sched->estimates = es_create ();
+  sched->holds = g_hash_table_new_full (NULL, NULL, NULL, sd_hold_free);
   sched->claims = g_hash_table_new_full (NULL, NULL, NULL, sd_claim_free);
   return sched;
 }
@@ -44,6 +46,8 @@
   g_ptr_array_free (sched->stops, TRUE);
   g_array_free (sched->misfits, TRUE);
   g_hash_table_destroy (sched->claims);
+  g_hash_table_destroy (sched->holds);
+  es_free (sched->estimates);
   g_free (sched);
 }
 
@@ -150,10 +154,8 @@
 }
 
 void
-sd_worker_contact (struct sd_sched *sched, struct sd_worker *worker,
-                   enum sd_contact contact)
+sd_worker_contact (struct sd_worker *worker, enum sd_contact contact)
 {
-  (void)sched;
   worker->contact = contact;
 }
 
@@ -232,6 +234,7 @@
   g_ptr_array_set_size (sched->changed, 0);
   g_ptr_array_set_size (sched->stops, 0);
   g_hash_table_remove_all (sched->claims);
+  g_hash_table_remove_all (sched->holds);
   g_hash_table_iter_init (&iter, sched->table->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -270,7 +273,10 @@
     sd_stop_step (sched, &job->steps[i]);
   g_ptr_array_remove (sched->active, job);
   for (i = 0; i < job->step_total; i++)
-    g_hash_table_remove (sched->claims, &job->steps[i]);
+    {
+      g_hash_table_remove (sched->claims, &job->steps[i]);
+      g_hash_table_remove (sched->holds, &job->steps[i]);
+    }
   sd_mark_changed (sched, job);
 }
 
@@ -421,6 +427,19 @@
     end_job (sched, task->job, JB_FAILED, now_unix_ms);
 }
 
+/* Only whole runs tell how long the work takes.  */
+static void
+learn (struct sd_sched *sched, const struct jb_task *task, int64_t now_ms)
+{
+  const struct jb_step *step = task->step;
+  const struct jb_task *keeper = step->spec->gang ? step->tasks : task;
+
+  if (task->started_ms > 0 && keeper->checkpoint == NULL
+      && !step->spec->lasting)
+    es_learn (sched->estimates, task->job->queue, step->spec->estimate_ms,
+              now_ms - task->started_ms);
+}
+
 void
 sd_task_ended (struct sd_sched *sched, struct jb_task *task, enum sd_end how,
                const char *checkpoint, int64_t now_ms, int64_t now_unix_ms)
@@ -428,6 +447,8 @@
   struct sd_worker *worker = sd_worker_find (sched, task->worker);
 
   assert (task->state == JB_TASK_PLACED || task->state == JB_TASK_STOPPING);
+  if (how == SD_END_DONE)
+    learn (sched, task, now_ms);
   sd_task_running (sched, task, now_ms); /* what has ended has begun */
   sd_task_saved (task, checkpoint);
   sd_release (sched, task);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -52,6 +52,7 @@
   int64_t avoid_until_ms;
   /* of a round */
   struct jb_room round_free;
+  struct jb_room held; /* of it, kept for gangs that wait */
   size_t index;
   void *io; /* of the driver */
 };
@@ -79,6 +80,9 @@
 {
   uint32_t far_factor; /* slow-down of work away from its rack */
   uint32_t stop_ms;    /* a stop takes at most this */
+  /* For so many tasks of gangs room may be kept, by the hundred workers; it
+     stands idle until the whole gang fits.  0: never.  */
+  uint32_t hold_percent;
 };
 
 struct sd_sched *sd_create (const struct sd_params *params,
@@ -112,8 +116,7 @@
  *  @return : all workers, struct sd_worker. */
 const GPtrArray *sd_workers (const struct sd_sched *sched);
 
-void sd_worker_contact (struct sd_sched *sched, struct sd_worker *worker,
-                        enum sd_contact contact);
+void sd_worker_contact (struct sd_worker *worker, enum sd_contact contact);
 
 /*! sd_worker_silent () :
  *  An order was not answered: others go elsewhere for a while. */
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -287,12 +287,12 @@
       if (worker->contact != SD_CONTACT_LOST)
         lg_info (PART, "A worker is out of touch.", "worker", call->worker,
                  "result", wp_result_name (answer->result), NULL);
-      sd_worker_contact (workers->params.sched, worker, SD_CONTACT_LOST);
+      sd_worker_contact (worker, SD_CONTACT_LOST);
       goto done;
     }
   if (worker->contact != SD_CONTACT_GOOD)
     lg_info (PART, "A worker is in touch.", "worker", call->worker, NULL);
-  sd_worker_contact (workers->params.sched, worker, SD_CONTACT_GOOD);
+  sd_worker_contact (worker, SD_CONTACT_GOOD);
   io->hold_good_ms = io->hold_sent_ms;
   wk_take_clock (io, answer, now_ms);
   take_lists (io, answer, now_ms);
--- a/tests/unit/hostd_fixture.h
+++ b/tests/unit/hostd_fixture.h
@@ -92,7 +92,7 @@
   };
   struct sd_worker *worker = sd_worker_listed (sched, &report);
 
-  sd_worker_contact (sched, worker, SD_CONTACT_GOOD);
+  sd_worker_contact (worker, SD_CONTACT_GOOD);
   return worker;
 }
 
