Advice tickets; lasting work may miss few of its tasks at once

A queue with a placement advisor was never served: its workers refuse a start without a ticket. Now lib/sched/advice.c decides whom to ask about (as many as the step needs by the share allowed so far, those with room first, at most 30 a call), the task advisor.c asks with few calls open, platform/pf_advice.c translates; a start carries the ticket, a ticket that a worker refuses is forgotten and asked for anew. Taking room back for urgent work could stop more tasks of a lasting step at once than its users bear (max_unavailable); it no longer does. Tests: test_hostd_advice (6), test_hostd_platform (advice over HTTP, odd answers), test_hostd_sched (lasting work is missed within its limit: failed before). Not seen against the platform's own advisor.

--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -117,7 +117,7 @@
 }
 
 static void
-collect_job (const struct sd_sched *sched, GArray *units, struct jb_job *job,
+collect_job (struct sd_sched *sched, GArray *units, struct jb_job *job,
              const struct ct_queue *queue, bool guaranteed,
              int64_t now_unix_ms)
 {
@@ -137,8 +137,11 @@
                               .due_ms = job->seen_ms + objective_ms };
 
       unit.waiting = count_waiting (step);
-      if (unit.waiting > 0 && step_ready (step, now_unix_ms))
-        g_array_append_val (units, unit);
+      if (unit.waiting == 0 || !step_ready (step, now_unix_ms))
+        continue;
+      if (queue->advised)
+        unit.advice = sd_advice_of (sched, step);
+      g_array_append_val (units, unit);
     }
 }
 
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -29,7 +29,8 @@
 {
   return worker->listed && !worker->report.draining
          && g_strcmp0 (worker->report.service, unit->service) == 0
-         && has_label (worker, unit->step->spec->label);
+         && has_label (worker, unit->step->spec->label)
+         && !sd_advice_refuses (unit->advice, worker->report.id);
 }
 
 bool
@@ -37,7 +38,8 @@
            int64_t now_ms)
 {
   return sd_suits (worker, unit) && worker->contact == SD_CONTACT_GOOD
-         && !sd_health_avoided (worker, now_ms);
+         && !sd_health_avoided (worker, now_ms)
+         && sd_advice_allows (unit->advice, worker->report.id);
 }
 
 static bool
@@ -45,7 +47,8 @@
           int64_t now_ms)
 {
   return sd_usable (worker, unit, now_ms)
-         && worker->room_shut_until_ms <= now_ms;
+         && worker->room_shut_until_ms <= now_ms
+         && sd_advice_has_ticket (unit->advice, worker->report.id, now_ms);
 }
 
 static uint32_t
@@ -250,8 +253,9 @@
   const struct jb_step_spec *spec = unit->step->spec;
   const struct jb_step_spec *other = misfit->step->spec;
 
-  return sd_room_fits (&other->room, &spec->room) && spec->gang >= other->gang
-         && spec->one_rack >= other->one_rack
+  return unit->advice == NULL && misfit->advice == NULL
+         && sd_room_fits (&other->room, &spec->room)
+         && spec->gang >= other->gang && spec->one_rack >= other->one_rack
          && (!other->gang || unit->waiting >= misfit->waiting)
          && g_strcmp0 (unit->service, misfit->service) == 0
          && (other->label == NULL
--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -9,6 +9,7 @@
 enum
 {
   ACCELERATOR_AS_CORES = 8, /* the platform's price of lost work */
+  AT_WORK_PERCENT = 100,    /* of a lasting task: it has started up */
   VICTIMS_MAX = 32,         /* tasks stopped on one worker for one task */
   /* From the end of a stop to its listing, and to the next round.  A plan that
      cannot be made is tried again after as long as a stop and this.  */
@@ -53,10 +54,44 @@
   return loss;
 }
 
+/* Tasks of a lasting step that are not at work, or will not be.  */
+static uint32_t
+count_absent (const struct jb_step *step, GHashTable *victims)
+{
+  uint32_t absent = 0;
+  uint32_t i;
+
+  for (i = 0; i < step->spec->count; i++)
+    {
+      const struct jb_task *task = &step->tasks[i];
+
+      if (task->state != JB_TASK_PLACED || task->percent < AT_WORK_PERCENT
+          || g_hash_table_contains (victims, task))
+        absent++;
+    }
+  return absent;
+}
+
+/* Whether the users of a lasting step would miss more of it than they bear if
+   TASK were stopped too.  */
+static bool
+is_missed (const struct jb_task *task, GHashTable *victims)
+{
+  const struct jb_step_spec *spec = task->step->spec;
+
+  if (!spec->lasting || spec->absence_limit == 0
+      || task->percent < AT_WORK_PERCENT)
+    return false;
+  return (spec->gang && spec->count > spec->absence_limit)
+         || count_absent (task->step, victims) >= spec->absence_limit;
+}
+
 static bool
-may_stop (const struct sd_unit *unit, const struct jb_task *task)
+may_stop (const struct sd_unit *unit, const struct jb_task *task,
+          GHashTable *victims)
 {
-  return task->state == JB_TASK_PLACED && task->job->priority > unit->priority;
+  return task->state == JB_TASK_PLACED && task->job->priority > unit->priority
+         && !is_missed (task, victims);
 }
 
 static struct plan *
@@ -81,7 +116,7 @@
 
           if (task->state == JB_TASK_STOPPING)
             sd_room_add (&plan->room[i], &task->step->spec->room);
-          else if (may_stop (unit, task))
+          else if (may_stop (unit, task, plan->victims))
             sd_room_add (&plan->borrowed[i], &task->step->spec->room);
         }
     }
@@ -145,6 +180,20 @@
   return false;
 }
 
+/* The same, for victims that are only being tried.  */
+static bool
+is_missed_beside (const struct jb_task *task, const struct victims *besides)
+{
+  uint32_t i;
+
+  if (!task->step->spec->lasting || task->step->spec->absence_limit == 0)
+    return false;
+  for (i = 0; i < besides->count; i++)
+    if (besides->tasks[i]->step == task->step)
+      return true; /* one of a step at a time is enough to try */
+  return false;
+}
+
 static struct jb_task *
 cheapest_victim (const struct sd_unit *unit, const struct plan *plan,
                  const struct sd_worker *worker, const struct victims *besides,
@@ -158,8 +207,9 @@
       struct jb_task *task = g_ptr_array_index (worker->tasks, i);
       double lost;
 
-      if (!may_stop (unit, task) || g_hash_table_contains (plan->victims, task)
-          || is_among (besides, task))
+      if (g_hash_table_contains (plan->victims, task)
+          || is_among (besides, task) || !may_stop (unit, task, plan->victims)
+          || is_missed_beside (task, besides))
         continue;
       lost = loss_of (task, now_ms);
       if (best != NULL && lost >= *loss)
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -40,10 +40,13 @@
   GPtrArray *stops;   /* struct jb_task: stops that events asked for */
   GArray *misfits;    /* struct sd_unit: found not to fit in this round */
   struct es_table *estimates; /* what queues have shown of their work */
-  uint32_t held_count; /* tasks of gangs that room is held for, in a round */
-  uint32_t hold_tries; /* new holds looked for, in a round */
-  GHashTable *holds;   /* struct jb_step -> struct sd_hold */
-  GHashTable *claims;  /* struct jb_step -> struct sd_claim */
+  uint32_t held_count;   /* tasks of gangs that room is held for, in a round */
+  uint32_t hold_tries;   /* new holds looked for, in a round */
+  GHashTable *holds;     /* struct jb_step -> struct sd_hold */
+  GHashTable *advice;    /* struct jb_step -> struct sd_advice */
+  uint64_t advice_asked; /* workers that the advisor was asked about */
+  uint64_t advice_allowed; /* and those that it allowed */
+  GHashTable *claims;      /* struct jb_step -> struct sd_claim */
 };
 
 /* --- ledger.c: room on workers --- */
@@ -106,8 +109,9 @@
   const char *service;
   uint32_t waiting;
   uint32_t priority;
-  int64_t due_ms;  /* steady clock: the objective */
-  bool guaranteed; /* of its team's guarantee: may take room back */
+  int64_t due_ms;           /* steady clock: the objective */
+  struct sd_advice *advice; /* NULL: its queue has no advisor */
+  bool guaranteed;          /* of its team's guarantee: may take room back */
 };
 
 /*! sd_collect_units () :
@@ -115,6 +119,32 @@
  *            which they are placed; to be freed by g_array_free (). */
 GArray *sd_collect_units (struct sd_sched *sched, int64_t now_unix_ms);
 
+/* --- advice.c --- */
+
+void sd_advice_free (void *data);
+
+/*! sd_advice_of () :
+ *  @return : what is known for the step, never NULL. */
+struct sd_advice *sd_advice_of (struct sd_sched *sched, struct jb_step *step);
+
+/*! sd_advice_refuses (), sd_advice_allows (), sd_advice_has_ticket () :
+ *  Whether the advisor is known not to allow the worker; to allow it; and
+ *  whether a start could show a ticket.  ADVICE may be NULL: no advisor. */
+bool sd_advice_refuses (const struct sd_advice *advice, const char *worker);
+bool sd_advice_allows (const struct sd_advice *advice, const char *worker);
+bool sd_advice_has_ticket (const struct sd_advice *advice, const char *worker,
+                           int64_t now_ms);
+
+/*! sd_advice_forget () :
+ *  The worker of TASK has refused its ticket. */
+void sd_advice_forget (struct sd_sched *sched, const struct jb_task *task);
+
+/*! sd_want_advice () :
+ *  For a unit that could not be placed as a whole: adds a question, if one is
+ *  worth asking now. */
+void sd_want_advice (struct sd_sched *sched, const struct sd_unit *unit,
+                     int64_t now_ms, GPtrArray *asks);
+
 /* --- place.c --- */
 
 /* A choice of workers for tasks: pairs of a task and its worker.  */
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -83,6 +83,8 @@
     sd_claim_end (sched, unit);
   if (!whole && unit->priority == 0 && rest.waiting > 0)
     sd_preempt (sched, &rest, now_ms);
+  if (!whole && commands->asks != NULL)
+    sd_want_advice (sched, &rest, now_ms, commands->asks);
   g_ptr_array_free (choice.tasks, TRUE);
   g_ptr_array_free (choice.workers, TRUE);
 }
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -30,6 +30,7 @@
   sched->misfits = g_array_new (FALSE, FALSE, sizeof (struct sd_unit));
   sched->estimates = es_create ();
   sched->holds = g_hash_table_new_full (NULL, NULL, NULL, sd_hold_free);
+  sched->advice = g_hash_table_new_full (NULL, NULL, NULL, sd_advice_free);
   sched->claims = g_hash_table_new_full (NULL, NULL, NULL, sd_claim_free);
   return sched;
 }
@@ -47,6 +48,7 @@
   g_array_free (sched->misfits, TRUE);
   g_hash_table_destroy (sched->claims);
   g_hash_table_destroy (sched->holds);
+  g_hash_table_destroy (sched->advice);
   es_free (sched->estimates);
   g_free (sched);
 }
@@ -235,6 +237,7 @@
   g_ptr_array_set_size (sched->stops, 0);
   g_hash_table_remove_all (sched->claims);
   g_hash_table_remove_all (sched->holds);
+  g_hash_table_remove_all (sched->advice);
   g_hash_table_iter_init (&iter, sched->table->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -276,6 +279,7 @@
     {
       g_hash_table_remove (sched->claims, &job->steps[i]);
       g_hash_table_remove (sched->holds, &job->steps[i]);
+      g_hash_table_remove (sched->advice, &job->steps[i]);
     }
   sd_mark_changed (sched, job);
 }
@@ -357,6 +361,8 @@
 
   if (worker != NULL && reason == SD_REFUSED_ROOM)
     worker->room_shut_until_ms = now_ms + SD_ROOM_SHUT_MS;
+  if (reason == SD_REFUSED_TICKET)
+    sd_advice_forget (sched, task);
   if (worker != NULL && reason == SD_REFUSED_UNWELL)
     sd_health_refused (worker, now_ms);
   sd_release (sched, task);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -8,6 +8,7 @@
 
 #include "jobs/catalog.h"
 #include "jobs/model.h"
+#include "worker/advice_port.h"
 
 struct sd_sched;
 
@@ -73,6 +74,7 @@
   SD_REFUSED_OLD, /* the run number is not higher than one known there */
   SD_REFUSED_UNWELL,
   SD_REFUSED_LATE,
+  SD_REFUSED_TICKET, /* the advisor's ticket does not hold there any more */
   SD_REFUSED_OTHER,
 };
 
@@ -163,11 +165,27 @@
 
 /* --- Decisions --- */
 
+/* A question for the advisor.  */
+struct sd_ask
+{
+  char *step;        /* ID.K.STEP */
+  char **workers;    /* ids, NULL at the end */
+  uint32_t first_ms; /* the advisor's time for a call */
+  uint32_t each_ms;  /* and for each worker */
+};
+
+void sd_ask_free (void *data);
+
+/*! sd_asks_create () :
+ *  @return : a list of struct sd_ask that frees them. */
+GPtrArray *sd_asks_create (void);
+
 /* What a round decides.  */
 struct sd_commands
 {
   GPtrArray *starts; /* struct jb_task: to be started once recorded */
   GPtrArray *stops;  /* struct jb_task: to be stopped */
+  GPtrArray *asks;   /* struct sd_ask: of sd_asks_create () */
 };
 
 /*! sd_round () :
@@ -176,6 +194,17 @@
 void sd_round (struct sd_sched *sched, int64_t now_ms, int64_t now_unix_ms,
                struct sd_commands *commands);
 
+/*! sd_advised () :
+ *  The advisor's answer to ASK; each ask gets one. */
+void sd_advised (struct sd_sched *sched, const struct sd_ask *ask,
+                 const struct ap_answer *answer, int64_t now_ms);
+
+/*! sd_ticket () :
+ *  @return : what the start of a placed task shows to its worker; NULL: its
+ *            queue has no advisor. */
+const char *sd_ticket (const struct sd_sched *sched,
+                       const struct jb_task *task);
+
 /*! sd_take_changed () :
  *  @return : the jobs changed since the last call, struct jb_job; to be freed
  *            by g_ptr_array_free (). */
--- a/lib/worker/worker_port.c
+++ b/lib/worker/worker_port.c
@@ -25,6 +25,8 @@
       return "other";
     case WP_INVALID:
       return "invalid";
+    case WP_TICKET:
+      return "ticket";
     }
   return "?";
 }
--- a/lib/worker/worker_port.h
+++ b/lib/worker/worker_port.h
@@ -21,6 +21,7 @@
   WP_UNWELL = -6,  /* the worker does nothing now */
   WP_OTHER = -7,   /* another worker lives at the address */
   WP_INVALID = -8, /* the worker does not understand the order */
+  WP_TICKET = -9,  /* the advisor's ticket does not hold there */
 };
 
 /*! wp_result_name () :
--- a/programs/foxtailgap-hostd/hostd_settings.c
+++ b/programs/foxtailgap-hostd/hostd_settings.c
@@ -34,28 +34,31 @@
 #member, offsetof(struct hostd_settings, member), min, max, fallback      \
   }
 
-static const cyaml_schema_field_t settings_fields[]
-    = { TEXT_FIELD (host),
-        TEXT_FIELD (data_centre),
-        TEXT_FIELD (callers),
-        TEXT_FIELD (readiness),
-        TEXT_FIELD (metrics),
-        TEXT_FIELD (store),
-        CYAML_FIELD_STRING_PTR (
-            "log_level", CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER,
-            struct hostd_settings, log_level, 0, TEXT_LIMIT_BYTES),
-        NUMBER_FIELD (connection_limit),
-        NUMBER_FIELD (body_limit_bytes),
-        NUMBER_FIELD (receive_timeout_ms),
-        NUMBER_FIELD (lease_ttl_ms),
-        NUMBER_FIELD (stop_ms),
-        NUMBER_FIELD (key_validity_ms),
-        NUMBER_FIELD (shutdown_ms),
-        NUMBER_FIELD (far_factor),
-        NUMBER_FIELD (job_retention_ms),
-        REAL_FIELD (cpu_share),
-        REAL_FIELD (link_mbps),
-        CYAML_FIELD_END };
+static const cyaml_schema_field_t settings_fields[] = {
+  TEXT_FIELD (host),
+  TEXT_FIELD (data_centre),
+  TEXT_FIELD (callers),
+  TEXT_FIELD (readiness),
+  TEXT_FIELD (metrics),
+  TEXT_FIELD (store),
+  CYAML_FIELD_STRING_PTR ("advisor", CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER,
+                          struct hostd_settings, advisor, 0, TEXT_LIMIT_BYTES),
+  CYAML_FIELD_STRING_PTR (
+      "log_level", CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER,
+      struct hostd_settings, log_level, 0, TEXT_LIMIT_BYTES),
+  NUMBER_FIELD (connection_limit),
+  NUMBER_FIELD (body_limit_bytes),
+  NUMBER_FIELD (receive_timeout_ms),
+  NUMBER_FIELD (lease_ttl_ms),
+  NUMBER_FIELD (stop_ms),
+  NUMBER_FIELD (key_validity_ms),
+  NUMBER_FIELD (shutdown_ms),
+  NUMBER_FIELD (far_factor),
+  NUMBER_FIELD (job_retention_ms),
+  REAL_FIELD (cpu_share),
+  REAL_FIELD (link_mbps),
+  CYAML_FIELD_END
+};
 
 static const cyaml_schema_value_t settings_schema = { CYAML_VALUE_MAPPING (
     CYAML_FLAG_POINTER, struct hostd_settings, settings_fields) };
@@ -104,6 +107,8 @@
   check_address (place, "readiness", settings->readiness);
   check_address (place, "metrics", settings->metrics);
   check_address (place, "store", settings->store);
+  if (settings->advisor != NULL)
+    check_address (place, "advisor", settings->advisor);
 }
 
 static int
@@ -165,6 +170,7 @@
   free (settings->readiness);
   free (settings->metrics);
   free (settings->store);
+  free (settings->advisor);
   free (settings->log_level);
   free (settings);
 }
--- a/programs/foxtailgap-hostd/hostd_settings.h
+++ b/programs/foxtailgap-hostd/hostd_settings.h
@@ -16,6 +16,7 @@
   char *readiness; /* IP:PORT that tells whether this host takes callers */
   char *metrics;   /* IP:PORT of counters and histograms */
   char *store;     /* IP:PORT */
+  char *advisor;   /* IP:PORT of the placement advisor; NULL: none */
   char *log_level;
   uint32_t connection_limit;
   uint32_t body_limit_bytes;
--- a/programs/foxtailgap-hostd/main.c
+++ b/programs/foxtailgap-hostd/main.c
@@ -17,6 +17,7 @@
 #include "front.h"
 #include "hostd_settings.h"
 #include "journal.h"
+#include "pf_advice.h"
 #include "pf_decode.h"
 #include "pf_http.h"
 #include "pf_store.h"
@@ -48,6 +49,7 @@
   struct mt_registry *metrics;
   struct pf_store *store;
   struct pf_workers *workers;
+  struct pf_advisor *advisor; /* NULL: none is set */
   struct journal *journal;
   struct planner *planner;
   struct front *front;
@@ -229,6 +231,11 @@
   planner.journal = process->journal;
   planner.store = journal.store;
   planner.workers = pf_workers_port (process->workers);
+  if (process->settings->advisor != NULL)
+    process->advisor
+        = pf_advisor_create (process->loop, process->settings->advisor);
+  if (process->advisor != NULL)
+    planner.advisor = pf_advisor_port (process->advisor);
   process->planner = pl_create (&planner);
   front.journal = process->journal;
   process->front = fr_create (&front);
@@ -240,6 +247,7 @@
 {
   fr_free (process->front);
   pf_workers_free (process->workers);
+  pf_advisor_free (process->advisor);
   pf_store_free (process->store);
   pl_free (process->planner);
   jr_free (process->journal);
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -36,8 +36,9 @@
 static void
 decide (struct planner *planner)
 {
-  struct sd_commands commands
-      = { .starts = g_ptr_array_new (), .stops = g_ptr_array_new () };
+  struct sd_commands commands = { .starts = g_ptr_array_new (),
+                                  .stops = g_ptr_array_new (),
+                                  .asks = sd_asks_create () };
   guint i;
 
   sd_round (planner->sched, clk_monotonic_ms (NULL), clk_unix_ms (),
@@ -55,6 +56,9 @@
     }
   for (i = 0; i < commands.stops->len; i++)
     wk_stop (planner->workers, g_ptr_array_index (commands.stops, i));
+  while (commands.asks->len > 0)
+    av_ask (planner->advisor, g_ptr_array_steal_index (commands.asks, 0));
+  g_ptr_array_free (commands.asks, TRUE);
   g_ptr_array_free (commands.starts, TRUE);
   g_ptr_array_free (commands.stops, TRUE);
 }
@@ -303,6 +307,16 @@
   pl_term_lost (ctx, "a worker has seen a higher term");
 }
 
+static void
+on_advised (void *ctx, const struct sd_ask *ask,
+            const struct ap_answer *answer)
+{
+  struct planner *planner = ctx;
+
+  sd_advised (planner->sched, ask, answer, clk_monotonic_ms (NULL));
+  pl_wake (planner);
+}
+
 /* --- The planner --- */
 
 struct planner *
@@ -323,6 +337,9 @@
     .changed = on_workers_changed,
     .fenced = on_fenced,
   };
+  struct av_params advisor = { .port = params->advisor,
+                               .metrics = params->metrics,
+                               .answered = on_advised };
   struct jb_host host = { 0 };
   struct jr_observer observer = {
     .ctx = planner,
@@ -338,6 +355,8 @@
   planner->sched = sd_create (&sched, jr_table (params->journal));
   workers.sched = planner->sched;
   planner->workers = wk_create (&workers);
+  advisor.ctx = planner;
+  planner->advisor = av_create (&advisor);
   planner->starts = g_array_new (FALSE, FALSE, sizeof (struct pl_start));
   planner->drops = g_ptr_array_new_with_free_func (g_free);
   planner->woke_ms = clk_monotonic_ms (NULL);
@@ -362,6 +381,7 @@
   ev_timer_stop (planner->params.loop, &planner->tick);
   ev_timer_stop (planner->params.loop, &planner->round);
   wk_free (planner->workers);
+  av_free (planner->advisor);
   sd_free (planner->sched);
   pl_batch_free (planner->sending);
   g_array_free (planner->starts, TRUE);
--- a/programs/foxtailgap-hostd/planner.h
+++ b/programs/foxtailgap-hostd/planner.h
@@ -10,6 +10,7 @@
 #include "common/metrics.h"
 #include "hostd_settings.h"
 #include "journal.h"
+#include "worker/advice_port.h"
 #include "worker/worker_port.h"
 
 struct planner;
@@ -25,6 +26,7 @@
   struct journal *journal;
   struct so_port store;
   struct wp_port workers;
+  struct ap_port advisor; /* ask NULL: none */
   const char *jobs_topic;
   const char *workers_topic;
   pl_decode_report decode_report;
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -4,6 +4,7 @@
 #ifndef FT_HOSTD_PLANNER_PRIVATE_H
 #define FT_HOSTD_PLANNER_PRIVATE_H
 
+#include "advisor.h"
 #include "planner.h"
 #include "workers.h"
 
@@ -40,6 +41,7 @@
   struct pl_params params;
   struct sd_sched *sched;
   struct workers *workers;
+  struct advisor *advisor;
   enum pl_role role;
   /* term */
   uint64_t term;
--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -161,6 +161,7 @@
               lg_number ((long long)planner->term), "why", why, NULL);
   planner->role = PL_FOLLOWER;
   wk_end_term (planner->workers);
+  av_drop (planner->advisor);
   jr_set_own_term (planner->params.journal, 0);
   jr_reload (planner->params.journal);
   g_array_set_size (planner->starts, 0);
--- a/programs/foxtailgap-hostd/worker_orders.c
+++ b/programs/foxtailgap-hostd/worker_orders.c
@@ -98,6 +98,9 @@
     case WP_LATE:
       refuse (call, task, SD_REFUSED_LATE, now_ms);
       return;
+    case WP_TICKET:
+      refuse (call, task, SD_REFUSED_TICKET, now_ms);
+      return;
     case WP_OTHER:
     case WP_INVALID:
       refuse (call, task, SD_REFUSED_OTHER, now_ms);
@@ -162,6 +165,7 @@
     .deadline_ms = wk_clock_ms (io, now_ms) + left_ms,
     .term = workers->term,
     .checkpoint = keeper->checkpoint,
+    .ticket = sd_ticket (workers->params.sched, task),
   };
 
   call->sent_ms = MAX (now_ms, call->sent_ms + 1);
--- a/tests/scripts/hostd-settings.t
+++ b/tests/scripts/hostd-settings.t
@@ -6,8 +6,8 @@
   >   "$ROOT/examples/settings/foxtailgap-hostd.yaml" > wrong.yaml
   $ "$HOSTD" --settings wrong.yaml --check | sed 's/^time=[^ ]* //'
   level=error part=daemon msg="The settings are not valid." file=wrong.yaml line=7 reason="store: must be IP:PORT, not 'nowhere'"
-  level=error part=daemon msg="The settings are not valid." file=wrong.yaml line=10 reason="stop_ms: must be from 1 to 60000, not 0"
-  level=error part=daemon msg="The settings are not valid." file=wrong.yaml line=12 reason="cpu_share: must be above 0"
+  level=error part=daemon msg="The settings are not valid." file=wrong.yaml line=11 reason="stop_ms: must be from 1 to 60000, not 0"
+  level=error part=daemon msg="The settings are not valid." file=wrong.yaml line=13 reason="cpu_share: must be above 0"
   $ "$HOSTD" --settings wrong.yaml --check > /dev/null; echo $?
   2
   $ "$HOSTD" --settings none.yaml --check | grep -c 'file=none.yaml line=0 .*No such file'
--- /dev/null
+++ b/tests/unit/test_hostd_advice.c
@@ -0,0 +1,342 @@
+/* Work whose workers an advisor names: asked about no more than helps, and
+   nothing starts without a ticket that holds.  */
+
+#include "../../programs/foxtailgap-hostd/advisor.h"
+#include "check.h"
+#include "hostd_fixture.h"
+
+enum
+{
+  WORKERS = 40,
+  VALIDITY_MS = 3000,
+  ROUND_MS = 20
+};
+
+struct setup
+{
+  struct jb_table *table;
+  struct sd_sched *sched;
+  struct ct_catalog *catalog;
+  GPtrArray *asks;
+  int64_t now_ms;
+  uint32_t asked; /* workers named */
+  uint32_t calls;
+  uint32_t started;
+};
+
+static void
+begin (struct setup *setup)
+{
+  struct sd_params params
+      = { .far_factor = 3, .stop_ms = 200, .hold_percent = 50 };
+  uint32_t i;
+
+  memset (setup, 0, sizeof *setup);
+  setup->now_ms = 1000;
+  setup->table = jb_table_create ();
+  setup->sched = sd_create (&params, setup->table);
+  setup->catalog = fixture_catalog ();
+  setup->catalog->queues[1].advised = true;
+  setup->asks = sd_asks_create ();
+  sd_set_catalog (setup->sched, setup->catalog);
+  for (i = 0; i < WORKERS; i++)
+    {
+      char *id = g_strdup_printf ("w%02u", i);
+
+      fixture_worker (setup->sched, id, "r1", 8);
+      g_free (id);
+    }
+}
+
+static void
+finish (struct setup *setup)
+{
+  g_ptr_array_free (setup->asks, TRUE);
+  sd_free (setup->sched);
+  jb_table_free (setup->table);
+  ct_free (setup->catalog);
+}
+
+static struct jb_job *
+add_job (struct setup *setup, const char *id, const struct fixture_step *step)
+{
+  struct jb_job *job = jb_table_add (
+      setup->table, id, fixture_spec ("batch", "clinic", step), setup->now_ms);
+
+  sd_job_added (setup->sched, job);
+  return job;
+}
+
+static void
+advance (struct setup *setup, uint32_t time_ms)
+{
+  struct sd_commands commands = { .starts = g_ptr_array_new (),
+                                  .stops = g_ptr_array_new (),
+                                  .asks = setup->asks };
+
+  setup->now_ms += time_ms;
+  sd_round (setup->sched, setup->now_ms, 0, &commands);
+  setup->started += commands.starts->len;
+  g_ptr_array_free (commands.starts, TRUE);
+  g_ptr_array_free (commands.stops, TRUE);
+}
+
+/* Allows the workers with even numbers.  */
+static void
+answer (struct setup *setup, enum ap_result result)
+{
+  struct sd_ask *ask;
+  struct ap_row rows[100];
+  struct ap_answer answer
+      = { .result = result, .rows = rows, .validity_ms = VALIDITY_MS };
+  size_t i;
+
+  CU_ASSERT_EQUAL_FATAL (setup->asks->len, 1);
+  ask = g_ptr_array_steal_index (setup->asks, 0);
+  setup->calls++;
+  for (i = 0; ask->workers[i] != NULL; i++)
+    {
+      setup->asked++;
+      if (result == AP_DONE && (ask->workers[i][2] - '0') % 2 == 0)
+        rows[answer.row_count++]
+            = (struct ap_row){ .worker = ask->workers[i], .ticket = "yes" };
+    }
+  sd_advised (setup->sched, ask, &answer, setup->now_ms);
+  sd_ask_free (ask);
+}
+
+static bool
+only_allowed (const struct setup *setup, const struct jb_job *job)
+{
+  size_t i;
+
+  for (i = 0; i < job->task_total; i++)
+    {
+      const struct jb_task *task = &job->tasks[i];
+
+      if (task->state != JB_TASK_PLACED)
+        continue;
+      if ((task->worker[2] - '0') % 2 != 0
+          || g_strcmp0 (sd_ticket (setup->sched, task), "yes") != 0)
+        return false;
+    }
+  return true;
+}
+
+static void
+test_starts_only_where_allowed (void)
+{
+  struct fixture_step step = { .count = 6, .accelerators = 8 };
+  struct setup setup;
+  struct jb_job *job;
+
+  begin (&setup);
+  job = add_job (&setup, "00000000000000aa", &step);
+  advance (&setup, ROUND_MS);
+  CU_ASSERT_EQUAL (setup.started, 0);
+  answer (&setup, AP_DONE);
+  advance (&setup, ROUND_MS);
+  while (setup.asks->len > 0)
+    {
+      answer (&setup, AP_DONE);
+      advance (&setup, ROUND_MS);
+    }
+  CU_ASSERT_EQUAL (setup.started, 6);
+  CU_ASSERT_TRUE (only_allowed (&setup, job));
+  CU_ASSERT_TRUE (setup.asked <= 24); /* 6 of which half are allowed */
+  finish (&setup);
+}
+
+static void
+test_gang_waits_for_advice_on_all (void)
+{
+  struct fixture_step step = { .count = 10, .accelerators = 8, .gang = true };
+  struct setup setup;
+  struct jb_job *job;
+  int i;
+
+  begin (&setup);
+  job = add_job (&setup, "00000000000000aa", &step);
+  for (i = 0; i < 5 && setup.started == 0; i++)
+    {
+      advance (&setup, ROUND_MS);
+      CU_ASSERT_TRUE (setup.started == 0 || setup.started == 10);
+      if (setup.asks->len > 0)
+        answer (&setup, AP_DONE);
+    }
+  CU_ASSERT_EQUAL (setup.started, 10);
+  CU_ASSERT_TRUE (only_allowed (&setup, job));
+  finish (&setup);
+}
+
+/* Waits for room while its tickets get old; then those known are asked for,
+   and no others.  */
+static void
+test_old_tickets_are_renewed (void)
+{
+  struct fixture_step all = { .count = WORKERS, .accelerators = 8 };
+  struct fixture_step one = { .count = 1, .accelerators = 8 };
+  struct setup setup;
+  struct jb_job *urgent;
+  uint32_t asked;
+  size_t i;
+
+  begin (&setup);
+  urgent = jb_table_add (setup.table, "00000000000000ab",
+                         fixture_spec ("urgent", "clinic", &all), 1000);
+  sd_job_added (setup.sched, urgent);
+  advance (&setup, ROUND_MS);
+  CU_ASSERT_EQUAL (setup.started, WORKERS);
+  add_job (&setup, "00000000000000aa", &one);
+  advance (&setup, ROUND_MS);
+  answer (&setup, AP_DONE);
+  advance (&setup, ROUND_MS);
+  CU_ASSERT_EQUAL (setup.asks->len, 0); /* enough are known */
+  advance (&setup, 2 * VALIDITY_MS);
+  CU_ASSERT_EQUAL (setup.asks->len, 0); /* nobody has room */
+  for (i = 0; i < urgent->task_total; i++)
+    sd_task_ended (setup.sched, &urgent->tasks[i], SD_END_DONE, "",
+                   setup.now_ms, 0);
+  asked = setup.asked;
+  advance (&setup, ROUND_MS);
+  CU_ASSERT_EQUAL (setup.started, WORKERS); /* its ticket is old */
+  answer (&setup, AP_DONE);
+  CU_ASSERT_TRUE (setup.asked > asked);
+  advance (&setup, ROUND_MS);
+  CU_ASSERT_EQUAL (setup.started, WORKERS + 1);
+  finish (&setup);
+}
+
+static void
+test_refused_ticket_is_asked_for_anew (void)
+{
+  struct fixture_step step = { .count = 1, .accelerators = 8 };
+  struct setup setup;
+  struct jb_job *job;
+  char worker[8];
+
+  begin (&setup);
+  job = add_job (&setup, "00000000000000aa", &step);
+  advance (&setup, ROUND_MS);
+  answer (&setup, AP_DONE);
+  advance (&setup, ROUND_MS);
+  CU_ASSERT_EQUAL (setup.started, 1);
+  g_strlcpy (worker, job->tasks[0].worker, sizeof worker);
+  sd_task_refused (setup.sched, &job->tasks[0], SD_REFUSED_TICKET,
+                   setup.now_ms);
+  advance (&setup, ROUND_MS);
+  CU_ASSERT_EQUAL (setup.started, 2);
+  CU_ASSERT_STRING_NOT_EQUAL (job->tasks[0].worker, worker);
+  finish (&setup);
+}
+
+static void
+test_silent_advisor_is_asked_again (void)
+{
+  struct fixture_step step = { .count = 1, .accelerators = 8 };
+  struct setup setup;
+
+  begin (&setup);
+  add_job (&setup, "00000000000000aa", &step);
+  advance (&setup, ROUND_MS);
+  answer (&setup, AP_SILENT);
+  advance (&setup, ROUND_MS);
+  CU_ASSERT_EQUAL (setup.asks->len, 0); /* not at once */
+  advance (&setup, 400);
+  answer (&setup, AP_BUSY);
+  advance (&setup, 400);
+  answer (&setup, AP_DONE);
+  advance (&setup, ROUND_MS);
+  CU_ASSERT_EQUAL (setup.started, 1);
+  finish (&setup);
+}
+
+/* --- The task --- */
+
+struct fake_advisor
+{
+  ap_callback callbacks[8];
+  void *ctxs[8];
+  uint32_t count;
+  uint32_t answered;
+};
+
+static void
+fake_ask (void *ctx, const char *step, const char *const *workers,
+          uint32_t timeout_ms, ap_callback callback, void *callback_ctx)
+{
+  struct fake_advisor *fake = ctx;
+
+  (void)step;
+  (void)workers;
+  (void)timeout_ms;
+  fake->callbacks[fake->count] = callback;
+  fake->ctxs[fake->count] = callback_ctx;
+  fake->count++;
+}
+
+static void
+on_answered (void *ctx, const struct sd_ask *ask,
+             const struct ap_answer *given)
+{
+  struct fake_advisor *fake = ctx;
+
+  (void)ask;
+  (void)given;
+  fake->answered++;
+}
+
+static struct sd_ask *
+make_ask (void)
+{
+  struct sd_ask *ask = g_new0 (struct sd_ask, 1);
+
+  ask->step = g_strdup ("00000000000000aa.0.0");
+  ask->workers = g_new0 (char *, 2);
+  ask->workers[0] = g_strdup ("w1");
+  return ask;
+}
+
+static void
+test_few_questions_are_open (void)
+{
+  struct fake_advisor fake = { .count = 0 };
+  struct av_params params = { .port = { .ctx = &fake, .ask = fake_ask },
+                              .metrics = mt_create (),
+                              .ctx = &fake,
+                              .answered = on_answered };
+  struct advisor *advisor = av_create (&params);
+  struct ap_answer done = { .result = AP_DONE };
+  int i;
+
+  for (i = 0; i < 5; i++)
+    av_ask (advisor, make_ask ());
+  CU_ASSERT_EQUAL (fake.count, 2);
+  fake.callbacks[0](fake.ctxs[0], &done);
+  CU_ASSERT_EQUAL (fake.count, 3);
+  CU_ASSERT_EQUAL (fake.answered, 1);
+  av_drop (advisor); /* the term is over */
+  fake.callbacks[1](fake.ctxs[1], &done);
+  CU_ASSERT_EQUAL (fake.count, 3);
+  CU_ASSERT_EQUAL (fake.answered, 1);
+  av_free (advisor);
+  fake.callbacks[2](fake.ctxs[2], &done); /* after its end */
+  CU_ASSERT_EQUAL (fake.answered, 1);
+  mt_free (params.metrics);
+}
+
+int
+main (void)
+{
+  static const struct check_test tests[] = {
+    { "starts only where allowed", test_starts_only_where_allowed },
+    { "a gang waits for advice on all", test_gang_waits_for_advice_on_all },
+    { "old tickets are renewed", test_old_tickets_are_renewed },
+    { "a refused ticket is asked for anew",
+      test_refused_ticket_is_asked_for_anew },
+    { "a silent advisor is asked again", test_silent_advisor_is_asked_again },
+    { "few questions are open", test_few_questions_are_open },
+  };
+
+  return check_run ("hostd advice", tests, G_N_ELEMENTS (tests));
+}
--- a/tests/unit/test_hostd_platform.c
+++ b/tests/unit/test_hostd_platform.c
@@ -4,7 +4,9 @@
 
 #include "check.h"
 #include "hostd_fixture.h"
+#include "http/http_server.h"
 #include "jobs/records.h"
+#include "pf_advice.h"
 #include "pf_decode.h"
 #include "pf_http.h"
 
@@ -198,10 +200,112 @@
   g_free (text);
 }
 
+/* --- The advisor --- */
+
+struct advice
+{
+  struct ev_loop *loop;
+  const char *body; /* what the advisor answers */
+  unsigned int status;
+  char *asked;
+  enum ap_result result;
+  size_t rows;
+  char ticket[32];
+  uint32_t validity_ms;
+};
+
+static void
+on_question (void *ctx, struct hs_request *request)
+{
+  struct advice *advice = ctx;
+  size_t size_bytes;
+
+  g_free (advice->asked);
+  advice->asked = g_strdup (hs_body (request, &size_bytes));
+  hs_respond (request, advice->status, NULL, 0, advice->body,
+              strlen (advice->body));
+}
+
+static void
+on_advice (void *ctx, const struct ap_answer *answer)
+{
+  struct advice *advice = ctx;
+
+  advice->result = answer->result;
+  advice->rows = answer->row_count;
+  advice->validity_ms = answer->validity_ms;
+  if (answer->row_count > 0)
+    g_strlcpy (advice->ticket, answer->rows[0].ticket, sizeof advice->ticket);
+  ev_break (advice->loop, EVBREAK_ONE);
+}
+
+static void
+test_advice_is_asked_for (void)
+{
+  static const char *const workers[] = { "i-1", "i-2", NULL };
+  static const struct
+  {
+    unsigned int status;
+    const char *body;
+    enum ap_result result;
+    size_t rows;
+  } cases[] = {
+    { 200, "{\"allowed\":[[\"i-2\",\"t-9\"]],\"validity_ms\":3000}", AP_DONE,
+      1 },
+    { 200, "{\"allowed\":[]}", AP_DONE, 0 },
+    { 200, "{\"allowed\":[[1],\"x\",[\"i-1\",null]]}", AP_DONE, 0 },
+    { 200, "not json", AP_SILENT, 0 },
+    { 429, "{}", AP_BUSY, 0 },
+    { 500, "{}", AP_SILENT, 0 },
+  };
+  struct advice advice = { .loop = ev_loop_new (EVFLAG_AUTO) };
+  struct hs_params params = { .loop = advice.loop,
+                              .address = "127.0.0.1",
+                              .connection_limit = 4,
+                              .body_limit_bytes = 10000,
+                              .receive_timeout_ms = 1000,
+                              .handler = on_question,
+                              .ctx = &advice };
+  struct hs_server *server = NULL;
+  struct pf_advisor *advisor;
+  struct ap_port port;
+  char *address;
+  size_t i;
+
+  CU_ASSERT_EQUAL_FATAL (hs_create (&server, &params), HS_OK);
+  address = g_strdup_printf ("127.0.0.1:%u", hs_port (server));
+  advisor = pf_advisor_create (advice.loop, address);
+  port = pf_advisor_port (advisor);
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      advice.status = cases[i].status;
+      advice.body = cases[i].body;
+      port.ask (port.ctx, "00000000000000aa.0.1", workers, 1000, on_advice,
+                &advice);
+      ev_run (advice.loop, 0);
+      CU_ASSERT_EQUAL (advice.result, cases[i].result);
+      CU_ASSERT_EQUAL (advice.rows, cases[i].rows);
+      if (i == 0)
+        {
+          CU_ASSERT_STRING_EQUAL (advice.ticket, "t-9");
+          CU_ASSERT_EQUAL (advice.validity_ms, 3000);
+          CU_ASSERT_STRING_EQUAL (advice.asked,
+                                  "{\"step\":\"00000000000000aa.0.1\","
+                                  "\"workers\":[\"i-1\",\"i-2\"]}");
+        }
+    }
+  pf_advisor_free (advisor);
+  hs_free (server);
+  ev_loop_destroy (advice.loop);
+  g_free (advice.asked);
+  g_free (address);
+}
+
 int
 main (void)
 {
   static const struct check_test tests[] = {
+    { "advice is asked for", test_advice_is_asked_for },
     { "the configuration is read", test_config_is_read },
     { "a worker's entry is read", test_entry_is_read },
     { "a job is read and recorded", test_job_is_read_and_recorded },
--- a/tests/unit/test_hostd_sched.c
+++ b/tests/unit/test_hostd_sched.c
@@ -71,6 +71,68 @@
   return count;
 }
 
+/* --- Lasting work that may miss few of its tasks --- */
+
+/* Three tasks of a lasting step, each on a worker of its own.  */
+static struct jb_job *
+add_lasting (struct setup *setup, uint32_t absence_limit)
+{
+  struct fixture_step step = { .count = 3, .accelerators = 8 };
+  struct jb_job *job;
+  size_t i;
+
+  fixture_worker (setup->sched, "w1", "r1", 8);
+  fixture_worker (setup->sched, "w2", "r1", 8);
+  fixture_worker (setup->sched, "w3", "r1", 8);
+  job = add (setup, "00000000000000d1", "batch", &step, 0);
+  job->spec->steps[0].lasting = true;
+  job->spec->steps[0].absence_limit = absence_limit;
+  fixture_round (setup->sched, 0);
+  run_all (setup, job, 1);
+  for (i = 0; i < job->task_total; i++)
+    sd_task_progress (setup->sched, &job->tasks[i], 100, 2);
+  return job;
+}
+
+static void
+test_lasting_work_is_missed_within_its_limit (void)
+{
+  struct setup setup;
+  struct fixture_step urgent = { .count = 2, .accelerators = 8 };
+  struct jb_job *job;
+
+  begin (&setup);
+  job = add_lasting (&setup, 1);
+  add (&setup, "00000000000000d2", "urgent", &urgent, 10);
+  fixture_round (setup.sched, 10);
+  CU_ASSERT_EQUAL (count_in (job, JB_TASK_STOPPING), 0); /* two: too many */
+  finish (&setup);
+  begin (&setup);
+  job = add_lasting (&setup, 2);
+  add (&setup, "00000000000000d2", "urgent", &urgent, 10);
+  fixture_round (setup.sched, 10);
+  CU_ASSERT_EQUAL (count_in (job, JB_TASK_STOPPING), 2);
+  finish (&setup);
+}
+
+static void
+test_lasting_work_that_misses_one_keeps_the_rest (void)
+{
+  struct setup setup;
+  struct fixture_step urgent = { .count = 1, .accelerators = 8 };
+  struct jb_job *job;
+
+  begin (&setup);
+  job = add_lasting (&setup, 1);
+  job->tasks[0].percent = 40; /* it starts up anew */
+  add (&setup, "00000000000000d2", "urgent", &urgent, 10);
+  fixture_round (setup.sched, 10);
+  CU_ASSERT_EQUAL (job->tasks[1].state, JB_TASK_PLACED);
+  CU_ASSERT_EQUAL (job->tasks[2].state, JB_TASK_PLACED);
+  CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_STOPPING);
+  finish (&setup);
+}
+
 /* --- Gangs --- */
 
 static void
@@ -602,6 +664,10 @@
 main (void)
 {
   static const struct check_test tests[] = {
+    { "lasting work is missed within its limit",
+      test_lasting_work_is_missed_within_its_limit },
+    { "lasting work that misses one keeps the rest",
+      test_lasting_work_that_misses_one_keeps_the_rest },
     { "a gang whole or not at all", test_gang_whole_or_not_at_all },
     { "a gang of one rack waits for it", test_gang_of_one_rack_waits_for_it },
     { "one end done stands for the gang",
