Tasks that fill are paced beside tasks that serve

Shared workers are looked at twice a second; orders are sent again until taken; a new term begins with none of the fillers at work until a look. Not seen against the platform's own workers.

--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -115,6 +115,9 @@
   task->missing_ms = 0;
   task->percent = 0;
   task->progress_ms = 0;
+  task->figure = 0;
+  task->pace = JB_PACE_FULL;
+  task->pace_sent_ms = 0;
 }
 
 bool
@@ -231,6 +234,7 @@
               int64_t now_ms)
 {
   struct jb_job *job = jb_table_find (table, id);
+  size_t i;
 
   if (job == NULL)
     {
@@ -244,6 +248,9 @@
       jb_spec_free (spec);
       return job;
     }
+  for (i = 0; i < spec->step_count; i++)
+    if (spec->steps[i].fills)
+      spec->steps[i].room.cpus_milli = 0; /* they use what others leave */
   job->spec = spec;
   job->queue = g_strdup (spec->queue);
   lay_out_tasks (job);
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -15,7 +15,9 @@
   JB_STEPS_MAX = 64,        /* of one job */
   JB_TASKS_MAX = 4096,      /* of one job over all its occurrences */
   JB_TEXT_MAX_BYTES = 4000, /* the platform's limit of a job's text */
-  JB_TIMES_MAX = 1000
+  JB_TIMES_MAX = 1000,
+  JB_PACE_FULL = 100,   /* percent, at the start of a task */
+  JB_PACE_UNKNOWN = 101 /* of a task that was started under another term */
 };
 
 /* Errors of this layer.  */
@@ -117,6 +119,10 @@
   int64_t stop_sent_ms; /* steady clock; 0: no stop sent */
   int64_t percent;      /* of its work, as its worker showed it last */
   int64_t progress_ms;  /* steady clock: when that changed last */
+  int64_t figure;       /* that its worker showed last: of a task that serves
+                           the tail in ms */
+  uint32_t pace;        /* percent that it may work at; see JB_PACE_UNKNOWN */
+  int64_t pace_sent_ms; /* steady clock: of the last order */
   int64_t missing_ms;   /* steady clock: not shown since; 0: shown */
 };
 
@@ -190,7 +196,8 @@
 struct jb_job *jb_table_find (const struct jb_table *table, const char *id);
 
 /*! jb_table_add () :
- *  Adds a job or gives a known one its specification; takes SPEC.
+ *  Adds a job or gives a known one its specification; takes SPEC.  Tasks that
+ *  fill need no processors of their own: those of SPEC are set to none.
  *  @return : the job. */
 struct jb_job *jb_table_add (struct jb_table *table, const char *id,
                              struct jb_spec *spec, int64_t now_ms);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -88,6 +88,26 @@
          && g_strcmp0 (worker->report.rack, spec->data_rack) != 0;
 }
 
+/* Whether tasks that fill and tasks that serve would share the worker.  */
+static bool
+would_disturb (const struct sd_worker *worker, const struct jb_step_spec *spec)
+{
+  guint i;
+
+  if (!spec->fills && spec->target_ms == 0)
+    return false;
+  for (i = 0; i < worker->tasks->len; i++)
+    {
+      const struct jb_step_spec *other
+          = ((struct jb_task *)g_ptr_array_index (worker->tasks, i))
+                ->step->spec;
+
+      if (spec->fills ? other->target_ms > 0 : other->fills)
+        return true;
+    }
+  return false;
+}
+
 /* Work that has failed before goes to workers that have shown that they
    finish work.  */
 static uint32_t
@@ -97,6 +117,8 @@
 
   if (is_away (worker, unit->step->spec))
     penalty += 4;
+  if (would_disturb (worker, unit->step->spec))
+    penalty += 2;
   if (worker->failure_streak > 0)
     penalty += 2;
   if (unit->step->tasks[0].failures > 0 && worker->last_done_ms == 0)
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -118,6 +118,8 @@
   memset (report, 0, sizeof *report);
   worker->tasks = g_ptr_array_new ();
   worker->index = sched->workers->len;
+  worker->pace_level = JB_PACE_FULL;
+  worker->pace_ceiling = JB_PACE_FULL;
   g_ptr_array_add (sched->workers, worker);
   g_hash_table_insert (sched->workers_by_id, worker->report.id, worker);
   return worker;
@@ -198,6 +200,7 @@
       g_ptr_array_add (worker->tasks, task);
       sd_room_add (&worker->used, &task->step->spec->room);
       task->placed_ms = now_ms;
+      task->pace = JB_PACE_UNKNOWN;
       if (task->state == JB_TASK_STOPPING || job->cancelled)
         {
           task->state = JB_TASK_STOPPING;
@@ -231,6 +234,9 @@
       g_ptr_array_set_size (worker->tasks, 0);
       worker->used = (struct jb_room){ 0 };
       worker->contact = SD_CONTACT_UNSEEN;
+      worker->pace_level
+          = 0; /* until a look shows how those that serve fare */
+      worker->pace_changed_ms = now_ms;
     }
   g_ptr_array_set_size (sched->active, 0);
   g_ptr_array_set_size (sched->changed, 0);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -51,6 +51,11 @@
   uint32_t refusal_streak;
   int64_t last_done_ms;
   int64_t avoid_until_ms;
+  /* pace of the tasks that fill there */
+  uint32_t pace_level; /* percent */
+  int64_t pace_changed_ms;
+  uint32_t pace_ceiling; /* not above, for a while */
+  int64_t pace_ceiling_until_ms;
   /* of a round */
   struct jb_room round_free;
   struct jb_room held; /* of it, kept for gangs that wait */
@@ -163,6 +168,29 @@
 void sd_task_lost (struct sd_sched *sched, struct jb_task *task,
                    int64_t now_ms);
 
+/* --- Pace --- */
+
+/* A task that fills is to work at a share of its speed.  */
+struct sd_pace_order
+{
+  struct jb_task *task;
+  uint32_t percent;
+};
+
+/*! sd_worker_is_shared () :
+ *  @return : whether tasks that fill run beside tasks that serve, so that it
+ *            must be looked at often. */
+bool sd_worker_is_shared (const struct sd_worker *worker);
+
+/*! sd_pace () :
+ *  After a look at the worker: adds what is to be told to its fillers.
+ *  @orders : struct sd_pace_order. */
+void sd_pace (struct sd_worker *worker, int64_t now_ms, GArray *orders);
+
+/*! sd_task_paced () :
+ *  Its worker has taken the order. */
+void sd_task_paced (struct jb_task *task, uint32_t percent);
+
 /* --- Decisions --- */
 
 /* A question for the advisor.  */
--- a/lib/worker/worker_port.h
+++ b/lib/worker/worker_port.h
@@ -41,6 +41,8 @@
   uint32_t run;
   char *checkpoint; /* may be empty */
   int64_t percent;  /* of its work */
+  int64_t figure;   /* of the last half second: of a task that serves the tail
+                       in ms, of others the processors used */
 };
 
 struct wp_end
@@ -82,6 +84,14 @@
   uint64_t term;
 };
 
+struct wp_pace
+{
+  const char *task;
+  uint32_t run;
+  uint32_t percent; /* of its speed */
+  uint64_t term;
+};
+
 struct wp_hold
 {
   uint64_t term;
@@ -99,6 +109,9 @@
   void (*stop) (void *ctx, const struct wp_target *target,
                 const struct wp_stop *stop, uint32_t timeout_ms,
                 wp_callback callback, void *callback_ctx);
+  void (*pace) (void *ctx, const struct wp_target *target,
+                const struct wp_pace *pace, uint32_t timeout_ms,
+                wp_callback callback, void *callback_ctx);
   void (*hold) (void *ctx, const struct wp_target *target,
                 const struct wp_hold *hold, uint32_t timeout_ms,
                 wp_callback callback, void *callback_ctx);
--- a/programs/foxtailgap-hostd/worker_orders.c
+++ b/programs/foxtailgap-hostd/worker_orders.c
@@ -15,6 +15,7 @@
   START_VALID_MS = 1200,
   START_TIMEOUT_MS = 350,
   STOP_TIMEOUT_MS = 600,
+  PACE_TIMEOUT_MS = 300, /* as long as until the order is sent again */
   /* The deadline is on the worker's clock, which may be 2% slow.  */
   START_SETTLE_MS = 60
 };
@@ -74,6 +75,8 @@
       task->settled_ms = now_ms;
       if (task->state == JB_TASK_PLACED)
         sd_task_running (workers->params.sched, task, now_ms);
+      if (task->step->spec->fills)
+        wk_pace (workers, worker);
       return;
     case WP_SILENT:
       call->unsure = true;
@@ -254,3 +257,66 @@
     wk_stop_run (workers, worker, name, task->run);
   g_free (name);
 }
+
+/* --- Pace --- */
+
+static void
+on_pace (void *ctx, const struct wp_answer *answer)
+{
+  struct wk_call *call = ctx;
+  struct workers *workers = call->workers;
+  struct jb_task *task;
+
+  if (!wk_call_current (call))
+    goto done;
+  if (answer->result == WP_FENCED)
+    {
+      workers->params.fenced (workers->params.ctx);
+      goto done;
+    }
+  task = task_of_call (call);
+  if (answer->result == WP_DONE && task != NULL)
+    sd_task_paced (task, call->percent);
+  if (answer->result != WP_DONE)
+    lg_info (PART, "An order of pace was not taken.", "task", call->task,
+             "worker", call->worker, "result", wp_result_name (answer->result),
+             NULL);
+
+done:
+  wk_call_free (call);
+}
+
+static void
+send_pace (struct workers *workers, const struct sd_worker *worker,
+           const struct sd_pace_order *order)
+{
+  const struct jb_task *task = order->task;
+  struct wp_target target = wk_target (worker);
+  char *name = jb_task_name (task);
+  struct wk_call *call = wk_call_create (workers, worker, name, task->run);
+  struct wp_pace pace = { .task = name,
+                          .run = task->run,
+                          .percent = order->percent,
+                          .term = workers->term };
+
+  call->percent = order->percent;
+  workers->params.port.pace (workers->params.port.ctx, &target, &pace,
+                             PACE_TIMEOUT_MS, on_pace, call);
+  lg_info (PART, "A task that fills is paced.", "task", name, "worker",
+           worker->report.id, "percent", lg_number (order->percent), NULL);
+  mt_add (workers->params.metrics, "foxtailgap_pace_orders_total", 1);
+  g_free (name);
+}
+
+void
+wk_pace (struct workers *workers, struct sd_worker *worker)
+{
+  GArray *orders = g_array_new (FALSE, FALSE, sizeof (struct sd_pace_order));
+  guint i;
+
+  sd_pace (worker, clk_monotonic_ms (NULL), orders);
+  for (i = 0; i < orders->len; i++)
+    send_pace (workers, worker,
+               &g_array_index (orders, struct sd_pace_order, i));
+  g_array_free (orders, TRUE);
+}
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -14,6 +14,7 @@
 {
   HOLD_WAIT_MS = 1900,   /* the platform's limit is 2,000 ms */
   HOLD_TIMEOUT_MS = 700, /* above the wait */
+  SHARED_WAIT_MS = 500,  /* what disturbs changes within seconds */
   /* After a failed hold the lease is still renewed for this long, so that a
      blip costs nothing; then only looks are sent, so that the end of the
      lease is bounded.  */
@@ -177,6 +178,7 @@
     }
   else if (now_ms - task->stop_sent_ms > STOP_AGAIN_MS)
     wk_stop (workers, task);
+  task->figure = run->figure;
 }
 
 /* Whether a task that the worker does not show is not there and never will
@@ -296,6 +298,7 @@
   io->hold_good_ms = io->hold_sent_ms;
   wk_take_clock (io, answer, now_ms);
   take_lists (io, answer, now_ms);
+  wk_pace (workers, worker);
   workers->params.changed (workers->params.ctx);
 
 done:
@@ -318,6 +321,8 @@
 
   if (!good || io->look_at_once || io->lease_listed)
     hold.wait_ms = 0;
+  else if (sd_worker_is_shared (worker))
+    hold.wait_ms = SHARED_WAIT_MS;
   else if (io->look_soon)
     hold.wait_ms = workers->params.stop_ms + STOP_LISTED_MS;
 
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -50,7 +50,8 @@
   uint32_t run;
   int64_t first_sent_ms;
   int64_t sent_ms;
-  bool unsure; /* an earlier try had no answer: it may take effect yet */
+  uint32_t percent; /* of an order of pace */
+  bool unsure;      /* an earlier try had no answer: it may take effect yet */
 };
 
 struct worker_io *wk_io (struct workers *workers, struct sd_worker *worker);
@@ -76,6 +77,10 @@
  *            looked at. */
 bool wk_is_out_of_touch (const struct worker_io *io, int64_t now_ms);
 
+/*! wk_pace () :
+ *  Tells the tasks that fill on a worker how fast they may work. */
+void wk_pace (struct workers *workers, struct sd_worker *worker);
+
 /*! wk_stop_run () :
  *  Stops a run that nobody wants, maybe of a task that is not known. */
 void wk_stop_run (struct workers *workers, struct sd_worker *worker,
--- a/tests/unit/hostd_fixture.h
+++ b/tests/unit/hostd_fixture.h
@@ -127,6 +127,7 @@
   uint32_t run;
   int64_t seen;
   int64_t deadline_ms;
+  uint32_t percent;
   wp_callback callback;
   void *ctx;
 };
@@ -175,6 +176,18 @@
   call->run = stop->run;
 }
 
+static inline void
+fake_pace (void *ctx, const struct wp_target *target,
+           const struct wp_pace *pace, uint32_t timeout_ms,
+           wp_callback callback, void *callback_ctx)
+{
+  struct fake_call *call = fake_add (ctx, 'p', target, callback, callback_ctx);
+
+  (void)timeout_ms;
+  g_strlcpy (call->task, pace->task, sizeof call->task);
+  call->percent = pace->percent;
+}
+
 static inline void
 fake_hold (void *ctx, const struct wp_target *target,
            const struct wp_hold *hold, uint32_t timeout_ms,
@@ -235,7 +248,11 @@
 fake_wp_port (struct fake_port *port)
 {
   return (struct wp_port){
-    .ctx = port, .start = fake_start, .stop = fake_stop, .hold = fake_hold
+    .ctx = port,
+    .start = fake_start,
+    .stop = fake_stop,
+    .pace = fake_pace,
+    .hold = fake_hold,
   };
 }
 
