Held room is free for all while much of each kind of room is idle

Change: below 60% of each kind of room in use any work may take held room where it fits nowhere else. Test that failed first: test_hostd_reserve, held room is free while much is idle.

--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -357,7 +357,7 @@
 {
   if (choose (sched, unit, false, now_ms, choice))
     return true;
-  if (unit->priority > 0)
+  if (unit->priority > 0 && !sched->roomy)
     return false;
   g_ptr_array_set_size (choice->tasks, 0);
   g_ptr_array_set_size (choice->workers, 0);
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -40,11 +40,12 @@
   GPtrArray *stops;   /* struct jb_task: stops that events asked for */
   GArray *misfits;    /* struct sd_unit: found not to fit in this round */
   struct es_table *estimates; /* what queues have shown of their work */
-  uint32_t held_count;   /* tasks of gangs that room is held for, in a round */
-  uint32_t hold_tries;   /* new holds looked for, in a round */
-  GHashTable *holds;     /* struct jb_step -> struct sd_hold */
-  GHashTable *advice;    /* struct jb_step -> struct sd_advice */
-  uint64_t advice_asked; /* workers that the advisor was asked about */
+  uint32_t held_count; /* tasks of gangs that room is held for, in a round */
+  uint32_t hold_tries; /* new holds looked for, in a round */
+  bool roomy; /* in this round: so much is idle that holds do not count */
+  GHashTable *holds;       /* struct jb_step -> struct sd_hold */
+  GHashTable *advice;      /* struct jb_step -> struct sd_advice */
+  uint64_t advice_asked;   /* workers that the advisor was asked about */
   uint64_t advice_allowed; /* and those that it allowed */
   GHashTable *claims;      /* struct jb_step -> struct sd_claim */
 };
--- a/lib/sched/reserve.c
+++ b/lib/sched/reserve.c
@@ -18,7 +18,11 @@
   TASKS_MAX = 64, /* looked at on one worker */
   /* New holds looked for in one round: with 3,300 workers each takes about
      2 ms.  */
-  TRIES_MAX = 4
+  TRIES_MAX = 4,
+  /* With less than this of each kind of room in use, work that waits takes
+     held room too: the platform asks that work starts within 3 s while less
+     than half is in use.  */
+  ROOMY_PERCENT = 60
 };
 
 struct sd_hold
@@ -68,6 +72,34 @@
 
 /* --- Around a round --- */
 
+static bool
+is_idle (int64_t used, int64_t whole)
+{
+  return used * 100 < whole * ROOMY_PERCENT;
+}
+
+/* Whether much of each kind of room on the workers in touch is idle.  */
+static bool
+is_roomy (const struct sd_sched *sched)
+{
+  struct jb_room used = { 0 };
+  struct jb_room whole = { 0 };
+  guint i;
+
+  for (i = 0; i < sched->workers->len; i++)
+    {
+      const struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
+
+      if (!worker->listed || worker->contact != SD_CONTACT_GOOD)
+        continue;
+      sd_room_add (&used, &worker->used);
+      sd_room_add (&whole, &worker->report.room);
+    }
+  return is_idle (used.cpus_milli, whole.cpus_milli)
+         && is_idle (used.memory_mib, whole.memory_mib)
+         && is_idle (used.accelerators, whole.accelerators);
+}
+
 void
 sd_holds_begin (struct sd_sched *sched)
 {
@@ -78,6 +110,7 @@
 
   sched->held_count = 0;
   sched->hold_tries = 0;
+  sched->roomy = is_roomy (sched);
   for (i = 0; i < sched->workers->len; i++)
     ((struct sd_worker *)g_ptr_array_index (sched->workers, i))->held
         = (struct jb_room){ 0 };
--- a/tests/unit/test_hostd_reserve.c
+++ b/tests/unit/test_hostd_reserve.c
@@ -209,6 +209,35 @@
   finish (&setup);
 }
 
+/* Found on anla-rounds, day scale-1 with seed 805433929321: at the end of the
+   day room was held for three large gangs that waited for slow tasks, and a
+   small gang waited for over 3 s with most workers' room free.  */
+static void
+test_held_room_is_free_while_much_is_idle (void)
+{
+  struct fixture_step blocks
+      = { .count = 2, .accelerators = WORKER_ACCELERATORS };
+  struct fixture_step large = { .count = WORKERS - 1,
+                                .accelerators = WORKER_ACCELERATORS,
+                                .gang = true };
+  struct fixture_step small
+      = { .count = 2, .accelerators = WORKER_ACCELERATORS, .gang = true };
+  struct setup setup;
+  struct jb_job *gang;
+  struct jb_job *other;
+
+  begin (&setup, 100);
+  add_job (&setup, "batch", &blocks);
+  advance (&setup);
+  gang = add_job (&setup, "batch", &large);
+  advance (&setup);
+  CU_ASSERT_EQUAL (placed (gang), 0);
+  other = add_job (&setup, "batch", &small);
+  advance (&setup);
+  CU_ASSERT_EQUAL (placed (other), 2);
+  finish (&setup);
+}
+
 static void
 test_hold_ends_with_its_gang (void)
 {
@@ -264,6 +293,8 @@
     { "a gang does not starve", test_gang_does_not_starve },
     { "held room is kept from others", test_held_room_is_kept_from_others },
     { "urgent work takes held room", test_urgent_work_takes_held_room },
+    { "held room is free while much is idle",
+      test_held_room_is_free_while_much_is_idle },
     { "a hold ends with its gang", test_hold_ends_with_its_gang },
     { "estimates are corrected", test_estimates_are_corrected },
     { "good estimates are kept", test_good_estimates_are_kept },
