A host answers only by a view as new as what it has handed on

A host that the store had turned away for 8 s passed calls with keys on, and answered for an open queue by its old view after it had handed on the answer of a host with a newer one. Tests that failed first: test_hostd_front (an old view tells nothing; a view does not go back).

--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -81,6 +81,17 @@
          / 100;
 }
 
+bool
+fr_view_is_current (const struct front *front)
+{
+  const struct journal *journal = front->params.journal;
+
+  /* Another host's answer may have shown a newer configuration: then this host
+     may not go back to an older one.  */
+  return jr_catalog_age_ms (journal) <= fr_key_age_max_ms (front)
+         && jr_catalog_fresh_ms (journal) >= front->relayed_ms;
+}
+
 /* AT_PLANNER: the planner's host has been tried, or it is this one.  */
 static void
 dispatch (struct front *front, struct hs_request *request, bool at_planner)
@@ -96,11 +107,10 @@
   queue
       = ct_route (catalog, host == NULL ? "" : host, hs_path (request), &rest);
   team = key == NULL ? NULL : ct_team_of_key (catalog, key);
-  if (queue == NULL)
+  if (!fr_view_is_current (front))
+    fr_pass_on (front, request, "any");
+  else if (queue == NULL)
     fr_answer_error (front, request, "any", 404, "no such queue");
-  else if (!queue->open
-           && jr_catalog_age_ms (journal) > fr_key_age_max_ms (front))
-    fr_pass_on (front, request, "any"); /* keys cannot be checked now */
   else if (!queue->open && team == NULL)
     fr_answer_error (front, request, "any", 401, "the key is not known");
   else if (rest[0] == '\0' && strcmp (hs_method (request), "GET") == 0)
--- a/programs/foxtailgap-hostd/front_answer.c
+++ b/programs/foxtailgap-hostd/front_answer.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/logging.h"
 #include "front_private.h"
 #include "sched/retry.h"
@@ -106,6 +107,7 @@
                        "the store is out of reach: not accepted");
       return;
     }
+  front->relayed_ms = clk_monotonic_ms (NULL);
   count (front, "relayed", status);
   hs_respond (request, status, headers, retry_after == NULL ? 1 : 2, body,
               strlen (body));
--- a/programs/foxtailgap-hostd/front_private.h
+++ b/programs/foxtailgap-hostd/front_private.h
@@ -16,9 +16,10 @@
   struct hs_server *metrics;
   struct relay *relay;
   bool taking;
-  bool informed; /* the configuration has been known and current once */
-  GQueue early;  /* struct early, oldest first */
-  ev_timer look; /* while requests wait for the configuration */
+  int64_t relayed_ms; /* when another host's answer was handed on last */
+  bool informed;      /* the configuration has been known and current once */
+  GQueue early;       /* struct early, oldest first */
+  ev_timer look;      /* while requests wait for the configuration */
 };
 
 /* --- front_answer.c --- */
@@ -50,6 +51,10 @@
  *  Serves a request with the configuration that is known. */
 void fr_dispatch (struct front *front, struct hs_request *request);
 
+/*! fr_view_is_current () :
+ *  @return : whether this host may answer by the configuration it knows. */
+bool fr_view_is_current (const struct front *front);
+
 /*! fr_key_age_max_ms () :
  *  @return : with a configuration older than this no key is trusted. */
 int64_t fr_key_age_max_ms (const struct front *front);
--- a/tests/unit/test_hostd_front.c
+++ b/tests/unit/test_hostd_front.c
@@ -9,6 +9,8 @@
 #include "hostd_fixture.h"
 #include "hostd_store_fixture.h"
 #include "http/http_client.h"
+#include "http/http_server.h"
+#include "jobs/records.h"
 
 enum
 {
@@ -27,6 +29,8 @@
   char *addresses[PORTS];
   int answers;
   long status;
+  struct hs_server *peer; /* another host; NULL: none */
+  int peer_requests;
 };
 
 static int
@@ -35,9 +39,16 @@
   (void)text;
   (void)size_bytes;
   *out = fixture_catalog ();
+  (*out)->queues[0].open = true;
   return 0;
 }
 
+static char *
+encode_waiting (uint32_t jobs)
+{
+  return g_strdup_printf ("%u", jobs);
+}
+
 /* Addresses that nobody listens on.  */
 static void
 find_addresses (char **addresses)
@@ -84,7 +95,8 @@
   struct fr_params front = { .dialect = { .key_header = "Key",
                                           .deadline_header = "Deadline",
                                           .ready_path = "/ready",
-                                          .metrics_path = "/metrics" } };
+                                          .metrics_path = "/metrics",
+                                          .encode_waiting = encode_waiting } };
   struct hc_params client = { 0 };
 
   memset (setup, 0, sizeof *setup);
@@ -138,11 +150,13 @@
 }
 
 static void
-ask (struct setup *setup)
+ask (struct setup *setup, const char *path)
 {
-  char *url = g_strdup_printf ("http://%s/nowhere/", setup->addresses[0]);
+  const char *headers[] = { "Host: h", NULL };
+  char *url = g_strdup_printf ("http://%s%s", setup->addresses[0], path);
   struct hc_request request = { .method = "GET",
                                 .url = url,
+                                .headers = headers,
                                 .timeout_ms = 3000,
                                 .connect_timeout_ms = 1000,
                                 .response_limit_bytes = 1000,
@@ -191,7 +205,7 @@
   struct setup setup;
 
   begin (&setup);
-  ask (&setup);
+  ask (&setup, "/nowhere/");
   run_for_ms (&setup, 50);
   CU_ASSERT_EQUAL (setup.answers, 0);
   answer_start (&setup);
@@ -209,7 +223,7 @@
   struct setup setup;
 
   begin (&setup);
-  ask (&setup);
+  ask (&setup, "/nowhere/");
   run_for_ms (&setup, 1200);
   CU_ASSERT_EQUAL (setup.answers, 1);
   CU_ASSERT_EQUAL (setup.status, 503);
@@ -222,7 +236,7 @@
   struct setup setup;
 
   begin (&setup);
-  ask (&setup);
+  ask (&setup, "/nowhere/");
   run_for_ms (&setup, 50);
   hc_free (setup.client);
   setup.client = NULL;
@@ -234,6 +248,119 @@
   finish (&setup);
 }
 
+/* --- An answer of another host --- */
+
+static void
+on_peer_request (void *ctx, struct hs_request *request)
+{
+  struct setup *setup = ctx;
+
+  setup->peer_requests++;
+  hs_respond (request, 200, NULL, 0, "{}", 2);
+}
+
+/* Another host, known by its record.  */
+static void
+add_peer (struct setup *setup)
+{
+  struct hs_params params = { .loop = setup->loop,
+                              .address = "127.0.0.1",
+                              .connection_limit = 4,
+                              .body_limit_bytes = 10000,
+                              .receive_timeout_ms = 1000,
+                              .handler = on_peer_request,
+                              .ctx = setup };
+  struct jb_host host = { .strength = 1 };
+  GPtrArray *records = so_records_create ();
+  struct so_read_answer answer
+      = { .result = SO_DONE, .records = records, .next = 3, .at_end = true };
+  so_read_callback callback = setup->store.jobs_read;
+  GByteArray *bytes;
+
+  CU_ASSERT_EQUAL_FATAL (hs_create (&setup->peer, &params), HS_OK);
+  g_snprintf (host.address, sizeof host.address, "127.0.0.1:%u",
+              hs_port (setup->peer));
+  bytes = jb_encode_host (&host);
+  g_ptr_array_add (records, so_record_create ("h/b", bytes->data, bytes->len));
+  g_byte_array_free (bytes, TRUE);
+  setup->store.jobs_read = NULL;
+  callback (setup->store.jobs_ctx, &answer);
+  g_ptr_array_free (records, TRUE);
+  run_for_ms (setup, 20);
+}
+
+static void
+answer_operator (struct setup *setup)
+{
+  answer_read (setup, &setup->store.operator_read, setup->store.operator_ctx,
+               NULL);
+}
+
+static void
+wait_for_answers (struct setup *setup, int count)
+{
+  int64_t until_ms = clk_monotonic_ms (NULL) + 3000;
+
+  while (setup->answers < count && clk_monotonic_ms (NULL) < until_ms)
+    run_for_ms (setup, 5);
+  CU_ASSERT_EQUAL (setup->answers, count);
+}
+
+/* Found by a hunt of 200 days (anla-rounds trouble-1, seed 1042463657972): a
+   host that the store had turned away for 8 s answered by its old
+   configuration whether an open queue exists, after it had handed on the
+   answer of a host with a newer one.  */
+static void
+test_old_view_tells_nothing (void)
+{
+  struct setup setup;
+
+  begin (&setup);
+  setup.settings.key_validity_ms = 500; /* a view counts for 300 ms */
+  answer_start (&setup);
+  add_peer (&setup);
+  answer_operator (&setup);
+  ask (&setup, "/q/");
+  wait_for_answers (&setup, 1);
+  CU_ASSERT_EQUAL (setup.peer_requests, 0);
+  run_for_ms (&setup, 350);
+  ask (&setup, "/q/");
+  wait_for_answers (&setup, 2);
+  CU_ASSERT_EQUAL (setup.peer_requests, 1);
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
+static void
+test_view_does_not_go_back (void)
+{
+  struct setup setup;
+
+  begin (&setup);
+  setup.settings.key_validity_ms = 500;
+  answer_start (&setup);
+  add_peer (&setup);
+  answer_operator (&setup);
+  ask (&setup, "/q/");
+  wait_for_answers (&setup, 1);
+  run_for_ms (&setup, 350);
+  ask (&setup, "/q/"); /* handed on: the view is old */
+  wait_for_answers (&setup, 2);
+  CU_ASSERT_EQUAL (setup.peer_requests, 1);
+  setup.settings.key_validity_ms = 60000; /* it would count again */
+  ask (&setup, "/q/");
+  wait_for_answers (&setup, 3);
+  CU_ASSERT_EQUAL (setup.peer_requests, 2);
+  run_for_ms (&setup, 10);
+  answer_operator (&setup); /* of a read that was sent before */
+  answer_operator (&setup); /* all until now has been read */
+  ask (&setup, "/q/");
+  wait_for_answers (&setup, 4);
+  CU_ASSERT_EQUAL (setup.peer_requests, 2);
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
 int
 main (void)
 {
@@ -243,6 +370,8 @@
     { "an early request is refused after a while",
       test_early_request_is_refused_after_a_while },
     { "an early caller may leave", test_early_caller_may_leave },
+    { "an old view tells nothing", test_old_view_tells_nothing },
+    { "a view does not go back", test_view_does_not_go_back },
   };
 
   return check_run ("hostd front", tests, G_N_ELEMENTS (tests));
