--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,13 +1,16 @@
 #!/usr/bin/env python3
 """Randomized soak: real hosts, a stand-in of the platform, random faults.
 
-  soak.py SEED [DURATION_S]
+  soak.py SEED [DURATION_S [unread]]
+
+With `unread`, nobody reads what the hosts write to standard output.
 
 Prints what was seen, and exits with 1 if a promise was broken: a task ran
 twice at once or after its end was noted, an accepted job did not complete, or
 was not known.
 """
 import asyncio
+import fcntl
 import json
 import os
 import random
@@ -36,11 +39,19 @@
         return probe.getsockname()[1]
 
 
+def unread_pipe():
+    """A pipe that is full after the first few lines."""
+    _, write = os.pipe()
+    fcntl.fcntl(write, fcntl.F_SETPIPE_SZ, 4096)
+    return write
+
+
 class Host:
-    def __init__(self, folder, name, store):
+    def __init__(self, folder, name, store, unread):
         self.name, self.port = name, free_port()
         self.path = os.path.join(folder, name + ".yaml")
-        self.log = open(os.path.join(folder, name + ".log"), "ab")
+        self.log = unread_pipe() if unread else open(
+            os.path.join(folder, name + ".log"), "ab")
         with open(self.path, "w", encoding="utf-8") as out:
             out.write(f"host: {name}\ndata_centre: dc\n"
                       f"callers: 127.0.0.1:{self.port}\n"
@@ -90,7 +101,8 @@
 
 
 class Soak:
-    def __init__(self, seed, duration_s):
+    def __init__(self, seed, duration_s, unread):
+        self.unread = unread
         self.chance = random.Random(seed)
         self.duration_s = duration_s
         self.store = standin.Store()
@@ -109,7 +121,7 @@
                 standin.worker_handler(worker))
             self.workers.append(worker)
         for i in range(HOSTS):
-            self.hosts.append(Host(folder, f"host-{i}", address))
+            self.hosts.append(Host(folder, f"host-{i}", address, self.unread))
             await self.hosts[-1].start()
 
     async def tend_workers(self):
@@ -222,7 +234,7 @@
 def main():
     seed = int(sys.argv[1])
     duration_s = float(sys.argv[2]) if len(sys.argv) > 2 else 20.0
-    soak = Soak(seed, duration_s)
+    soak = Soak(seed, duration_s, "unread" in sys.argv[3:])
     folder = tempfile.mkdtemp(prefix="soak-")
     left = asyncio.run(soak.run(folder))
     print(f"seed {seed}: {len(soak.accepted)} jobs accepted, "
