--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 SHELL_FILES := $(filter-out %.txt %.py,$(SHELL_FILES))
 
 .PHONY: all help packages demo demo-brazos check check-built unit scripts \
-        lint format generate sanitize chaos bench bench-requests bench-capacity install clean
+        lint format generate sanitize chaos bench bench-requests bench-capacity report install clean
 
 all: $(PROGRAMS)
 
@@ -144,6 +144,10 @@
 generate:
 	protoc-c -Ilib --c_out=lib lib/proto/*.proto
 
+## report: turns the bench's journal into a page, build/report/index.html
+report:
+	@scripts/report.py journal $(BUILD)/report/index.html
+
 ## sanitize: all tests with the address and undefined-behaviour sanitizers
 sanitize: packages
 	@$(MAKE) -s -j$(JOBS) BUILD=build/sanitize OPT=-O1 \
