An append whose answer is lost is sent again as soon as the store answers something later

The planner's reads wait for 100 ms only, so that there is such a read in time. A slow store answers no read quickly: there nothing is sent twice.

--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -30,7 +30,9 @@
   PAUSE_HOSTS = 7, /* with more hosts each reads more seldom */
   PAUSE_MAX_MS = 400,
   PLANNER_PAUSE_MS = 8,
-  SLOW_MS = 60 /* an answer takes 4 to 10 ms on a calm day */
+  PLANNER_WAIT_MS = 100, /* it must learn soon whether the store is quick */
+  LOST_MS = 120,         /* many times an append's answer on a calm day */
+  SLOW_MS = 60           /* an answer takes 4 to 10 ms on a calm day */
 };
 
 static void read_on (struct follower *follower);
@@ -165,6 +167,20 @@
     jr_waiters_told (follower->journal);
 }
 
+static void
+note_answer (struct follower *follower, const struct so_read_answer *answer)
+{
+  struct journal *journal = follower->journal;
+  int64_t now_ms = clk_monotonic_ms (NULL);
+  int64_t took_ms = now_ms - follower->sent_ms;
+
+  journal->answered_ms = now_ms;
+  if (answer->waited)
+    took_ms -= follower->asked_wait_ms;
+  if (took_ms < SLOW_MS)
+    journal->quick_ms = now_ms;
+}
+
 static void
 on_read (void *ctx, const struct so_read_answer *answer)
 {
@@ -176,7 +192,7 @@
   follower->reading = false;
   count_answer (journal, "read", answer->result);
   if (answer->result == SO_DONE)
-    journal->answered_ms = clk_monotonic_ms (NULL);
+    note_answer (follower, answer);
   if (answer->result == SO_EXPIRED)
     {
       lg_warning (PART, "Records have expired; the newest are read anew.",
@@ -271,6 +287,18 @@
   read_on (follower);
 }
 
+static uint32_t
+wait_ms (const struct follower *follower)
+{
+  const struct journal *journal = follower->journal;
+
+  if (!follower->caught_up)
+    return 0;
+  return follower == &journal->jobs && journal->own_term != 0
+             ? PLANNER_WAIT_MS
+             : follower->wait_ms;
+}
+
 static void
 read_on (struct follower *follower)
 {
@@ -285,7 +313,7 @@
     {
       follower->sent_ms = clk_monotonic_ms (NULL);
       /* What changed while the newest were read is wanted at once.  */
-      follower->asked_wait_ms = follower->caught_up ? follower->wait_ms : 0;
+      follower->asked_wait_ms = wait_ms (follower);
       store->read (store->ctx, follower->topic, follower->next,
                    follower->asked_wait_ms,
                    follower->asked_wait_ms + READ_SLACK_MS, on_read, follower);
@@ -452,6 +480,14 @@
   return journal->answer_ms >= SLOW_MS;
 }
 
+bool
+jr_is_lost (const struct journal *journal, int64_t sent_ms)
+{
+  /* A read that was answered this much later, in less, was sent later.  */
+  return clk_monotonic_ms (NULL) - sent_ms >= LOST_MS
+         && journal->quick_ms >= sent_ms + SLOW_MS;
+}
+
 int64_t
 jr_planner_seen_ms (const struct journal *journal)
 {
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -122,6 +122,12 @@
  *  @return : whether that is many times what it takes on a calm day. */
 bool jr_is_slow (const struct journal *journal);
 
+/*! jr_is_lost () :
+ *  @sent_ms : when an append was sent that has no answer yet.
+ *  @return : whether the store has answered what was sent later, so that the
+ *            append or its answer is lost. */
+bool jr_is_lost (const struct journal *journal, int64_t sent_ms);
+
 /*! jr_append_timeout_ms () :
  *  @return : how long an append may take.  One that is given up too soon still
  *            keeps the topic busy, and is sent again behind itself. */
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -41,9 +41,11 @@
   int64_t planner_seen_ms;
   int64_t hurry_until_ms;
   int64_t answered_ms; /* when the store answered last */
+  int64_t quick_ms;    /* when it answered last as fast as on a calm day */
   int64_t answer_ms;   /* the store's own time for an answer, as of late */
   GQueue writes;       /* struct jr_write, oldest first */
   uint32_t appends_open;
+  GQueue lots; /* struct jr_lot: those appends, oldest first */
   uint64_t next_ticket;
   ev_timer write_timer;
   GQueue waiters; /* struct jr_waiter, oldest first */
--- a/programs/foxtailgap-hostd/journal_write.c
+++ b/programs/foxtailgap-hostd/journal_write.c
@@ -39,7 +39,9 @@
 /* The writes that one append carries, by their tickets.  */
 struct jr_lot
 {
+  GList link; /* in journal->lots, while it is an append of its own */
   struct journal *journal;
+  bool lost; /* given up: its writes are sent again */
   int64_t sent_ms;
   GArray *tickets; /* uint64_t */
 };
@@ -77,8 +79,9 @@
     callback (ctx, outcome);
 }
 
+/* What RESULT says of the writes of a lot.  */
 static void
-end_lot (struct jr_lot *lot, enum so_result result)
+tell_writes (struct jr_lot *lot, enum so_result result)
 {
   struct journal *journal = lot->journal;
   guint i;
@@ -106,10 +109,38 @@
     lg_info (PART, "An append of callers' writes failed.", "result",
              so_result_name (result), "writes", lg_number (lot->tickets->len),
              NULL);
+}
+
+static void
+end_lot (struct jr_lot *lot, enum so_result result)
+{
+  if (!lot->lost || result == SO_DONE)
+    tell_writes (lot, result);
   g_array_free (lot->tickets, TRUE);
   g_free (lot);
 }
 
+/* An append whose answer is lost must not hold its writes up: they are sent
+   again, which is harmless.  */
+static void
+give_up_lost (struct journal *journal)
+{
+  GList *link = journal->lots.head;
+
+  while (link != NULL)
+    {
+      struct jr_lot *lot = link->data;
+
+      link = link->next;
+      if (!jr_is_lost (journal, lot->sent_ms))
+        continue;
+      lot->lost = true;
+      g_queue_unlink (&journal->lots, &lot->link);
+      journal->appends_open--;
+      tell_writes (lot, SO_UNKNOWN);
+    }
+}
+
 static void
 on_appended (void *ctx, const struct so_append_answer *answer)
 {
@@ -117,13 +148,17 @@
   struct journal *journal = lot->journal;
   int64_t took_ms = clk_monotonic_ms (NULL) - lot->sent_ms;
 
-  journal->appends_open--;
+  if (!lot->lost)
+    {
+      g_queue_unlink (&journal->lots, &lot->link);
+      journal->appends_open--;
+    }
   if (answer->result == SO_DONE)
     {
       journal->answered_ms = clk_monotonic_ms (NULL);
       journal->answer_ms = took_ms;
     }
-  else if (answer->result == SO_UNKNOWN)
+  else if (answer->result == SO_UNKNOWN && !lot->lost)
     journal->answer_ms = MAX (journal->answer_ms, took_ms);
   end_lot (lot, answer->result);
   if (answer->result == SO_DONE || answer->result == SO_UNKNOWN)
@@ -166,6 +201,8 @@
   struct jr_lot *lot = fill_lot (journal, LOT_MAX_BYTES, records);
 
   journal->appends_open++;
+  lot->link.data = lot;
+  g_queue_push_tail_link (&journal->lots, &lot->link);
   store->append (store->ctx, journal->params.jobs_topic, records, NULL,
                  jr_append_timeout_ms (journal), on_appended, lot);
   g_ptr_array_free (records, TRUE);
@@ -327,6 +364,7 @@
       link = journal->writes.head; /* the callback may have changed it */
     }
   end_late_waiters (journal, now_ms);
+  give_up_lost (journal);
   send_lots (journal);
 }
 
@@ -405,6 +443,7 @@
 {
   g_queue_init (&journal->writes);
   g_queue_init (&journal->waiters);
+  g_queue_init (&journal->lots);
   ev_timer_init (&journal->write_timer, on_sweep, SWEEP_MS / 1000.0,
                  SWEEP_MS / 1000.0);
   journal->write_timer.data = journal;
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -163,7 +163,8 @@
 static void
 tick_as_planner (struct planner *planner, int64_t now_ms)
 {
-  if (planner->sending != NULL && !planner->append_open
+  pl_resend_lost (planner);
+  if (planner->sending != NULL && planner->appends_open == 0
       && now_ms - planner->written_ms >= APPEND_AGAIN_MS)
     pl_send_batch (planner);
   pl_list_check (planner);
@@ -216,7 +217,7 @@
            lg_number (now_ms - planner->claim_sent_ms), NULL);
   pl_drop_batch (planner);
   g_array_set_size (planner->starts, 0);
-  planner->append_open = false;
+  planner->appends_open = 0;
   planner->sequence = 1;
   planner->settled = false;
   planner->term_began_ms = now_ms;
@@ -292,6 +293,7 @@
 static void
 on_read_done (void *ctx)
 {
+  pl_resend_lost (ctx);
   pl_term_check (ctx);
 }
 
@@ -359,6 +361,7 @@
   planner->advisor = av_create (&advisor);
   planner->starts = g_array_new (FALSE, FALSE, sizeof (struct pl_start));
   planner->drops = g_ptr_array_new_with_free_func (g_free);
+  planner->attempts = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   planner->woke_ms = clk_monotonic_ms (NULL);
   pl_term_init (planner);
   jr_observe (params->journal, &observer);
@@ -386,6 +389,7 @@
   pl_batch_free (planner->sending);
   g_array_free (planner->starts, TRUE);
   g_ptr_array_free (planner->drops, TRUE);
+  g_hash_table_destroy (planner->attempts);
   g_free (planner->list_last_key);
   g_free (planner);
 }
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -33,6 +33,15 @@
   GHashTable *leases;     /* of wk_list_leases (); NULL: not written */
   struct jr_lot *carried; /* callers' writes; NULL: none */
   bool release;
+  int64_t sent_ms; /* of its last append */
+};
+
+/* One append of a batch; a batch may need several.  */
+struct pl_attempt
+{
+  struct planner *planner;
+  uint64_t term;
+  uint64_t sequence;
   int64_t sent_ms;
 };
 
@@ -48,6 +57,7 @@
   uint64_t nonce;
   uint64_t sequence;
   int64_t claim_sent_ms;
+  int64_t claim_tried_ms; /* when it was sent last */
   int64_t claim_jitter_ms;
   int64_t first_check_ms;
   int64_t term_began_ms;
@@ -60,7 +70,8 @@
   char *list_last_key;
   /* records */
   struct pl_batch *sending; /* NULL: none */
-  bool append_open;         /* of `sending`, without an outcome yet */
+  uint32_t appends_open;    /* of `sending`, without an answer yet */
+  GHashTable *attempts;     /* struct pl_attempt: all without an answer */
   bool releasing;
   GArray *starts;   /* struct pl_start, for the next batch */
   GPtrArray *drops; /* ids of jobs whose records are dropped next */
@@ -117,6 +128,10 @@
  *  Sends what is being written, maybe again. */
 void pl_send_batch (struct planner *planner);
 
+/*! pl_resend_lost () :
+ *  Sends what is being written again if the append or its answer is lost. */
+void pl_resend_lost (struct planner *planner);
+
 /*! pl_flush () :
  *  Writes what has changed, if nothing is being written. */
 void pl_flush (struct planner *planner, bool heartbeat, bool release);
--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -96,26 +96,33 @@
     planner->role = PL_FOLLOWER;
 }
 
+/* The first append of its epoch; sent again it is the same one.  */
 static void
-claim (struct planner *planner, const char *why)
+send_claim (struct planner *planner)
 {
   const struct so_port *store = &planner->params.store;
   GPtrArray *records = so_records_create ();
-  struct so_writer writer = { .name = WRITER };
+  struct so_writer writer = { .name = WRITER, .epoch = planner->term };
+
+  planner->claim_tried_ms = clk_monotonic_ms (NULL);
+  g_ptr_array_add (records, pl_term_record (planner, false));
+  store->append (store->ctx, planner->params.jobs_topic, records, &writer,
+                 CLAIM_TIMEOUT_MS, on_claimed, planner);
+  g_ptr_array_free (records, TRUE);
+}
 
+static void
+claim (struct planner *planner, const char *why)
+{
   planner->role = PL_CLAIMING;
   planner->term = jr_term (planner->params.journal)->term + 1;
   planner->nonce = ((uint64_t)g_random_int () << 32) | g_random_int ();
   planner->claim_sent_ms = clk_monotonic_ms (NULL);
   jr_hurry (planner->params.journal, CLAIM_AGAIN_MS);
   planner->claim_jitter_ms = jitter_ms (SILENCE_JITTER_MS);
-  writer.epoch = planner->term;
-  g_ptr_array_add (records, pl_term_record (planner, false));
   lg_info (PART, "The term is claimed.", "term",
            lg_number ((long long)planner->term), "why", why, NULL);
-  store->append (store->ctx, planner->params.jobs_topic, records, &writer,
-                 CLAIM_TIMEOUT_MS, on_claimed, planner);
-  g_ptr_array_free (records, TRUE);
+  send_claim (planner);
 }
 
 void
@@ -129,6 +136,9 @@
   if (planner->role == PL_CLAIMING
       && now_ms - planner->claim_sent_ms > CLAIM_AGAIN_MS)
     planner->role = PL_FOLLOWER;
+  if (planner->role == PL_CLAIMING
+      && jr_is_lost (journal, planner->claim_tried_ms))
+    send_claim (planner);
   if (planner->role != PL_FOLLOWER || !jr_following (journal))
     return;
   if (term->term == 0)
@@ -160,6 +170,8 @@
   lg_warning (PART, "The term is over.", "term",
               lg_number ((long long)planner->term), "why", why, NULL);
   planner->role = PL_FOLLOWER;
+  pl_drop_batch (planner);
+  planner->appends_open = 0;
   wk_end_term (planner->workers);
   av_drop (planner->advisor);
   jr_set_own_term (planner->params.journal, 0);
--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -13,6 +13,7 @@
 
 enum
 {
+  ATTEMPTS_MAX = 4, /* open at once: four answers lost in a row are rare */
   BATCH_MAX_BYTES = 1024 * 1024 /* half of the platform's limit of a call */
 };
 
@@ -89,11 +90,11 @@
 }
 
 static void
-batch_stored (struct planner *planner)
+batch_stored (struct planner *planner, int64_t sent_ms)
 {
   struct pl_batch *batch = g_steal_pointer (&planner->sending);
 
-  planner->append_open = false;
+  planner->appends_open = 0;
   planner->sequence++;
   planner->written_ms = clk_monotonic_ms (NULL);
   if (batch->carried != NULL)
@@ -102,7 +103,7 @@
   wk_mark_stored (planner->workers, g_steal_pointer (&batch->heard));
   if (batch->leases != NULL)
     wk_leases_stored (planner->workers, g_steal_pointer (&batch->leases));
-  if (!batch->release && !pl_was_paused (planner, batch->sent_ms))
+  if (!batch->release && !pl_was_paused (planner, sent_ms))
     send_stored_starts (planner, batch);
   else if (!batch->release)
     /* The answer may be older than a pause: that the term still holds is
@@ -114,57 +115,92 @@
   pl_batch_free (batch);
 }
 
+/* @return : whether ATTEMPT carried what is being written now.  */
+static bool
+is_current (const struct planner *planner, const struct pl_attempt *attempt)
+{
+  return planner->role == PL_PLANNER && planner->sending != NULL
+         && attempt->term == planner->term
+         && attempt->sequence == planner->sequence;
+}
+
+/* The same sequence number: a batch is stored once at most, however often it
+   is sent.  The tick sends it again.  */
 static void
-on_appended (void *ctx, const struct so_append_answer *answer)
+attempt_failed (struct planner *planner, enum so_result result)
 {
-  struct planner *planner = ctx;
+  lg_info (PART, "An append of the planner failed.", "result",
+           so_result_name (result), NULL);
+  planner->written_ms = clk_monotonic_ms (NULL);
+  if (planner->appends_open > 0)
+    planner->appends_open--;
+}
 
-  if (planner->role != PL_PLANNER || planner->sending == NULL)
-    {
-      pl_drop_batch (planner);
-      planner->append_open = false;
-      return;
-    }
-  switch (answer->result)
+static void
+take_answer (struct planner *planner, const struct pl_attempt *attempt,
+             enum so_result result)
+{
+  switch (result)
     {
     case SO_DONE:
-      batch_stored (planner);
+      batch_stored (planner, attempt->sent_ms);
       if (planner->role == PL_PLANNER)
         pl_wake (planner);
       return;
     case SO_FENCED:
     case SO_ORDER:
       pl_drop_batch (planner);
-      pl_term_lost (planner, so_result_name (answer->result));
+      pl_term_lost (planner, so_result_name (result));
       return;
     case SO_REFUSED:
     case SO_UNKNOWN:
     case SO_EXPIRED:
     case SO_FORMAT:
-      /* The same sequence number: it is stored once at most.  The tick sends
-         it again.  */
-      lg_info (PART, "An append of the planner failed.", "result",
-               so_result_name (answer->result), NULL);
-      planner->written_ms = clk_monotonic_ms (NULL);
-      planner->append_open = false;
+      attempt_failed (planner, result);
       return;
     }
 }
 
+static void
+on_appended (void *ctx, const struct so_append_answer *answer)
+{
+  struct pl_attempt *attempt = ctx;
+  struct planner *planner = attempt->planner;
+
+  if (is_current (planner, attempt))
+    take_answer (planner, attempt, answer->result);
+  g_hash_table_remove (planner->attempts, attempt);
+}
+
 void
 pl_send_batch (struct planner *planner)
 {
   const struct so_port *store = &planner->params.store;
+  struct pl_attempt *attempt = g_new0 (struct pl_attempt, 1);
   struct so_writer writer = { .name = WRITER,
                               .epoch = planner->term,
                               .sequence = planner->sequence };
 
-  planner->append_open = true;
-  planner->sending->sent_ms = clk_monotonic_ms (NULL);
+  *attempt = (struct pl_attempt){ .planner = planner,
+                                  .term = planner->term,
+                                  .sequence = planner->sequence,
+                                  .sent_ms = clk_monotonic_ms (NULL) };
+  g_hash_table_add (planner->attempts, attempt);
+  planner->appends_open++;
+  planner->sending->sent_ms = attempt->sent_ms;
   store->append (store->ctx, planner->params.jobs_topic,
                  planner->sending->records, &writer,
                  jr_append_timeout_ms (planner->params.journal), on_appended,
-                 planner);
+                 attempt);
+}
+
+void
+pl_resend_lost (struct planner *planner)
+{
+  if (planner->role == PL_PLANNER && planner->sending != NULL
+      && planner->appends_open > 0 && planner->appends_open < ATTEMPTS_MAX
+      && jr_is_lost (planner->params.journal, planner->sending->sent_ms))
+    pl_send_batch (planner);
 }
 
 /* @return : bytes added.  */
