--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -108,7 +108,10 @@
       = ct_route (catalog, host == NULL ? "" : host, hs_path (request), &rest);
   team = key == NULL ? NULL : ct_team_of_key (catalog, key);
   if (!fr_view_is_current (front))
-    fr_pass_on (front, request, "any");
+    {
+      if (at_planner || !ask_planner (front, request))
+        fr_pass_on (front, request, "any");
+    }
   else if (queue == NULL)
     fr_answer_error (front, request, "any", 404, "no such queue");
   else if (!queue->open && team == NULL)
