--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -237,19 +237,27 @@
 /* --- Events of other tasks --- */
 
 static void
-log_job (const struct jb_job *job)
+log_job (const struct planner *planner, const struct jb_job *job)
 {
   const struct jb_step_spec *step = &job->spec->steps[0];
-
-  lg_info (PART, "A job is taken in.", "job", job->id, "queue",
-           job->spec->queue, "team",
-           job->spec->team == NULL ? "" : job->spec->team, "steps",
-           lg_number ((long long)job->spec->step_count), "tasks",
-           lg_number (step->count), "gang", step->gang ? "yes" : "no",
-           "one_rack", step->one_rack ? "yes" : "no", "accelerators",
-           lg_number (step->room.accelerators), "memory_mib",
-           lg_number (step->room.memory_mib), "estimate_ms",
-           lg_number (step->estimate_ms), NULL);
+  const struct ct_catalog *catalog = jr_catalog (planner->params.journal);
+  const struct ct_queue *queue
+      = catalog == NULL ? NULL : ct_queue (catalog, job->spec->queue);
+
+  lg_info (
+      PART, "A job is taken in.", "job", job->id, "queue", job->spec->queue,
+      "team", job->spec->team == NULL ? "" : job->spec->team, "priority",
+      lg_number (queue == NULL ? -1 : (long long)queue->priority),
+      "slack_percent",
+      lg_number (queue == NULL ? 0 : (long long)(queue->slack_factor * 100)),
+      "target_ms", lg_number (queue == NULL ? 0 : queue->target_ms), "steps",
+      lg_number ((long long)job->spec->step_count), "tasks",
+      lg_number (step->count), "gang", step->gang ? "yes" : "no", "one_rack",
+      step->one_rack ? "yes" : "no", "cpus_milli",
+      lg_number (step->room.cpus_milli), "accelerators",
+      lg_number (step->room.accelerators), "memory_mib",
+      lg_number (step->room.memory_mib), "estimate_ms",
+      lg_number (step->estimate_ms), NULL);
 }
 
 static void
@@ -259,7 +267,7 @@
 
   if (planner->role != PL_PLANNER)
     return;
-  log_job (job);
+  log_job (planner, job);
   sd_job_added (planner->sched, job);
   pl_wake (planner);
 }
