--- a/lib/sched/reserve.c
+++ b/lib/sched/reserve.c
@@ -220,7 +220,7 @@
               struct sd_worker *worker, int64_t now_ms, GArray *openings)
 {
   const struct jb_step_spec *spec = unit->step->spec;
-  struct leaver leavers[TASKS_MAX];
+  struct leaver leavers[TASKS_MAX] = { { .in_ms = 0 } };
   size_t count = collect_leavers (sched, worker, now_ms, leavers);
   uint32_t limit = spec->worker_limit > 0
                        ? MIN (spec->worker_limit, unit->waiting)
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -388,7 +388,8 @@
   jb_table_free (journal->table);
   g_hash_table_destroy (journal->hosts);
   ct_free (journal->catalog);
-  g_clear_pointer (&journal->leases, g_hash_table_destroy);
+  if (journal->leases != NULL)
+    g_hash_table_destroy (journal->leases);
   g_free (journal);
 }
 
--- a/programs/foxtailgap-hostd/relay.c
+++ b/programs/foxtailgap-hostd/relay.c
@@ -113,19 +113,22 @@
           .version = -1 };
   static const struct rl_answer none = { .body = "", .version = -1 };
   struct passage *passage = ctx;
+  bool served;
 
   lg_info (PART, "A request was passed on.", "to", passage->address, "status",
            lg_number (response->status), "result",
            hc_strerror (response->error), NULL);
-  if (response->error == HC_OK && response->status != NOT_SERVED)
-    tell_response (passage, response);
-  else if (response->error != HC_OK && response->maybe_sent
-           && strcmp (passage->method, "GET") != 0)
-    tell (passage, &unknown);
-  else if (passage->request != NULL && passage->tries < TRIES
-           && send_on (passage))
+  if (response->error != HC_OK && response->maybe_sent
+      && strcmp (passage->method, "GET") != 0)
+    {
+      tell (passage, &unknown);
+      return;
+    }
+  served = response->error == HC_OK && response->status != NOT_SERVED;
+  if (!served && passage->request != NULL && passage->tries < TRIES
+      && send_on (passage))
     return;
-  else if (response->error == HC_OK)
+  if (response->error == HC_OK)
     tell_response (passage, response);
   else
     tell (passage, &none);
--- a/programs/foxtailgapctl/log_file.h
+++ b/programs/foxtailgapctl/log_file.h
@@ -28,7 +28,7 @@
  *  @return : a file, to be freed by lf_free (); lines that cannot be read are
  *            left out. */
 struct lf_file *lf_parse (const char *name, const char *text);
-void lf_free (void *file);
+void lf_free (void *data);
 
 /*! lf_field () :
  *  @return : a field of the line, "" if it is absent. */
--- a/tests/unit/test_hostd_pace.c
+++ b/tests/unit/test_hostd_pace.c
@@ -7,6 +7,7 @@
 enum
 {
   TARGET_MS = 100,
+  OVER_MS = 200, /* a tail */
   LOOK_MS = 500,
   PACING_MS = 100,
   HARM_MS = 4000, /* the platform's bound for what fillers may do */
@@ -149,11 +150,11 @@
   struct setup setup;
 
   begin (&setup);
-  CU_ASSERT_EQUAL (look (&setup, 1000, 2 * TARGET_MS, true), 1);
-  CU_ASSERT_EQUAL (look (&setup, 1100, 2 * TARGET_MS, true), 0);
-  CU_ASSERT_EQUAL (look (&setup, 1500, 2 * TARGET_MS, false), 1);
+  CU_ASSERT_EQUAL (look (&setup, 1000, OVER_MS, true), 1);
+  CU_ASSERT_EQUAL (look (&setup, 1100, OVER_MS, true), 0);
+  CU_ASSERT_EQUAL (look (&setup, 1500, OVER_MS, false), 1);
   CU_ASSERT_EQUAL (setup.filler->pace, 0);
-  CU_ASSERT_EQUAL (look (&setup, 2000, 2 * TARGET_MS, false), 0);
+  CU_ASSERT_EQUAL (look (&setup, 2000, OVER_MS, false), 0);
   finish (&setup);
 }
 
@@ -163,7 +164,7 @@
   struct setup setup;
 
   begin (&setup);
-  look (&setup, 1000, 2 * TARGET_MS, false);
+  look (&setup, 1000, OVER_MS, false);
   CU_ASSERT_EQUAL (setup.filler->pace, 0);
   sd_task_ended (setup.sched, setup.server, SD_END_STOPPED, "", 1500, 0);
   CU_ASSERT_FALSE (sd_worker_is_shared (setup.worker));
--- a/tests/unit/test_hostd_platform.c
+++ b/tests/unit/test_hostd_platform.c
@@ -245,18 +245,18 @@
   static const char *const workers[] = { "i-1", "i-2", NULL };
   static const struct
   {
-    unsigned int status;
     const char *body;
-    enum ap_result result;
     size_t rows;
+    unsigned int status;
+    enum ap_result result;
   } cases[] = {
-    { 200, "{\"allowed\":[[\"i-2\",\"t-9\"]],\"validity_ms\":3000}", AP_DONE,
-      1 },
-    { 200, "{\"allowed\":[]}", AP_DONE, 0 },
-    { 200, "{\"allowed\":[[1],\"x\",[\"i-1\",null]]}", AP_DONE, 0 },
-    { 200, "not json", AP_SILENT, 0 },
-    { 429, "{}", AP_BUSY, 0 },
-    { 500, "{}", AP_SILENT, 0 },
+    { "{\"allowed\":[[\"i-2\",\"t-9\"]],\"validity_ms\":3000}", 1, 200,
+      AP_DONE },
+    { "{\"allowed\":[]}", 0, 200, AP_DONE },
+    { "{\"allowed\":[[1],\"x\",[\"i-1\",null]]}", 0, 200, AP_DONE },
+    { "not json", 0, 200, AP_SILENT },
+    { "{}", 0, 429, AP_BUSY },
+    { "{}", 0, 500, AP_SILENT },
   };
   struct advice advice = { .loop = ev_loop_new (EVFLAG_AUTO) };
   struct hs_params params = { .loop = advice.loop,
--- a/tests/unit/test_hostd_reserve.c
+++ b/tests/unit/test_hostd_reserve.c
@@ -11,6 +11,7 @@
   WORKER_ACCELERATORS = 8,
   STEP_MS = 20,
   RUN_MS = 3000, /* of each task */
+  TWO_RUNS_MS = 6000,
   HORIZON_MS = 30000
 };
 
@@ -141,7 +142,7 @@
 test_gang_does_not_starve (void)
 {
   CU_ASSERT_EQUAL (gang_waits_ms (0), HORIZON_MS); /* as it was */
-  CU_ASSERT_TRUE (gang_waits_ms (50) <= 2 * RUN_MS);
+  CU_ASSERT_TRUE (gang_waits_ms (50) <= TWO_RUNS_MS);
 }
 
 static uint32_t
