Only the jobs' topic shows that an append to it is lost; appends are given up later and later

By reading: a partition that is down while the operator's topic answers quickly would have had each write sent again every 120 ms.

--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -177,7 +177,8 @@
   journal->answered_ms = now_ms;
   if (answer->waited)
     took_ms -= follower->asked_wait_ms;
-  if (took_ms < SLOW_MS)
+  /* The other topic may be quick while this one's partition is not.  */
+  if (follower == &journal->jobs && took_ms < SLOW_MS)
     journal->quick_ms = now_ms;
 }
 
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -45,7 +45,8 @@
   int64_t answer_ms;   /* the store's own time for an answer, as of late */
   GQueue writes;       /* struct jr_write, oldest first */
   uint32_t appends_open;
-  GQueue lots; /* struct jr_lot: those appends, oldest first */
+  uint32_t lost_in_row; /* appends given up since the last that was answered */
+  GQueue lots;          /* struct jr_lot: those appends, oldest first */
   uint64_t next_ticket;
   ev_timer write_timer;
   GQueue waiters; /* struct jr_waiter, oldest first */
--- a/programs/foxtailgap-hostd/journal_write.c
+++ b/programs/foxtailgap-hostd/journal_write.c
@@ -20,6 +20,9 @@
   SLOW_APPEND_TIMEOUT_MS = 2600,
   REFUSED_FOR_MS = 250, /* a caller is told so once refusals last this long */
   SWEEP_MS = 50,
+  LOST_AGAIN_MS
+  = 60, /* with a third of the answers lost, five in a row are rare */
+  LOST_AGAIN_MAX = 10,
   LOT_MAX_BYTES = 1024 * 1024 /* half of the platform's limit of a call */
 };
 
@@ -120,6 +123,14 @@
   g_free (lot);
 }
 
+/* Where one append after the other gets no answer they are given up later and
+   later.  */
+static int64_t
+pause_ms (const struct journal *journal)
+{
+  return (int64_t)LOST_AGAIN_MS * MIN (journal->lost_in_row, LOST_AGAIN_MAX);
+}
+
 /* An append whose answer is lost must not hold its writes up: they are sent
    again, which is harmless.  */
 static void
@@ -132,9 +143,10 @@
       struct jr_lot *lot = link->data;
 
       link = link->next;
-      if (!jr_is_lost (journal, lot->sent_ms))
+      if (!jr_is_lost (journal, lot->sent_ms + pause_ms (journal)))
         continue;
       lot->lost = true;
+      journal->lost_in_row++;
       g_queue_unlink (&journal->lots, &lot->link);
       journal->appends_open--;
       tell_writes (lot, SO_UNKNOWN);
@@ -157,6 +169,7 @@
     {
       journal->answered_ms = clk_monotonic_ms (NULL);
       journal->answer_ms = took_ms;
+      journal->lost_in_row = 0;
     }
   else if (answer->result == SO_UNKNOWN && !lot->lost)
     journal->answer_ms = MAX (journal->answer_ms, took_ms);
