The answer to what was passed on always tells its configuration

Found by reading the change as a newcomer: a host that had handed on no answer yet asked for any version, and got an answer that told none, so that its floor was never set. test_hostd_front (a newer view than known is not told) checks the header now; it failed before.

--- a/programs/foxtailgap-hostd/front_answer.c
+++ b/programs/foxtailgap-hostd/front_answer.c
@@ -41,7 +41,7 @@
   if (retry_after != NULL)
     headers[count++]
         = (struct hs_header){ .name = "Retry-After", .value = retry_after };
-  if (catalog != NULL && rl_version_asked (request) >= 0)
+  if (catalog != NULL && rl_is_passed_on (request))
     {
       g_snprintf (version, sizeof version, "%" G_GINT64_FORMAT,
                   catalog->version);
--- a/programs/foxtailgap-hostd/relay.c
+++ b/programs/foxtailgap-hostd/relay.c
@@ -83,10 +83,16 @@
   return text == NULL || end == text || *end != '\0' ? -1 : version;
 }
 
+bool
+rl_is_passed_on (struct hs_request *request)
+{
+  return hs_header (request, MARK) != NULL;
+}
+
 int64_t
 rl_version_asked (struct hs_request *request)
 {
-  return hs_header (request, MARK) == NULL
+  return !rl_is_passed_on (request)
              ? -1
              : read_version (hs_header (request, RL_HEADER_VERSION));
 }
@@ -208,7 +214,7 @@
 {
   struct passage *passage;
 
-  if (hs_header (request, MARK) != NULL)
+  if (rl_is_passed_on (request))
     return false;
   passage = g_new0 (struct passage, 1);
   passage->relay = relay;
--- a/programs/foxtailgap-hostd/relay.h
+++ b/programs/foxtailgap-hostd/relay.h
@@ -33,9 +33,13 @@
 typedef void (*rl_callback) (void *ctx, struct hs_request *request,
                              const struct rl_answer *answer);
 
+/*! rl_is_passed_on () :
+ *  @return : whether another host has passed the request on. */
+bool rl_is_passed_on (struct hs_request *request);
+
 /*! rl_version_asked () :
  *  @return : the configuration that a request passed on by another host must
- *            at least be answered by; -1: it was not passed on. */
+ *            at least be answered by; -1: any. */
 int64_t rl_version_asked (struct hs_request *request);
 
 /* Header of an answer to a request that was passed on, and of the request:
--- a/tests/unit/test_hostd_front.c
+++ b/tests/unit/test_hostd_front.c
@@ -29,6 +29,7 @@
   char *addresses[PORTS];
   int answers;
   long status;
+  char told[24];          /* version of the configuration in the answer */
   struct hs_server *peer; /* another host; NULL: none */
   int peer_requests;
   char asked[24];           /* version that the peer was asked for */
@@ -148,8 +149,11 @@
 {
   struct setup *setup = ctx;
 
+  const char *version = hc_response_header (response, "Foxtailgap-Version");
+
   setup->answers++;
   setup->status = response->status;
+  g_strlcpy (setup->told, version == NULL ? "" : version, sizeof setup->told);
 }
 
 static void
@@ -381,6 +385,8 @@
 {
   static const char *const headers[]
       = { "Host: h", "Foxtailgap-Relayed: b", "Foxtailgap-Version: 2", NULL };
+  static const char *const any[]
+      = { "Host: h", "Foxtailgap-Relayed: b", "Foxtailgap-Version: -1", NULL };
   struct setup setup;
 
   begin (&setup);
@@ -392,6 +398,10 @@
   ask_with (&setup, "/q/", headers);
   wait_for_answers (&setup, 2);
   CU_ASSERT_EQUAL (setup.status, 503); /* this host knows version 1 */
+  ask_with (&setup, "/q/", any);
+  wait_for_answers (&setup, 3);
+  CU_ASSERT_EQUAL (setup.status, 200);
+  CU_ASSERT_STRING_EQUAL (setup.told, "1");
   finish (&setup);
 }
 
