--- a/lib/jobs/catalog.c
+++ b/lib/jobs/catalog.c
@@ -100,17 +100,6 @@
   return NULL;
 }
 
-const struct ct_service *
-ct_service (const struct ct_catalog *catalog, const char *name)
-{
-  size_t i;
-
-  for (i = 0; i < catalog->service_count; i++)
-    if (strcmp (catalog->services[i].name, name) == 0)
-      return &catalog->services[i];
-  return NULL;
-}
-
 const struct ct_team *
 ct_team_of_key (const struct ct_catalog *catalog, const char *key)
 {
--- a/lib/jobs/catalog.h
+++ b/lib/jobs/catalog.h
@@ -74,8 +74,6 @@
                                  const char *name);
 const struct ct_team *ct_team (const struct ct_catalog *catalog,
                                const char *name);
-const struct ct_service *ct_service (const struct ct_catalog *catalog,
-                                     const char *name);
 
 /*! ct_team_of_key () :
  *  @return : the team that holds KEY; NULL if none does. */
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -145,7 +145,7 @@
 
 static GArray *
 collect_candidates (const struct sd_sched *sched, const struct sd_unit *unit,
-                    bool any_held, int64_t now_ms)
+                    bool use_reserved, int64_t now_ms)
 {
   GArray *found = g_array_new (FALSE, FALSE, sizeof (struct candidate));
   guint i;
@@ -159,8 +159,8 @@
       if (!may_take (worker, unit, now_ms))
         continue;
       room = worker->round_free;
-      if (!any_held)
-        sd_room_take (&room, &worker->held);
+      if (!use_reserved)
+        sd_room_take (&room, &worker->reserved);
       candidate.copies = copies_on (worker, unit, &room);
       candidate.penalty = penalty_of (worker, unit);
       if (candidate.copies > 0)
@@ -329,10 +329,10 @@
 
 static bool
 choose (const struct sd_sched *sched, const struct sd_unit *unit,
-        bool any_held, int64_t now_ms, struct sd_choice *choice)
+        bool use_reserved, int64_t now_ms, struct sd_choice *choice)
 {
   const struct jb_step_spec *spec = unit->step->spec;
-  GArray *candidates = collect_candidates (sched, unit, any_held, now_ms);
+  GArray *candidates = collect_candidates (sched, unit, use_reserved, now_ms);
   const char *rack = NULL;
 
   if (spec->gang)
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -40,14 +40,16 @@
   GPtrArray *stops;   /* struct jb_task: stops that events asked for */
   GArray *misfits;    /* struct sd_unit: found not to fit in this round */
   struct es_table *estimates; /* what queues have shown of their work */
-  uint32_t held_count; /* tasks of gangs that room is held for, in a round */
-  uint32_t hold_tries; /* new holds looked for, in a round */
-  bool roomy; /* in this round: so much is idle that holds do not count */
-  GHashTable *holds;       /* struct jb_step -> struct sd_hold */
-  GHashTable *advice;      /* struct jb_step -> struct sd_advice */
-  uint64_t advice_asked;   /* workers that the advisor was asked about */
-  uint64_t advice_allowed; /* and those that it allowed */
-  GHashTable *claims;      /* struct jb_step -> struct sd_claim */
+  uint32_t reserved_count;    /* tasks of gangs that room is reserved for, in a
+                                 round */
+  uint32_t reserve_tries;     /* new reservations looked for, in a round */
+  bool roomy; /* in this round: so much is idle that reservations do not count
+               */
+  GHashTable *reservations; /* struct jb_step -> struct sd_reservation */
+  GHashTable *advice;       /* struct jb_step -> struct sd_advice */
+  uint64_t advice_asked;    /* workers that the advisor was asked about */
+  uint64_t advice_allowed;  /* and those that it allowed */
+  GHashTable *claims;       /* struct jb_step -> struct sd_claim */
 };
 
 /* --- ledger.c: room on workers --- */
@@ -197,28 +199,29 @@
 
 /* --- reserve.c --- */
 
-void sd_hold_free (void *data);
+void sd_reservation_free (void *data);
 
-/*! sd_holds_begin (), sd_holds_end () :
- *  Around a round: what is held is entered; holds of gangs that wait no more
- *  are dropped. */
-void sd_holds_begin (struct sd_sched *sched);
-void sd_holds_end (struct sd_sched *sched);
+/*! sd_reservations_begin (), sd_reservations_end () :
+ *  Around a round: what is reserved is entered; reservations of gangs that
+ * wait no more are dropped. */
+void sd_reservations_begin (struct sd_sched *sched);
+void sd_reservations_end (struct sd_sched *sched);
 
-/*! sd_hold_give_back () :
- *  The unit itself may use the room that is held for it.
- *  @return : whether room is held for it. */
-bool sd_hold_give_back (struct sd_sched *sched, const struct sd_unit *unit);
+/*! sd_reservation_give_back () :
+ *  The unit itself may use the room that is reserved for it.
+ *  @return : whether room is reserved for it. */
+bool sd_reservation_give_back (struct sd_sched *sched,
+                               const struct sd_unit *unit);
 
-/*! sd_hold_room () :
+/*! sd_reserve_room () :
  *  For a gang that does not fit: room on the workers that will have it
  *  soonest is kept from others. */
-void sd_hold_room (struct sd_sched *sched, const struct sd_unit *unit,
-                   int64_t now_ms);
+void sd_reserve_room (struct sd_sched *sched, const struct sd_unit *unit,
+                      int64_t now_ms);
 
-/*! sd_hold_end () :
+/*! sd_reservation_end () :
  *  The gang has been placed. */
-void sd_hold_end (struct sd_sched *sched, const struct sd_unit *unit);
+void sd_reservation_end (struct sd_sched *sched, const struct sd_unit *unit);
 
 /* --- preempt.c --- */
 
--- a/lib/sched/reserve.c
+++ b/lib/sched/reserve.c
@@ -1,7 +1,8 @@
 /* Room kept free for a gang that does not fit yet.  Load pattern: gangs of
    large tasks among a steady stream of small work that takes each piece of
-   room as it comes free; without a hold such a gang waits until the stream
-   ends.  Urgent work takes held room only where it fits nowhere else.  */
+   room as it comes free; without a reservation such a gang waits until the
+   stream ends.  Urgent work takes reserved room only where it fits nowhere
+   else.  */
 
 #include <stdlib.h>
 #include <string.h>
@@ -16,57 +17,57 @@
   /* Below this percent a rate is too rough to go by.  */
   RATE_FROM_PERCENT = 10,
   TASKS_MAX = 64, /* looked at on one worker */
-  /* New holds looked for in one round: with 3,300 workers each takes about
-     2 ms.  */
+  /* New reservations looked for in one round: with 3,300 workers each takes
+     about 2 ms.  */
   TRIES_MAX = 4,
   /* With less than this of each kind of room in use, work that waits takes
-     held room too: the platform asks that work starts within 3 s while less
-     than half is in use.  */
+     reserved room too: the platform asks that work starts within 3 s while
+     less than half is in use.  */
   ROOMY_PERCENT = 60
 };
 
-struct sd_hold
+struct sd_reservation
 {
   GPtrArray *workers; /* struct sd_worker, one for each task */
   bool wanted;        /* its gang still waits, as of this round */
 };
 
 void
-sd_hold_free (void *data)
+sd_reservation_free (void *data)
 {
-  struct sd_hold *hold = data;
+  struct sd_reservation *reservation = data;
 
-  g_ptr_array_unref (hold->workers);
-  g_free (hold);
+  g_ptr_array_unref (reservation->workers);
+  g_free (reservation);
 }
 
 static void
-enter (struct sd_sched *sched, const struct sd_hold *hold,
+enter (struct sd_sched *sched, const struct sd_reservation *reservation,
        const struct jb_step *step)
 {
   guint i;
 
-  sched->held_count += hold->workers->len;
-  for (i = 0; i < hold->workers->len; i++)
+  sched->reserved_count += reservation->workers->len;
+  for (i = 0; i < reservation->workers->len; i++)
     {
-      struct sd_worker *worker = g_ptr_array_index (hold->workers, i);
+      struct sd_worker *worker = g_ptr_array_index (reservation->workers, i);
 
-      sd_room_add (&worker->held, &step->spec->room);
+      sd_room_add (&worker->reserved, &step->spec->room);
     }
 }
 
 static void
-leave (struct sd_sched *sched, const struct sd_hold *hold,
+leave (struct sd_sched *sched, const struct sd_reservation *reservation,
        const struct jb_step *step)
 {
   guint i;
 
-  sched->held_count -= hold->workers->len;
-  for (i = 0; i < hold->workers->len; i++)
+  sched->reserved_count -= reservation->workers->len;
+  for (i = 0; i < reservation->workers->len; i++)
     {
-      struct sd_worker *worker = g_ptr_array_index (hold->workers, i);
+      struct sd_worker *worker = g_ptr_array_index (reservation->workers, i);
 
-      sd_room_take (&worker->held, &step->spec->room);
+      sd_room_take (&worker->reserved, &step->spec->room);
     }
 }
 
@@ -101,26 +102,26 @@
 }
 
 void
-sd_holds_begin (struct sd_sched *sched)
+sd_reservations_begin (struct sd_sched *sched)
 {
   GHashTableIter iter;
   void *step;
   void *value;
   guint i;
 
-  sched->held_count = 0;
-  sched->hold_tries = 0;
+  sched->reserved_count = 0;
+  sched->reserve_tries = 0;
   sched->roomy = is_roomy (sched);
   for (i = 0; i < sched->workers->len; i++)
-    ((struct sd_worker *)g_ptr_array_index (sched->workers, i))->held
+    ((struct sd_worker *)g_ptr_array_index (sched->workers, i))->reserved
         = (struct jb_room){ 0 };
-  g_hash_table_iter_init (&iter, sched->holds);
+  g_hash_table_iter_init (&iter, sched->reservations);
   while (g_hash_table_iter_next (&iter, &step, &value))
     {
-      struct sd_hold *hold = value;
+      struct sd_reservation *reservation = value;
 
-      hold->wanted = false;
-      enter (sched, hold, step);
+      reservation->wanted = false;
+      enter (sched, reservation, step);
     }
 }
 
@@ -129,13 +130,13 @@
 {
   (void)step;
   (void)ctx;
-  return !((struct sd_hold *)value)->wanted;
+  return !((struct sd_reservation *)value)->wanted;
 }
 
 void
-sd_holds_end (struct sd_sched *sched)
+sd_reservations_end (struct sd_sched *sched)
 {
-  g_hash_table_foreach_remove (sched->holds, is_not_wanted, NULL);
+  g_hash_table_foreach_remove (sched->reservations, is_not_wanted, NULL);
 }
 
 /* --- When there will be room --- */
@@ -229,7 +230,7 @@
   struct opening opening = { .worker = worker };
   size_t next = 0;
 
-  sd_room_take (&room, &worker->held);
+  sd_room_take (&room, &worker->reserved);
   while (limit > 0)
     if (sd_room_fits (&spec->room, &room))
       {
@@ -318,71 +319,73 @@
   return NULL;
 }
 
-/* --- Holds --- */
+/* --- Reservations --- */
 
 static bool
-is_still_good (const struct sd_hold *hold, const struct sd_unit *unit,
-               int64_t now_ms)
+is_still_good (const struct sd_reservation *reservation,
+               const struct sd_unit *unit, int64_t now_ms)
 {
   guint i;
 
-  if (hold->workers->len != unit->waiting)
+  if (reservation->workers->len != unit->waiting)
     return false;
-  for (i = 0; i < hold->workers->len; i++)
-    if (!sd_usable (g_ptr_array_index (hold->workers, i), unit, now_ms))
+  for (i = 0; i < reservation->workers->len; i++)
+    if (!sd_usable (g_ptr_array_index (reservation->workers, i), unit, now_ms))
       return false;
   return true;
 }
 
 bool
-sd_hold_give_back (struct sd_sched *sched, const struct sd_unit *unit)
+sd_reservation_give_back (struct sd_sched *sched, const struct sd_unit *unit)
 {
-  const struct sd_hold *hold = g_hash_table_lookup (sched->holds, unit->step);
+  const struct sd_reservation *reservation
+      = g_hash_table_lookup (sched->reservations, unit->step);
 
-  if (hold == NULL)
+  if (reservation == NULL)
     return false;
-  leave (sched, hold, unit->step);
+  leave (sched, reservation, unit->step);
   return true;
 }
 
 void
-sd_hold_end (struct sd_sched *sched, const struct sd_unit *unit)
+sd_reservation_end (struct sd_sched *sched, const struct sd_unit *unit)
 {
-  g_hash_table_remove (sched->holds, unit->step);
+  g_hash_table_remove (sched->reservations, unit->step);
 }
 
 static bool
-may_hold_more (const struct sd_sched *sched, const struct sd_unit *unit)
+may_reserve_more (const struct sd_sched *sched, const struct sd_unit *unit)
 {
-  return sched->hold_tries < TRIES_MAX
-         && (sched->held_count + unit->waiting) * 100
-                <= sched->workers->len * sched->params.hold_percent;
+  return sched->reserve_tries < TRIES_MAX
+         && (sched->reserved_count + unit->waiting) * 100
+                <= sched->workers->len * sched->params.reserve_percent;
 }
 
 void
-sd_hold_room (struct sd_sched *sched, const struct sd_unit *unit,
-              int64_t now_ms)
+sd_reserve_room (struct sd_sched *sched, const struct sd_unit *unit,
+                 int64_t now_ms)
 {
-  struct sd_hold *hold = g_hash_table_lookup (sched->holds, unit->step);
+  struct sd_reservation *reservation
+      = g_hash_table_lookup (sched->reservations, unit->step);
   GPtrArray *workers = NULL;
 
-  if (hold != NULL && is_still_good (hold, unit, now_ms))
+  if (reservation != NULL && is_still_good (reservation, unit, now_ms))
     {
-      hold->wanted = true;
-      enter (sched, hold, unit->step);
+      reservation->wanted = true;
+      enter (sched, reservation, unit->step);
       return;
     }
-  sd_hold_end (sched, unit);
-  if (may_hold_more (sched, unit))
+  sd_reservation_end (sched, unit);
+  if (may_reserve_more (sched, unit))
     {
-      sched->hold_tries++;
+      sched->reserve_tries++;
       workers = choose_workers (sched, unit, now_ms);
     }
   if (workers == NULL)
     return;
-  hold = g_new0 (struct sd_hold, 1);
-  hold->workers = workers;
-  hold->wanted = true;
-  g_hash_table_insert (sched->holds, unit->step, hold);
-  enter (sched, hold, unit->step);
+  reservation = g_new0 (struct sd_reservation, 1);
+  reservation->workers = workers;
+  reservation->wanted = true;
+  g_hash_table_insert (sched->reservations, unit->step, reservation);
+  enter (sched, reservation, unit->step);
 }
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -16,7 +16,7 @@
       sd_room_take (&worker->round_free, &worker->used);
     }
   sd_claims_take (sched, now_ms);
-  sd_holds_begin (sched);
+  sd_reservations_begin (sched);
 }
 
 static uint32_t
@@ -58,11 +58,11 @@
   struct sd_choice choice
       = { .tasks = g_ptr_array_new (), .workers = g_ptr_array_new () };
   bool claimed = sd_claim_give_back (sched, unit, now_ms);
-  bool held = sd_hold_give_back (sched, unit);
+  bool reserved = sd_reservation_give_back (sched, unit);
   bool whole = false;
   struct sd_unit rest = *unit;
 
-  if (claimed || held || !sd_known_misfit (sched, unit))
+  if (claimed || reserved || !sd_known_misfit (sched, unit))
     {
       whole = sd_choose (sched, unit, now_ms, &choice);
       if (!whole && !claimed
@@ -76,9 +76,9 @@
     g_ptr_array_set_size (choice.tasks, 0);
   rest.waiting -= choice.tasks->len;
   if (whole)
-    sd_hold_end (sched, unit);
+    sd_reservation_end (sched, unit);
   else if (unit->step->spec->gang && unit->priority > 0)
-    sd_hold_room (sched, unit, now_ms);
+    sd_reserve_room (sched, unit, now_ms);
   if (claimed && whole)
     sd_claim_end (sched, unit);
   if (!whole && unit->priority == 0 && rest.waiting > 0)
@@ -103,7 +103,7 @@
       for (i = 0; i < units->len; i++)
         place_unit (sched, &g_array_index (units, struct sd_unit, i), now_ms,
                     commands);
-      sd_holds_end (sched);
+      sd_reservations_end (sched);
       g_array_free (units, TRUE);
     }
   for (i = 0; i < sched->stops->len; i++)
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -29,7 +29,8 @@
   sched->stops = g_ptr_array_new ();
   sched->misfits = g_array_new (FALSE, FALSE, sizeof (struct sd_unit));
   sched->estimates = es_create ();
-  sched->holds = g_hash_table_new_full (NULL, NULL, NULL, sd_hold_free);
+  sched->reservations
+      = g_hash_table_new_full (NULL, NULL, NULL, sd_reservation_free);
   sched->advice = g_hash_table_new_full (NULL, NULL, NULL, sd_advice_free);
   sched->claims = g_hash_table_new_full (NULL, NULL, NULL, sd_claim_free);
   return sched;
@@ -47,7 +48,7 @@
   g_ptr_array_free (sched->stops, TRUE);
   g_array_free (sched->misfits, TRUE);
   g_hash_table_destroy (sched->claims);
-  g_hash_table_destroy (sched->holds);
+  g_hash_table_destroy (sched->reservations);
   g_hash_table_destroy (sched->advice);
   es_free (sched->estimates);
   g_free (sched);
@@ -242,7 +243,7 @@
   g_ptr_array_set_size (sched->changed, 0);
   g_ptr_array_set_size (sched->stops, 0);
   g_hash_table_remove_all (sched->claims);
-  g_hash_table_remove_all (sched->holds);
+  g_hash_table_remove_all (sched->reservations);
   g_hash_table_remove_all (sched->advice);
   g_hash_table_iter_init (&iter, sched->table->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -284,7 +285,7 @@
   for (i = 0; i < job->step_total; i++)
     {
       g_hash_table_remove (sched->claims, &job->steps[i]);
-      g_hash_table_remove (sched->holds, &job->steps[i]);
+      g_hash_table_remove (sched->reservations, &job->steps[i]);
       g_hash_table_remove (sched->advice, &job->steps[i]);
     }
   sd_mark_changed (sched, job);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -58,7 +58,7 @@
   int64_t pace_ceiling_until_ms;
   /* of a round */
   struct jb_room round_free;
-  struct jb_room held; /* of it, kept for gangs that wait */
+  struct jb_room reserved; /* of it, kept for gangs that wait */
   size_t index;
   void *io; /* of the driver */
 };
@@ -89,7 +89,7 @@
   uint32_t stop_ms;    /* a stop takes at most this */
   /* For so many tasks of gangs room may be kept, by the hundred workers; it
      stands idle until the whole gang fits.  0: never.  */
-  uint32_t hold_percent;
+  uint32_t reserve_percent;
 };
 
 struct sd_sched *sd_create (const struct sd_params *params,
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -23,10 +23,10 @@
   SETTLE_MS = 400,
   DROP_INTERVAL_MS = 1000,
   LOAD_INTERVAL_MS = 5000,
-  /* Room may be held for the two largest gangs of the sites at once (8 tasks
-     each of a whole worker) on 48 workers, and a little more.  Measured: 34
-     and 50 do the same.  */
-  HOLD_PERCENT = 50,
+  /* Room may be reserved for the two largest gangs of the sites at once (8
+     tasks each of a whole worker) on 48 workers, and a little more.  Measured:
+     34 and 50 do the same.  */
+  RESERVE_PERCENT = 50,
   /* A tick that comes this late shows that the process was paused.  */
   PAUSE_MS = 700
 };
@@ -335,7 +335,7 @@
   struct planner *planner = g_new0 (struct planner, 1);
   struct sd_params sched = { .far_factor = params->settings->far_factor,
                              .stop_ms = params->settings->stop_ms,
-                             .hold_percent = HOLD_PERCENT };
+                             .reserve_percent = RESERVE_PERCENT };
   struct wk_params workers = {
     .loop = params->loop,
     .port = params->workers,
--- a/tests/unit/test_hostd_advice.c
+++ b/tests/unit/test_hostd_advice.c
@@ -28,7 +28,7 @@
 begin (struct setup *setup)
 {
   struct sd_params params
-      = { .far_factor = 3, .stop_ms = 200, .hold_percent = 50 };
+      = { .far_factor = 3, .stop_ms = 200, .reserve_percent = 50 };
   uint32_t i;
 
   memset (setup, 0, sizeof *setup);
--- a/tests/unit/test_hostd_reserve.c
+++ b/tests/unit/test_hostd_reserve.c
@@ -1,4 +1,4 @@
-/* Room held for gangs, and what is expected of work: both against the load
+/* Room reserved for gangs, and what is expected of work: both against the load
    pattern that they answer.  */
 
 #include "check.h"
@@ -25,10 +25,11 @@
 };
 
 static void
-begin (struct setup *setup, uint32_t hold_percent)
+begin (struct setup *setup, uint32_t reserve_percent)
 {
-  struct sd_params params
-      = { .far_factor = 3, .stop_ms = 200, .hold_percent = hold_percent };
+  struct sd_params params = { .far_factor = 3,
+                              .stop_ms = 200,
+                              .reserve_percent = reserve_percent };
   uint32_t i;
 
   memset (setup, 0, sizeof *setup);
@@ -107,7 +108,7 @@
    a gang of whole workers, in the same queue.
    @return : how long the gang has waited; the horizon if it never starts.  */
 static int64_t
-gang_waits_ms (uint32_t hold_percent)
+gang_waits_ms (uint32_t reserve_percent)
 {
   struct fixture_step small = { .count = 6, .accelerators = 1 };
   struct fixture_step large = { .count = 4,
@@ -118,7 +119,7 @@
   struct jb_job *gang = NULL;
   int64_t waits_ms = HORIZON_MS;
 
-  begin (&setup, hold_percent);
+  begin (&setup, reserve_percent);
   while (setup.now_ms < HORIZON_MS)
     {
       if (setup.now_ms % 200 == 0)
@@ -176,7 +177,7 @@
 }
 
 static void
-test_held_room_is_kept_from_others (void)
+test_reserved_room_is_kept_from_others (void)
 {
   struct fixture_step one = { .count = 1, .accelerators = 1 };
   struct setup setup;
@@ -196,7 +197,7 @@
 }
 
 static void
-test_urgent_work_takes_held_room (void)
+test_urgent_work_takes_reserved_room (void)
 {
   struct fixture_step one = { .count = 1, .accelerators = 1 };
   struct setup setup;
@@ -211,10 +212,10 @@
 }
 
 /* Found on anla-rounds, day scale-1 with seed 805433929321: at the end of the
-   day room was held for three large gangs that waited for slow tasks, and a
-   small gang waited for over 3 s with most workers' room free.  */
+   day room was reserved for three large gangs that waited for slow tasks, and
+   a small gang waited for over 3 s with most workers' room free.  */
 static void
-test_held_room_is_free_while_much_is_idle (void)
+test_reserved_room_is_free_while_much_is_idle (void)
 {
   struct fixture_step blocks
       = { .count = 2, .accelerators = WORKER_ACCELERATORS };
@@ -240,7 +241,7 @@
 }
 
 static void
-test_hold_ends_with_its_gang (void)
+test_reservation_ends_with_its_gang (void)
 {
   struct fixture_step one = { .count = 1, .accelerators = 1 };
   struct setup setup;
@@ -292,11 +293,14 @@
 {
   static const struct check_test tests[] = {
     { "a gang does not starve", test_gang_does_not_starve },
-    { "held room is kept from others", test_held_room_is_kept_from_others },
-    { "urgent work takes held room", test_urgent_work_takes_held_room },
-    { "held room is free while much is idle",
-      test_held_room_is_free_while_much_is_idle },
-    { "a hold ends with its gang", test_hold_ends_with_its_gang },
+    { "reserved room is kept from others",
+      test_reserved_room_is_kept_from_others },
+    { "urgent work takes reserved room",
+      test_urgent_work_takes_reserved_room },
+    { "reserved room is free while much is idle",
+      test_reserved_room_is_free_while_much_is_idle },
+    { "a reservation ends with its gang",
+      test_reservation_ends_with_its_gang },
     { "estimates are corrected", test_estimates_are_corrected },
     { "good estimates are kept", test_good_estimates_are_kept },
   };
