--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -201,8 +201,8 @@
 static void
 finish (struct setup *setup)
 {
-  fake_end (&setup->port);
   pl_free (setup->planner);
+  fake_end (&setup->port); /* answers that nobody waits for any more */
   jr_free (setup->journal);
   mt_free (setup->metrics);
   fake_store_clear (&setup->store);
