--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -19,6 +19,11 @@
   /* Longer than the interval of the planner's heartbeat, 200 ms, plus the time
      of an answer.  */
   JOBS_LONG_POLL_MS = 350,
+  /* Once the planner has been silent for a whole long poll, until this time
+     has passed: hosts see a new term soon, and do not all end their long
+     polls, and try to acquire the term, at one moment.  */
+  SILENCE_LONG_POLL_MS = 50,
+  SILENCE_POLLED_UNTIL_MS = 2500,
   READ_TIMEOUT_MARGIN_MS = 700, /* more than a slow store takes to answer */
   NEWEST_TIMEOUT_MS = 1500,
   /* The store is unreachable after this time without an answer; the jobs'
@@ -72,6 +77,36 @@
   return g_hash_table_size (journal->hosts);
 }
 
+/* A number that orders the hosts differently for each term.  */
+static uint32_t
+host_order (const char *name, uint64_t term)
+{
+  char *text = g_strdup_printf ("%s %" G_GUINT64_FORMAT, name, term);
+  uint32_t order = g_str_hash (text) * 2654435761U; /* spreads similar texts */
+
+  g_free (text);
+  return order;
+}
+
+uint32_t
+jr_host_rank (const struct journal *journal, const char *name,
+              uint32_t strength)
+{
+  uint32_t own = host_order (name, journal->term.term);
+  uint32_t rank = 0;
+  GHashTableIter iter;
+  void *key;
+  void *value;
+
+  g_hash_table_iter_init (&iter, journal->hosts);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (((const struct jb_host_record *)value)->strength == strength
+        && strcmp (key, name) != 0 && strcmp (key, journal->term.host) != 0
+        && host_order (key, journal->term.term) < own)
+      rank++;
+  return rank;
+}
+
 const char *
 jr_random_peer_address (const struct journal *journal, const char *name,
                         const char *excluded)
@@ -306,6 +341,15 @@
   read_next (reader);
 }
 
+static bool
+planner_is_silent (const struct journal *journal)
+{
+  int64_t silent_ms
+      = clk_monotonic_ms (NULL) - journal->last_planner_record_ms;
+
+  return silent_ms >= JOBS_LONG_POLL_MS && silent_ms < SILENCE_POLLED_UNTIL_MS;
+}
+
 static uint32_t
 long_poll_wait_ms (const struct topic_reader *reader)
 {
@@ -313,6 +357,8 @@
 
   if (!reader->caught_up)
     return 0;
+  if (reader == &journal->jobs_reader && planner_is_silent (journal))
+    return SILENCE_LONG_POLL_MS;
   return reader == &journal->jobs_reader && journal->own_term != 0
              ? PLANNER_LONG_POLL_MS
              : reader->long_poll_ms;
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -81,6 +81,15 @@
 uint32_t jr_max_host_strength (const struct journal *journal);
 uint32_t jr_host_count (const struct journal *journal);
 
+/*! jr_host_rank () :
+ *  @name : of this host.
+ *  @strength : of this host.
+ *  @return : how many other hosts of the same strength are before this one in
+ *            an order that depends on the newest term.  The planner's host is
+ *            left out, since it has fallen silent when this is asked. */
+uint32_t jr_host_rank (const struct journal *journal, const char *name,
+                       uint32_t strength);
+
 /*! jr_create () :
  *  Starts reading both topics.
  *  @params : copied; the texts must outlive the journal.
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -32,6 +32,23 @@
   PAUSE_MIN_MS = 700
 };
 
+static bool
+was_paused (const struct planner *planner, int64_t since_ms)
+{
+  return planner->pause_end_ms > since_ms
+         || clk_monotonic_ms (NULL) - planner->last_tick_ms > PAUSE_MIN_MS;
+}
+
+/* After a pause of the process another host may hold the term; a batch that
+   was sent later and is stored shows that none does.  */
+static bool
+may_command (void *ctx)
+{
+  const struct planner *planner = ctx;
+
+  return !was_paused (planner, planner->stored_batch_sent_ms);
+}
+
 /* --- Rounds --- */
 
 static void
@@ -96,7 +113,7 @@
   (void)events;
   if (planner->role != PL_PLANNER || planner->releasing)
     return;
-  if (workers_are_polled (planner))
+  if (workers_are_polled (planner) && may_command (planner))
     {
       int64_t before_us = clk_cpu_us ();
 
@@ -105,7 +122,7 @@
       planner->round_cpu_us += planner->last_round_us;
       planner->rounds++;
     }
-  wk_send_due_renewals (planner->workers);
+  wk_send_waiting (planner->workers);
   pl_write_changes (planner, false, false);
 }
 
@@ -174,7 +191,7 @@
       && now_ms - planner->last_append_end_ms >= APPEND_RETRY_MS)
     pl_send_batch (planner);
   pl_read_worker_list_if_due (planner);
-  wk_send_due_renewals (planner->workers);
+  wk_send_waiting (planner->workers);
   log_load (planner, now_ms);
   collect_old_jobs (planner, now_ms);
   if (planner->releasing)
@@ -182,18 +199,12 @@
       pl_write_changes (planner, false, true);
       return;
     }
-  if (now_ms - planner->last_append_end_ms >= HEARTBEAT_MS)
+  if (now_ms - planner->last_append_end_ms >= HEARTBEAT_MS
+      || !may_command (planner))
     pl_write_changes (planner, true, false);
   pl_schedule_round (planner);
 }
 
-bool
-pl_was_paused (const struct planner *planner, int64_t since_ms)
-{
-  return planner->pause_end_ms > since_ms
-         || clk_monotonic_ms (NULL) - planner->last_tick_ms > PAUSE_MIN_MS;
-}
-
 static void
 on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -202,6 +213,7 @@
 
   (void)loop;
   (void)events;
+  wk_observe_lag (planner->workers, now_ms - planner->last_tick_ms - TICK_MS);
   if (now_ms - planner->last_tick_ms > PAUSE_MIN_MS)
     {
       lg_warning (PART, "The process was paused.", "for_ms",
@@ -230,6 +242,7 @@
   planner->load_logged_ms = now_ms;
   planner->load_cpu_us = clk_cpu_us ();
   planner->last_append_end_ms = now_ms;
+  planner->stored_batch_sent_ms = planner->acquire_sent_ms;
   planner->list_read_ms = 0;
   pl_reset_worker_list (planner);
   jr_set_own_term (planner->params.journal, planner->term);
@@ -353,6 +366,7 @@
     .ctx = planner,
     .changed = on_workers_changed,
     .fenced = on_worker_fenced,
+    .may_command = may_command,
   };
   struct av_params advisor = { .port = params->advisor_port,
                                .metrics = params->metrics,
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -83,6 +83,8 @@
                                  removes from the store */
   int64_t removal_checked_ms; /* when jobs to remove were last looked for */
   int64_t last_append_end_ms; /* when an append last succeeded or failed */
+  int64_t stored_batch_sent_ms; /* when the last stored batch was sent: the
+                                   term held at that moment or later */
   /* rounds */
   ev_timer tick_timer;
   ev_timer round_timer;
@@ -162,11 +164,6 @@
  *  Frees the batch being written, if there is one. */
 void pl_drop_batch (struct planner *planner);
 
-/*! pl_was_paused () :
- *  @return : whether the process has been paused since SINCE_MS, on the steady
- *            clock: another host may hold the term by now. */
-bool pl_was_paused (const struct planner *planner, int64_t since_ms);
-
 /*! pl_send_batch () :
  *  Sends the batch being written, for the first time or again. */
 void pl_send_batch (struct planner *planner);
--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -23,10 +23,13 @@
   /* Before the first term of a new topic all hosts should have announced
      themselves; they start within 300 ms of each other.  */
   FIRST_TERM_DELAY_MS = 400,
-  ACQUIRE_JITTER_MS = 150, /* so that two hosts seldom try at once */
-  /* Longer than the jitter, so that the strongest host is first.  */
+  /* Between the tries of two hosts of the same strength: longer than it takes
+     until the record of the first is read.  */
+  RANK_DELAY_MS = 80,
+  RANK_DELAY_MAX_MS = 480,
+  ACQUIRE_JITTER_MS = 30, /* for hosts of the same delay */
+  /* Longer than the others, so that the strongest host is first.  */
   WEAK_HOST_DELAY_MS = 700,
-  RELEASED_ACQUIRE_JITTER_MS = 120, /* the jitter after a release */
   ACQUIRE_APPEND_TIMEOUT_MS = 800,
   FULL_STRENGTH_LINK_MBPS = 50, /* a planner of 350 workers sends 3 Mbit/s */
   STRENGTH_SCALE = 1000,
@@ -69,17 +72,24 @@
   return record;
 }
 
-/* How much later than the strongest host this host tries to acquire the term:
-   a delay that grows with the gap in strength.  */
+/* How much later than the first host this host tries to acquire the term: a
+   delay that grows with the gap in strength to the strongest host, and with
+   the number of hosts of the same strength that are before this one.  Their
+   order is another one for each term, and the same on all hosts.  */
 static int64_t
-weak_host_delay_ms (const struct planner *planner)
+acquire_delay_ms (const struct planner *planner)
 {
-  uint32_t strongest = jr_max_host_strength (planner->params.journal);
+  const struct journal *journal = planner->params.journal;
+  uint32_t strongest = jr_max_host_strength (journal);
   uint32_t own = pl_strength (planner->params.settings);
-
-  if (strongest <= own)
-    return 0;
-  return (int64_t)WEAK_HOST_DELAY_MS * (strongest - own) / strongest;
+  int64_t delay_ms
+      = MIN ((int64_t)RANK_DELAY_MS
+                 * jr_host_rank (journal, planner->params.settings->host, own),
+             RANK_DELAY_MAX_MS);
+
+  if (strongest > own)
+    delay_ms += (int64_t)WEAK_HOST_DELAY_MS * (strongest - own) / strongest;
+  return delay_ms + planner->acquire_jitter_ms;
 }
 
 /* --- Acquiring the term --- */
@@ -150,20 +160,19 @@
       if (planner->no_term_since_ms == 0)
         planner->no_term_since_ms = now_ms;
       if (now_ms - planner->no_term_since_ms
-          >= weak_host_delay_ms (planner) + FIRST_TERM_DELAY_MS)
+          >= acquire_delay_ms (planner) + FIRST_TERM_DELAY_MS)
         acquire_term (planner, "no term yet");
     }
   else if (strcmp (term->host, planner->params.settings->host) == 0)
     acquire_term (planner, "an earlier life of this host held it");
   else if (term->host[0] == '\0'
-           && planner_silent_ms > planner->acquire_jitter_ms
-                                      * RELEASED_ACQUIRE_JITTER_MS
-                                      / ACQUIRE_JITTER_MS)
+           && planner_silent_ms >= acquire_delay_ms (planner))
     acquire_term (planner, "released");
-  else if (planner_silent_ms
-           > TERM_TIMEOUT_MS
-                 + TERM_TIMEOUT_STORE_CALLS * jr_store_latency_ms (journal)
-                 + planner->acquire_jitter_ms + weak_host_delay_ms (planner))
+  else if (planner_silent_ms > TERM_TIMEOUT_MS
+           && planner_silent_ms > TERM_TIMEOUT_MS
+                                      + TERM_TIMEOUT_STORE_CALLS
+                                            * jr_store_latency_ms (journal)
+                                      + acquire_delay_ms (planner))
     acquire_term (planner, "silence");
 }
 
--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -61,7 +61,7 @@
 
       if (start->task->state == JB_TASK_PLACED
           && start->task->run == start->run)
-        wk_start (planner->workers, start->task);
+        wk_start (planner->workers, start->task); /* once it is permitted */
       else if (start->task->state == JB_TASK_STOPPING
                && start->task->run == start->run)
         start->task->poll_conclusive_from_ms = MIN (
@@ -106,16 +106,12 @@
                       g_steal_pointer (&batch->outcome_marks));
   if (batch->leases != NULL)
     wk_leases_stored (planner->workers, g_steal_pointer (&batch->leases));
-  if (!batch->release && !pl_was_paused (planner, sent_ms))
-    send_stored_starts (planner, batch);
-  else if (!batch->release)
-    /* The answer may have been sent before the process was paused, and another
-       host may hold the term by now.  The starts therefore wait until one more
-       batch is stored.  */
-    g_array_append_vals (planner->starts, batch->starts->data,
-                         batch->starts->len);
-  else
+  planner->stored_batch_sent_ms = sent_ms;
+  if (batch->release)
     planner->role = PL_RELEASED;
+  else
+    send_stored_starts (planner, batch);
+  wk_send_waiting (planner->workers);
   pl_batch_free (batch);
 }
 
--- a/programs/foxtailgap-hostd/worker_commands.c
+++ b/programs/foxtailgap-hostd/worker_commands.c
@@ -1,6 +1,4 @@
-/* Commands to workers: start, stop and pace.  */
-
-#include <string.h>
+/* Commands to workers: stop and pace.  Starts are in worker_starts.c.  */
 
 #include "common/clock.h"
 #include "common/logging.h"
@@ -10,194 +8,10 @@
 
 enum
 {
-  /* A worker refuses a start that arrives later than this, so that it is soon
-     known that a start without an answer can not take effect any more.  Long
-     enough for three tries.  */
-  START_VALID_MS = 1200,
-  START_TIMEOUT_MS = 350,
   STOP_TIMEOUT_MS = 600,
-  PACE_TIMEOUT_MS = 300, /* as long as until the command is sent again */
-  /* The deadline of a start is on the worker's clock, which may be 2% slow. */
-  START_CLOCK_MARGIN_MS = 60
+  PACE_TIMEOUT_MS = 300 /* as long as until the command is sent again */
 };
 
-static void send_start (struct wk_call *call, struct jb_task *task,
-                        struct sd_worker *worker);
-
-static struct jb_task *
-task_of_call (const struct wk_call *call)
-{
-  struct jb_task *task
-      = jb_table_find_task (call->workers->params.table, call->task);
-
-  if (task == NULL || task->run != call->run || task->worker == NULL
-      || strcmp (task->worker, call->worker) != 0)
-    return NULL;
-  return task;
-}
-
-/* --- Start --- */
-
-static int64_t
-start_expiry_ms (const struct wk_call *call)
-{
-  return call->first_sent_ms + START_VALID_MS + START_CLOCK_MARGIN_MS;
-}
-
-/* A refusal shows that the run is not there only if no earlier try can still
-   take effect.  Otherwise the worker's status decides, once all tries have
-   expired.  */
-static void
-handle_refusal (struct wk_call *call, struct jb_task *task,
-                enum sd_refusal reason, int64_t now_ms)
-{
-  struct worker_calls *workers = call->workers;
-
-  if (call->earlier_try_unanswered)
-    {
-      task->poll_conclusive_from_ms
-          = MIN (task->poll_conclusive_from_ms, start_expiry_ms (call));
-      return;
-    }
-  if (task->state == JB_TASK_PLACED)
-    sd_task_refused (workers->params.sched, task, reason, now_ms);
-  else
-    sd_task_lost (workers->params.sched, task, now_ms);
-}
-
-static void
-handle_start_answer (struct wk_call *call, struct jb_task *task,
-                     struct sd_worker *worker, const struct wp_answer *answer)
-{
-  struct worker_calls *workers = call->workers;
-  int64_t now_ms = clk_monotonic_ms (NULL);
-
-  switch (answer->result)
-    {
-    case WP_DONE:
-      task->poll_conclusive_from_ms = now_ms;
-      if (task->state == JB_TASK_PLACED)
-        sd_task_running (workers->params.sched, task, now_ms);
-      if (task->step->spec->best_effort)
-        wk_update_pace (workers, worker);
-      return;
-    case WP_NO_ANSWER:
-      call->earlier_try_unanswered = true;
-      sd_worker_unresponsive (worker, now_ms);
-      if (now_ms < call->first_sent_ms + START_VALID_MS - START_TIMEOUT_MS
-          && task->state == JB_TASK_PLACED)
-        {
-          send_start (call, task, worker);
-          return;
-        }
-      task->poll_conclusive_from_ms = start_expiry_ms (call);
-      return;
-    case WP_NO_RESOURCES:
-      handle_refusal (call, task, SD_REFUSED_NO_RESOURCES, now_ms);
-      return;
-    case WP_STALE_RUN:
-      handle_refusal (call, task, SD_REFUSED_STALE_RUN, now_ms);
-      return;
-    case WP_UNHEALTHY:
-      handle_refusal (call, task, SD_REFUSED_UNHEALTHY, now_ms);
-      return;
-    case WP_DEADLINE_PASSED:
-      handle_refusal (call, task, SD_REFUSED_DEADLINE_PASSED, now_ms);
-      return;
-    case WP_TICKET_INVALID:
-      handle_refusal (call, task, SD_REFUSED_TICKET_INVALID, now_ms);
-      return;
-    case WP_WRONG_WORKER:
-    case WP_MALFORMED_COMMAND:
-      handle_refusal (call, task, SD_REFUSED_OTHER, now_ms);
-      return;
-    case WP_FENCED:
-      workers->params.fenced (workers->params.ctx);
-      return;
-    }
-}
-
-static void
-on_start_answer (void *ctx, const struct wp_answer *answer)
-{
-  struct wk_call *call = ctx;
-  struct worker_calls *workers = call->workers;
-  struct sd_worker *worker;
-  struct jb_task *task;
-  char name[96];
-  int64_t sent_ms = call->sent_ms;
-
-  if (!wk_call_is_current (call))
-    {
-      wk_call_free (call);
-      return;
-    }
-  g_snprintf (name, sizeof name, "foxtailgap_starts_total{result=\"%s\"}",
-              wp_result_name (answer->result));
-  mt_add (workers->params.metrics, name, 1);
-  worker = sd_worker_find (workers->params.sched, call->worker);
-  task = task_of_call (call);
-  if (answer->result != WP_DONE)
-    lg_info (PART, "A start was not answered with success.", "task",
-             call->task, "run", lg_number (call->run), "worker", call->worker,
-             "result", wp_result_name (answer->result), NULL);
-  if (worker != NULL && worker->driver_data != NULL)
-    wk_update_clock (worker->driver_data, answer, clk_monotonic_ms (NULL));
-  if (task != NULL && worker != NULL)
-    {
-      handle_start_answer (call, task, worker, answer);
-      if (wk_call_is_current (call))
-        workers->params.changed (workers->params.ctx);
-    }
-  if (call->sent_ms == sent_ms)
-    wk_call_free (call); /* else the call has been sent again */
-}
-
-static void
-send_start (struct wk_call *call, struct jb_task *task,
-            struct sd_worker *worker)
-{
-  struct worker_calls *workers = call->workers;
-  struct worker_io *io = wk_io (workers, worker);
-  int64_t now_ms = clk_monotonic_ms (NULL);
-  int64_t left_ms = call->first_sent_ms + START_VALID_MS - now_ms;
-  struct wp_target target = wk_target (worker);
-  const struct jb_task *checkpoint_task
-      = task->step->spec->gang ? task->step->tasks : task;
-  struct wp_start start = {
-    .task = call->task,
-    .run = call->run,
-    .job_text = task->job->spec->text,
-    .deadline_ms = wk_clock_ms (io, now_ms) + left_ms,
-    .term = workers->term,
-    .checkpoint = checkpoint_task->checkpoint,
-    .ticket = sd_task_ticket (workers->params.sched, task),
-  };
-
-  call->sent_ms = MAX (now_ms, call->sent_ms + 1);
-  wk_extend_lease_bound (io, now_ms, (uint32_t)MAX (left_ms, 0));
-  workers->params.port.start (workers->params.port.ctx, &target, &start,
-                              START_TIMEOUT_MS, on_start_answer, call);
-}
-
-void
-wk_start (struct worker_calls *workers, struct jb_task *task)
-{
-  struct sd_worker *worker
-      = sd_worker_find (workers->params.sched, task->worker);
-  char *name = jb_task_name (task);
-
-  if (workers->term != 0 && worker != NULL
-      && wk_io (workers, worker)->lease_recorded)
-    /* Not sent: a start would extend the recorded lease.  */
-    sd_task_refused (workers->params.sched, task, SD_REFUSED_OTHER,
-                     clk_monotonic_ms (NULL));
-  else if (workers->term != 0 && worker != NULL)
-    send_start (wk_call_create (workers, worker, name, task->run), task,
-                worker);
-  g_free (name);
-}
-
 /* --- Stop --- */
 
 static void
@@ -208,6 +22,7 @@
   struct sd_worker *worker;
   struct jb_task *task;
 
+  wk_call_answered (call);
   if (!wk_call_is_current (call))
     goto done;
   worker = sd_worker_find (workers->params.sched, call->worker);
@@ -218,7 +33,7 @@
       workers->params.fenced (workers->params.ctx);
       goto done;
     }
-  task = task_of_call (call);
+  task = wk_task_of_call (call);
   /* The run is ending there, or can not start there any more.  */
   if (answer->result == WP_DONE && task != NULL)
     task->poll_conclusive_from_ms
@@ -240,12 +55,14 @@
 {
   struct wp_target target = wk_target (worker);
   struct wp_stop stop = { .task = task, .run = run, .term = workers->term };
+  struct wk_call *call;
 
   if (workers->term == 0 || target.address == NULL)
     return;
+  call = wk_call_create (workers, worker, task, run);
+  wk_call_opened (call);
   workers->params.port.stop (workers->params.port.ctx, &target, &stop,
-                             STOP_TIMEOUT_MS, on_stop_answer,
-                             wk_call_create (workers, worker, task, run));
+                             STOP_TIMEOUT_MS, on_stop_answer, call);
   mt_add (workers->params.metrics, "foxtailgap_stops_total", 1);
 }
 
@@ -278,7 +95,7 @@
       workers->params.fenced (workers->params.ctx);
       goto done;
     }
-  task = task_of_call (call);
+  task = wk_task_of_call (call);
   if (answer->result == WP_DONE && task != NULL)
     sd_task_paced (task, call->percent);
   if (answer->result != WP_DONE)
--- /dev/null
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -0,0 +1,269 @@
+/* Starts of tasks.  They wait in a queue until the window of calls has room,
+   starts of urgent jobs first.  */
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/logging.h"
+#include "workers_private.h"
+
+static const char PART[] = "workers";
+
+enum
+{
+  /* A worker refuses a start that arrives later than this, so that it is soon
+     known that a start without an answer can not take effect any more.  Long
+     enough for three tries.  */
+  START_VALID_MS = 1200,
+  START_TIMEOUT_MS = 350,
+  /* The deadline of a start is on the worker's clock, which may be 2% slow. */
+  START_CLOCK_MARGIN_MS = 60
+};
+
+static void send_start (struct wk_call *call, struct jb_task *task,
+                        struct sd_worker *worker);
+
+struct jb_task *
+wk_task_of_call (const struct wk_call *call)
+{
+  struct jb_task *task
+      = jb_table_find_task (call->workers->params.table, call->task);
+
+  if (task == NULL || task->run != call->run || task->worker == NULL
+      || strcmp (task->worker, call->worker) != 0)
+    return NULL;
+  return task;
+}
+
+/* --- Answers --- */
+
+static int64_t
+start_expiry_ms (const struct wk_call *call)
+{
+  return call->first_sent_ms + START_VALID_MS + START_CLOCK_MARGIN_MS;
+}
+
+/* A refusal shows that the run is not there only if no earlier try can still
+   take effect.  Otherwise the worker's status decides, once all tries have
+   expired.  */
+static void
+handle_refusal (struct wk_call *call, struct jb_task *task,
+                enum sd_refusal reason, int64_t now_ms)
+{
+  struct worker_calls *workers = call->workers;
+
+  if (call->earlier_try_unanswered)
+    {
+      task->poll_conclusive_from_ms
+          = MIN (task->poll_conclusive_from_ms, start_expiry_ms (call));
+      return;
+    }
+  if (task->state == JB_TASK_PLACED)
+    sd_task_refused (workers->params.sched, task, reason, now_ms);
+  else
+    sd_task_lost (workers->params.sched, task, now_ms);
+}
+
+static void
+handle_start_answer (struct wk_call *call, struct jb_task *task,
+                     struct sd_worker *worker, const struct wp_answer *answer)
+{
+  struct worker_calls *workers = call->workers;
+  int64_t now_ms = clk_monotonic_ms (NULL);
+
+  switch (answer->result)
+    {
+    case WP_DONE:
+      task->poll_conclusive_from_ms = now_ms;
+      if (task->state == JB_TASK_PLACED)
+        sd_task_running (workers->params.sched, task, now_ms);
+      if (task->step->spec->best_effort)
+        wk_update_pace (workers, worker);
+      return;
+    case WP_NO_ANSWER:
+      call->earlier_try_unanswered = true;
+      sd_worker_unresponsive (worker, now_ms);
+      if (now_ms < call->first_sent_ms + START_VALID_MS - START_TIMEOUT_MS
+          && task->state == JB_TASK_PLACED)
+        {
+          send_start (call, task, worker);
+          return;
+        }
+      task->poll_conclusive_from_ms = start_expiry_ms (call);
+      return;
+    case WP_NO_RESOURCES:
+      handle_refusal (call, task, SD_REFUSED_NO_RESOURCES, now_ms);
+      return;
+    case WP_STALE_RUN:
+      handle_refusal (call, task, SD_REFUSED_STALE_RUN, now_ms);
+      return;
+    case WP_UNHEALTHY:
+      handle_refusal (call, task, SD_REFUSED_UNHEALTHY, now_ms);
+      return;
+    case WP_DEADLINE_PASSED:
+      handle_refusal (call, task, SD_REFUSED_DEADLINE_PASSED, now_ms);
+      return;
+    case WP_TICKET_INVALID:
+      handle_refusal (call, task, SD_REFUSED_TICKET_INVALID, now_ms);
+      return;
+    case WP_WRONG_WORKER:
+    case WP_MALFORMED_COMMAND:
+      handle_refusal (call, task, SD_REFUSED_OTHER, now_ms);
+      return;
+    case WP_FENCED:
+      workers->params.fenced (workers->params.ctx);
+      return;
+    }
+}
+
+static void
+on_start_answer (void *ctx, const struct wp_answer *answer)
+{
+  struct wk_call *call = ctx;
+  struct worker_calls *workers = call->workers;
+  struct sd_worker *worker;
+  struct jb_task *task;
+  char name[96];
+  int64_t sent_ms = call->sent_ms;
+
+  wk_call_answered (call);
+  if (!wk_call_is_current (call))
+    {
+      wk_call_free (call);
+      return;
+    }
+  g_snprintf (name, sizeof name, "foxtailgap_starts_total{result=\"%s\"}",
+              wp_result_name (answer->result));
+  mt_add (workers->params.metrics, name, 1);
+  worker = sd_worker_find (workers->params.sched, call->worker);
+  task = wk_task_of_call (call);
+  if (answer->result != WP_DONE)
+    lg_info (PART, "A start was not answered with success.", "task",
+             call->task, "run", lg_number (call->run), "worker", call->worker,
+             "result", wp_result_name (answer->result), NULL);
+  if (worker != NULL && worker->driver_data != NULL)
+    wk_update_clock (worker->driver_data, answer, clk_monotonic_ms (NULL));
+  if (task != NULL && worker != NULL)
+    {
+      handle_start_answer (call, task, worker, answer);
+      if (wk_call_is_current (call))
+        workers->params.changed (workers->params.ctx);
+    }
+  if (call->sent_ms == sent_ms)
+    wk_call_free (call); /* else the call has been sent again */
+  wk_send_waiting (workers);
+}
+
+static void
+send_start (struct wk_call *call, struct jb_task *task,
+            struct sd_worker *worker)
+{
+  struct worker_calls *workers = call->workers;
+  struct worker_io *io = wk_io (workers, worker);
+  int64_t now_ms = clk_monotonic_ms (NULL);
+  int64_t left_ms = call->first_sent_ms + START_VALID_MS - now_ms;
+  struct wp_target target = wk_target (worker);
+  const struct jb_task *checkpoint_task
+      = task->step->spec->gang ? task->step->tasks : task;
+  struct wp_start start = {
+    .task = call->task,
+    .run = call->run,
+    .job_text = task->job->spec->text,
+    .deadline_ms = wk_clock_ms (io, now_ms) + left_ms,
+    .term = workers->term,
+    .checkpoint = checkpoint_task->checkpoint,
+    .ticket = sd_task_ticket (workers->params.sched, task),
+  };
+
+  call->sent_ms = MAX (now_ms, call->sent_ms + 1);
+  wk_call_opened (call);
+  wk_extend_lease_bound (io, now_ms, (uint32_t)MAX (left_ms, 0));
+  workers->params.port.start (workers->params.port.ctx, &target, &start,
+                              START_TIMEOUT_MS, on_start_answer, call);
+}
+
+/* --- The queue --- */
+
+/* A start that was never sent can not take effect, so that any later poll
+   shows that the run is not there.  */
+static void
+drop_unsent_start (struct wk_call *call, struct jb_task *task)
+{
+  task->poll_conclusive_from_ms
+      = MIN (task->poll_conclusive_from_ms, clk_monotonic_ms (NULL));
+  wk_call_free (call);
+}
+
+static void
+send_queued_start (struct wk_call *call)
+{
+  struct worker_calls *workers = call->workers;
+  struct sd_worker *worker
+      = sd_worker_find (workers->params.sched, call->worker);
+  struct jb_task *task = wk_task_of_call (call);
+
+  if (task == NULL || worker == NULL)
+    {
+      wk_call_free (call); /* the run has been given up meanwhile */
+      return;
+    }
+  if (task->state != JB_TASK_PLACED)
+    {
+      drop_unsent_start (call, task);
+      return;
+    }
+  if (wk_io (workers, worker)->lease_recorded)
+    {
+      /* Not sent: a start would extend the recorded lease.  */
+      wk_call_free (call);
+      sd_task_refused (workers->params.sched, task, SD_REFUSED_OTHER,
+                       clk_monotonic_ms (NULL));
+      workers->params.changed (workers->params.ctx);
+      return;
+    }
+  call->first_sent_ms = clk_monotonic_ms (NULL);
+  call->sent_ms = call->first_sent_ms;
+  send_start (call, task, worker);
+}
+
+void
+wk_send_queued_starts (struct worker_calls *workers)
+{
+  while (workers->term != 0 && wk_may_command (workers))
+    {
+      int64_t now_ms = clk_monotonic_ms (NULL);
+
+      if (!g_queue_is_empty (&workers->urgent_starts)
+          && cw_has_room (workers->window, CW_URGENT, now_ms))
+        send_queued_start (g_queue_pop_head (&workers->urgent_starts));
+      else if (!g_queue_is_empty (&workers->starts)
+               && cw_has_room (workers->window, CW_BULK, now_ms))
+        send_queued_start (g_queue_pop_head (&workers->starts));
+      else
+        return;
+    }
+}
+
+void
+wk_drop_queued_starts (struct worker_calls *workers)
+{
+  g_queue_clear_full (&workers->urgent_starts, (GDestroyNotify)wk_call_free);
+  g_queue_clear_full (&workers->starts, (GDestroyNotify)wk_call_free);
+}
+
+void
+wk_start (struct worker_calls *workers, struct jb_task *task)
+{
+  struct sd_worker *worker
+      = sd_worker_find (workers->params.sched, task->worker);
+  char *name = jb_task_name (task);
+
+  if (workers->term != 0 && worker != NULL)
+    {
+      g_queue_push_tail (task->job->priority == 0 ? &workers->urgent_starts
+                                                  : &workers->starts,
+                         wk_call_create (workers, worker, name, task->run));
+      wk_send_queued_starts (workers);
+    }
+  g_free (name);
+}
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -42,8 +42,17 @@
   LEASE_MAX_MS = 6000,
   /* A draining worker will be gone without notice; two renewals long.  */
   DRAINING_LEASE_MAX_MS = 4000,
-  STOP_RETRY_MS = 400,    /* twice the time that a stop may take */
-  OUTCOME_LISTING_MS = 60 /* from the end of a run until it is listed */
+  STOP_RETRY_MS = 400,     /* twice the time that a stop may take */
+  OUTCOME_LISTING_MS = 60, /* from the end of a run until it is listed */
+  /* A call takes 0.2 to 0.4 ms of a host with half a core, so that a full
+     window is worked through well within a heartbeat of the planner.  */
+  WINDOW_MAX = 128,
+  WINDOW_MIN = 8,
+  WINDOW_EXPIRY_MS = 100, /* many times the time of an answer */
+  WINDOW_LAG_HIGH_MS = 40,
+  /* Renewals sent in one pass, so that the loop soon returns to other
+     events.  */
+  RENEWALS_PER_PASS_MAX = 32
 };
 
 /* --- Calls --- */
@@ -120,9 +129,38 @@
          && call->workers->term != 0;
 }
 
+void
+wk_call_opened (struct wk_call *call)
+{
+  wk_call_answered (call); /* an earlier try */
+  call->ticket = cw_open (call->workers->window, call->sent_ms);
+}
+
+void
+wk_call_answered (struct wk_call *call)
+{
+  if (call->workers != NULL)
+    cw_close (call->workers->window, call->ticket);
+  call->ticket = NULL;
+}
+
+bool
+wk_may_command (const struct worker_calls *workers)
+{
+  return workers->params.may_command == NULL
+         || workers->params.may_command (workers->params.ctx);
+}
+
+void
+wk_observe_lag (struct worker_calls *workers, int64_t lag_ms)
+{
+  cw_observe_lag (workers->window, lag_ms);
+}
+
 void
 wk_call_free (struct wk_call *call)
 {
+  wk_call_answered (call);
   if (call->workers != NULL)
     g_hash_table_remove (call->workers->calls, call);
   g_free (call->worker);
@@ -300,6 +338,7 @@
   struct sd_worker *worker;
   struct worker_io *io;
 
+  wk_call_answered (call);
   if (!wk_call_is_current (call))
     goto done;
   worker = sd_worker_find (workers->params.sched, call->worker);
@@ -331,6 +370,8 @@
 
 done:
   wk_call_free (call);
+  if (workers != NULL)
+    wk_send_queued_starts (workers);
 }
 
 /* The runs of an unreachable worker are waited for until its lease is over, so
@@ -345,29 +386,37 @@
   return MIN (workers->params.lease_ttl_ms, limit_ms);
 }
 
+/* How long the worker may delay its answer to the next renewal.  */
+static uint32_t
+renewal_wait_ms (const struct worker_io *io)
+{
+  if (io->worker->reachability != SD_WORKER_REACHABLE || io->poll_at_once
+      || io->lease_recorded)
+    return 0;
+  if (sd_worker_is_shared (io->worker))
+    return SHARED_POLL_WAIT_MS;
+  if (io->poll_soon)
+    return io->workers->params.stop_max_ms + OUTCOME_LISTING_MS;
+  return RENEWAL_WAIT_MS;
+}
+
 static void
 send_renewal (struct worker_calls *workers, struct worker_io *io,
               int64_t now_ms)
 {
   struct sd_worker *worker = io->worker;
   struct wp_target target = wk_target (worker);
-  bool reachable = worker->reachability == SD_WORKER_REACHABLE;
-  bool extends_lease
-      = !io->lease_recorded && !wk_renewal_is_suspended (io, now_ms);
+  bool extends_lease = !io->lease_recorded
+                       && !wk_renewal_is_suspended (io, now_ms)
+                       && wk_may_command (workers);
+  struct wk_call *call;
   struct wp_renew renewal = {
     .term = workers->term,
     .acked_outcome_number = io->outcome_stored,
     .lease_deadline_ms = -1,
-    .wait_ms = RENEWAL_WAIT_MS,
+    .wait_ms = renewal_wait_ms (io),
   };
 
-  if (!reachable || io->poll_at_once || io->lease_recorded)
-    renewal.wait_ms = 0;
-  else if (sd_worker_is_shared (worker))
-    renewal.wait_ms = SHARED_POLL_WAIT_MS;
-  else if (io->poll_soon)
-    renewal.wait_ms = workers->params.stop_max_ms + OUTCOME_LISTING_MS;
-
   if (extends_lease && io->clock_ms >= 0 && worker->tasks->len > 0)
     {
       uint32_t ttl_ms = lease_duration_ms (workers, worker);
@@ -380,10 +429,12 @@
   io->poll_soon = false;
   io->renewal_sent_ms = now_ms;
   io->renewal_tried_ms = now_ms;
+  call = wk_call_create (workers, worker, "", 0);
+  if (renewal.wait_ms == 0)
+    wk_call_opened (call);
   workers->params.port.renew (workers->params.port.ctx, &target, &renewal,
                               renewal.wait_ms + RENEWAL_TIMEOUT_MS,
-                              on_renewal_answer,
-                              wk_call_create (workers, worker, "", 0));
+                              on_renewal_answer, call);
   mt_add (workers->params.metrics, "foxtailgap_holds_total", 1);
 }
 
@@ -422,45 +473,74 @@
          && now_ms - io->renewal_sent_ms < STORE_WAIT_MS;
 }
 
-static void
-send_renewal_if_due (struct worker_calls *workers, struct sd_worker *worker,
-                     int64_t now_ms)
+static bool
+renewal_is_due (const struct worker_io *io, int64_t now_ms)
 {
-  struct worker_io *io = wk_io (workers, worker);
+  const struct sd_worker *worker = io->worker;
 
-  if (worker->reachability != SD_WORKER_REACHABLE && worker->tasks->len > 0
-      && now_ms > io->lease_end_ms)
-    drop_runs_of_lapsed_lease (io, now_ms);
-  if (io->renewal_in_flight || worker->report.address == NULL)
-    return;
-  if (waits_for_store (io, now_ms))
-    return;
+  if (io->renewal_in_flight || worker->report.address == NULL
+      || waits_for_store (io, now_ms))
+    return false;
   if (io->lease_recorded && now_ms - io->renewal_tried_ms < RECORDED_RETRY_MS)
-    return;
+    return false;
   if (worker->reachability == SD_WORKER_UNREACHABLE)
-    {
-      if ((worker->tasks->len > 0 || worker->listed)
-          && now_ms - io->renewal_tried_ms >= UNREACHABLE_RETRY_MS)
-        send_renewal (workers, io, now_ms);
-      return;
-    }
-  if (worker->tasks->len > 0
-      || (worker->reachability == SD_WORKER_UNSEEN && worker->listed)
-      || io->outcome_processed > io->outcome_stored)
-    send_renewal (workers, io, now_ms);
+    return (worker->tasks->len > 0 || worker->listed)
+           && now_ms - io->renewal_tried_ms >= UNREACHABLE_RETRY_MS;
+  return worker->tasks->len > 0
+         || (worker->reachability == SD_WORKER_UNSEEN && worker->listed)
+         || io->outcome_processed > io->outcome_stored;
 }
 
-void
-wk_send_due_renewals (struct worker_calls *workers)
+/* Whether the window of calls has room for a renewal.  Long polls are not in
+   the window, since their answers come in spread over their wait.  */
+static bool
+has_room_for_renewal (const struct worker_io *io, int64_t now_ms)
+{
+  if (renewal_wait_ms (io) > 0)
+    return true;
+  return cw_has_room (io->workers->window,
+                      io->poll_at_once ? CW_URGENT : CW_BULK, now_ms);
+}
+
+/* Sends the renewals that are due, beginning with the worker at which the last
+   pass ended, so that all have their turn.  */
+static void
+send_due_renewals (struct worker_calls *workers, int64_t now_ms)
 {
   const GPtrArray *all = sd_workers (workers->params.sched);
-  int64_t now_ms = clk_monotonic_ms (NULL);
+  guint first = workers->next_renewal;
+  uint32_t sent = 0;
   guint i;
 
+  for (i = 0; i < all->len; i++)
+    {
+      guint index = (first + i) % all->len;
+      struct sd_worker *worker = g_ptr_array_index (all, index);
+      struct worker_io *io = wk_io (workers, worker);
+
+      if (worker->reachability != SD_WORKER_REACHABLE && worker->tasks->len > 0
+          && now_ms > io->lease_end_ms)
+        drop_runs_of_lapsed_lease (io, now_ms);
+      if (!renewal_is_due (io, now_ms))
+        continue;
+      if (sent < RENEWALS_PER_PASS_MAX && has_room_for_renewal (io, now_ms))
+        {
+          send_renewal (workers, io, now_ms);
+          sent++;
+          workers->next_renewal = index + 1;
+        }
+    }
+  if (sent == RENEWALS_PER_PASS_MAX)
+    workers->params.changed (workers->params.ctx); /* another pass is needed */
+}
+
+void
+wk_send_waiting (struct worker_calls *workers)
+{
   if (workers->term == 0)
     return;
-  for (i = 0; i < all->len; i++)
-    send_renewal_if_due (workers, g_ptr_array_index (all, i), now_ms);
+  wk_send_queued_starts (workers);
+  send_due_renewals (workers, clk_monotonic_ms (NULL));
 }
 
 uint32_t
@@ -538,6 +618,7 @@
   int64_t now_ms = clk_monotonic_ms (NULL);
   guint i;
 
+  wk_drop_queued_starts (workers);
   workers->term = term;
   workers->generation++;
   for (i = 0; i < all->len; i++)
@@ -560,14 +641,22 @@
 {
   workers->term = 0;
   workers->generation++;
+  wk_drop_queued_starts (workers);
 }
 
 struct worker_calls *
 wk_create (const struct wk_params *params)
 {
+  static const struct cw_params window = { .open_min = WINDOW_MIN,
+                                           .open_max = WINDOW_MAX,
+                                           .expiry_ms = WINDOW_EXPIRY_MS,
+                                           .lag_high_ms = WINDOW_LAG_HIGH_MS };
   struct worker_calls *workers = g_new0 (struct worker_calls, 1);
 
   workers->params = *params;
+  workers->window = cw_create (&window);
+  g_queue_init (&workers->urgent_starts);
+  g_queue_init (&workers->starts);
   workers->ios = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   workers->calls = g_hash_table_new (NULL, NULL);
   return workers;
@@ -581,9 +670,14 @@
 
   if (workers == NULL)
     return;
+  wk_drop_queued_starts (workers);
   g_hash_table_iter_init (&iter, workers->calls);
   while (g_hash_table_iter_next (&iter, &call, NULL))
-    ((struct wk_call *)call)->workers = NULL;
+    {
+      wk_call_answered (call);
+      ((struct wk_call *)call)->workers = NULL;
+    }
+  cw_free (workers->window);
   g_hash_table_destroy (workers->calls);
   g_hash_table_destroy (workers->ios);
   g_free (workers);
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -36,6 +36,9 @@
   void *ctx;
   void (*changed) (void *ctx); /* there is something to decide or store */
   void (*fenced) (void *ctx);  /* a worker has received a higher term */
+  /* Whether the term is known to hold.  While it is not, for the process has
+     been paused, no start is sent and no lease is renewed.  NULL: always.  */
+  bool (*may_command) (void *ctx);
 };
 
 struct worker_calls *wk_create (const struct wk_params *params);
@@ -54,9 +57,9 @@
 void wk_end_term (struct worker_calls *workers);
 
 /*! wk_start () :
- *  Sends the start of a task that is stored as placed, and again for a while
- *  if the worker does not answer.  The scheduling core is told how it ended.
- */
+ *  Sends the start of a task that is stored as placed, once the window of
+ *  calls has room, and again for a while if the worker does not answer.  The
+ *  scheduling core is told how it ended. */
 void wk_start (struct worker_calls *workers, struct jb_task *task);
 
 /*! wk_stop () :
@@ -64,10 +67,16 @@
  *  shows the run. */
 void wk_stop (struct worker_calls *workers, struct jb_task *task);
 
-/*! wk_send_due_renewals () :
- *  Sends each worker the lease renewal and status poll that is due, and gives
- *  up the runs of workers that are not reachable and whose lease is over. */
-void wk_send_due_renewals (struct worker_calls *workers);
+/*! wk_send_waiting () :
+ *  Sends the starts that wait and the lease renewals and status polls that are
+ *  due, as many as the window of calls has room for, and gives up the runs of
+ *  workers that are not reachable and whose lease is over.  To be called every
+ *  few tens of milliseconds at least. */
+void wk_send_waiting (struct worker_calls *workers);
+
+/*! wk_observe_lag () :
+ *  The event loop was late by lag_ms; see cw_observe_lag (). */
+void wk_observe_lag (struct worker_calls *workers, int64_t lag_ms);
 
 /*! wk_count_unpolled () :
  *  @return : how many workers of the store's list have had no poll under this
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -1,10 +1,12 @@
 /* Internal header of the calls to workers: lease renewals and status polls are
-   in workers.c, commands (start, stop, pace) in worker_commands.c, the record
-   of unreachable workers' leases in worker_leases.c.  */
+   in workers.c, starts in worker_starts.c, stop and pace commands in
+   worker_commands.c, the record of unreachable workers' leases in
+   worker_leases.c.  */
 
 #ifndef FT_HOSTD_WORKERS_PRIVATE_H
 #define FT_HOSTD_WORKERS_PRIVATE_H
 
+#include "worker/call_window.h"
 #include "workers.h"
 
 /* State of the calls to one worker under the current term.  Moments are on the
@@ -43,6 +45,11 @@
      generation are ignored.  */
   uint64_t generation;
   GHashTable *ios;             /* id -> struct worker_io */
+  struct cw_window *window;    /* of the calls that are answered at once */
+  GQueue urgent_starts;        /* struct wk_call: not sent yet */
+  GQueue starts;               /* the same, of less urgent jobs */
+  guint next_renewal;          /* index of the worker that is first in the next
+                                  pass of wk_send_waiting () */
   int64_t leases_collected_ms; /* of the last wk_collect_leases () */
   /* struct wk_call, as a set: those without an answer.  wk_free () detaches
      them, for their answers come in later.  */
@@ -59,6 +66,7 @@
   uint32_t run;
   int64_t first_sent_ms;       /* of the first try */
   int64_t sent_ms;             /* of the last try */
+  struct cw_ticket *ticket;    /* NULL: not in the window */
   uint32_t percent;            /* of a pace command */
   bool earlier_try_unanswered; /* so that try may still take effect */
 };
@@ -122,4 +130,23 @@
 bool wk_call_is_current (struct wk_call *call);
 void wk_call_free (struct wk_call *call);
 
+/*! wk_call_opened (), wk_call_answered () :
+ *  The call is sent, and takes part of the window until it is answered. */
+void wk_call_opened (struct wk_call *call);
+void wk_call_answered (struct wk_call *call);
+
+/*! wk_task_of_call () :
+ *  @return : the task, if the run that CALL is for is still its last one. */
+struct jb_task *wk_task_of_call (const struct wk_call *call);
+
+/*! wk_may_command () :
+ *  @return : whether orders may be given and leases renewed now; see
+ *            wk_params.may_command. */
+bool wk_may_command (const struct worker_calls *workers);
+
+/*! wk_send_queued_starts () :
+ *  Sends starts that wait, as many as the window has room for. */
+void wk_send_queued_starts (struct worker_calls *workers);
+void wk_drop_queued_starts (struct worker_calls *workers);
+
 #endif
--- a/tests/unit/hostd_fixture.h
+++ b/tests/unit/hostd_fixture.h
@@ -121,7 +121,7 @@
 
 enum
 {
-  FAKE_CALLS_MAX = 64
+  FAKE_CALLS_MAX = 2048
 };
 
 struct fake_call
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -302,6 +302,35 @@
   tear_down (&setup);
 }
 
+/* After a pause another planner may count the leases that it knows of, so none
+   is renewed before one more batch is stored.  Without that, a worker that
+   only this host reaches would run on while its task is started elsewhere.  */
+static void
+test_lease_is_not_renewed_after_a_pause (void)
+{
+  struct setup setup;
+  struct fake_call *renewal;
+  int i;
+
+  become_planner (&setup);
+  answer_append (&setup, submit_job (&setup));
+  for (i = 0; i < 200 && fake_oldest_open_call (&setup.port, 's') == NULL; i++)
+    {
+      run_loop_for (&setup, 10);
+      answer_all_appends (&setup);
+    }
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE });
+  while ((renewal = fake_oldest_open_call (&setup.port, 'h')) != NULL)
+    renewal->open = false; /* of before the start; not answered */
+  usleep (1000 * 800);     /* the process is paused */
+  run_loop_for (&setup, 60);
+  for (i = 0; i < (int)setup.port.count; i++)
+    if (setup.port.calls[i].kind == 'h' && setup.port.calls[i].open)
+      CU_ASSERT_TRUE (setup.port.calls[i].deadline_ms < 0);
+  tear_down (&setup);
+}
+
 static void
 test_superseded_planner_starts_nothing (void)
 {
@@ -377,6 +406,8 @@
     { "a start is sent once its placement is stored",
       test_start_is_sent_once_placement_is_stored },
     { "a start waits after a pause", test_start_waits_after_a_pause },
+    { "a lease is not renewed after a pause",
+      test_lease_is_not_renewed_after_a_pause },
     { "a superseded planner starts nothing",
       test_superseded_planner_starts_nothing },
     { "a lost append is sent again", test_lost_append_is_sent_again },
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -82,11 +82,11 @@
 {
   fixture_worker (setup->sched, "w1", "r1", 8);
   wk_begin_term (setup->workers, 1, NULL);
-  wk_send_due_renewals (setup->workers);
+  wk_send_waiting (setup->workers);
   sd_job_added (setup->sched, setup->job);
   CU_ASSERT_EQUAL (fixture_run_round (setup->sched, clk_monotonic_ms (NULL)),
                    1);
-  wk_send_due_renewals (setup->workers);
+  wk_send_waiting (setup->workers);
   fake_answer (fake_oldest_open_call (&setup->port, 'h'),
                &(struct wp_answer){ .result = WP_DONE });
   return &setup->job->tasks[0];
@@ -160,10 +160,10 @@
   task->worker = g_strdup ("gone");
   sd_begin_term (setup.sched, clk_monotonic_ms (NULL));
   wk_begin_term (setup.workers, 2, NULL);
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
   usleep (1000 * 900); /* the lease of 500 ms, 3% and 300 ms */
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
   tear_down (&setup);
 }
@@ -187,10 +187,10 @@
   g_hash_table_insert (leases, (char *)"gone", GUINT_TO_POINTER (100));
   sd_begin_term (setup.sched, clk_monotonic_ms (NULL));
   wk_begin_term (setup.workers, 2, leases);
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
   usleep (1000 * 130);
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
   g_hash_table_destroy (leases);
   tear_down (&setup);
@@ -208,12 +208,12 @@
 
   set_up (&setup, 10000);
   place_task_on_reachable_worker (&setup);
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   deadline_ms = fake_oldest_open_call (&setup.port, 'h')->deadline_ms;
   CU_ASSERT_TRUE (deadline_ms > 6500 && deadline_ms <= 7100);
   fake_answer (fake_oldest_open_call (&setup.port, 'h'), &good);
   sd_worker_find (setup.sched, "w1")->report.draining = true;
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   deadline_ms = fake_oldest_open_call (&setup.port, 'h')->deadline_ms;
   CU_ASSERT_TRUE (deadline_ms > 4500 && deadline_ms <= 5100);
   tear_down (&setup);
@@ -222,7 +222,7 @@
 static void
 poll_without_answer (struct setup *setup)
 {
-  wk_send_due_renewals (setup->workers);
+  wk_send_waiting (setup->workers);
   fake_answer (fake_oldest_open_call (&setup->port, 'h'),
                &(struct wp_answer){ .result = WP_NO_ANSWER });
 }
@@ -239,7 +239,7 @@
 
   set_up (&setup, 6000);
   task = place_task_on_reachable_worker (&setup);
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   fake_answer (fake_oldest_open_call (&setup.port, 'h'), &good);
   CU_ASSERT_FALSE (wk_lease_record_is_due (setup.workers));
   usleep (1000 * 1520);
@@ -249,12 +249,12 @@
   CU_ASSERT_EQUAL (g_hash_table_size (list), 1);
   wk_leases_stored (setup.workers, list);
   usleep (1000 * 260);
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   CU_ASSERT_TRUE (fake_oldest_open_call (&setup.port, 'h')->deadline_ms < 0);
   fake_answer (fake_oldest_open_call (&setup.port, 'h'),
                &good); /* reachable again */
   usleep (1000 * 60);
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   CU_ASSERT_TRUE (fake_oldest_open_call (&setup.port, 'h')->deadline_ms < 0);
   wk_start (setup.workers, task); /* placed when the worker was reachable */
   CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 's'));
@@ -266,7 +266,7 @@
   CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
                    1);
   fake_answer (fake_oldest_open_call (&setup.port, 'h'), &good);
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   CU_ASSERT_TRUE (fake_oldest_open_call (&setup.port, 'h')->deadline_ms > 0);
   tear_down (&setup);
 }
@@ -292,7 +292,7 @@
 static void
 poll_worker (struct setup *setup)
 {
-  wk_send_due_renewals (setup->workers);
+  wk_send_waiting (setup->workers);
   fake_answer (fake_oldest_open_call (&setup->port, 'h'),
                &(struct wp_answer){ .result = WP_DONE });
 }
@@ -345,18 +345,18 @@
   wk_start (setup.workers, task);
   fake_answer (fake_oldest_open_call (&setup.port, 's'),
                &(struct wp_answer){ .result = WP_DONE });
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   fake_answer (fake_oldest_open_call (&setup.port, 'h'),
                &(struct wp_answer){ .result = WP_DONE, .outcomes = ends });
   CU_ASSERT_EQUAL (task->state, JB_TASK_DONE);
   CU_ASSERT_EQUAL (setup.job->state, JB_COMPLETED);
   mark = wk_mark_outcomes (setup.workers);
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   CU_ASSERT_PTR_NULL (
       fake_oldest_open_call (&setup.port, 'h')); /* not stored yet */
   wk_outcomes_stored (setup.workers, mark);
   place_second_job (&setup);
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   hold = fake_oldest_open_call (&setup.port, 'h');
   CU_ASSERT_PTR_NOT_NULL (hold);
   if (hold != NULL)
@@ -372,13 +372,127 @@
 
   set_up (&setup, 6000);
   place_task_on_reachable_worker (&setup);
-  wk_send_due_renewals (setup.workers);
+  wk_send_waiting (setup.workers);
   fake_answer (fake_oldest_open_call (&setup.port, 'h'),
                &(struct wp_answer){ .result = WP_FENCED });
   CU_ASSERT_EQUAL (setup.fenced, 1);
   tear_down (&setup);
 }
 
+/* --- The window of calls --- */
+
+enum
+{
+  WAVE_TASKS = 300,
+  WINDOW_CALLS = 128 /* of workers.c */
+};
+
+static uint32_t
+count_open_calls (const struct setup *setup, char kind)
+{
+  uint32_t count = 0;
+  size_t i;
+
+  for (i = 0; i < setup->port.count; i++)
+    count += setup->port.calls[i].open && setup->port.calls[i].kind == kind;
+  return count;
+}
+
+/* Places a job of WAVE_TASKS tasks, one on each of as many workers, and gives
+   the order to start them all.  The workers have not been polled yet.  */
+static void
+start_wave (struct setup *setup)
+{
+  struct fixture_step step = { .count = WAVE_TASKS, .accelerators = 8 };
+  struct jb_job *job
+      = jb_table_add (setup->table, "00000000000000ac",
+                      fixture_spec ("batch", "clinic", &step), 0);
+  char id[16];
+  uint32_t i;
+
+  for (i = 0; i < WAVE_TASKS; i++)
+    {
+      g_snprintf (id, sizeof id, "w%u", i);
+      fixture_worker (setup->sched, id, "r1", 8);
+    }
+  wk_begin_term (setup->workers, 1, NULL);
+  sd_job_added (setup->sched, job);
+  CU_ASSERT_EQUAL (fixture_run_round (setup->sched, clk_monotonic_ms (NULL)),
+                   WAVE_TASKS);
+  for (i = 0; i < WAVE_TASKS; i++)
+    wk_start (setup->workers, &job->tasks[i]);
+}
+
+/* Guards against a planner that sends thousands of starts at once and reads
+   the answers only after the starts have timed out; meanwhile it lost its term
+   (day quiet-1 of the large anla-rounds).  */
+static void
+test_wave_of_starts_is_sent_in_parts (void)
+{
+  struct setup setup;
+  struct wp_answer done = { .result = WP_DONE };
+  uint32_t sent = 0;
+
+  set_up (&setup, 6000);
+  start_wave (&setup);
+  CU_ASSERT_TRUE (count_open_calls (&setup, 's') > 0);
+  CU_ASSERT_TRUE (count_open_calls (&setup, 's') <= WINDOW_CALLS);
+  while (sent < WAVE_TASKS && fake_oldest_open_call (&setup.port, 's') != NULL)
+    {
+      fake_answer (fake_oldest_open_call (&setup.port, 's'), &done);
+      sent++;
+      CU_ASSERT_TRUE (count_open_calls (&setup, 's') <= WINDOW_CALLS);
+    }
+  CU_ASSERT_EQUAL (sent, WAVE_TASKS);
+  tear_down (&setup);
+}
+
+/* Leases must be renewed, and urgent jobs started, while a wave waits.  */
+static void
+test_wave_delays_neither_renewals_nor_urgent_starts (void)
+{
+  struct setup setup;
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct jb_job *urgent;
+
+  set_up (&setup, 6000);
+  start_wave (&setup);
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_TRUE (count_open_calls (&setup, 'h') > 0);
+  fixture_worker (setup.sched, "free", "r1", 8);
+  urgent = jb_table_add (setup.table, "00000000000000ad",
+                         fixture_spec ("urgent", "clinic", &step), 0);
+  sd_job_added (setup.sched, urgent);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  wk_start (setup.workers, &urgent->tasks[0]);
+  CU_ASSERT_STRING_EQUAL (setup.port.calls[setup.port.count - 1].worker,
+                          "free");
+  tear_down (&setup);
+}
+
+/* A start that is still waiting when its job is cancelled is never sent.  */
+static void
+test_waiting_start_of_stopped_task_is_dropped (void)
+{
+  struct setup setup;
+  struct wp_answer done = { .result = WP_DONE };
+  struct jb_job *job;
+  uint32_t sent = 0;
+
+  set_up (&setup, 6000);
+  start_wave (&setup);
+  job = jb_table_find (setup.table, "00000000000000ac");
+  sd_job_cancelled (setup.sched, job, clk_monotonic_ms (NULL));
+  while (fake_oldest_open_call (&setup.port, 's') != NULL)
+    {
+      fake_answer (fake_oldest_open_call (&setup.port, 's'), &done);
+      sent++;
+    }
+  CU_ASSERT_TRUE (sent <= WINDOW_CALLS);
+  tear_down (&setup);
+}
+
 int
 main (void)
 {
@@ -401,6 +515,12 @@
       test_unlisted_run_is_gone_after_stop_time },
     { "an outcome is acknowledged once stored",
       test_outcome_is_acknowledged_once_stored },
+    { "a wave of starts is sent in parts",
+      test_wave_of_starts_is_sent_in_parts },
+    { "a wave delays neither renewals nor urgent starts",
+      test_wave_delays_neither_renewals_nor_urgent_starts },
+    { "a waiting start of a stopped task is dropped",
+      test_waiting_start_of_stopped_task_is_dropped },
     { "a fenced call ends the term", test_fenced_call_ends_the_term },
   };
 
