--- a/lib/common/logging.c
+++ b/lib/common/logging.c
@@ -132,9 +132,9 @@
 }
 
 static void
-write_bounded (const GString *line, const char *message)
+write_bounded (const GString *line)
 {
-  if (!within_rate_limit (message) || !write_whole_line (line))
+  if (!write_whole_line (line))
     {
       bounded.dropped_lines++;
       return;
@@ -186,6 +186,12 @@
   (void)ctx;
   if (level > least_severe_level)
     return G_LOG_WRITER_HANDLED;
+  /* Decided before the line is made, for that takes most of the time.  */
+  if (bounded.fd >= 0 && !within_rate_limit (find_message (fields, count)))
+    {
+      bounded.dropped_lines++;
+      return G_LOG_WRITER_HANDLED;
+    }
   line = g_string_sized_new (200);
   append_time (line);
   g_string_append_printf (line, " level=%s", level_name (level));
@@ -199,7 +205,7 @@
     }
   g_string_append_c (line, '\n');
   if (bounded.fd >= 0)
-    write_bounded (line, find_message (fields, count));
+    write_bounded (line);
   else
     fwrite (line->str, 1, line->len, stderr);
   g_string_free (line, TRUE);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -178,10 +178,20 @@
 
 /* --- Racks --- */
 
-static uint32_t
-copies_in_rack (const GArray *candidates, const char *rack, uint32_t limit)
+/* What a rack has for a unit.  */
+struct rack_room
 {
-  uint64_t copies = 0;
+  uint64_t copies;           /* tasks of the unit that fit there */
+  int64_t free_accelerators; /* on all its workers */
+};
+
+/* @return : struct rack_room, by sd_worker.rack_index; to be freed by the
+   caller.  */
+static struct rack_room *
+count_room_of_racks (const struct sd_sched *sched, const GArray *candidates)
+{
+  struct rack_room *rooms
+      = g_new0 (struct rack_room, g_hash_table_size (sched->rack_indexes) + 1);
   guint i;
 
   for (i = 0; i < candidates->len; i++)
@@ -189,61 +199,60 @@
       const struct candidate *candidate
           = &g_array_index (candidates, struct candidate, i);
 
-      if (rack == NULL
-          || g_strcmp0 (candidate->worker->report.rack, rack) == 0)
-        copies += candidate->copies;
+      rooms[candidate->worker->rack_index].copies += candidate->copies;
     }
-  return (uint32_t)MIN (copies, limit);
-}
-
-static int64_t
-free_accelerators_in_rack (const struct sd_sched *sched, const char *rack)
-{
-  int64_t accelerators = 0;
-  guint i;
-
   for (i = 0; i < sched->workers->len; i++)
     {
       const struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
 
-      if (g_strcmp0 (worker->report.rack, rack) == 0)
-        accelerators += MAX (worker->round_free_resources.accelerators, 0);
+      rooms[worker->rack_index].free_accelerators
+          += MAX (worker->round_free_resources.accelerators, 0);
     }
-  return accelerators;
+  return rooms;
+}
+
+static uint32_t
+count_copies (const GArray *candidates, uint32_t limit)
+{
+  uint64_t copies = 0;
+  guint i;
+
+  for (i = 0; i < candidates->len; i++)
+    copies += g_array_index (candidates, struct candidate, i).copies;
+  return (uint32_t)MIN (copies, limit);
 }
 
 /* The rack of the step's data if all waiting tasks fit there, else the fullest
-   rack that they fit into; NULL: none.  */
-static const char *
+   rack that they fit into; 0: none.  */
+static uint32_t
 choose_rack (const struct sd_sched *sched, const struct sd_unit *unit,
              const GArray *candidates)
 {
+  struct rack_room *rooms = count_room_of_racks (sched, candidates);
   const char *data_rack = unit->step->spec->data_rack;
-  const char *best = NULL;
-  int64_t best_free = 0;
+  uint32_t best = 0;
   guint i;
 
-  if (data_rack != NULL
-      && copies_in_rack (candidates, data_rack, unit->waiting_count)
-             == unit->waiting_count)
-    return data_rack;
+  if (data_rack != NULL)
+    best = GPOINTER_TO_UINT (
+        g_hash_table_lookup (sched->rack_indexes, data_rack));
+  if (best != 0 && rooms[best].copies >= unit->waiting_count)
+    goto done;
+  best = 0;
   for (i = 0; i < candidates->len; i++)
     {
-      const char *rack = g_array_index (candidates, struct candidate, i)
-                             .worker->report.rack;
-      int64_t free_accelerators;
-
-      if (rack == NULL || (best != NULL && strcmp (rack, best) == 0))
-        continue;
-      free_accelerators = free_accelerators_in_rack (sched, rack);
-      if (best != NULL && free_accelerators >= best_free)
-        continue;
-      if (copies_in_rack (candidates, rack, unit->waiting_count)
-          < unit->waiting_count)
-        continue;
-      best = rack;
-      best_free = free_accelerators;
+      uint32_t rack
+          = g_array_index (candidates, struct candidate, i).worker->rack_index;
+
+      if (rack != 0 && rooms[rack].copies >= unit->waiting_count
+          && (best == 0
+              || rooms[rack].free_accelerators
+                     < rooms[best].free_accelerators))
+        best = rack;
     }
+
+done:
+  g_free (rooms);
   return best;
 }
 
@@ -311,10 +320,10 @@
 
 /* --- Choice --- */
 
-/* Gives waiting tasks of the unit to the candidates in their order; RACK NULL:
+/* Gives waiting tasks of the unit to the candidates in their order; RACK 0:
    to candidates of any rack.  */
 static void
-assign_tasks (const struct sd_unit *unit, GArray *candidates, const char *rack,
+assign_tasks (const struct sd_unit *unit, GArray *candidates, uint32_t rack,
               struct sd_placement *placement)
 {
   uint32_t next = 0;
@@ -325,8 +334,7 @@
       struct candidate *candidate
           = &g_array_index (candidates, struct candidate, i);
 
-      if (rack != NULL
-          && g_strcmp0 (candidate->worker->report.rack, rack) != 0)
+      if (rack != 0 && candidate->worker->rack_index != rack)
         continue;
       for (; candidate->copies > 0 && next < unit->step->spec->count; next++)
         {
@@ -348,16 +356,14 @@
 {
   const struct jb_step_spec *spec = unit->step->spec;
   GArray *candidates = collect_candidates (sched, unit, use_reserved, now_ms);
-  const char *rack = NULL;
+  uint32_t rack = 0;
 
   if (spec->gang)
     {
-      if (copies_in_rack (candidates, NULL, unit->waiting_count)
-          < unit->waiting_count)
+      if (count_copies (candidates, unit->waiting_count) < unit->waiting_count)
         goto done;
       rack = choose_rack (sched, unit, candidates);
-      if (rack == NULL && spec->one_rack
-          && sd_could_ever_fit (sched, unit, true))
+      if (rack == 0 && spec->one_rack && sd_could_ever_fit (sched, unit, true))
         goto done;
     }
   assign_tasks (unit, candidates, rack, placement);
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -42,6 +42,7 @@
       *catalog;              /* owned by the calling code; NULL: none yet */
   GHashTable *workers_by_id; /* id -> struct sd_worker, of `workers` */
   GPtrArray *workers;        /* struct sd_worker, owned; by sd_worker.index */
+  GHashTable *rack_indexes;  /* name -> sd_worker.rack_index */
   GPtrArray *active_jobs;   /* struct jb_job: not ended, in order of arrival */
   GPtrArray *changed_jobs;  /* struct jb_job: progress to be recorded */
   GPtrArray *pending_stops; /* struct jb_task: for the next round's stops */
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -20,6 +20,14 @@
   sd_reservations_begin_round (sched);
 }
 
+static bool
+has_started_enough (const struct sd_sched *sched,
+                    const struct sd_commands *commands)
+{
+  return sched->params.starts_per_round > 0
+         && commands->starts->len >= sched->params.starts_per_round;
+}
+
 static uint32_t
 next_gang_run (const struct jb_step *step)
 {
@@ -101,10 +109,12 @@
     {
       begin_round (sched, now_ms);
       units = sd_collect_units (sched, now_unix_ms);
-      for (i = 0; i < units->len; i++)
+      for (i = 0; i < units->len && !has_started_enough (sched, commands); i++)
         place_unit (sched, &g_array_index (units, struct sd_unit, i), now_ms,
                     commands);
-      sd_reservations_end_round (sched);
+      commands->more = i < units->len;
+      if (!commands->more)
+        sd_reservations_end_round (sched);
       g_array_free (units, TRUE);
     }
   for (i = 0; i < sched->pending_stops->len; i++)
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -24,6 +24,8 @@
   sched->table = table;
   sched->workers_by_id = g_hash_table_new (g_str_hash, g_str_equal);
   sched->workers = g_ptr_array_new_with_free_func (worker_free);
+  sched->rack_indexes
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sched->active_jobs = g_ptr_array_new ();
   sched->changed_jobs = g_ptr_array_new ();
   sched->pending_stops = g_ptr_array_new ();
@@ -44,6 +46,7 @@
   if (sched == NULL)
     return;
   g_hash_table_destroy (sched->workers_by_id);
+  g_hash_table_destroy (sched->rack_indexes);
   g_ptr_array_free (sched->workers, TRUE);
   g_ptr_array_free (sched->active_jobs, TRUE);
   g_ptr_array_free (sched->changed_jobs, TRUE);
@@ -112,6 +115,23 @@
   return sched->workers;
 }
 
+static uint32_t
+index_of_rack (struct sd_sched *sched, const char *rack)
+{
+  uint32_t index;
+
+  if (rack == NULL)
+    return 0;
+  index = GPOINTER_TO_UINT (g_hash_table_lookup (sched->rack_indexes, rack));
+  if (index == 0)
+    {
+      index = g_hash_table_size (sched->rack_indexes) + 1;
+      g_hash_table_insert (sched->rack_indexes, g_strdup (rack),
+                           GUINT_TO_POINTER (index));
+    }
+  return index;
+}
+
 static struct sd_worker *
 worker_add (struct sd_sched *sched, struct sd_worker_report *report)
 {
@@ -149,6 +169,7 @@
       memset (report, 0, sizeof *report);
     }
   worker->listed = true;
+  worker->rack_index = index_of_rack (sched, worker->report.rack);
   return worker;
 }
 
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -74,7 +74,8 @@
                                    now, since reservations wait for running
                                    tasks to end */
   size_t index;                 /* in sd_workers () */
-  void *driver_data;            /* of the module that calls the workers */
+  uint32_t rack_index; /* the same for all workers of a rack; 0: no rack */
+  void *driver_data;   /* of the module that calls the workers */
 };
 
 /* The outcome of a run, as its worker reports it.  */
@@ -111,6 +112,9 @@
      Reserved resources stay idle until the whole gang fits.  0: no
      reservations.  */
   uint32_t reserved_tasks_per_100_workers;
+  /* A round ends once it has decided as many starts, so that a wave of jobs
+     does not keep the planner from its other work.  0: no limit.  */
+  uint32_t starts_per_round;
 };
 
 /*! sd_create () :
@@ -256,9 +260,12 @@
 {
   GPtrArray *starts; /* struct jb_task: to be started once recorded */
   GPtrArray *stops;  /* struct jb_task: to be stopped */
-  GPtrArray *
-      advisor_queries; /* struct sd_advisor_query: of sd_advisor_queries_create
-               (); NULL: the advisor is not queried */
+  /* struct sd_advisor_query: of sd_advisor_queries_create (); NULL: the
+     advisor is not queried */
+  GPtrArray *advisor_queries;
+  /* Work that has not been looked at is left for another round, which should
+     follow soon.  */
+  bool more;
 };
 
 /*! sd_round () :
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -28,6 +28,9 @@
      workers: enough for two gangs of 8 tasks, each as large as a worker, on 48
      workers, and a little more.  34 has the same effect.  */
   RESERVE_PERCENT = 50,
+  /* Of a gang and the small jobs beside it; a wave of thousands of tasks takes
+     several rounds.  */
+  STARTS_PER_ROUND = 256,
   /* Ticks further apart than this show that the process was paused.  */
   PAUSE_MIN_MS = 700
 };
@@ -77,6 +80,8 @@
   while (commands.advisor_queries->len > 0)
     av_submit_query (planner->advisor,
                      g_ptr_array_steal_index (commands.advisor_queries, 0));
+  if (commands.more)
+    pl_schedule_round (planner);
   g_ptr_array_free (commands.advisor_queries, TRUE);
   g_ptr_array_free (commands.starts, TRUE);
   g_ptr_array_free (commands.stops, TRUE);
@@ -355,7 +360,8 @@
   struct sd_params sched
       = { .remote_slowdown_factor = params->settings->far_factor,
           .stop_max_ms = params->settings->stop_ms,
-          .reserved_tasks_per_100_workers = RESERVE_PERCENT };
+          .reserved_tasks_per_100_workers = RESERVE_PERCENT,
+          .starts_per_round = STARTS_PER_ROUND };
   struct wk_params workers = {
     .loop = params->loop,
     .port = params->worker_port,
