foxtailgapd: a host that only renews lost workers probes idle ones

It renews only workers with leases. Once the other tasks are done these are just the lost workers, so nobody is left to answer. Which host renews both lost workers, and when the others are done, depends on the timing, so it showed beside busy processes.

Change: a host with failures and no answer for a renewal's period renews nothing at an idle worker; an answer shows that it is not cut off.

--- a/programs/foxtailgapd/renewal.h
+++ b/programs/foxtailgapd/renewal.h
@@ -95,6 +95,7 @@
   int64_t last_tick_ms;    /* monotonic; to detect pauses of the process */
   int64_t resume_ms;       /* monotonic; no renewals before, after a pause */
   int64_t last_answer_ms;  /* monotonic; from any worker */
+  struct ls_call *probe;   /* in flight, see renewal_calls.c; or NULL */
 };
 
 int64_t renewal_now_ms (void); /* monotonic clock */
--- a/programs/foxtailgapd/renewal_calls.c
+++ b/programs/foxtailgapd/renewal_calls.c
@@ -69,6 +69,57 @@
   return failing_count > 1;
 }
 
+static void
+on_probe_answer (void *ctx, const struct ls_answer *answer)
+{
+  struct renewal_task *task = ctx;
+
+  task->probe = NULL;
+  if (answer->error != LS_ERR_NOT_SENT && answer->error != LS_ERR_UNKNOWN)
+    task->last_answer_ms = renewal_now_ms ();
+}
+
+/* @return : a worker that has no leases to renew, at random; NULL: none.  */
+static const struct hl_host *
+find_idle_worker (const struct renewal_task *task)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer host;
+  const struct hl_host *found = NULL;
+  gint32 seen = 0;
+
+  g_hash_table_iter_init (&iter, task->addresses);
+  while (g_hash_table_iter_next (&iter, &name, &host))
+    if (!g_hash_table_contains (task->workers, name)
+        && g_random_int_range (0, ++seen) == 0)
+      found = host;
+  return found;
+}
+
+/* Finds out whether this host reaches any worker, by a renewal of no lease:
+   the workers that still have leases may be just the lost ones.  */
+static void
+probe_idle_worker (struct renewal_task *task)
+{
+  const struct settings *settings = task->daemon->settings;
+  const struct hl_host *host = find_idle_worker (task);
+  struct ls_request request = { .kind = LS_RENEW,
+                                .term = task->term,
+                                .host = settings->host,
+                                .ttl_ms = settings->lease_ttl_ms };
+  struct ls_target target;
+
+  if (host == NULL || task->probe != NULL)
+    return;
+  target = (struct ls_target){ .address = host->address, .port = host->port };
+  if (ls_send (task->http, &target, &request,
+               MIN (settings->lease_renew_ms, RENEWAL_CALL_TIMEOUT_MS),
+               on_probe_answer, task, &task->probe)
+      != LS_OK)
+    task->probe = NULL; /* the next failure sends another */
+}
+
 /* A worker counts as lost once none of its leases can be in force any more,
    whichever host renewed them last.  A host that reaches none of several
    workers is probably cut off itself, so it waits longer.  */
@@ -97,6 +148,8 @@
                   "The leases on a worker could not be renewed; will retry.",
                   "worker", worker->name, "error", why, NULL);
     }
+  if (now_ms - task->last_answer_ms > task->daemon->settings->lease_renew_ms)
+    probe_idle_worker (task);
   if (worker->failures >= RENEWAL_LOST_MIN_FAILURES
       && now_ms - worker->failing_since_ms >= lost_after_ms (task, now_ms)
       && rank_of (task, worker->name) == 0)
