Planner's host: renewals sent in one piece, connections kept, load measured

Change: a renewal may be repeated, so it is sent in one piece. As many connections are kept as descriptors allow (new setting descriptor_limit). The load line has the time that the event loop was busy, its longest iteration, the window and the starts that wait.

--- a/lib/http/http_client.c
+++ b/lib/http/http_client.c
@@ -255,13 +255,14 @@
    first copy may have taken effect.  It cannot resend a body that comes from a
    read callback, which cannot be rewound, and it does not resend on a new
    connection.  Hence bodies use a read callback, and requests without a body
-   other than GET use a new connection.  */
+   other than GET use a new connection, unless the request is repeatable.  */
 static bool
 set_request_body (struct hc_call *call, const struct hc_request *request)
 {
   CURL *easy = call->easy;
 
-  if (request->body_size_bytes == 0 && strcmp (request->method, "GET") != 0)
+  if (request->body_size_bytes == 0 && !request->repeatable
+      && strcmp (request->method, "GET") != 0)
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
   if (request->body == NULL)
     return true;
@@ -273,8 +274,13 @@
   curl_easy_setopt (easy, CURLOPT_POST, 1L);
   curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
                     (curl_off_t)request->body_size_bytes);
-  curl_easy_setopt (easy, CURLOPT_READFUNCTION, on_request_body);
-  curl_easy_setopt (easy, CURLOPT_READDATA, call);
+  if (request->repeatable)
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, call->request_body);
+  else
+    {
+      curl_easy_setopt (easy, CURLOPT_READFUNCTION, on_request_body);
+      curl_easy_setopt (easy, CURLOPT_READDATA, call);
+    }
   return true;
 }
 
--- a/lib/http/http_client.h
+++ b/lib/http/http_client.h
@@ -45,6 +45,9 @@
   const char *const *headers; /* "Name: value", NULL at the end; or NULL */
   const void *body;           /* copied */
   size_t body_size_bytes;
+  /* The request may reach the server twice, if a reused connection closes
+     without a response.  It is sent in one piece, which costs less.  */
+  bool repeatable;
   uint32_t timeout_ms; /* from connecting to the complete response */
   uint32_t connect_timeout_ms;
   size_t response_limit_bytes; /* of the body */
--- a/programs/foxtailgap-hostd/hostd_settings.c
+++ b/programs/foxtailgap-hostd/hostd_settings.c
@@ -47,6 +47,7 @@
       "log_level", CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER,
       struct hostd_settings, log_level, 0, TEXT_LIMIT_BYTES),
   NUMBER_FIELD (connection_limit),
+  NUMBER_FIELD (descriptor_limit),
   NUMBER_FIELD (body_limit_bytes),
   NUMBER_FIELD (receive_timeout_ms),
   NUMBER_FIELD (lease_ttl_ms),
@@ -65,6 +66,7 @@
 
 static const struct sc_number settings_numbers[] = {
   NUMBER (connection_limit, 1, 65535, 1024),
+  NUMBER (descriptor_limit, 256, 1048576, 4096),
   NUMBER (body_limit_bytes, 1, BODY_LIMIT_MAX_BYTES, 512 * 1024),
   NUMBER (receive_timeout_ms, 100, 10 * MINUTE_MS, 3000),
   NUMBER (lease_ttl_ms, 500, 10 * MINUTE_MS, 6000),
--- a/programs/foxtailgap-hostd/hostd_settings.h
+++ b/programs/foxtailgap-hostd/hostd_settings.h
@@ -20,6 +20,7 @@
   char *advisor;   /* IP:PORT of the placement advisor; NULL: none */
   char *log_level;
   uint32_t connection_limit;
+  uint32_t descriptor_limit; /* of this process: sockets and files */
   uint32_t body_limit_bytes; /* of any HTTP request; the catalog may have a
                                 lower one for submissions */
   uint32_t receive_timeout_ms;
--- a/programs/foxtailgap-hostd/main.c
+++ b/programs/foxtailgap-hostd/main.c
@@ -38,7 +38,10 @@
   LOG_LINES_PER_S = 200,
   /* The platform sends callers until two readiness checks, a second apart,
      have failed.  A shutdown accepts connections until then.  */
-  CALLERS_EXPECTED_MS = 2300
+  CALLERS_EXPECTED_MS = 2300,
+  /* Descriptors for files, the store, other hosts and calls in progress.  */
+  RESERVED_DESCRIPTORS = 400,
+  WORKER_CONNECTIONS_MIN = 256
 };
 
 struct process
@@ -192,6 +195,18 @@
   ev_timer_start (process->loop, &process->settings_timer);
 }
 
+/* The platform charges for each new connection to a worker, so as many are
+   kept as there are descriptors that callers can not need.  */
+static uint32_t
+worker_connections (const struct hostd_settings *settings)
+{
+  uint32_t needed = settings->connection_limit + RESERVED_DESCRIPTORS;
+
+  return settings->descriptor_limit > needed + WORKER_CONNECTIONS_MIN
+             ? settings->descriptor_limit - needed
+             : WORKER_CONNECTIONS_MIN;
+}
+
 static bool
 create_tasks (struct process *process)
 {
@@ -225,7 +240,8 @@
   };
 
   process->store = pf_store_create (process->loop, process->settings->store);
-  process->workers = pf_workers_create (process->loop);
+  process->workers = pf_workers_create (
+      process->loop, worker_connections (process->settings));
   if (process->store == NULL || process->workers == NULL)
     return false;
   journal.store = pf_store_port (process->store);
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -14,8 +14,8 @@
 {
   TICK_MS = 50,
   ROUND_DELAY_MIN_MS = 4, /* so that one round decides on several events */
-  /* A round is followed by this many times its processor time without a round,
-     which leaves three quarters of the processor to calls and answers.  */
+  /* A round is followed by this many times its duration without a round, which
+     leaves three quarters of the processor to calls and answers.  */
   ROUND_IDLE_FACTOR = 3,
   ROUND_DELAY_MAX_MS = 100,
   HEARTBEAT_MS = 200,
@@ -120,11 +120,11 @@
     return;
   if (workers_are_polled (planner) && may_command (planner))
     {
-      int64_t before_us = clk_cpu_us ();
+      int64_t before_us = g_get_monotonic_time ();
 
       run_round (planner);
-      planner->last_round_us = clk_cpu_us () - before_us;
-      planner->round_cpu_us += planner->last_round_us;
+      planner->last_round_us = g_get_monotonic_time () - before_us;
+      planner->rounds_us += planner->last_round_us;
       planner->rounds++;
     }
   wk_send_waiting (planner->workers);
@@ -148,17 +148,20 @@
 static void
 log_load (struct planner *planner, int64_t now_ms)
 {
-  int64_t cpu_us = clk_cpu_us ();
+  struct ll_sample sample;
 
   if (now_ms - planner->load_logged_ms < LOAD_LOG_INTERVAL_MS)
     return;
+  sample = ll_take (planner->load);
   lg_info (PART, "The planner's load.", "rounds", lg_number (planner->rounds),
-           "round_cpu_ms", lg_number (planner->round_cpu_us / 1000), "cpu_ms",
-           lg_number ((cpu_us - planner->load_cpu_us) / 1000), "over_ms",
-           lg_number (now_ms - planner->load_logged_ms), NULL);
+           "rounds_ms", lg_number (planner->rounds_us / 1000), "busy_ms",
+           lg_number (sample.busy_us / 1000), "longest_ms",
+           lg_number (sample.longest_us / 1000), "over_ms",
+           lg_number (now_ms - planner->load_logged_ms), "window",
+           lg_number (wk_window (planner->workers)), "waiting_starts",
+           lg_number (wk_waiting_starts (planner->workers)), NULL);
   planner->load_logged_ms = now_ms;
-  planner->load_cpu_us = cpu_us;
-  planner->round_cpu_us = 0;
+  planner->rounds_us = 0;
   planner->rounds = 0;
 }
 
@@ -245,7 +248,7 @@
   planner->workers_polled = false;
   planner->term_started_ms = now_ms;
   planner->load_logged_ms = now_ms;
-  planner->load_cpu_us = clk_cpu_us ();
+  ll_take (planner->load);
   planner->last_append_end_ms = now_ms;
   planner->stored_batch_sent_ms = planner->acquire_sent_ms;
   planner->list_read_ms = 0;
@@ -400,6 +403,7 @@
   planner->unanswered_appends
       = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   planner->last_tick_ms = clk_monotonic_ms (NULL);
+  planner->load = ll_create (params->loop);
   pl_term_init (planner);
   jr_set_observer (params->journal, &observer);
   host.strength = pl_strength (params->settings);
@@ -421,6 +425,7 @@
     return;
   ev_timer_stop (planner->params.loop, &planner->tick_timer);
   ev_timer_stop (planner->params.loop, &planner->round_timer);
+  ll_free (planner->load);
   wk_free (planner->workers);
   av_free (planner->advisor);
   sd_free (planner->sched);
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -6,6 +6,7 @@
 #define FT_HOSTD_PLANNER_PRIVATE_H
 
 #include "advisor.h"
+#include "common/loop_load.h"
 #include "planner.h"
 #include "workers.h"
 
@@ -91,10 +92,10 @@
   int64_t last_tick_ms;
   int64_t pause_end_ms; /* of the last pause of the process */
   /* load of this host as the planner, since it was last logged */
+  struct loop_load *load;
   int64_t load_logged_ms;
-  int64_t load_cpu_us; /* processor time of the process at that moment */
-  int64_t round_cpu_us;
-  int64_t last_round_us; /* processor time of the last round */
+  int64_t rounds_us;     /* duration of all rounds */
+  int64_t last_round_us; /* duration of the last one */
   uint32_t rounds;       /* number of them */
 };
 
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -251,6 +251,18 @@
   g_queue_clear_full (&workers->starts, (GDestroyNotify)wk_call_free);
 }
 
+uint32_t
+wk_window (const struct worker_calls *workers)
+{
+  return cw_size (workers->window);
+}
+
+uint32_t
+wk_waiting_starts (const struct worker_calls *workers)
+{
+  return workers->urgent_starts.length + workers->starts.length;
+}
+
 void
 wk_start (struct worker_calls *workers, struct jb_task *task)
 {
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -78,6 +78,12 @@
  *  The event loop was late by lag_ms; see cw_observe_lag (). */
 void wk_observe_lag (struct worker_calls *workers, int64_t lag_ms);
 
+/*! wk_window (), wk_waiting_starts () :
+ *  How many calls may be open now, see cw_size (), and how many starts wait to
+ *  be sent. */
+uint32_t wk_window (const struct worker_calls *workers);
+uint32_t wk_waiting_starts (const struct worker_calls *workers);
+
 /*! wk_count_unpolled () :
  *  @return : how many workers of the store's list have had no poll under this
  *            term that has ended, with or without an answer. */
--- a/tests/bench/bench-workers/main.c
+++ b/tests/bench/bench-workers/main.c
@@ -179,7 +179,7 @@
     return 1;
   curl_global_init (CURL_GLOBAL_DEFAULT);
   bench.loop = ev_default_loop (0);
-  workers = pf_workers_create (bench.loop);
+  workers = pf_workers_create (bench.loop, 2 * bench.workers);
   bench.port = pf_workers_port (workers);
   measure (&bench, "first_poll", false, 1);
   measure (&bench, "poll", false, rounds);
