--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -152,6 +152,17 @@
   job->progress_changed = false;
 }
 
+void
+jb_job_forget_written (struct jb_job *job)
+{
+  size_t i;
+
+  for (i = 0; job->written_blocks != NULL && i < job->task_total; i++)
+    if (job->written_blocks[i] != NULL)
+      g_byte_array_free (job->written_blocks[i], TRUE);
+  g_clear_pointer (&job->written_blocks, g_free);
+}
+
 /* --- The table --- */
 
 static void
@@ -160,6 +171,7 @@
   struct jb_job *job = data;
   size_t i;
 
+  jb_job_forget_written (job);
   for (i = 0; i < job->task_total; i++)
     {
       g_free (job->tasks[i].worker);
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -183,6 +183,9 @@
   size_t step_total;     /* spec->occurrence_count * spec->step_count */
   struct jb_task *tasks; /* in the order of `steps` */
   size_t task_total;
+  /* By block of tasks, see records.h: as last written under the term of this
+     host; NULL: none has been written.  */
+  GByteArray **written_blocks;
   int64_t added_ms; /* steady clock: when this host read its record */
   int64_t
       final_since_ms; /* steady clock: when visible_state became final here, by
@@ -211,6 +214,10 @@
  *            step may start at any time. */
 int64_t jb_step_due_unix_ms (const struct jb_step *step);
 
+/*! jb_job_forget_written () :
+ *  Frees the copies of written blocks, so that the next write has all. */
+void jb_job_forget_written (struct jb_job *job);
+
 /*! jb_task_reset () :
  *  Makes a task wait for a worker again.  Its run number, failure count and
  *  checkpoint stay. */
--- a/lib/jobs/records.c
+++ b/lib/jobs/records.c
@@ -150,15 +150,36 @@
 jb_encode_progress (const struct jb_job *job, uint64_t term)
 {
   Ftj__Progress record = FTJ__PROGRESS__INIT;
-  Ftj__TaskProgress *tasks = g_new0 (Ftj__TaskProgress, job->task_total);
-  Ftj__TaskProgress **rows = g_new0 (Ftj__TaskProgress *, job->task_total);
+
+  record.term = term;
+  record.state = job->state;
+  record.begun = job->started;
+  record.ended_unix_ms = job->ended_unix_ms;
+  return pack (&record.base);
+}
+
+size_t
+jb_block_count (const struct jb_job *job)
+{
+  if (job->state == JB_COMPLETED)
+    return 0;
+  return (job->task_total + JB_BLOCK_TASKS - 1) / JB_BLOCK_TASKS;
+}
+
+GByteArray *
+jb_encode_block (const struct jb_job *job, size_t block)
+{
+  Ftj__TaskBlock record = FTJ__TASK_BLOCK__INIT;
+  Ftj__TaskProgress tasks[JB_BLOCK_TASKS];
+  Ftj__TaskProgress *rows[JB_BLOCK_TASKS];
   bool final = jb_state_is_final (job->state);
-  GByteArray *bytes;
+  size_t first = block * JB_BLOCK_TASKS;
+  size_t count = MIN (job->task_total - first, JB_BLOCK_TASKS);
   size_t i;
 
-  for (i = 0; i < job->task_total; i++)
+  for (i = 0; i < count; i++)
     {
-      const struct jb_task *task = &job->tasks[i];
+      const struct jb_task *task = &job->tasks[first + i];
 
       ftj__task_progress__init (&tasks[i]);
       tasks[i].state = task->state;
@@ -169,16 +190,9 @@
         tasks[i].checkpoint = empty_if_null (task->checkpoint);
       rows[i] = &tasks[i];
     }
-  record.term = term;
-  record.state = job->state;
-  record.begun = job->started;
   record.tasks = rows;
-  record.n_tasks = job->task_total;
-  record.ended_unix_ms = job->ended_unix_ms;
-  bytes = pack (&record.base);
-  g_free (rows);
-  g_free (tasks);
-  return bytes;
+  record.n_tasks = count;
+  return pack (&record.base);
 }
 
 static void
@@ -227,16 +241,46 @@
   job->started = record->begun;
   job->ended_unix_ms = record->ended_unix_ms;
   job->progress_changed = false;
-  if (job->spec != NULL && record->n_tasks == job->task_total)
+  if (job->state == JB_COMPLETED)
     {
       for (i = 0; i < job->task_total; i++)
-        apply_task_progress (&job->tasks[i], record->tasks[i]);
+        {
+          jb_task_reset (&job->tasks[i]);
+          job->tasks[i].state = JB_TASK_DONE;
+        }
       recount_done_tasks (job);
     }
   ftj__progress__free_unpacked (record, NULL);
   return JB_OK;
 }
 
+int
+jb_apply_block (struct jb_job *job, size_t block, const uint8_t *bytes,
+                size_t size)
+{
+  Ftj__TaskBlock *record;
+  size_t first = block * JB_BLOCK_TASKS;
+  size_t i;
+  int error = JB_ERR_LIMIT;
+
+  if (job->state == JB_COMPLETED)
+    return JB_OK;
+  record = ftj__task_block__unpack (NULL, size, bytes);
+  if (record == NULL)
+    return JB_ERR_FORMAT;
+  if (block >= jb_block_count (job)
+      || record->n_tasks != MIN (job->task_total - first, JB_BLOCK_TASKS))
+    goto out;
+  for (i = 0; i < record->n_tasks; i++)
+    apply_task_progress (&job->tasks[first + i], record->tasks[i]);
+  recount_done_tasks (job);
+  error = JB_OK;
+
+out:
+  ftj__task_block__free_unpacked (record, NULL);
+  return error;
+}
+
 /* --- Cancelling, hosts and terms --- */
 
 GByteArray *
--- a/lib/jobs/records.h
+++ b/lib/jobs/records.h
@@ -6,6 +6,14 @@
 
 #include "jobs/model.h"
 
+enum
+{
+  /* Tasks whose progress is in one record: few, since each change of a task
+     writes its record again, and each host reads it; but a gang of 26 has no
+     more than four records.  */
+  JB_BLOCK_TASKS = 8
+};
+
 /* Which host is the planner.  */
 struct jb_term_record
 {
@@ -24,6 +32,7 @@
 
 /* Each encoder returns a new array, to be freed by the caller.  */
 GByteArray *jb_encode_spec (const struct jb_spec *spec);
+/* The state of the job; its tasks are in blocks, see below.  */
 GByteArray *jb_encode_progress (const struct jb_job *job, uint64_t term);
 GByteArray *jb_encode_cancel (int64_t unix_ms);
 GByteArray *jb_encode_host (const struct jb_host_record *host);
@@ -52,11 +61,27 @@
                     size_t size);
 
 /*! jb_apply_progress () :
- *  Sets the state of JOB as recorded, and the state of each of its tasks if
- *  its specification is known and the record has as many tasks.
+ *  Sets the state of JOB as recorded.  All tasks of a completed job are done.
  *  @term : set to the term under which the record was written.
  *  @return : JB_OK, or JB_ERR_FORMAT with nothing changed. */
 int jb_apply_progress (struct jb_job *job, uint64_t *term,
                        const uint8_t *bytes, size_t size);
 
+/*! jb_block_count () :
+ *  @return : how many blocks of JB_BLOCK_TASKS tasks the job has; a completed
+ *            job has none. */
+size_t jb_block_count (const struct jb_job *job);
+
+/*! jb_encode_block () :
+ *  @return : the progress of the tasks of one block. */
+GByteArray *jb_encode_block (const struct jb_job *job, size_t block);
+
+/*! jb_apply_block () :
+ *  Sets the state of the block's tasks as recorded, unless the job has
+ *  completed.
+ *  @return : JB_OK; JB_ERR_FORMAT or, if the job has no such block,
+ *            JB_ERR_LIMIT, with nothing changed. */
+int jb_apply_block (struct jb_job *job, size_t block, const uint8_t *bytes,
+                    size_t size);
+
 #endif
--- a/lib/proto/jobs.pb-c.c
+++ b/lib/proto/jobs.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &ftj__progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ftj__task_block__init
+                     (Ftj__TaskBlock         *message)
+{
+  static const Ftj__TaskBlock init_value = FTJ__TASK_BLOCK__INIT;
+  *message = init_value;
+}
+size_t ftj__task_block__get_packed_size
+                     (const Ftj__TaskBlock *message)
+{
+  assert(message->base.descriptor == &ftj__task_block__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ftj__task_block__pack
+                     (const Ftj__TaskBlock *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ftj__task_block__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ftj__task_block__pack_to_buffer
+                     (const Ftj__TaskBlock *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ftj__task_block__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ftj__TaskBlock *
+       ftj__task_block__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ftj__TaskBlock *)
+     protobuf_c_message_unpack (&ftj__task_block__descriptor,
+                                allocator, len, data);
+}
+void   ftj__task_block__free_unpacked
+                     (Ftj__TaskBlock *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ftj__task_block__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ftj__leases__init
                      (Ftj__Leases         *message)
 {
@@ -928,7 +973,7 @@
   (ProtobufCMessageInit) ftj__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ftj__progress__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ftj__progress__field_descriptors[4] =
 {
   {
     "term",
@@ -966,18 +1011,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "tasks",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Ftj__Progress, n_tasks),
-    offsetof(Ftj__Progress, tasks),
-    &ftj__task_progress__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "ended_unix_ms",
     5,
@@ -993,15 +1026,15 @@
 };
 static const unsigned ftj__progress__field_indices_by_name[] = {
   2,   /* field[2] = begun */
-  4,   /* field[4] = ended_unix_ms */
+  3,   /* field[3] = ended_unix_ms */
   1,   /* field[1] = state */
-  3,   /* field[3] = tasks */
   0,   /* field[0] = term */
 };
-static const ProtobufCIntRange ftj__progress__number_ranges[1 + 1] =
+static const ProtobufCIntRange ftj__progress__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 5, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ftj__progress__descriptor =
 {
@@ -1011,13 +1044,51 @@
   "Ftj__Progress",
   "ftj",
   sizeof(Ftj__Progress),
-  5,
+  4,
   ftj__progress__field_descriptors,
   ftj__progress__field_indices_by_name,
-  1,  ftj__progress__number_ranges,
+  2,  ftj__progress__number_ranges,
   (ProtobufCMessageInit) ftj__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ftj__task_block__field_descriptors[1] =
+{
+  {
+    "tasks",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ftj__TaskBlock, n_tasks),
+    offsetof(Ftj__TaskBlock, tasks),
+    &ftj__task_progress__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ftj__task_block__field_indices_by_name[] = {
+  0,   /* field[0] = tasks */
+};
+static const ProtobufCIntRange ftj__task_block__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ftj__task_block__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ftj.TaskBlock",
+  "TaskBlock",
+  "Ftj__TaskBlock",
+  "ftj",
+  sizeof(Ftj__TaskBlock),
+  1,
+  ftj__task_block__field_descriptors,
+  ftj__task_block__field_indices_by_name,
+  1,  ftj__task_block__number_ranges,
+  (ProtobufCMessageInit) ftj__task_block__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ftj__leases__field_descriptors[1] =
 {
   {
--- a/lib/proto/jobs.pb-c.h
+++ b/lib/proto/jobs.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Ftj__CancelRecord Ftj__CancelRecord;
 typedef struct Ftj__TaskProgress Ftj__TaskProgress;
 typedef struct Ftj__Progress Ftj__Progress;
+typedef struct Ftj__TaskBlock Ftj__TaskBlock;
 typedef struct Ftj__Leases Ftj__Leases;
 typedef struct Ftj__LeaseLeft Ftj__LeaseLeft;
 typedef struct Ftj__HostRecord Ftj__HostRecord;
@@ -107,25 +108,39 @@
     , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Of a job.  Its tasks are in TaskBlocks, so that a change of one task does not
+ * write all of them again.
+ */
 struct  Ftj__Progress
 {
   ProtobufCMessage base;
   uint64_t term;
   /*
-   * enum jb_state
+   * enum jb_state; if completed, all tasks are done
    */
   uint32_t state;
   protobuf_c_boolean begun;
-  /*
-   * by occurrence, step, index
-   */
-  size_t n_tasks;
-  Ftj__TaskProgress **tasks;
   int64_t ended_unix_ms;
 };
 #define FTJ__PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ftj__progress__descriptor) \
-    , 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0 }
+
+
+/*
+ * Tasks of a job that follow each other in the order of occurrence, step and
+ * index.
+ */
+struct  Ftj__TaskBlock
+{
+  ProtobufCMessage base;
+  size_t n_tasks;
+  Ftj__TaskProgress **tasks;
+};
+#define FTJ__TASK_BLOCK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ftj__task_block__descriptor) \
+    , 0,NULL }
 
 
 /*
@@ -286,6 +301,25 @@
 void   ftj__progress__free_unpacked
                      (Ftj__Progress *message,
                       ProtobufCAllocator *allocator);
+/* Ftj__TaskBlock methods */
+void   ftj__task_block__init
+                     (Ftj__TaskBlock         *message);
+size_t ftj__task_block__get_packed_size
+                     (const Ftj__TaskBlock   *message);
+size_t ftj__task_block__pack
+                     (const Ftj__TaskBlock   *message,
+                      uint8_t             *out);
+size_t ftj__task_block__pack_to_buffer
+                     (const Ftj__TaskBlock   *message,
+                      ProtobufCBuffer     *buffer);
+Ftj__TaskBlock *
+       ftj__task_block__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ftj__task_block__free_unpacked
+                     (Ftj__TaskBlock *message,
+                      ProtobufCAllocator *allocator);
 /* Ftj__Leases methods */
 void   ftj__leases__init
                      (Ftj__Leases         *message);
@@ -379,6 +413,9 @@
 typedef void (*Ftj__Progress_Closure)
                  (const Ftj__Progress *message,
                   void *closure_data);
+typedef void (*Ftj__TaskBlock_Closure)
+                 (const Ftj__TaskBlock *message,
+                  void *closure_data);
 typedef void (*Ftj__Leases_Closure)
                  (const Ftj__Leases *message,
                   void *closure_data);
@@ -402,6 +439,7 @@
 extern const ProtobufCMessageDescriptor ftj__cancel_record__descriptor;
 extern const ProtobufCMessageDescriptor ftj__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor ftj__progress__descriptor;
+extern const ProtobufCMessageDescriptor ftj__task_block__descriptor;
 extern const ProtobufCMessageDescriptor ftj__leases__descriptor;
 extern const ProtobufCMessageDescriptor ftj__lease_left__descriptor;
 extern const ProtobufCMessageDescriptor ftj__host_record__descriptor;
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -29,7 +29,12 @@
   /* The store is unreachable after this time without an answer; the jobs'
      topic is read about twice a second.  */
   STORE_UNREACHABLE_AFTER_MS = 1000,
-  READ_RETRY_MS = 150,             /* after a failed read */
+  READ_RETRY_MS = 150, /* after a failed read */
+  /* With more hosts than this the pause may grow in proportion to them.  */
+  READ_RETRY_HOSTS = 30,
+  READ_RETRY_MAX_MS = 900,
+  READ_BACKOFF_STEPS_MAX = 4,
+  READ_MARGIN_STEPS_MAX = 2,
   ANNOUNCE_TIMEOUT_MS = 30 * 1000, /* a host works without its record, too */
   /* Time from one read of the jobs' topic to the next.  Records are read
      in batches because the platform charges for each call to the store;
@@ -166,6 +171,52 @@
   mt_add (journal->params.metrics, name, 1);
 }
 
+/* Logs when reads of a topic begin to fail, and when they succeed again.  */
+static void
+note_read_result (struct topic_reader *reader, enum so_result result)
+{
+  int64_t now_ms = clk_monotonic_ms (NULL);
+  bool failed = result != SO_DONE && result != SO_EXPIRED;
+
+  if (failed && reader->failures == 0)
+    {
+      reader->failing_since_ms = now_ms;
+      lg_warning (PART, "A topic cannot be read; it is tried again.", "topic",
+                  reader->topic, "result", so_result_name (result), "took_ms",
+                  lg_number (now_ms - reader->read_sent_ms), NULL);
+    }
+  else if (!failed && reader->failures > 0)
+    lg_info (PART, "A topic is read again.", "topic", reader->topic,
+             "after_ms", lg_number (now_ms - reader->failing_since_ms), NULL);
+  reader->failures = failed ? reader->failures + 1 : 0;
+}
+
+/* The pause after a failed read.  It doubles with each failure: many hosts
+   that read again at once, and give up before their answers have come, can
+   keep the store overloaded by themselves.  */
+static uint32_t
+retry_pause_ms (const struct topic_reader *reader)
+{
+  uint32_t hosts = jr_host_count (reader->journal);
+  uint32_t limit_ms = CLAMP (READ_RETRY_MS * hosts / READ_RETRY_HOSTS,
+                             READ_RETRY_MS, READ_RETRY_MAX_MS);
+  uint32_t pause_ms = READ_RETRY_MS
+                      << MIN (reader->failures, READ_BACKOFF_STEPS_MAX);
+
+  pause_ms = MIN (pause_ms, limit_ms);
+  return (uint32_t)g_random_int_range ((gint32)pause_ms / 2,
+                                       (gint32)pause_ms * 3 / 2);
+}
+
+/* How long an answer may take, in addition to the wait: longer after failures,
+   so that a store that is slow for all its readers can answer some.  */
+static uint32_t
+read_timeout_margin_ms (const struct topic_reader *reader)
+{
+  return READ_TIMEOUT_MARGIN_MS
+         << MIN (reader->failures, READ_MARGIN_STEPS_MAX);
+}
+
 static uint32_t
 pause_before_next_read_ms (const struct topic_reader *reader)
 {
@@ -239,6 +290,7 @@
 
   reader->read_pending = false;
   count_store_call (journal, "read", answer->result);
+  note_read_result (reader, answer->result);
   if (answer->result == SO_DONE)
     record_answer_time (reader, answer);
   if (answer->result == SO_EXPIRED)
@@ -250,7 +302,7 @@
       reader->loaded = false;
     }
   else if (answer->result != SO_DONE)
-    delay_ms = READ_RETRY_MS;
+    delay_ms = retry_pause_ms (reader);
   else
     {
       for (i = 0; i < answer->records->len; i++)
@@ -273,7 +325,7 @@
 compare_load_order (const void *a, const void *b)
 {
   /* Kinds of records, see the keys in journal_private.h.  */
-  static const char order[] = "hjcpwt";
+  static const char order[] = "hjcpqwt";
   const struct so_record *left = *(struct so_record *const *)a;
   const struct so_record *right = *(struct so_record *const *)b;
   const char *left_rank = strchr (order, left->key[0]);
@@ -318,12 +370,13 @@
 
   reader->read_pending = false;
   count_store_call (reader->journal, "newest", answer->result);
+  note_read_result (reader, answer->result);
   if (answer->result == SO_DONE)
     reader->journal->last_answer_ms = clk_monotonic_ms (NULL);
   if (answer->result != SO_DONE)
     {
       g_ptr_array_set_size (reader->newest_records, 0);
-      schedule_read (reader, READ_RETRY_MS);
+      schedule_read (reader, retry_pause_ms (reader));
       return;
     }
   if (reader->newest_records->len == 0)
@@ -382,8 +435,8 @@
       reader->requested_wait_ms = long_poll_wait_ms (reader);
       store->read (store->ctx, reader->topic, reader->next_offset,
                    reader->requested_wait_ms,
-                   reader->requested_wait_ms + READ_TIMEOUT_MARGIN_MS, on_read,
-                   reader);
+                   reader->requested_wait_ms + read_timeout_margin_ms (reader),
+                   on_read, reader);
       return;
     }
   if (reader->newest_records->len == 0)
--- a/programs/foxtailgap-hostd/journal_fold.c
+++ b/programs/foxtailgap-hostd/journal_fold.c
@@ -91,6 +91,31 @@
     job->final_since_ms = journal->last_planner_record_ms;
 }
 
+/* NAME: ID/BLOCK, of the record's key.  */
+static void
+apply_block (struct journal *journal, const char *name,
+             const struct so_record *record)
+{
+  char id[JB_ID_DIGITS + 1];
+  struct jb_job *job;
+  uint64_t block;
+
+  if (strlen (name) < JB_ID_DIGITS + 2 || name[JB_ID_DIGITS] != '/'
+      || !g_ascii_string_to_unsigned (name + JB_ID_DIGITS + 1, 10, 0,
+                                      UINT32_MAX, &block, NULL))
+    return;
+  g_strlcpy (id, name, sizeof id);
+  job = jb_table_find (journal->table, id);
+  if (job == NULL || record->value == NULL)
+    return;
+  if (journal->own_term != 0 && journal->own_term == journal->term.term)
+    return; /* this host has written it */
+  if (jb_apply_block (job, block, record->value, record->size_bytes) != JB_OK)
+    lg_warning (PART,
+                "A record of a job's tasks cannot be decoded; it is ignored.",
+                "job", id, NULL);
+}
+
 static void
 apply_term (struct journal *journal, const struct so_record *record)
 {
@@ -161,6 +186,8 @@
       apply_host (journal, key + 2, record);
       jr_finish_writes_of_key (journal, key);
     }
+  else if (g_str_has_prefix (key, "q/"))
+    apply_block (journal, key + 2, record);
   else if (key[0] != '\0' && key[1] == '/' && jb_id_valid (key + 2))
     {
       if (key[0] == 'j')
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -4,8 +4,8 @@
 
    The keys of the jobs' topic are a letter for the kind of record and, but for
    t and w, a name: h/HOST (a host), j/ID (a job), c/ID (its cancellation),
-   p/ID (its progress), w (the leases of unreachable workers), t (the planner's
-   term).  */
+   p/ID (its progress), q/ID/N (that of a block of its tasks), w (the leases of
+   unreachable workers), t (the planner's term).  */
 
 #ifndef FT_HOSTD_JOURNAL_PRIVATE_H
 #define FT_HOSTD_JOURNAL_PRIVATE_H
@@ -24,6 +24,8 @@
   bool ever_loaded;
   bool caught_up; /* the end of the topic was reached since loading */
   bool read_pending;
+  uint32_t failures; /* reads that failed, one after the other */
+  int64_t failing_since_ms;
   int64_t next_offset; /* of the next read, once loaded */
   int64_t read_sent_ms;
   /* Every record that was in the topic at this time has been applied.  */
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -22,6 +22,9 @@
   APPEND_RETRY_MS = 50,
   /* Rounds after a takeover wait this long for the workers' first answers.  */
   FIRST_POLLS_WAIT_MS = 400,
+  /* With an older table no work is placed, for a cancellation may not have
+     been read yet, and the platform allows 3 s until nothing of it starts.  */
+  ROUND_JOBS_AGE_MAX_MS = 1800,
   JOB_REMOVAL_INTERVAL_MS = 1000,
   LOAD_LOG_INTERVAL_MS = 5000,
   /* Reservations for gangs may take as many tasks as this share of the
@@ -118,7 +121,8 @@
   (void)events;
   if (planner->role != PL_PLANNER || planner->releasing)
     return;
-  if (workers_are_polled (planner) && may_command (planner))
+  if (workers_are_polled (planner) && may_command (planner)
+      && jr_jobs_age_ms (planner->params.journal) < ROUND_JOBS_AGE_MAX_MS)
     {
       int64_t before_us = g_get_monotonic_time ();
 
@@ -233,6 +237,18 @@
     tick_as_planner (planner, now_ms);
 }
 
+/* What earlier planners have written is not known byte for byte.  */
+static void
+forget_written_blocks (struct planner *planner)
+{
+  GHashTableIter iter;
+  void *job;
+
+  g_hash_table_iter_init (&iter, jr_job_table (planner->params.journal)->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &job))
+    jb_job_forget_written (job);
+}
+
 void
 pl_begin_term (struct planner *planner)
 {
@@ -242,6 +258,7 @@
            lg_number ((long long)planner->term), "after_ms",
            lg_number (now_ms - planner->acquire_started_ms), NULL);
   pl_drop_batch (planner);
+  forget_written_blocks (planner);
   g_array_set_size (planner->starts, 0);
   planner->appends_in_flight = 0;
   planner->sequence = 1;
--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -206,6 +206,31 @@
     pl_send_batch (planner);
 }
 
+/* Adds the record of a block of the job's tasks, unless it has not changed.
+   @return : bytes added.  */
+static size_t
+add_block (struct pl_batch *batch, struct jb_job *job, size_t block)
+{
+  GByteArray *bytes = jb_encode_block (job, block);
+  GByteArray *last = job->written_blocks[block];
+  char *key;
+
+  if (last != NULL && last->len == bytes->len
+      && memcmp (last->data, bytes->data, bytes->len) == 0)
+    {
+      g_byte_array_free (bytes, TRUE);
+      return 0;
+    }
+  if (last != NULL)
+    g_byte_array_free (last, TRUE);
+  job->written_blocks[block] = bytes;
+  key = g_strdup_printf ("q/%s/%zu", job->id, block);
+  g_ptr_array_add (batch->records,
+                   so_record_create (key, bytes->data, bytes->len));
+  g_free (key);
+  return bytes->len;
+}
+
 /* @return : bytes added.  */
 static size_t
 add_progress (struct planner *planner, struct pl_batch *batch,
@@ -214,7 +239,8 @@
   struct pl_stored_job *stored = g_new0 (struct pl_stored_job, 1);
   GByteArray *bytes = jb_encode_progress (job, planner->term);
   char key[JB_ID_DIGITS + 3];
-  size_t size_bytes;
+  size_t size_bytes = bytes->len;
+  size_t i;
 
   g_snprintf (key, sizeof key, "p/%s", job->id);
   g_ptr_array_add (batch->records,
@@ -222,28 +248,47 @@
   g_strlcpy (stored->id, job->id, sizeof stored->id);
   stored->state = job->state;
   g_ptr_array_add (batch->jobs, stored);
-  size_bytes = bytes->len;
   g_byte_array_free (bytes, TRUE);
+  if (job->written_blocks == NULL)
+    job->written_blocks = g_new0 (GByteArray *, job->task_total);
+  for (i = 0; i < jb_block_count (job); i++)
+    size_bytes += add_block (batch, job, i);
   return size_bytes;
 }
 
 static void
-add_job_removals (struct planner *planner, struct pl_batch *batch)
+add_removal (struct pl_batch *batch, char *key)
+{
+  g_ptr_array_add (batch->records, so_record_create (key, NULL, 0));
+  g_free (key);
+}
+
+static void
+add_removals_of_job (struct planner *planner, struct pl_batch *batch,
+                     const char *id)
 {
   static const char kinds[] = "pcj"; /* the job itself last */
+  const struct jb_job *job
+      = jb_table_find (jr_job_table (planner->params.journal), id);
+  size_t blocks
+      = job == NULL ? 0
+                    : (job->task_total + JB_BLOCK_TASKS - 1) / JB_BLOCK_TASKS;
+  size_t i;
+
+  for (i = 0; i < blocks; i++)
+    add_removal (batch, g_strdup_printf ("q/%s/%zu", id, i));
+  for (i = 0; i < sizeof kinds - 1; i++)
+    add_removal (batch, g_strdup_printf ("%c/%s", kinds[i], id));
+}
+
+static void
+add_job_removals (struct planner *planner, struct pl_batch *batch)
+{
   guint i;
-  size_t k;
 
   for (i = 0; i < planner->jobs_to_remove->len; i++)
-    for (k = 0; k < sizeof kinds - 1; k++)
-      {
-        char *key = g_strdup_printf (
-            "%c/%s", kinds[k],
-            (char *)g_ptr_array_index (planner->jobs_to_remove, i));
-
-        g_ptr_array_add (batch->records, so_record_create (key, NULL, 0));
-        g_free (key);
-      }
+    add_removals_of_job (planner, batch,
+                         g_ptr_array_index (planner->jobs_to_remove, i));
   g_ptr_array_set_size (planner->jobs_to_remove, 0);
 }
 
--- a/tests/unit/test_hostd_sched.c
+++ b/tests/unit/test_hostd_sched.c
@@ -742,6 +742,10 @@
                        fixture_spec ("batch", "clinic", &gang), 0);
   CU_ASSERT_EQUAL (jb_apply_progress (copy, &term, bytes->data, bytes->len),
                    JB_OK);
+  g_byte_array_free (bytes, TRUE);
+  CU_ASSERT_EQUAL (jb_block_count (job), 1);
+  bytes = jb_encode_block (job, 0);
+  CU_ASSERT_EQUAL (jb_apply_block (copy, 0, bytes->data, bytes->len), JB_OK);
   CU_ASSERT_EQUAL (term, 7);
   sd_begin_term (other.sched, 10);
   CU_ASSERT_EQUAL (count_in (copy, JB_TASK_PLACED), 3);
