--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -218,9 +218,10 @@
    its placement has been sent.
    @return : the number of that append.  */
 static uint32_t
-submit_job (struct setup *setup)
+submit_job_of_tasks (struct setup *setup, uint32_t tasks)
 {
-  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct fixture_step step
+      = { .count = tasks, .accelerators = tasks > 1 ? 0 : 1 };
   struct jb_spec *spec = fixture_spec ("batch", "clinic", &step);
   GByteArray *bytes = jb_encode_spec (spec);
   char *key = g_strdup_printf ("j/%s", JOB);
@@ -255,6 +256,12 @@
   return found;
 }
 
+static uint32_t
+submit_job (struct setup *setup)
+{
+  return submit_job_of_tasks (setup, 1);
+}
+
 static void
 test_start_is_sent_once_placement_is_stored (void)
 {
@@ -399,6 +406,124 @@
   tear_down (&setup);
 }
 
+static size_t
+count_calls (const struct setup *setup, char kind)
+{
+  size_t count = 0;
+  size_t i;
+
+  for (i = 0; i < setup->port.count; i++)
+    count += setup->port.calls[i].kind == kind;
+  return count;
+}
+
+/* Bytes of the records of the job's tasks in an append.  */
+static size_t
+count_block_bytes (const struct setup *setup, uint32_t append)
+{
+  size_t size_bytes = 0;
+  guint i;
+
+  for (i = 0; i < setup->store.records[append]->len; i++)
+    {
+      const struct so_record *record
+          = g_ptr_array_index (setup->store.records[append], i);
+
+      if (record->key[0] == 'q')
+        size_bytes += record->size_bytes;
+    }
+  return size_bytes;
+}
+
+/* Guards against a store whose readers all time out: each change of one task
+   wrote all tasks of its job again, for all hosts to read (days scale-2 and
+   trouble-3 of the large anla-rounds).  */
+static void
+test_change_of_a_task_writes_its_block_only (void)
+{
+  struct setup setup;
+  struct wp_outcome end
+      = { .number = 1, .run = 1, .outcome = SD_OUTCOME_DONE };
+  GArray *outcomes = g_array_new (FALSE, FALSE, sizeof (struct wp_outcome));
+  struct fake_call *poll;
+  uint32_t append;
+  uint32_t first;
+  size_t all_bytes;
+
+  become_planner (&setup);
+  append = submit_job_of_tasks (&setup, 48);
+  all_bytes = count_block_bytes (&setup, append);
+  CU_ASSERT_TRUE (all_bytes > 0);
+  answer_all_appends (&setup);
+  run_loop_for (&setup, 30);
+  poll = fake_oldest_open_call (&setup.port, 'h');
+  first = setup.store.append_count;
+  end.task = (char *)"00000000000000aa.0.0.5";
+  end.checkpoint = (char *)"";
+  g_array_append_val (outcomes, end);
+  fake_answer (poll,
+               &(struct wp_answer){ .result = WP_DONE, .outcomes = outcomes });
+  while (setup.store.append_count < first + 2)
+    {
+      run_loop_for (&setup, 10);
+      answer_all_appends (&setup);
+      if (setup.store.jobs_read != NULL)
+        show_appends (&setup);
+    }
+  all_bytes /= 48;
+  for (append = first; append < setup.store.append_count; append++)
+    CU_ASSERT_TRUE (count_block_bytes (&setup, append)
+                    <= all_bytes * JB_BLOCK_TASKS + JB_BLOCK_TASKS);
+  g_array_free (outcomes, TRUE);
+  tear_down (&setup);
+}
+
+/* Without a fresh view a cancellation may not have been read, so nothing is
+   placed (day scale-2 of the large anla-rounds: the store took the planner's
+   appends, and its reads timed out).  */
+static void
+test_nothing_is_placed_on_an_old_view (void)
+{
+  struct setup setup;
+  struct wp_outcome end
+      = { .number = 1, .run = 1, .outcome = SD_OUTCOME_DONE };
+  GArray *outcomes = g_array_new (FALSE, FALSE, sizeof (struct wp_outcome));
+  size_t starts_before;
+  int i;
+
+  become_planner (&setup);
+  submit_job_of_tasks (&setup, 65); /* the worker has room for 64 */
+  for (i = 0; i < 21; i++)          /* 2.1 s without an answer to a read */
+    {
+      run_loop_for (&setup, 100);
+      answer_all_appends (&setup);
+    }
+  starts_before = count_calls (&setup, 's');
+  CU_ASSERT_EQUAL (starts_before, 64);
+  end.task = (char *)"00000000000000aa.0.0.5";
+  end.checkpoint = (char *)"";
+  g_array_append_val (outcomes, end);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'),
+               &(struct wp_answer){ .result = WP_DONE, .outcomes = outcomes });
+  for (i = 0; i < 30; i++)
+    {
+      run_loop_for (&setup, 10);
+      answer_all_appends (&setup);
+    }
+  CU_ASSERT_EQUAL (count_calls (&setup, 's'), starts_before);
+  show_appends (&setup);
+  for (i = 0; i < 100 && count_calls (&setup, 's') == starts_before; i++)
+    {
+      run_loop_for (&setup, 10);
+      answer_all_appends (&setup);
+      if (setup.store.jobs_read != NULL)
+        show_appends (&setup);
+    }
+  CU_ASSERT_EQUAL (count_calls (&setup, 's'), starts_before + 1);
+  g_array_free (outcomes, TRUE);
+  tear_down (&setup);
+}
+
 int
 main (void)
 {
@@ -410,6 +535,10 @@
       test_lease_is_not_renewed_after_a_pause },
     { "a superseded planner starts nothing",
       test_superseded_planner_starts_nothing },
+    { "a change of a task writes its block only",
+      test_change_of_a_task_writes_its_block_only },
+    { "nothing is placed on an old view",
+      test_nothing_is_placed_on_an_old_view },
     { "a lost append is sent again", test_lost_append_is_sent_again },
     { "an append to a slow store is not sent again",
       test_append_to_slow_store_is_not_sent_again },
