--- /dev/null
+++ b/tests/bench/bench-rounds/main.c
@@ -0,0 +1,201 @@
+/* Measures the rounds of lib/sched under load: a fleet that is full, and many
+   jobs that wait, as in a burst.  Each round one percent of what runs ends,
+   and as many new jobs arrive.
+
+   Usage: bench-rounds WORKERS JOBS ROUNDS  */
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/clock.h"
+#include "sched/sched.h"
+
+enum
+{
+  RACK_WORKERS = 20,
+  QUEUES = 3,
+  ROUND_MS = 20
+};
+
+/* Of a queue's jobs; sizes of the large Association's deployment.  */
+struct shape
+{
+  const char *queue;
+  uint32_t priority;
+  uint32_t tasks;
+  int64_t cpus_milli;
+  int64_t accelerators;
+  bool gang;
+  uint32_t work_ms;
+};
+
+static const struct shape shapes[QUEUES]
+    = { { "match", 0, 8, 15000, 2, true, 2500 },
+        { "plan", 1, 26, 52000, 4, true, 6800 },
+        { "settle", 2, 78, 11000, 1, false, 9500 } };
+
+struct bench
+{
+  struct sd_sched *sched;
+  struct jb_table *table;
+  struct ct_catalog *catalog;
+  uint32_t jobs;
+  int64_t now_ms;
+};
+
+static void
+create_catalog (struct bench *bench)
+{
+  struct ct_catalog *catalog = g_new0 (struct ct_catalog, 1);
+  size_t i;
+
+  catalog->version = 1;
+  catalog->queue_count = QUEUES;
+  catalog->queues = g_new0 (struct ct_queue, QUEUES);
+  for (i = 0; i < QUEUES; i++)
+    catalog->queues[i] = (struct ct_queue){ .name = g_strdup (shapes[i].queue),
+                                            .host_header = g_strdup ("h"),
+                                            .path_prefix = g_strdup ("/q/"),
+                                            .service = g_strdup ("desk"),
+                                            .priority = shapes[i].priority,
+                                            .attempt_limit = 3,
+                                            .slack_factor = 2.0,
+                                            .target_ms = 1000 };
+  catalog->team_count = 1;
+  catalog->teams = g_new0 (struct ct_team, 1);
+  catalog->teams[0] = (struct ct_team){ .name = g_strdup ("team"),
+                                        .keys = g_new0 (char *, 1),
+                                        .guaranteed_accelerators = 400 };
+  ct_index_queues (catalog);
+  bench->catalog = catalog;
+  sd_set_catalog (bench->sched, catalog);
+}
+
+static void
+add_worker (struct bench *bench, uint32_t number)
+{
+  struct sd_worker_report report = {
+    .id = g_strdup_printf ("i-%08x", number * 2654435761U),
+    .address = g_strdup ("127.0.0.1:1"),
+    .service = g_strdup ("desk"),
+    .data_centre = g_strdup ("dc"),
+    .rack = g_strdup_printf ("r%u", number / RACK_WORKERS),
+    .labels = g_new0 (char *, 1),
+    .resources
+    = { .cpus_milli = 128000, .memory_mib = 524288, .accelerators = 8 }
+  };
+
+  sd_worker_set_reachability (sd_worker_listed (bench->sched, &report),
+                              SD_WORKER_REACHABLE);
+}
+
+static void
+add_job (struct bench *bench)
+{
+  const struct shape *shape = &shapes[bench->jobs % QUEUES];
+  struct jb_spec *spec = g_new0 (struct jb_spec, 1);
+  char id[JB_ID_DIGITS + 1];
+
+  g_snprintf (id, sizeof id, "%016x", bench->jobs++);
+  spec->queue = g_strdup (shape->queue);
+  spec->team = g_strdup ("team");
+  spec->text = g_strdup ("work");
+  spec->occurrence_count = 1;
+  spec->step_count = 1;
+  spec->steps = g_new0 (struct jb_step_spec, 1);
+  spec->steps[0].count = shape->tasks;
+  spec->steps[0].resources
+      = (struct jb_resources){ .cpus_milli = shape->cpus_milli,
+                               .memory_mib = 1000,
+                               .accelerators = shape->accelerators };
+  spec->steps[0].estimate_ms = shape->work_ms;
+  spec->steps[0].gang = shape->gang;
+  spec->steps[0].one_rack = shape->gang && bench->jobs % 2 == 0;
+  sd_job_added (bench->sched,
+                jb_table_add (bench->table, id, spec, bench->now_ms));
+}
+
+static uint32_t
+hold_round (struct bench *bench)
+{
+  struct sd_commands commands
+      = { .starts = g_ptr_array_new (), .stops = g_ptr_array_new () };
+  uint32_t starts;
+  guint i;
+
+  sd_round (bench->sched, bench->now_ms, 0, &commands);
+  for (i = 0; i < commands.starts->len; i++)
+    sd_task_running (bench->sched, g_ptr_array_index (commands.starts, i),
+                     bench->now_ms);
+  for (i = 0; i < commands.stops->len; i++)
+    sd_task_ended (bench->sched, g_ptr_array_index (commands.stops, i),
+                   SD_OUTCOME_STOPPED, "", bench->now_ms, 0);
+  starts = commands.starts->len;
+  g_ptr_array_free (commands.starts, TRUE);
+  g_ptr_array_free (commands.stops, TRUE);
+  return starts;
+}
+
+/* Ends one task on each hundredth worker, with its gang.  */
+static void
+end_some_tasks (struct bench *bench, uint32_t round)
+{
+  const GPtrArray *workers = sd_workers (bench->sched);
+  guint i;
+
+  for (i = round % 100; i < workers->len; i += 100)
+    {
+      struct sd_worker *worker = g_ptr_array_index (workers, i);
+
+      if (worker->tasks->len > 0)
+        sd_task_ended (bench->sched, g_ptr_array_index (worker->tasks, 0),
+                       SD_OUTCOME_DONE, "", bench->now_ms, 0);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  uint32_t workers = argc > 1 ? (uint32_t)atoi (argv[1]) : 1100;
+  uint32_t jobs = argc > 2 ? (uint32_t)atoi (argv[2]) : 400;
+  uint32_t rounds = argc > 3 ? (uint32_t)atoi (argv[3]) : 100;
+  struct sd_params params = { .remote_slowdown_factor = 3,
+                              .stop_max_ms = 200,
+                              .reserved_tasks_per_100_workers = 50,
+                              .starts_per_round = 256 };
+  struct bench bench = { .table = jb_table_create () };
+  int64_t longest_us = 0;
+  int64_t total_us = 0;
+  uint32_t starts = 0;
+  uint32_t i;
+
+  bench.sched = sd_create (&params, bench.table);
+  create_catalog (&bench);
+  for (i = 0; i < workers; i++)
+    add_worker (&bench, i);
+  for (i = 0; i < jobs; i++)
+    add_job (&bench);
+  for (i = 0; i < rounds; i++)
+    {
+      int64_t before_us = g_get_monotonic_time ();
+      int64_t took_us;
+
+      starts += hold_round (&bench);
+      took_us = g_get_monotonic_time () - before_us;
+      total_us += took_us;
+      longest_us = MAX (longest_us, took_us);
+      end_some_tasks (&bench, i);
+      bench.now_ms += ROUND_MS;
+      if (i % 4 == 0)
+        add_job (&bench);
+    }
+  printf (
+      "rounds workers=%u jobs=%u rounds=%u starts=%u mean_us=%" G_GINT64_FORMAT
+      " longest_us=%" G_GINT64_FORMAT "\n",
+      workers, jobs, rounds, starts, total_us / rounds, longest_us);
+  sd_free (bench.sched);
+  jb_table_free (bench.table);
+  ct_catalog_free (bench.catalog);
+  return 0;
+}
