A job's state is read from the store on demand; weak hosts read less often

Cause: with 147 hosts each host reads the jobs' topic every 0.4 s, and callers ask for their job just after its last task has ended: they were told of the end some 0.2 s later on average, or at their next question. Change: a question about a job that may have changed first ends the pause before the next read, and is answered once that read is (8 ms); after 0.15 s without an answer, by the table. Hosts of less than half the greatest strength pause up to 0.7 s instead of 0.4 s. At a shutdown open writes end before the front is freed, which their callbacks use. Two tests of test_hostd_front.c; the first fails without the change.

--- a/programs/foxtailgap-hostd/front_jobs.c
+++ b/programs/foxtailgap-hostd/front_jobs.c
@@ -18,6 +18,7 @@
   WRITE_TIMEOUT_MAX_MS = 12000,
   /* Time for the answer to reach the caller.  */
   ANSWER_MARGIN_MS = 150,
+  STATE_FRESH_TIMEOUT_MS = 150, /* many times the time of a read */
   FRESH_TIMEOUT_MS
   = 1200, /* a read pause, a long poll and a slow answer one after the other */
 };
@@ -28,7 +29,7 @@
   struct front *front;
   struct hs_request *request; /* NULL: the caller has disconnected */
   char id[JB_ID_DIGITS + 1];
-  const char *what; /* "submit" or "cancel" */
+  const char *what; /* "submit", "cancel" or "state" */
   int64_t since_ms;
 };
 
@@ -206,9 +207,10 @@
              pending);
 }
 
-void
-fr_answer_state (struct front *front, struct hs_request *request,
-                 const char *id)
+/* Answers with what the table has.  */
+static void
+answer_state_of_table (struct front *front, struct hs_request *request,
+                       const char *id)
 {
   struct journal *journal = front->params.journal;
   struct jb_job *job = jb_table_find (jr_job_table (journal), id);
@@ -229,6 +231,39 @@
   g_free (body);
 }
 
+static void
+on_table_read (void *ctx, bool fresh)
+{
+  struct pending_call *pending = ctx;
+
+  (void)fresh; /* if it is not, the table is still the best answer */
+  if (pending->request != NULL)
+    {
+      hs_on_disconnect (pending->request, NULL, NULL);
+      answer_state_of_table (pending->front, pending->request, pending->id);
+    }
+  g_free (pending);
+}
+
+/* Callers often ask just after the last task of their job has ended.  Reading
+   on demand shows them that without reading often all the time.  */
+void
+fr_answer_state (struct front *front, struct hs_request *request,
+                 const char *id)
+{
+  struct journal *journal = front->params.journal;
+  const struct jb_job *job = jb_table_find (jr_job_table (journal), id);
+  bool may_have_changed
+      = job == NULL || !jb_state_is_final (job->visible_state);
+
+  if (may_have_changed && jr_reading_is_paused (journal)
+      && jr_store_unreachable_ms (journal) == 0)
+    jr_when_fresh (journal, STATE_FRESH_TIMEOUT_MS, on_table_read,
+                   create_pending_call (front, request, id, "state"));
+  else
+    answer_state_of_table (front, request, id);
+}
+
 void
 fr_answer_queue_length (struct front *front, struct hs_request *request,
                         const struct ct_queue *queue)
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -44,6 +44,10 @@
      in proportion to their number.  */
   READ_PAUSE_HOSTS = 7,
   READ_PAUSE_MAX_MS = 400,
+  /* On hosts much weaker than others, which become the planner only if no
+     other host is left.  Below the time after which the store is unreachable.
+   */
+  READ_PAUSE_WEAK_MAX_MS = 700,
   PLANNER_READ_PAUSE_MS = 8,
   /* Short, since the planner must soon know the store's latency.  */
   PLANNER_LONG_POLL_MS = 100,
@@ -59,6 +63,7 @@
 jr_announce_host (struct journal *journal, const char *name,
                   const struct jb_host_record *host)
 {
+  journal->own_strength = host->strength;
   jr_write (journal, 'h', name, jb_encode_host (host), ANNOUNCE_TIMEOUT_MS);
 }
 
@@ -230,7 +235,10 @@
   if (journal->own_term != 0)
     return PLANNER_READ_PAUSE_MS;
   pause_ms = CLAMP (READ_PAUSE_MS * jr_host_count (journal) / READ_PAUSE_HOSTS,
-                    READ_PAUSE_MS, READ_PAUSE_MAX_MS);
+                    READ_PAUSE_MS,
+                    journal->own_strength * 2 < jr_max_host_strength (journal)
+                        ? READ_PAUSE_WEAK_MAX_MS
+                        : READ_PAUSE_MAX_MS);
   return (uint32_t)MAX (pause_ms - took_ms, 0);
 }
 
@@ -505,7 +513,7 @@
 {
   if (journal == NULL)
     return;
-  jr_writes_clear (journal);
+  jr_end_calls (journal);
   reader_clear (&journal->jobs_reader);
   reader_clear (&journal->operator_reader);
   jb_table_free (journal->table);
@@ -586,6 +594,19 @@
     schedule_read (&journal->jobs_reader, 0);
 }
 
+bool
+jr_reading_is_paused (const struct journal *journal)
+{
+  return !journal->jobs_reader.read_pending;
+}
+
+void
+jr_read_now (struct journal *journal)
+{
+  if (jr_reading_is_paused (journal) && journal->jobs_reader.failures == 0)
+    schedule_read (&journal->jobs_reader, 0);
+}
+
 int64_t
 jr_store_latency_ms (const struct journal *journal)
 {
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -96,6 +96,11 @@
  *  @return : to be freed by jr_free (). */
 struct journal *jr_create (const struct jr_params *params);
 
+/*! jr_end_calls () :
+ *  Ends open writes with JR_OUTCOME_UNKNOWN and waiting calls of jr_when_fresh
+ *  () with false, for a shutdown.  None may be made afterwards. */
+void jr_end_calls (struct journal *journal);
+
 /*! jr_free () :
  *  Ends open writes with JR_OUTCOME_UNKNOWN and waiting calls of jr_when_fresh
  * () with false.  Accepts NULL. */
@@ -137,10 +142,15 @@
 
 typedef void (*jr_fresh_callback) (void *ctx, bool fresh);
 
+/*! jr_reading_is_paused () :
+ *  @return : whether no read of the jobs' topic is in progress, so that
+ * records may have been stored that only the next read shows. */
+bool jr_reading_is_paused (const struct journal *journal);
+
 /*! jr_when_fresh () :
  *  Calls back with true once every record that was in the jobs' topic at the
  *  time of this call has been read, or with false if that takes longer than
- *  timeout_ms. */
+ *  timeout_ms.  If reading is paused, reads at once. */
 void jr_when_fresh (struct journal *journal, uint32_t timeout_ms,
                     jr_fresh_callback callback, void *ctx);
 
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -44,7 +44,8 @@
   struct topic_reader jobs_reader;
   struct topic_reader operator_reader;
   struct jb_table *table;
-  GHashTable *hosts; /* name -> struct jb_host_record */
+  GHashTable *hosts;     /* name -> struct jb_host_record */
+  uint32_t own_strength; /* of this host, as announced */
   struct ct_catalog *catalog;
   struct jb_term_record term;
   GHashTable *leases; /* of jb_decode_leases (); NULL: none yet */
@@ -74,14 +75,16 @@
 void jr_fold_operator_record (struct journal *journal,
                               const struct so_record *record);
 
+/* --- journal.c --- */
+
+/*! jr_read_now () :
+ *  Ends the pause before the next read of the jobs' topic, if there is one. */
+void jr_read_now (struct journal *journal);
+
 /* --- journal_write.c --- */
 
 void jr_writes_init (struct journal *journal);
 
-/*! jr_writes_clear () :
- *  Ends all writes with JR_OUTCOME_UNKNOWN and all waiters with false. */
-void jr_writes_clear (struct journal *journal);
-
 /*! jr_write () :
  *  Stores a record with the key KIND/NAME, see above, without reporting the
  *  outcome.
--- a/programs/foxtailgap-hostd/journal_write.c
+++ b/programs/foxtailgap-hostd/journal_write.c
@@ -323,6 +323,7 @@
   waiter->callback = callback;
   waiter->ctx = ctx;
   g_queue_push_tail (&journal->waiters, waiter);
+  jr_read_now (journal);
 }
 
 void
@@ -476,7 +477,7 @@
 }
 
 void
-jr_writes_clear (struct journal *journal)
+jr_end_calls (struct journal *journal)
 {
   struct jr_write *write;
 
--- a/programs/foxtailgap-hostd/main.c
+++ b/programs/foxtailgap-hostd/main.c
@@ -263,6 +263,8 @@
 static void
 free_tasks (struct process *process)
 {
+  if (process->journal != NULL)
+    jr_end_calls (process->journal); /* their callbacks use the front */
   fr_free (process->front);
   pf_workers_free (process->workers);
   pf_advisor_free (process->advisor);
--- a/tests/unit/test_hostd_front.c
+++ b/tests/unit/test_hostd_front.c
@@ -414,6 +414,46 @@
   finish (&setup);
 }
 
+/* Callers ask for their job just when it has ended, and saw that only after
+   the pause between two reads of the store.  */
+static void
+test_state_is_read_on_demand (void)
+{
+  struct setup setup;
+  struct fake_store *store = &setup.store;
+
+  begin (&setup);
+  answer_start (&setup);
+  answer_operator (&setup);
+  answer_read (&setup, &store->jobs_read, store->jobs_ctx, "h/x");
+  CU_ASSERT_PTR_NULL (store->jobs_read); /* reading is paused for 0.1 s */
+  send_get (&setup, "/q/00000000000000aa");
+  run_for_ms (&setup, 30);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (store->jobs_read);
+  CU_ASSERT_EQUAL (setup.answers, 0);
+  answer_read (&setup, &store->jobs_read, store->jobs_ctx, NULL);
+  wait_for_answers (&setup, 1);
+  CU_ASSERT_EQUAL (setup.status, 410);
+  finish (&setup);
+}
+
+/* A store that does not answer must not keep the state from callers.  */
+static void
+test_state_is_answered_without_the_store (void)
+{
+  struct setup setup;
+  struct fake_store *store = &setup.store;
+
+  begin (&setup);
+  answer_start (&setup);
+  answer_operator (&setup);
+  answer_read (&setup, &store->jobs_read, store->jobs_ctx, "h/x");
+  send_get (&setup, "/q/00000000000000aa");
+  run_for_ms (&setup, 400);
+  CU_ASSERT_EQUAL (setup.answers, 1);
+  finish (&setup);
+}
+
 int
 main (void)
 {
@@ -429,6 +469,9 @@
       test_answers_do_not_go_back_to_an_older_catalog },
     { "a relayed request for a newer catalog is refused",
       test_relayed_request_for_a_newer_catalog_is_refused },
+    { "a state is read on demand", test_state_is_read_on_demand },
+    { "a state is answered without the store",
+      test_state_is_answered_without_the_store },
   };
 
   return check_run ("hostd front", tests, G_N_ELEMENTS (tests));
