Ends of runs are stored at once; the log says why tasks are stopped

Change: a batch follows 4 ms after an answer of a worker, whether or not a round is due. "Tasks are stopped." has the reason, and a counter by reason.

--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -113,6 +113,7 @@
   task->confirmed = false;
   task->started_ms = 0;
   task->poll_conclusive_from_ms = 0;
+  task->stop_reason = NULL;
   task->stop_sent_ms = 0;
   task->missing_since_ms = 0;
   task->percent = 0;
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -144,9 +144,10 @@
      status poll that is sent after this moment shows whether the run is there.
      INT64_MAX: not known yet.  */
   int64_t poll_conclusive_from_ms;
-  int64_t stop_sent_ms; /* of the last stop command; 0: none was sent */
-  int64_t percent;      /* done of its work, or of the start-up of a long-lived
-                           task, as its worker last reported */
+  const char *stop_reason; /* for logs; a constant text; NULL: not stopped */
+  int64_t stop_sent_ms;    /* of the last stop command; 0: none was sent */
+  int64_t percent; /* done of its work, or of the start-up of a long-lived
+                      task, as its worker last reported */
   int64_t progress_changed_ms; /* when `percent` last changed */
   /* As its worker last reported: the tail of the response times in ms of a
      task that serves requests; the processors used of any other task, which no
--- a/lib/sched/accounting.c
+++ b/lib/sched/accounting.c
@@ -95,20 +95,21 @@
 }
 
 void
-sd_stop_task (struct sd_sched *sched, struct jb_task *task)
+sd_stop_task (struct sd_sched *sched, struct jb_task *task, const char *reason)
 {
   if (task->state != JB_TASK_PLACED)
     return;
   task->state = JB_TASK_STOPPING;
+  task->stop_reason = reason;
   g_ptr_array_add (sched->pending_stops, task);
   sd_mark_changed (sched, task->job);
 }
 
 void
-sd_stop_step (struct sd_sched *sched, struct jb_step *step)
+sd_stop_step (struct sd_sched *sched, struct jb_step *step, const char *reason)
 {
   uint32_t i;
 
   for (i = 0; i < step->spec->count; i++)
-    sd_stop_task (sched, &step->tasks[i]);
+    sd_stop_task (sched, &step->tasks[i], reason);
 }
--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -484,7 +484,7 @@
     return;
   g_hash_table_iter_init (&iter, plan->victims);
   while (g_hash_table_iter_next (&iter, &victim, NULL))
-    sd_stop_task (sched, victim);
+    sd_stop_task (sched, victim, "preempted");
   g_ptr_array_unref (preemption->workers);
   preemption->workers = g_ptr_array_ref (plan->workers);
   subtract_preempted (unit->step, preemption);
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -78,12 +78,15 @@
 void sd_mark_changed (struct sd_sched *sched, struct jb_job *job);
 
 /*! sd_stop_task () :
- *  If TASK is placed, the next round adds it to the tasks to be stopped. */
-void sd_stop_task (struct sd_sched *sched, struct jb_task *task);
+ *  If TASK is placed, the next round adds it to the tasks to be stopped.
+ *  @reason : a constant text, for the log. */
+void sd_stop_task (struct sd_sched *sched, struct jb_task *task,
+                   const char *reason);
 
 /*! sd_stop_step () :
  *  The next round adds all placed tasks of STEP to the tasks to be stopped. */
-void sd_stop_step (struct sd_sched *sched, struct jb_step *step);
+void sd_stop_step (struct sd_sched *sched, struct jb_step *step,
+                   const char *reason);
 
 /*! sd_resources_fit () :
  *  @return : whether RESOURCES has at least NEED of each kind. */
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -306,7 +306,7 @@
   job->state = state;
   job->ended_unix_ms = now_unix_ms;
   for (i = 0; i < job->step_total; i++)
-    sd_stop_step (sched, &job->steps[i]);
+    sd_stop_step (sched, &job->steps[i], jb_state_name (state));
   g_ptr_array_remove (sched->active_jobs, job);
   for (i = 0; i < job->step_total; i++)
     {
@@ -348,10 +348,10 @@
 /* Stops the other members of the task's gang, since TASK has not started or
    has ended.  */
 static void
-stop_gang (struct sd_sched *sched, struct jb_task *task)
+stop_gang (struct sd_sched *sched, struct jb_task *task, const char *reason)
 {
   if (task->step->spec->gang)
-    sd_stop_step (sched, task->step);
+    sd_stop_step (sched, task->step, reason);
 }
 
 void
@@ -362,6 +362,7 @@
 
   bool moved = percent != task->percent || task->progress_changed_ms == 0;
   enum sd_progress_verdict pace = SD_PROGRESS_NORMAL;
+  const char *reason = moved ? "slow" : "stalled";
 
   if (moved)
     {
@@ -380,8 +381,8 @@
     sd_health_avoid (worker, now_ms);
   if (pace == SD_PROGRESS_SLOW)
     return;
-  sd_stop_task (sched, task);
-  stop_gang (sched, task);
+  sd_stop_task (sched, task, reason);
+  stop_gang (sched, task, reason);
 }
 
 void
@@ -410,7 +411,7 @@
   if (worker != NULL && reason == SD_REFUSED_UNHEALTHY)
     sd_health_refused (worker, now_ms);
   sd_release_task (sched, task);
-  stop_gang (sched, task);
+  stop_gang (sched, task, "a member was refused");
 }
 
 void
@@ -418,7 +419,7 @@
 {
   (void)now_ms;
   sd_release_task (sched, task);
-  stop_gang (sched, task);
+  stop_gang (sched, task, "a member was lost");
 }
 
 static void
@@ -520,13 +521,13 @@
       if (worker != NULL)
         sd_health_failed (worker, task->job, now_ms);
       handle_task_failed (sched, task, now_unix_ms);
-      stop_gang (sched, task);
+      stop_gang (sched, task, "a member failed");
       return;
     case SD_OUTCOME_STOPPED:
     case SD_OUTCOME_LEASE_EXPIRED:
     case SD_OUTCOME_GANG_MEMBER_LOST:
     case SD_OUTCOME_GANG_INCOMPLETE:
-      stop_gang (sched, task);
+      stop_gang (sched, task, "a member ended");
       return;
     }
 }
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -18,6 +18,7 @@
      leaves three quarters of the processor to calls and answers.  */
   ROUND_IDLE_FACTOR = 3,
   ROUND_DELAY_MAX_MS = 100,
+  WRITE_DELAY_MS = 4, /* so that one append has several ends */
   HEARTBEAT_MS = 200,
   APPEND_RETRY_MS = 50,
   /* Rounds after a takeover wait this long for the workers' first answers.  */
@@ -86,6 +87,36 @@
   return next + tasks;
 }
 
+/* Logs and counts the stops, one line for each step in a row.  */
+static void
+log_stops (struct planner *planner, const GPtrArray *stops)
+{
+  guint next = 0;
+
+  while (next < stops->len)
+    {
+      const struct jb_task *first = g_ptr_array_index (stops, next);
+      const char *reason
+          = first->stop_reason == NULL ? "adopted" : first->stop_reason;
+      char *name
+          = g_strdup_printf ("foxtailgap_stopped_total{why=\"%s\"}", reason);
+      guint tasks = 1;
+
+      while (
+          next + tasks < stops->len
+          && ((const struct jb_task *)g_ptr_array_index (stops, next + tasks))
+                     ->step
+                 == first->step)
+        tasks++;
+      mt_add (planner->params.metrics, name, tasks);
+      lg_info (PART, "Tasks are stopped.", "job", first->job->id, "step",
+               lg_number (first->step->index), "tasks", lg_number (tasks),
+               "why", reason, NULL);
+      g_free (name);
+      next += tasks;
+    }
+}
+
 static void
 run_round (struct planner *planner)
 {
@@ -106,6 +137,7 @@
     }
   for (i = 0; i < commands.starts->len;)
     i = log_placement (commands.starts, i);
+  log_stops (planner, commands.stops);
   for (i = 0; i < commands.stops->len; i++)
     wk_stop (planner->workers, g_ptr_array_index (commands.stops, i));
   while (commands.advisor_queries->len > 0)
@@ -163,6 +195,19 @@
   pl_write_changes (planner, false, false);
 }
 
+/* What has ended is stored without waiting for the next round, which comes
+   later the longer rounds take: callers wait for it.  */
+static void
+on_write (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct planner *planner = watcher->data;
+
+  (void)loop;
+  (void)events;
+  if (planner->role == PL_PLANNER && !planner->releasing)
+    pl_write_changes (planner, false, false);
+}
+
 void
 pl_schedule_round (struct planner *planner)
 {
@@ -382,7 +427,14 @@
 static void
 on_workers_changed (void *ctx)
 {
-  pl_schedule_round (ctx);
+  struct planner *planner = ctx;
+
+  pl_schedule_round (planner);
+  if (planner->role == PL_PLANNER && !ev_is_active (&planner->write_timer))
+    {
+      ev_timer_set (&planner->write_timer, WRITE_DELAY_MS / 1000.0, 0.0);
+      ev_timer_start (planner->params.loop, &planner->write_timer);
+    }
 }
 
 static void
@@ -458,6 +510,8 @@
   jr_announce_host (params->journal, params->settings->host, &host);
   ev_init (&planner->round_timer, on_round);
   planner->round_timer.data = planner;
+  ev_init (&planner->write_timer, on_write);
+  planner->write_timer.data = planner;
   ev_timer_init (&planner->tick_timer, on_tick, TICK_MS / 1000.0,
                  TICK_MS / 1000.0);
   planner->tick_timer.data = planner;
@@ -472,6 +526,7 @@
     return;
   ev_timer_stop (planner->params.loop, &planner->tick_timer);
   ev_timer_stop (planner->params.loop, &planner->round_timer);
+  ev_timer_stop (planner->params.loop, &planner->write_timer);
   ll_free (planner->load);
   wk_free (planner->workers);
   av_free (planner->advisor);
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -89,6 +89,7 @@
   /* rounds */
   ev_timer tick_timer;
   ev_timer round_timer;
+  ev_timer write_timer;
   int64_t last_tick_ms;
   int64_t pause_end_ms; /* of the last pause of the process */
   /* load of this host as the planner, since it was last logged */
--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -195,6 +195,7 @@
   g_array_set_size (planner->starts, 0);
   pl_reset_worker_list (planner);
   ev_timer_stop (planner->params.loop, &planner->round_timer);
+  ev_timer_stop (planner->params.loop, &planner->write_timer);
 }
 
 void
