--- a/lib/sched/health.c
+++ b/lib/sched/health.c
@@ -42,8 +42,11 @@
     return;
   g_strlcpy (worker->last_failed_job, job->id, sizeof worker->last_failed_job);
   worker->failure_streak++;
+  worker->last_failed_ms = now_ms;
   if (worker->failure_streak >= SD_FAILURE_STREAK_LIMIT)
     worker->avoid_until_ms = now_ms + SD_AVOID_MS;
+  else if (job->failed_runs == 0)
+    worker->suspect_until_ms = now_ms + SD_SUSPECT_MS;
 }
 
 void
@@ -144,3 +147,27 @@
 {
   return worker->avoid_until_ms > now_ms;
 }
+
+bool
+sd_health_is_suspect (const struct sd_worker *worker, bool last_attempt,
+                      int64_t now_ms)
+{
+  if (worker->failure_streak == 0)
+    return false;
+  return last_attempt
+             ? now_ms - worker->last_failed_ms < SD_SUSPECT_LAST_ATTEMPT_MS
+             : worker->suspect_until_ms > now_ms;
+}
+
+bool
+sd_health_suspects_are_few (const struct sd_sched *sched, int64_t now_ms)
+{
+  guint suspects = 0;
+  guint i;
+
+  for (i = 0; i < sched->workers->len; i++)
+    if (sd_health_is_suspect (g_ptr_array_index (sched->workers, i), true,
+                              now_ms))
+      suspects++;
+  return suspects * SD_SUSPECTS_PER_WORKERS < sched->workers->len;
+}
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -80,6 +80,22 @@
   return waiting;
 }
 
+/* Whether one more failure of a waiting task would fail the job.  */
+static bool
+is_last_attempt (const struct jb_step *step, const struct ct_queue *queue)
+{
+  uint32_t i;
+
+  if (queue->attempt_limit <= 1 || step->spec->long_lived
+      || step->tasks[0].job->failed_runs == 0)
+    return false;
+  for (i = 0; i < step->spec->count; i++)
+    if (step->tasks[i].state == JB_TASK_WAITING
+        && step->tasks[i].failures + 1 >= queue->attempt_limit)
+      return true;
+  return false;
+}
+
 static int
 compare_units (const void *a, const void *b)
 {
@@ -145,6 +161,8 @@
       unit.waiting_count = count_waiting (step);
       if (unit.waiting_count == 0 || !step_ready (step, now_unix_ms))
         continue;
+      unit.last_attempt = is_last_attempt (step, queue);
+      unit.avoids_suspects = sched->suspects_are_few;
       if (queue->uses_advisor)
         unit.advice = sd_advice_get (sched, step);
       g_array_append_val (units, unit);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -41,6 +41,8 @@
   return sd_worker_is_eligible (worker, unit)
          && worker->reachability == SD_WORKER_REACHABLE
          && !sd_health_is_avoided (worker, now_ms)
+         && !(unit->avoids_suspects
+              && sd_health_is_suspect (worker, unit->last_attempt, now_ms))
          && sd_advice_allows (unit->advice, worker->report.id);
 }
 
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -16,6 +16,13 @@
   /* How long no task is placed on a worker that failed, after which one is
      tried again: about two heartbeats of the platform.  */
   SD_AVOID_MS = 6000,
+  /* For how long a worker is suspect after a first failure, if the job had not
+     failed elsewhere; and if the task to be placed is at its last attempt.  */
+  SD_SUSPECT_MS = 1500,
+  SD_SUSPECT_LAST_ATTEMPT_MS = 10000,
+  /* Suspect workers are avoided only while they are less than one in so many:
+     otherwise the fault is more likely elsewhere.  */
+  SD_SUSPECTS_PER_WORKERS = 4,
   /* A task whose percentage has not changed for this time, multiplied by the
      slow-down factor of remote tasks, is stalled.  One percent of a task of 11
      s takes 0.11 s, and workers are polled every 1.9 s.  A task is judged only
@@ -51,6 +58,7 @@
   struct es_table *estimates; /* run times learned for each queue */
   uint32_t reserved_task_count; /* in a round: gang tasks with a reservation */
   uint32_t reservation_searches; /* in a round: for new reservations */
+  bool suspects_are_few;         /* in a round */
   bool low_utilization; /* in a round: little is in use, so all work may use
                            reserved resources */
   GHashTable *reservations;      /* struct jb_step -> struct sd_reservation */
@@ -143,6 +151,16 @@
  *  @return : whether no task may be placed on WORKER now. */
 bool sd_health_is_avoided (const struct sd_worker *worker, int64_t now_ms);
 
+/*! sd_health_is_suspect () :
+ *  @last_attempt : whether one more failure would fail the job to be placed.
+ *  @return : whether WORKER has failed a run lately and done none since. */
+bool sd_health_is_suspect (const struct sd_worker *worker, bool last_attempt,
+                           int64_t now_ms);
+
+/*! sd_health_suspects_are_few () :
+ *  @return : whether there are enough workers that are not suspect. */
+bool sd_health_suspects_are_few (const struct sd_sched *sched, int64_t now_ms);
+
 /* --- order.c: the order of waiting work --- */
 
 /* The unit of placement: the waiting tasks of a step.  The tasks of a gang
@@ -159,6 +177,8 @@
   struct sd_advice *advice; /* NULL: its queue has no advisor */
   /* Within its team's guarantee: placed before others of its priority.  */
   bool guaranteed;
+  bool last_attempt;    /* one more failure of a task would fail the job */
+  bool avoids_suspects; /* it is not placed on suspect workers */
 };
 
 /*! sd_collect_units () :
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -476,6 +476,7 @@
       = task->step->spec->gang ? task->step->tasks : task;
 
   representative->failures++;
+  task->job->failed_runs++;
   if (jb_state_is_final (task->job->state) || task->step->spec->long_lived)
     return;
   if (representative->failures >= attempt_limit (sched, task->job))
--- a/tests/unit/test_hostd_sched.c
+++ b/tests/unit/test_hostd_sched.c
@@ -405,6 +405,75 @@
   tear_down (&setup);
 }
 
+/* Adds workers w1 to w8 of one rack, each with 8 accelerators.  */
+static void
+add_eight_workers (struct setup *setup)
+{
+  char id[8];
+  int i;
+
+  for (i = 1; i <= 8; i++)
+    {
+      g_snprintf (id, sizeof id, "w%d", i);
+      fixture_worker (setup->sched, id, "r1", 8);
+    }
+}
+
+/* Replays a fleet where one worker in eight fails all that it starts and looks
+   well (srv_grey): the jobs that fail there must not meet it again, for their
+   next failure there would fail them.  */
+static void
+test_last_attempt_avoids_a_worker_that_failed (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 8 };
+  struct fixture_step rest = { .count = 7, .accelerators = 8 };
+  struct jb_job *victim;
+  struct jb_job *other;
+  char *bad;
+  int64_t now_ms;
+
+  set_up (&setup);
+  add_eight_workers (&setup);
+  victim = add_job (&setup, "0000000000000001", "batch", &one, 0);
+  fixture_run_round (setup.sched, 0);
+  bad = g_strdup (victim->tasks[0].worker);
+  other = add_job (&setup, "0000000000000002", "batch", &rest, 1);
+  fixture_run_round (setup.sched, 1); /* takes all other workers */
+  sd_task_ended (setup.sched, &victim->tasks[0], SD_OUTCOME_FAILED, "", 2, 2);
+  for (now_ms = 10; now_ms < 9000; now_ms += 1000)
+    CU_ASSERT_EQUAL (fixture_run_round (setup.sched, now_ms), 0);
+  sd_task_ended (setup.sched, &other->tasks[0], SD_OUTCOME_DONE, "", 9001,
+                 9001);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 9002), 1);
+  CU_ASSERT_STRING_NOT_EQUAL (victim->tasks[0].worker, bad);
+  g_free (bad);
+  tear_down (&setup);
+}
+
+/* One failure may be the job's own fault.  */
+static void
+test_suspect_worker_is_avoided_for_a_short_time (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 8 };
+  struct fixture_step rest = { .count = 7, .accelerators = 8 };
+  struct jb_job *job;
+
+  set_up (&setup);
+  add_eight_workers (&setup);
+  job = add_job (&setup, "0000000000000001", "batch", &one, 0);
+  fixture_run_round (setup.sched, 0);
+  add_job (&setup, "0000000000000002", "batch", &rest, 1);
+  fixture_run_round (setup.sched, 1);
+  sd_task_ended (setup.sched, &job->tasks[0], SD_OUTCOME_FAILED, "", 2, 2);
+  sd_job_cancelled (setup.sched, job, 3);
+  add_job (&setup, "0000000000000003", "batch", &one, 4);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 5), 0);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 1600), 1);
+  tear_down (&setup);
+}
+
 static void
 test_job_that_fails_twice_is_not_the_worker_s_fault (void)
 {
@@ -781,6 +850,10 @@
       test_urgent_gang_preempts_youngest_work },
     { "resources of a pending preemption are kept",
       test_resources_of_pending_preemption_are_kept },
+    { "a last attempt avoids a worker that failed",
+      test_last_attempt_avoids_a_worker_that_failed },
+    { "a suspect worker is avoided for a short time",
+      test_suspect_worker_is_avoided_for_a_short_time },
     { "a worker that fails two jobs is avoided",
       test_worker_that_fails_two_jobs_is_avoided },
     { "a job that fails twice is not the worker's fault",
