--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -154,6 +154,8 @@
       struct sd_unit unit = { .step = step,
                               .queue = queue,
                               .service = queue->service,
+                              .service_index = sd_index_of (
+                                  sched->service_indexes, queue->service),
                               .priority = queue->priority,
                               .guaranteed = guaranteed,
                               .due_ms = job->added_ms + objective_ms };
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -29,7 +29,7 @@
                        const struct sd_unit *unit)
 {
   return worker->listed && !worker->report.draining
-         && g_strcmp0 (worker->report.service, unit->service) == 0
+         && worker->service_index == unit->service_index
          && has_label (worker, unit->step->spec->label)
          && !sd_advice_refuses (unit->advice, worker->report.id);
 }
--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -13,23 +13,38 @@
   STARTED_UP_PERCENT = 100,       /* a long-lived task at this percentage
                                      is up and serving */
   VICTIMS_MAX = 32,               /* on one worker, for one task */
+  /* A limit, since each search for a plan takes up to some ms with 1,100
+     workers; further units are served in the next rounds.  */
+  SEARCHES_PER_ROUND_MAX = 8,
   /* Time from the end of a stop until the worker has listed its outcome and
      the next round has been held.  If no plan was found, the next one is
      sought after the longest time of a stop plus this time.  */
   STOP_LISTED_MS = 150
 };
 
+/* What a plan has found out about a worker.  */
+struct plan_worker
+{
+  struct sd_worker *worker;
+  struct jb_resources free_resources; /* including those of victims and
+                                         stopping tasks */
+  struct jb_resources preemptible;    /* used by tasks that may still become
+                                         victims */
+  bool judged;                        /* the following two are up to date */
+  bool fits;   /* one more task fits once some victims are stopped, */
+  double loss; /* which loses this much work */
+};
+
 /* One way to free resources for a unit: the workers for its tasks, and the
    victims to be stopped.  */
 struct preemption_plan
 {
-  GHashTable *victims; /* struct jb_task, as a set */
-  GPtrArray *workers;  /* struct sd_worker, one for each waiting task */
-  struct jb_resources *free_resources; /* by sd_worker.index: including those
-                                     of victims and stopping tasks */
-  struct jb_resources *preemptible; /* by sd_worker.index: used by tasks that
-                               may still become victims */
-  double loss; /* work lost, in core seconds; see stop_loss () */
+  uint32_t rack_index;         /* only workers of this rack; 0: of any */
+  GArray *candidates;          /* struct plan_worker */
+  GHashTable *candidate_index; /* struct sd_worker -> index in it, plus 1 */
+  GHashTable *victims;         /* struct jb_task, as a set */
+  GPtrArray *workers; /* struct sd_worker, one for each waiting task */
+  double loss;        /* work lost, in core seconds; see stop_loss () */
 };
 
 /* The work that is lost if TASK alone is stopped, in core seconds.  It loses
@@ -105,33 +120,49 @@
          && !exceeds_absence_limit (task, victims);
 }
 
+static void
+plan_add_candidate (struct preemption_plan *plan, const struct sd_unit *unit,
+                    struct sd_worker *worker)
+{
+  struct plan_worker candidate
+      = { .worker = worker, .free_resources = worker->round_free_resources };
+  guint i;
+
+  for (i = 0; i < worker->tasks->len; i++)
+    {
+      const struct jb_task *task = g_ptr_array_index (worker->tasks, i);
+
+      if (task->state == JB_TASK_STOPPING)
+        sd_resources_add (&candidate.free_resources,
+                          &task->step->spec->resources);
+      else if (is_preemptible (unit, task, plan->victims))
+        sd_resources_add (&candidate.preemptible,
+                          &task->step->spec->resources);
+    }
+  g_array_append_val (plan->candidates, candidate);
+  g_hash_table_insert (plan->candidate_index, worker,
+                       GUINT_TO_POINTER (plan->candidates->len));
+}
+
 static struct preemption_plan *
-plan_create (const struct sd_sched *sched, const struct sd_unit *unit)
+plan_create (const struct sd_sched *sched, const struct sd_unit *unit,
+             uint32_t rack_index, int64_t now_ms)
 {
   struct preemption_plan *plan = g_new0 (struct preemption_plan, 1);
   guint i;
-  guint k;
 
+  plan->rack_index = rack_index;
   plan->victims = g_hash_table_new (NULL, NULL);
   plan->workers = g_ptr_array_new ();
-  plan->free_resources = g_new0 (struct jb_resources, sched->workers->len);
-  plan->preemptible = g_new0 (struct jb_resources, sched->workers->len);
+  plan->candidates = g_array_new (FALSE, FALSE, sizeof (struct plan_worker));
+  plan->candidate_index = g_hash_table_new (NULL, NULL);
   for (i = 0; i < sched->workers->len; i++)
     {
-      const struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
+      struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
 
-      plan->free_resources[i] = worker->round_free_resources;
-      for (k = 0; k < worker->tasks->len; k++)
-        {
-          const struct jb_task *task = g_ptr_array_index (worker->tasks, k);
-
-          if (task->state == JB_TASK_STOPPING)
-            sd_resources_add (&plan->free_resources[i],
-                              &task->step->spec->resources);
-          else if (is_preemptible (unit, task, plan->victims))
-            sd_resources_add (&plan->preemptible[i],
-                              &task->step->spec->resources);
-        }
+      if ((rack_index == 0 || worker->rack_index == rack_index)
+          && sd_worker_is_available (worker, unit, now_ms))
+        plan_add_candidate (plan, unit, worker);
     }
   return plan;
 }
@@ -143,11 +174,23 @@
     return;
   g_hash_table_destroy (plan->victims);
   g_ptr_array_unref (plan->workers);
-  g_free (plan->free_resources);
-  g_free (plan->preemptible);
+  g_array_free (plan->candidates, TRUE);
+  g_hash_table_destroy (plan->candidate_index);
   g_free (plan);
 }
 
+static struct plan_worker *
+find_candidate (const struct preemption_plan *plan,
+                const struct sd_worker *worker)
+{
+  guint index
+      = GPOINTER_TO_UINT (g_hash_table_lookup (plan->candidate_index, worker));
+
+  return index == 0 ? NULL
+                    : &g_array_index (plan->candidates, struct plan_worker,
+                                      index - 1);
+}
+
 /* Adds TASK, or its whole gang, to the victims of the plan.  */
 static void
 plan_add_victim (const struct sd_sched *sched, struct preemption_plan *plan,
@@ -159,20 +202,19 @@
   for (i = 0; i < step->spec->count; i++)
     {
       struct jb_task *other = &step->tasks[i];
-      struct sd_worker *worker;
+      struct plan_worker *candidate;
 
       if (!step->spec->gang && other != task)
         continue;
       if (other->state != JB_TASK_PLACED
           || !g_hash_table_add (plan->victims, other))
         continue;
-      worker = sd_worker_find (sched, other->worker);
-      if (worker == NULL)
+      candidate = find_candidate (plan, sd_worker_find (sched, other->worker));
+      if (candidate == NULL)
         continue;
-      sd_resources_add (&plan->free_resources[worker->index],
-                        &step->spec->resources);
-      sd_resources_subtract (&plan->preemptible[worker->index],
-                             &step->spec->resources);
+      sd_resources_add (&candidate->free_resources, &step->spec->resources);
+      sd_resources_subtract (&candidate->preemptible, &step->spec->resources);
+      candidate->judged = false;
     }
 }
 
@@ -246,20 +288,21 @@
   return best;
 }
 
-/* Finds the victims on WORKER for one more task of the unit there.
+/* Finds the victims on a worker for one more task of the unit there.
    @return : whether the task fits once they are stopped.  */
 static bool
 find_victims (const struct sd_unit *unit, const struct preemption_plan *plan,
-              const struct sd_worker *worker, int64_t now_ms,
+              const struct plan_worker *candidate, int64_t now_ms,
               struct worker_victims *victims)
 {
-  struct jb_resources available = plan->free_resources[worker->index];
+  const struct sd_worker *worker = candidate->worker;
+  struct jb_resources available = candidate->free_resources;
   struct jb_resources reclaimable = available;
   const struct jb_resources *need = &unit->step->spec->resources;
 
   victims->count = 0;
   victims->loss = 0;
-  sd_resources_add (&reclaimable, &plan->preemptible[worker->index]);
+  sd_resources_add (&reclaimable, &candidate->preemptible);
   if (!sd_resources_fit (need, &reclaimable))
     return false;
   while (!sd_resources_fit (need, &available))
@@ -290,59 +333,84 @@
   return count;
 }
 
+/* Finds out whether one more task fits there, and how much work that loses. */
+static void
+judge_candidate (const struct sd_unit *unit,
+                 const struct preemption_plan *plan,
+                 struct plan_worker *candidate, int64_t now_ms)
+{
+  struct worker_victims victims;
+  uint32_t limit = unit->step->spec->tasks_per_worker_limit;
+
+  candidate->judged = true;
+  candidate->fits
+      = (limit == 0 || count_planned_on (plan, candidate->worker) < limit)
+        && find_victims (unit, plan, candidate, now_ms, &victims);
+  candidate->loss = candidate->fits ? victims.loss : 0;
+}
+
+static struct plan_worker *
+cheapest_candidate (const struct sd_unit *unit,
+                    const struct preemption_plan *plan, int64_t now_ms)
+{
+  struct plan_worker *best = NULL;
+  guint i;
+
+  for (i = 0; i < plan->candidates->len; i++)
+    {
+      struct plan_worker *candidate
+          = &g_array_index (plan->candidates, struct plan_worker, i);
+
+      if (!candidate->judged)
+        judge_candidate (unit, plan, candidate, now_ms);
+      if (!candidate->fits || (best != NULL && candidate->loss >= best->loss))
+        continue;
+      best = candidate;
+      if (best->loss <= 0)
+        break;
+    }
+  return best;
+}
+
 /* Adds the worker on which one more task of the unit loses the least work, and
    its victims.
    @return : whether there is one.  */
 static bool
 plan_add_worker (const struct sd_sched *sched, const struct sd_unit *unit,
-                 struct preemption_plan *plan, const char *rack,
-                 int64_t now_ms)
+                 struct preemption_plan *plan, int64_t now_ms)
 {
-  const struct jb_step_spec *spec = unit->step->spec;
-  struct sd_worker *best = NULL;
-  struct worker_victims best_victims = { .count = 0 };
+  struct plan_worker *best;
   struct worker_victims victims;
   uint32_t k;
-  guint i;
 
-  for (i = 0; i < sched->workers->len; i++)
+  /* Victims elsewhere may have used up the absence limit of a step since the
+     candidate was judged; then it is judged again.  */
+  do
     {
-      struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
-
-      if (!sd_worker_is_available (worker, unit, now_ms)
-          || (rack != NULL && g_strcmp0 (worker->report.rack, rack) != 0))
-        continue;
-      if (spec->tasks_per_worker_limit > 0
-          && count_planned_on (plan, worker) >= spec->tasks_per_worker_limit)
-        continue;
-      if (!find_victims (unit, plan, worker, now_ms, &victims)
-          || (best != NULL && victims.loss >= best_victims.loss))
-        continue;
-      best = worker;
-      best_victims = victims;
-      if (victims.loss <= 0)
-        break;
+      best = cheapest_candidate (unit, plan, now_ms);
+      if (best == NULL)
+        return false;
+      best->judged = false;
     }
-  if (best == NULL)
-    return false;
-  for (k = 0; k < best_victims.count; k++)
-    plan_add_victim (sched, plan, best_victims.tasks[k]);
-  sd_resources_subtract (&plan->free_resources[best->index], &spec->resources);
-  g_ptr_array_add (plan->workers, best);
-  plan->loss += best_victims.loss;
+  while (!find_victims (unit, plan, best, now_ms, &victims));
+  for (k = 0; k < victims.count; k++)
+    plan_add_victim (sched, plan, victims.tasks[k]);
+  sd_resources_subtract (&best->free_resources, &unit->step->spec->resources);
+  g_ptr_array_add (plan->workers, best->worker);
+  plan->loss += victims.loss;
   return true;
 }
 
-/* RACK: only workers of this rack; NULL: of any.
+/* RACK_INDEX: only workers of this rack; 0: of any.
    @return : NULL if not all waiting tasks of the unit can be placed.  */
 static struct preemption_plan *
 make_plan (const struct sd_sched *sched, const struct sd_unit *unit,
-           const char *rack, int64_t now_ms)
+           uint32_t rack_index, int64_t now_ms)
 {
-  struct preemption_plan *plan = plan_create (sched, unit);
+  struct preemption_plan *plan = plan_create (sched, unit, rack_index, now_ms);
 
   while (plan->workers->len < unit->waiting_count)
-    if (!plan_add_worker (sched, unit, plan, rack, now_ms))
+    if (!plan_add_worker (sched, unit, plan, now_ms))
       {
         plan_free (plan);
         return NULL;
@@ -350,23 +418,47 @@
   return plan;
 }
 
+/* How many tasks of the unit would fit in each rack if all that may be stopped
+   were.
+   @return : by sd_worker.rack_index; to be freed by the caller.  */
+static uint64_t *
+count_reclaimable_copies (const struct sd_sched *sched,
+                          const struct sd_unit *unit, int64_t now_ms)
+{
+  struct preemption_plan *all = plan_create (sched, unit, 0, now_ms);
+  uint64_t *copies
+      = g_new0 (uint64_t, g_hash_table_size (sched->rack_indexes) + 1);
+  guint i;
+
+  for (i = 0; i < all->candidates->len; i++)
+    {
+      const struct plan_worker *candidate
+          = &g_array_index (all->candidates, struct plan_worker, i);
+      struct jb_resources reclaimable = candidate->free_resources;
+
+      sd_resources_add (&reclaimable, &candidate->preemptible);
+      copies[candidate->worker->rack_index] += sd_resources_copies (
+          &unit->step->spec->resources, &reclaimable, unit->waiting_count);
+    }
+  plan_free (all);
+  return copies;
+}
+
 static struct preemption_plan *
 cheapest_rack_plan (const struct sd_sched *sched, const struct sd_unit *unit,
                     int64_t now_ms)
 {
-  GHashTable *tried = g_hash_table_new (g_str_hash, g_str_equal);
+  uint64_t *copies = count_reclaimable_copies (sched, unit, now_ms);
   struct preemption_plan *best = NULL;
-  guint i;
+  guint rack;
 
-  for (i = 0; i < sched->workers->len; i++)
+  for (rack = 1; rack <= g_hash_table_size (sched->rack_indexes); rack++)
     {
-      const struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
       struct preemption_plan *plan;
 
-      if (worker->report.rack == NULL
-          || !g_hash_table_add (tried, worker->report.rack))
+      if (copies[rack] < unit->waiting_count)
         continue;
-      plan = make_plan (sched, unit, worker->report.rack, now_ms);
+      plan = make_plan (sched, unit, rack, now_ms);
       if (plan == NULL)
         continue;
       if (best != NULL && plan->loss >= best->loss)
@@ -377,7 +469,7 @@
       plan_free (best);
       best = plan;
     }
-  g_hash_table_destroy (tried);
+  g_free (copies);
   return best;
 }
 
@@ -403,6 +495,7 @@
   void *step;
   void *value;
 
+  sched->preemption_searches = 0;
   g_hash_table_iter_init (&iter, sched->preemptions);
   while (g_hash_table_iter_next (&iter, &step, &value))
     {
@@ -458,7 +551,7 @@
 
   if (spec->gang && spec->one_rack && sd_could_ever_fit (sched, unit, true))
     return cheapest_rack_plan (sched, unit, now_ms);
-  return make_plan (sched, unit, NULL, now_ms);
+  return make_plan (sched, unit, 0, now_ms);
 }
 
 void
@@ -475,6 +568,9 @@
       subtract_preempted (unit->step, preemption);
       return;
     }
+  if (sched->preemption_searches >= SEARCHES_PER_ROUND_MAX)
+    return;
+  sched->preemption_searches++;
   plan = find_plan (sched, unit, now_ms);
   preemption = g_new0 (struct sd_preemption, 1);
   preemption->until_ms = now_ms + sched->params.stop_max_ms + STOP_LISTED_MS;
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -50,6 +50,7 @@
   GHashTable *workers_by_id; /* id -> struct sd_worker, of `workers` */
   GPtrArray *workers;        /* struct sd_worker, owned; by sd_worker.index */
   GHashTable *rack_indexes;  /* name -> sd_worker.rack_index */
+  GHashTable *service_indexes; /* name -> sd_worker.service_index */
   GPtrArray *active_jobs;   /* struct jb_job: not ended, in order of arrival */
   GPtrArray *changed_jobs;  /* struct jb_job: progress to be recorded */
   GPtrArray *pending_stops; /* struct jb_task: for the next round's stops */
@@ -58,6 +59,7 @@
   struct es_table *estimates; /* run times learned for each queue */
   uint32_t reserved_task_count; /* in a round: gang tasks with a reservation */
   uint32_t reservation_searches; /* in a round: for new reservations */
+  uint32_t preemption_searches;  /* in a round: for new plans */
   bool suspects_are_few;         /* in a round */
   bool low_utilization; /* in a round: little is in use, so all work may use
                            reserved resources */
@@ -81,6 +83,13 @@
  *  TASK back to waiting. */
 void sd_release_task (struct sd_sched *sched, struct jb_task *task);
 
+/*! sd_index_of () :
+ *  @names : name -> index from 1 on, of sched->rack_indexes or
+ *           service_indexes.
+ *  @return : the index of NAME, a new one if it is not known; 0: NAME is
+ *            NULL. */
+uint32_t sd_index_of (GHashTable *names, const char *name);
+
 /*! sd_mark_changed () :
  *  As sd_job_changed (), for the files of lib/sched. */
 void sd_mark_changed (struct sd_sched *sched, struct jb_job *job);
@@ -169,7 +178,8 @@
 {
   struct jb_step *step;
   const struct ct_queue *queue;
-  const char *service; /* workers must offer it */
+  const char *service;    /* workers must offer it */
+  uint32_t service_index; /* as of the workers; 0: no worker offers it */
   uint32_t waiting_count;
   uint32_t priority; /* of the queue; 0 is the most urgent */
   int64_t due_ms; /* steady clock: when the queue's objective requires the job
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -26,6 +26,8 @@
   sched->workers = g_ptr_array_new_with_free_func (worker_free);
   sched->rack_indexes
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sched->service_indexes
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sched->active_jobs = g_ptr_array_new ();
   sched->changed_jobs = g_ptr_array_new ();
   sched->pending_stops = g_ptr_array_new ();
@@ -47,6 +49,7 @@
     return;
   g_hash_table_destroy (sched->workers_by_id);
   g_hash_table_destroy (sched->rack_indexes);
+  g_hash_table_destroy (sched->service_indexes);
   g_ptr_array_free (sched->workers, TRUE);
   g_ptr_array_free (sched->active_jobs, TRUE);
   g_ptr_array_free (sched->changed_jobs, TRUE);
@@ -115,19 +118,18 @@
   return sched->workers;
 }
 
-static uint32_t
-index_of_rack (struct sd_sched *sched, const char *rack)
+uint32_t
+sd_index_of (GHashTable *names, const char *name)
 {
   uint32_t index;
 
-  if (rack == NULL)
+  if (name == NULL)
     return 0;
-  index = GPOINTER_TO_UINT (g_hash_table_lookup (sched->rack_indexes, rack));
+  index = GPOINTER_TO_UINT (g_hash_table_lookup (names, name));
   if (index == 0)
     {
-      index = g_hash_table_size (sched->rack_indexes) + 1;
-      g_hash_table_insert (sched->rack_indexes, g_strdup (rack),
-                           GUINT_TO_POINTER (index));
+      index = g_hash_table_size (names) + 1;
+      g_hash_table_insert (names, g_strdup (name), GUINT_TO_POINTER (index));
     }
   return index;
 }
@@ -169,7 +171,9 @@
       memset (report, 0, sizeof *report);
     }
   worker->listed = true;
-  worker->rack_index = index_of_rack (sched, worker->report.rack);
+  worker->rack_index = sd_index_of (sched->rack_indexes, worker->report.rack);
+  worker->service_index
+      = sd_index_of (sched->service_indexes, worker->report.service);
   return worker;
 }
 
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -77,8 +77,9 @@
                                    now, since reservations wait for running
                                    tasks to end */
   size_t index;                 /* in sd_workers () */
-  uint32_t rack_index; /* the same for all workers of a rack; 0: no rack */
-  void *driver_data;   /* of the module that calls the workers */
+  uint32_t rack_index;    /* the same for all workers of a rack; 0: no rack */
+  uint32_t service_index; /* the same for all workers of a service */
+  void *driver_data;      /* of the module that calls the workers */
 };
 
 /* The outcome of a run, as its worker reports it.  */
--- a/tests/bench/bench-rounds/main.c
+++ b/tests/bench/bench-rounds/main.c
@@ -91,9 +91,8 @@
 }
 
 static void
-add_job (struct bench *bench)
+add_job_of (struct bench *bench, const struct shape *shape)
 {
-  const struct shape *shape = &shapes[bench->jobs % QUEUES];
   struct jb_spec *spec = g_new0 (struct jb_spec, 1);
   char id[JB_ID_DIGITS + 1];
 
@@ -116,6 +115,12 @@
                 jb_table_add (bench->table, id, spec, bench->now_ms));
 }
 
+static void
+add_job (struct bench *bench)
+{
+  add_job_of (bench, &shapes[bench->jobs % QUEUES]);
+}
+
 static uint32_t
 hold_round (struct bench *bench)
 {
@@ -154,6 +159,35 @@
     }
 }
 
+/* Holds rounds and prints how long they took.  */
+static void
+measure (struct bench *bench, const char *name, uint32_t rounds)
+{
+  int64_t longest_us = 0;
+  int64_t total_us = 0;
+  uint32_t starts = 0;
+  uint32_t i;
+
+  for (i = 0; i < rounds; i++)
+    {
+      int64_t before_us = g_get_monotonic_time ();
+      int64_t took_us;
+
+      starts += hold_round (bench);
+      took_us = g_get_monotonic_time () - before_us;
+      total_us += took_us;
+      longest_us = MAX (longest_us, took_us);
+      end_some_tasks (bench, i);
+      bench->now_ms += ROUND_MS;
+      if (i % 4 == 0)
+        add_job (bench);
+    }
+  printf ("%s workers=%u jobs=%u rounds=%u starts=%u mean_us=%" G_GINT64_FORMAT
+          " longest_us=%" G_GINT64_FORMAT "\n",
+          name, sd_workers (bench->sched)->len, bench->jobs, rounds, starts,
+          total_us / rounds, longest_us);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -165,9 +199,6 @@
                               .reserved_tasks_per_100_workers = 50,
                               .starts_per_round = 256 };
   struct bench bench = { .table = jb_table_create () };
-  int64_t longest_us = 0;
-  int64_t total_us = 0;
-  uint32_t starts = 0;
   uint32_t i;
 
   bench.sched = sd_create (&params, bench.table);
@@ -176,24 +207,10 @@
     add_worker (&bench, i);
   for (i = 0; i < jobs; i++)
     add_job (&bench);
-  for (i = 0; i < rounds; i++)
-    {
-      int64_t before_us = g_get_monotonic_time ();
-      int64_t took_us;
-
-      starts += hold_round (&bench);
-      took_us = g_get_monotonic_time () - before_us;
-      total_us += took_us;
-      longest_us = MAX (longest_us, took_us);
-      end_some_tasks (&bench, i);
-      bench.now_ms += ROUND_MS;
-      if (i % 4 == 0)
-        add_job (&bench);
-    }
-  printf (
-      "rounds workers=%u jobs=%u rounds=%u starts=%u mean_us=%" G_GINT64_FORMAT
-      " longest_us=%" G_GINT64_FORMAT "\n",
-      workers, jobs, rounds, starts, total_us / rounds, longest_us);
+  measure (&bench, "mixed", rounds);
+  for (i = 0; i < jobs / 2; i++)
+    add_job_of (&bench, &shapes[0]);
+  measure (&bench, "burst", rounds);
   sd_free (bench.sched);
   jb_table_free (bench.table);
   ct_catalog_free (bench.catalog);
