--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -188,7 +188,7 @@
      host; NULL: none has been written.  */
   GByteArray **written_blocks;
   uint32_t failed_runs; /* that this host knows of, of all its tasks */
-  int64_t added_ms; /* steady clock: when this host read its record */
+  int64_t added_ms;     /* steady clock: when this host read its record */
   int64_t
       final_since_ms; /* steady clock: when visible_state became final here, by
                          a cancellation or a final state; 0: it is not final */
