--- a/tests/bench/bench-rounds/main.c
+++ b/tests/bench/bench-rounds/main.c
@@ -4,6 +4,7 @@
 
    Usage: bench-rounds WORKERS JOBS ROUNDS  */
 
+#include <assert.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -168,6 +169,7 @@
   uint32_t starts = 0;
   uint32_t i;
 
+  assert (rounds > 0);
   for (i = 0; i < rounds; i++)
     {
       int64_t before_us = g_get_monotonic_time ();
@@ -193,7 +195,7 @@
 {
   uint32_t workers = argc > 1 ? (uint32_t)atoi (argv[1]) : 1100;
   uint32_t jobs = argc > 2 ? (uint32_t)atoi (argv[2]) : 400;
-  uint32_t rounds = argc > 3 ? (uint32_t)atoi (argv[3]) : 100;
+  uint32_t rounds = MAX (argc > 3 ? atoi (argv[3]) : 100, 1);
   struct sd_params params = { .remote_slowdown_factor = 3,
                               .stop_max_ms = 200,
                               .reserved_tasks_per_100_workers = 50,
