soak: workers replaced one after the other, connections reset, hosts killed

Change: soak.py SEED DURATION release; jobs are also handed in twice, at two hosts; a call to a host that runs on must get a whole answer.

--- a/tests/scripts/soak.t
+++ b/tests/scripts/soak.t
@@ -9,3 +9,9 @@
 
   $ python3 "$ROOT/tests/soak/soak.py" 8 4 unread 2> /dev/null
   kept
+
+Workers are replaced one after the other while connections are reset and hosts
+are killed: the same, and each caller of a host that runs on gets a whole answer.
+
+  $ python3 "$ROOT/tests/soak/soak.py" 31 6 release 2> /dev/null
+  kept
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -171,6 +171,7 @@
         self.name, self.rack, self.checker = name, rack, checker
         self.fail_all = False
         self.unresponsive = False
+        self.state = "ready"
         self.reset()
 
     def reset(self):
@@ -186,7 +187,7 @@
     def catalog_record(self, address, sequence):
         return json.dumps({
             "service": "desk", "address": address, "zone": "dc",
-            "version": "v1", "slots": 8, "state": "ready", "seq": sequence,
+            "version": "v1", "slots": 8, "state": self.state, "seq": sequence,
             "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 8},
             "labels": ["a", self.rack], "born": self.started_unix_ms}).encode()
 
@@ -199,6 +200,13 @@
         self.outcomes.append(
             [self.outcome_count, run.task, run.run_id, outcome, ""])
 
+    def leave(self):
+        """Ends all runs and answers nothing any more."""
+        for run in list(self.runs.values()):
+            self.checker.record_stop(run.task, run.run_id)
+        self.reset()
+        self.unresponsive = True
+
     def end_due_runs(self):
         now = time.monotonic()
         for run in list(self.runs.values()):
@@ -278,6 +286,15 @@
                        finished=self.outcomes[:MAX_OUTCOMES_PER_ANSWER])
 
 
+open_connections = set()
+
+
+def reset_connections():
+    """Breaks all connections to the stand-ins with a reset."""
+    for writer in list(open_connections):
+        writer.transport.abort()
+
+
 async def serve(handler):
     """Serves HTTP on a free loopback port and returns its address, IP:PORT.
 
@@ -285,6 +302,7 @@
     """
 
     async def connection(reader, writer):
+        open_connections.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -302,6 +320,7 @@
                 asyncio.CancelledError):
             pass
         finally:
+            open_connections.discard(writer)
             writer.close()
 
     server = await asyncio.start_server(connection, "127.0.0.1", 0)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,10 +1,12 @@
 #!/usr/bin/env python3
 """Randomized soak: real hosts, a stand-in of the platform, random faults.
 
-  soak.py SEED [DURATION_S [unread]]
+  soak.py SEED [DURATION_S [unread | release]]
 
 With `unread`, the hosts write to a pipe that nobody reads: a full pipe must
-not stop them.
+not stop them.  With `release`, the workers are replaced one after the other
+while all connections to them and to the store are reset again and again and
+hosts are killed; each caller of a host that runs on gets a whole answer.
 
 Prints `kept` if there is no violation.  Otherwise prints each one and exits
 with 1: a task ran
@@ -13,6 +15,7 @@
 """
 import asyncio
 import fcntl
+import http.client
 import json
 import os
 import random
@@ -34,6 +37,10 @@
 # time of the status calls comes on top.
 COMPLETION_TIMEOUT_S = 25
 
+# Statuses of calls without a status.
+NO_WHOLE_ANSWER = 0
+NO_CONNECTION = -1
+
 BUILD = os.environ.get("BUILD", "build")
 
 
@@ -63,6 +70,7 @@
                       f"metrics: 127.0.0.1:{free_port()}\n"
                       f"store: {store}\nlease_ttl_ms: {LEASE_MS}\n")
         self.process = None
+        self.stops = 0  # times that it was stopped or killed
 
     async def start(self):
         self.process = await asyncio.create_subprocess_exec(
@@ -70,6 +78,7 @@
             stdout=self.output, stderr=self.output)
 
     async def stop(self, signal_number):
+        self.stops += 1
         if self.process.returncode is None:
             self.process.send_signal(signal.SIGCONT)
             self.process.send_signal(signal_number)
@@ -87,8 +96,10 @@
             return answer.status, answer.read()
     except urllib.error.HTTPError as error:
         return error.code, b""
-    except OSError:
-        return 0, b""
+    except (OSError, http.client.HTTPException) as error:
+        refused = isinstance(getattr(error, "reason", None),
+                             ConnectionRefusedError)
+        return (NO_CONNECTION if refused else NO_WHOLE_ANSWER), b""
 
 
 async def call_async(host, method, job, body=None):
@@ -107,6 +118,7 @@
 class Soak:
     def __init__(self, seed, duration_s, unread):
         self.output_unread = unread
+        self.may_be_silent = True  # hosts are frozen, the store is silent
         self.rng = random.Random(seed)
         self.duration_s = duration_s
         self.store = standin.Store()
@@ -115,6 +127,7 @@
         self.accepted, self.faults = [], []
         self.hosts, self.workers = [], []
         self.stopping = False
+        self.release = False
 
     async def start(self, folder):
         address = await standin.serve(standin.store_handler(self.store))
@@ -141,6 +154,16 @@
             sequence += 1
             await asyncio.sleep(0.05)
 
+    async def call_checked(self, method, job, body=None):
+        """Calls a random host; a host that runs on must answer."""
+        host = self.rng.choice(self.hosts)
+        stops = host.stops
+        status, _ = await call_async(host, method, job, body)
+        if status == NO_WHOLE_ANSWER and host.stops == stops and not self.may_be_silent:
+            self.checker.violations.append(
+                f"no whole answer to {method} {job} from {host.name}")
+        return status
+
     async def submit_jobs(self):
         number = 0
         while not self.stopping:
@@ -152,11 +175,13 @@
                        "gang": gang}]
             if self.rng.random() < 0.3:
                 phases.append(dict(phases[0], depends_on=[0]))
-            status, _ = await call_async(
-                self.rng.choice(self.hosts), "POST", job,
-                {"spec": "x", "phases": phases})
+            status = await self.call_checked("POST", job,
+                                             {"spec": "x", "phases": phases})
             if status == 200:
                 self.accepted.append(job)
+                if self.rng.random() < 0.3:  # the same again, elsewhere
+                    await self.call_checked("POST", job,
+                                            {"spec": "x", "phases": phases})
             await asyncio.sleep(self.rng.uniform(0.02, 0.15))
 
     async def inject_fault(self):
@@ -204,6 +229,35 @@
             await asyncio.sleep(pause_s)
             worker.fail_all = False
 
+    async def replace_workers(self):
+        """Replaces the workers one after the other, as a release does."""
+        number = len(self.workers)
+        while not self.stopping:
+            old = self.workers[0]
+            old.state = "draining"
+            await asyncio.sleep(self.rng.uniform(0.3, 0.6))
+            self.workers.remove(old)
+            old.leave()
+            await self.store.put("keyed.servers", old.name, b"")
+            worker = standin.Worker(f"w{number}", old.rack, self.checker)
+            worker.address = await standin.serve(
+                standin.worker_handler(worker))
+            self.workers.append(worker)
+            number += 1
+
+    async def reset_and_kill(self):
+        """Resets all connections to store and workers again and again, and
+        meanwhile kills or stops one host after the other."""
+        while not self.stopping:
+            for _ in range(4):
+                standin.reset_connections()
+                await asyncio.sleep(self.rng.uniform(0.1, 0.4))
+            host = self.rng.choice(self.hosts)
+            await host.stop(self.rng.choice([signal.SIGKILL, signal.SIGTERM]))
+            standin.reset_connections()
+            await host.start()
+            await asyncio.sleep(0.8)
+
     async def inject_faults(self):
         while not self.stopping:
             await asyncio.sleep(self.rng.uniform(0.3, 1.5))
@@ -231,8 +285,12 @@
         await self.start(folder)
         await asyncio.sleep(1.5)
         worker_loop = asyncio.create_task(self.run_workers())
-        tasks = [asyncio.create_task(self.submit_jobs()),
-                 asyncio.create_task(self.inject_faults())]
+        tasks = [asyncio.create_task(self.submit_jobs())]
+        if self.release:
+            tasks += [asyncio.create_task(self.replace_workers()),
+                      asyncio.create_task(self.reset_and_kill())]
+        else:
+            tasks.append(asyncio.create_task(self.inject_faults()))
         await asyncio.sleep(self.duration_s)
         self.stopping = True
         await asyncio.gather(*tasks)
@@ -251,6 +309,8 @@
     seed = int(sys.argv[1])
     duration_s = float(sys.argv[2]) if len(sys.argv) > 2 else 20.0
     soak = Soak(seed, duration_s, "unread" in sys.argv[3:])
+    soak.release = "release" in sys.argv[3:]
+    soak.may_be_silent = not soak.release
     folder = tempfile.mkdtemp(prefix="soak-")
     incomplete = asyncio.run(soak.run(folder))
     print(f"seed {seed}: {len(soak.accepted)} jobs accepted, "
