Blocks of a completed job are removed from the store

Cause: by reading: a host that starts reads the newest record of each key, and with progress in blocks the tasks of completed jobs were most of these until their jobs are removed after job_retention_ms. Change: the batch that stores a job as completed removes its blocks.

--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -231,6 +231,26 @@
   return bytes->len;
 }
 
+static void
+add_removal (struct pl_batch *batch, char *key)
+{
+  g_ptr_array_add (batch->records, so_record_create (key, NULL, 0));
+  g_free (key);
+}
+
+/* A completed job has no blocks; without this a host that starts would have to
+   read them until the job is removed.  */
+static void
+remove_written_blocks (struct pl_batch *batch, struct jb_job *job)
+{
+  size_t i;
+
+  for (i = 0; i < job->task_total; i++)
+    if (job->written_blocks[i] != NULL)
+      add_removal (batch, g_strdup_printf ("q/%s/%zu", job->id, i));
+  jb_job_forget_written (job);
+}
+
 /* @return : bytes added.  */
 static size_t
 add_progress (struct planner *planner, struct pl_batch *batch,
@@ -253,16 +273,11 @@
     job->written_blocks = g_new0 (GByteArray *, job->task_total);
   for (i = 0; i < jb_block_count (job); i++)
     size_bytes += add_block (batch, job, i);
+  if (job->state == JB_COMPLETED)
+    remove_written_blocks (batch, job);
   return size_bytes;
 }
 
-static void
-add_removal (struct pl_batch *batch, char *key)
-{
-  g_ptr_array_add (batch->records, so_record_create (key, NULL, 0));
-  g_free (key);
-}
-
 static void
 add_removals_of_job (struct planner *planner, struct pl_batch *batch,
                      const char *id)
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -524,6 +524,49 @@
   tear_down (&setup);
 }
 
+/* A host that starts reads the newest record of each key; those of the tasks
+   of completed jobs would be most of them.  */
+static void
+test_completed_job_leaves_no_blocks (void)
+{
+  struct setup setup;
+  struct wp_outcome end
+      = { .number = 1, .run = 1, .outcome = SD_OUTCOME_DONE };
+  GArray *outcomes = g_array_new (FALSE, FALSE, sizeof (struct wp_outcome));
+  uint32_t removed = 0;
+  uint32_t first;
+  guint i;
+
+  become_planner (&setup);
+  submit_job (&setup);
+  answer_all_appends (&setup);
+  run_loop_for (&setup, 30);
+  first = setup.store.append_count;
+  end.task = (char *)"00000000000000aa.0.0.0";
+  end.checkpoint = (char *)"";
+  g_array_append_val (outcomes, end);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'),
+               &(struct wp_answer){ .result = WP_DONE, .outcomes = outcomes });
+  while (setup.store.append_count < first + 2)
+    {
+      run_loop_for (&setup, 10);
+      answer_all_appends (&setup);
+      if (setup.store.jobs_read != NULL)
+        show_appends (&setup);
+    }
+  for (; first < setup.store.append_count; first++)
+    for (i = 0; i < setup.store.records[first]->len; i++)
+      {
+        const struct so_record *record
+            = g_ptr_array_index (setup.store.records[first], i);
+
+        removed += record->key[0] == 'q' && record->value == NULL;
+      }
+  CU_ASSERT_EQUAL (removed, 1);
+  g_array_free (outcomes, TRUE);
+  tear_down (&setup);
+}
+
 /* Without a fresh view a cancellation may not have been read, so nothing is
    placed (day scale-2 of the large anla-rounds: the store took the planner's
    appends, and its reads timed out).  */
@@ -584,6 +627,8 @@
       test_superseded_planner_starts_nothing },
     { "a change of a task writes its block only",
       test_change_of_a_task_writes_its_block_only },
+    { "a completed job leaves no blocks",
+      test_completed_job_leaves_no_blocks },
     { "nothing is placed on an old view",
       test_nothing_is_placed_on_an_old_view },
     { "a lost append is sent again", test_lost_append_is_sent_again },
