--- a/programs/foxtailgapd/renewal_task.c
+++ b/programs/foxtailgapd/renewal_task.c
@@ -164,6 +164,8 @@
     return;
   ev_timer_stop (task->daemon->loop, &task->tick_timer);
   g_hash_table_destroy (task->workers);
+  if (task->probe != NULL)
+    ls_cancel (task->probe);
   if (task->http != NULL)
     hc_free (task->http);
   mb_free (task->box);
