--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -189,9 +189,9 @@
   GByteArray **written_blocks;
   uint32_t failed_runs; /* that this host knows of, of all its tasks */
   int64_t added_ms;     /* steady clock: when this host read its record */
-  int64_t
-      final_since_ms; /* steady clock: when visible_state became final here, by
-                         a cancellation or a final state; 0: it is not final */
+  /* Steady clock: when visible_state became final here, by a cancellation or a
+     final state; 0: it is not final.  */
+  int64_t final_since_ms;
   int64_t ended_unix_ms; /* 0: not ended */
   char *queue;           /* a copy of spec->queue */
   uint32_t priority;     /* of its queue, as of the scheduler's last round */
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -45,8 +45,8 @@
 {
   struct sd_params params;
   struct jb_table *table;
-  const struct ct_catalog
-      *catalog;              /* owned by the calling code; NULL: none yet */
+  /* Owned by the calling code; NULL: none yet.  */
+  const struct ct_catalog *catalog;
   GHashTable *workers_by_id; /* id -> struct sd_worker, of `workers` */
   GPtrArray *workers;        /* struct sd_worker, owned; by sd_worker.index */
   GHashTable *rack_indexes;  /* name -> sd_worker.rack_index */
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -25,8 +25,8 @@
   char **labels;                 /* NULL at the end */
   struct jb_resources resources; /* its whole capacity */
   bool draining;                 /* it gets no new tasks */
-  int64_t
-      min_remaining_ms; /* while draining: stays at least this; 0: unknown */
+  /* While draining: stays at least this; 0: unknown.  */
+  int64_t min_remaining_ms;
 };
 
 /*! sd_worker_report_clear () :
@@ -56,8 +56,8 @@
   uint32_t failure_streak; /* failed runs since the last run done; those of
                               the same job in a row count once */
   char last_failed_job[JB_ID_DIGITS + 1];
-  uint32_t
-      refusal_streak; /* starts refused as unhealthy since the last run done */
+  /* Starts refused as unhealthy since the last run done.  */
+  uint32_t refusal_streak;
   int64_t last_failed_ms;   /* of the failures in failure_streak */
   int64_t suspect_until_ms; /* no new task before, if there are enough other
                                workers: it has failed a run */
@@ -70,13 +70,12 @@
   uint32_t pace_ceiling; /* pace_level stays at or below this until: */
   int64_t pace_ceiling_until_ms;
   /* within a round */
-  struct jb_resources
-      round_free_resources; /* neither used nor of a pending preemption */
-  struct jb_resources
-      round_reserved_resources; /* reserved for gangs; may be more than is free
-                                   now, since reservations wait for running
-                                   tasks to end */
-  size_t index;                 /* in sd_workers () */
+  /* Neither used nor of a pending preemption.  */
+  struct jb_resources round_free_resources;
+  /* Reserved for gangs; may be more than is free now, since reservations wait
+     for running tasks to end.  */
+  struct jb_resources round_reserved_resources;
+  size_t index;           /* in sd_workers () */
   uint32_t rack_index;    /* the same for all workers of a rack; 0: no rack */
   uint32_t service_index; /* the same for all workers of a service */
   void *driver_data;      /* of the module that calls the workers */
