--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -179,7 +179,7 @@
   struct jb_step *step;
   const struct ct_queue *queue;
   const char *service;    /* workers must offer it */
-  uint32_t service_index; /* as of the workers; 0: no worker offers it */
+  uint32_t service_index; /* of that service, as sd_worker has it */
   uint32_t waiting_count;
   uint32_t priority; /* of the queue; 0 is the most urgent */
   int64_t due_ms; /* steady clock: when the queue's objective requires the job
