--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -42,8 +42,7 @@
   LEASE_MAX_MS = 6000,
   /* A draining worker will be gone without notice; two renewals long.  */
   DRAINING_LEASE_MAX_MS = 4000,
-  STOP_RETRY_MS = 400,     /* twice the time that a stop may take */
-  OUTCOME_LISTING_MS = 60, /* from the end of a run until it is listed */
+  STOP_RETRY_MS = 400, /* twice the time that a stop may take */
   /* A call takes 0.2 to 0.4 ms of a host with half a core, so that a full
      window is worked through well within a heartbeat of the planner.  */
   WINDOW_MAX = 128,
@@ -245,63 +244,6 @@
   task->reported_load = run->reported_load;
 }
 
-/* Whether the run of a task that the worker does not list is not there and can
-   never start there.  A run that is being stopped, or whose gang has lost a
-   member, may be in neither list for a while before its outcome is listed, so
-   one missing from both counts as gone only after that time; if the worker has
-   restarted, at once.  */
-static bool
-run_is_gone (struct worker_io *io, struct jb_task *task, bool restarted,
-             int64_t now_ms)
-{
-  if (io->renewal_sent_ms <= task->poll_conclusive_from_ms)
-    return false;
-  if (restarted)
-    return true;
-  if (task->missing_since_ms == 0)
-    task->missing_since_ms = now_ms;
-  if (io->renewal_sent_ms > task->missing_since_ms
-                                + io->workers->params.stop_max_ms
-                                + OUTCOME_LISTING_MS)
-    return true;
-  if (now_ms > task->missing_since_ms)
-    io->poll_at_once = true;
-  else
-    io->poll_soon = true;
-  return false;
-}
-
-static void
-drop_missing_runs (struct worker_io *io, GHashTable *reported_tasks,
-                   bool restarted, int64_t now_ms)
-{
-  GPtrArray *lost = g_ptr_array_new ();
-  guint i;
-
-  for (i = 0; i < io->worker->tasks->len; i++)
-    {
-      struct jb_task *task = g_ptr_array_index (io->worker->tasks, i);
-
-      if (g_hash_table_contains (reported_tasks, task))
-        task->missing_since_ms = 0;
-      else if (run_is_gone (io, task, restarted, now_ms))
-        g_ptr_array_add (lost, task);
-    }
-  for (i = 0; i < lost->len; i++)
-    {
-      struct jb_task *task = g_ptr_array_index (lost, i);
-
-      if (task->state != JB_TASK_PLACED && task->state != JB_TASK_STOPPING)
-        continue; /* it was given up with another member of its gang */
-      lg_info (PART, "A run is gone without an end.", "job", task->job->id,
-               "step", lg_number (task->step->index), "index",
-               lg_number (task->index), "run", lg_number (task->run), "worker",
-               io->worker->report.id, NULL);
-      sd_task_lost (io->workers->params.sched, task, now_ms);
-    }
-  g_ptr_array_free (lost, TRUE);
-}
-
 static void
 process_lists (struct worker_io *io, const struct wp_answer *answer,
                int64_t now_ms)
@@ -327,7 +269,7 @@
   for (i = 0; i < answer->runs->len; i++)
     process_run (io, &g_array_index (answer->runs, struct wp_run, i),
                  reported_tasks, now_ms);
-  drop_missing_runs (io, reported_tasks, restarted, now_ms);
+  wk_drop_missing_runs (io, reported_tasks, restarted, now_ms);
   g_hash_table_destroy (reported_tasks);
 }
 
@@ -360,6 +302,11 @@
       if (worker->reachability != SD_WORKER_UNREACHABLE)
         lg_info (PART, "A worker is out of touch.", "worker", call->worker,
                  "result", wp_result_name (answer->result), NULL);
+      else if (answer->result != io->last_result)
+        lg_info (PART, "A worker is still out of touch.", "worker",
+                 call->worker, "result", wp_result_name (answer->result),
+                 NULL);
+      io->last_result = answer->result;
       sd_worker_set_reachability (worker, SD_WORKER_UNREACHABLE);
       goto done;
     }
@@ -400,7 +347,7 @@
   if (sd_worker_is_shared (io->worker))
     return SHARED_POLL_WAIT_MS;
   if (io->poll_soon)
-    return io->workers->params.stop_max_ms + OUTCOME_LISTING_MS;
+    return io->workers->params.stop_max_ms + WK_OUTCOME_LISTING_MS;
   return RENEWAL_WAIT_MS;
 }
 
@@ -451,21 +398,6 @@
          && now_ms - io->answered_renewal_sent_ms >= RENEW_WITHOUT_ANSWER_MS;
 }
 
-/* Gives up the runs of an unreachable worker: its lease is over, so nothing
-   runs there.  */
-static void
-drop_runs_of_lapsed_lease (struct worker_io *io, int64_t now_ms)
-{
-  struct sd_worker *worker = io->worker;
-
-  lg_info (PART, "The lease of a worker is over.", "worker", worker->report.id,
-           "tasks", lg_number (worker->tasks->len), NULL);
-  while (worker->tasks->len > 0)
-    sd_task_lost (io->workers->params.sched,
-                  g_ptr_array_index (worker->tasks, 0), now_ms);
-  io->workers->params.changed (io->workers->params.ctx);
-}
-
 /* A worker answers a renewal immediately, without its wait, if the renewal
    does not acknowledge all outcomes that the worker lists.  The next renewal
    is therefore sent once these outcomes are stored.  */
@@ -524,7 +456,7 @@
 
       if (worker->reachability != SD_WORKER_REACHABLE && worker->tasks->len > 0
           && now_ms > io->lease_end_ms)
-        drop_runs_of_lapsed_lease (io, now_ms);
+        wk_drop_runs_of_lapsed_lease (io, now_ms);
       if (!renewal_is_due (io, now_ms))
         continue;
       if (sent < RENEWALS_PER_PASS_MAX && has_room_for_renewal (io, now_ms))
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -1,7 +1,7 @@
 /* Internal header of the calls to workers: lease renewals and status polls are
    in workers.c, starts in worker_starts.c, stop and pace commands in
-   worker_commands.c, the record of unreachable workers' leases in
-   worker_leases.c.  */
+   worker_commands.c, runs that are gone without an outcome in worker_losses.c,
+   the record of unreachable workers' leases in worker_leases.c.  */
 
 #ifndef FT_HOSTD_WORKERS_PRIVATE_H
 #define FT_HOSTD_WORKERS_PRIVATE_H
@@ -9,6 +9,11 @@
 #include "worker/call_window.h"
 #include "workers.h"
 
+enum
+{
+  WK_OUTCOME_LISTING_MS = 60 /* from the end of a run until it is listed */
+};
+
 /* State of the calls to one worker under the current term.  Moments are on the
    steady clock of this process unless their comment says otherwise.  */
 struct worker_io
@@ -30,6 +35,7 @@
   int64_t renewal_sent_ms;
   int64_t answered_renewal_sent_ms; /* of the last one that was answered */
   int64_t renewal_tried_ms;         /* a copy of renewal_sent_ms */
+  enum wp_result last_result;       /* of the last renewal that failed */
   int64_t lease_end_ms; /* nothing can run there after this, unless a later
                            call extends it */
   bool lease_recorded;  /* the stored record of leases contains this worker, or
@@ -105,6 +111,19 @@
  *            worker can be SD_WORKER_UNREACHABLE for a while before that. */
 bool wk_renewal_is_suspended (const struct worker_io *io, int64_t now_ms);
 
+/*! wk_drop_missing_runs () :
+ *  After a status poll: gives up the runs that the worker has neither listed
+ *  as running nor as ended, once it is certain that they are not there.
+ *  @reported_tasks : struct jb_task, as a set: those it has listed as running.
+ *  @restarted : the worker has restarted since the poll before. */
+void wk_drop_missing_runs (struct worker_io *io, GHashTable *reported_tasks,
+                           bool restarted, int64_t now_ms);
+
+/*! wk_drop_runs_of_lapsed_lease () :
+ *  Gives up the runs of an unreachable worker: its lease is over, so nothing
+ *  runs there. */
+void wk_drop_runs_of_lapsed_lease (struct worker_io *io, int64_t now_ms);
+
 /*! wk_update_pace () :
  *  Sends pace commands to the best-effort tasks on a worker as needed. */
 void wk_update_pace (struct worker_calls *workers, struct sd_worker *worker);
