--- /dev/null
+++ b/tests/unit/test_hostd_crashes.c
@@ -0,0 +1,410 @@
+/* Tests of tasks that crash the workers that start them: they are given up
+   after few crashes, and the other tasks of these workers are not.  */
+
+#include <unistd.h>
+
+#include "../../programs/foxtailgap-hostd/workers.h"
+#include "check.h"
+#include "hostd_fixture.h"
+#include "jobs/records.h"
+
+static const char JOB[] = "00000000000000aa";
+static const char OTHER_JOB[] = "00000000000000bb";
+
+enum
+{
+  LEASE_MS = 300,
+  /* That of a start, which is valid for 1200 ms, 3% of it and 300 ms.  */
+  LEASE_IS_OVER_MS = 1560,
+  POLL_AGAIN_MS = 260, /* of an unreachable worker */
+  LONG_RUN_MS = 700,   /* a run of this age is no longer starting */
+  TRIES_MAX = 6,
+  /* The users' bound: after three crashes, the third start more breaks their
+     rule.  */
+  STARTS_MAX = 5
+};
+
+struct setup
+{
+  struct fake_port port;
+  struct jb_table *table;
+  struct sd_sched *sched;
+  struct ct_catalog *catalog;
+  struct mt_registry *metrics;
+  struct worker_calls *workers;
+  uint64_t term;
+  uint32_t workers_added;
+};
+
+static void
+on_event (void *ctx)
+{
+  (void)ctx;
+}
+
+static void
+set_up (struct setup *setup)
+{
+  struct sd_params sched = { .remote_slowdown_factor = 3, .stop_max_ms = 200 };
+  struct wk_params workers = {
+    .port = fake_wp_port (&setup->port),
+    .lease_ttl_ms = LEASE_MS,
+    .stop_max_ms = 200,
+    .ctx = setup,
+    .changed = on_event,
+    .fenced = on_event,
+  };
+
+  memset (setup, 0, sizeof *setup);
+  setup->table = jb_table_create ();
+  setup->sched = sd_create (&sched, setup->table);
+  setup->catalog = fixture_catalog ();
+  sd_set_catalog (setup->sched, setup->catalog);
+  setup->metrics = mt_create ();
+  workers.sched = setup->sched;
+  workers.table = setup->table;
+  workers.metrics = setup->metrics;
+  setup->workers = wk_create (&workers);
+  setup->term = 1;
+  wk_begin_term (setup->workers, setup->term, NULL);
+}
+
+static void
+tear_down (struct setup *setup)
+{
+  wk_end_term (setup->workers);
+  fake_answer_all_unresponsive (&setup->port);
+  wk_free (setup->workers);
+  sd_free (setup->sched);
+  jb_table_free (setup->table);
+  ct_catalog_free (setup->catalog);
+  mt_free (setup->metrics);
+}
+
+static struct jb_job *
+add_job (struct setup *setup, const char *id, bool gang)
+{
+  struct fixture_step step
+      = { .count = gang ? 2 : 1, .accelerators = 1, .gang = gang };
+  struct jb_job *job = jb_table_add (
+      setup->table, id, fixture_spec ("batch", "clinic", &step), 0);
+
+  sd_job_added (setup->sched, job);
+  return job;
+}
+
+/* Adds a worker that nothing runs on.  */
+static struct sd_worker *
+add_worker (struct setup *setup)
+{
+  char id[16];
+
+  g_snprintf (id, sizeof id, "w%u", setup->workers_added++);
+  return fixture_worker (setup->sched, id, "r1", 8);
+}
+
+static struct sd_worker *
+worker_of (struct setup *setup, const struct jb_task *task)
+{
+  return sd_worker_find (setup->sched, task->worker);
+}
+
+static uint32_t
+run_round (struct setup *setup)
+{
+  return fixture_run_round (setup->sched, clk_monotonic_ms (NULL));
+}
+
+/* Sends the start of a placed task, which the worker confirms.  */
+static void
+start_task (struct setup *setup, struct jb_task *task)
+{
+  wk_start (setup->workers, task);
+  fake_answer (fake_oldest_open_call (&setup->port, 's'),
+               &(struct wp_answer){ .result = WP_DONE });
+}
+
+static void
+answer_all_polls (struct setup *setup, enum wp_result result)
+{
+  struct wp_answer answer = { .result = result, .worker_clock_ms = -1 };
+
+  wk_send_waiting (setup->workers);
+  while (fake_oldest_open_call (&setup->port, 'h') != NULL)
+    fake_answer (fake_oldest_open_call (&setup->port, 'h'), &answer);
+}
+
+/* WORKER stops answering, and the store's list drops it.  */
+static void
+lose_worker (struct setup *setup, const struct sd_worker *worker)
+{
+  answer_all_polls (setup, WP_NO_ANSWER);
+  sd_worker_unlisted (setup->sched, worker->report.id);
+}
+
+/* Another process answers at the address of the lost workers.  */
+static void
+answer_by_another_process (struct setup *setup)
+{
+  usleep (1000 * POLL_AGAIN_MS);
+  answer_all_polls (setup, WP_WRONG_WORKER);
+}
+
+static void
+wait_for_lease (struct setup *setup)
+{
+  usleep (1000 * LEASE_IS_OVER_MS);
+  wk_send_waiting (setup->workers);
+}
+
+/* As a new planner does: the jobs are as their records say.  */
+static void
+take_over (struct setup *setup, struct jb_job *job)
+{
+  GByteArray *block = jb_encode_block (job, 0);
+
+  fake_answer_all_unresponsive (&setup->port);
+  jb_job_reset_progress (job);
+  CU_ASSERT_EQUAL (jb_apply_block (job, 0, block->data, block->len), JB_OK);
+  g_byte_array_free (block, TRUE);
+  sd_begin_term (setup->sched, clk_monotonic_ms (NULL));
+  wk_begin_term (setup->workers, ++setup->term, NULL);
+}
+
+/* Has TASK crash one worker after the other for as long as it is started.
+   PROVEN: another process answers at the address of each crashed worker, which
+   shows that it has crashed.
+   TAKEOVERS: a new planner takes over before that.
+   @return : how many times it was started.  */
+static uint32_t
+crash_workers (struct setup *setup, struct jb_task *task, bool proven,
+               bool takeovers)
+{
+  uint32_t starts = 0;
+
+  while (starts < TRIES_MAX)
+    {
+      add_worker (setup);
+      if (run_round (setup) == 0)
+        break;
+      starts++;
+      start_task (setup, task);
+      lose_worker (setup, worker_of (setup, task));
+      if (takeovers)
+        take_over (setup, task->job);
+      if (proven)
+        answer_by_another_process (setup);
+      if (task->state == JB_TASK_PLACED)
+        wait_for_lease (setup);
+    }
+  return starts;
+}
+
+/* BUDGET on anla-rounds: a task was started on six workers in turn, each of
+   which crashed 10 ms later.  */
+static void
+test_task_that_crashes_workers_is_given_up (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+
+  set_up (&setup);
+  job = add_job (&setup, JOB, false);
+  CU_ASSERT_EQUAL (crash_workers (&setup, &job->tasks[0], true, false), 2);
+  CU_ASSERT_EQUAL (job->state, JB_FAILED);
+  tear_down (&setup);
+}
+
+/* The same where no worker comes back, so that none is known to have
+   crashed.  */
+static void
+test_task_whose_workers_are_lost_is_given_up (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+
+  set_up (&setup);
+  job = add_job (&setup, JOB, false);
+  CU_ASSERT_TRUE (crash_workers (&setup, &job->tasks[0], false, false)
+                  <= STARTS_MAX);
+  CU_ASSERT_EQUAL (job->state, JB_FAILED);
+  tear_down (&setup);
+}
+
+/* The same where the planner is lost after each start.  */
+static void
+test_crashes_are_counted_across_takeovers (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+
+  set_up (&setup);
+  job = add_job (&setup, JOB, false);
+  CU_ASSERT_TRUE (crash_workers (&setup, &job->tasks[0], false, true)
+                  <= STARTS_MAX);
+  CU_ASSERT_EQUAL (job->state, JB_FAILED);
+  tear_down (&setup);
+}
+
+/* The same by a worker that restarts under its old id.  */
+static void
+test_restarted_worker_counts_as_crashed (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+  struct wp_answer life = { .result = WP_DONE, .worker_started_ms = 1 };
+  uint32_t starts = 0;
+
+  set_up (&setup);
+  job = add_job (&setup, JOB, false);
+  add_worker (&setup);
+  wk_send_waiting (setup.workers);
+  while (starts < TRIES_MAX && run_round (&setup) > 0)
+    {
+      starts++;
+      wk_send_waiting (setup.workers);
+      fake_answer (fake_oldest_open_call (&setup.port, 'h'), &life);
+      start_task (&setup, &job->tasks[0]);
+      usleep (1000 * 3);
+      life.worker_started_ms++;
+      wk_send_waiting (setup.workers);
+      fake_answer (fake_oldest_open_call (&setup.port, 'h'), &life);
+    }
+  CU_ASSERT_EQUAL (starts, 2);
+  CU_ASSERT_EQUAL (job->state, JB_FAILED);
+  tear_down (&setup);
+}
+
+/* Six runs were lost with each crashed worker, five of other tasks.  */
+static void
+test_other_tasks_of_crashed_workers_go_on (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+  struct jb_job *other;
+  uint32_t crashes;
+
+  set_up (&setup);
+  other = add_job (&setup, OTHER_JOB, false);
+  for (crashes = 0; crashes < 2; crashes++)
+    {
+      char id[JB_ID_DIGITS + 1];
+
+      add_worker (&setup);
+      CU_ASSERT_EQUAL (run_round (&setup), 1);
+      start_task (&setup, &other->tasks[0]);
+      usleep (1000 * LONG_RUN_MS);
+      g_snprintf (id, sizeof id, "%016x", crashes);
+      job = add_job (&setup, id, false);
+      CU_ASSERT_EQUAL (run_round (&setup), 1);
+      start_task (&setup, &job->tasks[0]);
+      sd_job_cancelled (setup.sched, job, clk_monotonic_ms (NULL));
+      lose_worker (&setup, worker_of (&setup, &other->tasks[0]));
+      answer_by_another_process (&setup);
+      CU_ASSERT_EQUAL (other->tasks[0].state, JB_TASK_WAITING);
+    }
+  CU_ASSERT_EQUAL (other->state, JB_RUNNING);
+  tear_down (&setup);
+}
+
+/* Runs of a crashed worker waited for the end of its lease, 3 s after another
+   process had answered at its address.  */
+static void
+test_runs_of_replaced_worker_are_gone_at_once (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+
+  set_up (&setup);
+  job = add_job (&setup, JOB, false);
+  add_worker (&setup);
+  CU_ASSERT_EQUAL (run_round (&setup), 1);
+  start_task (&setup, &job->tasks[0]);
+  lose_worker (&setup, worker_of (&setup, &job->tasks[0]));
+  CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_PLACED);
+  answer_by_another_process (&setup);
+  CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_WAITING);
+  tear_down (&setup);
+}
+
+/* A cut is not a crash: the worker answers again, still the same process.  */
+static void
+test_cut_off_workers_do_not_fail_a_job (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+  struct sd_worker *worker;
+  uint32_t cuts;
+
+  set_up (&setup);
+  job = add_job (&setup, JOB, false);
+  for (cuts = 0; cuts < 3; cuts++)
+    {
+      worker = add_worker (&setup);
+      CU_ASSERT_EQUAL (run_round (&setup), 1);
+      start_task (&setup, &job->tasks[0]);
+      lose_worker (&setup, worker);
+      wait_for_lease (&setup);
+      CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_WAITING);
+      answer_all_polls (&setup, WP_DONE);
+    }
+  CU_ASSERT_EQUAL (job->state, JB_RUNNING);
+  tear_down (&setup);
+}
+
+/* A member of a gang crashes its worker; the member on the other worker is not
+   to blame, and the gang is given up as a whole.  */
+static void
+test_gang_that_crashes_workers_is_given_up (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+  struct sd_worker *small;
+  uint32_t starts = 0;
+
+  set_up (&setup);
+  job = add_job (&setup, JOB, true);
+  while (starts < TRIES_MAX)
+    {
+      add_worker (&setup)->report.resources.accelerators = 1;
+      small = add_worker (&setup);
+      small->report.resources.accelerators = 1;
+      if (run_round (&setup) == 0)
+        break;
+      starts++;
+      start_task (&setup, &job->tasks[0]);
+      start_task (&setup, &job->tasks[1]);
+      lose_worker (&setup, worker_of (&setup, &job->tasks[0]));
+      sd_worker_unlisted (setup.sched, job->tasks[1].worker);
+      answer_by_another_process (&setup);
+      wait_for_lease (&setup);
+    }
+  CU_ASSERT_TRUE (starts <= STARTS_MAX);
+  CU_ASSERT_EQUAL (job->state, JB_FAILED);
+  tear_down (&setup);
+}
+
+int
+main (void)
+{
+  static const struct check_test tests[] = {
+    { "a task that crashes workers is given up",
+      test_task_that_crashes_workers_is_given_up },
+    { "a task whose workers are lost is given up",
+      test_task_whose_workers_are_lost_is_given_up },
+    { "crashes are counted across takeovers",
+      test_crashes_are_counted_across_takeovers },
+    { "a restarted worker counts as crashed",
+      test_restarted_worker_counts_as_crashed },
+    { "other tasks of crashed workers go on",
+      test_other_tasks_of_crashed_workers_go_on },
+    { "the runs of a replaced worker are gone at once",
+      test_runs_of_replaced_worker_are_gone_at_once },
+    { "cut-off workers do not fail a job",
+      test_cut_off_workers_do_not_fail_a_job },
+    { "a gang that crashes workers is given up",
+      test_gang_that_crashes_workers_is_given_up },
+  };
+
+  return check_run ("hostd crashes", tests, G_N_ELEMENTS (tests));
+}
