--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -146,6 +146,8 @@
       g_clear_pointer (&job->tasks[i].checkpoint, g_free);
       job->tasks[i].run = 0;
       job->tasks[i].failures = 0;
+      job->tasks[i].crashes = 0;
+      job->tasks[i].lost_runs = 0;
     }
   for (i = 0; i < job->step_total; i++)
     job->steps[i].done_count = 0;
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -129,14 +129,17 @@
 {
   struct jb_job *job;
   struct jb_step *step;
-  uint32_t index;    /* within its step, from 0 */
-  uint32_t state;    /* enum jb_task_state */
-  uint32_t run;      /* number of the last run; 0: never started */
-  uint32_t failures; /* failed runs; the first task of a gang counts those of
-                        all its tasks */
-  char *worker;      /* id; NULL unless placed or stopping */
-  char *checkpoint;  /* that the next run resumes from; NULL: none */
-  bool confirmed;    /* the worker has reported that the run is there */
+  uint32_t index;     /* within its step, from 0 */
+  uint32_t state;     /* enum jb_task_state */
+  uint32_t run;       /* number of the last run; 0: never started */
+  uint32_t failures;  /* failed runs; the first task of a gang counts those of
+                         all its tasks */
+  uint32_t crashes;   /* workers that crashed when a run had just started, and
+                         no other job's run had */
+  uint32_t lost_runs; /* runs lost with their worker, for any cause */
+  char *worker;       /* id; NULL unless placed or stopping */
+  char *checkpoint;   /* that the next run resumes from; NULL: none */
+  bool confirmed;     /* the worker has reported that the run is there */
   /* The moments below are on the steady clock of the planner's process. */
   int64_t placed_ms;
   int64_t started_ms; /* when the run was confirmed; 0: not confirmed */
@@ -221,8 +224,8 @@
 void jb_job_forget_written (struct jb_job *job);
 
 /*! jb_task_reset () :
- *  Makes a task wait for a worker again.  Its run number, failure count and
- *  checkpoint stay. */
+ *  Makes a task wait for a worker again.  Its run number, its counts of
+ *  failures, crashes and lost runs, and its checkpoint stay. */
 void jb_task_reset (struct jb_task *task);
 
 /*! jb_job_has_no_runs () :
--- a/lib/jobs/records.c
+++ b/lib/jobs/records.c
@@ -185,6 +185,8 @@
       tasks[i].state = task->state;
       tasks[i].run = task->run;
       tasks[i].failures = task->failures;
+      tasks[i].crashes = task->crashes;
+      tasks[i].lost_runs = task->lost_runs;
       tasks[i].worker = empty_if_null (task->worker);
       if (!final && task->state != JB_TASK_DONE)
         tasks[i].checkpoint = empty_if_null (task->checkpoint);
@@ -202,6 +204,8 @@
   task->state = MIN (record->state, JB_TASK_DONE);
   task->run = record->run;
   task->failures = record->failures;
+  task->crashes = record->crashes;
+  task->lost_runs = record->lost_runs;
   task->worker = dup_or_null_if_empty (record->worker);
   if (task->worker == NULL && task->state != JB_TASK_DONE)
     task->state = JB_TASK_WAITING;
--- a/lib/proto/jobs.pb-c.c
+++ b/lib/proto/jobs.pb-c.c
@@ -883,7 +883,7 @@
   (ProtobufCMessageInit) ftj__cancel_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ftj__task_progress__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ftj__task_progress__field_descriptors[7] =
 {
   {
     "state",
@@ -945,10 +945,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__TaskProgress, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lost_runs",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__TaskProgress, lost_runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ftj__task_progress__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
+  5,   /* field[5] = crashes */
   2,   /* field[2] = failures */
+  6,   /* field[6] = lost_runs */
   1,   /* field[1] = run */
   0,   /* field[0] = state */
   3,   /* field[3] = worker */
@@ -956,7 +982,7 @@
 static const ProtobufCIntRange ftj__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ftj__task_progress__descriptor =
 {
@@ -966,7 +992,7 @@
   "Ftj__TaskProgress",
   "ftj",
   sizeof(Ftj__TaskProgress),
-  5,
+  7,
   ftj__task_progress__field_descriptors,
   ftj__task_progress__field_indices_by_name,
   1,  ftj__task_progress__number_ranges,
--- a/lib/proto/jobs.pb-c.h
+++ b/lib/proto/jobs.pb-c.h
@@ -102,10 +102,12 @@
   uint32_t failures;
   char *worker;
   char *checkpoint;
+  uint32_t crashes;
+  uint32_t lost_runs;
 };
 #define FTJ__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ftj__task_progress__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- /dev/null
+++ b/lib/sched/crash.c
@@ -0,0 +1,101 @@
+/* Distinguishes tasks that crash their workers from tasks that were there when
+   a worker crashed.  Made for this load: a task crashes each worker that
+   starts it, within milliseconds, while some five tasks of other jobs run
+   there; and at the same time workers crash or are cut off for other
+   reasons.  */
+
+#include "sched/private.h"
+
+enum
+{
+  /* A run that had started earlier than this before the worker's last answer
+     was past its start when the worker crashed.  */
+  START_MS = 500,
+  /* The platform lets a job fail after two crashes.  */
+  CRASH_LIMIT = 2,
+  /* Without any evidence of what has crashed the workers.  The platform
+     forbids the third start after three crashes, and each of these runs may
+     have been a crash.  */
+  LOST_RUN_LIMIT = 5
+};
+
+/* Whether the run had just started when the worker crashed.  */
+static bool
+is_suspect (const struct sd_worker_loss *loss, const struct jb_task *task)
+{
+  return task->confirmed && task->started_ms + START_MS > loss->last_answer_ms;
+}
+
+/* The job of all runs that had just started; NULL: there are none, or of
+   several jobs.  */
+static const struct jb_job *
+find_suspect_job (const struct sd_worker_loss *loss)
+{
+  const struct jb_job *job = NULL;
+  guint i;
+
+  for (i = 0; i < loss->tasks->len; i++)
+    {
+      const struct jb_task *task = g_ptr_array_index (loss->tasks, i);
+
+      if (!is_suspect (loss, task) || task->job == job)
+        continue;
+      if (job != NULL)
+        return NULL;
+      job = task->job;
+    }
+  return job;
+}
+
+static void
+count_loss (const struct sd_worker_loss *loss)
+{
+  const struct jb_job *suspect_job
+      = loss->crashed ? find_suspect_job (loss) : NULL;
+  guint i;
+
+  for (i = 0; i < loss->tasks->len; i++)
+    {
+      struct jb_task *task = g_ptr_array_index (loss->tasks, i);
+
+      task->lost_runs++;
+      if (task->job == suspect_job && is_suspect (loss, task))
+        task->crashes++;
+    }
+}
+
+static bool
+must_be_given_up (const struct jb_task *task)
+{
+  return task->crashes >= CRASH_LIMIT || task->lost_runs >= LOST_RUN_LIMIT;
+}
+
+void
+sd_runs_lost (struct sd_sched *sched, const struct sd_worker_loss *loss,
+              int64_t now_ms, int64_t now_unix_ms, GPtrArray *given_up)
+{
+  guint i;
+
+  count_loss (loss);
+  for (i = 0; i < loss->tasks->len; i++)
+    sd_task_lost (sched, g_ptr_array_index (loss->tasks, i), now_ms);
+  for (i = 0; i < loss->tasks->len; i++)
+    {
+      struct jb_task *task = g_ptr_array_index (loss->tasks, i);
+
+      if (!must_be_given_up (task) || jb_state_is_final (task->job->state))
+        continue;
+      sd_finish_job (sched, task->job, JB_FAILED, now_unix_ms);
+      g_ptr_array_add (given_up, task);
+    }
+}
+
+void
+sd_crash_absolve (struct sd_sched *sched, struct jb_task *task)
+{
+  if (task->crashes == 0 && task->lost_runs == 0)
+    return;
+  task->crashes = 0;
+  task->lost_runs = 0;
+  sd_mark_changed (sched, task->job);
+}
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -123,6 +123,14 @@
                               const struct jb_resources *resources,
                               uint32_t limit);
 
+/* --- sched.c --- */
+
+/*! sd_finish_job () :
+ *  Ends an active JOB in STATE, which is final, and stops its tasks.
+ *  @now_unix_ms : when it ended; 0: not known. */
+void sd_finish_job (struct sd_sched *sched, struct jb_job *job,
+                    enum jb_state state, int64_t now_unix_ms);
+
 /* --- health.c: unhealthy workers, stalled and slow tasks --- */
 
 /*! sd_health_done (), sd_health_failed (), sd_health_refused () :
@@ -170,6 +178,13 @@
  *  @return : whether there are enough workers that are not suspect. */
 bool sd_health_suspects_are_few (const struct sd_sched *sched, int64_t now_ms);
 
+/* --- crash.c: tasks that crash their workers --- */
+
+/*! sd_crash_absolve () :
+ *  TASK is at work on a worker that has not crashed: its crashes and lost runs
+ *  do not count any more. */
+void sd_crash_absolve (struct sd_sched *sched, struct jb_task *task);
+
 /* --- order.c: the order of waiting work --- */
 
 /* The unit of placement: the waiting tasks of a step.  The tasks of a gang
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -301,9 +301,9 @@
     g_ptr_array_add (sched->active_jobs, job);
 }
 
-static void
-finish_job (struct sd_sched *sched, struct jb_job *job, enum jb_state state,
-            int64_t now_unix_ms)
+void
+sd_finish_job (struct sd_sched *sched, struct jb_job *job, enum jb_state state,
+               int64_t now_unix_ms)
 {
   size_t i;
 
@@ -327,7 +327,7 @@
   (void)now_ms;
   if (jb_state_is_final (job->state))
     return;
-  finish_job (sched, job, JB_CANCELLED, 0);
+  sd_finish_job (sched, job, JB_CANCELLED, 0);
 }
 
 /* --- Tasks --- */
@@ -373,6 +373,8 @@
       task->percent = percent;
       task->progress_changed_ms = now_ms;
     }
+  if (task->step->spec->long_lived && percent == 100)
+    sd_crash_absolve (sched, task);
   if (task->state != JB_TASK_PLACED || task->step->spec->long_lived)
     return;
   if (moved)
@@ -459,7 +461,7 @@
   for (k = 0; k < job->step_total; k++)
     if (job->steps[k].done_count < job->steps[k].spec->count)
       return;
-  finish_job (sched, job, JB_COMPLETED, now_unix_ms);
+  sd_finish_job (sched, job, JB_COMPLETED, now_unix_ms);
 }
 
 static uint32_t
@@ -484,7 +486,7 @@
   if (jb_state_is_final (task->job->state) || task->step->spec->long_lived)
     return;
   if (representative->failures >= attempt_limit (sched, task->job))
-    finish_job (sched, task->job, JB_FAILED, now_unix_ms);
+    sd_finish_job (sched, task->job, JB_FAILED, now_unix_ms);
 }
 
 /* Only runs from the beginning show how long the work takes, so runs that have
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -212,6 +212,24 @@
 void sd_task_lost (struct sd_sched *sched, struct jb_task *task,
                    int64_t now_ms);
 
+/* Runs that are lost together with their worker.  */
+struct sd_worker_loss
+{
+  GPtrArray *tasks; /* struct jb_task: their last recorded runs are lost, as
+                       for sd_task_lost () */
+  bool crashed;     /* the worker's process has ended without having announced
+                       it; false: it may only be unreachable */
+  int64_t last_answer_ms; /* when that process last answered a call */
+};
+
+/*! sd_runs_lost () :
+ *  Has lost runs wait for workers again, and counts them and the crashes.  The
+ *  job of a task that has crashed too many workers has failed; see crash.c.
+ *  @given_up : struct jb_task: the tasks for which a job has failed are
+ *              added. */
+void sd_runs_lost (struct sd_sched *sched, const struct sd_worker_loss *loss,
+                   int64_t now_ms, int64_t now_unix_ms, GPtrArray *given_up);
+
 /* --- Pace --- */
 
 /* A command for a worker: the best-effort TASK is to run at PERCENT of its
--- a/programs/foxtailgap-hostd/worker_losses.c
+++ b/programs/foxtailgap-hostd/worker_losses.c
@@ -1,16 +1,19 @@
 /* Runs that are gone without an outcome: the worker does not list them, has
-   restarted, or is unreachable and its lease is over.  */
+   restarted, has been replaced by another process, or is unreachable and its
+   lease is over.  */
 
+#include "common/clock.h"
 #include "common/logging.h"
 #include "workers_private.h"
 
 static const char PART[] = "workers";
 
-/* Gives up the last recorded run of TASK.
-   WHY: a constant word, for the log and the metrics.  */
+/* --- Logs and metrics --- */
+
+/* WHY: a constant word, for the log and the metrics.  */
 static void
-give_up_run (struct worker_io *io, struct jb_task *task, const char *why,
-             int64_t now_ms)
+note_gone_run (const struct worker_io *io, const struct jb_task *task,
+               const char *why, int64_t now_ms)
 {
   char name[96];
 
@@ -22,7 +25,80 @@
   g_snprintf (name, sizeof name, "foxtailgap_lost_runs_total{why=\"%s\"}",
               why);
   mt_add (io->workers->params.metrics, name, 1);
-  sd_task_lost (io->workers->params.sched, task, now_ms);
+}
+
+static void
+note_given_up_task (const struct worker_io *io, const struct jb_task *task)
+{
+  lg_warning (PART, "A job has failed: its task was lost with its workers.",
+              "job", task->job->id, "step", lg_number (task->step->index),
+              "index", lg_number (task->index), "run", lg_number (task->run),
+              "crashes", lg_number (task->crashes), "lost_runs",
+              lg_number (task->lost_runs), NULL);
+  mt_add (io->workers->params.metrics, "foxtailgap_crashing_jobs_total", 1);
+}
+
+/* --- Runs lost with their worker --- */
+
+/* TASKS: struct jb_task, placed on the worker; not kept.
+   WHY: as for note_gone_run ().  */
+static void
+lose_runs (struct worker_io *io, GPtrArray *tasks, const char *why,
+           bool process_ended, int64_t now_ms)
+{
+  GPtrArray *given_up = g_ptr_array_new ();
+  struct sd_worker_loss loss = {
+    .tasks = tasks,
+    /* A worker that has announced that it leaves has not crashed.  */
+    .crashed = process_ended && !io->worker->report.draining,
+    .last_answer_ms = io->clock_read_ms,
+  };
+  guint i;
+
+  for (i = 0; i < tasks->len; i++)
+    note_gone_run (io, g_ptr_array_index (tasks, i), why, now_ms);
+  sd_runs_lost (io->workers->params.sched, &loss, now_ms, clk_unix_ms (),
+                given_up);
+  for (i = 0; i < given_up->len; i++)
+    note_given_up_task (io, g_ptr_array_index (given_up, i));
+  g_ptr_array_free (given_up, TRUE);
+}
+
+/* As lose_runs (), for all runs of the worker.  */
+static void
+lose_all_runs (struct worker_io *io, const char *why, bool process_ended,
+               int64_t now_ms)
+{
+  GPtrArray *tasks = g_ptr_array_copy (io->worker->tasks, NULL, NULL);
+
+  lose_runs (io, tasks, why, process_ended, now_ms);
+  g_ptr_array_free (tasks, TRUE);
+  io->workers->params.changed (io->workers->params.ctx);
+}
+
+void
+wk_drop_runs_of_lapsed_lease (struct worker_io *io, int64_t now_ms)
+{
+  lg_info (PART, "The lease of a worker is over.", "worker",
+           io->worker->report.id, "tasks", lg_number (io->worker->tasks->len),
+           NULL);
+  lose_all_runs (io, "lease", false, now_ms);
+}
+
+void
+wk_drop_runs_of_replaced_worker (struct worker_io *io, int64_t now_ms)
+{
+  if (io->worker->tasks->len > 0)
+    lose_all_runs (io, "replaced", true, now_ms);
+}
+
+/* --- Runs that a poll does not list --- */
+
+/* Whether the worker has restarted since the task was placed there.  */
+static bool
+has_restarted_since (const struct worker_io *io, const struct jb_task *task)
+{
+  return io->restart_seen_ms > 0 && io->restart_seen_ms >= task->placed_ms;
 }
 
 /* Whether the run of a task that the worker does not list is not there and can
@@ -31,12 +107,11 @@
    one missing from both counts as gone only after that time; if the worker has
    restarted, at once.  */
 static bool
-run_is_gone (struct worker_io *io, struct jb_task *task, bool restarted,
-             int64_t now_ms)
+run_is_gone (struct worker_io *io, struct jb_task *task, int64_t now_ms)
 {
   if (io->renewal_sent_ms <= task->poll_conclusive_from_ms)
     return false;
-  if (restarted)
+  if (has_restarted_since (io, task))
     return true;
   if (task->missing_since_ms == 0)
     task->missing_since_ms = now_ms;
@@ -51,11 +126,29 @@
   return false;
 }
 
+/* Gives up runs that a worker in touch does not have.  Their starts may never
+   have arrived, so they do not count as lost with it.  */
+static void
+lose_missing_runs (struct worker_io *io, const GPtrArray *tasks,
+                   int64_t now_ms)
+{
+  guint i;
+
+  for (i = 0; i < tasks->len; i++)
+    {
+      struct jb_task *task = g_ptr_array_index (tasks, i);
+
+      note_gone_run (io, task, "missing", now_ms);
+      sd_task_lost (io->workers->params.sched, task, now_ms);
+    }
+}
+
 void
 wk_drop_missing_runs (struct worker_io *io, GHashTable *reported_tasks,
-                      bool restarted, int64_t now_ms)
+                      int64_t now_ms)
 {
   GPtrArray *lost = g_ptr_array_new ();
+  GPtrArray *missing = g_ptr_array_new ();
   guint i;
 
   for (i = 0; i < io->worker->tasks->len; i++)
@@ -64,28 +157,12 @@
 
       if (g_hash_table_contains (reported_tasks, task))
         task->missing_since_ms = 0;
-      else if (run_is_gone (io, task, restarted, now_ms))
-        g_ptr_array_add (lost, task);
-    }
-  for (i = 0; i < lost->len; i++)
-    {
-      struct jb_task *task = g_ptr_array_index (lost, i);
-
-      if (task->state != JB_TASK_PLACED && task->state != JB_TASK_STOPPING)
-        continue; /* it was given up with another member of its gang */
-      give_up_run (io, task, restarted ? "restarted" : "missing", now_ms);
+      else if (run_is_gone (io, task, now_ms))
+        g_ptr_array_add (has_restarted_since (io, task) ? lost : missing,
+                         task);
     }
+  lose_runs (io, lost, "restarted", true, now_ms);
+  lose_missing_runs (io, missing, now_ms);
   g_ptr_array_free (lost, TRUE);
-}
-
-void
-wk_drop_runs_of_lapsed_lease (struct worker_io *io, int64_t now_ms)
-{
-  struct sd_worker *worker = io->worker;
-
-  lg_info (PART, "The lease of a worker is over.", "worker", worker->report.id,
-           "tasks", lg_number (worker->tasks->len), NULL);
-  while (worker->tasks->len > 0)
-    give_up_run (io, g_ptr_array_index (worker->tasks, 0), "lease", now_ms);
-  io->workers->params.changed (io->workers->params.ctx);
+  g_ptr_array_free (missing, TRUE);
 }
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -82,7 +82,8 @@
 wk_update_clock (struct worker_io *io, const struct wp_answer *answer,
                  int64_t now_ms)
 {
-  if (answer->worker_clock_ms < 0)
+  /* The clock of another process says nothing about this worker.  */
+  if (answer->worker_clock_ms < 0 || answer->result == WP_WRONG_WORKER)
     return;
   io->clock_ms = answer->worker_clock_ms;
   io->clock_read_ms = now_ms;
@@ -249,16 +250,17 @@
                int64_t now_ms)
 {
   GHashTable *reported_tasks = g_hash_table_new (NULL, NULL);
-  bool restarted = false;
   guint i;
 
   if (answer->worker_started_ms != 0
       && answer->worker_started_ms != io->worker_started_ms)
     {
-      restarted = io->worker_started_ms != 0;
-      if (restarted)
-        lg_info (PART, "A worker has restarted.", "worker",
-                 io->worker->report.id, NULL);
+      if (io->worker_started_ms != 0)
+        {
+          lg_info (PART, "A worker has restarted.", "worker",
+                   io->worker->report.id, NULL);
+          io->restart_seen_ms = now_ms;
+        }
       io->worker_started_ms = answer->worker_started_ms;
       io->outcome_processed = 0;
       io->outcome_stored = 0;
@@ -269,7 +271,7 @@
   for (i = 0; i < answer->runs->len; i++)
     process_run (io, &g_array_index (answer->runs, struct wp_run, i),
                  reported_tasks, now_ms);
-  wk_drop_missing_runs (io, reported_tasks, restarted, now_ms);
+  wk_drop_missing_runs (io, reported_tasks, now_ms);
   g_hash_table_destroy (reported_tasks);
 }
 
@@ -308,14 +310,16 @@
                  NULL);
       io->last_result = answer->result;
       sd_worker_set_reachability (worker, SD_WORKER_UNREACHABLE);
+      if (answer->result == WP_WRONG_WORKER)
+        wk_drop_runs_of_replaced_worker (io, now_ms);
       goto done;
     }
   if (worker->reachability != SD_WORKER_REACHABLE)
     lg_info (PART, "A worker is in touch.", "worker", call->worker, NULL);
   sd_worker_set_reachability (worker, SD_WORKER_REACHABLE);
   io->answered_renewal_sent_ms = io->renewal_sent_ms;
-  wk_update_clock (io, answer, now_ms);
   process_lists (io, answer, now_ms);
+  wk_update_clock (io, answer, now_ms);
   wk_update_pace (workers, worker);
   workers->params.changed (workers->params.ctx);
 
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -24,6 +24,8 @@
   int64_t clock_ms; /* as last reported; negative: never under this term */
   int64_t clock_read_ms;     /* when that report came in */
   int64_t worker_started_ms; /* of wp_answer; 0: not reported */
+  int64_t restart_seen_ms; /* when a poll last showed that it has restarted; 0:
+                              never under this term */
   /* outcomes of runs */
   int64_t outcome_processed; /* number of the last outcome processed */
   int64_t outcome_stored;    /* of the last one whose effects are stored */
@@ -114,15 +116,16 @@
 /*! wk_drop_missing_runs () :
  *  After a status poll: gives up the runs that the worker has neither listed
  *  as running nor as ended, once it is certain that they are not there.
- *  @reported_tasks : struct jb_task, as a set: those it has listed as running.
- *  @restarted : the worker has restarted since the poll before. */
+ *  @reported_tasks : struct jb_task, as a set: those it has listed as
+ *                    running. */
 void wk_drop_missing_runs (struct worker_io *io, GHashTable *reported_tasks,
-                           bool restarted, int64_t now_ms);
+                           int64_t now_ms);
 
-/*! wk_drop_runs_of_lapsed_lease () :
- *  Gives up the runs of an unreachable worker: its lease is over, so nothing
- *  runs there. */
+/*! wk_drop_runs_of_lapsed_lease (), wk_drop_runs_of_replaced_worker () :
+ *  Gives up the runs of a worker: it is unreachable and its lease is over; or
+ *  another process answers at its address, so that its own has ended. */
 void wk_drop_runs_of_lapsed_lease (struct worker_io *io, int64_t now_ms);
+void wk_drop_runs_of_replaced_worker (struct worker_io *io, int64_t now_ms);
 
 /*! wk_update_pace () :
  *  Sends pace commands to the best-effort tasks on a worker as needed. */
--- a/tests/unit/test_hostd_crashes.c
+++ b/tests/unit/test_hostd_crashes.c
@@ -246,6 +246,14 @@
   tear_down (&setup);
 }
 
+static void
+poll_after_pause (struct setup *setup, const struct wp_answer *answer)
+{
+  usleep (1000 * 3);
+  wk_send_waiting (setup->workers);
+  fake_answer (fake_oldest_open_call (&setup->port, 'h'), answer);
+}
+
 /* The same by a worker that restarts under its old id.  */
 static void
 test_restarted_worker_counts_as_crashed (void)
@@ -265,10 +273,10 @@
       wk_send_waiting (setup.workers);
       fake_answer (fake_oldest_open_call (&setup.port, 'h'), &life);
       start_task (&setup, &job->tasks[0]);
-      usleep (1000 * 3);
       life.worker_started_ms++;
-      wk_send_waiting (setup.workers);
-      fake_answer (fake_oldest_open_call (&setup.port, 'h'), &life);
+      /* The first of these polls was sent before the start was answered.  */
+      poll_after_pause (&setup, &life);
+      poll_after_pause (&setup, &life);
     }
   CU_ASSERT_EQUAL (starts, 2);
   CU_ASSERT_EQUAL (job->state, JB_FAILED);
