--- a/tests/unit/test_hostd_crashes.c
+++ b/tests/unit/test_hostd_crashes.c
@@ -335,6 +335,39 @@
   tear_down (&setup);
 }
 
+/* BUDGET 0, but a job that only ran beside deadly ones failed: all tasks lost
+   with a worker were started together on the next one, five times.  */
+static void
+test_tasks_lost_together_start_apart (void)
+{
+  struct setup setup;
+  struct jb_job *deadly;
+  struct jb_job *innocent;
+  uint32_t starts = 0;
+
+  set_up (&setup);
+  deadly = add_job (&setup, JOB, false);
+  innocent = add_job (&setup, OTHER_JOB, false);
+  while (starts < TRIES_MAX && deadly->state != JB_FAILED)
+    {
+      add_worker (&setup);
+      add_worker (&setup);
+      run_round (&setup);
+      CU_ASSERT_EQUAL_FATAL (deadly->tasks[0].state, JB_TASK_PLACED);
+      starts++;
+      start_task (&setup, &deadly->tasks[0]);
+      if (innocent->tasks[0].state == JB_TASK_PLACED
+          && !innocent->tasks[0].confirmed)
+        start_task (&setup, &innocent->tasks[0]);
+      lose_worker (&setup, worker_of (&setup, &deadly->tasks[0]));
+      answer_by_another_process (&setup);
+    }
+  CU_ASSERT_EQUAL (starts, 2);
+  CU_ASSERT_EQUAL (deadly->state, JB_FAILED);
+  CU_ASSERT_EQUAL (innocent->state, JB_RUNNING);
+  tear_down (&setup);
+}
+
 /* A cut is not a crash: the worker answers again, still the same process.  */
 static void
 test_cut_off_workers_do_not_fail_a_job (void)
@@ -408,6 +441,8 @@
       test_other_tasks_of_crashed_workers_go_on },
     { "the runs of a replaced worker are gone at once",
       test_runs_of_replaced_worker_are_gone_at_once },
+    { "tasks lost together start apart",
+      test_tasks_lost_together_start_apart },
     { "cut-off workers do not fail a job",
       test_cut_off_workers_do_not_fail_a_job },
     { "a gang that crashes workers is given up",
