Tasks that may have crashed their worker start where nothing else is starting

Callers saw: jobs failed that had only been placed beside a deadly one. The tasks lost with a worker were placed again in one round, often all on the same next worker, so that each crash had the same suspects: correlated retries.

Cause: which of the runs that had just started crashed the worker can not be known from one crash, and nothing made the next one tell more.

Change: a crash counts for all tasks that had just started. A task with one is a suspect: it is placed where no run has been placed or started for 500 ms, and nothing else is placed there for 600 ms, so that its second crash is its own. Only a crash as the only suspect fails a job. Gangs start on many workers and are not made to wait for that, but keep others away. An urgent suspect that only has to wait for this preempts nothing.

The test answers the polls of the lost worker only: before, all workers of the fixture were lost together, which hid who was to blame.

--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -134,8 +134,7 @@
   uint32_t run;       /* number of the last run; 0: never started */
   uint32_t failures;  /* failed runs; the first task of a gang counts those of
                          all its tasks */
-  uint32_t crashes;   /* workers that crashed when a run had just started, and
-                         no other job's run had */
+  uint32_t crashes;   /* workers that crashed when a run had just started */
   uint32_t lost_runs; /* runs lost with their worker, for any cause */
   char *worker;       /* id; NULL unless placed or stopping */
   char *checkpoint;   /* that the next run resumes from; NULL: none */
--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -1,16 +1,17 @@
 /* Distinguishes tasks that crash their workers from tasks that were there when
    a worker crashed.  Made for this load: a task crashes each worker that
-   starts it, within milliseconds, while some five tasks of other jobs run
-   there; and at the same time workers crash or are cut off for other
-   reasons.  */
+   starts it, within milliseconds, while some five tasks of other jobs run or
+   start there; and at the same time workers crash or are cut off for other
+   reasons.
+
+   A crash counts for all tasks that had just started.  These are suspects from
+   then on: a suspect is started where nothing else is just starting, so that
+   its next run shows whether it crashes the worker.  */
 
 #include "sched/private.h"
 
 enum
 {
-  /* A run that had started earlier than this before the worker's last answer
-     was past its start when the worker crashed.  */
-  START_MS = 500,
   /* The platform lets a job fail after two crashes.  */
   CRASH_LIMIT = 2,
   /* Without any evidence of what has crashed the workers.  The platform
@@ -23,7 +24,8 @@
 static bool
 is_suspect (const struct sd_worker_loss *loss, const struct jb_task *task)
 {
-  return task->confirmed && task->started_ms + START_MS > loss->last_answer_ms;
+  return task->confirmed
+         && task->started_ms + SD_TASK_START_MS > loss->last_answer_ms;
 }
 
 /* The job of all runs that had just started; NULL: there are none, or of
@@ -50,8 +52,6 @@
 static void
 count_loss (const struct sd_worker_loss *loss)
 {
-  const struct jb_job *suspect_job
-      = loss->crashed ? find_suspect_job (loss) : NULL;
   guint i;
 
   for (i = 0; i < loss->tasks->len; i++)
@@ -59,35 +59,74 @@
       struct jb_task *task = g_ptr_array_index (loss->tasks, i);
 
       task->lost_runs++;
-      if (task->job == suspect_job && is_suspect (loss, task))
+      if (loss->crashed && is_suspect (loss, task))
         task->crashes++;
     }
 }
 
+/* SUSPECT_JOB: of find_suspect_job ().  */
 static bool
-must_be_given_up (const struct jb_task *task)
+must_be_given_up (const struct sd_worker_loss *loss,
+                  const struct jb_task *task, const struct jb_job *suspect_job)
 {
-  return task->crashes >= CRASH_LIMIT || task->lost_runs >= LOST_RUN_LIMIT;
+  bool crashed_alone
+      = loss->crashed && task->job == suspect_job && is_suspect (loss, task);
+
+  return (crashed_alone && task->crashes >= CRASH_LIMIT)
+         || task->lost_runs >= LOST_RUN_LIMIT;
 }
 
 void
 sd_runs_lost (struct sd_sched *sched, const struct sd_worker_loss *loss,
               int64_t now_ms, int64_t now_unix_ms, GPtrArray *given_up)
 {
+  const struct jb_job *suspect_job = find_suspect_job (loss);
   guint i;
 
   count_loss (loss);
-  for (i = 0; i < loss->tasks->len; i++)
-    sd_task_lost (sched, g_ptr_array_index (loss->tasks, i), now_ms);
   for (i = 0; i < loss->tasks->len; i++)
     {
       struct jb_task *task = g_ptr_array_index (loss->tasks, i);
 
-      if (!must_be_given_up (task) || jb_state_is_final (task->job->state))
-        continue;
-      sd_finish_job (sched, task->job, JB_FAILED, now_unix_ms);
-      g_ptr_array_add (given_up, task);
+      if (must_be_given_up (loss, task, suspect_job)
+          && !jb_state_is_final (task->job->state))
+        g_ptr_array_add (given_up, task);
+      sd_task_lost (sched, task, now_ms);
+    }
+  for (i = 0; i < given_up->len; i++)
+    {
+      struct jb_task *task = g_ptr_array_index (given_up, i);
+
+      if (!jb_state_is_final (task->job->state))
+        sd_finish_job (sched, task->job, JB_FAILED, now_unix_ms);
+    }
+}
+
+bool
+sd_crash_is_suspect (const struct jb_task *task)
+{
+  return task->crashes > 0;
+}
+
+bool
+sd_crash_has_starting_run (const struct sd_worker *worker, int64_t now_ms)
+{
+  guint i;
+
+  for (i = 0; i < worker->tasks->len; i++)
+    {
+      const struct jb_task *task = g_ptr_array_index (worker->tasks, i);
+
+      if (MAX (task->placed_ms, task->started_ms) + SD_TASK_START_MS > now_ms)
+        return true;
     }
+  return false;
+}
+
+void
+sd_crash_suspect_placed (struct sd_worker *worker, int64_t now_ms)
+{
+  worker->exclusive_until_ms = now_ms + SD_SUSPECT_EXCLUSIVE_MS;
 }
 
 void
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -96,6 +96,22 @@
   return false;
 }
 
+/* A gang starts on many workers at once, which seldom all have no run that is
+   starting.  */
+static bool
+must_start_alone (const struct jb_step *step)
+{
+  uint32_t i;
+
+  if (step->spec->gang)
+    return false;
+  for (i = 0; i < step->spec->count; i++)
+    if (step->tasks[i].state == JB_TASK_WAITING
+        && sd_crash_is_suspect (&step->tasks[i]))
+      return true;
+  return false;
+}
+
 static int
 compare_units (const void *a, const void *b)
 {
@@ -165,6 +181,7 @@
         continue;
       unit.last_attempt = is_last_attempt (step, queue);
       unit.avoids_suspects = sched->suspects_are_few;
+      unit.starts_alone = must_start_alone (step);
       if (queue->uses_advisor)
         unit.advice = sd_advice_get (sched, step);
       g_array_append_val (units, unit);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -52,6 +52,8 @@
 {
   return sd_worker_is_available (worker, unit, now_ms)
          && worker->start_backoff_until_ms <= now_ms
+         && worker->exclusive_until_ms <= now_ms
+         && !(unit->starts_alone && sd_crash_has_starting_run (worker, now_ms))
          && sd_advice_has_ticket (unit->advice, worker->report.id, now_ms);
 }
 
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -39,6 +39,11 @@
   /* A worker that did not answer a command gets no new task for this time.  By
      then a status poll has usually shown whether it is unreachable.  */
   SD_NO_ANSWER_BACKOFF_MS = 800,
+  /* A run that has been on a worker for this time is past its start.  */
+  SD_TASK_START_MS = 500,
+  /* From the placement of a suspect until it is past its start, with the time
+     that it takes to store and send the start.  */
+  SD_SUSPECT_EXCLUSIVE_MS = 600,
 };
 
 struct sd_sched
@@ -180,6 +185,21 @@
 
 /* --- crash.c: tasks that crash their workers --- */
 
+/*! sd_crash_is_suspect () :
+ *  @return : whether a worker has crashed when TASK had just started there. */
+bool sd_crash_is_suspect (const struct jb_task *task);
+
+/*! sd_crash_has_starting_run () :
+ *  @return : whether a run on WORKER has just been placed or started, so that
+ * a suspect must not start there. */
+bool sd_crash_has_starting_run (const struct sd_worker *worker,
+                                int64_t now_ms);
+
+/*! sd_crash_suspect_placed () :
+ *  A suspect has been placed on WORKER: nothing else is placed there until it
+ *  has started. */
+void sd_crash_suspect_placed (struct sd_worker *worker, int64_t now_ms);
+
 /*! sd_crash_absolve () :
  *  TASK is at work on a worker that has not crashed: its crashes and lost runs
  *  do not count any more. */
@@ -204,6 +224,8 @@
   bool guaranteed;
   bool last_attempt;    /* one more failure of a task would fail the job */
   bool avoids_suspects; /* it is not placed on suspect workers */
+  bool starts_alone; /* it has a suspect task, see crash.c, and is placed only
+                        where no run is starting */
 };
 
 /*! sd_collect_units () :
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -56,11 +56,32 @@
 
       sd_place_task (sched, task, worker,
                      spec->gang ? gang_run : task->run + 1, now_ms);
+      if (sd_crash_is_suspect (task))
+        sd_crash_suspect_placed (worker, now_ms);
       sd_resources_subtract (&worker->round_free_resources, &spec->resources);
       g_ptr_array_add (commands->starts, task);
     }
 }
 
+/* Whether the unit would fit if it did not have to start alone, so that it
+   only has to wait until other runs are past their start.  */
+static bool
+waits_to_start_alone (const struct sd_sched *sched, const struct sd_unit *unit,
+                      int64_t now_ms)
+{
+  struct sd_placement placement
+      = { .tasks = g_ptr_array_new (), .workers = g_ptr_array_new () };
+  struct sd_unit shared = *unit;
+  bool fits;
+
+  shared.starts_alone = false;
+  fits = unit->starts_alone
+         && sd_choose_workers (sched, &shared, now_ms, &placement);
+  g_ptr_array_free (placement.tasks, TRUE);
+  g_ptr_array_free (placement.workers, TRUE);
+  return fits;
+}
+
 static void
 place_unit (struct sd_sched *sched, const struct sd_unit *unit, int64_t now_ms,
             struct sd_commands *commands)
@@ -75,7 +96,7 @@
   if (preempting || reserved || !sd_is_known_unplaceable (sched, unit))
     {
       complete = sd_choose_workers (sched, unit, now_ms, &placement);
-      if (!complete && !preempting
+      if (!complete && !preempting && !unit->starts_alone
           && (unit->step->spec->gang || placement.tasks->len == 0))
         g_array_append_val (sched->unplaceable_units, *unit);
     }
@@ -91,7 +112,8 @@
     sd_reserve_resources (sched, unit, now_ms);
   if (preempting && complete)
     sd_preemption_remove (sched, unit);
-  if (!complete && unit->priority == 0 && unplaced.waiting_count > 0)
+  if (!complete && unit->priority == 0 && unplaced.waiting_count > 0
+      && !waits_to_start_alone (sched, &unplaced, now_ms))
     sd_preempt (sched, &unplaced, now_ms);
   if (!complete && commands->advisor_queries != NULL)
     sd_query_advice (sched, &unplaced, now_ms, commands->advisor_queries);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -58,12 +58,14 @@
   char last_failed_job[JB_ID_DIGITS + 1];
   /* Starts refused as unhealthy since the last run done.  */
   uint32_t refusal_streak;
-  int64_t last_failed_ms;   /* of the failures in failure_streak */
-  int64_t suspect_until_ms; /* no new task before, if there are enough other
-                               workers: it has failed a run */
-  int64_t last_done_ms;     /* 0: no run done yet */
-  int64_t avoid_until_ms;   /* no new task before: the worker seems to be
-                               unhealthy */
+  int64_t last_failed_ms;     /* of the failures in failure_streak */
+  int64_t suspect_until_ms;   /* no new task before, if there are enough other
+                                 workers: it has failed a run */
+  int64_t last_done_ms;       /* 0: no run done yet */
+  int64_t avoid_until_ms;     /* no new task before: the worker seems to be
+                                 unhealthy */
+  int64_t exclusive_until_ms; /* no new task before: one that may crash the
+                                 worker is starting there */
   /* pace of the best-effort tasks there */
   uint32_t pace_level; /* percent of their speed */
   int64_t pace_changed_ms;
--- a/tests/unit/test_hostd_crashes.c
+++ b/tests/unit/test_hostd_crashes.c
@@ -124,30 +124,34 @@
                &(struct wp_answer){ .result = WP_DONE });
 }
 
+/* Answers the polls of one worker; those of others stay open.  */
 static void
-answer_all_polls (struct setup *setup, enum wp_result result)
+answer_polls (struct setup *setup, const char *worker, enum wp_result result)
 {
   struct wp_answer answer = { .result = result, .worker_clock_ms = -1 };
+  size_t i;
 
   wk_send_waiting (setup->workers);
-  while (fake_oldest_open_call (&setup->port, 'h') != NULL)
-    fake_answer (fake_oldest_open_call (&setup->port, 'h'), &answer);
+  for (i = 0; i < setup->port.count; i++)
+    if (setup->port.calls[i].open && setup->port.calls[i].kind == 'h'
+        && strcmp (setup->port.calls[i].worker, worker) == 0)
+      fake_answer (&setup->port.calls[i], &answer);
 }
 
 /* WORKER stops answering, and the store's list drops it.  */
 static void
 lose_worker (struct setup *setup, const struct sd_worker *worker)
 {
-  answer_all_polls (setup, WP_NO_ANSWER);
+  answer_polls (setup, worker->report.id, WP_NO_ANSWER);
   sd_worker_unlisted (setup->sched, worker->report.id);
 }
 
-/* Another process answers at the address of the lost workers.  */
+/* Another process answers at the address of a lost worker.  */
 static void
-answer_by_another_process (struct setup *setup)
+answer_by_another_process (struct setup *setup, const struct sd_worker *worker)
 {
   usleep (1000 * POLL_AGAIN_MS);
-  answer_all_polls (setup, WP_WRONG_WORKER);
+  answer_polls (setup, worker->report.id, WP_WRONG_WORKER);
 }
 
 static void
@@ -180,6 +184,7 @@
 crash_workers (struct setup *setup, struct jb_task *task, bool proven,
                bool takeovers)
 {
+  struct sd_worker *worker;
   uint32_t starts = 0;
 
   while (starts < TRIES_MAX)
@@ -189,11 +194,12 @@
         break;
       starts++;
       start_task (setup, task);
-      lose_worker (setup, worker_of (setup, task));
+      worker = worker_of (setup, task);
+      lose_worker (setup, worker);
       if (takeovers)
         take_over (setup, task->job);
       if (proven)
-        answer_by_another_process (setup);
+        answer_by_another_process (setup, worker);
       if (task->state == JB_TASK_PLACED)
         wait_for_lease (setup);
     }
@@ -290,6 +296,7 @@
   struct setup setup;
   struct jb_job *job;
   struct jb_job *other;
+  struct sd_worker *worker;
   uint32_t crashes;
 
   set_up (&setup);
@@ -298,7 +305,7 @@
     {
       char id[JB_ID_DIGITS + 1];
 
-      add_worker (&setup);
+      worker = add_worker (&setup);
       CU_ASSERT_EQUAL (run_round (&setup), 1);
       start_task (&setup, &other->tasks[0]);
       usleep (1000 * LONG_RUN_MS);
@@ -307,8 +314,8 @@
       CU_ASSERT_EQUAL (run_round (&setup), 1);
       start_task (&setup, &job->tasks[0]);
       sd_job_cancelled (setup.sched, job, clk_monotonic_ms (NULL));
-      lose_worker (&setup, worker_of (&setup, &other->tasks[0]));
-      answer_by_another_process (&setup);
+      lose_worker (&setup, worker);
+      answer_by_another_process (&setup, worker);
       CU_ASSERT_EQUAL (other->tasks[0].state, JB_TASK_WAITING);
     }
   CU_ASSERT_EQUAL (other->state, JB_RUNNING);
@@ -322,15 +329,16 @@
 {
   struct setup setup;
   struct jb_job *job;
+  struct sd_worker *worker;
 
   set_up (&setup);
   job = add_job (&setup, JOB, false);
-  add_worker (&setup);
+  worker = add_worker (&setup);
   CU_ASSERT_EQUAL (run_round (&setup), 1);
   start_task (&setup, &job->tasks[0]);
-  lose_worker (&setup, worker_of (&setup, &job->tasks[0]));
+  lose_worker (&setup, worker);
   CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_PLACED);
-  answer_by_another_process (&setup);
+  answer_by_another_process (&setup, worker);
   CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_WAITING);
   tear_down (&setup);
 }
@@ -343,6 +351,7 @@
   struct setup setup;
   struct jb_job *deadly;
   struct jb_job *innocent;
+  struct sd_worker *worker;
   uint32_t starts = 0;
 
   set_up (&setup);
@@ -359,8 +368,9 @@
       if (innocent->tasks[0].state == JB_TASK_PLACED
           && !innocent->tasks[0].confirmed)
         start_task (&setup, &innocent->tasks[0]);
-      lose_worker (&setup, worker_of (&setup, &deadly->tasks[0]));
-      answer_by_another_process (&setup);
+      worker = worker_of (&setup, &deadly->tasks[0]);
+      lose_worker (&setup, worker);
+      answer_by_another_process (&setup, worker);
     }
   CU_ASSERT_EQUAL (starts, 2);
   CU_ASSERT_EQUAL (deadly->state, JB_FAILED);
@@ -387,7 +397,7 @@
       lose_worker (&setup, worker);
       wait_for_lease (&setup);
       CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_WAITING);
-      answer_all_polls (&setup, WP_DONE);
+      answer_polls (&setup, worker->report.id, WP_DONE);
     }
   CU_ASSERT_EQUAL (job->state, JB_RUNNING);
   tear_down (&setup);
@@ -400,7 +410,7 @@
 {
   struct setup setup;
   struct jb_job *job;
-  struct sd_worker *small;
+  struct sd_worker *crashing;
   uint32_t starts = 0;
 
   set_up (&setup);
@@ -408,20 +418,22 @@
   while (starts < TRIES_MAX)
     {
       add_worker (&setup)->report.resources.accelerators = 1;
-      small = add_worker (&setup);
-      small->report.resources.accelerators = 1;
+      add_worker (&setup)->report.resources.accelerators = 1;
       if (run_round (&setup) == 0)
         break;
       starts++;
       start_task (&setup, &job->tasks[0]);
       start_task (&setup, &job->tasks[1]);
-      lose_worker (&setup, worker_of (&setup, &job->tasks[0]));
-      sd_worker_unlisted (setup.sched, job->tasks[1].worker);
-      answer_by_another_process (&setup);
-      wait_for_lease (&setup);
+      crashing = worker_of (&setup, &job->tasks[0]);
+      lose_worker (&setup, crashing);
+      answer_by_another_process (&setup, crashing);
+      CU_ASSERT_EQUAL (job->tasks[1].state, JB_TASK_STOPPING);
+      sd_task_ended (setup.sched, &job->tasks[1], SD_OUTCOME_GANG_MEMBER_LOST,
+                     "", clk_monotonic_ms (NULL), 0);
     }
-  CU_ASSERT_TRUE (starts <= STARTS_MAX);
+  CU_ASSERT_EQUAL (starts, 2);
   CU_ASSERT_EQUAL (job->state, JB_FAILED);
+  CU_ASSERT_EQUAL (job->tasks[1].crashes, 0);
   tear_down (&setup);
 }
 
