--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -20,6 +20,7 @@
   struct worker_calls *workers;
   struct jb_job *job;
   int fenced;
+  bool paused; /* the process was, so that the term may not hold any more */
 };
 
 static void
@@ -36,6 +37,14 @@
   setup->fenced++;
 }
 
+static bool
+may_command (void *ctx)
+{
+  const struct setup *setup = ctx;
+
+  return !setup->paused;
+}
+
 static void
 set_up (struct setup *setup, uint32_t lease_ttl_ms)
 {
@@ -48,6 +57,7 @@
     .ctx = setup,
     .changed = on_changed,
     .fenced = on_fenced,
+    .may_command = may_command,
   };
 
   memset (setup, 0, sizeof *setup);
@@ -493,6 +503,147 @@
   tear_down (&setup);
 }
 
+/* --- Capacity --- */
+
+/* A worker that does not guard its capacity: the run of an earlier planner,
+   which is being stopped, still uses resources there.  */
+static void
+test_unassigned_run_uses_resources (void)
+{
+  struct setup setup;
+  struct fixture_step step = { .count = 1, .accelerators = 8 };
+  GArray *runs = g_array_new (FALSE, FALSE, sizeof (struct wp_run));
+  struct wp_run run = { .task = (char *)"00000000000000ab.0.0.0",
+                        .run = 1,
+                        .checkpoint = (char *)"" };
+  struct fake_call *poll;
+
+  g_array_append_val (runs, run);
+  set_up (&setup, 6000);
+  jb_table_add (setup.table, "00000000000000ab",
+                fixture_spec ("batch", "clinic", &step), 0);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  wk_begin_term (setup.workers, 1, NULL);
+  wk_send_waiting (setup.workers);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'),
+               &(struct wp_answer){ .result = WP_DONE, .runs = runs });
+  CU_ASSERT_PTR_NOT_NULL (fake_oldest_open_call (&setup.port, 'x'));
+  sd_job_added (setup.sched, setup.job);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   0);
+  wk_send_waiting (setup.workers);
+  poll = fake_oldest_open_call (&setup.port, 'h');
+  CU_ASSERT_PTR_NOT_NULL (poll);
+  if (poll != NULL)
+    fake_answer (poll, &(struct wp_answer){ .result = WP_DONE });
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  g_array_free (runs, TRUE);
+  tear_down (&setup);
+}
+
+/* A start waits until its placement is stored, which takes seconds while the
+   store is slow; meanwhile the worker's capacity may shrink.  */
+static void
+test_start_is_not_sent_to_shrunk_worker (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 0);
+  wk_start (setup.workers, task);
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 's'));
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   0);
+  tear_down (&setup);
+}
+
+/* What runs may stay when the capacity shrinks; what is being stopped counts
+   until its end is listed.  */
+static void
+test_shrunk_worker_gets_nothing_until_it_has_room (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  wk_start (setup.workers, task);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE });
+  fixture_worker (setup.sched, "w1", "r1", 1);
+  sd_job_cancelled (setup.sched, setup.job, clk_monotonic_ms (NULL));
+  sd_job_added (
+      setup.sched,
+      jb_table_add (setup.table, "00000000000000ab",
+                    fixture_spec ("batch", "clinic",
+                                  &(struct fixture_step){ .count = 1,
+                                                          .accelerators = 1 }),
+                    0));
+  CU_ASSERT_EQUAL (task->state, JB_TASK_STOPPING);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   0);
+  sd_task_ended (setup.sched, task, SD_OUTCOME_STOPPED, "",
+                 clk_monotonic_ms (NULL), 0);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  tear_down (&setup);
+}
+
+/* --- Permission --- */
+
+/* After a pause another host may be the planner: a start without an answer was
+   sent again at once, on a permission that might have run out.  */
+static void
+test_start_is_not_repeated_without_permission (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  wk_start (setup.workers, task);
+  setup.paused = true;
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_NO_ANSWER });
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 's'));
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  CU_ASSERT_TRUE (task->poll_conclusive_from_ms < INT64_MAX);
+  tear_down (&setup);
+}
+
+/* The same for a stop of a run that is not assigned to its worker: the next
+   planner may have adopted it.  */
+static void
+test_nothing_is_stopped_without_permission (void)
+{
+  struct setup setup;
+  GArray *runs = g_array_new (FALSE, FALSE, sizeof (struct wp_run));
+  struct wp_run run = { .task = (char *)"00000000000000ab.0.0.0",
+                        .run = 1,
+                        .checkpoint = (char *)"" };
+
+  g_array_append_val (runs, run);
+  set_up (&setup, 6000);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  wk_begin_term (setup.workers, 1, NULL);
+  wk_send_waiting (setup.workers);
+  setup.paused = true;
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'),
+               &(struct wp_answer){ .result = WP_DONE, .runs = runs });
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 'x'));
+  setup.paused = false;
+  wk_send_waiting (setup.workers);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'),
+               &(struct wp_answer){ .result = WP_DONE, .runs = runs });
+  CU_ASSERT_PTR_NOT_NULL (fake_oldest_open_call (&setup.port, 'x'));
+  g_array_free (runs, TRUE);
+  tear_down (&setup);
+}
+
 int
 main (void)
 {
@@ -522,6 +673,16 @@
     { "a waiting start of a stopped task is dropped",
       test_waiting_start_of_stopped_task_is_dropped },
     { "a fenced call ends the term", test_fenced_call_ends_the_term },
+    { "a run that is not assigned uses resources",
+      test_unassigned_run_uses_resources },
+    { "a start is not sent to a worker that has shrunk",
+      test_start_is_not_sent_to_shrunk_worker },
+    { "a worker that has shrunk gets nothing until it has room",
+      test_shrunk_worker_gets_nothing_until_it_has_room },
+    { "a start is not repeated without permission",
+      test_start_is_not_repeated_without_permission },
+    { "nothing is stopped without permission",
+      test_nothing_is_stopped_without_permission },
   };
 
   return check_run ("hostd workers", tests, G_N_ELEMENTS (tests));
