No start is repeated and nothing stopped on a permission that may have run out

Callers would see: a run stopped that the next planner has adopted, or a task started by a planner that was paused for 0.7 s and more. Cause: a start without an answer is sent again from its answer's callback, and stops go out from the processing of polls; neither asked wk_may_command (), as rounds, new starts and renewals do. Change: both ask.

--- a/programs/foxtailgap-hostd/worker_commands.c
+++ b/programs/foxtailgap-hostd/worker_commands.c
@@ -57,7 +57,8 @@
   struct wp_stop stop = { .task = task, .run = run, .term = workers->term };
   struct wk_call *call;
 
-  if (workers->term == 0 || target.address == NULL)
+  if (workers->term == 0 || target.address == NULL
+      || !wk_may_command (workers))
     return;
   call = wk_call_create (workers, worker, task, run);
   wk_call_opened (call);
@@ -73,7 +74,8 @@
       = sd_worker_find (workers->params.sched, task->worker);
   char *name = jb_task_name (task);
 
-  task->stop_sent_ms = clk_monotonic_ms (NULL);
+  if (wk_may_command (workers))
+    task->stop_sent_ms = clk_monotonic_ms (NULL);
   if (worker != NULL)
     wk_stop_run (workers, worker, name, task->run);
   g_free (name);
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -84,7 +84,7 @@
       call->earlier_try_unanswered = true;
       sd_worker_unresponsive (worker, now_ms);
       if (now_ms < call->first_sent_ms + START_VALID_MS - START_TIMEOUT_MS
-          && task->state == JB_TASK_PLACED)
+          && task->state == JB_TASK_PLACED && wk_may_command (workers))
         {
           send_start (call, task, worker);
           return;
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -231,6 +231,8 @@
           "task", run->task, "run", lg_number (run->run), "worker",
           io->worker->report.id, NULL);
       wk_stop_run (workers, io->worker, run->task, run->run);
+      io->has_unassigned_runs = true;
+      io->poll_soon = true;
       return;
     }
   g_hash_table_add (reported_tasks, task);
@@ -268,6 +270,7 @@
   for (i = 0; i < answer->outcomes->len; i++)
     process_outcome (
         io, &g_array_index (answer->outcomes, struct wp_outcome, i), now_ms);
+  io->has_unassigned_runs = false;
   for (i = 0; i < answer->runs->len; i++)
     process_run (io, &g_array_index (answer->runs, struct wp_run, i),
                  reported_tasks, now_ms);
@@ -426,7 +429,7 @@
   if (worker->reachability == SD_WORKER_UNREACHABLE)
     return (worker->tasks->len > 0 || worker->listed)
            && now_ms - io->renewal_tried_ms >= UNREACHABLE_RETRY_MS;
-  return worker->tasks->len > 0
+  return worker->tasks->len > 0 || io->has_unassigned_runs
          || (worker->reachability == SD_WORKER_UNSEEN && worker->listed)
          || io->outcome_processed > io->outcome_stored;
 }
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -37,7 +37,8 @@
   void (*changed) (void *ctx); /* there is something to decide or store */
   void (*fenced) (void *ctx);  /* a worker has received a higher term */
   /* Whether the term is known to hold.  While it is not, for the process has
-     been paused, no start is sent and no lease is renewed.  NULL: always.  */
+     been paused, no start or stop is sent and no lease is renewed.  NULL:
+     always.  */
   bool (*may_command) (void *ctx);
 };
 
@@ -63,8 +64,8 @@
 void wk_start (struct worker_calls *workers, struct jb_task *task);
 
 /*! wk_stop () :
- *  Sends the stop of a task.  The stop is sent again as long as a later poll
- *  shows the run. */
+ *  Sends the stop of a task, if orders may be given now.  The stop is sent
+ *  again as long as a later poll shows the run. */
 void wk_stop (struct worker_calls *workers, struct jb_task *task);
 
 /*! wk_send_waiting () :
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -31,7 +31,8 @@
   int64_t outcome_stored;    /* of the last one whose effects are stored */
   /* lease renewals, which are also status polls */
   bool renewal_in_flight;
-  bool poll_at_once; /* the next poll is to be answered immediately */
+  bool poll_at_once;        /* the next poll is to be answered immediately */
+  bool has_unassigned_runs; /* the last poll has listed some */
   bool poll_soon; /* the next poll is to be answered after the time of a stop
                      at the latest */
   int64_t renewal_sent_ms;
@@ -132,7 +133,8 @@
 void wk_update_pace (struct worker_calls *workers, struct sd_worker *worker);
 
 /*! wk_stop_run () :
- *  Sends the stop of a run; the task need not be known here. */
+ *  Sends the stop of a run, if orders may be given now; the task need not be
+ *  known here. */
 void wk_stop_run (struct worker_calls *workers, struct sd_worker *worker,
                   const char *task, uint32_t run);
 
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -505,6 +505,17 @@
 
 /* --- Capacity --- */
 
+/* Adds a worker that has not been polled yet, and sends its poll.  */
+static void
+poll_new_worker (struct setup *setup)
+{
+  struct sd_worker *worker = fixture_worker (setup->sched, "w1", "r1", 8);
+
+  sd_worker_set_reachability (worker, SD_WORKER_UNSEEN);
+  wk_begin_term (setup->workers, 1, NULL);
+  wk_send_waiting (setup->workers);
+}
+
 /* A worker that does not guard its capacity: the run of an earlier planner,
    which is being stopped, still uses resources there.  */
 static void
@@ -522,9 +533,7 @@
   set_up (&setup, 6000);
   jb_table_add (setup.table, "00000000000000ab",
                 fixture_spec ("batch", "clinic", &step), 0);
-  fixture_worker (setup.sched, "w1", "r1", 8);
-  wk_begin_term (setup.workers, 1, NULL);
-  wk_send_waiting (setup.workers);
+  poll_new_worker (&setup);
   fake_answer (fake_oldest_open_call (&setup.port, 'h'),
                &(struct wp_answer){ .result = WP_DONE, .runs = runs });
   CU_ASSERT_PTR_NOT_NULL (fake_oldest_open_call (&setup.port, 'x'));
@@ -628,9 +637,7 @@
 
   g_array_append_val (runs, run);
   set_up (&setup, 6000);
-  fixture_worker (setup.sched, "w1", "r1", 8);
-  wk_begin_term (setup.workers, 1, NULL);
-  wk_send_waiting (setup.workers);
+  poll_new_worker (&setup);
   setup.paused = true;
   fake_answer (fake_oldest_open_call (&setup.port, 'h'),
                &(struct wp_answer){ .result = WP_DONE, .runs = runs });
