--- a/lib/sched/accounting.c
+++ b/lib/sched/accounting.c
@@ -52,6 +52,27 @@
   return copies_of (need->accelerators, resources->accelerators, limit);
 }
 
+void
+sd_worker_unassigned_runs (struct sd_worker *worker, const GPtrArray *tasks,
+                           bool unknown)
+{
+  guint i;
+
+  worker->unassigned_resources = (struct jb_resources){ 0 };
+  if (unknown)
+    {
+      worker->unassigned_resources = worker->report.resources;
+      return;
+    }
+  for (i = 0; i < tasks->len; i++)
+    {
+      const struct jb_task *task = g_ptr_array_index (tasks, i);
+
+      sd_resources_add (&worker->unassigned_resources,
+                        &task->step->spec->resources);
+    }
+}
+
 void
 sd_mark_changed (struct sd_sched *sched, struct jb_job *job)
 {
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -16,6 +16,8 @@
       worker->round_free_resources = worker->report.resources;
       sd_resources_subtract (&worker->round_free_resources,
                              &worker->used_resources);
+      sd_resources_subtract (&worker->round_free_resources,
+                             &worker->unassigned_resources);
     }
   sd_preemptions_begin_round (sched, now_ms);
   sd_reservations_begin_round (sched);
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -264,6 +264,7 @@
 
       g_ptr_array_set_size (worker->tasks, 0);
       worker->used_resources = (struct jb_resources){ 0 };
+      worker->unassigned_resources = (struct jb_resources){ 0 };
       worker->reachability = SD_WORKER_UNSEEN;
       /* Until a status poll reports the tails of the serving tasks.  */
       worker->pace_level = 0;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -49,6 +49,8 @@
   bool listed; /* the store has an entry for it */
   enum sd_reachability reachability;
   struct jb_resources used_resources; /* by `tasks` */
+  /* By runs that are not assigned to it, by its last status poll.  */
+  struct jb_resources unassigned_resources;
   GPtrArray *tasks;               /* struct jb_task: placed or stopping here */
   int64_t start_backoff_until_ms; /* no new task before: a start was refused
                                      for lack of resources, or not answered */
@@ -171,6 +173,15 @@
  *  The worker did not answer a command: it gets no new task for a while. */
 void sd_worker_unresponsive (struct sd_worker *worker, int64_t now_ms);
 
+/*! sd_worker_unassigned_runs () :
+ *  A status poll has listed runs that are not assigned to WORKER and are being
+ *  stopped.  They use resources until a later poll does not list them.
+ *  @tasks : struct jb_task, of these runs.
+ *  @unknown : whether it has also listed runs of unknown tasks, which may use
+ *             all of its resources. */
+void sd_worker_unassigned_runs (struct sd_worker *worker,
+                                const GPtrArray *tasks, bool unknown);
+
 /* --- Jobs and tasks --- */
 
 /*! sd_job_added (), sd_job_cancelled () :
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -215,9 +215,36 @@
                    outcome->checkpoint, now_ms, clk_unix_ms ());
 }
 
+/* The runs of one status poll.  */
+struct reported_runs
+{
+  GHashTable *assigned;   /* struct jb_task, as a set */
+  GPtrArray *unassigned;  /* struct jb_task: known tasks with another run */
+  uint32_t unknown_count; /* runs of tasks that are not known */
+};
+
+static void
+process_unassigned_run (struct worker_io *io, const struct wp_run *run,
+                        struct reported_runs *reported)
+{
+  struct jb_task *task
+      = jb_table_find_task (io->workers->params.table, run->task);
+
+  lg_warning (PART,
+              "A worker runs a task that is not assigned to it; stopping it.",
+              "task", run->task, "run", lg_number (run->run), "worker",
+              io->worker->report.id, NULL);
+  if (task != NULL)
+    g_ptr_array_add (reported->unassigned, task);
+  else
+    reported->unknown_count++;
+  wk_stop_run (io->workers, io->worker, run->task, run->run);
+  io->poll_soon = true;
+}
+
 static void
 process_run (struct worker_io *io, const struct wp_run *run,
-             GHashTable *reported_tasks, int64_t now_ms)
+             struct reported_runs *reported, int64_t now_ms)
 {
   struct worker_calls *workers = io->workers;
   struct jb_task *task
@@ -225,17 +252,10 @@
 
   if (task == NULL)
     {
-      lg_warning (
-          PART,
-          "A worker runs a task that is not assigned to it; stopping it.",
-          "task", run->task, "run", lg_number (run->run), "worker",
-          io->worker->report.id, NULL);
-      wk_stop_run (workers, io->worker, run->task, run->run);
-      io->has_unassigned_runs = true;
-      io->poll_soon = true;
+      process_unassigned_run (io, run, reported);
       return;
     }
-  g_hash_table_add (reported_tasks, task);
+  g_hash_table_add (reported->assigned, task);
   sd_task_checkpointed (task, run->checkpoint);
   if (task->state == JB_TASK_PLACED)
     {
@@ -251,7 +271,8 @@
 process_lists (struct worker_io *io, const struct wp_answer *answer,
                int64_t now_ms)
 {
-  GHashTable *reported_tasks = g_hash_table_new (NULL, NULL);
+  struct reported_runs reported = { .assigned = g_hash_table_new (NULL, NULL),
+                                    .unassigned = g_ptr_array_new () };
   guint i;
 
   if (answer->worker_started_ms != 0
@@ -270,12 +291,16 @@
   for (i = 0; i < answer->outcomes->len; i++)
     process_outcome (
         io, &g_array_index (answer->outcomes, struct wp_outcome, i), now_ms);
-  io->has_unassigned_runs = false;
   for (i = 0; i < answer->runs->len; i++)
     process_run (io, &g_array_index (answer->runs, struct wp_run, i),
-                 reported_tasks, now_ms);
-  wk_drop_missing_runs (io, reported_tasks, now_ms);
-  g_hash_table_destroy (reported_tasks);
+                 &reported, now_ms);
+  io->has_unassigned_runs
+      = reported.unassigned->len > 0 || reported.unknown_count > 0;
+  sd_worker_unassigned_runs (io->worker, reported.unassigned,
+                             reported.unknown_count > 0);
+  wk_drop_missing_runs (io, reported.assigned, now_ms);
+  g_hash_table_destroy (reported.assigned);
+  g_ptr_array_free (reported.unassigned, TRUE);
 }
 
 /* --- Lease renewals and status polls --- */
