--- a/lib/jobs/catalog.c
+++ b/lib/jobs/catalog.c
@@ -100,6 +100,17 @@
   return NULL;
 }
 
+bool
+ct_enforces_capacity (const struct ct_catalog *catalog, const char *service)
+{
+  size_t i;
+
+  for (i = 0; i < catalog->service_count; i++)
+    if (g_strcmp0 (catalog->services[i].name, service) == 0)
+      return catalog->services[i].enforces_capacity;
+  return false;
+}
+
 const struct ct_team *
 ct_team_of_key (const struct ct_catalog *catalog, const char *key)
 {
--- a/lib/jobs/catalog.h
+++ b/lib/jobs/catalog.h
@@ -41,9 +41,8 @@
 struct ct_service
 {
   char *name;
-  /* Both are decoded from the configuration, and no code uses them.  */
   bool enforces_capacity; /* its workers refuse a task that does not fit */
-  bool standby;
+  bool standby;           /* decoded from the configuration; no code uses it */
 };
 
 struct ct_catalog
@@ -90,6 +89,12 @@
 const struct ct_team *ct_find_team (const struct ct_catalog *catalog,
                                     const char *name);
 
+/*! ct_enforces_capacity () :
+ *  @return : whether the workers of the service refuse a task that does not
+ *            fit; false if CATALOG does not have the service. */
+bool ct_enforces_capacity (const struct ct_catalog *catalog,
+                           const char *service);
+
 /*! ct_team_of_key () :
  *  @return : the team that KEY belongs to, owned by the catalog; NULL if there
  *            is none. */
--- a/lib/sched/accounting.c
+++ b/lib/sched/accounting.c
@@ -52,6 +52,47 @@
   return copies_of (need->accelerators, resources->accelerators, limit);
 }
 
+void
+sd_set_reports_current (struct sd_sched *sched, bool current)
+{
+  sched->reports_are_current = current;
+}
+
+bool
+sd_may_start_on_service (const struct sd_sched *sched, const char *service)
+{
+  return sched->reports_are_current
+         || ct_enforces_capacity (sched->catalog, service);
+}
+
+/* Whether what is used of one resource, with the NEED of a placed task, is
+   within the worker's capacity.  */
+static bool
+is_within (int64_t need, int64_t used, int64_t unassigned, int64_t capacity)
+{
+  return need <= 0 || used + unassigned <= capacity;
+}
+
+bool
+sd_start_is_safe (const struct sd_sched *sched, const struct jb_task *task)
+{
+  const struct sd_worker *worker = sd_worker_find (sched, task->worker);
+  const struct jb_resources *need = &task->step->spec->resources;
+
+  if (worker == NULL || sched->catalog == NULL)
+    return false;
+  return sd_may_start_on_service (sched, worker->report.service)
+         && is_within (need->cpus_milli, worker->used_resources.cpus_milli,
+                       worker->unassigned_resources.cpus_milli,
+                       worker->report.resources.cpus_milli)
+         && is_within (need->memory_mib, worker->used_resources.memory_mib,
+                       worker->unassigned_resources.memory_mib,
+                       worker->report.resources.memory_mib)
+         && is_within (need->accelerators, worker->used_resources.accelerators,
+                       worker->unassigned_resources.accelerators,
+                       worker->report.resources.accelerators);
+}
+
 void
 sd_worker_unassigned_runs (struct sd_worker *worker, const GPtrArray *tasks,
                            bool unknown)
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -164,6 +164,8 @@
         + queue->target_ms;
   size_t i;
 
+  if (!sd_may_start_on_service (sched, queue->service))
+    return;
   for (i = 0; i < job->step_total; i++)
     {
       struct jb_step *step = &job->steps[i];
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -52,6 +52,7 @@
   struct jb_table *table;
   /* Owned by the calling code; NULL: none yet.  */
   const struct ct_catalog *catalog;
+  bool reports_are_current;  /* see sd_set_reports_current () */
   GHashTable *workers_by_id; /* id -> struct sd_worker, of `workers` */
   GPtrArray *workers;        /* struct sd_worker, owned; by sd_worker.index */
   GHashTable *rack_indexes;  /* name -> sd_worker.rack_index */
@@ -115,6 +116,12 @@
 bool sd_resources_fit (const struct jb_resources *need,
                        const struct jb_resources *resources);
 
+/*! sd_may_start_on_service () :
+ *  @return : whether the reports of the service's workers are current, or
+ * these refuse what does not fit. */
+bool sd_may_start_on_service (const struct sd_sched *sched,
+                              const char *service);
+
 /*! sd_resources_add (), sd_resources_subtract () :
  *  Change RESOURCES in place; subtraction may leave negative amounts. */
 void sd_resources_add (struct jb_resources *resources,
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -173,6 +173,11 @@
  *  The worker did not answer a command: it gets no new task for a while. */
 void sd_worker_unresponsive (struct sd_worker *worker, int64_t now_ms);
 
+/*! sd_set_reports_current () :
+ *  Whether the workers' reports are recent enough to start tasks by them on
+ *  workers that do not refuse what does not fit.  Initially they are not. */
+void sd_set_reports_current (struct sd_sched *sched, bool current);
+
 /*! sd_worker_unassigned_runs () :
  *  A status poll has listed runs that are not assigned to WORKER and are being
  *  stopped.  They use resources until a later poll does not list them.
@@ -321,6 +326,13 @@
 const char *sd_task_ticket (const struct sd_sched *sched,
                             const struct jb_task *task);
 
+/*! sd_start_is_safe () :
+ *  @return : whether the start of a placed task may be sent by what is known
+ * of its worker now: the worker still has enough resources, and if it does not
+ * refuse what does not fit, its report is current. */
+bool sd_start_is_safe (const struct sd_sched *sched,
+                       const struct jb_task *task);
+
 /*! sd_take_changed () :
  *  @return : the jobs whose progress is to be recorded since the last call,
  *            struct jb_job; to be freed by g_ptr_array_free (). */
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -276,6 +276,7 @@
       && now_ms - planner->last_append_end_ms >= APPEND_RETRY_MS)
     pl_send_batch (planner);
   pl_read_worker_list_if_due (planner);
+  pl_check_worker_list (planner);
   wk_send_waiting (planner->workers);
   log_load (planner, now_ms);
   collect_old_jobs (planner, now_ms);
@@ -342,6 +343,7 @@
   planner->last_append_end_ms = now_ms;
   planner->stored_batch_sent_ms = planner->acquire_sent_ms;
   planner->list_read_ms = 0;
+  planner->list_current_ms = 0;
   pl_reset_worker_list (planner);
   jr_set_own_term (planner->params.journal, planner->term);
   sd_begin_term (planner->sched, now_ms);
--- a/programs/foxtailgap-hostd/planner_worker_list.c
+++ b/programs/foxtailgap-hostd/planner_worker_list.c
@@ -13,7 +13,10 @@
      record but at this interval.  It is well below the time after which a
      draining worker must get nothing new.  */
   LIST_INTERVAL_MS = 400,
-  LIST_TIMEOUT_MS = 1200
+  LIST_TIMEOUT_MS = 1200,
+  /* A worker may be taken to have its former capacity for 3 s after it has
+     reported a smaller one; a start takes up to 1.2 s of these.  */
+  LIST_AGE_MAX_MS = 1800
 };
 
 static void
@@ -75,6 +78,9 @@
     return;
   apply_worker_records (planner, answer);
   planner->list_next = answer->next_offset;
+  if (answer->at_end)
+    planner->list_current_ms = planner->list_read_ms;
+  pl_check_worker_list (planner);
 }
 
 static void
@@ -102,11 +108,24 @@
       planner->list_read_ms = 0;
     }
   else
-    planner->list_loaded = true;
+    {
+      planner->list_loaded = true;
+      planner->list_current_ms = planner->list_read_ms;
+      pl_check_worker_list (planner);
+    }
   pl_read_worker_list_if_due (planner);
   pl_schedule_round (planner);
 }
 
+void
+pl_check_worker_list (struct planner *planner)
+{
+  sd_set_reports_current (
+      planner->sched, planner->list_current_ms > 0
+                          && clk_monotonic_ms (NULL) - planner->list_current_ms
+                                 < LIST_AGE_MAX_MS);
+}
+
 void
 pl_reset_worker_list (struct planner *planner)
 {
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -84,7 +84,8 @@
       call->earlier_try_unanswered = true;
       sd_worker_unresponsive (worker, now_ms);
       if (now_ms < call->first_sent_ms + START_VALID_MS - START_TIMEOUT_MS
-          && task->state == JB_TASK_PLACED && wk_may_command (workers))
+          && task->state == JB_TASK_PLACED && wk_may_command (workers)
+          && sd_start_is_safe (workers->params.sched, task))
         {
           send_start (call, task, worker);
           return;
@@ -194,6 +195,21 @@
   wk_call_free (call);
 }
 
+/* WHY: for the log.  */
+static void
+refuse_unsent_start (struct wk_call *call, struct jb_task *task,
+                     enum sd_refusal reason, const char *why)
+{
+  struct worker_calls *workers = call->workers;
+
+  lg_info (PART, "A start is not sent.", "task", call->task, "run",
+           lg_number (call->run), "worker", call->worker, "why", why, NULL);
+  wk_call_free (call);
+  sd_task_refused (workers->params.sched, task, reason,
+                   clk_monotonic_ms (NULL));
+  workers->params.changed (workers->params.ctx);
+}
+
 static void
 send_queued_start (struct wk_call *call)
 {
@@ -214,11 +230,15 @@
     }
   if (wk_io (workers, worker)->lease_recorded)
     {
-      /* Not sent: a start would extend the recorded lease.  */
-      wk_call_free (call);
-      sd_task_refused (workers->params.sched, task, SD_REFUSED_OTHER,
-                       clk_monotonic_ms (NULL));
-      workers->params.changed (workers->params.ctx);
+      refuse_unsent_start (call, task, SD_REFUSED_OTHER,
+                           "it would extend a recorded lease");
+      return;
+    }
+  if (!sd_start_is_safe (workers->params.sched, task))
+    {
+      refuse_unsent_start (
+          call, task, SD_REFUSED_NO_RESOURCES,
+          "the worker's capacity has changed or is not known");
       return;
     }
   call->first_sent_ms = clk_monotonic_ms (NULL);
--- a/tests/bench/bench-rounds/main.c
+++ b/tests/bench/bench-rounds/main.c
@@ -71,6 +71,7 @@
   ct_index_queues (catalog);
   bench->catalog = catalog;
   sd_set_catalog (bench->sched, catalog);
+  sd_set_reports_current (bench->sched, true);
 }
 
 static void
--- a/tests/unit/hostd_fixture.h
+++ b/tests/unit/hostd_fixture.h
@@ -47,7 +47,8 @@
 
 /* --- Configuration --- */
 
-/* Two queues, `urgent` before `batch`, and one team with a guarantee.
+/* Two queues, `urgent` before `batch`, one team with a guarantee, and a
+   service whose workers refuse what does not fit.
    @return : to be freed by ct_catalog_free ().  */
 static inline struct ct_catalog *
 fixture_catalog (void)
@@ -73,6 +74,10 @@
   catalog->teams[0] = (struct ct_team){ .name = g_strdup ("clinic"),
                                         .keys = g_new0 (char *, 1),
                                         .guaranteed_accelerators = 64 };
+  catalog->service_count = 1;
+  catalog->services = g_new0 (struct ct_service, 1);
+  catalog->services[0] = (struct ct_service){ .name = g_strdup ("desk"),
+                                              .enforces_capacity = true };
   ct_index_queues (catalog);
   return catalog;
 }
--- a/tests/unit/hostd_store_fixture.h
+++ b/tests/unit/hostd_store_fixture.h
@@ -10,7 +10,7 @@
 
 enum
 {
-  APPENDS_MAX = 32
+  APPENDS_MAX = 64
 };
 
 struct fake_store
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -33,6 +33,17 @@
   return 0;
 }
 
+static int
+decode_unguarded_fixture (struct ct_catalog **out, const void *text,
+                          size_t size_bytes)
+{
+  (void)text;
+  (void)size_bytes;
+  *out = fixture_catalog ();
+  (*out)->services[0].enforces_capacity = false;
+  return 0;
+}
+
 static int
 decode_worker (struct sd_worker_report *out, const char *id, const void *text,
                size_t size_bytes)
@@ -134,12 +145,13 @@
 }
 
 static void
-create_planner (struct setup *setup)
+create_planner_with (struct setup *setup, int (*decode) (struct ct_catalog **,
+                                                         const void *, size_t))
 {
   struct jr_params journal = { .jobs_topic = "jobs",
                                .operator_topic = "operator",
                                .catalog_key = "config",
-                               .decode_catalog = decode_fixture };
+                               .decode_catalog = decode };
   struct pl_params planner = { .jobs_topic = "jobs",
                                .workers_topic = "workers",
                                .decode_report = decode_worker };
@@ -169,14 +181,19 @@
   setup->planner = pl_create (&planner);
 }
 
-/* Runs until this host holds the term and its one worker has answered a status
-   poll.  */
 static void
-become_planner (struct setup *setup)
+create_planner (struct setup *setup)
+{
+  create_planner_with (setup, decode_fixture);
+}
+
+/* Runs until a created planner holds the term and its one worker has answered
+   a status poll.  */
+static void
+acquire_term (struct setup *setup)
 {
   int64_t until_ms = clk_monotonic_ms (NULL) + 3000;
 
-  create_planner (setup);
   run_loop_for (setup, 20);
   answer_read (setup, &setup->store.operator_read, setup->store.operator_ctx,
                one_record ("config", "{}", 2));
@@ -202,6 +219,13 @@
   answer_all_appends (setup);
 }
 
+static void
+become_planner (struct setup *setup)
+{
+  create_planner (setup);
+  acquire_term (setup);
+}
+
 static void
 tear_down (struct setup *setup)
 {
@@ -617,6 +641,65 @@
   tear_down (&setup);
 }
 
+/* Has the job's record read, and runs for TIME_MS while the store answers all
+   but reads of the workers' list.
+   @return : whether a placement has been sent to the store.  */
+static bool
+run_with_job (struct setup *setup, uint32_t time_ms)
+{
+  int64_t until_ms = clk_monotonic_ms (NULL) + time_ms;
+
+  while (clk_monotonic_ms (NULL) < until_ms)
+    {
+      const GPtrArray *last;
+
+      run_loop_for (setup, 5);
+      last = setup->store.records[setup->store.append_count - 1];
+      if (last->len > 0
+          && ((struct so_record *)g_ptr_array_index (last, 0))->key[0] == 'p')
+        return true;
+      answer_all_appends (setup);
+      if (setup->store.jobs_read != NULL)
+        show_appends (setup);
+    }
+  return false;
+}
+
+/* A worker that does not guard its capacity may have shrunk since the list was
+   read; the list's partition may be out of reach alone.  */
+static void
+test_nothing_is_placed_on_an_old_list (void)
+{
+  struct setup setup;
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", &step);
+  GByteArray *bytes = jb_encode_spec (spec);
+  char *key = g_strdup_printf ("j/%s", JOB);
+
+  create_planner_with (&setup, decode_unguarded_fixture);
+  acquire_term (&setup);
+  run_with_job (&setup, 2000);
+  while (setup.store.jobs_read == NULL)
+    run_loop_for (&setup, 5);
+  setup.offset++;
+  answer_read (&setup, &setup.store.jobs_read, setup.store.jobs_ctx,
+               one_record (key, bytes->data, bytes->len));
+  CU_ASSERT_FALSE (run_with_job (&setup, 300));
+  CU_ASSERT_PTR_NOT_NULL (setup.store.workers_read);
+  /* An answer shows the list as it was when the read was sent.  */
+  answer_read (&setup, &setup.store.workers_read, setup.store.workers_ctx,
+               so_records_create ());
+  CU_ASSERT_FALSE (run_with_job (&setup, 100));
+  CU_ASSERT_PTR_NOT_NULL (setup.store.workers_read);
+  answer_read (&setup, &setup.store.workers_read, setup.store.workers_ctx,
+               so_records_create ());
+  CU_ASSERT_TRUE (run_with_job (&setup, 700));
+  g_free (key);
+  g_byte_array_free (bytes, TRUE);
+  jb_spec_free (spec);
+  tear_down (&setup);
+}
+
 int
 main (void)
 {
@@ -635,6 +718,8 @@
       test_completed_job_leaves_no_blocks },
     { "nothing is placed on an old view",
       test_nothing_is_placed_on_an_old_view },
+    { "nothing is placed on unguarded workers by an old list",
+      test_nothing_is_placed_on_an_old_list },
     { "a lost append is sent again", test_lost_append_is_sent_again },
     { "an append to a slow store is not sent again",
       test_append_to_slow_store_is_not_sent_again },
