A start at a replaced worker shows that what ran there is gone

Callers saw: other runs of a crashed worker waited for a poll to find that another process answers there, while starts to it were refused and placed there again. Cause: only polls looked at that refusal (421).

--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -117,6 +117,15 @@
     }
 }
 
+/* Other runs that were on the worker are gone with its process.  */
+static void
+handle_replaced_worker (struct worker_calls *workers, struct sd_worker *worker)
+{
+  sd_worker_set_reachability (worker, SD_WORKER_UNREACHABLE);
+  wk_drop_runs_of_replaced_worker (wk_io (workers, worker),
+                                   clk_monotonic_ms (NULL));
+}
+
 static void
 on_start_answer (void *ctx, const struct wp_answer *answer)
 {
@@ -147,6 +156,8 @@
   if (task != NULL && worker != NULL)
     {
       handle_start_answer (call, task, worker, answer);
+      if (answer->result == WP_WRONG_WORKER)
+        handle_replaced_worker (workers, worker);
       if (wk_call_is_current (call))
         workers->params.changed (workers->params.ctx);
     }
--- a/tests/unit/test_hostd_crashes.c
+++ b/tests/unit/test_hostd_crashes.c
@@ -343,6 +343,35 @@
   tear_down (&setup);
 }
 
+/* A start is the first call after a worker was replaced: what ran there before
+   is gone, and the refused run never was there.  */
+static void
+test_start_at_replaced_worker_shows_the_crash (void)
+{
+  struct setup setup;
+  struct jb_job *running;
+  struct jb_job *refused;
+  struct fake_call *start;
+
+  set_up (&setup);
+  running = add_job (&setup, JOB, false);
+  add_worker (&setup);
+  CU_ASSERT_EQUAL (run_round (&setup), 1);
+  start_task (&setup, &running->tasks[0]);
+  usleep (1000 * LONG_RUN_MS);
+  refused = add_job (&setup, OTHER_JOB, false);
+  CU_ASSERT_EQUAL (run_round (&setup), 1);
+  wk_start (setup.workers, &refused->tasks[0]);
+  start = fake_oldest_open_call (&setup.port, 's');
+  fake_answer (start, &(struct wp_answer){ .result = WP_WRONG_WORKER });
+  CU_ASSERT_EQUAL (running->tasks[0].state, JB_TASK_WAITING);
+  CU_ASSERT_EQUAL (running->tasks[0].lost_runs, 1);
+  CU_ASSERT_EQUAL (refused->tasks[0].state, JB_TASK_WAITING);
+  CU_ASSERT_EQUAL (refused->tasks[0].lost_runs, 0);
+  CU_ASSERT_EQUAL (run_round (&setup), 0);
+  tear_down (&setup);
+}
+
 /* BUDGET 0, but a job that only ran beside deadly ones failed: all tasks lost
    with a worker were started together on the next one, five times.  */
 static void
@@ -453,6 +482,8 @@
       test_other_tasks_of_crashed_workers_go_on },
     { "the runs of a replaced worker are gone at once",
       test_runs_of_replaced_worker_are_gone_at_once },
+    { "a start at a replaced worker shows its crash",
+      test_start_at_replaced_worker_shows_the_crash },
     { "tasks lost together start apart",
       test_tasks_lost_together_start_apart },
     { "cut-off workers do not fail a job",
