--- a/programs/foxtailgapctl/explain.c
+++ b/programs/foxtailgapctl/explain.c
@@ -12,6 +12,8 @@
 static const char LINE_TASKS_PLACED[] = "Tasks are placed.";
 static const char LINE_RUN_ENDED[] = "A run has ended.";
 static const char LINE_RUN_LOST[] = "A run is gone without an end.";
+static const char LINE_TASK_GIVEN_UP[]
+    = "A job has failed: its task was lost with its workers.";
 static const char LINE_JOB_STATE_STORED[] = "A job's state is stored.";
 static const char LINE_CALL_REFUSED[] = "A call is refused.";
 static const char LINE_WORKER_UNREACHABLE[] = "A worker is out of touch.";
@@ -197,6 +199,8 @@
   GHashTable *runs;            /* task_key () of a task -> int64_t placed_ms */
   GHashTable *event_counts;    /* outcome of a run, or message -> number */
   const char *last_refusal_reason;
+  /* LINE_TASK_GIVEN_UP; NULL: not seen; owned by the report.  */
+  const struct lf_line *given_up;
   bool gang;
   guint refusal_count;
 };
@@ -366,6 +370,8 @@
     scan_ended (scan, line, lf_field (line, "how"));
   else if (lf_has_message (line, LINE_RUN_LOST))
     scan_ended (scan, line, "gone");
+  else if (lf_has_message (line, LINE_TASK_GIVEN_UP))
+    scan->given_up = line;
   else if (lf_has_message (line, LINE_JOB_STATE_STORED))
     scan_job_state (scan, line);
   else if (lf_has_message (line, "A job is cancelled.")
@@ -448,6 +454,12 @@
       return g_strdup ("the store did not answer; whether it was stored is "
                        "not told here");
     case EX_OUTCOME_FAILED:
+      if (scan->given_up != NULL)
+        return g_strdup_printf (
+            "%s workers crashed when its task had just started there, %s of "
+            "its runs were lost in all; it was given up",
+            lf_field (scan->given_up, "crashes"),
+            lf_field (scan->given_up, "lost_runs"));
       return g_strdup_printf ("%u of its runs failed, as many as its queue "
                               "allows",
                               event_count (scan, "failed"));
--- a/tests/scripts/explain.t
+++ b/tests/scripts/explain.t
@@ -80,6 +80,24 @@
       7.391 s in runs that were in vain
       0.900 s in work
 
+A job whose task crashes the workers that start it.
+
+  $ cat > c.log <<'EOF'
+  > time=2026-05-01T06:00:09.900Z level=info part=daemon msg="The daemon serves." host=entry-3 data_centre=kality
+  > time=2026-05-01T06:00:12.105Z level=info part=planner msg="A job is taken in." job=00000000000000ee queue=plans team=clinic steps=1 tasks=1 gang=no one_rack=no accelerators=8 memory_mib=1 estimate_ms=900
+  > time=2026-05-01T06:00:12.110Z level=info part=planner msg="Tasks are placed." job=00000000000000ee step=0 first=0 tasks=1 run=1 workers=w1
+  > time=2026-05-01T06:00:12.150Z level=info part=workers msg="A worker is out of touch." worker=w1 result=silent
+  > time=2026-05-01T06:00:15.600Z level=info part=workers msg="A run is gone without an end." job=00000000000000ee step=0 index=0 run=1 worker=w1 why=replaced confirmed=yes placed_for_ms=3490
+  > time=2026-05-01T06:00:15.610Z level=info part=planner msg="Tasks are placed." job=00000000000000ee step=0 first=0 tasks=1 run=2 workers=w2
+  > time=2026-05-01T06:00:15.650Z level=info part=workers msg="A worker is out of touch." worker=w2 result=silent
+  > time=2026-05-01T06:00:19.100Z level=info part=workers msg="A run is gone without an end." job=00000000000000ee step=0 index=0 run=2 worker=w2 why=replaced confirmed=yes placed_for_ms=3490
+  > time=2026-05-01T06:00:19.101Z level=warning part=workers msg="A job has failed: its task was lost with its workers." job=00000000000000ee step=0 index=0 run=2 crashes=2 lost_runs=2
+  > time=2026-05-01T06:00:19.110Z level=info part=planner msg="A job's state is stored." job=00000000000000ee state=failed
+  > EOF
+  $ foxtailgapctl explain 00000000000000ee c.log | head -2
+  job 00000000000000ee: failed, 7.005 s
+  cause: 2 workers crashed when its task had just started there, 2 of its runs were lost in all; it was given up
+
 An unknown job, the output as JSON, and invalid input.
 
   $ foxtailgapctl explain 00000000000000dd b.log a.log
