Restarts under the same id are recognised by the process's start time

Cause: where a worker restarts under its old id, two things hid the crash. 1. Answers to starts and stops do not tell which process they are of; one of the new process counted as the last answer of the old one, so that no run had just started when it crashed: crashes=0 in all 17 jobs given up. 2. A planner that took over after the restart found the run missing, and did not count it, since it had never seen the former process. Change: the process before the restart answered last before the new one's clock began; a task is placed with the start time of its worker's process, which is stored with it, and another one in a poll shows the restart, also under a later term. test_hostd_crashes: "a restarted worker counts as crashed" (now with such an answer) and "a restart is counted across takeovers" failed first.

--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -110,6 +110,7 @@
 {
   task->state = JB_TASK_WAITING;
   g_clear_pointer (&task->worker, g_free);
+  task->worker_started_ms = 0;
   task->confirmed = false;
   task->started_ms = 0;
   task->poll_conclusive_from_ms = 0;
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -137,8 +137,11 @@
   uint32_t crashes;   /* workers that crashed when a run had just started */
   uint32_t lost_runs; /* runs lost with their worker, for any cause */
   char *worker;       /* id; NULL unless placed or stopping */
-  char *checkpoint;   /* that the next run resumes from; NULL: none */
-  bool confirmed;     /* the worker has reported that the run is there */
+  /* Start time of the worker's process when the task was placed there, by a
+     clock of the worker's own, to be compared for equality; 0: not known.  */
+  int64_t worker_started_ms;
+  char *checkpoint; /* that the next run resumes from; NULL: none */
+  bool confirmed;   /* the worker has reported that the run is there */
   /* The moments below are on the steady clock of the planner's process. */
   int64_t placed_ms;
   int64_t started_ms; /* when the run was confirmed; 0: not confirmed */
--- a/lib/proto/jobs.pb-c.c
+++ b/lib/proto/jobs.pb-c.c
@@ -883,7 +883,7 @@
   (ProtobufCMessageInit) ftj__cancel_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ftj__task_progress__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ftj__task_progress__field_descriptors[8] =
 {
   {
     "state",
@@ -969,6 +969,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "worker_started_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__TaskProgress, worker_started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ftj__task_progress__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
@@ -978,11 +990,12 @@
   1,   /* field[1] = run */
   0,   /* field[0] = state */
   3,   /* field[3] = worker */
+  7,   /* field[7] = worker_started_ms */
 };
 static const ProtobufCIntRange ftj__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ftj__task_progress__descriptor =
 {
@@ -992,7 +1005,7 @@
   "Ftj__TaskProgress",
   "ftj",
   sizeof(Ftj__TaskProgress),
-  7,
+  8,
   ftj__task_progress__field_descriptors,
   ftj__task_progress__field_indices_by_name,
   1,  ftj__task_progress__number_ranges,
--- a/lib/proto/jobs.pb-c.h
+++ b/lib/proto/jobs.pb-c.h
@@ -104,10 +104,11 @@
   char *checkpoint;
   uint32_t crashes;
   uint32_t lost_runs;
+  int64_t worker_started_ms;
 };
 #define FTJ__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ftj__task_progress__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -117,8 +117,8 @@
                        const struct jb_resources *resources);
 
 /*! sd_may_start_on_service () :
- *  @return : whether the reports of the service's workers are current, or
- * these refuse what does not fit. */
+ *  @return : whether the reports of the service's workers are current, or the
+ *            workers refuse what does not fit. */
 bool sd_may_start_on_service (const struct sd_sched *sched,
                               const char *service);
 
@@ -197,8 +197,8 @@
 bool sd_crash_is_suspect (const struct jb_task *task);
 
 /*! sd_crash_has_starting_run () :
- *  @return : whether a run on WORKER has just been placed or started, so that
- * a suspect must not start there. */
+ *  A suspect must not start on such a worker.
+ *  @return : whether a run on WORKER has just been placed or started. */
 bool sd_crash_has_starting_run (const struct sd_worker *worker,
                                 int64_t now_ms);
 
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -193,6 +193,12 @@
   worker->reachability = reachability;
 }
 
+void
+sd_worker_process (struct sd_worker *worker, int64_t started_ms)
+{
+  worker->process_started_ms = started_ms;
+}
+
 void
 sd_worker_unresponsive (struct sd_worker *worker, int64_t now_ms)
 {
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -48,6 +48,8 @@
   struct sd_worker_report report;
   bool listed; /* the store has an entry for it */
   enum sd_reachability reachability;
+  int64_t process_started_ms; /* as it reports it, by a clock of its own; 0:
+                                 not known */
   struct jb_resources used_resources; /* by `tasks` */
   /* By runs that are not assigned to it, by its last status poll.  */
   struct jb_resources unassigned_resources;
@@ -178,6 +180,10 @@
  *  workers that do not refuse what does not fit.  Initially they are not. */
 void sd_set_reports_current (struct sd_sched *sched, bool current);
 
+/*! sd_worker_process () :
+ *  Sets the start time of the worker's process, as the worker reports it. */
+void sd_worker_process (struct sd_worker *worker, int64_t started_ms);
+
 /*! sd_worker_unassigned_runs () :
  *  A status poll has listed runs that are not assigned to WORKER and are being
  *  stopped.  They use resources until a later poll does not list them.
@@ -327,9 +333,9 @@
                             const struct jb_task *task);
 
 /*! sd_start_is_safe () :
- *  @return : whether the start of a placed task may be sent by what is known
- * of its worker now: the worker still has enough resources, and if it does not
- * refuse what does not fit, its report is current. */
+ *  By what is known of the worker of TASK now: it still has enough resources,
+ *  and if it does not refuse what does not fit, its report is current.
+ *  @return : whether the start of TASK, which is placed, may be sent. */
 bool sd_start_is_safe (const struct sd_sched *sched,
                        const struct jb_task *task);
 
--- a/programs/foxtailgap-hostd/worker_losses.c
+++ b/programs/foxtailgap-hostd/worker_losses.c
@@ -41,17 +41,18 @@
 /* --- Runs lost with their worker --- */
 
 /* TASKS: struct jb_task, placed on the worker; not kept.
-   WHY: as for note_gone_run ().  */
+   WHY: as for note_gone_run ().
+   LAST_ANSWER_MS: of the process that had the runs.  */
 static void
 lose_runs (struct worker_io *io, GPtrArray *tasks, const char *why,
-           bool process_ended, int64_t now_ms)
+           bool process_ended, int64_t last_answer_ms, int64_t now_ms)
 {
   GPtrArray *given_up = g_ptr_array_new ();
   struct sd_worker_loss loss = {
     .tasks = tasks,
     /* A worker that has announced that it leaves has not crashed.  */
     .crashed = process_ended && !io->worker->report.draining,
-    .last_answer_ms = io->clock_read_ms,
+    .last_answer_ms = last_answer_ms,
   };
   guint i;
 
@@ -71,7 +72,7 @@
 {
   GPtrArray *tasks = g_ptr_array_copy (io->worker->tasks, NULL, NULL);
 
-  lose_runs (io, tasks, why, process_ended, now_ms);
+  lose_runs (io, tasks, why, process_ended, io->clock_read_ms, now_ms);
   g_ptr_array_free (tasks, TRUE);
   io->workers->params.changed (io->workers->params.ctx);
 }
@@ -94,11 +95,13 @@
 
 /* --- Runs that a poll does not list --- */
 
-/* Whether the worker has restarted since the task was placed there.  */
+/* Whether the worker has restarted since the task was placed there, under this
+   term or an earlier one.  */
 static bool
 has_restarted_since (const struct worker_io *io, const struct jb_task *task)
 {
-  return io->restart_seen_ms > 0 && io->restart_seen_ms >= task->placed_ms;
+  return task->worker_started_ms != 0 && io->worker_started_ms != 0
+         && task->worker_started_ms != io->worker_started_ms;
 }
 
 /* Whether the run of a task that the worker does not list is not there and can
@@ -161,7 +164,8 @@
         g_ptr_array_add (has_restarted_since (io, task) ? lost : missing,
                          task);
     }
-  lose_runs (io, lost, "restarted", true, now_ms);
+  lose_runs (io, lost, "restarted", true, io->former_process_answered_ms,
+             now_ms);
   lose_missing_runs (io, missing, now_ms);
   g_ptr_array_free (lost, TRUE);
   g_ptr_array_free (missing, TRUE);
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -267,6 +267,16 @@
   task->reported_load = run->reported_load;
 }
 
+/* When the process before the one that ANSWER is of answered last, at the
+   latest: before the new one started, for a worker's clock starts with its
+   process.  Answers without lists do not tell which process they are of.  */
+static int64_t
+former_process_answered_ms (const struct worker_io *io,
+                            const struct wp_answer *answer, int64_t now_ms)
+{
+  return MIN (io->clock_read_ms, now_ms - MAX (answer->worker_clock_ms, 0));
+}
+
 static void
 process_lists (struct worker_io *io, const struct wp_answer *answer,
                int64_t now_ms)
@@ -279,12 +289,12 @@
       && answer->worker_started_ms != io->worker_started_ms)
     {
       if (io->worker_started_ms != 0)
-        {
-          lg_info (PART, "A worker has restarted.", "worker",
-                   io->worker->report.id, NULL);
-          io->restart_seen_ms = now_ms;
-        }
+        lg_info (PART, "A worker has restarted.", "worker",
+                 io->worker->report.id, NULL);
+      io->former_process_answered_ms
+          = former_process_answered_ms (io, answer, now_ms);
       io->worker_started_ms = answer->worker_started_ms;
+      sd_worker_process (io->worker, answer->worker_started_ms);
       io->outcome_processed = 0;
       io->outcome_stored = 0;
     }
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -22,10 +22,10 @@
   struct sd_worker *worker;
   /* the worker's clock */
   int64_t clock_ms; /* as last reported; negative: never under this term */
-  int64_t clock_read_ms;     /* when that report came in */
-  int64_t worker_started_ms; /* of wp_answer; 0: not reported */
-  int64_t restart_seen_ms; /* when a poll last showed that it has restarted; 0:
-                              never under this term */
+  int64_t clock_read_ms;              /* when that report came in */
+  int64_t worker_started_ms;          /* of wp_answer; 0: not reported */
+  int64_t former_process_answered_ms; /* when the process before the last
+                                         restart answered last */
   /* outcomes of runs */
   int64_t outcome_processed; /* number of the last outcome processed */
   int64_t outcome_stored;    /* of the last one whose effects are stored */
--- a/tests/unit/test_hostd_crashes.c
+++ b/tests/unit/test_hostd_crashes.c
@@ -252,39 +252,112 @@
   tear_down (&setup);
 }
 
+/* Starts a job of another id, which runs for a while.  */
+static struct jb_job *
+start_other_job (struct setup *setup, uint32_t number)
+{
+  char id[JB_ID_DIGITS + 1];
+  struct jb_job *job;
+
+  g_snprintf (id, sizeof id, "%016x", number);
+  job = add_job (setup, id, false);
+  CU_ASSERT_EQUAL (run_round (setup), 1);
+  start_task (setup, &job->tasks[0]);
+  usleep (1000 * LONG_RUN_MS);
+  return job;
+}
+
+/* The answer to a stop does not tell which process it is of.  */
+static void
+stop_job (struct setup *setup, struct jb_job *job)
+{
+  sd_job_cancelled (setup->sched, job, clk_monotonic_ms (NULL));
+  wk_stop (setup->workers, &job->tasks[0]);
+  fake_answer (fake_oldest_open_call (&setup->port, 'x'),
+               &(struct wp_answer){ .result = WP_DONE });
+}
+
+/* Adds a worker, which reports its process in the first poll.  */
 static void
-poll_after_pause (struct setup *setup, const struct wp_answer *answer)
+add_polled_worker (struct setup *setup, const struct wp_answer *life)
 {
-  usleep (1000 * 3);
+  sd_worker_set_reachability (add_worker (setup), SD_WORKER_UNSEEN);
   wk_send_waiting (setup->workers);
-  fake_answer (fake_oldest_open_call (&setup->port, 'h'), answer);
+  fake_answer (fake_oldest_open_call (&setup->port, 'h'), life);
 }
 
-/* The same by a worker that restarts under its old id.  */
+/* The worker has restarted; the first of these polls was sent before the start
+   was answered.  */
+static void
+poll_restarted_worker (struct setup *setup, struct wp_answer *life)
+{
+  uint32_t i;
+
+  life->worker_started_ms++;
+  for (i = 0; i < 2; i++)
+    {
+      usleep (1000 * 3);
+      wk_send_waiting (setup->workers);
+      if (fake_oldest_open_call (&setup->port, 'h') != NULL)
+        fake_answer (fake_oldest_open_call (&setup->port, 'h'), life);
+    }
+}
+
+/* The same by a worker that restarts under its old id, and answers other calls
+   before a poll shows that it has.  */
 static void
 test_restarted_worker_counts_as_crashed (void)
 {
   struct setup setup;
   struct jb_job *job;
-  struct wp_answer life = { .result = WP_DONE, .worker_started_ms = 1 };
+  struct jb_job *other;
+  struct wp_answer life
+      = { .result = WP_DONE, .worker_started_ms = 1, .worker_clock_ms = 1 };
+  uint32_t starts = 0;
+
+  set_up (&setup);
+  add_polled_worker (&setup, &life);
+  job = NULL;
+  while (starts < TRIES_MAX)
+    {
+      other = start_other_job (&setup, starts);
+      if (job == NULL)
+        job = add_job (&setup, JOB, false);
+      if (run_round (&setup) == 0)
+        break;
+      starts++;
+      start_task (&setup, &job->tasks[0]);
+      usleep (1000 * LONG_RUN_MS);
+      stop_job (&setup, other);
+      life.worker_clock_ms = LONG_RUN_MS;
+      poll_restarted_worker (&setup, &life);
+    }
+  CU_ASSERT_EQUAL (starts, 2);
+  CU_ASSERT_EQUAL (job->state, JB_FAILED);
+  tear_down (&setup);
+}
+
+/* The same where the planner is lost before it sees the restart.  */
+static void
+test_restart_is_counted_across_takeovers (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+  struct wp_answer life
+      = { .result = WP_DONE, .worker_started_ms = 1, .worker_clock_ms = 1 };
   uint32_t starts = 0;
 
   set_up (&setup);
   job = add_job (&setup, JOB, false);
-  add_worker (&setup);
-  wk_send_waiting (setup.workers);
+  add_polled_worker (&setup, &life);
   while (starts < TRIES_MAX && run_round (&setup) > 0)
     {
       starts++;
-      wk_send_waiting (setup.workers);
-      fake_answer (fake_oldest_open_call (&setup.port, 'h'), &life);
       start_task (&setup, &job->tasks[0]);
-      life.worker_started_ms++;
-      /* The first of these polls was sent before the start was answered.  */
-      poll_after_pause (&setup, &life);
-      poll_after_pause (&setup, &life);
+      take_over (&setup, job);
+      poll_restarted_worker (&setup, &life);
     }
-  CU_ASSERT_EQUAL (starts, 2);
+  CU_ASSERT_TRUE (starts <= STARTS_MAX);
   CU_ASSERT_EQUAL (job->state, JB_FAILED);
   tear_down (&setup);
 }
@@ -478,6 +551,8 @@
       test_crashes_are_counted_across_takeovers },
     { "a restarted worker counts as crashed",
       test_restarted_worker_counts_as_crashed },
+    { "a restart is counted across takeovers",
+      test_restart_is_counted_across_takeovers },
     { "other tasks of crashed workers go on",
       test_other_tasks_of_crashed_workers_go_on },
     { "the runs of a replaced worker are gone at once",
