--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -207,14 +207,13 @@
         self.unresponsive = False
         self.guards_capacity = True
         self.state = "ready"
+        self.capacities = []  # (since_s, accelerators), oldest first
         self.set_capacity(WORKER_ACCELERATORS)
         self.reset()
 
     def set_capacity(self, accelerators):
         """An earlier, larger capacity counts for CAPACITY_NOTICE_S more."""
         self.accelerators = accelerators
-        self.capacities = [(since_s, value) for since_s, value
-                           in getattr(self, "capacities", [])]
         self.capacities.append((time.monotonic(), accelerators))
 
     def largest_recent_capacity(self):
