--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -27,6 +27,7 @@
   bool draining;                 /* it gets no new tasks */
   /* While draining: stays at least this; 0: unknown.  */
   int64_t min_remaining_ms;
+  int64_t process_started_ms; /* as sd_worker.process_started_ms */
 };
 
 /*! sd_worker_report_clear () :
--- a/programs/foxtailgap-hostd/hostd_settings.c
+++ b/programs/foxtailgap-hostd/hostd_settings.c
@@ -51,6 +51,7 @@
   NUMBER_FIELD (body_limit_bytes),
   NUMBER_FIELD (receive_timeout_ms),
   NUMBER_FIELD (lease_ttl_ms),
+  NUMBER_FIELD (lease_limit_ms),
   NUMBER_FIELD (stop_ms),
   NUMBER_FIELD (worker_heartbeat_ms),
   NUMBER_FIELD (capacity_notice_ms),
@@ -72,6 +73,7 @@
   NUMBER (body_limit_bytes, 1, BODY_LIMIT_MAX_BYTES, 512 * 1024),
   NUMBER (receive_timeout_ms, 100, 10 * MINUTE_MS, 3000),
   NUMBER (lease_ttl_ms, 500, 10 * MINUTE_MS, 6000),
+  NUMBER (lease_limit_ms, 500, 10 * MINUTE_MS, 10000),
   NUMBER (stop_ms, 1, MINUTE_MS, 200),
   NUMBER (worker_heartbeat_ms, 10, MINUTE_MS, 500),
   NUMBER (capacity_notice_ms, 1500, HOUR_MS, 3000),
@@ -108,6 +110,9 @@
                 const struct sc_mapping *place)
 {
   sc_check_numbers (place, settings_numbers, G_N_ELEMENTS (settings_numbers));
+  if (settings->lease_limit_ms < settings->lease_ttl_ms)
+    em_add (place->messages, yi_line (place->index, "lease_limit_ms"),
+            "lease_limit_ms: must be at least lease_ttl_ms");
   check_real (place, "cpu_share", &settings->cpu_share, 1.0);
   check_real (place, "link_mbps", &settings->link_mbps, 1000.0);
   check_address (place, "callers", settings->callers);
--- a/programs/foxtailgap-hostd/hostd_settings.h
+++ b/programs/foxtailgap-hostd/hostd_settings.h
@@ -24,7 +24,8 @@
   uint32_t body_limit_bytes; /* of any HTTP request; the catalog may have a
                                 lower one for submissions */
   uint32_t receive_timeout_ms;
-  uint32_t lease_ttl_ms; /* of the lease of what runs on a worker */
+  uint32_t lease_ttl_ms;   /* of the lease of what runs on a worker */
+  uint32_t lease_limit_ms; /* workers shorten a longer lease to this */
   uint32_t stop_ms; /* the time of a stop: a worker stops a task within this;
                        stop_max_ms elsewhere */
   /* Between two reports of a worker to the store.  */
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -483,6 +483,7 @@
     .table = jr_job_table (params->journal),
     .metrics = params->metrics,
     .lease_ttl_ms = params->settings->lease_ttl_ms,
+    .lease_limit_ms = params->settings->lease_limit_ms,
     .stop_max_ms = params->settings->stop_ms,
     .ctx = planner,
     .changed = on_workers_changed,
--- a/programs/foxtailgap-hostd/planner_worker_list.c
+++ b/programs/foxtailgap-hostd/planner_worker_list.c
@@ -45,7 +45,8 @@
   else if (report.draining && !worker->report.draining)
     lg_info (PART, "A worker is draining; it gets no new task.", "worker",
              report.id, NULL);
-  sd_worker_listed (planner->sched, &report, reported_ms);
+  worker = sd_worker_listed (planner->sched, &report, reported_ms);
+  wk_worker_reported (planner->workers, worker);
 }
 
 static void
--- a/programs/foxtailgap-hostd/worker_commands.c
+++ b/programs/foxtailgap-hostd/worker_commands.c
@@ -9,6 +9,7 @@
 enum
 {
   STOP_TIMEOUT_MS = 600,
+  STOP_RETRY_MS = 400,  /* twice the time that a stop may take */
   PACE_TIMEOUT_MS = 300 /* as long as until the command is sent again */
 };
 
@@ -38,8 +39,8 @@
   if (answer->result == WP_DONE && task != NULL)
     task->poll_conclusive_from_ms
         = MIN (task->poll_conclusive_from_ms, clk_monotonic_ms (NULL));
-  if (task != NULL && task->state == JB_TASK_STOPPING && worker != NULL
-      && worker->driver_data != NULL)
+  if (task != NULL && worker != NULL && worker->driver_data != NULL
+      && (task->state == JB_TASK_STOPPING || !task->confirmed))
     {
       ((struct worker_io *)worker->driver_data)->poll_at_once = true;
       workers->params.changed (workers->params.ctx);
@@ -81,6 +82,20 @@
   g_free (name);
 }
 
+bool
+wk_stop_is_due (const struct jb_task *task, int64_t now_ms)
+{
+  return now_ms - task->stop_sent_ms > STOP_RETRY_MS;
+}
+
+void
+wk_prevent_start (struct worker_calls *workers, struct jb_task *task,
+                  int64_t now_ms)
+{
+  if (wk_stop_is_due (task, now_ms))
+    wk_stop (workers, task);
+}
+
 /* --- Pace --- */
 
 static void
--- a/programs/foxtailgap-hostd/worker_leases.c
+++ b/programs/foxtailgap-hostd/worker_leases.c
@@ -19,7 +19,7 @@
 static bool
 may_have_runs (const struct worker_io *io, int64_t now_ms)
 {
-  return io->worker->tasks->len > 0 && now_ms <= io->lease_end_ms;
+  return io->worker->tasks->len > 0 && now_ms <= wk_lease_end_ms (io);
 }
 
 /* Whether the lease of a worker is needed in the record: the worker may have
@@ -62,7 +62,7 @@
 static uint32_t
 remaining_lease_ms (const struct worker_io *io, int64_t now_ms)
 {
-  int64_t left = io->lease_end_ms - now_ms;
+  int64_t left = wk_lease_end_ms (io) - now_ms;
 
   if (now_ms - io->lease_recorded_ms < RECENT_START_LEASE_MS)
     left = MAX (left, RECENT_START_LEASE_MS);
--- a/programs/foxtailgap-hostd/worker_losses.c
+++ b/programs/foxtailgap-hostd/worker_losses.c
@@ -95,15 +95,6 @@
 
 /* --- Runs that a poll does not list --- */
 
-/* Whether the worker has restarted since the task was placed there, under this
-   term or an earlier one.  */
-static bool
-has_restarted_since (const struct worker_io *io, const struct jb_task *task)
-{
-  return task->worker_started_ms != 0 && io->worker_started_ms != 0
-         && task->worker_started_ms != io->worker_started_ms;
-}
-
 /* Whether the run of a task that the worker does not list is not there and can
    never start there.  A run that is being stopped, or whose gang has lost a
    member, may be in neither list for a while before its outcome is listed, so
@@ -113,8 +104,12 @@
 run_is_gone (struct worker_io *io, struct jb_task *task, int64_t now_ms)
 {
   if (io->renewal_sent_ms <= task->poll_conclusive_from_ms)
-    return false;
-  if (has_restarted_since (io, task))
+    {
+      if (wk_has_restarted_since (io, task))
+        wk_prevent_start (io->workers, task, now_ms);
+      return false;
+    }
+  if (wk_has_restarted_since (io, task))
     return true;
   if (task->missing_since_ms == 0)
     task->missing_since_ms = now_ms;
@@ -161,7 +156,7 @@
       if (g_hash_table_contains (reported_tasks, task))
         task->missing_since_ms = 0;
       else if (run_is_gone (io, task, now_ms))
-        g_ptr_array_add (has_restarted_since (io, task) ? lost : missing,
+        g_ptr_array_add (wk_has_restarted_since (io, task) ? lost : missing,
                          task);
     }
   lose_runs (io, lost, "restarted", true, io->former_process_answered_ms,
--- /dev/null
+++ b/programs/foxtailgap-hostd/worker_process.c
@@ -0,0 +1,158 @@
+/* Which process of a worker the calls reach.  A worker may restart under its
+   id: its clock and the numbers of its outcomes then start anew, and nothing
+   runs there.  Until an answer or a report shows the restart, deadlines are
+   computed by the clock of the former process.  The new process takes them for
+   much longer ones, so a start may be carried out long after it should have
+   expired, and a lease may last up to the platform's limit.  */
+
+#include "common/clock.h"
+#include "common/logging.h"
+#include "workers_private.h"
+
+static const char PART[] = "workers";
+
+enum
+{
+  /* Added to the duration of a lease: a worker's clock may be 2% slow, and a
+     command takes time to arrive.  */
+  CLOCK_SLOW_PERCENT = 3,
+  LEASE_SLACK_MS = 300
+};
+
+/* --- Leases --- */
+
+/* When a lease is over that a call sent at SENT_MS may grant.  */
+static int64_t
+lease_bound_ms (int64_t sent_ms, uint32_t ttl_ms)
+{
+  return sent_ms + ttl_ms + ttl_ms * CLOCK_SLOW_PERCENT / 100 + LEASE_SLACK_MS;
+}
+
+void
+wk_extend_lease_bound (struct worker_io *io, int64_t now_ms, uint32_t ttl_ms)
+{
+  io->lease_end_ms = MAX (io->lease_end_ms, lease_bound_ms (now_ms, ttl_ms));
+}
+
+void
+wk_extend_lease_to_limit (struct worker_io *io, int64_t now_ms)
+{
+  wk_extend_lease_bound (io, now_ms, io->workers->params.lease_limit_ms);
+}
+
+void
+wk_deadline_sent (struct worker_io *io, int64_t now_ms, uint32_t ttl_ms,
+                  bool is_start)
+{
+  io->deadline_sent_ms = now_ms;
+  if (is_start)
+    io->unverified_start_ms = now_ms;
+  wk_extend_lease_bound (io, now_ms, ttl_ms);
+}
+
+int64_t
+wk_lease_end_ms (const struct worker_io *io)
+{
+  if (io->unverified_start_ms == 0)
+    return io->lease_end_ms;
+  return MAX (io->lease_end_ms,
+              lease_bound_ms (io->deadline_sent_ms,
+                              io->workers->params.lease_limit_ms));
+}
+
+void
+wk_deadline_unanswered (struct worker_io *io, const struct wk_call *call,
+                        int64_t now_ms)
+{
+  if (!wk_call_is_of_process (call, io))
+    wk_extend_lease_to_limit (io, now_ms);
+}
+
+/* --- Restarts --- */
+
+bool
+wk_call_is_of_process (const struct wk_call *call, const struct worker_io *io)
+{
+  return call->worker_started_ms == io->worker_started_ms;
+}
+
+/* When the process before the one that ANSWER is of answered last, at the
+   latest: before the new one started, for a worker's clock starts with its
+   process.  Answers without lists do not tell which process they are of.  */
+static int64_t
+former_process_answered_ms (const struct worker_io *io,
+                            const struct wp_answer *answer, int64_t now_ms)
+{
+  return MIN (io->clock_read_ms, now_ms - MAX (answer->worker_clock_ms, 0));
+}
+
+/* Starts that may have been sent by the clock of the former process count as
+   possible until a stop has been carried out.  */
+static void
+doubt_unconfirmed_starts (struct worker_io *io)
+{
+  guint i;
+
+  for (i = 0; i < io->worker->tasks->len; i++)
+    {
+      struct jb_task *task = g_ptr_array_index (io->worker->tasks, i);
+
+      if (!task->confirmed)
+        task->poll_conclusive_from_ms = INT64_MAX;
+    }
+}
+
+void
+wk_process_answered (struct worker_io *io, const struct wp_answer *answer,
+                     int64_t now_ms)
+{
+  if (answer->worker_started_ms == io->worker_started_ms
+      || answer->worker_started_ms == 0)
+    {
+      /* A start that was sent before this poll has reached this process, or
+         none.  */
+      if (io->unverified_start_ms < io->renewal_sent_ms)
+        io->unverified_start_ms = 0;
+      return;
+    }
+  io->former_process_answered_ms
+      = former_process_answered_ms (io, answer, now_ms);
+  if (io->worker_started_ms != 0)
+    {
+      lg_info (PART, "A worker has restarted.", "worker",
+               io->worker->report.id, NULL);
+      wk_extend_lease_to_limit (io, now_ms);
+      doubt_unconfirmed_starts (io);
+    }
+  io->worker_started_ms = answer->worker_started_ms;
+  sd_worker_process (io->worker, answer->worker_started_ms);
+  io->outcome_processed = 0;
+  io->outcome_stored = 0;
+}
+
+bool
+wk_has_restarted_since (const struct worker_io *io, const struct jb_task *task)
+{
+  return task->worker_started_ms != 0 && io->worker_started_ms != 0
+         && task->worker_started_ms != io->worker_started_ms;
+}
+
+void
+wk_worker_reported (struct worker_calls *workers, struct sd_worker *worker)
+{
+  struct worker_io *io = wk_io (workers, worker);
+  int64_t started_ms = worker->report.process_started_ms;
+  int64_t earlier_ms = io->reported_started_ms;
+
+  io->reported_started_ms = started_ms;
+  /* The first report, and one that lags behind a poll, show nothing new.  */
+  if (earlier_ms == 0 || started_ms == earlier_ms || started_ms == 0
+      || io->worker_started_ms == 0 || started_ms == io->worker_started_ms)
+    return;
+  lg_info (PART, "A worker's report shows a restart; it is polled first.",
+           "worker", worker->report.id, NULL);
+  wk_extend_lease_to_limit (io, clk_monotonic_ms (NULL));
+  io->clock_ms = -1;
+  if (worker->reachability == SD_WORKER_REACHABLE)
+    sd_worker_set_reachability (worker, SD_WORKER_UNSEEN);
+}
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -35,10 +35,27 @@
 
 /* --- Answers --- */
 
+/* INT64_MAX: by the clock of a former process, so that it is not known.  */
 static int64_t
-start_expiry_ms (const struct wk_call *call)
+start_expiry_ms (const struct wk_call *call, const struct worker_io *io)
 {
-  return call->first_sent_ms + WK_START_EXPIRY_MS;
+  return wk_call_is_of_process (call, io)
+             ? call->first_sent_ms + WK_START_EXPIRY_MS
+             : INT64_MAX;
+}
+
+/* Whether a start without an answer may be sent again.  */
+static bool
+may_send_again (const struct wk_call *call, const struct jb_task *task,
+                const struct worker_io *io, int64_t now_ms)
+{
+  const struct worker_calls *workers = call->workers;
+
+  return now_ms < call->first_sent_ms + START_VALID_MS - START_TIMEOUT_MS
+         && task->state == JB_TASK_PLACED && wk_may_command (workers)
+         && wk_call_is_of_process (call, io) && io->clock_ms >= 0
+         && !io->lease_recorded
+         && sd_start_is_safe (workers->params.sched, task, now_ms);
 }
 
 /* A refusal shows that the run is not there only if no earlier try can still
@@ -46,14 +63,15 @@
    expired.  */
 static void
 handle_refusal (struct wk_call *call, struct jb_task *task,
-                enum sd_refusal reason, int64_t now_ms)
+                const struct worker_io *io, enum sd_refusal reason,
+                int64_t now_ms)
 {
   struct worker_calls *workers = call->workers;
 
   if (call->earlier_try_unanswered)
     {
       task->poll_conclusive_from_ms
-          = MIN (task->poll_conclusive_from_ms, start_expiry_ms (call));
+          = MIN (task->poll_conclusive_from_ms, start_expiry_ms (call, io));
       return;
     }
   if (task->state == JB_TASK_PLACED)
@@ -67,6 +85,7 @@
                      struct sd_worker *worker, const struct wp_answer *answer)
 {
   struct worker_calls *workers = call->workers;
+  struct worker_io *io = wk_io (workers, worker);
   int64_t now_ms = clk_monotonic_ms (NULL);
 
   switch (answer->result)
@@ -81,33 +100,32 @@
     case WP_NO_ANSWER:
       call->earlier_try_unanswered = true;
       sd_worker_unresponsive (worker, now_ms);
-      if (now_ms < call->first_sent_ms + START_VALID_MS - START_TIMEOUT_MS
-          && task->state == JB_TASK_PLACED && wk_may_command (workers)
-          && sd_start_is_safe (workers->params.sched, task, now_ms))
+      wk_deadline_unanswered (io, call, now_ms);
+      if (may_send_again (call, task, io, now_ms))
         {
           send_start (call, task, worker);
           return;
         }
-      task->poll_conclusive_from_ms = start_expiry_ms (call);
+      task->poll_conclusive_from_ms = start_expiry_ms (call, io);
       return;
     case WP_NO_RESOURCES:
-      handle_refusal (call, task, SD_REFUSED_NO_RESOURCES, now_ms);
+      handle_refusal (call, task, io, SD_REFUSED_NO_RESOURCES, now_ms);
       return;
     case WP_STALE_RUN:
-      handle_refusal (call, task, SD_REFUSED_STALE_RUN, now_ms);
+      handle_refusal (call, task, io, SD_REFUSED_STALE_RUN, now_ms);
       return;
     case WP_UNHEALTHY:
-      handle_refusal (call, task, SD_REFUSED_UNHEALTHY, now_ms);
+      handle_refusal (call, task, io, SD_REFUSED_UNHEALTHY, now_ms);
       return;
     case WP_DEADLINE_PASSED:
-      handle_refusal (call, task, SD_REFUSED_DEADLINE_PASSED, now_ms);
+      handle_refusal (call, task, io, SD_REFUSED_DEADLINE_PASSED, now_ms);
       return;
     case WP_TICKET_INVALID:
-      handle_refusal (call, task, SD_REFUSED_TICKET_INVALID, now_ms);
+      handle_refusal (call, task, io, SD_REFUSED_TICKET_INVALID, now_ms);
       return;
     case WP_WRONG_WORKER:
     case WP_MALFORMED_COMMAND:
-      handle_refusal (call, task, SD_REFUSED_OTHER, now_ms);
+      handle_refusal (call, task, io, SD_REFUSED_OTHER, now_ms);
       return;
     case WP_FENCED:
       workers->params.fenced (workers->params.ctx);
@@ -187,7 +205,7 @@
 
   call->sent_ms = MAX (now_ms, call->sent_ms + 1);
   wk_call_opened (call);
-  wk_extend_lease_bound (io, now_ms, (uint32_t)MAX (left_ms, 0));
+  wk_deadline_sent (io, now_ms, (uint32_t)MAX (left_ms, 0), true);
   workers->params.port.start (workers->params.port.ctx, &target, &start,
                               START_TIMEOUT_MS, on_start_answer, call);
 }
@@ -244,6 +262,12 @@
                            "it would extend a recorded lease");
       return;
     }
+  if (worker->reachability == SD_WORKER_UNSEEN)
+    {
+      refuse_unsent_start (call, task, SD_REFUSED_OTHER,
+                           "the worker has restarted and was not polled yet");
+      return;
+    }
   if (!sd_start_is_safe (workers->params.sched, task, now_ms))
     {
       refuse_unsent_start (
@@ -251,6 +275,7 @@
           "the worker's capacity has changed or is not known");
       return;
     }
+  call->worker_started_ms = worker->process_started_ms;
   call->first_sent_ms = now_ms;
   call->sent_ms = now_ms;
   send_start (call, task, worker);
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -33,16 +33,11 @@
      longer than this: well below the lease, and above the time that a slow
      store takes for an answer.  */
   STORE_WAIT_MS = 1000,
-  /* Added to the duration of a lease: a worker's clock may be 2% slow, and a
-     command takes time to arrive.  */
-  CLOCK_SLOW_PERCENT = 3,
-  LEASE_SLACK_MS = 300,
   /* Outlasts a store that does not answer for 4.5 s while the planner is lost,
      and a takeover of 1 s.  */
   LEASE_MAX_MS = 6000,
   /* A draining worker will be gone without notice; two renewals long.  */
   DRAINING_LEASE_MAX_MS = 4000,
-  STOP_RETRY_MS = 400, /* twice the time that a stop may take */
   /* A call takes 0.2 to 0.4 ms of a host with half a core, so that a full
      window is worked through well within a heartbeat of the planner.  */
   WINDOW_MAX = 128,
@@ -89,15 +84,6 @@
   io->clock_read_ms = now_ms;
 }
 
-void
-wk_extend_lease_bound (struct worker_io *io, int64_t now_ms, uint32_t ttl_ms)
-{
-  int64_t end_ms
-      = now_ms + ttl_ms + ttl_ms * CLOCK_SLOW_PERCENT / 100 + LEASE_SLACK_MS;
-
-  io->lease_end_ms = MAX (io->lease_end_ms, end_ms);
-}
-
 struct wp_target
 wk_target (const struct sd_worker *worker)
 {
@@ -116,6 +102,7 @@
   call->worker = g_strdup (worker->report.id);
   call->task = g_strdup (task);
   call->run = run;
+  call->worker_started_ms = worker->process_started_ms;
   call->sent_ms = clk_monotonic_ms (NULL);
   call->first_sent_ms = call->sent_ms;
   g_hash_table_add (workers->calls, call);
@@ -262,21 +249,11 @@
       sd_task_running (workers->params.sched, task, now_ms);
       sd_task_progress (workers->params.sched, task, run->percent, now_ms);
     }
-  else if (now_ms - task->stop_sent_ms > STOP_RETRY_MS)
+  else if (wk_stop_is_due (task, now_ms))
     wk_stop (workers, task);
   task->reported_load = run->reported_load;
 }
 
-/* When the process before the one that ANSWER is of answered last, at the
-   latest: before the new one started, for a worker's clock starts with its
-   process.  Answers without lists do not tell which process they are of.  */
-static int64_t
-former_process_answered_ms (const struct worker_io *io,
-                            const struct wp_answer *answer, int64_t now_ms)
-{
-  return MIN (io->clock_read_ms, now_ms - MAX (answer->worker_clock_ms, 0));
-}
-
 static void
 process_lists (struct worker_io *io, const struct wp_answer *answer,
                int64_t now_ms)
@@ -285,19 +262,7 @@
                                     .unassigned = g_ptr_array_new () };
   guint i;
 
-  if (answer->worker_started_ms != 0
-      && answer->worker_started_ms != io->worker_started_ms)
-    {
-      if (io->worker_started_ms != 0)
-        lg_info (PART, "A worker has restarted.", "worker",
-                 io->worker->report.id, NULL);
-      io->former_process_answered_ms
-          = former_process_answered_ms (io, answer, now_ms);
-      io->worker_started_ms = answer->worker_started_ms;
-      sd_worker_process (io->worker, answer->worker_started_ms);
-      io->outcome_processed = 0;
-      io->outcome_stored = 0;
-    }
+  wk_process_answered (io, answer, now_ms);
   for (i = 0; i < answer->outcomes->len; i++)
     process_outcome (
         io, &g_array_index (answer->outcomes, struct wp_outcome, i), now_ms);
@@ -347,6 +312,8 @@
                  call->worker, "result", wp_result_name (answer->result),
                  NULL);
       io->last_result = answer->result;
+      if (answer->result == WP_NO_ANSWER)
+        wk_deadline_unanswered (io, call, now_ms);
       sd_worker_set_reachability (worker, SD_WORKER_UNREACHABLE);
       if (answer->result == WP_WRONG_WORKER)
         wk_drop_runs_of_replaced_worker (io, now_ms);
@@ -405,7 +372,9 @@
   struct wk_call *call;
   struct wp_renew renewal = {
     .term = workers->term,
-    .acked_outcome_number = io->outcome_stored,
+    /* Another process, with numbers of its own, may answer.  */
+    .acked_outcome_number
+    = worker->reachability == SD_WORKER_REACHABLE ? io->outcome_stored : 0,
     .lease_deadline_ms = -1,
     .wait_ms = renewal_wait_ms (io),
   };
@@ -415,7 +384,7 @@
       uint32_t ttl_ms = lease_duration_ms (workers, worker);
 
       renewal.lease_deadline_ms = wk_clock_ms (io, now_ms) + ttl_ms;
-      wk_extend_lease_bound (io, now_ms, ttl_ms);
+      wk_deadline_sent (io, now_ms, ttl_ms, false);
     }
   io->renewal_in_flight = true;
   io->poll_at_once = false;
@@ -497,7 +466,7 @@
       struct worker_io *io = wk_io (workers, worker);
 
       if (worker->reachability != SD_WORKER_REACHABLE && worker->tasks->len > 0
-          && now_ms > io->lease_end_ms)
+          && now_ms > wk_lease_end_ms (io))
         wk_drop_runs_of_lapsed_lease (io, now_ms);
       if (!renewal_is_due (io, now_ms))
         continue;
@@ -608,8 +577,7 @@
                                 .worker = worker,
                                 .clock_ms = -1 };
       /* The previous planner may have renewed it until just now.  */
-      wk_extend_lease_bound (io, now_ms,
-                             MIN (workers->params.lease_ttl_ms, LEASE_MAX_MS));
+      wk_extend_lease_to_limit (io, now_ms);
       wk_adopt_recorded_lease (io, leases, now_ms);
     }
 }
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -37,7 +37,9 @@
   struct sd_sched *sched;
   struct jb_table *table;
   struct mt_registry *metrics;
-  uint32_t lease_ttl_ms; /* upper limit of a lease */
+  uint32_t lease_ttl_ms; /* leases are not renewed for longer */
+  /* Workers shorten a longer lease to this.  */
+  uint32_t lease_limit_ms;
   /* The time of a stop: it takes at most this long, and meanwhile the run may
      be listed neither as running nor as ended.  */
   uint32_t stop_max_ms;
@@ -65,6 +67,12 @@
                     GHashTable *leases);
 void wk_end_term (struct worker_calls *workers);
 
+/*! wk_worker_reported () :
+ *  The report of WORKER has been read from the store's list.  If its process
+ *  has restarted, it gets no start until it has answered a poll. */
+void wk_worker_reported (struct worker_calls *workers,
+                         struct sd_worker *worker);
+
 /*! wk_start () :
  *  Sends the start of a task that is stored as placed, once the window of
  *  calls has room, and again for a while if the worker does not answer.  The
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -1,7 +1,8 @@
 /* Internal header of the calls to workers: lease renewals and status polls are
    in workers.c, starts in worker_starts.c, stop and pace commands in
    worker_commands.c, runs that are gone without an outcome in worker_losses.c,
-   the record of unreachable workers' leases in worker_leases.c.  */
+   restarts under the same id in worker_process.c, the record of unreachable
+   workers' leases in worker_leases.c.  */
 
 #ifndef FT_HOSTD_WORKERS_PRIVATE_H
 #define FT_HOSTD_WORKERS_PRIVATE_H
@@ -22,8 +23,9 @@
   struct sd_worker *worker;
   /* the worker's clock */
   int64_t clock_ms; /* as last reported; negative: never under this term */
-  int64_t clock_read_ms;              /* when that report came in */
-  int64_t worker_started_ms;          /* of wp_answer; 0: not reported */
+  int64_t clock_read_ms;       /* when that report came in */
+  int64_t worker_started_ms;   /* of wp_answer; 0: not reported */
+  int64_t reported_started_ms; /* the same by its report; 0: not reported */
   int64_t former_process_answered_ms; /* when the process before the last
                                          restart answered last */
   /* outcomes of runs */
@@ -39,10 +41,14 @@
   int64_t answered_renewal_sent_ms; /* of the last one that was answered */
   int64_t renewal_tried_ms;         /* a copy of renewal_sent_ms */
   enum wp_result last_result;       /* of the last renewal that failed */
-  int64_t lease_end_ms; /* nothing can run there after this, unless a later
-                           call extends it */
-  bool lease_recorded;  /* the stored record of leases contains this worker, or
-                           may contain it */
+  /* See wk_lease_end_ms ().  */
+  int64_t lease_end_ms;     /* if the process has not restarted unnoticed */
+  int64_t deadline_sent_ms; /* of the last start or lease renewal */
+  /* Of the last start; 0: a later poll has shown that the process is still the
+     same.  */
+  int64_t unverified_start_ms;
+  bool lease_recorded; /* the stored record of leases contains this worker, or
+                          may contain it */
   int64_t lease_recorded_ms; /* since when */
 };
 
@@ -78,6 +84,9 @@
   struct cw_ticket *ticket;    /* NULL: not in the window */
   uint32_t percent;            /* of a pace command */
   bool earlier_try_unanswered; /* so that try may still take effect */
+  /* Of the worker's process by whose clock its deadline was computed, see
+     worker_io.  */
+  int64_t worker_started_ms;
 };
 
 /*! wk_io () :
@@ -95,12 +104,47 @@
 void wk_update_clock (struct worker_io *io, const struct wp_answer *answer,
                       int64_t now_ms);
 
-/*! wk_extend_lease_bound () :
- *  Extends lease_end_ms: runs may go on there for TTL_MS on the worker's
- *  clock, because a lease renewal or start is being sent, or because an
- *  earlier planner may have sent one just now. */
+/*! wk_extend_lease_bound (), wk_extend_lease_to_limit () :
+ *  Extends the worker's lease: runs may go on there for TTL_MS on the worker's
+ *  clock, or for as long as any lease may last, for an earlier planner may
+ *  have sent a call just now, or one by the clock of a former process. */
 void wk_extend_lease_bound (struct worker_io *io, int64_t now_ms,
                             uint32_t ttl_ms);
+void wk_extend_lease_to_limit (struct worker_io *io, int64_t now_ms);
+
+/*! wk_deadline_sent () :
+ *  A start or lease renewal is being sent: runs may go on there for TTL_MS on
+ *  the worker's clock. */
+void wk_deadline_sent (struct worker_io *io, int64_t now_ms, uint32_t ttl_ms,
+                       bool is_start);
+
+/*! wk_deadline_unanswered () :
+ *  A start or lease renewal has had no answer: it may have reached a process
+ *  that has restarted since it was sent. */
+void wk_deadline_unanswered (struct worker_io *io, const struct wk_call *call,
+                             int64_t now_ms);
+
+/*! wk_lease_end_ms () :
+ *  @return : when nothing can run on the worker any more, unless a later call
+ *            extends its lease. */
+int64_t wk_lease_end_ms (const struct worker_io *io);
+
+/*! wk_call_is_of_process () :
+ *  @return : whether the worker has not been seen to restart since CALL was
+ *            sent. */
+bool wk_call_is_of_process (const struct wk_call *call,
+                            const struct worker_io *io);
+
+/*! wk_process_answered () :
+ *  A poll has been answered: recognises a restart, or that there was none. */
+void wk_process_answered (struct worker_io *io, const struct wp_answer *answer,
+                          int64_t now_ms);
+
+/*! wk_has_restarted_since () :
+ *  @return : whether the worker has restarted since the task was placed there,
+ *            under this term or an earlier one. */
+bool wk_has_restarted_since (const struct worker_io *io,
+                             const struct jb_task *task);
 
 /*! wk_adopt_recorded_lease () :
  *  Takes over the remaining lease of a worker, if the previous planner has
@@ -138,6 +182,17 @@
 void wk_stop_run (struct worker_calls *workers, struct sd_worker *worker,
                   const char *task, uint32_t run);
 
+/*! wk_stop_is_due () :
+ *  @return : whether the last stop of the task's run was sent long enough ago
+ *            to send another. */
+bool wk_stop_is_due (const struct jb_task *task, int64_t now_ms);
+
+/*! wk_prevent_start () :
+ *  Sends a stop, if one is due, of a run that the worker does not list, so
+ *  that a start of it which is still under way can not take effect. */
+void wk_prevent_start (struct worker_calls *workers, struct jb_task *task,
+                       int64_t now_ms);
+
 /*! wk_target () :
  *  @return : where calls to WORKER go; its texts are owned by WORKER. */
 struct wp_target wk_target (const struct sd_worker *worker);
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -143,6 +143,7 @@
 # A smaller capacity counts this long and a heartbeat after the worker has it.
 CAPACITY_NOTICE_MS = 3000
 HEARTBEAT_MS = 500
+LEASE_LIMIT_MS = 8000
 
 
 class Run:
@@ -240,6 +241,12 @@
         self.unnoted_count = 0  # outcomes up to here are older than a lapse
         self.highest_run_ids = {}  # task -> highest run_id of a start or stop
 
+    def extend_lease(self, deadline_ms):
+        """The platform's rule: a longer lease is shortened to the limit."""
+        limit_ms = self.clock_ms() + LEASE_LIMIT_MS
+        self.lease_deadline_ms = max(self.lease_deadline_ms,
+                                     min(deadline_ms, limit_ms))
+
     def clock_ms(self):
         return int((time.monotonic() - self.started_s) * 1000)
 
@@ -314,8 +321,7 @@
         if len(self.runs) >= self.largest_recent_capacity():
             self.checker.violations.append(
                 f"LIMIT {task} run {run_id} on {self.name}")
-        self.lease_deadline_ms = max(self.lease_deadline_ms,
-                                     command["deadline_ms"])
+        self.extend_lease(command["deadline_ms"])
         self.highest_run_ids[task] = run_id
         self.checker.record_start(task, self.name, run_id)
         self.runs[task] = Run(task, run_id,
@@ -340,8 +346,7 @@
 
     async def renew_lease(self, command):
         if "deadline_ms" in command:
-            self.lease_deadline_ms = max(self.lease_deadline_ms,
-                                         command["deadline_ms"])
+            self.extend_lease(command["deadline_ms"])
         ack_cursor = command["ack_cursor"]
         for outcome in self.outcomes:
             # The platform's rule: acknowledging an end after the lease has
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -78,6 +78,7 @@
                       f"readiness: 127.0.0.1:{free_port()}\n"
                       f"metrics: 127.0.0.1:{free_port()}\n"
                       f"store: {store}\nlease_ttl_ms: {LEASE_MS}\n"
+                      f"lease_limit_ms: {standin.LEASE_LIMIT_MS}\n"
                       f"worker_heartbeat_ms: {standin.HEARTBEAT_MS}\n"
                       f"capacity_notice_ms: {standin.CAPACITY_NOTICE_MS}\n")
         self.process = None
--- a/tests/unit/test_hostd_crashes.c
+++ b/tests/unit/test_hostd_crashes.c
@@ -49,6 +49,7 @@
   struct wk_params workers = {
     .port = fake_wp_port (&setup->port),
     .lease_ttl_ms = LEASE_MS,
+    .lease_limit_ms = LEASE_MS,
     .stop_max_ms = 200,
     .ctx = setup,
     .changed = on_event,
--- /dev/null
+++ b/tests/unit/test_hostd_restarts.c
@@ -0,0 +1,352 @@
+/* Tests of workers that restart under their id: a deadline by the clock of the
+   former process is a longer one for the new process.  */
+
+#include <unistd.h>
+
+#include "../../programs/foxtailgap-hostd/workers.h"
+#include "check.h"
+#include "hostd_fixture.h"
+
+static const char JOB[] = "00000000000000aa";
+
+enum
+{
+  LEASE_MS = 300,
+  LEASE_LIMIT_MS = 3000,
+  /* Renewals go on for 1500 ms; the lease of the last one ends after 300 ms,
+     3% of it and 300 ms.  */
+  LEASE_IS_OVER_MS = 2150,
+  LIMIT_IS_OVER_MS = 4950, /* the same with the limit */
+  START_EXPIRED_MS = 1300, /* no start by the known clock can arrive */
+  /* After this and LEASE_IS_OVER_MS a lease of an earlier planner is over.  */
+  EARLIER_LEASE_MS = 1500,
+  POLL_AGAIN_MS = 260,      /* of an unreachable worker */
+  FORMER_STARTED_MS = 1000, /* of the former process, any number */
+  FORMER_CLOCK_MS = 60000,
+  STARTED_MS = 61000, /* of the new process */
+  CLOCK_MS = 50
+};
+
+struct setup
+{
+  struct fake_port port;
+  struct jb_table *table;
+  struct sd_sched *sched;
+  struct ct_catalog *catalog;
+  struct mt_registry *metrics;
+  struct worker_calls *workers;
+  struct sd_worker *worker;
+  struct jb_task *task;
+};
+
+static void
+on_event (void *ctx)
+{
+  (void)ctx;
+}
+
+/* Adds a worker, which has not been polled, and a job of one task.  */
+static void
+set_up (struct setup *setup)
+{
+  struct sd_params sched = { .remote_slowdown_factor = 3, .stop_max_ms = 200 };
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct wk_params workers = {
+    .port = fake_wp_port (&setup->port),
+    .lease_ttl_ms = LEASE_MS,
+    .lease_limit_ms = LEASE_LIMIT_MS,
+    .stop_max_ms = 200,
+    .ctx = setup,
+    .changed = on_event,
+    .fenced = on_event,
+  };
+  struct jb_job *job;
+
+  memset (setup, 0, sizeof *setup);
+  setup->table = jb_table_create ();
+  setup->sched = sd_create (&sched, setup->table);
+  setup->catalog = fixture_catalog ();
+  sd_set_catalog (setup->sched, setup->catalog);
+  setup->metrics = mt_create ();
+  workers.sched = setup->sched;
+  workers.table = setup->table;
+  workers.metrics = setup->metrics;
+  setup->workers = wk_create (&workers);
+  setup->worker = fixture_worker (setup->sched, "w1", "r1", 8);
+  sd_worker_set_reachability (setup->worker, SD_WORKER_UNSEEN);
+  wk_begin_term (setup->workers, 1, NULL);
+  job = jb_table_add (setup->table, JOB,
+                      fixture_spec ("batch", "clinic", &step), 0);
+  sd_job_added (setup->sched, job);
+  setup->task = &job->tasks[0];
+}
+
+static void
+tear_down (struct setup *setup)
+{
+  wk_end_term (setup->workers);
+  fake_answer_all_unresponsive (&setup->port);
+  wk_free (setup->workers);
+  sd_free (setup->sched);
+  jb_table_free (setup->table);
+  ct_catalog_free (setup->catalog);
+  mt_free (setup->metrics);
+}
+
+static void
+answer_poll (struct setup *setup, const struct wp_answer *answer)
+{
+  wk_send_waiting (setup->workers);
+  fake_answer (fake_oldest_open_call (&setup->port, 'h'), answer);
+}
+
+static void
+answer_poll_of_former_process (struct setup *setup)
+{
+  answer_poll (setup,
+               &(struct wp_answer){ .result = WP_DONE,
+                                    .worker_clock_ms = FORMER_CLOCK_MS,
+                                    .worker_started_ms = FORMER_STARTED_MS });
+}
+
+/* @runs_task : whether the new process lists the run of the task.  */
+static void
+answer_poll_of_new_process (struct setup *setup, bool runs_task)
+{
+  GArray *runs = g_array_new (FALSE, FALSE, sizeof (struct wp_run));
+  struct wp_run run
+      = { .task = jb_task_name (setup->task), .run = 1, .checkpoint = "" };
+
+  if (runs_task)
+    g_array_append_val (runs, run);
+  answer_poll (setup, &(struct wp_answer){ .result = WP_DONE,
+                                           .worker_clock_ms = CLOCK_MS,
+                                           .worker_started_ms = STARTED_MS,
+                                           .runs = runs });
+  g_array_free (runs, TRUE);
+  g_free (run.task);
+}
+
+/* Calls have no answer for TIME_MS.  */
+static void
+be_unreachable (struct setup *setup, uint32_t time_ms)
+{
+  int64_t until_ms = clk_monotonic_ms (NULL) + time_ms;
+
+  while (clk_monotonic_ms (NULL) < until_ms)
+    {
+      wk_send_waiting (setup->workers);
+      fake_answer_all_unresponsive (&setup->port);
+      usleep (1000 * 20);
+    }
+  wk_send_waiting (setup->workers);
+}
+
+static void
+place_task (struct setup *setup)
+{
+  CU_ASSERT_EQUAL (fixture_run_round (setup->sched, clk_monotonic_ms (NULL)),
+                   1);
+  CU_ASSERT_EQUAL_FATAL (setup->task->state, JB_TASK_PLACED);
+}
+
+/* Has the task's start sent by the clock of the former process.  */
+static void
+send_start (struct setup *setup)
+{
+  answer_poll_of_former_process (setup);
+  place_task (setup);
+  wk_start (setup->workers, setup->task);
+  CU_ASSERT_PTR_NOT_NULL (fake_oldest_open_call (&setup->port, 's'));
+}
+
+/* Guards against a task that runs twice: the run of a restarted worker was
+   given up before its lease was over (soak-deadly, seed 143).  */
+static void
+test_lease_of_restarted_worker_may_last_to_the_limit (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  send_start (&setup);
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 's'),
+      &(struct wp_answer){ .result = WP_DONE, .worker_clock_ms = CLOCK_MS });
+  answer_poll_of_new_process (&setup, true);
+  be_unreachable (&setup, LEASE_IS_OVER_MS);
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_PLACED);
+  be_unreachable (&setup, LIMIT_IS_OVER_MS - LEASE_IS_OVER_MS);
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_WAITING);
+  tear_down (&setup);
+}
+
+/* The same where no answer shows the restart.  */
+static void
+test_unanswered_start_may_run_to_the_limit (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  send_start (&setup);
+  be_unreachable (&setup, LEASE_IS_OVER_MS);
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_PLACED);
+  be_unreachable (&setup, LIMIT_IS_OVER_MS - LEASE_IS_OVER_MS);
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_WAITING);
+  tear_down (&setup);
+}
+
+/* A poll that was sent after the start shows that the worker has not
+   restarted, so that its lease ends as it was granted.  */
+static void
+test_lease_of_known_process_ends_as_granted (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  usleep (1000 * EARLIER_LEASE_MS);
+  send_start (&setup);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE,
+                                    .worker_clock_ms = FORMER_CLOCK_MS });
+  answer_poll_of_former_process (&setup); /* sent with the start */
+  usleep (1000 * 2);
+  answer_poll_of_former_process (&setup);
+  be_unreachable (&setup, LEASE_IS_OVER_MS);
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_WAITING);
+  tear_down (&setup);
+}
+
+/* A start by the clock of the former process may be carried out by the new one
+   long after it has expired, unless a stop was there before it.  */
+static void
+test_start_at_restarted_worker_is_stopped_first (void)
+{
+  struct setup setup;
+  struct fake_call *stop;
+
+  set_up (&setup);
+  send_start (&setup);
+  be_unreachable (&setup, START_EXPIRED_MS);
+  usleep (1000 * POLL_AGAIN_MS);
+  answer_poll_of_new_process (&setup, false);
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_PLACED);
+  stop = fake_oldest_open_call (&setup.port, 'x');
+  CU_ASSERT_PTR_NOT_NULL_FATAL (stop);
+  fake_answer (stop, &(struct wp_answer){ .result = WP_DONE,
+                                          .worker_clock_ms = CLOCK_MS });
+  usleep (1000 * 2);
+  answer_poll_of_new_process (&setup, false);
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_WAITING);
+  tear_down (&setup);
+}
+
+static void
+list_worker (struct setup *setup, int64_t started_ms)
+{
+  struct sd_worker_report report = {
+    .id = g_strdup ("w1"),
+    .address = g_strdup ("127.0.0.1:1"),
+    .service = g_strdup ("desk"),
+    .data_centre = g_strdup ("dc"),
+    .labels = g_new0 (char *, 1),
+    .resources = setup->worker->report.resources,
+    .process_started_ms = started_ms,
+  };
+
+  sd_worker_listed (setup->sched, &report, 0);
+  wk_worker_reported (setup->workers, setup->worker);
+}
+
+/* An idle worker is not polled, so that only its report shows a restart.  */
+static void
+test_restart_is_noticed_by_the_report (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  list_worker (&setup, FORMER_STARTED_MS);
+  answer_poll_of_former_process (&setup);
+  list_worker (&setup, FORMER_STARTED_MS);
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_REACHABLE);
+  list_worker (&setup, STARTED_MS);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   0);
+  answer_poll_of_new_process (&setup, false);
+  list_worker (&setup, STARTED_MS);
+  place_task (&setup);
+  wk_start (setup.workers, setup.task);
+  CU_ASSERT_TRUE (fake_oldest_open_call (&setup.port, 's')->deadline_ms
+                  < FORMER_CLOCK_MS);
+  tear_down (&setup);
+}
+
+/* The report comes in while a start waits to be sent.  */
+static void
+test_start_waits_for_the_new_process (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  list_worker (&setup, FORMER_STARTED_MS);
+  answer_poll_of_former_process (&setup);
+  place_task (&setup);
+  list_worker (&setup, STARTED_MS);
+  wk_start (setup.workers, setup.task);
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 's'));
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_WAITING);
+  tear_down (&setup);
+}
+
+/* The new process numbers its outcomes anew: one of a low number would be
+   forgotten there before it was processed.  */
+static void
+test_unreachable_worker_gets_no_acknowledgement (void)
+{
+  struct setup setup;
+  GArray *outcomes = g_array_new (FALSE, FALSE, sizeof (struct wp_outcome));
+  struct wp_outcome outcome = { .number = 7,
+                                .task = (char *)"00000000000000ab.0.0.0",
+                                .run = 1,
+                                .outcome = SD_OUTCOME_STOPPED,
+                                .checkpoint = (char *)"" };
+
+  g_array_append_val (outcomes, outcome);
+  set_up (&setup);
+  answer_poll (&setup,
+               &(struct wp_answer){ .result = WP_DONE,
+                                    .worker_started_ms = FORMER_STARTED_MS,
+                                    .outcomes = outcomes });
+  wk_outcomes_stored (setup.workers, wk_mark_outcomes (setup.workers));
+  place_task (&setup);
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 'h')->seen, 7);
+  fake_answer_all_unresponsive (&setup.port);
+  usleep (1000 * POLL_AGAIN_MS);
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 'h')->seen, 0);
+  g_array_free (outcomes, TRUE);
+  tear_down (&setup);
+}
+
+int
+main (void)
+{
+  static const struct check_test tests[] = {
+    { "the lease of a restarted worker may last to the limit",
+      test_lease_of_restarted_worker_may_last_to_the_limit },
+    { "a start without an answer may run to the limit",
+      test_unanswered_start_may_run_to_the_limit },
+    { "the lease of a known process ends as granted",
+      test_lease_of_known_process_ends_as_granted },
+    { "a start at a restarted worker is stopped first",
+      test_start_at_restarted_worker_is_stopped_first },
+    { "a restart is noticed by the report",
+      test_restart_is_noticed_by_the_report },
+    { "a start waits for the new process",
+      test_start_waits_for_the_new_process },
+    { "a worker out of reach gets no acknowledgement",
+      test_unreachable_worker_gets_no_acknowledgement },
+  };
+
+  return check_run ("hostd restarts", tests, G_N_ELEMENTS (tests));
+}
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -53,6 +53,7 @@
   struct wk_params workers = {
     .port = fake_wp_port (&setup->port),
     .lease_ttl_ms = lease_ttl_ms,
+    .lease_limit_ms = lease_ttl_ms,
     .stop_max_ms = 200,
     .ctx = setup,
     .changed = on_changed,
