Runs that were cut off with their worker do not count as lost (LOST)

A job failed once five runs of a task had been lost, also where its workers had only been cut off: `failed` without cause, by the users' rule.

A worker that comes back after its lease was over lists the run as lapsed. That list dies with a crash, so the entry proves that the run did not crash its worker, and the run does not count any more. It needs no state of the planner's and holds across takeovers.

test_hostd_crashes "workers that return do not fail a job" failed before: the job had failed at the fifth cut.

--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -102,6 +102,15 @@
     }
 }
 
+void
+sd_run_was_cut_off (struct sd_sched *sched, struct jb_task *task)
+{
+  if (task->lost_runs == 0)
+    return;
+  task->lost_runs--;
+  sd_mark_changed (sched, task->job);
+}
+
 bool
 sd_crash_is_suspect (const struct jb_task *task)
 {
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -257,6 +257,12 @@
 void sd_runs_lost (struct sd_sched *sched, const struct sd_worker_loss *loss,
                    int64_t now_ms, int64_t now_unix_ms, GPtrArray *given_up);
 
+/*! sd_run_was_cut_off () :
+ *  A worker lists that an earlier run of TASK, which was given up, has ended
+ *  with its lease: the worker had not crashed, so the run does not count as
+ *  lost with it. */
+void sd_run_was_cut_off (struct sd_sched *sched, struct jb_task *task);
+
 /* --- Pace --- */
 
 /* A command for a worker: the best-effort TASK is to run at PERCENT of its
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -171,6 +171,18 @@
   return task;
 }
 
+/* A run that is not current any more has ended.  */
+static void
+process_old_outcome (struct worker_calls *workers,
+                     const struct wp_outcome *outcome)
+{
+  struct jb_task *task
+      = jb_table_find_task (workers->params.table, outcome->task);
+
+  if (task != NULL && outcome->outcome == SD_OUTCOME_LEASE_EXPIRED)
+    sd_run_was_cut_off (workers->params.sched, task);
+}
+
 static void
 process_outcome (struct worker_io *io, const struct wp_outcome *outcome,
                  int64_t now_ms)
@@ -200,6 +212,8 @@
   if (task != NULL)
     sd_task_ended (workers->params.sched, task, outcome->outcome,
                    outcome->checkpoint, now_ms, clk_unix_ms ());
+  else
+    process_old_outcome (workers, outcome);
 }
 
 /* The runs of one status poll.  */
--- a/tests/unit/test_hostd_crashes.c
+++ b/tests/unit/test_hostd_crashes.c
@@ -506,6 +506,63 @@
   tear_down (&setup);
 }
 
+/* The worker answers again and lists that its lease has lapsed, so that the
+   last run of the task there did not crash it.  */
+static void
+return_with_lapsed_run (struct setup *setup, const struct sd_worker *worker,
+                        const struct jb_task *task)
+{
+  struct wp_outcome outcome = { .number = task->run,
+                                .task = jb_task_name (task),
+                                .run = task->run,
+                                .outcome = SD_OUTCOME_LEASE_EXPIRED,
+                                .checkpoint = (char *)"" };
+  GArray *outcomes = g_array_new (FALSE, FALSE, sizeof (struct wp_outcome));
+  size_t i;
+
+  g_array_append_val (outcomes, outcome);
+  fixture_worker (setup->sched, worker->report.id, "r1", 8);
+  sd_worker_set_reachability (sd_worker_find (setup->sched, worker->report.id),
+                              SD_WORKER_UNREACHABLE);
+  usleep (1000 * POLL_AGAIN_MS);
+  wk_send_waiting (setup->workers);
+  for (i = 0; i < setup->port.count; i++)
+    if (setup->port.calls[i].open && setup->port.calls[i].kind == 'h'
+        && strcmp (setup->port.calls[i].worker, worker->report.id) == 0)
+      fake_answer (
+          &setup->port.calls[i],
+          &(struct wp_answer){ .result = WP_DONE, .outcomes = outcomes });
+  sd_worker_unlisted (setup->sched, worker->report.id); /* gets no new task */
+  g_array_free (outcomes, TRUE);
+  g_free (outcome.task);
+}
+
+/* However often a task is cut off with its worker, it did not crash it.  */
+static void
+test_returning_workers_do_not_fail_a_job (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+  struct sd_worker *worker;
+  uint32_t cuts;
+
+  set_up (&setup);
+  job = add_job (&setup, JOB, false);
+  for (cuts = 0; cuts < TRIES_MAX; cuts++)
+    {
+      worker = add_worker (&setup);
+      CU_ASSERT_EQUAL (run_round (&setup), 1);
+      start_task (&setup, &job->tasks[0]);
+      lose_worker (&setup, worker);
+      wait_for_lease (&setup);
+      CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_WAITING);
+      return_with_lapsed_run (&setup, worker, &job->tasks[0]);
+      CU_ASSERT_EQUAL (job->tasks[0].lost_runs, 0);
+    }
+  CU_ASSERT_EQUAL (job->state, JB_RUNNING);
+  tear_down (&setup);
+}
+
 /* A member of a gang crashes its worker; the member on the other worker is not
    to blame, and the gang is given up as a whole.  */
 static void
@@ -564,6 +621,8 @@
       test_tasks_lost_together_start_apart },
     { "cut-off workers do not fail a job",
       test_cut_off_workers_do_not_fail_a_job },
+    { "workers that return do not fail a job",
+      test_returning_workers_do_not_fail_a_job },
     { "a gang that crashes workers is given up",
       test_gang_that_crashes_workers_is_given_up },
   };
