--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -23,10 +23,13 @@
   sd_reservations_begin_round (sched);
 }
 
+/* Whether UNIT and those after it are left for another round.  */
 static bool
-has_started_enough (const struct sd_sched *sched,
-                    const struct sd_commands *commands)
+must_wait (const struct sd_sched *sched, const struct sd_unit *unit,
+           const struct sd_commands *commands)
 {
+  if (commands->placing == SD_PLACE_URGENT && unit->priority > 0)
+    return true;
   return sched->params.starts_per_round > 0
          && commands->starts->len >= sched->params.starts_per_round;
 }
@@ -130,13 +133,19 @@
   GArray *units;
   guint i;
 
-  if (sched->catalog != NULL)
+  if (sched->catalog != NULL && commands->placing != SD_PLACE_NONE)
     {
       begin_round (sched, now_ms);
       units = sd_collect_units (sched, now_ms, now_unix_ms);
-      for (i = 0; i < units->len && !has_started_enough (sched, commands); i++)
-        place_unit (sched, &g_array_index (units, struct sd_unit, i), now_ms,
-                    commands);
+      for (i = 0; i < units->len; i++)
+        {
+          const struct sd_unit *unit
+              = &g_array_index (units, struct sd_unit, i);
+
+          if (must_wait (sched, unit, commands))
+            break;
+          place_unit (sched, unit, now_ms, commands);
+        }
       commands->more = i < units->len;
       if (!commands->more)
         sd_reservations_end_round (sched);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -309,11 +309,21 @@
  */
 GPtrArray *sd_advisor_queries_create (void);
 
+/* Which jobs a round may place: fewer while earlier starts wait to be sent, so
+   that the decisions about the others are made as late as possible.  */
+enum sd_placing
+{
+  SD_PLACE_ALL = 0,
+  SD_PLACE_URGENT, /* those of priority 0 */
+  SD_PLACE_NONE,
+};
+
 /* The decisions of a round, added to the lists of the calling code.  */
 struct sd_commands
 {
-  GPtrArray *starts; /* struct jb_task: to be started once recorded */
-  GPtrArray *stops;  /* struct jb_task: to be stopped */
+  enum sd_placing placing; /* set by the calling code */
+  GPtrArray *starts;       /* struct jb_task: to be started once recorded */
+  GPtrArray *stops;        /* struct jb_task: to be stopped */
   /* struct sd_advisor_query: of sd_advisor_queries_create (); NULL: the
      advisor is not queried */
   GPtrArray *advisor_queries;
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -35,6 +35,10 @@
   /* Of a gang and the small jobs beside it; a wave of thousands of tasks takes
      several rounds.  */
   STARTS_PER_ROUND = 256,
+  BYTES_PER_MBIT = 125000,
+  /* A decision that waits longer than this to be sent may be overtaken by
+     ends, arrivals and cancellations.  */
+  START_BACKLOG_MAX_MS = 200,
   TASKS_PER_LOG_LINE = 64, /* so that a line stays below PIPE_BUF */
   /* Ticks further apart than this show that the process was paused.  */
   PAUSE_MIN_MS = 700
@@ -117,11 +121,22 @@
     }
 }
 
+static enum sd_placing
+choose_placing (const struct planner *planner)
+{
+  if (wk_backlog_ms (planner->workers, true) > START_BACKLOG_MAX_MS)
+    return SD_PLACE_NONE;
+  if (wk_backlog_ms (planner->workers, false) > START_BACKLOG_MAX_MS)
+    return SD_PLACE_URGENT;
+  return SD_PLACE_ALL;
+}
+
 static void
 run_round (struct planner *planner)
 {
   struct sd_commands commands
-      = { .starts = g_ptr_array_new (),
+      = { .placing = choose_placing (planner),
+          .starts = g_ptr_array_new (),
           .stops = g_ptr_array_new (),
           .advisor_queries = sd_advisor_queries_create () };
   guint i;
@@ -143,7 +158,7 @@
   while (commands.advisor_queries->len > 0)
     av_submit_query (planner->advisor,
                      g_ptr_array_steal_index (commands.advisor_queries, 0));
-  if (commands.more)
+  if (commands.more || commands.placing != SD_PLACE_ALL)
     pl_schedule_round (planner);
   g_ptr_array_free (commands.advisor_queries, TRUE);
   g_ptr_array_free (commands.starts, TRUE);
@@ -485,6 +500,8 @@
     .lease_ttl_ms = params->settings->lease_ttl_ms,
     .lease_limit_ms = params->settings->lease_limit_ms,
     .stop_max_ms = params->settings->stop_ms,
+    .link_bytes_per_s
+    = (uint32_t)(params->settings->link_mbps * BYTES_PER_MBIT),
     .ctx = planner,
     .changed = on_workers_changed,
     .fenced = on_worker_fenced,
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -151,6 +151,7 @@
   struct jb_task *task;
   char name[96];
   int64_t sent_ms = call->sent_ms;
+  int64_t now_ms = clk_monotonic_ms (NULL);
 
   wk_call_answered (call);
   if (!wk_call_is_current (call))
@@ -158,6 +159,7 @@
       wk_call_free (call);
       return;
     }
+  lb_observe (&workers->link, now_ms - sent_ms, now_ms);
   g_snprintf (name, sizeof name, "foxtailgap_starts_total{result=\"%s\"}",
               wp_result_name (answer->result));
   mt_add (workers->params.metrics, name, 1);
@@ -204,6 +206,7 @@
   };
 
   call->sent_ms = MAX (now_ms, call->sent_ms + 1);
+  lb_take (&workers->link, call->bytes, now_ms);
   wk_call_opened (call);
   wk_deadline_sent (io, now_ms, (uint32_t)MAX (left_ms, 0), true);
   workers->params.port.start (workers->params.port.ctx, &target, &start,
@@ -281,6 +284,51 @@
   send_start (call, task, worker);
 }
 
+static void
+queue_start (struct worker_calls *workers, struct wk_call *call,
+             const struct jb_task *task)
+{
+  bool urgent = task->job->priority == 0;
+
+  call->bytes
+      = (uint32_t)strlen (task->job->spec->text) + WK_CALL_OVERHEAD_BYTES;
+  if (urgent)
+    workers->urgent_bytes += call->bytes;
+  else
+    workers->less_urgent_bytes += call->bytes;
+  g_queue_push_tail (urgent ? &workers->urgent_starts : &workers->starts,
+                     call);
+}
+
+static struct wk_call *
+take_urgent_start (struct worker_calls *workers)
+{
+  struct wk_call *call = g_queue_pop_head (&workers->urgent_starts);
+
+  workers->urgent_bytes -= call->bytes;
+  return call;
+}
+
+static struct wk_call *
+take_less_urgent_start (struct worker_calls *workers)
+{
+  struct wk_call *call = g_queue_pop_head (&workers->starts);
+
+  workers->less_urgent_bytes -= call->bytes;
+  return call;
+}
+
+int64_t
+wk_backlog_ms (const struct worker_calls *workers, bool urgent_only)
+{
+  int64_t bytes
+      = workers->urgent_bytes + (urgent_only ? 0 : workers->less_urgent_bytes);
+
+  return workers->link.bytes_per_s == 0
+             ? 0
+             : bytes * 1000 / workers->link.bytes_per_s;
+}
+
 void
 wk_send_queued_starts (struct worker_calls *workers)
 {
@@ -288,12 +336,14 @@
     {
       int64_t now_ms = clk_monotonic_ms (NULL);
 
+      if (!lb_has_room (&workers->link, now_ms))
+        return;
       if (!g_queue_is_empty (&workers->urgent_starts)
           && cw_has_room (workers->window, CW_URGENT, now_ms))
-        send_queued_start (g_queue_pop_head (&workers->urgent_starts));
+        send_queued_start (take_urgent_start (workers));
       else if (!g_queue_is_empty (&workers->starts)
                && cw_has_room (workers->window, CW_BULK, now_ms))
-        send_queued_start (g_queue_pop_head (&workers->starts));
+        send_queued_start (take_less_urgent_start (workers));
       else
         return;
     }
@@ -304,6 +354,8 @@
 {
   g_queue_clear_full (&workers->urgent_starts, (GDestroyNotify)wk_call_free);
   g_queue_clear_full (&workers->starts, (GDestroyNotify)wk_call_free);
+  workers->urgent_bytes = 0;
+  workers->less_urgent_bytes = 0;
 }
 
 uint32_t
@@ -327,9 +379,8 @@
 
   if (workers->term != 0 && worker != NULL)
     {
-      g_queue_push_tail (task->job->priority == 0 ? &workers->urgent_starts
-                                                  : &workers->starts,
-                         wk_call_create (workers, worker, name, task->run));
+      queue_start (workers, wk_call_create (workers, worker, name, task->run),
+                   task);
       wk_send_queued_starts (workers);
     }
   g_free (name);
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -44,6 +44,12 @@
   WINDOW_MIN = 8,
   WINDOW_EXPIRY_MS = 100, /* many times the time of an answer */
   WINDOW_LAG_HIGH_MS = 40,
+  LINK_BURST_MS = 50, /* well below the timeout of a start */
+  LINK_INTERVAL_MS = 100,
+  /* An answer takes a few milliseconds on an idle link, and a start is sent
+     again after 350 ms.  */
+  LINK_FAST_MS = 30,
+  LINK_SLOW_MS = 80,
   /* Renewals sent in one pass, so that the loop soon returns to other
      events.  */
   RENEWALS_PER_PASS_MAX = 32
@@ -405,6 +411,7 @@
   io->poll_soon = false;
   io->renewal_sent_ms = now_ms;
   io->renewal_tried_ms = now_ms;
+  lb_take (&workers->link, WK_CALL_OVERHEAD_BYTES, now_ms);
   call = wk_call_create (workers, worker, "", 0);
   if (renewal.wait_ms == 0)
     wk_call_opened (call);
@@ -614,6 +621,13 @@
   struct worker_calls *workers = g_new0 (struct worker_calls, 1);
 
   workers->params = *params;
+  lb_init (&workers->link,
+           &(struct lb_params){ .link_bytes_per_s = params->link_bytes_per_s,
+                                .burst_ms = LINK_BURST_MS,
+                                .interval_ms = LINK_INTERVAL_MS,
+                                .fast_ms = LINK_FAST_MS,
+                                .slow_ms = LINK_SLOW_MS },
+           clk_monotonic_ms (NULL));
   workers->window = cw_create (&window);
   g_queue_init (&workers->urgent_starts);
   g_queue_init (&workers->starts);
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -43,6 +43,8 @@
   /* The time of a stop: it takes at most this long, and meanwhile the run may
      be listed neither as running nor as ended.  */
   uint32_t stop_max_ms;
+  /* Of the host's network link, for calls to workers; 0: no limit.  */
+  uint32_t link_bytes_per_s;
   void *ctx;
   void (*changed) (void *ctx); /* there is something to decide or store */
   void (*fenced) (void *ctx);  /* a worker has received a higher term */
@@ -101,6 +103,12 @@
 uint32_t wk_window (const struct worker_calls *workers);
 uint32_t wk_waiting_starts (const struct worker_calls *workers);
 
+/*! wk_backlog_ms () :
+ *  @urgent_only : whether to count the starts of urgent jobs only.
+ *  @return : for how long the starts that wait will keep the host's link
+ *            busy. */
+int64_t wk_backlog_ms (const struct worker_calls *workers, bool urgent_only);
+
 /*! wk_count_unpolled () :
  *  @return : how many workers of the store's list have had no poll under this
  *            term that has ended, with or without an answer. */
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -8,6 +8,7 @@
 #define FT_HOSTD_WORKERS_PRIVATE_H
 
 #include "worker/call_window.h"
+#include "worker/link_budget.h"
 #include "workers.h"
 
 enum
@@ -61,8 +62,11 @@
   uint64_t generation;
   GHashTable *ios;             /* id -> struct worker_io */
   struct cw_window *window;    /* of the calls that are answered at once */
+  struct lb_budget link;       /* of the bytes of starts and other calls */
   GQueue urgent_starts;        /* struct wk_call: not sent yet */
   GQueue starts;               /* the same, of less urgent jobs */
+  int64_t urgent_bytes;        /* of the starts in urgent_starts, */
+  int64_t less_urgent_bytes;   /* and in the other queue */
   guint next_renewal;          /* index of the worker that is first in the next
                                   pass of wk_send_waiting () */
   int64_t leases_collected_ms; /* of the last wk_collect_leases () */
@@ -83,6 +87,7 @@
   int64_t sent_ms;             /* of the last try */
   struct cw_ticket *ticket;    /* NULL: not in the window */
   uint32_t percent;            /* of a pace command */
+  uint32_t bytes;              /* of a start: about as many are sent */
   bool earlier_try_unanswered; /* so that try may still take effect */
   /* Of the worker's process by whose clock its deadline was computed, see
      worker_io.  */
@@ -214,6 +219,13 @@
 void wk_call_opened (struct wk_call *call);
 void wk_call_answered (struct wk_call *call);
 
+enum
+{
+  /* Of a call on the wire, besides its text: the fixed fields, and the headers
+     of HTTP and of some packets.  */
+  WK_CALL_OVERHEAD_BYTES = 500
+};
+
 /*! wk_task_of_call () :
  *  @return : the task, if the run that CALL is for is still its last one. */
 struct jb_task *wk_task_of_call (const struct wk_call *call);
--- a/tests/unit/test_hostd_sched.c
+++ b/tests/unit/test_hostd_sched.c
@@ -789,6 +789,41 @@
 
 /* A host that takes the term over continues from the progress that its
    predecessor recorded.  */
+/* While earlier starts wait to be sent.  */
+static void
+test_round_places_only_what_it_may (void)
+{
+  struct setup setup;
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct sd_commands commands
+      = { .starts = g_ptr_array_new (), .stops = g_ptr_array_new () };
+  struct jb_job *batch;
+  struct jb_job *urgent;
+
+  set_up (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  batch = add_job (&setup, "00000000000000aa", "batch", &step, 0);
+  urgent = add_job (&setup, "00000000000000bb", "urgent", &step, 0);
+  commands.placing = SD_PLACE_NONE;
+  sd_round (setup.sched, 10, 10, &commands);
+  CU_ASSERT_EQUAL (commands.starts->len, 0);
+  commands.placing = SD_PLACE_URGENT;
+  sd_round (setup.sched, 20, 20, &commands);
+  CU_ASSERT_EQUAL (commands.starts->len, 1);
+  CU_ASSERT_EQUAL (urgent->tasks[0].state, JB_TASK_PLACED);
+  CU_ASSERT_TRUE (commands.more);
+  sd_job_cancelled (setup.sched, urgent, 30);
+  commands.placing = SD_PLACE_NONE;
+  sd_round (setup.sched, 30, 30, &commands);
+  CU_ASSERT_EQUAL (commands.stops->len, 1);
+  commands.placing = SD_PLACE_ALL;
+  sd_round (setup.sched, 40, 40, &commands);
+  CU_ASSERT_EQUAL (batch->tasks[0].state, JB_TASK_PLACED);
+  g_ptr_array_free (commands.starts, TRUE);
+  g_ptr_array_free (commands.stops, TRUE);
+  tear_down (&setup);
+}
+
 static void
 test_new_term_continues_from_recorded_progress (void)
 {
@@ -831,6 +866,7 @@
 main (void)
 {
   static const struct check_test tests[] = {
+    { "a round places only what it may", test_round_places_only_what_it_may },
     { "a gang leaves a slow worker", test_gang_leaves_a_slow_worker },
     { "an uneven gang is not stopped", test_uneven_gang_is_not_stopped },
     { "a gang that is nearly done is not stopped",
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -23,6 +23,9 @@
   bool paused; /* the process was, so that the term may not hold any more */
 };
 
+/* Of the next set_up (); 0: no limit.  */
+static uint32_t link_bytes_per_s;
+
 static void
 on_changed (void *ctx)
 {
@@ -55,6 +58,7 @@
     .lease_ttl_ms = lease_ttl_ms,
     .lease_limit_ms = lease_ttl_ms,
     .stop_max_ms = 200,
+    .link_bytes_per_s = link_bytes_per_s,
     .ctx = setup,
     .changed = on_changed,
     .fenced = on_fenced,
@@ -482,6 +486,34 @@
   tear_down (&setup);
 }
 
+/* On a link of 80,000 bytes a second the starts wait in the queue; of those
+   that wait, urgent ones go first.  */
+static void
+test_wave_waits_for_the_link (void)
+{
+  struct setup setup;
+  uint32_t sent;
+  int64_t backlog_ms;
+
+  link_bytes_per_s = 80000;
+  set_up (&setup, 6000);
+  link_bytes_per_s = 0;
+  start_wave (&setup);
+  sent = count_open_calls (&setup, 's');
+  CU_ASSERT_TRUE (sent > 0 && sent < 10);
+  backlog_ms = wk_backlog_ms (setup.workers, false);
+  CU_ASSERT_TRUE (backlog_ms > 1000);
+  CU_ASSERT_EQUAL (wk_backlog_ms (setup.workers, true), 0);
+  usleep (1000 * 200);
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_TRUE (count_open_calls (&setup, 's') > sent);
+  CU_ASSERT_TRUE (count_open_calls (&setup, 's') < 50);
+  CU_ASSERT_TRUE (wk_backlog_ms (setup.workers, false) < backlog_ms);
+  wk_end_term (setup.workers);
+  CU_ASSERT_EQUAL (wk_backlog_ms (setup.workers, false), 0);
+  tear_down (&setup);
+}
+
 /* A start that is still waiting when its job is cancelled is never sent.  */
 static void
 test_waiting_start_of_stopped_task_is_dropped (void)
@@ -678,6 +710,7 @@
       test_wave_of_starts_is_sent_in_parts },
     { "a wave delays neither renewals nor urgent starts",
       test_wave_delays_neither_renewals_nor_urgent_starts },
+    { "a wave waits for the link", test_wave_waits_for_the_link },
     { "a waiting start of a stopped task is dropped",
       test_waiting_start_of_stopped_task_is_dropped },
     { "a fenced call ends the term", test_fenced_call_ends_the_term },
