--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -26,6 +26,10 @@
      RENEWAL_WAIT_MS and RENEWAL_TIMEOUT_MS has used up this time.  */
   RENEW_WITHOUT_ANSWER_MS = 1500,
   UNREACHABLE_RETRY_MS = 250,
+  /* After LONG_UNREACHABLE_MS a worker without runs is polled less often: of
+     1,100 workers some hundred may be down.  */
+  LONG_UNREACHABLE_MS = 2000,
+  LONG_UNREACHABLE_RETRY_MS = 1000,
   /* Between polls of a worker in the record of leases.  A new record, without
      the worker, is usually stored within 10 ms.  */
   RECORDED_RETRY_MS = 50,
@@ -331,6 +335,8 @@
         lg_info (PART, "A worker is still out of touch.", "worker",
                  call->worker, "result", wp_result_name (answer->result),
                  NULL);
+      if (worker->reachability != SD_WORKER_UNREACHABLE)
+        io->unreachable_since_ms = now_ms;
       io->last_result = answer->result;
       if (answer->result == WP_NO_ANSWER)
         wk_deadline_unanswered (io, call, now_ms);
@@ -441,6 +447,15 @@
          && now_ms - io->renewal_sent_ms < STORE_WAIT_MS;
 }
 
+static int64_t
+unreachable_retry_ms (const struct worker_io *io, int64_t now_ms)
+{
+  return io->worker->tasks->len == 0
+                 && now_ms - io->unreachable_since_ms >= LONG_UNREACHABLE_MS
+             ? LONG_UNREACHABLE_RETRY_MS
+             : UNREACHABLE_RETRY_MS;
+}
+
 static bool
 renewal_is_due (const struct worker_io *io, int64_t now_ms)
 {
@@ -453,7 +468,8 @@
     return false;
   if (worker->reachability == SD_WORKER_UNREACHABLE)
     return (worker->tasks->len > 0 || worker->listed)
-           && now_ms - io->renewal_tried_ms >= UNREACHABLE_RETRY_MS;
+           && now_ms - io->renewal_tried_ms
+                  >= unreachable_retry_ms (io, now_ms);
   return worker->tasks->len > 0 || io->has_unassigned_runs
          || (worker->reachability == SD_WORKER_UNSEEN && worker->listed)
          || io->outcome_processed > io->outcome_stored;
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -42,6 +42,7 @@
   int64_t answered_renewal_sent_ms; /* of the last one that was answered */
   int64_t renewal_tried_ms;         /* a copy of renewal_sent_ms */
   enum wp_result last_result;       /* of the last renewal that failed */
+  int64_t unreachable_since_ms;     /* if it is SD_WORKER_UNREACHABLE */
   /* See wk_lease_end_ms ().  */
   int64_t lease_end_ms;     /* if the process has not restarted unnoticed */
   int64_t deadline_sent_ms; /* of the last start or lease renewal */
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -536,6 +536,38 @@
   tear_down (&setup);
 }
 
+/* Hundreds of workers that are down must not take the planner's time: one
+   without runs is polled less often after a while, and one with runs is
+   not.  */
+static void
+test_idle_unreachable_worker_is_polled_less_often (void)
+{
+  struct setup setup;
+  int64_t until_ms = clk_monotonic_ms (NULL) + 5000;
+  uint32_t polls[2] = { 0 };
+
+  set_up (&setup, 20000);
+  place_task_on_reachable_worker (&setup);
+  sd_worker_set_reachability (fixture_worker (setup.sched, "idle", "r1", 8),
+                              SD_WORKER_UNSEEN);
+  while (clk_monotonic_ms (NULL) < until_ms)
+    {
+      struct fake_call *poll;
+
+      wk_send_waiting (setup.workers);
+      while ((poll = fake_oldest_open_call (&setup.port, 'h')) != NULL)
+        {
+          polls[strcmp (poll->worker, "idle") == 0]++;
+          fake_answer (poll, &(struct wp_answer){ .result = WP_NO_ANSWER,
+                                                  .worker_clock_ms = -1 });
+        }
+      usleep (1000 * 10);
+    }
+  CU_ASSERT_TRUE (polls[0] >= 15); /* at intervals of 250 ms */
+  CU_ASSERT_TRUE (polls[1] >= 8 && polls[1] <= 13);
+  tear_down (&setup);
+}
+
 /* --- Capacity --- */
 
 /* Adds a worker that has not been polled yet, and sends its poll.  */
@@ -711,6 +743,8 @@
     { "a wave delays neither renewals nor urgent starts",
       test_wave_delays_neither_renewals_nor_urgent_starts },
     { "a wave waits for the link", test_wave_waits_for_the_link },
+    { "an idle worker out of reach is polled less often",
+      test_idle_unreachable_worker_is_polled_less_often },
     { "a waiting start of a stopped task is dropped",
       test_waiting_start_of_stopped_task_is_dropped },
     { "a fenced call ends the term", test_fenced_call_ends_the_term },
