--- a/programs/foxtailgap-hostd/planner_worker_list.c
+++ b/programs/foxtailgap-hostd/planner_worker_list.c
@@ -16,6 +16,25 @@
   LIST_TIMEOUT_MS = 1200
 };
 
+/* The entry has been removed, or names no worker to use.  */
+static void
+unlist_worker (struct planner *planner, const struct so_record *record)
+{
+  const struct sd_worker *worker
+      = sd_worker_find (planner->sched, record->key);
+
+  if (record->value != NULL)
+    lg_warning (PART, "An entry of the store's list of workers is not usable.",
+                "worker", record->key, "bytes",
+                lg_number ((int64_t)record->size_bytes), NULL);
+  if (worker != NULL && worker->listed)
+    lg_info (PART,
+             "A worker is not in the store's list any more; it gets no new "
+             "task.",
+             "worker", record->key, NULL);
+  sd_worker_unlisted (planner->sched, record->key);
+}
+
 /* REPORTED_MS: as for sd_worker_listed ().  */
 static void
 apply_worker_record (struct planner *planner, const struct so_record *record,
@@ -29,13 +48,7 @@
                                         record->size_bytes)
              < 0)
     {
-      worker = sd_worker_find (planner->sched, record->key);
-      if (worker != NULL && worker->listed)
-        lg_info (PART,
-                 "A worker is not in the store's list any more; it gets no "
-                 "new task.",
-                 "worker", record->key, NULL);
-      sd_worker_unlisted (planner->sched, record->key);
+      unlist_worker (planner, record);
       return;
     }
   worker = sd_worker_find (planner->sched, report.id);
