--- a/lib/common/logging.c
+++ b/lib/common/logging.c
@@ -14,16 +14,20 @@
   FIELD_LIMIT = 24,
   NUMBER_BUFFERS = 16,
   NUMBER_SIZE_BYTES = 24,
-  TIME_SIZE_BYTES = 40
+  TIME_SIZE_BYTES = 40,
+  /* Of the messages that a report of dropped lines names, so that the line
+     stays below PIPE_BUF.  */
+  NAMED_MESSAGES_SIZE_BYTES = 1024
 };
 
 static GLogLevelFlags least_severe_level = G_LOG_LEVEL_INFO;
 
-/* Number of lines with one message in one second.  */
+/* Number of lines with one message.  */
 struct message_rate
 {
   int64_t second;
-  uint32_t lines;
+  uint32_t lines;         /* in that second */
+  uint64_t dropped_lines; /* not reported yet */
 };
 
 /* State of lg_init_bounded (); fd is negative if it has not been called.  */
@@ -87,22 +91,38 @@
 
 /* --- Bounded output --- */
 
-static bool
-within_rate_limit (const char *message)
+static struct message_rate *
+rate_of (const char *message)
 {
-  struct message_rate *message_rate
+  struct message_rate *rate
       = g_hash_table_lookup (bounded.message_rates, message);
+
+  if (rate == NULL)
+    {
+      rate = g_new0 (struct message_rate, 1);
+      g_hash_table_insert (bounded.message_rates, g_strdup (message), rate);
+    }
+  return rate;
+}
+
+static bool
+within_rate_limit (struct message_rate *rate)
+{
   int64_t second = g_get_monotonic_time () / G_USEC_PER_SEC;
 
-  if (message_rate == NULL)
+  if (rate->second != second)
     {
-      message_rate = g_new0 (struct message_rate, 1);
-      g_hash_table_insert (bounded.message_rates, g_strdup (message),
-                           message_rate);
+      rate->second = second;
+      rate->lines = 0;
     }
-  if (message_rate->second != second)
-    *message_rate = (struct message_rate){ .second = second };
-  return message_rate->lines++ < bounded.lines_per_s;
+  return rate->lines++ < bounded.lines_per_s;
+}
+
+static void
+count_dropped_line (struct message_rate *rate)
+{
+  rate->dropped_lines++;
+  bounded.dropped_lines++;
 }
 
 /* Writes a line without blocking.  A pipe accepts a write of up to PIPE_BUF
@@ -113,10 +133,51 @@
   return write (bounded.fd, line->str, line->len) == (ssize_t)line->len;
 }
 
+/* @return : the messages of which lines were dropped, each with its count;
+   "..." if there are too many to name.  */
+static GString *
+name_dropped_messages (void)
+{
+  GString *names = g_string_new (NULL);
+  GHashTableIter iter;
+  void *message;
+  void *value;
+
+  g_hash_table_iter_init (&iter, bounded.message_rates);
+  while (g_hash_table_iter_next (&iter, &message, &value))
+    {
+      const struct message_rate *rate = value;
+
+      if (rate->dropped_lines == 0)
+        continue;
+      if (names->len + strlen (message) > NAMED_MESSAGES_SIZE_BYTES)
+        {
+          g_string_append (names, " ...");
+          break;
+        }
+      g_string_append_printf (names, "%s%s: %" G_GUINT64_FORMAT,
+                              names->len == 0 ? "" : " ",
+                              (const char *)message, rate->dropped_lines);
+    }
+  return names;
+}
+
+static void
+forget_dropped_lines (void)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, bounded.message_rates);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct message_rate *)value)->dropped_lines = 0;
+}
+
 static void
 report_dropped_lines (void)
 {
   int64_t second = g_get_monotonic_time () / G_USEC_PER_SEC;
+  GString *names;
   GString *line;
 
   if (bounded.dropped_lines == bounded.reported_dropped_lines
@@ -127,10 +188,15 @@
   g_string_append_printf (
       line,
       " level=warning part=logs msg=\"Lines were left out.\""
-      " lines=%" G_GUINT64_FORMAT "\n",
+      " lines=%" G_GUINT64_FORMAT " by_message=",
       bounded.dropped_lines - bounded.reported_dropped_lines);
+  names = name_dropped_messages ();
+  append_quoted (line, names->str);
+  g_string_free (names, TRUE);
+  g_string_append_c (line, '\n');
   if (write_whole_line (line))
     {
+      forget_dropped_lines ();
       bounded.reported_dropped_lines = bounded.dropped_lines;
       bounded.reported_second = second;
     }
@@ -138,11 +204,11 @@
 }
 
 static void
-write_bounded (const GString *line)
+write_bounded (const GString *line, struct message_rate *rate)
 {
   if (!write_whole_line (line))
     {
-      bounded.dropped_lines++;
+      count_dropped_line (rate);
       return;
     }
   report_dropped_lines ();
@@ -186,16 +252,19 @@
 write_line (GLogLevelFlags level, const GLogField *fields, gsize count,
             gpointer ctx)
 {
+  struct message_rate *rate = NULL;
   GString *line;
   gsize i;
 
   (void)ctx;
   if (level > least_severe_level)
     return G_LOG_WRITER_HANDLED;
+  if (bounded.fd >= 0)
+    rate = rate_of (find_message (fields, count));
   /* Decided before the line is made, for that takes most of the time.  */
-  if (bounded.fd >= 0 && !within_rate_limit (find_message (fields, count)))
+  if (rate != NULL && !within_rate_limit (rate))
     {
-      bounded.dropped_lines++;
+      count_dropped_line (rate);
       return G_LOG_WRITER_HANDLED;
     }
   line = g_string_sized_new (200);
@@ -210,8 +279,8 @@
       append_quoted (line, fields[i].value);
     }
   g_string_append_c (line, '\n');
-  if (bounded.fd >= 0)
-    write_bounded (line);
+  if (rate != NULL)
+    write_bounded (line, rate);
   else
     fwrite (line->str, 1, line->len, stderr);
   g_string_free (line, TRUE);
--- a/tests/unit/test_logging.c
+++ b/tests/unit/test_logging.c
@@ -98,7 +98,8 @@
   CU_ASSERT_EQUAL (count_matches (text, "msg=\"Another matter.\""), 1);
   CU_ASSERT_EQUAL (lg_dropped_lines () - before, 50 - LINES_PER_S);
   CU_ASSERT_EQUAL (
-      count_matches (text, "part=logs msg=\"Lines were left out.\" lines=40"),
+      count_matches (text, "part=logs msg=\"Lines were left out.\" lines=40 "
+                           "by_message=\"A flood.: 40\""),
       1);
   g_free (text);
   wait_for_next_second ();
