--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,20 +1,23 @@
 #!/usr/bin/env python3
 """Randomized soak: real hosts, a stand-in of the platform, random faults.
 
-  soak.py SEED [DURATION_S [unread | release | deadly]]
+  soak.py SEED [DURATION_S [unread | release | deadly | takeovers]]
 
 With `unread`, the hosts write to a pipe that nobody reads: a full pipe must
 not stop them.  With `release`, the workers are replaced one after the other
 while all connections to them and to the store are reset again and again and
 hosts are killed; each caller of a host that runs on gets a whole answer.  With
 `deadly`, the first task of some jobs crashes each worker that starts it, the
-workers do not guard their capacity, and it shrinks and grows again.
+workers do not guard their capacity, and it shrinks and grows again.  With
+`takeovers`, the planner's host is killed again and again, as soon as the next
+planner holds rounds; each kill must lead to one takeover.
 
 Prints `kept` if there is no violation.  Otherwise prints each one and exits
 with 1: a task ran
 twice at once, a task started after its success was acknowledged, a task that
 crashes workers was started too often, a start took a worker over its capacity,
-an accepted job did not complete or is unknown, or no job was accepted.
+an accepted job did not complete or is unknown, a planner was not followed by
+one other within TAKEOVER_MAX_S, or no job was accepted.
 """
 import asyncio
 import fcntl
@@ -26,6 +29,7 @@
 import socket
 import sys
 import tempfile
+import time
 import urllib.error
 import urllib.request
 
@@ -42,6 +46,7 @@
 DEADLY_SHARE = 0.1
 DEADLY_RUN_S = 1.0
 LEASE_MS = 2000
+TAKEOVER_MAX_S = 2.0
 # Long enough for a lease to lapse, for takeovers and for the queued work.  The
 # time of the status calls comes on top.
 COMPLETION_TIMEOUT_S = 25
@@ -70,8 +75,8 @@
     def __init__(self, folder, name, store, unread):
         self.name, self.port = name, free_port()
         self.settings_path = os.path.join(folder, name + ".yaml")
-        self.output = unread_pipe() if unread else open(
-            os.path.join(folder, name + ".log"), "ab")
+        self.log_path = os.path.join(folder, name + ".log")
+        self.output = unread_pipe() if unread else open(self.log_path, "ab")
         with open(self.settings_path, "w", encoding="utf-8") as out:
             out.write(f"host: {name}\ndata_centre: dc\n"
                       f"callers: 127.0.0.1:{self.port}\n"
@@ -141,6 +146,7 @@
         self.stopping = False
         self.release = False
         self.deadly = False
+        self.takeovers = False
         self.deadly_jobs = set()
 
     async def start(self, folder):
@@ -288,6 +294,38 @@
             await asyncio.sleep(self.rng.uniform(1.0, 5.0))
             worker.set_capacity(standin.WORKER_ACCELERATORS)
 
+    def terms(self):
+        """Returns (term, host) of each term whose planner held rounds."""
+        found = []
+        for host in self.hosts:
+            term = 0
+            with open(host.log_path, encoding="utf-8") as log:
+                for line in log:
+                    if 'msg="This host is the planner."' in line:
+                        term = int(line.split(" term=")[1].split()[0])
+                    elif "rounds begin." in line:
+                        found.append((term, host))
+        return sorted(found, key=lambda pair: pair[0])
+
+    async def kill_planners(self):
+        """Kills the planner's host once it holds rounds, again and again."""
+        while not self.stopping:
+            terms = self.terms()
+            planner = terms[-1][1]
+            await planner.stop(signal.SIGKILL)
+            killed_s = time.monotonic()
+            while len(self.terms()) == len(terms):
+                if time.monotonic() - killed_s > TAKEOVER_MAX_S:
+                    self.checker.violations.append(
+                        f"no planner {TAKEOVER_MAX_S} s after a kill")
+                    break
+                await asyncio.sleep(0.02)
+            await planner.start()
+            await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+            if len(self.terms()) > len(terms) + 1:
+                self.checker.violations.append(
+                    f"{len(self.terms()) - len(terms)} terms after a kill")
+
     async def inject_faults(self):
         while not self.stopping:
             await asyncio.sleep(self.rng.uniform(0.3, 1.5))
@@ -326,7 +364,9 @@
         await asyncio.sleep(1.5)
         worker_loop = asyncio.create_task(self.run_workers())
         tasks = [asyncio.create_task(self.submit_jobs())]
-        if self.release:
+        if self.takeovers:
+            tasks.append(asyncio.create_task(self.kill_planners()))
+        elif self.release:
             tasks += [asyncio.create_task(self.replace_workers()),
                       asyncio.create_task(self.reset_and_kill())]
         else:
@@ -354,6 +394,7 @@
     soak = Soak(seed, duration_s, "unread" in sys.argv[3:])
     soak.release = "release" in sys.argv[3:]
     soak.deadly = "deadly" in sys.argv[3:]
+    soak.takeovers = "takeovers" in sys.argv[3:]
     soak.may_be_silent = not soak.release
     folder = tempfile.mkdtemp(prefix="soak-")
     incomplete = asyncio.run(soak.run(folder))
