--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -23,6 +23,9 @@
   /* Before the first term of a new topic all hosts should have announced
      themselves; they start within 300 ms of each other.  */
   FIRST_TERM_DELAY_MS = 400,
+  /* More for a host without any strength, for it may not have read yet of the
+     stronger ones: on a busy machine some start later than that.  */
+  FIRST_TERM_WEAK_DELAY_MS = 2000,
   /* Between the tries of two hosts of the same strength: longer than it takes
      until the record of the first is read.  */
   RANK_DELAY_MS = 80,
@@ -92,6 +95,18 @@
   return delay_ms + planner->acquire_jitter_ms;
 }
 
+/* The same before the first term.  */
+static int64_t
+first_term_delay_ms (const struct planner *planner)
+{
+  uint32_t own
+      = MIN (pl_strength (planner->params.settings), (uint32_t)STRENGTH_SCALE);
+
+  return FIRST_TERM_DELAY_MS + acquire_delay_ms (planner)
+         + (int64_t)FIRST_TERM_WEAK_DELAY_MS * (STRENGTH_SCALE - own)
+               / STRENGTH_SCALE;
+}
+
 /* --- Acquiring the term --- */
 
 static void
@@ -159,8 +174,7 @@
     {
       if (planner->no_term_since_ms == 0)
         planner->no_term_since_ms = now_ms;
-      if (now_ms - planner->no_term_since_ms
-          >= acquire_delay_ms (planner) + FIRST_TERM_DELAY_MS)
+      if (now_ms - planner->no_term_since_ms >= first_term_delay_ms (planner))
         acquire_term (planner, "no term yet");
     }
   else if (strcmp (term->host, planner->params.settings->host) == 0)
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -24,6 +24,10 @@
   uint32_t stored; /* number of appends whose records have been read */
 };
 
+/* Of the host of the next planner.  */
+static double host_cpu_share = 1.0;
+static double host_link_mbps = 1000.0;
+
 static int
 decode_fixture (struct ct_catalog **out, const void *text, size_t size_bytes)
 {
@@ -169,8 +173,8 @@
                                              .worker_heartbeat_ms = 500,
                                              .far_factor = 3,
                                              .job_retention_ms = 60000,
-                                             .cpu_share = 1.0,
-                                             .link_mbps = 1000.0 };
+                                             .cpu_share = host_cpu_share,
+                                             .link_mbps = host_link_mbps };
   journal.loop = setup->loop;
   journal.metrics = setup->metrics;
   journal.store = fake_store_port (&setup->store);
@@ -255,6 +259,50 @@
   return false;
 }
 
+/* Runs for TIME_MS from when a host has read that there is no term yet, while
+   it knows of no other host.
+   @return : whether it has claimed the first term.  */
+static bool
+claims_first_term_within (double cpu_share, double link_mbps, uint32_t time_ms)
+{
+  struct setup setup;
+  int64_t until_ms;
+  bool claimed;
+
+  host_cpu_share = cpu_share;
+  host_link_mbps = link_mbps;
+  create_planner (&setup);
+  host_cpu_share = 1.0;
+  host_link_mbps = 1000.0;
+  run_loop_for (&setup, 20);
+  answer_read (&setup, &setup.store.operator_read, setup.store.operator_ctx,
+               one_record ("config", "{}", 2));
+  answer_read (&setup, &setup.store.jobs_read, setup.store.jobs_ctx,
+               so_records_create ());
+  until_ms = clk_monotonic_ms (NULL) + time_ms;
+  while (clk_monotonic_ms (NULL) < until_ms)
+    {
+      run_loop_for (&setup, 10);
+      answer_all_appends (&setup);
+      if (setup.store.jobs_read != NULL)
+        show_appends (&setup);
+    }
+  claimed = has_append_of_term (&setup);
+  tear_down (&setup);
+  return claimed;
+}
+
+/* Guards against a host of an eighth of a core that plans for all workers all
+   day: it had claimed the first term before it had read of any stronger host
+   (RECLAIM on the grown anla-rounds, deadly-tasks seed 849836104158).  */
+static void
+test_weak_host_lets_others_claim_first (void)
+{
+  CU_ASSERT_TRUE (claims_first_term_within (0.5, 200, 2200));
+  CU_ASSERT_FALSE (claims_first_term_within (0.12, 10, 2200));
+  CU_ASSERT_TRUE (claims_first_term_within (0.12, 10, 3200));
+}
+
 /* Has a job read from the jobs' topic, and runs until the append that stores
    its placement has been sent.
    @return : the number of that append.  */
@@ -714,6 +762,8 @@
   static const struct check_test tests[] = {
     { "a start is sent once its placement is stored",
       test_start_is_sent_once_placement_is_stored },
+    { "a weak host lets others claim the first term",
+      test_weak_host_lets_others_claim_first },
     { "a term begins with a heartbeat", test_term_begins_with_a_heartbeat },
     { "a start waits after a pause", test_start_waits_after_a_pause },
     { "a lease is not renewed after a pause",
