--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -67,6 +67,15 @@
   jr_write (journal, 'h', name, jb_encode_host (host), ANNOUNCE_TIMEOUT_MS);
 }
 
+uint32_t
+jr_host_strength (const struct journal *journal, const char *name)
+{
+  const struct jb_host_record *host
+      = g_hash_table_lookup (journal->hosts, name);
+
+  return host == NULL ? 0 : host->strength;
+}
+
 uint32_t
 jr_max_host_strength (const struct journal *journal)
 {
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -75,6 +75,10 @@
 const char *jr_planner_address (const struct journal *journal,
                                 const char *name);
 
+/*! jr_host_strength () :
+ *  @return : the strength of a host by its record; 0: none has been read. */
+uint32_t jr_host_strength (const struct journal *journal, const char *name);
+
 /*! jr_max_host_strength (), jr_host_count () :
  *  The greatest strength, and the number, of the hosts whose records have
  *  been read; see struct jb_host_record. */
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -63,6 +63,8 @@
   int64_t acquire_started_ms; /* when its record was first sent */
   int64_t acquire_sent_ms;    /* when its record was last sent */
   int64_t acquire_jitter_ms;  /* random, added to the timeout of a term */
+  uint64_t seen_term;         /* the newest term that has been read, */
+  int64_t seen_term_since_ms; /* and since when */
   int64_t no_term_since_ms; /* when this host first read that there has been no
                                term yet; 0: it has not */
   int64_t term_started_ms;
--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -34,6 +34,11 @@
   /* Longer than the others, so that the strongest host is first.  */
   WEAK_HOST_DELAY_MS = 700,
   ACQUIRE_APPEND_TIMEOUT_MS = 800,
+  /* A host of at least this many times the planner's strength claims its term,
+     if it has lasted so long: by then the strong hosts that were to claim it
+     have done so, or could not.  */
+  WEAK_PLANNER_FACTOR = 4,
+  WEAK_PLANNER_MS = 2000,
   FULL_STRENGTH_LINK_MBPS = 50, /* a planner of 350 workers sends 3 Mbit/s */
   STRENGTH_SCALE = 1000,
   ACQUIRE_RETRY_MS = 1500, /* a record not read by then has failed */
@@ -154,6 +159,27 @@
   append_term (planner);
 }
 
+/* Whether the planner's host is much weaker than this one.  Which hosts live
+   is not known, so the stronger host claims the term, and the weaker one does
+   not release it.  */
+static bool
+must_relieve_planner (struct planner *planner, int64_t now_ms)
+{
+  const struct jb_term_record *term = jr_term (planner->params.journal);
+  uint32_t strength = jr_host_strength (planner->params.journal, term->host);
+
+  if (planner->seen_term != term->term)
+    {
+      planner->seen_term = term->term;
+      planner->seen_term_since_ms = now_ms;
+    }
+  return strength > 0
+         && pl_strength (planner->params.settings)
+                >= WEAK_PLANNER_FACTOR * strength
+         && now_ms - planner->seen_term_since_ms
+                >= WEAK_PLANNER_MS + acquire_delay_ms (planner);
+}
+
 void
 pl_acquire_term_if_due (struct planner *planner)
 {
@@ -188,6 +214,8 @@
                                             * jr_store_latency_ms (journal)
                                       + acquire_delay_ms (planner))
     acquire_term (planner, "silence");
+  else if (must_relieve_planner (planner, now_ms))
+    acquire_term (planner, "the planner is weak");
 }
 
 /* --- Records of terms --- */
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -303,6 +303,53 @@
   CU_ASSERT_TRUE (claims_first_term_within (0.12, 10, 3200));
 }
 
+/* Another host, of this strength, holds the term and writes every 100 ms.
+   @return : whether this host, of strength 1000, claims the term within
+             TIME_MS. */
+static bool
+claims_term_of_host (uint32_t strength, uint32_t time_ms)
+{
+  struct jb_host_record host = { .strength = strength };
+  struct jb_term_record term = { .term = 1, .host = "b", .nonce = 7 };
+  GByteArray *host_bytes = jb_encode_host (&host);
+  GByteArray *term_bytes = jb_encode_term (&term);
+  struct setup setup;
+  int64_t until_ms;
+  bool claimed;
+
+  create_planner (&setup);
+  run_loop_for (&setup, 20);
+  answer_read (&setup, &setup.store.operator_read, setup.store.operator_ctx,
+               one_record ("config", "{}", 2));
+  answer_read (&setup, &setup.store.jobs_read, setup.store.jobs_ctx,
+               one_record ("h/b", host_bytes->data, host_bytes->len));
+  until_ms = clk_monotonic_ms (NULL) + time_ms;
+  while (clk_monotonic_ms (NULL) < until_ms)
+    {
+      setup.offset++;
+      if (setup.store.jobs_read != NULL)
+        answer_read (&setup, &setup.store.jobs_read, setup.store.jobs_ctx,
+                     one_record ("t", term_bytes->data, term_bytes->len));
+      run_loop_for (&setup, 100);
+    }
+  claimed = has_append_of_term (&setup);
+  g_byte_array_free (host_bytes, TRUE);
+  g_byte_array_free (term_bytes, TRUE);
+  tear_down (&setup);
+  return claimed;
+}
+
+/* Guards against a weak host that keeps the term which it got while the strong
+   ones were out of the way (RECLAIM on the grown anla-rounds, cut-and-config
+   seed 865993460704).  */
+static void
+test_strong_host_relieves_a_weak_planner (void)
+{
+  CU_ASSERT_FALSE (claims_term_of_host (24, 1800));
+  CU_ASSERT_TRUE (claims_term_of_host (24, 3500));
+  CU_ASSERT_FALSE (claims_term_of_host (500, 3500));
+}
+
 /* Has a job read from the jobs' topic, and runs until the append that stores
    its placement has been sent.
    @return : the number of that append.  */
@@ -762,6 +809,8 @@
   static const struct check_test tests[] = {
     { "a start is sent once its placement is stored",
       test_start_is_sent_once_placement_is_stored },
+    { "a strong host relieves a weak planner",
+      test_strong_host_relieves_a_weak_planner },
     { "a weak host lets others claim the first term",
       test_weak_host_lets_others_claim_first },
     { "a term begins with a heartbeat", test_term_begins_with_a_heartbeat },
