--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,8 @@
 
 HOSTS = 3
 MINIONS = 6
-CUT_S = 12.0
+CUT_S = float(os.environ.get("CUT_S", "5.0"))
+HOLD_MS = int(os.environ.get("HOLD_MS", "3000"))   # max_hold_ms
 WORK_S = 20.0
 JOB = "%016x" % 0xca5e2
 ROOM = {"cpu": 64000, "mem_mb": 131072, "gpu": 8}
@@ -40,12 +41,13 @@
     platform = standin.Platform(record, HOSTS)
     for number in range(MINIONS):
         platform.add_minion("minion-%d" % number, "r%d" % (number // 3), work,
-                            ROOM)
+                            ROOM, max_hold_ms=HOLD_MS)
     platform.needs[JOB] = NEED
     await platform.open(hosts_module.config())
     hosts = []
     try:
-        hosts = await hosts_module.start_hosts(platform, folder, record)
+        hosts = await hosts_module.start_hosts(platform, folder, record,
+                                               HOLD_MS)
         await asyncio.sleep(3)
         planner = hosts_module.planner_of(hosts)
         other = hosts[(planner.number + 1) % HOSTS]
@@ -65,7 +67,7 @@
             await asyncio.sleep(CUT_S)
             platform.paths.heal_all()
             platform.cut_off.clear()
-            record("the cut is healed after %.0f s" % CUT_S)
+            record("the cut is healed after %.1f s" % CUT_S)
         for _ in range(30):
             await asyncio.sleep(1)
             if await other.state(JOB) == "completed":
