--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -274,6 +274,7 @@
       worker->used_resources = (struct jb_resources){ 0 };
       worker->unassigned_resources = (struct jb_resources){ 0 };
       worker->reachability = SD_WORKER_UNSEEN;
+      worker->process_started_ms = 0;
       /* Until a status poll reports the tails of the serving tasks.  */
       worker->pace_level = 0;
       worker->pace_changed_ms = now_ms;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -50,8 +50,8 @@
   bool listed;         /* the store has an entry for it */
   int64_t reported_ms; /* `report` is not older than this; 0: not known */
   enum sd_reachability reachability;
-  int64_t process_started_ms; /* as it reports it, by a clock of its own; 0:
-                                 not known */
+  int64_t process_started_ms; /* by its answers under this term, on a clock of
+                                 its own; 0: none yet */
   struct jb_resources used_resources; /* by `tasks` */
   /* By runs that are not assigned to it, by its last status poll.  */
   struct jb_resources unassigned_resources;
@@ -145,7 +145,8 @@
 
 /*! sd_begin_term () :
  *  Starts anew from the jobs that the table has recorded: every worker is
- *  unseen, every placed task counts as placed at NOW_MS. */
+ *  unseen, its process not known, and every placed task counts as placed at
+ *  NOW_MS. */
 void sd_begin_term (struct sd_sched *sched, int64_t now_ms);
 
 /* --- Workers --- */
--- a/programs/foxtailgap-hostd/worker_process.c
+++ b/programs/foxtailgap-hostd/worker_process.c
@@ -73,7 +73,7 @@
 bool
 wk_call_is_of_process (const struct wk_call *call, const struct worker_io *io)
 {
-  return call->worker_started_ms == io->worker_started_ms;
+  return call->worker_started_ms == io->worker->process_started_ms;
 }
 
 /* When the process before the one that ANSWER is of answered last, at the
@@ -106,7 +106,7 @@
 wk_process_answered (struct worker_io *io, const struct wp_answer *answer,
                      int64_t now_ms)
 {
-  if (answer->worker_started_ms == io->worker_started_ms
+  if (answer->worker_started_ms == io->worker->process_started_ms
       || answer->worker_started_ms == 0)
     {
       /* A start that was sent before this poll has reached this process, or
@@ -117,14 +117,13 @@
     }
   io->former_process_answered_ms
       = former_process_answered_ms (io, answer, now_ms);
-  if (io->worker_started_ms != 0)
+  if (io->worker->process_started_ms != 0)
     {
       lg_info (PART, "A worker has restarted.", "worker",
                io->worker->report.id, NULL);
       wk_extend_lease_to_limit (io, now_ms);
       doubt_unconfirmed_starts (io);
     }
-  io->worker_started_ms = answer->worker_started_ms;
   sd_worker_process (io->worker, answer->worker_started_ms);
   io->outcome_processed = 0;
   io->outcome_stored = 0;
@@ -133,8 +132,8 @@
 bool
 wk_has_restarted_since (const struct worker_io *io, const struct jb_task *task)
 {
-  return task->worker_started_ms != 0 && io->worker_started_ms != 0
-         && task->worker_started_ms != io->worker_started_ms;
+  return task->worker_started_ms != 0 && io->worker->process_started_ms != 0
+         && task->worker_started_ms != io->worker->process_started_ms;
 }
 
 void
@@ -147,7 +146,8 @@
   io->reported_started_ms = started_ms;
   /* The first report, and one that lags behind a poll, show nothing new.  */
   if (earlier_ms == 0 || started_ms == earlier_ms || started_ms == 0
-      || io->worker_started_ms == 0 || started_ms == io->worker_started_ms)
+      || io->worker->process_started_ms == 0
+      || started_ms == io->worker->process_started_ms)
     return;
   lg_info (PART, "A worker's report shows a restart; it is polled first.",
            "worker", worker->report.id, NULL);
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -565,9 +565,10 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct worker_io *io = value;
-      struct outcome_mark row = { .io = io,
-                                  .worker_started_ms = io->worker_started_ms,
-                                  .outcome_processed = io->outcome_processed };
+      struct outcome_mark row
+          = { .io = io,
+              .worker_started_ms = io->worker->process_started_ms,
+              .outcome_processed = io->outcome_processed };
 
       if (io->outcome_processed > io->outcome_stored)
         g_array_append_val (marks, row);
@@ -586,7 +587,7 @@
       struct outcome_mark *row
           = &g_array_index (marks, struct outcome_mark, i);
 
-      if (row->io->worker_started_ms == row->worker_started_ms)
+      if (row->io->worker->process_started_ms == row->worker_started_ms)
         row->io->outcome_stored
             = MAX (row->io->outcome_stored, row->outcome_processed);
     }
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -62,7 +62,8 @@
 
 /*! wk_begin_term (), wk_end_term () :
  *  Starts sending commands, under TERM; or stops sending any.  Answers to
- *  calls of an earlier term are ignored.
+ *  calls of an earlier term are ignored.  wk_begin_term () is to be called
+ *  after sd_begin_term ().
  *  @leases : the remaining leases of unreachable workers, as recorded by the
  *            previous planner; see jb_decode_leases ().  NULL: none. */
 void wk_begin_term (struct worker_calls *workers, uint64_t term,
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -25,8 +25,8 @@
   /* the worker's clock */
   int64_t clock_ms; /* as last reported; negative: never under this term */
   int64_t clock_read_ms;       /* when that report came in */
-  int64_t worker_started_ms;   /* of wp_answer; 0: not reported */
-  int64_t reported_started_ms; /* the same by its report; 0: not reported */
+  int64_t reported_started_ms; /* sd_worker.process_started_ms by its report;
+                                  0: not reported */
   int64_t former_process_answered_ms; /* when the process before the last
                                          restart answered last */
   /* outcomes of runs */
@@ -90,8 +90,7 @@
   uint32_t percent;            /* of a pace command */
   uint32_t bytes;              /* of a start: about as many are sent */
   bool earlier_try_unanswered; /* so that try may still take effect */
-  /* Of the worker's process by whose clock its deadline was computed, see
-     worker_io.  */
+  /* Of the worker's process by whose clock its deadline was computed.  */
   int64_t worker_started_ms;
 };
 
--- a/tests/unit/test_hostd_restarts.c
+++ b/tests/unit/test_hostd_restarts.c
@@ -328,6 +328,25 @@
   tear_down (&setup);
 }
 
+/* Guards against a job that stays `running` with nothing running: a host that
+   held the term for a second time took each poll without an answer for one
+   that had extended the worker's lease (review, case 1).  */
+static void
+test_regained_term_ends_runs_of_lost_worker (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  answer_poll_of_former_process (&setup);
+  place_task (&setup);
+  wk_end_term (setup.workers);
+  sd_begin_term (setup.sched, clk_monotonic_ms (NULL));
+  wk_begin_term (setup.workers, 3, NULL);
+  be_unreachable (&setup, LIMIT_IS_OVER_MS);
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_WAITING);
+  tear_down (&setup);
+}
+
 int
 main (void)
 {
@@ -346,6 +365,8 @@
       test_start_waits_for_the_new_process },
     { "a worker out of reach gets no acknowledgement",
       test_unreachable_worker_gets_no_acknowledgement },
+    { "a regained term ends the runs of a lost worker",
+      test_regained_term_ends_runs_of_lost_worker },
   };
 
   return check_run ("hostd restarts", tests, G_N_ELEMENTS (tests));
