--- a/lib/worker/worker_port.h
+++ b/lib/worker/worker_port.h
@@ -72,6 +72,8 @@
   const GArray *runs; /* struct wp_run; of a lease renewal or status poll */
   const GArray
       *outcomes; /* struct wp_outcome; of a lease renewal or status poll */
+  bool outcomes_limited; /* the worker may have more outcomes than one answer
+                            lists, so a run in neither list may have ended */
 };
 
 typedef void (*wp_callback) (void *ctx, const struct wp_answer *answer);
--- a/programs/foxtailgap-hostd/worker_losses.c
+++ b/programs/foxtailgap-hostd/worker_losses.c
@@ -99,9 +99,11 @@
    never start there.  A run that is being stopped, or whose gang has lost a
    member, may be in neither list for a while before its outcome is listed, so
    one missing from both counts as gone only after that time; if the worker has
-   restarted, at once.  */
+   restarted, at once.  The outcome of a run may also be among those that the
+   answer has no room for.  */
 static bool
-run_is_gone (struct worker_io *io, struct jb_task *task, int64_t now_ms)
+run_is_gone (struct worker_io *io, struct jb_task *task, bool outcomes_limited,
+             int64_t now_ms)
 {
   if (io->renewal_sent_ms <= task->poll_conclusive_from_ms)
     {
@@ -111,6 +113,8 @@
     }
   if (wk_has_restarted_since (io, task))
     return true;
+  if (outcomes_limited)
+    return false;
   if (task->missing_since_ms == 0)
     task->missing_since_ms = now_ms;
   if (io->renewal_sent_ms > task->missing_since_ms
@@ -143,7 +147,7 @@
 
 void
 wk_drop_missing_runs (struct worker_io *io, GHashTable *reported_tasks,
-                      int64_t now_ms)
+                      bool outcomes_limited, int64_t now_ms)
 {
   GPtrArray *lost = g_ptr_array_new ();
   GPtrArray *missing = g_ptr_array_new ();
@@ -155,7 +159,7 @@
 
       if (g_hash_table_contains (reported_tasks, task))
         task->missing_since_ms = 0;
-      else if (run_is_gone (io, task, now_ms))
+      else if (run_is_gone (io, task, outcomes_limited, now_ms))
         g_ptr_array_add (wk_has_restarted_since (io, task) ? lost : missing,
                          task);
     }
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -297,7 +297,8 @@
       = reported.unassigned->len > 0 || reported.unknown_count > 0;
   sd_worker_unassigned_runs (io->worker, reported.unassigned,
                              reported.unknown_count > 0);
-  wk_drop_missing_runs (io, reported.assigned, now_ms);
+  wk_drop_missing_runs (io, reported.assigned, answer->outcomes_limited,
+                        now_ms);
   g_hash_table_destroy (reported.assigned);
   g_ptr_array_free (reported.unassigned, TRUE);
 }
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -167,9 +167,10 @@
  *  After a status poll: gives up the runs that the worker has neither listed
  *  as running nor as ended, once it is certain that they are not there.
  *  @reported_tasks : struct jb_task, as a set: those it has listed as
- *                    running. */
+ *                    running.
+ *  @outcomes_limited : see wp_answer. */
 void wk_drop_missing_runs (struct worker_io *io, GHashTable *reported_tasks,
-                           int64_t now_ms);
+                           bool outcomes_limited, int64_t now_ms);
 
 /*! wk_drop_runs_of_lapsed_lease (), wk_drop_runs_of_replaced_worker () :
  *  Gives up the runs of a worker: it is unreachable and its lease is over; or
--- a/tests/unit/test_hostd_platform.c
+++ b/tests/unit/test_hostd_platform.c
@@ -10,6 +10,7 @@
 #include "pf_advice.h"
 #include "pf_decode.h"
 #include "pf_http.h"
+#include "pf_worker.h"
 
 enum
 {
@@ -304,11 +305,101 @@
   g_free (address);
 }
 
+/* --- Workers --- */
+
+struct poll
+{
+  struct ev_loop *loop;
+  char *body; /* of the worker's answer */
+  guint outcomes;
+  bool outcomes_limited;
+};
+
+static void
+on_poll (void *ctx, struct hs_request *request)
+{
+  struct poll *poll = ctx;
+
+  hs_respond (request, 200, NULL, 0, poll->body, strlen (poll->body));
+}
+
+static void
+on_polled (void *ctx, const struct wp_answer *answer)
+{
+  struct poll *poll = ctx;
+
+  poll->outcomes = answer->outcomes->len;
+  poll->outcomes_limited = answer->outcomes_limited;
+  ev_break (poll->loop, EVBREAK_ONE);
+}
+
+static char *
+body_with_outcomes (uint32_t count)
+{
+  GString *body = g_string_new ("{\"clock_ms\":1,\"finished\":[");
+  uint32_t i;
+
+  for (i = 1; i <= count; i++)
+    g_string_append_printf (body,
+                            "%s[%u,\"00000000000000aa.0.0.%u\",1,"
+                            "\"done\",\"\"]",
+                            i > 1 ? "," : "", i, i);
+  g_string_append (body, "]}");
+  return g_string_free (body, FALSE);
+}
+
+/* A worker lists 500 outcomes in one answer (review, case 2).  */
+static void
+test_full_list_of_outcomes_is_recognised (void)
+{
+  static const struct
+  {
+    uint32_t outcomes;
+    bool limited;
+  } cases[] = { { 0, false }, { 499, false }, { 500, true } };
+  struct poll poll = { .loop = ev_loop_new (EVFLAG_AUTO) };
+  struct hs_params params = { .loop = poll.loop,
+                              .address = "127.0.0.1",
+                              .connection_limit = 4,
+                              .body_limit_bytes = 10000,
+                              .receive_timeout_ms = 1000,
+                              .handler = on_poll,
+                              .ctx = &poll };
+  struct wp_renew renewal = { .term = 1, .lease_deadline_ms = -1 };
+  struct hs_server *server = NULL;
+  struct pf_workers *workers;
+  struct wp_target target = { .worker = "w1" };
+  struct wp_port port;
+  char *address;
+  size_t i;
+
+  CU_ASSERT_EQUAL_FATAL (hs_create (&server, &params), HS_OK);
+  address = g_strdup_printf ("127.0.0.1:%u", hs_port (server));
+  target.address = address;
+  workers = pf_workers_create (poll.loop, 16);
+  port = pf_workers_port (workers);
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      poll.body = body_with_outcomes (cases[i].outcomes);
+      port.renew (port.ctx, &target, &renewal, 1000, on_polled, &poll);
+      ev_run (poll.loop, 0);
+      CU_ASSERT_EQUAL (poll.outcomes, cases[i].outcomes);
+      CU_ASSERT_EQUAL (poll.outcomes_limited, cases[i].limited);
+      g_free (poll.body);
+    }
+  pf_workers_free (workers);
+  hs_free (server);
+  ev_loop_destroy (poll.loop);
+  g_free (address);
+}
+
 int
 main (void)
 {
   static const struct check_test tests[] = {
     { "the advisor is queried", test_advisor_is_queried },
+    { "a full list of outcomes is recognised",
+      test_full_list_of_outcomes_is_recognised },
     { "the configuration is decoded", test_configuration_is_decoded },
     { "a worker's entry is decoded", test_worker_entry_is_decoded },
     { "a job is decoded and survives its record",
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -340,6 +340,39 @@
   tear_down (&setup);
 }
 
+/* Guards against tasks that run again after their end: more than 500 runs had
+   ended on one worker while the store was down, and those that the answers had
+   no room for were taken as gone (review, case 2).  */
+static void
+test_run_beyond_a_full_list_of_outcomes_is_not_gone (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+  struct wp_answer limited = { .result = WP_DONE, .outcomes_limited = true };
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  wk_start (setup.workers, task);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE });
+  usleep (1000 * 3);
+  wk_send_waiting (setup.workers); /* sent before the start */
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'), &limited);
+  wk_send_waiting (setup.workers);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'), &limited);
+  usleep (1000 * 280);
+  wk_send_waiting (setup.workers);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'), &limited);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  /* Once the list is whole the run counts as any other that is missing.  */
+  poll_worker (&setup);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  usleep (1000 * 280);
+  poll_worker (&setup);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  tear_down (&setup);
+}
+
 static void
 test_outcome_is_acknowledged_once_stored (void)
 {
@@ -736,6 +769,8 @@
       test_leases_are_no_longer_than_needed },
     { "a run that is not listed is gone after the time of a stop",
       test_unlisted_run_is_gone_after_stop_time },
+    { "a run beyond a full list of outcomes is not gone",
+      test_run_beyond_a_full_list_of_outcomes_is_not_gone },
     { "an outcome is acknowledged once stored",
       test_outcome_is_acknowledged_once_stored },
     { "a wave of starts is sent in parts",
