--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -61,6 +61,12 @@
   return !was_paused (planner, planner->stored_batch_sent_ms);
 }
 
+static int64_t
+term_stored_ms (void *ctx)
+{
+  return ((const struct planner *)ctx)->stored_batch_sent_ms;
+}
+
 /* --- Rounds --- */
 
 /* Logs the starts from index NEXT on that are of one step and run, and follow
@@ -506,6 +512,7 @@
     .changed = on_workers_changed,
     .fenced = on_worker_fenced,
     .may_command = may_command,
+    .term_stored_ms = term_stored_ms,
   };
   struct av_params advisor = { .port = params->advisor_port,
                                .metrics = params->metrics,
--- a/programs/foxtailgap-hostd/planner_worker_list.c
+++ b/programs/foxtailgap-hostd/planner_worker_list.c
@@ -126,7 +126,10 @@
       planner->list_read_ms = 0;
     }
   else
-    planner->list_loaded = true;
+    {
+      planner->list_loaded = true;
+      wk_worker_list_read (planner->workers);
+    }
   pl_read_worker_list_if_due (planner);
   pl_schedule_round (planner);
 }
--- a/programs/foxtailgap-hostd/worker_leases.c
+++ b/programs/foxtailgap-hostd/worker_leases.c
@@ -31,7 +31,8 @@
   bool unknown = io->worker->reachability == SD_WORKER_UNSEEN
                  && io->worker->report.address == NULL;
 
-  if (!may_have_runs (io, now_ms))
+  /* While leases are not counted, when this one ends is not known.  */
+  if (!may_have_runs (io, now_ms) || wk_lease_is_uncounted (io))
     return false;
   return unknown || wk_renewal_is_suspended (io, now_ms)
          || (io->lease_recorded
@@ -125,6 +126,7 @@
   /* Nobody has renewed the lease since that record, and the record is some
      time old, so the lease ends no later than this.  */
   io->lease_end_ms = now_ms + GPOINTER_TO_UINT (left);
+  io->lease_adopted = true;
   io->lease_recorded = true;
   io->lease_recorded_ms = now_ms;
 }
--- a/programs/foxtailgap-hostd/worker_process.c
+++ b/programs/foxtailgap-hostd/worker_process.c
@@ -53,11 +53,17 @@
 int64_t
 wk_lease_end_ms (const struct worker_io *io)
 {
-  if (io->unverified_start_ms == 0)
-    return io->lease_end_ms;
-  return MAX (io->lease_end_ms,
-              lease_bound_ms (io->deadline_sent_ms,
-                              io->workers->params.lease_limit_ms));
+  const struct worker_calls *workers = io->workers;
+  uint32_t limit_ms = workers->params.lease_limit_ms;
+  int64_t end_ms = io->lease_end_ms;
+
+  if (io->unverified_start_ms != 0)
+    end_ms = MAX (end_ms, lease_bound_ms (io->deadline_sent_ms, limit_ms));
+  if (wk_lease_is_uncounted (io))
+    end_ms
+        = MAX (end_ms, lease_bound_ms (wk_uncounted_lease_start_ms (workers),
+                                       limit_ms));
+  return end_ms;
 }
 
 void
@@ -115,6 +121,7 @@
         io->unverified_start_ms = 0;
       return;
     }
+  io->process_seen_ms = now_ms;
   io->former_process_answered_ms
       = former_process_answered_ms (io, answer, now_ms);
   if (io->worker->process_started_ms != 0)
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -44,15 +44,24 @@
              : INT64_MAX;
 }
 
+/* A start also keeps what runs on its worker running until it expires.  */
+static bool
+may_start (struct worker_calls *workers, int64_t now_ms)
+{
+  return wk_may_command (workers)
+         && wk_lease_allowance_ms (workers, now_ms) >= MIN (
+                (int64_t)START_VALID_MS, workers->params.lease_limit_ms / 2);
+}
+
 /* Whether a start without an answer may be sent again.  */
 static bool
 may_send_again (const struct wk_call *call, const struct jb_task *task,
                 const struct worker_io *io, int64_t now_ms)
 {
-  const struct worker_calls *workers = call->workers;
+  struct worker_calls *workers = call->workers;
 
   return now_ms < call->first_sent_ms + START_VALID_MS - START_TIMEOUT_MS
-         && task->state == JB_TASK_PLACED && wk_may_command (workers)
+         && task->state == JB_TASK_PLACED && may_start (workers, now_ms)
          && wk_call_is_of_process (call, io) && io->clock_ms >= 0
          && !io->lease_recorded
          && sd_start_is_safe (workers->params.sched, task, now_ms);
@@ -191,7 +200,8 @@
   struct worker_calls *workers = call->workers;
   struct worker_io *io = wk_io (workers, worker);
   int64_t now_ms = clk_monotonic_ms (NULL);
-  int64_t left_ms = call->first_sent_ms + START_VALID_MS - now_ms;
+  int64_t left_ms = MIN (call->first_sent_ms + START_VALID_MS - now_ms,
+                         wk_lease_allowance_ms (workers, now_ms));
   struct wp_target target = wk_target (worker);
   const struct jb_task *checkpoint_task
       = task->step->spec->gang ? task->step->tasks : task;
@@ -332,7 +342,7 @@
 void
 wk_send_queued_starts (struct worker_calls *workers)
 {
-  while (workers->term != 0 && wk_may_command (workers))
+  while (workers->term != 0 && may_start (workers, clk_monotonic_ms (NULL)))
     {
       int64_t now_ms = clk_monotonic_ms (NULL);
 
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -377,6 +377,8 @@
 static uint32_t
 renewal_wait_ms (const struct worker_io *io)
 {
+  uint32_t wait_ms = RENEWAL_WAIT_MS;
+
   if (io->worker->reachability != SD_WORKER_REACHABLE || io->poll_at_once
       || io->lease_recorded)
     return 0;
@@ -384,7 +386,9 @@
     return SHARED_POLL_WAIT_MS;
   if (io->poll_soon)
     return io->workers->params.stop_max_ms + WK_OUTCOME_LISTING_MS;
-  return RENEWAL_WAIT_MS;
+  if (wk_needs_proof (io->workers, clk_monotonic_ms (NULL)))
+    wait_ms = MIN (wait_ms, wk_proof_wait_ms (io->workers));
+  return wait_ms;
 }
 
 static void
@@ -393,7 +397,8 @@
 {
   struct sd_worker *worker = io->worker;
   struct wp_target target = wk_target (worker);
-  bool extends_lease = !io->lease_recorded
+  int64_t allowance_ms = wk_lease_allowance_ms (workers, now_ms);
+  bool extends_lease = !io->lease_recorded && allowance_ms > 0
                        && !wk_renewal_is_suspended (io, now_ms)
                        && wk_may_command (workers);
   struct wk_call *call;
@@ -408,7 +413,8 @@
 
   if (extends_lease && io->clock_ms >= 0 && worker->tasks->len > 0)
     {
-      uint32_t ttl_ms = lease_duration_ms (workers, worker);
+      uint32_t ttl_ms
+          = (uint32_t)MIN (lease_duration_ms (workers, worker), allowance_ms);
 
       renewal.lease_deadline_ms = wk_clock_ms (io, now_ms) + ttl_ms;
       wk_deadline_sent (io, now_ms, ttl_ms, false);
@@ -471,6 +477,9 @@
     return (worker->tasks->len > 0 || worker->listed)
            && now_ms - io->renewal_tried_ms
                   >= unreachable_retry_ms (io, now_ms);
+  if (worker->listed && wk_needs_proof (io->workers, now_ms)
+      && now_ms - io->renewal_sent_ms >= wk_proof_wait_ms (io->workers))
+    return true;
   return worker->tasks->len > 0 || io->has_unassigned_runs
          || (worker->reachability == SD_WORKER_UNSEEN && worker->listed)
          || io->outcome_processed > io->outcome_stored;
@@ -524,6 +533,7 @@
 {
   if (workers->term == 0)
     return;
+  wk_count_leases_if_due (workers, clk_monotonic_ms (NULL));
   wk_send_queued_starts (workers);
   send_due_renewals (workers, clk_monotonic_ms (NULL));
 }
@@ -607,6 +617,7 @@
   wk_drop_queued_starts (workers);
   workers->term = term;
   workers->generation++;
+  wk_begin_counting_leases (workers, now_ms);
   for (i = 0; i < all->len; i++)
     {
       struct sd_worker *worker = g_ptr_array_index (all, i);
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -52,6 +52,9 @@
      been paused, no start or stop is sent and no lease is renewed.  NULL:
      always.  */
   bool (*may_command) (void *ctx);
+  /* When the last append under this term that is stored was sent.  NULL:
+     always now.  */
+  int64_t (*term_stored_ms) (void *ctx);
 };
 
 struct worker_calls *wk_create (const struct wk_params *params);
@@ -76,6 +79,10 @@
 void wk_worker_reported (struct worker_calls *workers,
                          struct sd_worker *worker);
 
+/*! wk_worker_list_read () :
+ *  The store's list of workers has been read as a whole under this term. */
+void wk_worker_list_read (struct worker_calls *workers);
+
 /*! wk_start () :
  *  Sends the start of a task that is stored as placed, once the window of
  *  calls has room, and again for a while if the worker does not answer.  The
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -2,7 +2,8 @@
    in workers.c, starts in worker_starts.c, stop and pace commands in
    worker_commands.c, runs that are gone without an outcome in worker_losses.c,
    restarts under the same id in worker_process.c, the record of unreachable
-   workers' leases in worker_leases.c.  */
+   workers' leases in worker_leases.c, how long the term is known to hold in
+   worker_term.c.  */
 
 #ifndef FT_HOSTD_WORKERS_PRIVATE_H
 #define FT_HOSTD_WORKERS_PRIVATE_H
@@ -27,6 +28,8 @@
   int64_t clock_read_ms;       /* when that report came in */
   int64_t reported_started_ms; /* sd_worker.process_started_ms by its report;
                                   0: not reported */
+  int64_t process_seen_ms; /* when its process first answered a poll, since the
+                              term began or the last restart */
   int64_t former_process_answered_ms; /* when the process before the last
                                          restart answered last */
   /* outcomes of runs */
@@ -49,6 +52,8 @@
   /* Of the last start; 0: a later poll has shown that the process is still the
      same.  */
   int64_t unverified_start_ms;
+  bool lease_adopted; /* lease_end_ms is by the record of the planner before */
+  bool in_first_list; /* the worker was listed when the term began */
   bool lease_recorded; /* the stored record of leases contains this worker, or
                           may contain it */
   int64_t lease_recorded_ms; /* since when */
@@ -71,6 +76,13 @@
   guint next_renewal;          /* index of the worker that is first in the next
                                   pass of wk_send_waiting () */
   int64_t leases_collected_ms; /* of the last wk_collect_leases () */
+  /* See worker_term.c.  */
+  int64_t term_began_ms;
+  bool list_read;            /* under this term, as a whole */
+  bool leases_counted;       /* enough workers were reached for that */
+  bool may_extend_leases;    /* as last logged */
+  int64_t proved_ms;         /* of tp_proved_ms (), */
+  int64_t proof_computed_ms; /* and when it was computed */
   /* struct wk_call, as a set: those without an answer.  wk_free () detaches
      them, for their answers come in later.  */
   GHashTable *calls;
@@ -145,6 +157,37 @@
 void wk_process_answered (struct worker_io *io, const struct wp_answer *answer,
                           int64_t now_ms);
 
+/*! wk_needs_proof () :
+ *  @return : whether the store has been silent for so long that answers of the
+ *            workers are needed to prove that the term holds. */
+bool wk_needs_proof (const struct worker_calls *workers, int64_t now_ms);
+
+/*! wk_proof_wait_ms () :
+ *  @return : how long a worker may delay its answer then. */
+uint32_t wk_proof_wait_ms (const struct worker_calls *workers);
+
+/*! wk_lease_allowance_ms () :
+ *  @return : for how long from now on runs may be allowed to go on, since no
+ *            other planner can have started them elsewhere by then; 0: none.
+ */
+int64_t wk_lease_allowance_ms (struct worker_calls *workers, int64_t now_ms);
+
+/*! wk_begin_counting_leases (), wk_count_leases_if_due () :
+ *  A term has begun: until enough workers have been reached, an earlier
+ *  planner may still extend the leases of the others.  From then on their
+ *  leases are counted. */
+void wk_begin_counting_leases (struct worker_calls *workers, int64_t now_ms);
+void wk_count_leases_if_due (struct worker_calls *workers, int64_t now_ms);
+
+/*! wk_lease_is_uncounted () :
+ *  @return : whether an earlier planner may still extend the worker's lease.
+ */
+bool wk_lease_is_uncounted (const struct worker_io *io);
+
+/*! wk_uncounted_lease_start_ms () :
+ *  @return : from when on leases are counted at the latest. */
+int64_t wk_uncounted_lease_start_ms (const struct worker_calls *workers);
+
 /*! wk_has_restarted_since () :
  *  @return : whether the worker has restarted since the task was placed there,
  *            under this term or an earlier one. */
--- a/tests/unit/test_hostd_crashes.c
+++ b/tests/unit/test_hostd_crashes.c
@@ -68,6 +68,7 @@
   setup->workers = wk_create (&workers);
   setup->term = 1;
   wk_begin_term (setup->workers, setup->term, NULL);
+  wk_worker_list_read (setup->workers);
 }
 
 static void
@@ -174,6 +175,7 @@
   g_byte_array_free (block, TRUE);
   sd_begin_term (setup->sched, clk_monotonic_ms (NULL));
   wk_begin_term (setup->workers, ++setup->term, NULL);
+  wk_worker_list_read (setup->workers);
 }
 
 /* Has TASK crash one worker after the other for as long as it is started.
--- a/tests/unit/test_hostd_restarts.c
+++ b/tests/unit/test_hostd_restarts.c
@@ -340,8 +340,10 @@
   answer_poll_of_former_process (&setup);
   place_task (&setup);
   wk_end_term (setup.workers);
+  sd_worker_unlisted (setup.sched, "w1");
   sd_begin_term (setup.sched, clk_monotonic_ms (NULL));
   wk_begin_term (setup.workers, 3, NULL);
+  wk_worker_list_read (setup.workers);
   be_unreachable (&setup, LIMIT_IS_OVER_MS);
   CU_ASSERT_EQUAL (setup.task->state, JB_TASK_WAITING);
   tear_down (&setup);
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -175,6 +175,7 @@
   task->worker = g_strdup ("gone");
   sd_begin_term (setup.sched, clk_monotonic_ms (NULL));
   wk_begin_term (setup.workers, 2, NULL);
+  wk_worker_list_read (setup.workers);
   wk_send_waiting (setup.workers);
   CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
   usleep (1000 * 900); /* the lease of 500 ms, 3% and 300 ms */
