A lease lasts two renewals longer than its own

Since leases end a limit after the proof of the term, which is up to a heartbeat old, a worker whose longest lease is 2 s lost its runs in normal operation: a renewal waits for up to 1.9 s for an answer. It now waits for a third of the lease at most.

--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -16,6 +16,9 @@
      platform's limit is 2,000 ms.  */
   RENEWAL_WAIT_MS = 1900,
   RENEWAL_TIMEOUT_MS = 700, /* in addition to the wait */
+  /* A lease lasts until the renewal after the next one, also if the term was
+     proved some hundred ms before the renewal.  */
+  RENEWALS_PER_LEASE = 3,
   /* A worker where best-effort tasks run beside tasks that serve is polled at
      least this often, for the tail latencies there change within seconds.  */
   SHARED_POLL_WAIT_MS = 500,
@@ -377,7 +380,9 @@
 static uint32_t
 renewal_wait_ms (const struct worker_io *io)
 {
-  uint32_t wait_ms = RENEWAL_WAIT_MS;
+  uint32_t wait_ms
+      = MIN ((uint32_t)RENEWAL_WAIT_MS,
+             io->workers->params.lease_ttl_ms / RENEWALS_PER_LEASE);
 
   if (io->worker->reachability != SD_WORKER_REACHABLE || io->poll_at_once
       || io->lease_recorded)
