--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -38,6 +38,34 @@
         self.appended = asyncio.Condition()
 
 
+class Paths:
+    """Which paths between a host and the store or a worker are cut.  A call on
+    a cut path is not carried out, and gets no answer; nor does a call whose
+    path is cut before its answer is sent."""
+
+    def __init__(self):
+        self.cut = set()  # (host, name of a worker, or STORE)
+
+    async def until_healed(self, path):
+        while path in self.cut:
+            await asyncio.sleep(0.02)
+        raise ConnectionResetError
+
+    def wrap(self, path, handler):
+        """The handler for calls on a path."""
+        async def handle(method, target, body):
+            if path in self.cut:
+                await self.until_healed(path)
+            answer = await handler(method, target, body)
+            if path in self.cut:
+                await self.until_healed(path)
+            return answer
+        return handle
+
+
+STORE = "store"
+
+
 class Store:
     """Keyed topics.
 
@@ -48,6 +76,8 @@
 
     def __init__(self):
         self.topics = {}
+        # host -> address of a worker -> its address for that host
+        self.addresses = {}
         self.outage = None
         self.lost_answer_share = 0.0
         self.rng = None
@@ -61,7 +91,14 @@
             topic.records.append((key, value))
             topic.appended.notify_all()
 
-    async def handle(self, method, path, query, body):
+    def value_for(self, host, value):
+        """Each host reaches a worker at an address of its own, so that their
+        paths can be cut apart."""
+        for address, own in self.addresses.get(host, {}).items():
+            value = value and value.replace(address.encode(), own.encode())
+        return value
+
+    async def handle(self, path, query, body, host=None):
         if self.outage == "busy":
             return 503, b"{}"
         if self.outage == "silent":
@@ -73,9 +110,9 @@
                 await asyncio.sleep(3600)
             return answer
         if path == "/log-read":
-            return await self.read(topic, query)
+            return await self.read(topic, query, host)
         if path == "/log-newest":
-            return self.newest(topic)
+            return self.newest(topic, host)
         return 404, b"{}"
 
     async def append(self, topic, query, body):
@@ -103,7 +140,7 @@
             topic.answers[(epoch, sequence)] = answer
         return 200, answer
 
-    async def read(self, topic, query):
+    async def read(self, topic, query, host):
         start, wait_ms = int(query["from"][0]), int(query["wait_ms"][0])
         async with topic.appended:
             if len(topic.records) <= start and wait_ms > 0:
@@ -116,16 +153,17 @@
                     pass
         out = [struct.pack(">QQ", len(topic.records), 0)]
         for key, value in topic.records[start:]:
+            value = self.value_for(host, value)
             content = bytes([len(key)]) + key.encode() + (value or b"")
             out.append(struct.pack(">I", len(content)) + content)
         return 200, b"".join(out)
 
-    def newest(self, topic):
+    def newest(self, topic, host):
         newest = {}
         for offset, (key, value) in enumerate(topic.records):
             newest.pop(key, None)
             if value is not None:
-                newest[key] = (offset, value)
+                newest[key] = (offset, self.value_for(host, value))
         items = [{"key": key, "offset": offset,
                   "value": base64.b64encode(value).decode()}
                  for key, (offset, value) in newest.items()]
@@ -187,6 +225,9 @@
             self.starts_after_limit[task] = starts
             if starts >= STARTS_AFTER_CRASHES_MAX:
                 self.violations.append(f"BUDGET {task} run {run}")
+        if task in self.running:
+            # Its lease may have passed since it was last looked at.
+            self.running[task][0].end_due_runs()
         if task in self.running:
             self.violations.append(f"TWICE {task} run {run}")
         if task in self.acknowledged:
@@ -206,6 +247,8 @@
         self.name, self.rack, self.checker = name, rack, checker
         self.fail_all = False
         self.unresponsive = False
+        self.cut_off = False  # from the store
+        self.lease_limit_ms = LEASE_LIMIT_MS
         self.guards_capacity = True
         self.state = "ready"
         self.capacities = []  # (since_s, accelerators), oldest first
@@ -243,7 +286,7 @@
 
     def extend_lease(self, deadline_ms):
         """The platform's rule: a longer lease is shortened to the limit."""
-        limit_ms = self.clock_ms() + LEASE_LIMIT_MS
+        limit_ms = self.clock_ms() + self.lease_limit_ms
         self.lease_deadline_ms = max(self.lease_deadline_ms,
                                      min(deadline_ms, limit_ms))
 
@@ -323,7 +366,7 @@
                 f"LIMIT {task} run {run_id} on {self.name}")
         self.extend_lease(command["deadline_ms"])
         self.highest_run_ids[task] = run_id
-        self.checker.record_start(task, self.name, run_id)
+        self.checker.record_start(task, self, run_id)
         self.runs[task] = Run(task, run_id,
                               time.monotonic() + self.checker.work_s)
         if command["spec"] == DEADLY_SPEC and task.endswith(".0"):
@@ -344,6 +387,10 @@
             self.end_run(run, "stopped")
         return self.ok()
 
+    def percent(self, run):
+        left_s = max(run.ends_at_s - time.monotonic(), 0)
+        return int(100 * (1 - left_s / self.checker.work_s))
+
     async def renew_lease(self, command):
         if "deadline_ms" in command:
             self.extend_lease(command["deadline_ms"])
@@ -360,7 +407,7 @@
         while not self.outcomes and time.monotonic() < wait_end_s:
             await asyncio.sleep(0.01)
             self.end_due_runs()
-        running = [[run.task, run.run_id, "", 50, 0]
+        running = [[run.task, run.run_id, "", self.percent(run), 0]
                    for run in self.runs.values()]
         return self.ok(running=running,
                        finished=self.outcomes[:MAX_OUTCOMES_PER_ANSWER])
@@ -407,11 +454,11 @@
     return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
 
 
-def store_handler(store):
+def store_handler(store, host=None):
     async def handle(method, target, body):
         parts = urlsplit(target)
-        return await store.handle(method, parts.path, parse_qs(parts.query),
-                                  body)
+        return await store.handle(parts.path, parse_qs(parts.query), body,
+                                  host)
     return handle
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Randomized soak: real hosts, a stand-in of the platform, random faults.
 
-  soak.py SEED [DURATION_S [unread | release | deadly | takeovers]]
+  soak.py SEED [DURATION_S [unread | release | deadly | takeovers | cuts]]
 
 With `unread`, the hosts write to a pipe that nobody reads: a full pipe must
 not stop them.  With `release`, the workers are replaced one after the other
@@ -10,7 +10,9 @@
 `deadly`, the first task of some jobs crashes each worker that starts it, the
 workers do not guard their capacity, and it shrinks and grows again.  With
 `takeovers`, the planner's host is killed again and again, as soon as the next
-planner holds rounds; each kill must lead to one takeover.
+planner holds rounds; each kill must lead to one takeover.  With `cuts`, hosts,
+the planner's first, and workers are cut off together from the store and all
+others, again and again, and runs outlast the leases.
 
 Prints `kept` if there is no violation.  Otherwise prints each one and exits
 with 1: a task ran
@@ -46,6 +48,11 @@
 DEADLY_SHARE = 0.1
 DEADLY_RUN_S = 1.0
 LEASE_MS = 2000
+# With `cuts`: a run outlasts a lease, a takeover and most cuts; and as many
+# tasks as the workers can take beside the cuts.
+CUT_RUN_S = 6.0
+CUT_MAX_S = 9.0
+CUT_SUBMIT_MIN_S, CUT_SUBMIT_MAX_S = 0.4, 1.2
 TAKEOVER_MAX_S = 2.0
 # Long enough for a lease to lapse, for takeovers and for the queued work.  The
 # time of the status calls comes on top.
@@ -55,13 +62,22 @@
 NO_WHOLE_ANSWER = 0
 NO_CONNECTION = -1
 
+LISTEN_PORTS = (20000, 32000)
+
 BUILD = os.environ.get("BUILD", "build")
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that no outgoing connection takes meanwhile, for it is
+    below the kernel's range for these."""
+    while True:
+        port = random.SystemRandom().randrange(*LISTEN_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def unread_pipe():
@@ -72,7 +88,7 @@
 
 
 class Host:
-    def __init__(self, folder, name, store, unread):
+    def __init__(self, folder, name, store, unread, limit_ms):
         self.name, self.port = name, free_port()
         self.settings_path = os.path.join(folder, name + ".yaml")
         self.log_path = os.path.join(folder, name + ".log")
@@ -83,7 +99,7 @@
                       f"readiness: 127.0.0.1:{free_port()}\n"
                       f"metrics: 127.0.0.1:{free_port()}\n"
                       f"store: {store}\nlease_ttl_ms: {LEASE_MS}\n"
-                      f"lease_limit_ms: {standin.LEASE_LIMIT_MS}\n"
+                      f"lease_limit_ms: {limit_ms}\n"
                       f"worker_heartbeat_ms: {standin.HEARTBEAT_MS}\n"
                       f"capacity_notice_ms: {standin.CAPACITY_NOTICE_MS}\n")
         self.process = None
@@ -147,14 +163,17 @@
         self.release = False
         self.deadly = False
         self.takeovers = False
+        self.cuts = False
+        self.paths = standin.Paths()
         self.deadly_jobs = set()
 
     async def start(self, folder):
-        address = await standin.serve(standin.store_handler(self.store))
         config = json.loads(json.dumps(CONFIG))
         if self.deadly:
             config["services"][0]["enforces_capacity"] = False
             self.checker.work_s = DEADLY_RUN_S
+        if self.cuts:
+            self.checker.work_s = CUT_RUN_S
         await self.store.put("keyed.op", "config", json.dumps(config).encode())
         for i in range(WORKER_COUNT):
             worker = standin.Worker(f"w{i}", f"r{i // 3}", self.checker)
@@ -163,16 +182,30 @@
                 standin.worker_handler(worker))
             self.workers.append(worker)
         for i in range(HOST_COUNT):
-            self.hosts.append(Host(folder, f"host-{i}", address,
-                                   self.output_unread))
-            await self.hosts[-1].start()
+            await self.start_host(folder, f"host-{i}")
+
+    async def start_host(self, folder, name):
+        """Starts a host with paths of its own to the store and the workers."""
+        store = await standin.serve(self.paths.wrap(
+            (name, standin.STORE), standin.store_handler(self.store, name)))
+        addresses = self.store.addresses.setdefault(name, {})
+        if self.cuts:
+            for worker in self.workers:
+                worker.lease_limit_ms = LEASE_MS
+                addresses[worker.address] = await standin.serve(
+                    self.paths.wrap((name, worker.name),
+                                    standin.worker_handler(worker)))
+        limit_ms = LEASE_MS if self.cuts else standin.LEASE_LIMIT_MS
+        self.hosts.append(Host(folder, name, store, self.output_unread,
+                               limit_ms))
+        await self.hosts[-1].start()
 
     async def run_workers(self):
         sequence = 0
-        while not self.stopping:
+        while True:
             for worker in self.workers:
                 worker.end_due_runs()
-                if (not worker.unresponsive
+                if (not worker.unresponsive and not worker.cut_off
                         and sequence % HEARTBEAT_STEPS == 0):
                     await self.store.put(
                         "keyed.servers", worker.name,
@@ -212,7 +245,11 @@
                 self.accepted.append(job)
                 if self.rng.random() < 0.3:  # the same again, elsewhere
                     await self.call_checked("POST", job, body)
-            await asyncio.sleep(self.rng.uniform(0.02, 0.15))
+            if self.cuts:
+                await asyncio.sleep(self.rng.uniform(CUT_SUBMIT_MIN_S,
+                                                     CUT_SUBMIT_MAX_S))
+            else:
+                await asyncio.sleep(self.rng.uniform(0.02, 0.15))
 
     async def inject_fault(self):
         """Injects one random fault; all but crash last for a random time.
@@ -326,6 +363,33 @@
                 self.checker.violations.append(
                     f"{len(self.terms()) - len(terms)} terms after a kill")
 
+    def cut_off(self, hosts, workers):
+        """Cuts these hosts and workers off from the store and all others.
+        Returns the paths that it has cut."""
+        paths = {(host.name, standin.STORE) for host in hosts}
+        for host in self.hosts:
+            for worker in self.workers:
+                if (host in hosts) != (worker in workers):
+                    paths.add((host.name, worker.name))
+        for worker in workers:
+            worker.cut_off = True
+        new = paths - self.paths.cut
+        self.paths.cut |= new
+        return new
+
+    async def cut_again_and_again(self):
+        while not self.stopping:
+            await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+            terms = self.terms()
+            planner = terms[-1][1] if terms else self.hosts[0]
+            hosts = [planner] if self.rng.random() < 0.8 else []
+            workers = self.rng.sample(self.workers, self.rng.randint(1, 3))
+            cut = self.cut_off(hosts, workers)
+            await asyncio.sleep(self.rng.uniform(1.0, CUT_MAX_S))
+            self.paths.cut -= cut
+            for worker in workers:
+                worker.cut_off = False
+
     async def inject_faults(self):
         while not self.stopping:
             await asyncio.sleep(self.rng.uniform(0.3, 1.5))
@@ -366,6 +430,8 @@
         tasks = [asyncio.create_task(self.submit_jobs())]
         if self.takeovers:
             tasks.append(asyncio.create_task(self.kill_planners()))
+        elif self.cuts:
+            tasks.append(asyncio.create_task(self.cut_again_and_again()))
         elif self.release:
             tasks += [asyncio.create_task(self.replace_workers()),
                       asyncio.create_task(self.reset_and_kill())]
@@ -377,12 +443,8 @@
         await asyncio.sleep(self.duration_s)
         self.stopping = True
         await asyncio.gather(*tasks)
-        self.stopping = False
-        await worker_loop if worker_loop.done() else None
-        worker_loop = asyncio.create_task(self.run_workers())
         incomplete = await self.wait_until_completed()
-        self.stopping = True
-        await worker_loop
+        worker_loop.cancel()
         for host in self.hosts:
             await host.stop(signal.SIGTERM)
         return incomplete
@@ -395,6 +457,7 @@
     soak.release = "release" in sys.argv[3:]
     soak.deadly = "deadly" in sys.argv[3:]
     soak.takeovers = "takeovers" in sys.argv[3:]
+    soak.cuts = "cuts" in sys.argv[3:]
     soak.may_be_silent = not soak.release
     folder = tempfile.mkdtemp(prefix="soak-")
     incomplete = asyncio.run(soak.run(folder))
--- a/tests/soak/worker_list.py
+++ b/tests/soak/worker_list.py
@@ -84,8 +84,7 @@
     with open(os.path.join(folder, host.name + ".log"), "rb") as log:
         text = log.read()
     lines = text.count(b"\n")
-    run_soak.stopping = True
-    await workers
+    workers.cancel()
     await host.stop(15)
     print(f"{memory_mib} MiB, {lines} lines", file=sys.stderr)
     held = [
