Odd entries of the list name no worker (reports of other operators)

Other operators saw hosts end, or stop following the list of workers, after another writer had left an odd entry. Here no host ended, but 28 of 33 odd entries counted as workers: ports out of range, capacities below 0 and near 2^63, texts cut at a NUL; a real number beyond int64_t was converted, which is undefined; a key with a NUL replaced another worker's entry, and a key that is no UTF-8 hid its page.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -24,6 +24,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 MAX_OUTCOMES_PER_ANSWER = 500
+NEWEST_ITEMS_MAX = 500
+NEWEST_MAX_BYTES = 1000 * 1000
 
 
 class Topic:
@@ -112,7 +114,7 @@
         if path == "/log-read":
             return await self.read(topic, query, host)
         if path == "/log-newest":
-            return self.newest(topic, host)
+            return self.newest(topic, query, host)
         return 404, b"{}"
 
     async def append(self, topic, query, body):
@@ -152,22 +154,35 @@
                 except asyncio.TimeoutError:
                     pass
         out = [struct.pack(">QQ", len(topic.records), 0)]
+        left_bytes = int(query["max_kb"][0]) * 1024
         for key, value in topic.records[start:]:
             value = self.value_for(host, value)
             content = bytes([len(key)]) + key.encode() + (value or b"")
+            left_bytes -= len(content)
+            if left_bytes < 0 and len(out) > 1:
+                break
             out.append(struct.pack(">I", len(content)) + content)
         return 200, b"".join(out)
 
-    def newest(self, topic, host):
+    def newest(self, topic, query, host):
+        """A page has up to NEWEST_ITEMS_MAX keys, in their order."""
+        after = query.get("depends_on", [""])[0]
         newest = {}
         for offset, (key, value) in enumerate(topic.records):
             newest.pop(key, None)
             if value is not None:
                 newest[key] = (offset, self.value_for(host, value))
-        items = [{"key": key, "offset": offset,
-                  "value": base64.b64encode(value).decode()}
-                 for key, (offset, value) in newest.items()]
-        return 200, json.dumps({"items": items, "has_more": False,
+        items, size_bytes = [], 0
+        keys = sorted(key for key in newest if key > after)
+        for key in keys[:NEWEST_ITEMS_MAX]:
+            offset, value = newest[key]
+            size_bytes += len(value)
+            if size_bytes > NEWEST_MAX_BYTES and items:
+                break
+            items.append({"key": key, "offset": offset,
+                          "value": base64.b64encode(value).decode()})
+        return 200, json.dumps({"items": items,
+                                "has_more": len(items) < len(keys),
                                 "end_offset": len(topic.records)}).encode()
 
 
--- a/tests/soak/worker_list.py
+++ b/tests/soak/worker_list.py
@@ -2,7 +2,8 @@
 """Runs one host on a list of workers in which most entries are of no use.
 
 Of 5,000 entries a third cannot be read, a third lack fields or have fields of
-other types, and a third name workers that refuse connections.  Jobs must
+other types or out of range, and a third name workers that refuse
+connections.  Jobs must
 complete on the three good workers, and the host must stay small.
 
 Prints one line for each check, and exits with 1 if one failed.
@@ -18,6 +19,9 @@
 import soak  # noqa: E402
 
 ENTRY_COUNT = 5000
+ODD_VALUES = [None, -1, "x", [], {}, 2**63, -2**70, 1e308, "127.0.0.1:0",
+              "127.0.0.1:65536", "127.0.0.1", "127.0.0.1:80\r\nX: y", "a\0",
+              ["a"] * 1000, {"cpu": 2**62, "mem_mb": 2**62, "gpu": -1}]
 JOB_COUNT = 40
 GOOD_WORKERS = 3
 # The address sanitizer needs many times the memory of the program.
@@ -33,10 +37,11 @@
             "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 8},
             "labels": ["a", "r9"], "born": number}
     if number % 3 == 0:
-        return [b"\xff\xfe", b"{", b"[]", b"null", b"\x00" * 64][number % 5]
+        return [b"\xff\xfe", b"{", b"[]", b"null", b"\x00" * 64,
+                b'{"a":' * 20000, b"[" * 20000 + b"]" * 20000][number % 7]
     if number % 3 == 1:
         field = list(good)[number % len(good)]
-        good[field] = [None, -1, "x", [], {}][number % 5]
+        good[field] = ODD_VALUES[number % len(ODD_VALUES)]
     return json.dumps(good).encode()
 
 
--- a/tests/unit/test_hostd_platform.c
+++ b/tests/unit/test_hostd_platform.c
@@ -10,6 +10,7 @@
 #include "pf_advice.h"
 #include "pf_decode.h"
 #include "pf_http.h"
+#include "pf_store.h"
 #include "pf_worker.h"
 
 enum
@@ -89,6 +90,142 @@
                    PF_ERR_FORMAT);
 }
 
+/* A worker's entry with one member replaced.  */
+struct odd_entry
+{
+  const char *member; /* as it stands in ENTRY */
+  const char *odd;    /* in its place */
+};
+
+static char *
+entry_with (const char *member, const char *odd)
+{
+  const char *at = strstr (ENTRY, member);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (at);
+  return g_strdup_printf ("%.*s%s%s", (int)(at - ENTRY), ENTRY, odd,
+                          at + strlen (member));
+}
+
+static int
+decode_entry (const char *id, const char *text)
+{
+  struct sd_worker_report report = { 0 };
+  int error = pf_decode_report (&report, id, text, strlen (text));
+
+  if (error == PF_OK)
+    sd_worker_report_clear (&report);
+  return error;
+}
+
+/* Guards against entries of another writer that end a host, or that it uses:
+   nested too deeply, with numbers too large, with a port out of range, with
+   texts that other layers would cut or misread (reports of other operators;
+   review of pf_int () by -fsanitize=float-cast-overflow).  */
+static void
+test_odd_worker_entries_name_no_worker (void)
+{
+  static const char ADDRESS[] = "\"address\":\"10.0.0.1:80\"";
+  static const char CPU[] = "\"cpu\":16000";
+  static const struct odd_entry entries[] = {
+    { ADDRESS, "\"address\":\"10.0.0.1\"" },
+    { ADDRESS, "\"address\":\"10.0.0.1:\"" },
+    { ADDRESS, "\"address\":\"10.0.0.1:0\"" },
+    { ADDRESS, "\"address\":\"10.0.0.1:65536\"" },
+    { ADDRESS, "\"address\":\"10.0.0.1:-80\"" },
+    { ADDRESS, "\"address\":\"10.0.0.1:80/x\"" },
+    { ADDRESS, "\"address\":\"10.0.0.1:80\\r\\nX: y\"" },
+    { ADDRESS, "\"address\":\"10.0.0.1:80\\u0000x\"" },
+    { ADDRESS, "\"address\":\"host.example:80\"" },
+    { ADDRESS, "\"address\":[\"10.0.0.1:80\"]" },
+    { CPU, "\"cpu\":-16000" },
+    { CPU, "\"cpu\":9223372036854775807" },
+    { CPU, "\"cpu\":9223372036854775808" },
+    { CPU, "\"cpu\":99999999999999999999999999" },
+    { CPU, "\"cpu\":1e19" },
+    { CPU, "\"cpu\":-1e19" },
+    { CPU, "\"cpu\":1e308" },
+    { CPU, "\"cpu\":1e999" },
+    { CPU, "\"cpu\":\"16000\"" },
+    { CPU, "\"cpu\":{}" },
+    { "\"mem_mb\":32768", "\"mem_mb\":-1" },
+    { "\"gpu\":8", "\"gpu\":4611686018427387904" },
+    { "\"service\":\"s\"", "\"service\":\"s\\u0000\"" },
+    { "\"service\":\"s\"", "\"service\":7" },
+    { "\"state\":\"ready\"", "\"state\":\"ready\\u0000\"" },
+    { "\"zone\":\"z\"", "\"zone\":{}" },
+    { "\"labels\":[\"a\",\"r1-3\"]", "\"labels\":\"a\"" },
+    { "\"labels\":[\"a\",\"r1-3\"]", "\"labels\":[\"a\",7]" },
+    { "\"labels\":[\"a\",\"r1-3\"]", "\"labels\":[\"a\\u0000\",\"r1-3\"]" },
+    { "\"seq\":4", "\"remaining_ms\":1e308" },
+    { "\"seq\":4", "\"remaining_ms\":-9223372036854775808" },
+    { "\"seq\":4", "\"born\":1e308" },
+    { "\"seq\":4", "\"born\":-5" },
+  };
+  static const char *const ids[]
+      = { "", "i-1\r\nX: y", "i 1", "i-\x7f", "i-\xc3\xa9" };
+  size_t i;
+
+  CU_ASSERT_EQUAL (decode_entry ("i-1", ENTRY), PF_OK);
+  for (i = 0; i < G_N_ELEMENTS (entries); i++)
+    {
+      char *text = entry_with (entries[i].member, entries[i].odd);
+
+      CU_ASSERT_EQUAL (decode_entry ("i-1", text), PF_ERR_FORMAT);
+      if (decode_entry ("i-1", text) != PF_ERR_FORMAT)
+        printf ("accepted: %s\n", entries[i].odd);
+      g_free (text);
+    }
+  for (i = 0; i < G_N_ELEMENTS (ids); i++)
+    CU_ASSERT_EQUAL (decode_entry (ids[i], ENTRY), PF_ERR_FORMAT);
+}
+
+/* @return : an entry with an odd member of SIZE repetitions of OPEN, and as
+             many of CLOSE.  */
+static char *
+entry_with_repeated (const char *member, const char *open, const char *close,
+                     size_t count)
+{
+  GString *odd = g_string_new (member);
+  char *text;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    g_string_append (odd, open);
+  for (i = 0; i < count; i++)
+    g_string_append (odd, close);
+  text = entry_with ("\"seq\":4", odd->str);
+  g_string_free (odd, TRUE);
+  return text;
+}
+
+static void
+test_large_worker_entries_do_no_harm (void)
+{
+  enum
+  {
+    DEPTH = 200 * 1000,
+    LABELS = 100 * 1000
+  };
+  char *nested = entry_with_repeated ("\"x\":", "[", "]", DEPTH);
+  char *objects = entry_with_repeated ("\"x\":", "{\"x\":", "}", DEPTH);
+  GString *labels = g_string_new ("\"labels\":[\"a\"");
+  char *labelled;
+  size_t i;
+
+  for (i = 0; i < LABELS; i++)
+    g_string_append (labels, ",\"label\"");
+  g_string_append_c (labels, ']');
+  labelled = entry_with ("\"labels\":[\"a\",\"r1-3\"]", labels->str);
+  CU_ASSERT_EQUAL (decode_entry ("i-1", nested), PF_ERR_FORMAT);
+  CU_ASSERT_EQUAL (decode_entry ("i-1", objects), PF_ERR_FORMAT);
+  CU_ASSERT_EQUAL (decode_entry ("i-1", labelled), PF_ERR_FORMAT);
+  g_string_free (labels, TRUE);
+  g_free (nested);
+  g_free (objects);
+  g_free (labelled);
+}
+
 static void
 test_job_is_decoded_and_survives_its_record (void)
 {
@@ -125,8 +262,12 @@
           "{\"spec\":\"x\",\"phases\":[{\"count\":4000000000}]}",
           "{\"spec\":\"x\",\"phases\":[{\"count\":1,\"cpu\":-5}]}",
           "{\"spec\":\"x\",\"times\":1000000,\"phases\":[{\"count\":1}]}" };
+  static const char cut[]
+      = "{\"spec\":\"a\\u0000b\",\"phases\":[{\"count\":1}]}";
+  struct jb_spec *none = NULL;
   size_t i;
 
+  CU_ASSERT_EQUAL (pf_decode_job (&none, cut, strlen (cut)), PF_ERR_FORMAT);
   for (i = 0; i < G_N_ELEMENTS (jobs); i++)
     {
       struct jb_spec *spec = NULL;
@@ -393,6 +534,95 @@
   g_free (address);
 }
 
+/* --- The store --- */
+
+struct page
+{
+  struct ev_loop *loop;
+  const char *body; /* of the store's answer */
+  size_t size_bytes;
+  enum so_result result;
+  char *keys; /* of the records, a comma after each */
+};
+
+static void
+on_store_call (void *ctx, struct hs_request *request)
+{
+  const struct page *page = ctx;
+
+  hs_respond (request, 200, NULL, 0, page->body, page->size_bytes);
+}
+
+static void
+on_page (void *ctx, const struct so_read_answer *answer)
+{
+  struct page *page = ctx;
+  GString *keys = g_string_new (NULL);
+  guint i;
+
+  page->result = answer->result;
+  for (i = 0; i < answer->records->len; i++)
+    g_string_append_printf (
+        keys, "%s,",
+        ((struct so_record *)g_ptr_array_index (answer->records, i))->key);
+  page->keys = g_string_free (keys, FALSE);
+  ev_break (page->loop, EVBREAK_ONE);
+}
+
+/* Guards against a list of workers that is no longer followed because of one
+   key that is no text, and against a key that passes for another one where it
+   is cut.  */
+static void
+test_odd_keys_hide_no_other_records (void)
+{
+  static const char newest[]
+      = "{\"items\":[{\"key\":\"w1\",\"value\":\"e30=\",\"offset\":1},"
+        "{\"key\":\"w\xff\",\"value\":\"e30=\",\"offset\":2},"
+        "{\"key\":\"w1\\u0000x\",\"value\":\"e30=\",\"offset\":3},"
+        "{\"key\":\"w2\",\"value\":\"e30=\",\"offset\":4}],"
+        "\"has_more\":false,\"end_offset\":5}";
+  /* The end and the first offset, then records "w1", "w1" NUL "x", "w2".  */
+  static const char read[] = "\0\0\0\0\0\0\0\3\0\0\0\0\0\0\0\0"
+                             "\0\0\0\5\2w1{}"
+                             "\0\0\0\7\4w1\0x{}"
+                             "\0\0\0\5\2w2{}";
+  struct page page = { .loop = ev_loop_new (EVFLAG_AUTO),
+                       .body = newest,
+                       .size_bytes = sizeof newest - 1 };
+  struct hs_params params = { .loop = page.loop,
+                              .address = "127.0.0.1",
+                              .connection_limit = 4,
+                              .body_limit_bytes = 10000,
+                              .receive_timeout_ms = 1000,
+                              .handler = on_store_call,
+                              .ctx = &page };
+  struct hs_server *server = NULL;
+  struct pf_store *store;
+  struct so_port port;
+  char *address;
+
+  CU_ASSERT_EQUAL_FATAL (hs_create (&server, &params), HS_OK);
+  address = g_strdup_printf ("127.0.0.1:%u", hs_port (server));
+  store = pf_store_create (page.loop, address);
+  port = pf_store_port (store);
+  port.read_newest (port.ctx, "workers", NULL, 1000, on_page, &page);
+  ev_run (page.loop, 0);
+  CU_ASSERT_EQUAL (page.result, SO_DONE);
+  CU_ASSERT_STRING_EQUAL (page.keys, "w1,w\xef\xbf\xbd,w2,");
+  g_free (page.keys);
+  page.body = read;
+  page.size_bytes = sizeof read - 1;
+  port.read (port.ctx, "workers", 0, 0, 1000, on_page, &page);
+  ev_run (page.loop, 0);
+  CU_ASSERT_EQUAL (page.result, SO_DONE);
+  CU_ASSERT_STRING_EQUAL (page.keys, "w1,w2,");
+  g_free (page.keys);
+  pf_store_free (store);
+  hs_free (server);
+  ev_loop_destroy (page.loop);
+  g_free (address);
+}
+
 int
 main (void)
 {
@@ -402,6 +632,9 @@
       test_full_list_of_outcomes_is_recognised },
     { "the configuration is decoded", test_configuration_is_decoded },
     { "a worker's entry is decoded", test_worker_entry_is_decoded },
+    { "odd entries name no worker", test_odd_worker_entries_name_no_worker },
+    { "large entries do no harm", test_large_worker_entries_do_no_harm },
+    { "odd keys hide no other records", test_odd_keys_hide_no_other_records },
     { "a job is decoded and survives its record",
       test_job_is_decoded_and_survives_its_record },
     { "invalid jobs are rejected", test_invalid_jobs_are_rejected },
