--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -335,49 +335,6 @@
     journal->observer.jobs_read (journal->observer.ctx);
 }
 
-/* Order in which the loaded records are applied: jobs before the records that
-   refer to them, and the term last, so that a host that finds its own term
-   there starts planning with all state that was stored before it.  */
-static int
-compare_load_order (const void *a, const void *b)
-{
-  /* Kinds of records, see the keys in journal_private.h.  */
-  static const char order[] = "hjcpqwt";
-  const struct so_record *left = *(struct so_record *const *)a;
-  const struct so_record *right = *(struct so_record *const *)b;
-  const char *left_rank = strchr (order, left->key[0]);
-  const char *right_rank = strchr (order, right->key[0]);
-
-  if (left_rank != right_rank)
-    return left_rank < right_rank ? -1 : 1;
-  return left->offset < right->offset ? -1 : left->offset > right->offset;
-}
-
-static void
-apply_newest_records (struct topic_reader *reader)
-{
-  guint i;
-
-  g_ptr_array_sort (reader->newest_records, compare_load_order);
-  for (i = 0; i < reader->newest_records->len; i++)
-    {
-      const struct so_record *record
-          = g_ptr_array_index (reader->newest_records, i);
-
-      /* Records stored while the pages were read are skipped here: they are
-         read again, in order, from first_page_end_offset on.  */
-      if (record->offset < reader->first_page_end_offset)
-        reader->apply_record (reader->journal, record);
-    }
-  g_ptr_array_set_size (reader->newest_records, 0);
-  reader->next_offset = reader->first_page_end_offset;
-  reader->loaded = true;
-  reader->caught_up = false;
-  reader->ever_loaded = true;
-  lg_info (PART, "A topic has been loaded.", "topic", reader->topic, "next",
-           lg_number (reader->next_offset), NULL);
-}
-
 static void
 on_newest (void *ctx, const struct so_read_answer *answer)
 {
@@ -407,7 +364,7 @@
       g_ptr_array_add (reader->newest_records, record);
     }
   if (!answer->more_keys || answer->records->len == 0)
-    apply_newest_records (reader);
+    jr_apply_newest_records (reader);
   read_next (reader);
 }
 
@@ -457,7 +414,10 @@
       return;
     }
   if (reader->newest_records->len == 0)
-    reader->read_sent_ms = clk_monotonic_ms (NULL);
+    {
+      reader->read_sent_ms = clk_monotonic_ms (NULL);
+      jr_begin_load (reader);
+    }
   last = reader->newest_records->len == 0
              ? NULL
              : g_ptr_array_index (reader->newest_records,
@@ -507,6 +467,8 @@
   journal->table = jb_table_create ();
   journal->hosts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  journal->jobs_before_load
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   journal->jobs_reader.apply_record = jr_fold_jobs_record;
   journal->operator_reader.apply_record = jr_fold_operator_record;
   reader_init (&journal->jobs_reader, journal, params->jobs_topic,
@@ -527,6 +489,7 @@
   reader_clear (&journal->operator_reader);
   jb_table_free (journal->table);
   g_hash_table_destroy (journal->hosts);
+  g_hash_table_destroy (journal->jobs_before_load);
   ct_catalog_free (journal->catalog);
   if (journal->leases != NULL)
     g_hash_table_destroy (journal->leases);
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -1,5 +1,6 @@
-/* Internal header of the journal.  journal.c reads the topics, journal_fold.c
-   applies their records, journal_write.c appends callers' writes.  All times
+/* Internal header of the journal.  journal.c reads the topics, journal_load.c
+   replaces what was known by their newest records, journal_fold.c applies
+   records, journal_write.c appends callers' writes.  All times
    in ms are of the steady clock.
 
    The keys of the jobs' topic are a letter for the kind of record and, but for
@@ -44,8 +45,9 @@
   struct topic_reader jobs_reader;
   struct topic_reader operator_reader;
   struct jb_table *table;
-  GHashTable *hosts;     /* name -> struct jb_host_record */
-  uint32_t own_strength; /* of this host, as announced */
+  GHashTable *jobs_before_load; /* ids, as a set; while loading */
+  GHashTable *hosts;            /* name -> struct jb_host_record */
+  uint32_t own_strength;        /* of this host, as announced */
   struct ct_catalog *catalog;
   struct jb_term_record term;
   GHashTable *leases; /* of jb_decode_leases (); NULL: none yet */
@@ -75,6 +77,17 @@
 void jr_fold_operator_record (struct journal *journal,
                               const struct so_record *record);
 
+/* --- journal_load.c --- */
+
+/*! jr_begin_load () :
+ *  The first page of the newest records of READER's topic is being read. */
+void jr_begin_load (struct topic_reader *reader);
+
+/*! jr_apply_newest_records () :
+ *  All pages have been read: applies the records, and forgets what has none
+ *  any more. */
+void jr_apply_newest_records (struct topic_reader *reader);
+
 /* --- journal.c --- */
 
 /*! jr_read_now () :
--- a/tests/unit/test_hostd_journal.c
+++ b/tests/unit/test_hostd_journal.c
@@ -439,6 +439,91 @@
   finish (&setup);
 }
 
+/* Adds the newest record of the progress of a job that has completed.  */
+static void
+add_completed (struct setup *setup, const char *id)
+{
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct jb_table *table = jb_table_create ();
+  struct jb_job *job
+      = jb_table_add (table, id, fixture_spec ("batch", "clinic", &step), 0);
+  char *key = g_strdup_printf ("p/%s", id);
+
+  job->state = JB_COMPLETED;
+  add_bytes (setup, key, jb_encode_progress (job, 3));
+  g_free (key);
+  jb_table_free (table);
+}
+
+/* The host has lost the term, and loads the topic again.  */
+static void
+reload (struct setup *setup)
+{
+  run_for_ms (setup, 150);
+  answer_jobs (setup, true);
+  jr_reload (setup->journal);
+  run_for_ms (setup, 150);
+}
+
+/* Guards against a job that runs again after it has completed: its record was
+   removed while the host was cut off, and the host's own view of it was set
+   back to the beginning when it loaded the topic again.  */
+static void
+test_job_that_is_not_loaded_again_is_removed (void)
+{
+  struct setup setup;
+
+  begin (&setup);
+  add_job (&setup, JOB);
+  add_job (&setup, "00000000000000bb");
+  add_completed (&setup, JOB);
+  answer_jobs (&setup, true);
+  reload (&setup);
+  add_job (&setup, "00000000000000bb");
+  answer_jobs (&setup, true); /* the newest records */
+  CU_ASSERT_PTR_NULL (jb_table_find (jr_job_table (setup.journal), JOB));
+  CU_ASSERT_PTR_NOT_NULL (
+      jb_table_find (jr_job_table (setup.journal), "00000000000000bb"));
+  finish (&setup);
+}
+
+/* A job that is stored while the pages are read is in none of them.  */
+static void
+test_job_stored_during_loading_stays (void)
+{
+  struct setup setup;
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", &step);
+
+  begin (&setup);
+  reload (&setup);
+  jr_submit (setup.journal, JOB, spec, 5000, on_outcome, &setup);
+  end_appends (&setup);
+  answer_jobs (&setup, true); /* the newest records: none */
+  CU_ASSERT_PTR_NOT_NULL (jb_table_find (jr_job_table (setup.journal), JOB));
+  jb_spec_free (spec);
+  finish (&setup);
+}
+
+/* Guards against a lease that is taken for over while it is renewed: an empty
+   list of leases leaves no record to load.  */
+static void
+test_leases_that_are_not_loaded_again_are_forgotten (void)
+{
+  struct setup setup;
+  GHashTable *list = g_hash_table_new (g_str_hash, g_str_equal);
+
+  begin (&setup);
+  g_hash_table_insert (list, (char *)"w1", GUINT_TO_POINTER (700));
+  add_bytes (&setup, "w", jb_encode_leases (list));
+  answer_jobs (&setup, true);
+  reload (&setup);
+  answer_jobs (&setup, true); /* the newest records: none */
+  CU_ASSERT_PTR_NULL (jr_leases (setup.journal));
+  g_hash_table_destroy (list);
+  finish (&setup);
+}
+
 enum
 {
   RANKED_HOSTS = 15
@@ -512,6 +597,12 @@
       test_concurrent_writes_share_an_append },
     { "an empty list of leases replaces the last",
       test_empty_list_of_leases_replaces_the_last },
+    { "a job that is not loaded again is removed",
+      test_job_that_is_not_loaded_again_is_removed },
+    { "a job stored during loading stays",
+      test_job_stored_during_loading_stays },
+    { "leases that are not loaded again are forgotten",
+      test_leases_that_are_not_loaded_again_are_forgotten },
     { "hosts have different ranks", test_hosts_have_different_ranks },
   };
 
