A job stored again while pages are read keeps its progress (TWICE, by reading)

Records stored while the pages of the newest records are read are left for the reads that follow. A job's record that a caller had stored a second time then was left, too, and its progress, stored long before, was applied to no job: the host took the job for not begun until the planner wrote it again, and as the planner would have run it again.

A job's record is now applied whatever its offset; the first one counts.

Measured: "the progress of a job stored again is applied" failed before.

--- a/programs/foxtailgap-hostd/journal_load.c
+++ b/programs/foxtailgap-hostd/journal_load.c
@@ -109,8 +109,9 @@
           = g_ptr_array_index (reader->newest_records, i);
 
       /* Records stored while the pages were read are skipped here: they are
-         read again, in order, from first_page_end_offset on.  */
-      if (record->offset < reader->first_page_end_offset)
+         read again, in order, from first_page_end_offset on.  A job may have
+         been stored a second time, and its other records need it.  */
+      if (record->offset < reader->first_page_end_offset || is_job (record))
         reader->apply_record (journal, record);
     }
   g_ptr_array_set_size (reader->newest_records, 0);
--- a/tests/unit/test_hostd_journal.c
+++ b/tests/unit/test_hostd_journal.c
@@ -524,6 +524,27 @@
   finish (&setup);
 }
 
+/* Guards against a job that runs again: its record was stored a second time
+   while the pages were read, was left for later, and its progress, stored long
+   before, was applied to no job.  */
+static void
+test_progress_of_job_stored_again_is_applied (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+
+  begin (&setup);
+  reload (&setup);
+  add_job (&setup, JOB);
+  ((struct so_record *)g_ptr_array_index (setup.records, 0))->offset = 150;
+  add_completed (&setup, JOB);
+  answer_jobs (&setup, true); /* the newest records, of up to offset 100 */
+  job = jb_table_find (jr_job_table (setup.journal), JOB);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (job);
+  CU_ASSERT_EQUAL (job->state, JB_COMPLETED);
+  finish (&setup);
+}
+
 enum
 {
   RANKED_HOSTS = 15
@@ -603,6 +624,8 @@
       test_job_stored_during_loading_stays },
     { "leases that are not loaded again are forgotten",
       test_leases_that_are_not_loaded_again_are_forgotten },
+    { "the progress of a job stored again is applied",
+      test_progress_of_job_stored_again_is_applied },
     { "hosts have different ranks", test_hosts_have_different_ranks },
   };
 
