A whole list of workers unlists the others (by reading)

The planner reads the list of workers as a whole when its term begins and when records that it has not read have expired. Workers that such a list did not show stayed listed: one that had left between two terms of the host, or whose removal had expired, was polled and got tasks for as long as it answered.

Measured: "a worker that is not listed again gets nothing" failed before.

--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -537,6 +537,8 @@
   planner->starts
       = g_array_new (FALSE, FALSE, sizeof (struct pl_pending_start));
   planner->jobs_to_remove = g_ptr_array_new_with_free_func (g_free);
+  planner->listed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   planner->unanswered_appends
       = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   planner->last_tick_ms = clk_monotonic_ms (NULL);
@@ -574,6 +576,7 @@
   g_ptr_array_free (planner->jobs_to_remove, TRUE);
   g_hash_table_destroy (planner->unanswered_appends);
   g_free (planner->list_last_key);
+  g_hash_table_destroy (planner->listed);
   g_free (planner);
 }
 
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -78,6 +78,7 @@
      it have been read; 0: none under this term.  */
   int64_t list_complete_ms;
   char *list_last_key; /* last key of the part read; NULL: at the start */
+  GHashTable *listed;  /* ids of the parts read, as a set; until loaded */
   /* records */
   struct pl_batch *sending;       /* the batch being written; NULL: none */
   uint32_t appends_in_flight;     /* of `sending`, without an answer yet */
--- a/programs/foxtailgap-hostd/planner_worker_list.c
+++ b/programs/foxtailgap-hostd/planner_worker_list.c
@@ -16,23 +16,36 @@
   LIST_TIMEOUT_MS = 1200
 };
 
-/* The entry has been removed, or names no worker to use.  */
 static void
-unlist_worker (struct planner *planner, const struct so_record *record)
+unlist_worker (struct planner *planner, const char *id)
 {
-  const struct sd_worker *worker
-      = sd_worker_find (planner->sched, record->key);
+  const struct sd_worker *worker = sd_worker_find (planner->sched, id);
 
-  if (record->value != NULL)
-    lg_warning (PART, "An entry of the store's list of workers is not usable.",
-                "worker", record->key, "bytes",
-                lg_number ((int64_t)record->size_bytes), NULL);
   if (worker != NULL && worker->listed)
     lg_info (PART,
              "A worker is not in the store's list any more; it gets no new "
              "task.",
-             "worker", record->key, NULL);
-  sd_worker_unlisted (planner->sched, record->key);
+             "worker", id, NULL);
+  sd_worker_unlisted (planner->sched, id);
+}
+
+/* The list has been read as a whole: what it does not show has left, also if
+   it was listed in an earlier term of this host.  */
+static void
+unlist_other_workers (struct planner *planner)
+{
+  const GPtrArray *all = sd_workers (planner->sched);
+  guint i;
+
+  for (i = 0; i < all->len; i++)
+    {
+      const struct sd_worker *worker = g_ptr_array_index (all, i);
+
+      if (worker->listed
+          && !g_hash_table_contains (planner->listed, worker->report.id))
+        unlist_worker (planner, worker->report.id);
+    }
+  g_hash_table_remove_all (planner->listed);
 }
 
 /* REPORTED_MS: as for sd_worker_listed ().  */
@@ -48,7 +61,12 @@
                                         record->size_bytes)
              < 0)
     {
-      unlist_worker (planner, record);
+      if (record->value != NULL)
+        lg_warning (PART,
+                    "An entry of the store's list of workers is not usable.",
+                    "worker", record->key, "bytes",
+                    lg_number ((int64_t)record->size_bytes), NULL);
+      unlist_worker (planner, record->key);
       return;
     }
   worker = sd_worker_find (planner->sched, report.id);
@@ -59,6 +77,8 @@
     lg_info (PART, "A worker is draining; it gets no new task.", "worker",
              report.id, NULL);
   worker = sd_worker_listed (planner->sched, &report, reported_ms);
+  if (!planner->list_loaded)
+    g_hash_table_add (planner->listed, g_strdup (worker->report.id));
   wk_worker_reported (planner->workers, worker);
 }
 
@@ -128,6 +148,7 @@
   else
     {
       planner->list_loaded = true;
+      unlist_other_workers (planner);
       wk_worker_list_read (planner->workers);
     }
   pl_read_worker_list_if_due (planner);
@@ -138,6 +159,7 @@
 pl_reset_worker_list (struct planner *planner)
 {
   planner->list_loaded = false;
+  g_hash_table_remove_all (planner->listed);
   g_clear_pointer (&planner->list_last_key, g_free);
 }
 
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -803,6 +803,56 @@
   tear_down (&setup);
 }
 
+static void
+wait_for_list_read (struct setup *setup)
+{
+  int64_t until_ms = clk_monotonic_ms (NULL) + 2000;
+
+  while (setup->store.workers_read == NULL
+         && clk_monotonic_ms (NULL) < until_ms)
+    {
+      run_loop_for (setup, 10);
+      answer_all_appends (setup);
+      if (setup->store.jobs_read != NULL)
+        show_appends (setup);
+    }
+  CU_ASSERT_PTR_NOT_NULL_FATAL (setup->store.workers_read);
+}
+
+/* Guards against a worker that left and is used again: its removal was among
+   records that expired before they were read, or came between two terms of
+   this host.  */
+static void
+test_worker_that_is_not_listed_again_gets_nothing (void)
+{
+  struct setup setup;
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", &step);
+  GByteArray *bytes = jb_encode_spec (spec);
+  struct so_read_answer expired = { .result = SO_EXPIRED };
+  char *key = g_strdup_printf ("j/%s", JOB);
+  so_read_callback read;
+
+  become_planner (&setup);
+  wait_for_list_read (&setup);
+  read = setup.store.workers_read;
+  setup.store.workers_read = NULL;
+  read (setup.store.workers_ctx, &expired);
+  wait_for_list_read (&setup);
+  answer_read (&setup, &setup.store.workers_read, setup.store.workers_ctx,
+               so_records_create ());
+  while (setup.store.jobs_read == NULL)
+    run_loop_for (&setup, 5);
+  setup.offset++;
+  answer_read (&setup, &setup.store.jobs_read, setup.store.jobs_ctx,
+               one_record (key, bytes->data, bytes->len));
+  CU_ASSERT_FALSE (run_with_job (&setup, 500));
+  g_free (key);
+  g_byte_array_free (bytes, TRUE);
+  jb_spec_free (spec);
+  tear_down (&setup);
+}
+
 int
 main (void)
 {
@@ -827,6 +877,8 @@
       test_nothing_is_placed_on_an_old_view },
     { "nothing is placed on unguarded workers by old reports",
       test_nothing_is_placed_on_an_old_report },
+    { "a worker that is not listed again gets nothing",
+      test_worker_that_is_not_listed_again_gets_nothing },
     { "a lost append is sent again", test_lost_append_is_sent_again },
     { "an append to a slow store is not sent again",
       test_append_to_slow_store_is_not_sent_again },
