--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -329,13 +329,55 @@
   return nothing;
 }
 
+/* Adds the progress of the jobs that have changed, as many as there is room
+   for; the others stay changed.
+   @return : bytes added.  */
+static size_t
+add_changed_jobs (struct planner *planner, struct pl_batch *batch)
+{
+  GPtrArray *changed = sd_take_changed (planner->sched);
+  size_t size_bytes = 0;
+  guint i;
+
+  for (i = 0; i < changed->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (changed, i);
+
+      if (size_bytes < BATCH_MAX_BYTES)
+        size_bytes += add_progress (planner, batch, job);
+      else
+        sd_job_changed (planner->sched, job);
+    }
+  g_ptr_array_free (changed, TRUE);
+  return size_bytes;
+}
+
+/* Moves the starts of the jobs whose placements are in the batch there.  */
+static void
+add_starts (struct planner *planner, struct pl_batch *batch)
+{
+  GArray *left = g_array_new (FALSE, FALSE, sizeof (struct pl_pending_start));
+  guint i;
+
+  for (i = 0; i < planner->starts->len; i++)
+    {
+      struct pl_pending_start *start
+          = &g_array_index (planner->starts, struct pl_pending_start, i);
+
+      if (start->task->job->progress_changed)
+        g_array_append_val (left, *start);
+      else
+        g_array_append_val (batch->starts, *start);
+    }
+  g_array_free (planner->starts, TRUE);
+  planner->starts = left;
+}
+
 void
 pl_write_changes (struct planner *planner, bool heartbeat, bool release)
 {
   struct pl_batch *batch;
-  GPtrArray *changed;
-  size_t size_bytes = 0;
-  guint i;
+  size_t size_bytes;
 
   if (planner->sending != NULL)
     return;
@@ -347,22 +389,14 @@
   batch = g_new0 (struct pl_batch, 1);
   batch->records = so_records_create ();
   batch->jobs = g_ptr_array_new_with_free_func (g_free);
-  batch->starts = planner->starts;
-  batch->outcome_marks = wk_mark_outcomes (planner->workers);
+  batch->starts = g_array_new (FALSE, FALSE, sizeof (struct pl_pending_start));
   batch->release = release;
-  planner->starts
-      = g_array_new (FALSE, FALSE, sizeof (struct pl_pending_start));
-  changed = sd_take_changed (planner->sched);
-  for (i = 0; i < changed->len; i++)
-    {
-      struct jb_job *job = g_ptr_array_index (changed, i);
-
-      if (size_bytes < BATCH_MAX_BYTES)
-        size_bytes += add_progress (planner, batch, job);
-      else
-        sd_job_changed (planner->sched, job); /* for the next batch */
-    }
-  g_ptr_array_free (changed, TRUE);
+  size_bytes = add_changed_jobs (planner, batch);
+  add_starts (planner, batch);
+  /* An outcome may belong to any of the jobs that are left.  */
+  batch->outcome_marks = sd_has_changed (planner->sched)
+                             ? wk_no_outcome_marks ()
+                             : wk_mark_outcomes (planner->workers);
   add_job_removals (planner, batch);
   if (wk_lease_record_is_due (planner->workers))
     add_lease_record (planner, batch);
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -570,10 +570,16 @@
   int64_t outcome_processed;
 };
 
+GArray *
+wk_no_outcome_marks (void)
+{
+  return g_array_new (FALSE, FALSE, sizeof (struct outcome_mark));
+}
+
 GArray *
 wk_mark_outcomes (const struct worker_calls *workers)
 {
-  GArray *marks = g_array_new (FALSE, FALSE, sizeof (struct outcome_mark));
+  GArray *marks = wk_no_outcome_marks ();
   GHashTableIter iter;
   void *value;
 
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -148,6 +148,10 @@
  *            wk_outcomes_stored (), or freed by the caller. */
 GArray *wk_mark_outcomes (const struct worker_calls *workers);
 
+/*! wk_no_outcome_marks () :
+ *  @return : the same of no worker. */
+GArray *wk_no_outcome_marks (void);
+
 /*! wk_outcomes_stored () :
  *  MARKS is a result of wk_mark_outcomes (): what the outcomes up to them
  *  changed has been stored, so they may be acknowledged to the workers.  Takes
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -27,6 +27,8 @@
 /* Of the host of the next planner.  */
 static double host_cpu_share = 1.0;
 static double host_link_mbps = 1000.0;
+/* Of the one worker of the next planner.  */
+static const char *worker_id = "w1";
 
 static int
 decode_fixture (struct ct_catalog **out, const void *text, size_t size_bytes)
@@ -215,7 +217,7 @@
         show_appends (setup);
     }
   answer_read (setup, &setup->store.workers_read, setup->store.workers_ctx,
-               one_record ("w1", "{}", 2));
+               one_record (worker_id, "{}", 2));
   while (fake_oldest_open_call (&setup->port, 'h') == NULL
          && clk_monotonic_ms (NULL) < until_ms)
     run_loop_for (setup, 5);
@@ -803,6 +805,118 @@
   tear_down (&setup);
 }
 
+enum
+{
+  LARGE_JOBS = 8,
+  LARGE_JOB_TASKS = 1000,
+  LONG_ID_LENGTH = 250 /* makes the record of each task long */
+};
+
+/* Jobs of tasks that need nothing.  */
+static GPtrArray *
+large_jobs (void)
+{
+  struct fixture_step step = { .count = LARGE_JOB_TASKS };
+  GPtrArray *records = so_records_create ();
+  int i;
+
+  for (i = 0; i < LARGE_JOBS; i++)
+    {
+      struct jb_spec *spec = fixture_spec ("batch", "clinic", &step);
+      char *key = g_strdup_printf ("j/%016x", i + 1);
+      GByteArray *bytes;
+
+      spec->steps[0].resources = (struct jb_resources){ 0 };
+      bytes = jb_encode_spec (spec);
+      g_ptr_array_add (records,
+                       so_record_create (key, bytes->data, bytes->len));
+      g_byte_array_free (bytes, TRUE);
+      jb_spec_free (spec);
+      g_free (key);
+    }
+  return records;
+}
+
+/* @return : whether an append up to number END has a record of the job's
+             progress.  */
+static bool
+is_job_in_appends (const struct setup *setup, uint32_t end, const char *task)
+{
+  char *key = g_strdup_printf ("p/%.16s", task);
+  bool found = false;
+  uint32_t i;
+  guint k;
+
+  for (i = 0; i < end; i++)
+    for (k = 0; k < setup->store.records[i]->len; k++)
+      found = found
+              || strcmp (((struct so_record *)g_ptr_array_index (
+                              setup->store.records[i], k))
+                             ->key,
+                         key)
+                     == 0;
+  g_free (key);
+  return found;
+}
+
+/* Answers all appends, and then all starts.
+   @return : whether each of the starts was of a job whose progress had been in
+             one of these appends, or an earlier one.  */
+static bool
+answer_appends_and_starts (struct setup *setup)
+{
+  uint32_t stored = setup->store.append_count;
+  struct fake_call *start;
+  bool all_stored = true;
+
+  answer_all_appends (setup);
+  while ((start = fake_oldest_open_call (&setup->port, 's')) != NULL)
+    {
+      all_stored
+          = all_stored && is_job_in_appends (setup, stored, start->task);
+      fake_answer (start, &(struct wp_answer){ .result = WP_DONE });
+    }
+  return all_stored;
+}
+
+/* Guards against a task that runs twice: a batch has room for 1 MB, and the
+   starts of the jobs that were left for the next one were sent with it, before
+   their placements were stored.  */
+static void
+test_start_waits_for_the_batch_of_its_job (void)
+{
+  char long_id[LONG_ID_LENGTH + 1];
+  struct setup setup;
+  int i;
+
+  memset (long_id, 'w', LONG_ID_LENGTH);
+  long_id[LONG_ID_LENGTH] = '\0';
+  worker_id = long_id;
+  become_planner (&setup);
+  worker_id = "w1";
+  answer_all_appends (&setup);
+  while (setup.store.jobs_read == NULL)
+    run_loop_for (&setup, 5);
+  setup.offset += LARGE_JOBS;
+  answer_read (&setup, &setup.store.jobs_read, setup.store.jobs_ctx,
+               large_jobs ());
+  /* Rounds go on while an append has no answer.  */
+  for (i = 0; i < 10; i++)
+    {
+      run_loop_for (&setup, 100);
+      if (setup.store.jobs_read != NULL)
+        answer_read (&setup, &setup.store.jobs_read, setup.store.jobs_ctx,
+                     so_records_create ());
+    }
+  for (i = 0; i < 200; i++)
+    {
+      CU_ASSERT_TRUE (answer_appends_and_starts (&setup));
+      run_loop_for (&setup, 5);
+    }
+  CU_ASSERT_TRUE (setup.port.count > (size_t)LARGE_JOBS * LARGE_JOB_TASKS);
+  tear_down (&setup);
+}
+
 static void
 wait_for_list_read (struct setup *setup)
 {
@@ -879,6 +993,8 @@
       test_nothing_is_placed_on_an_old_report },
     { "a worker that is not listed again gets nothing",
       test_worker_that_is_not_listed_again_gets_nothing },
+    { "a start waits for the batch of its job",
+      test_start_waits_for_the_batch_of_its_job },
     { "a lost append is sent again", test_lost_append_is_sent_again },
     { "an append to a slow store is not sent again",
       test_append_to_slow_store_is_not_sent_again },
