--- a/tests/unit/test_hostd_journal.c
+++ b/tests/unit/test_hostd_journal.c
@@ -540,8 +540,9 @@
   add_completed (&setup, JOB);
   answer_jobs (&setup, true); /* the newest records, of up to offset 100 */
   job = jb_table_find (jr_job_table (setup.journal), JOB);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (job);
-  CU_ASSERT_EQUAL (job->state, JB_COMPLETED);
+  CU_ASSERT_PTR_NOT_NULL (job);
+  if (job != NULL)
+    CU_ASSERT_EQUAL (job->state, JB_COMPLETED);
   finish (&setup);
 }
 
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -951,7 +951,8 @@
   wait_for_list_read (&setup);
   read = setup.store.workers_read;
   setup.store.workers_read = NULL;
-  read (setup.store.workers_ctx, &expired);
+  if (read != NULL)
+    read (setup.store.workers_ctx, &expired);
   wait_for_list_read (&setup);
   answer_read (&setup, &setup.store.workers_read, setup.store.workers_ctx,
                so_records_create ());
