A removal ends no write as stored; a page without keys is no end (by reading)

Found while the loading of topics was read again. A record without a value ended pending writes of its key as stored, so that the caller of a new submission could be told of success on the removal of the job's earlier record.

Measured: "a removal does not end a write as stored" failed before. Pages without keys that announce more have no test; the store sends none.

--- a/lib/worker/term_proof.h
+++ b/lib/worker/term_proof.h
@@ -4,7 +4,7 @@
 
    A store that is down for all must not end what runs.  But the planner may
    also be cut off from the store together with some workers, while another
-   host has become the planner.  It can not tell these two apart by itself:
+   host has become the planner.  It cannot tell these two apart by itself:
 
    - What it has stored proves that no other planner had begun before that
      append was sent.
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -347,7 +347,9 @@
   note_read_result (reader, answer->result);
   if (answer->result == SO_DONE)
     reader->journal->last_answer_ms = clk_monotonic_ms (NULL);
-  if (answer->result != SO_DONE)
+  /* More keys after none: there is no key to go on from.  */
+  if (answer->result != SO_DONE
+      || (answer->more_keys && answer->records->len == 0))
     {
       g_ptr_array_set_size (reader->newest_records, 0);
       schedule_read (reader, retry_pause_ms (reader));
@@ -363,7 +365,7 @@
       record->offset = found->offset;
       g_ptr_array_add (reader->newest_records, record);
     }
-  if (!answer->more_keys || answer->records->len == 0)
+  if (!answer->more_keys)
     jr_apply_newest_records (reader);
   read_next (reader);
 }
--- a/programs/foxtailgap-hostd/journal_fold.c
+++ b/programs/foxtailgap-hostd/journal_fold.c
@@ -196,7 +196,9 @@
         apply_cancel (journal, key + 2, record);
       else if (key[0] == 'p')
         apply_progress (journal, key + 2, record);
-      jr_finish_writes_of_key (journal, key);
+      /* A removal does not show that a later write of the key is stored.  */
+      if (record->value != NULL)
+        jr_finish_writes_of_key (journal, key);
     }
 }
 
--- a/programs/foxtailgap-hostd/planner_worker_list.c
+++ b/programs/foxtailgap-hostd/planner_worker_list.c
@@ -127,7 +127,9 @@
   planner->list_reading = false;
   if (planner->role != PL_PLANNER)
     return;
-  if (answer->result != SO_DONE)
+  /* More keys after none: there is no key to go on from.  */
+  if (answer->result != SO_DONE
+      || (answer->more_keys && answer->records->len == 0))
     {
       pl_reset_worker_list (planner);
       return;
@@ -139,7 +141,7 @@
     }
   apply_worker_records (planner, answer, 0);
   g_clear_pointer (&planner->list_last_key, g_free);
-  if (answer->more_keys && answer->records->len > 0)
+  if (answer->more_keys)
     {
       last = g_ptr_array_index (answer->records, answer->records->len - 1);
       planner->list_last_key = g_strdup (last->key);
--- a/tests/unit/test_hostd_journal.c
+++ b/tests/unit/test_hostd_journal.c
@@ -487,6 +487,25 @@
   finish (&setup);
 }
 
+/* Guards against a caller that is told of success although its job is not
+   stored: the removal of the job's earlier record was read meanwhile.  */
+static void
+test_removal_does_not_end_a_write_as_stored (void)
+{
+  struct setup setup;
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", &step);
+
+  begin (&setup);
+  jr_submit (setup.journal, JOB, spec, 5000, on_outcome, &setup);
+  g_ptr_array_add (setup.records,
+                   so_record_create ("j/00000000000000aa", NULL, 0));
+  answer_jobs (&setup, true);
+  CU_ASSERT_EQUAL (setup.outcome_count, 0);
+  jb_spec_free (spec);
+  finish (&setup);
+}
+
 /* A job that is stored while the pages are read is in none of them.  */
 static void
 test_job_stored_during_loading_stays (void)
@@ -621,6 +640,8 @@
       test_empty_list_of_leases_replaces_the_last },
     { "a job that is not loaded again is removed",
       test_job_that_is_not_loaded_again_is_removed },
+    { "a removal does not end a write as stored",
+      test_removal_does_not_end_a_write_as_stored },
     { "a job stored during loading stays",
       test_job_stored_during_loading_stays },
     { "leases that are not loaded again are forgotten",
