--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -177,7 +177,10 @@
   if (answer->result != WP_DONE)
     lg_info (PART, "A start was not answered with success.", "task",
              call->task, "run", lg_number (call->run), "worker", call->worker,
-             "result", wp_result_name (answer->result), NULL);
+             "result", wp_result_name (answer->result), "deadline_ms",
+             lg_number (call->deadline_ms), "clock_age_ms",
+             lg_number (call->clock_age_ms), "worker_clock_ms",
+             lg_number (answer->worker_clock_ms), NULL);
   if (worker != NULL && worker->driver_data != NULL)
     wk_update_clock (worker->driver_data, answer, clk_monotonic_ms (NULL));
   if (task != NULL && worker != NULL)
@@ -215,6 +218,8 @@
     .ticket = sd_task_ticket (workers->params.sched, task),
   };
 
+  call->deadline_ms = start.deadline_ms;
+  call->clock_age_ms = now_ms - io->clock_read_ms;
   call->sent_ms = MAX (now_ms, call->sent_ms + 1);
   lb_take (&workers->link, call->bytes, now_ms);
   wk_call_opened (call);
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -100,6 +100,8 @@
   int64_t sent_ms;             /* of the last try */
   struct cw_ticket *ticket;    /* NULL: not in the window */
   uint32_t percent;            /* of a pace command */
+  int64_t deadline_ms;         /* of a start, on the worker's clock, */
+  int64_t clock_age_ms;        /* and how old the reading of that clock was */
   uint32_t bytes;              /* of a start: about as many are sent */
   bool earlier_try_unanswered; /* so that try may still take effect */
   /* Of the worker's process by whose clock its deadline was computed.  */
