--- a/programs/foxtailgap-hostd/worker_losses.c
+++ b/programs/foxtailgap-hostd/worker_losses.c
@@ -72,7 +72,7 @@
 {
   GPtrArray *tasks = g_ptr_array_copy (io->worker->tasks, NULL, NULL);
 
-  lose_runs (io, tasks, why, process_ended, io->clock_read_ms, now_ms);
+  lose_runs (io, tasks, why, process_ended, io->clock.read_ms, now_ms);
   g_ptr_array_free (tasks, TRUE);
   io->workers->params.changed (io->workers->params.ctx);
 }
--- a/programs/foxtailgap-hostd/worker_process.c
+++ b/programs/foxtailgap-hostd/worker_process.c
@@ -13,31 +13,24 @@
 
 enum
 {
-  /* Added to the duration of a lease: a worker's clock may be 2% slow, and a
-     command takes time to arrive.  */
-  CLOCK_SLOW_PERCENT = 3,
-  LEASE_SLACK_MS = 300
+  LEASE_SLACK_MS = 300 /* a command takes time to arrive */
 };
 
 /* --- Leases --- */
 
-/* When a lease is over that a call sent at SENT_MS may grant.  */
+/* When a lease is over that a call sent at SENT_MS may grant, whatever its
+   deadline: the worker shortens it to the limit, on its own clock.  */
 static int64_t
-lease_bound_ms (int64_t sent_ms, uint32_t ttl_ms)
+longest_lease_end_ms (const struct worker_io *io, int64_t sent_ms)
 {
-  return sent_ms + ttl_ms + ttl_ms * CLOCK_SLOW_PERCENT / 100 + LEASE_SLACK_MS;
-}
-
-void
-wk_extend_lease_bound (struct worker_io *io, int64_t now_ms, uint32_t ttl_ms)
-{
-  io->lease_end_ms = MAX (io->lease_end_ms, lease_bound_ms (now_ms, ttl_ms));
+  return sent_ms + wc_longest_ms (io->workers->params.lease_limit_ms)
+         + LEASE_SLACK_MS;
 }
 
 void
 wk_extend_lease_to_limit (struct worker_io *io, int64_t now_ms)
 {
-  wk_extend_lease_bound (io, now_ms, io->workers->params.lease_limit_ms);
+  io->lease_end_ms = MAX (io->lease_end_ms, longest_lease_end_ms (io, now_ms));
 }
 
 void
@@ -47,22 +40,20 @@
   io->deadline_sent_ms = now_ms;
   if (is_start)
     io->unverified_start_ms = now_ms;
-  wk_extend_lease_bound (io, now_ms, ttl_ms);
+  io->lease_end_ms = MAX (io->lease_end_ms, now_ms + ttl_ms + LEASE_SLACK_MS);
 }
 
 int64_t
 wk_lease_end_ms (const struct worker_io *io)
 {
   const struct worker_calls *workers = io->workers;
-  uint32_t limit_ms = workers->params.lease_limit_ms;
   int64_t end_ms = io->lease_end_ms;
 
   if (io->unverified_start_ms != 0)
-    end_ms = MAX (end_ms, lease_bound_ms (io->deadline_sent_ms, limit_ms));
+    end_ms = MAX (end_ms, longest_lease_end_ms (io, io->deadline_sent_ms));
   if (wk_lease_is_uncounted (io))
-    end_ms
-        = MAX (end_ms, lease_bound_ms (wk_uncounted_lease_start_ms (workers),
-                                       limit_ms));
+    end_ms = MAX (end_ms, longest_lease_end_ms (
+                              io, wk_uncounted_lease_start_ms (workers)));
   return end_ms;
 }
 
@@ -89,7 +80,7 @@
 former_process_answered_ms (const struct worker_io *io,
                             const struct wp_answer *answer, int64_t now_ms)
 {
-  return MIN (io->clock_read_ms, now_ms - MAX (answer->worker_clock_ms, 0));
+  return MIN (io->clock.read_ms, now_ms - MAX (answer->worker_clock_ms, 0));
 }
 
 /* Starts that may have been sent by the clock of the former process count as
@@ -159,7 +150,7 @@
   lg_info (PART, "A worker's report shows a restart; it is polled first.",
            "worker", worker->report.id, NULL);
   wk_extend_lease_to_limit (io, clk_monotonic_ms (NULL));
-  io->clock_ms = -1;
+  io->clock.clock_ms = -1;
   if (worker->reachability == SD_WORKER_REACHABLE)
     sd_worker_set_reachability (worker, SD_WORKER_UNSEEN);
 }
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -11,11 +11,10 @@
 
 enum
 {
-  /* A worker refuses a start that arrives later than this, so that it is soon
-     known that a start without an answer can not take effect any more.  Long
-     enough for three tries.  */
-  START_VALID_MS = WK_START_EXPIRY_MS - WK_START_CLOCK_MARGIN_MS,
-  START_TIMEOUT_MS = 350
+  START_TIMEOUT_MS = 350,
+  /* The third try is sent by then.  A worker refuses a start that arrives
+     after WK_START_EXPIRY_MS, with a right clock somewhat earlier.  */
+  LAST_TRY_MAX_MS = 850
 };
 
 static void send_start (struct wk_call *call, struct jb_task *task,
@@ -49,8 +48,9 @@
 may_start (struct worker_calls *workers, int64_t now_ms)
 {
   return wk_may_command (workers)
-         && wk_lease_allowance_ms (workers, now_ms) >= MIN (
-                (int64_t)START_VALID_MS, workers->params.lease_limit_ms / 2);
+         && wk_lease_allowance_ms (workers, now_ms)
+                >= MIN ((int64_t)WK_START_EXPIRY_MS,
+                        workers->params.lease_limit_ms / 2);
 }
 
 /* Whether a start without an answer may be sent again.  */
@@ -60,9 +60,9 @@
 {
   struct worker_calls *workers = call->workers;
 
-  return now_ms < call->first_sent_ms + START_VALID_MS - START_TIMEOUT_MS
+  return now_ms < call->first_sent_ms + LAST_TRY_MAX_MS
          && task->state == JB_TASK_PLACED && may_start (workers, now_ms)
-         && wk_call_is_of_process (call, io) && io->clock_ms >= 0
+         && wk_call_is_of_process (call, io) && io->clock.clock_ms >= 0
          && !io->lease_recorded
          && sd_start_is_safe (workers->params.sched, task, now_ms);
 }
@@ -203,7 +203,7 @@
   struct worker_calls *workers = call->workers;
   struct worker_io *io = wk_io (workers, worker);
   int64_t now_ms = clk_monotonic_ms (NULL);
-  int64_t left_ms = MIN (call->first_sent_ms + START_VALID_MS - now_ms,
+  int64_t left_ms = MIN (call->first_sent_ms + WK_START_EXPIRY_MS - now_ms,
                          wk_lease_allowance_ms (workers, now_ms));
   struct wp_target target = wk_target (worker);
   const struct jb_task *checkpoint_task
@@ -212,14 +212,14 @@
     .task = call->task,
     .run = call->run,
     .job_text = task->job->spec->text,
-    .deadline_ms = wk_clock_ms (io, now_ms) + left_ms,
+    .deadline_ms = MAX (wc_deadline_ms (&io->clock, now_ms + left_ms), 0),
     .term = workers->term,
     .checkpoint = checkpoint_task->checkpoint,
     .ticket = sd_task_ticket (workers->params.sched, task),
   };
 
   call->deadline_ms = start.deadline_ms;
-  call->clock_age_ms = now_ms - io->clock_read_ms;
+  call->clock_age_ms = now_ms - io->clock.read_ms;
   call->sent_ms = MAX (now_ms, call->sent_ms + 1);
   lb_take (&workers->link, call->bytes, now_ms);
   wk_call_opened (call);
@@ -255,6 +255,17 @@
   workers->params.changed (workers->params.ctx);
 }
 
+/* An idle worker is not polled, so that its clock may have been read long ago.
+   The other starts need not wait.  */
+static void
+await_clock (struct wk_call *call, struct worker_io *io, int64_t now_ms)
+{
+  g_queue_push_tail (&io->starts_awaiting_clock, call);
+  io->workers->starts_awaiting_clock++;
+  mt_add (io->workers->params.metrics, "foxtailgap_clock_waits_total", 1);
+  wk_poll_at_once (io, now_ms);
+}
+
 static void
 send_queued_start (struct wk_call *call)
 {
@@ -293,26 +304,68 @@
           "the worker's capacity has changed or is not known");
       return;
     }
+  if (!wc_is_recent (&wk_io (workers, worker)->clock, now_ms))
+    {
+      await_clock (call, wk_io (workers, worker), now_ms);
+      return;
+    }
   call->worker_started_ms = worker->process_started_ms;
   call->first_sent_ms = now_ms;
   call->sent_ms = now_ms;
   send_start (call, task, worker);
 }
 
+static GQueue *
+count_in_queue (struct worker_calls *workers, const struct wk_call *call)
+{
+  if (call->urgent)
+    workers->urgent_bytes += call->bytes;
+  else
+    workers->less_urgent_bytes += call->bytes;
+  return call->urgent ? &workers->urgent_starts : &workers->starts;
+}
+
 static void
 queue_start (struct worker_calls *workers, struct wk_call *call,
              const struct jb_task *task)
 {
-  bool urgent = task->job->priority == 0;
-
+  call->urgent = task->job->priority == 0;
   call->bytes
       = (uint32_t)strlen (task->job->spec->text) + WK_CALL_OVERHEAD_BYTES;
-  if (urgent)
-    workers->urgent_bytes += call->bytes;
+  g_queue_push_tail (count_in_queue (workers, call), call);
+}
+
+/* The start of a worker whose clock could not be read.  */
+static void
+end_unsent_start (struct wk_call *call)
+{
+  struct jb_task *task = wk_task_of_call (call);
+
+  if (task == NULL)
+    wk_call_free (call); /* the run has been given up meanwhile */
+  else if (task->state != JB_TASK_PLACED)
+    drop_unsent_start (call, task);
   else
-    workers->less_urgent_bytes += call->bytes;
-  g_queue_push_tail (urgent ? &workers->urgent_starts : &workers->starts,
-                     call);
+    refuse_unsent_start (call, task, SD_REFUSED_OTHER,
+                         "the worker's clock is not known");
+}
+
+void
+wk_poll_ended (struct worker_io *io, int64_t now_ms)
+{
+  struct worker_calls *workers = io->workers;
+  bool is_known = wc_is_recent (&io->clock, now_ms);
+  struct wk_call *call;
+
+  /* Last first, since each goes to the head of the queue.  */
+  while ((call = g_queue_pop_tail (&io->starts_awaiting_clock)) != NULL)
+    {
+      workers->starts_awaiting_clock--;
+      if (is_known)
+        g_queue_push_head (count_in_queue (workers, call), call);
+      else
+        end_unsent_start (call);
+    }
 }
 
 static struct wk_call *
@@ -367,6 +420,14 @@
 void
 wk_drop_queued_starts (struct worker_calls *workers)
 {
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, workers->ios);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_queue_clear_full (&((struct worker_io *)value)->starts_awaiting_clock,
+                        (GDestroyNotify)wk_call_free);
+  workers->starts_awaiting_clock = 0;
   g_queue_clear_full (&workers->urgent_starts, (GDestroyNotify)wk_call_free);
   g_queue_clear_full (&workers->starts, (GDestroyNotify)wk_call_free);
   workers->urgent_bytes = 0;
@@ -382,7 +443,8 @@
 uint32_t
 wk_waiting_starts (const struct worker_calls *workers)
 {
-  return workers->urgent_starts.length + workers->starts.length;
+  return workers->urgent_starts.length + workers->starts.length
+         + workers->starts_awaiting_clock;
 }
 
 void
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -16,6 +16,8 @@
      platform's limit is 2,000 ms.  */
   RENEWAL_WAIT_MS = 1900,
   RENEWAL_TIMEOUT_MS = 700, /* in addition to the wait */
+  /* Of a poll that a start waits for: as long as that of a start.  */
+  CLOCK_POLL_TIMEOUT_MS = 350,
   /* A lease lasts until the renewal after the next one, also if the term was
      proved some hundred ms before the renewal.  */
   RENEWALS_PER_LEASE = 3,
@@ -74,18 +76,12 @@
   io = g_new0 (struct worker_io, 1);
   io->workers = workers;
   io->worker = worker;
-  io->clock_ms = -1;
+  io->clock.clock_ms = -1;
   worker->driver_data = io;
   g_hash_table_insert (workers->ios, worker->report.id, io);
   return io;
 }
 
-int64_t
-wk_clock_ms (const struct worker_io *io, int64_t now_ms)
-{
-  return io->clock_ms < 0 ? 0 : io->clock_ms + (now_ms - io->clock_read_ms);
-}
-
 void
 wk_update_clock (struct worker_io *io, const struct wp_answer *answer,
                  int64_t now_ms)
@@ -93,8 +89,8 @@
   /* The clock of another process says nothing about this worker.  */
   if (answer->worker_clock_ms < 0 || answer->result == WP_WRONG_WORKER)
     return;
-  io->clock_ms = answer->worker_clock_ms;
-  io->clock_read_ms = now_ms;
+  io->clock = (struct wc_reading){ .clock_ms = answer->worker_clock_ms,
+                                   .read_ms = now_ms };
 }
 
 struct wp_target
@@ -315,7 +311,7 @@
   struct worker_calls *workers = call->workers;
   int64_t now_ms = clk_monotonic_ms (NULL);
   struct sd_worker *worker;
-  struct worker_io *io;
+  struct worker_io *io = NULL;
 
   wk_call_answered (call);
   if (!wk_call_is_current (call))
@@ -359,6 +355,8 @@
   workers->params.changed (workers->params.ctx);
 
 done:
+  if (io != NULL)
+    wk_poll_ended (io, now_ms);
   wk_call_free (call);
   if (workers != NULL)
     wk_send_queued_starts (workers);
@@ -376,10 +374,20 @@
   return MIN (workers->params.lease_ttl_ms, limit_ms);
 }
 
+/* Whether the next renewal is to read the clock of a worker that was idle:
+   work has been placed there, and its start needs a recent reading.  */
+static bool
+reads_clock (const struct worker_io *io, int64_t now_ms)
+{
+  return io->worker->reachability == SD_WORKER_REACHABLE
+         && !wc_is_recent (&io->clock, now_ms);
+}
+
 /* How long the worker may delay its answer to the next renewal.  */
 static uint32_t
 renewal_wait_ms (const struct worker_io *io)
 {
+  int64_t now_ms = clk_monotonic_ms (NULL);
   uint32_t wait_ms
       = MIN ((uint32_t)RENEWAL_WAIT_MS,
              io->workers->params.lease_ttl_ms / RENEWALS_PER_LEASE);
@@ -387,11 +395,13 @@
   if (io->worker->reachability != SD_WORKER_REACHABLE || io->poll_at_once
       || io->lease_recorded)
     return 0;
+  if (reads_clock (io, now_ms))
+    return 0;
   if (sd_worker_is_shared (io->worker))
     return SHARED_POLL_WAIT_MS;
   if (io->poll_soon)
     return io->workers->params.stop_max_ms + WK_OUTCOME_LISTING_MS;
-  if (wk_needs_proof (io->workers, clk_monotonic_ms (NULL)))
+  if (wk_needs_proof (io->workers, now_ms))
     wait_ms = MIN (wait_ms, wk_proof_wait_ms (io->workers));
   return wait_ms;
 }
@@ -406,6 +416,7 @@
   bool extends_lease = !io->lease_recorded && allowance_ms > 0
                        && !wk_renewal_is_suspended (io, now_ms)
                        && wk_may_command (workers);
+  uint32_t timeout_ms;
   struct wk_call *call;
   struct wp_renew renewal = {
     .term = workers->term,
@@ -416,14 +427,17 @@
     .wait_ms = renewal_wait_ms (io),
   };
 
-  if (extends_lease && io->clock_ms >= 0 && worker->tasks->len > 0)
+  if (extends_lease && io->clock.clock_ms >= 0 && worker->tasks->len > 0)
     {
       uint32_t ttl_ms
           = (uint32_t)MIN (lease_duration_ms (workers, worker), allowance_ms);
 
-      renewal.lease_deadline_ms = wk_clock_ms (io, now_ms) + ttl_ms;
+      renewal.lease_deadline_ms
+          = MAX (wc_deadline_ms (&io->clock, now_ms + ttl_ms), 0);
       wk_deadline_sent (io, now_ms, ttl_ms, false);
     }
+  timeout_ms = reads_clock (io, now_ms) ? (uint32_t)CLOCK_POLL_TIMEOUT_MS
+                                        : renewal.wait_ms + RENEWAL_TIMEOUT_MS;
   io->renewal_in_flight = true;
   io->poll_at_once = false;
   io->poll_soon = false;
@@ -434,15 +448,22 @@
   if (renewal.wait_ms == 0)
     wk_call_opened (call);
   workers->params.port.renew (workers->params.port.ctx, &target, &renewal,
-                              renewal.wait_ms + RENEWAL_TIMEOUT_MS,
-                              on_renewal_answer, call);
+                              timeout_ms, on_renewal_answer, call);
   mt_add (workers->params.metrics, "foxtailgap_holds_total", 1);
 }
 
+void
+wk_poll_at_once (struct worker_io *io, int64_t now_ms)
+{
+  io->poll_at_once = true;
+  if (!io->renewal_in_flight)
+    send_renewal (io->workers, io, now_ms);
+}
+
 bool
 wk_renewal_is_suspended (const struct worker_io *io, int64_t now_ms)
 {
-  if (io->clock_ms < 0) /* it has not answered under this term */
+  if (io->clock.clock_ms < 0) /* it has not answered under this term */
     return io->worker->reachability == SD_WORKER_UNREACHABLE;
   return io->worker->reachability != SD_WORKER_REACHABLE
          && now_ms - io->answered_renewal_sent_ms >= RENEW_WITHOUT_ANSWER_MS;
@@ -636,7 +657,7 @@
 
       *io = (struct worker_io){ .workers = workers,
                                 .worker = worker,
-                                .clock_ms = -1 };
+                                .clock.clock_ms = -1 };
       /* The previous planner may have renewed it until just now.  */
       wk_extend_lease_to_limit (io, now_ms);
       wk_adopt_recorded_lease (io, leases, now_ms);
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -25,9 +25,7 @@
 enum
 {
   /* A start takes effect within this time or never.  */
-  WK_START_EXPIRY_MS = 1260,
-  /* Part of it: the worker's clock may be 2% slow.  */
-  WK_START_CLOCK_MARGIN_MS = 60
+  WK_START_EXPIRY_MS = 1260
 };
 
 struct wk_params
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -10,6 +10,7 @@
 
 #include "worker/call_window.h"
 #include "worker/link_budget.h"
+#include "worker/worker_clock.h"
 #include "workers.h"
 
 enum
@@ -23,15 +24,15 @@
 {
   struct worker_calls *workers;
   struct sd_worker *worker;
-  /* the worker's clock */
-  int64_t clock_ms; /* as last reported; negative: never under this term */
-  int64_t clock_read_ms;       /* when that report came in */
+  struct wc_reading clock;     /* the last one under this term */
   int64_t reported_started_ms; /* sd_worker.process_started_ms by its report;
                                   0: not reported */
   int64_t process_seen_ms; /* when its process first answered a poll, since the
                               term began or the last restart */
   int64_t former_process_answered_ms; /* when the process before the last
                                          restart answered last */
+  GQueue starts_awaiting_clock; /* struct wk_call: not sent yet; a poll is in
+                                   flight */
   /* outcomes of runs */
   int64_t outcome_processed; /* number of the last outcome processed */
   int64_t outcome_stored;    /* of the last one whose effects are stored */
@@ -66,13 +67,14 @@
   /* Grows when a term begins or ends; answers to calls of an earlier
      generation are ignored.  */
   uint64_t generation;
-  GHashTable *ios;             /* id -> struct worker_io */
-  struct cw_window *window;    /* of the calls that are answered at once */
-  struct lb_budget link;       /* of the bytes of starts and other calls */
-  GQueue urgent_starts;        /* struct wk_call: not sent yet */
-  GQueue starts;               /* the same, of less urgent jobs */
-  int64_t urgent_bytes;        /* of the starts in urgent_starts, */
-  int64_t less_urgent_bytes;   /* and in the other queue */
+  GHashTable *ios;                /* id -> struct worker_io */
+  struct cw_window *window;       /* of the calls that are answered at once */
+  struct lb_budget link;          /* of the bytes of starts and other calls */
+  GQueue urgent_starts;           /* struct wk_call: not sent yet */
+  GQueue starts;                  /* the same, of less urgent jobs */
+  uint32_t starts_awaiting_clock; /* of all workers together */
+  int64_t urgent_bytes;           /* of the starts in urgent_starts, */
+  int64_t less_urgent_bytes;      /* and in the other queue */
   guint next_renewal;          /* index of the worker that is first in the next
                                   pass of wk_send_waiting () */
   int64_t leases_collected_ms; /* of the last wk_collect_leases () */
@@ -100,6 +102,7 @@
   int64_t sent_ms;             /* of the last try */
   struct cw_ticket *ticket;    /* NULL: not in the window */
   uint32_t percent;            /* of a pace command */
+  bool urgent;                 /* of a start: its job is */
   int64_t deadline_ms;         /* of a start, on the worker's clock, */
   int64_t clock_age_ms;        /* and how old the reading of that clock was */
   uint32_t bytes;              /* of a start: about as many are sent */
@@ -113,27 +116,20 @@
 struct worker_io *wk_io (struct worker_calls *workers,
                          struct sd_worker *worker);
 
-/*! wk_clock_ms () :
- *  @return : what the worker's clock shows now, by its last report; 0 if
- *            there was none. */
-int64_t wk_clock_ms (const struct worker_io *io, int64_t now_ms);
-
 /*! wk_update_clock () :
  *  Takes over the worker's clock from an answer, if it has one. */
 void wk_update_clock (struct worker_io *io, const struct wp_answer *answer,
                       int64_t now_ms);
 
-/*! wk_extend_lease_bound (), wk_extend_lease_to_limit () :
- *  Extends the worker's lease: runs may go on there for TTL_MS on the worker's
- *  clock, or for as long as any lease may last, for an earlier planner may
- *  have sent a call just now, or one by the clock of a former process. */
-void wk_extend_lease_bound (struct worker_io *io, int64_t now_ms,
-                            uint32_t ttl_ms);
+/*! wk_extend_lease_to_limit () :
+ *  Runs may go on there for as long as any lease may last, for an earlier
+ *  planner may have sent a call just now, or one by the clock of a former
+ *  process. */
 void wk_extend_lease_to_limit (struct worker_io *io, int64_t now_ms);
 
 /*! wk_deadline_sent () :
- *  A start or lease renewal is being sent: runs may go on there for TTL_MS on
- *  the worker's clock. */
+ *  A start or lease renewal is being sent, with wc_deadline_ms () of TTL_MS
+ *  from now on: for as long runs may go on there. */
 void wk_deadline_sent (struct worker_io *io, int64_t now_ms, uint32_t ttl_ms,
                        bool is_start);
 
@@ -281,6 +277,15 @@
  *            wk_params.may_command. */
 bool wk_may_command (const struct worker_calls *workers);
 
+/*! wk_poll_at_once () :
+ *  Sends a poll that is answered immediately, unless a poll is in flight. */
+void wk_poll_at_once (struct worker_io *io, int64_t now_ms);
+
+/*! wk_poll_ended () :
+ *  A poll has been answered or not: the starts that have waited for the
+ *  worker's clock are queued again, or refused if it is still not known. */
+void wk_poll_ended (struct worker_io *io, int64_t now_ms);
+
 /*! wk_send_queued_starts () :
  *  Sends starts that wait, as many as the window has room for. */
 void wk_send_queued_starts (struct worker_calls *workers);
--- a/tests/unit/hostd_fixture.h
+++ b/tests/unit/hostd_fixture.h
@@ -140,6 +140,8 @@
   uint32_t run;
   int64_t seen;        /* of a renewal: acked_outcome_number */
   int64_t deadline_ms; /* of a start or renewal; negative: poll only */
+  uint32_t wait_ms;    /* of a renewal */
+  uint32_t timeout_ms;
   uint32_t percent;
   wp_callback callback;
   void *ctx;
@@ -171,7 +173,7 @@
 {
   struct fake_call *call = fake_add (ctx, 's', target, callback, callback_ctx);
 
-  (void)timeout_ms;
+  call->timeout_ms = timeout_ms;
   g_strlcpy (call->task, start->task, sizeof call->task);
   call->run = start->run;
   call->deadline_ms = start->deadline_ms;
@@ -184,7 +186,7 @@
 {
   struct fake_call *call = fake_add (ctx, 'x', target, callback, callback_ctx);
 
-  (void)timeout_ms;
+  call->timeout_ms = timeout_ms;
   g_strlcpy (call->task, stop->task, sizeof call->task);
   call->run = stop->run;
 }
@@ -196,7 +198,7 @@
 {
   struct fake_call *call = fake_add (ctx, 'p', target, callback, callback_ctx);
 
-  (void)timeout_ms;
+  call->timeout_ms = timeout_ms;
   g_strlcpy (call->task, pace->task, sizeof call->task);
   call->percent = pace->percent;
 }
@@ -208,7 +210,8 @@
 {
   struct fake_call *call = fake_add (ctx, 'h', target, callback, callback_ctx);
 
-  (void)timeout_ms;
+  call->timeout_ms = timeout_ms;
+  call->wait_ms = renewal->wait_ms;
   call->seen = renewal->acked_outcome_number;
   call->deadline_ms = renewal->lease_deadline_ms;
 }
--- a/tests/unit/test_hostd_crashes.c
+++ b/tests/unit/test_hostd_crashes.c
@@ -14,9 +14,10 @@
 enum
 {
   LEASE_MS = 300,
-  /* That of a start, which is valid for 1200 ms, 3% of it and 300 ms.  */
-  LEASE_IS_OVER_MS = 1560,
+  /* That of a start, which is valid for 1260 ms, and 300 ms.  */
+  LEASE_IS_OVER_MS = 1580,
   POLL_AGAIN_MS = 260, /* of an unreachable worker */
+  CLOCK_MS = 1000,     /* what the workers' clocks show, always */
   LONG_RUN_MS = 700,   /* a run of this age is no longer starting */
   TRIES_MAX = 6,
   /* The users' bound: after three crashes, the third start more breaks their
@@ -95,16 +96,6 @@
   return job;
 }
 
-/* Adds a worker that nothing runs on.  */
-static struct sd_worker *
-add_worker (struct setup *setup)
-{
-  char id[16];
-
-  g_snprintf (id, sizeof id, "w%u", setup->workers_added++);
-  return fixture_worker (setup->sched, id, "r1", 8);
-}
-
 static struct sd_worker *
 worker_of (struct setup *setup, const struct jb_task *task)
 {
@@ -130,7 +121,9 @@
 static void
 answer_polls (struct setup *setup, const char *worker, enum wp_result result)
 {
-  struct wp_answer answer = { .result = result, .worker_clock_ms = -1 };
+  struct wp_answer answer
+      = { .result = result,
+          .worker_clock_ms = result == WP_DONE ? CLOCK_MS : -1 };
   size_t i;
 
   wk_send_waiting (setup->workers);
@@ -140,6 +133,20 @@
       fake_answer (&setup->port.calls[i], &answer);
 }
 
+/* Adds a worker that nothing runs on, and that has answered a poll.  */
+static struct sd_worker *
+add_worker (struct setup *setup)
+{
+  struct sd_worker *worker;
+  char id[16];
+
+  g_snprintf (id, sizeof id, "w%u", setup->workers_added++);
+  worker = fixture_worker (setup->sched, id, "r1", 8);
+  sd_worker_set_reachability (worker, SD_WORKER_UNSEEN);
+  answer_polls (setup, id, WP_DONE);
+  return worker;
+}
+
 /* WORKER stops answering, and the store's list drops it.  */
 static void
 lose_worker (struct setup *setup, const struct sd_worker *worker)
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -26,6 +26,23 @@
 /* Of the next set_up (); 0: no limit.  */
 static uint32_t link_bytes_per_s;
 
+/* Has the workers polled that need it, all of which answer.  */
+static void
+answer_first_polls (struct setup *setup)
+{
+  struct fake_call *poll;
+
+  for (;;)
+    {
+      wk_send_waiting (setup->workers);
+      poll = fake_oldest_open_call (&setup->port, 'h');
+      if (poll == NULL)
+        return;
+      while ((poll = fake_oldest_open_call (&setup->port, 'h')) != NULL)
+        fake_answer (poll, &(struct wp_answer){ .result = WP_DONE });
+    }
+}
+
 static void
 on_changed (void *ctx)
 {
@@ -433,7 +450,8 @@
 enum
 {
   WAVE_TASKS = 300,
-  WINDOW_CALLS = 128 /* of workers.c */
+  WINDOW_CALLS = 128, /* of workers.c */
+  LINK_FREE_MS = 1000 /* after the polls of the wave's workers */
 };
 
 static uint32_t
@@ -447,10 +465,11 @@
   return count;
 }
 
-/* Places a job of WAVE_TASKS tasks, one on each of as many workers, and gives
-   the order to start them all.  The workers have not been polled yet.  */
+/* Places a job of WAVE_TASKS tasks, TASKS_PER_WORKER on each worker, and gives
+   the order to start them all, IDLE_MS after the workers were polled.  */
 static void
-start_wave (struct setup *setup)
+start_wave_after (struct setup *setup, uint32_t tasks_per_worker,
+                  uint32_t idle_ms)
 {
   struct fixture_step step = { .count = WAVE_TASKS, .accelerators = 8 };
   struct jb_job *job
@@ -459,12 +478,17 @@
   char id[16];
   uint32_t i;
 
-  for (i = 0; i < WAVE_TASKS; i++)
+  for (i = 0; i < WAVE_TASKS / tasks_per_worker; i++)
     {
       g_snprintf (id, sizeof id, "w%u", i);
-      fixture_worker (setup->sched, id, "r1", 8);
+      sd_worker_set_reachability (
+          fixture_worker (setup->sched, id, "r1",
+                          8 * (int64_t)tasks_per_worker),
+          SD_WORKER_UNSEEN);
     }
   wk_begin_term (setup->workers, 1, NULL);
+  answer_first_polls (setup);
+  usleep (1000 * idle_ms);
   sd_job_added (setup->sched, job);
   CU_ASSERT_EQUAL (fixture_run_round (setup->sched, clk_monotonic_ms (NULL)),
                    WAVE_TASKS);
@@ -472,6 +496,12 @@
     wk_start (setup->workers, &job->tasks[i]);
 }
 
+static void
+start_wave (struct setup *setup)
+{
+  start_wave_after (setup, 1, 0);
+}
+
 /* Guards against a planner that sends thousands of starts at once and reads
    the answers only after the starts have timed out; meanwhile it lost its term
    (day quiet-1 of the large anla-rounds).  */
@@ -532,7 +562,7 @@
   link_bytes_per_s = 80000;
   set_up (&setup, 6000);
   link_bytes_per_s = 0;
-  start_wave (&setup);
+  start_wave_after (&setup, 4, LINK_FREE_MS);
   sent = count_open_calls (&setup, 's');
   CU_ASSERT_TRUE (sent > 0 && sent < 10);
   backlog_ms = wk_backlog_ms (setup.workers, false);
