--- a/tests/unit/hostd_fixture.h
+++ b/tests/unit/hostd_fixture.h
@@ -141,6 +141,7 @@
   int64_t seen;        /* of a renewal: acked_outcome_number */
   int64_t deadline_ms; /* of a start or renewal; negative: poll only */
   uint32_t wait_ms;    /* of a renewal */
+  uint64_t term;       /* of a start, stop or renewal */
   uint32_t timeout_ms;
   uint32_t percent;
   wp_callback callback;
@@ -177,6 +178,7 @@
   g_strlcpy (call->task, start->task, sizeof call->task);
   call->run = start->run;
   call->deadline_ms = start->deadline_ms;
+  call->term = start->term;
 }
 
 static inline void
@@ -189,6 +191,7 @@
   call->timeout_ms = timeout_ms;
   g_strlcpy (call->task, stop->task, sizeof call->task);
   call->run = stop->run;
+  call->term = stop->term;
 }
 
 static inline void
@@ -214,6 +217,7 @@
   call->wait_ms = renewal->wait_ms;
   call->seen = renewal->acked_outcome_number;
   call->deadline_ms = renewal->lease_deadline_ms;
+  call->term = renewal->term;
 }
 
 /* The first open call of a kind in the ring of the last FAKE_CALLS_MAX calls;
--- a/tests/unit/test_hostd_clock.c
+++ b/tests/unit/test_hostd_clock.c
@@ -58,6 +58,7 @@
 {
   char id[8];
   uint32_t clock_percent; /* of the speed of a right clock */
+  uint64_t term;          /* highest of its calls */
   bool unreachable;
   int64_t lease_end_ms; /* on its own clock */
   bool running;
@@ -88,6 +89,7 @@
   struct mt_registry *metrics;
   struct worker_calls *workers;
   struct jb_task *task;
+  uint64_t term;
   int64_t placed_ms;    /* when the last round has placed the task */
   uint32_t started_run; /* the last run whose start was ordered */
   int32_t late_min_ms;  /* of late calls */
@@ -179,6 +181,9 @@
          const struct fake_call *call)
 {
   end_due_run (worker);
+  if (call->term < worker->term)
+    return WP_FENCED;
+  worker->term = call->term;
   switch (call->kind)
     {
     case 's':
@@ -208,7 +213,7 @@
   struct wp_answer whole
       = { .result = result, .worker_clock_ms = clock_of (worker) };
 
-  if (call->kind == 'h')
+  if (call->kind == 'h' && result == WP_DONE)
     {
       struct wp_run run
           = { .task = task,
@@ -379,6 +384,28 @@
   return true;
 }
 
+/* LEASES: see wk_begin_term ().  */
+static void
+begin_term (struct setup *setup, GHashTable *leases)
+{
+  sd_begin_term (setup->sched, now_ms);
+  wk_begin_term (setup->workers, ++setup->term, leases);
+  wk_worker_list_read (setup->workers);
+}
+
+/* Another planner takes over, with the record of leases, or with an older one
+   that has no worker.  */
+static void
+take_over (struct setup *setup, bool records_leases)
+{
+  GHashTable *leases
+      = records_leases ? wk_collect_leases (setup->workers) : NULL;
+
+  begin_term (setup, leases);
+  if (leases != NULL)
+    g_hash_table_destroy (leases);
+}
+
 static void
 set_up (struct setup *setup, uint32_t clock_percent)
 {
@@ -417,8 +444,7 @@
           fixture_worker (setup->sched, setup->peers[i].id, "r1", 1),
           SD_WORKER_UNSEEN);
     }
-  sd_begin_term (setup->sched, now_ms);
-  wk_begin_term (setup->workers, 1, NULL);
+  begin_term (setup, NULL);
   setup->task = jb_table_add (setup->table, JOB,
                               fixture_spec ("batch", "clinic", &step), 0)
                     ->tasks;
@@ -630,6 +656,8 @@
       worker->unreachable = is_lucky (&setup, 40);
       if (is_lucky (&setup, 20))
         now_ms += g_rand_int_range (setup.rng, 100, 8000); /* a pause */
+      if (is_lucky (&setup, 20))
+        take_over (&setup, is_lucky (&setup, 50));
       pass (&setup, g_rand_int_range (setup.rng, 100, 4000), JB_TASK_DONE);
     }
   setup.late_share = 0;
@@ -643,9 +671,9 @@
   tear_down (&setup);
 }
 
-/* Late calls, workers out of reach and pauses of the process, at random, after
-   idle times of up to ten minutes: the task never runs twice at once, nor
-   after an end that is acknowledged.  */
+/* Late calls, workers out of reach, pauses of the process and takeovers, at
+   random, after idle times of up to ten minutes: the task never runs twice at
+   once, nor after an end that is acknowledged.  */
 static void
 test_random_faults_after_idle_times (void)
 {
