The wait for an earlier planner without the store has a margin for its clock (by reading)

Of the times on the hosts' own clocks that another host's decision rests on, one had a fixed margin beside a long time: a planner that reaches less than half of the workers waits for 30 s, for which its predecessor may extend leases without the store, and a lease, with 0.3 s and 2% of the lease to spare. A predecessor whose clock is 2% slower is 0.8 s late after 40 s. The wait is 2% longer now: 0.6 s, in that case alone.

test_hostd_clock, "leases by a slower host are waited for", failed before.

--- a/lib/worker/term_proof.h
+++ b/lib/worker/term_proof.h
@@ -30,7 +30,12 @@
   /* For how long after the last stored append the workers' answers count.
      Longer, and the tasks of workers that are lost together with most others
      and the planner wait longer to be started again.  */
-  TP_WITHOUT_STORE_MAX_MS = 30 * 1000
+  TP_WITHOUT_STORE_MAX_MS = 30 * 1000,
+  /* The next planner waits for that by the clock of another host, which may
+     be faster.  */
+  TP_CLOCK_MARGIN_PERCENT = 2,
+  TP_WITHOUT_STORE_WAIT_MS
+  = TP_WITHOUT_STORE_MAX_MS * (100 + TP_CLOCK_MARGIN_PERCENT) / 100
 };
 
 /*! tp_proved_ms () :
--- a/programs/foxtailgap-hostd/worker_term.c
+++ b/programs/foxtailgap-hostd/worker_term.c
@@ -128,7 +128,7 @@
 int64_t
 wk_uncounted_lease_start_ms (const struct worker_calls *workers)
 {
-  return workers->term_began_ms + TP_WITHOUT_STORE_MAX_MS;
+  return workers->term_began_ms + TP_WITHOUT_STORE_WAIT_MS;
 }
 
 void
--- a/tests/unit/test_hostd_clock.c
+++ b/tests/unit/test_hostd_clock.c
@@ -5,6 +5,7 @@
 #include "../../programs/foxtailgap-hostd/workers.h"
 #include "check.h"
 #include "hostd_fixture.h"
+#include "worker/term_proof.h"
 #include "worker/worker_clock.h"
 
 static const char JOB[] = "00000000000000aa";
@@ -577,6 +578,27 @@
   tear_down (&setup);
 }
 
+/* The next planner reaches no worker: the former one may extend leases without
+   the store for a time that it measures on a clock of its own.  */
+static void
+test_leases_by_a_slower_host_are_waited_for (void)
+{
+  struct setup setup;
+  int64_t former_ms = TP_WITHOUT_STORE_MAX_MS + LEASE_LIMIT_MS;
+  size_t i;
+
+  set_up (&setup, 100);
+  hand_in_job_after (&setup, IDLE_MS);
+  CU_ASSERT_FALSE (pass (&setup, GIVEN_UP_MS, JB_TASK_PLACED));
+  pass (&setup, FIRST_START_MS, JB_TASK_DONE);
+  for (i = 0; i < WORKERS; i++)
+    setup.peers[i].unreachable = true;
+  take_over (&setup, false);
+  CU_ASSERT_TRUE (pass (&setup, wc_longest_ms (former_ms), JB_TASK_WAITING));
+  CU_ASSERT_FALSE (pass (&setup, GIVEN_UP_MS, JB_TASK_WAITING));
+  tear_down (&setup);
+}
+
 /* Whole milliseconds of an exact time.  */
 static int64_t
 whole_ms (int64_t us)
@@ -695,6 +717,8 @@
       test_first_start_after_minutes_is_in_time },
     { "a start at a lost idle worker is not sent",
       test_start_at_a_lost_idle_worker_is_not_sent },
+    { "leases by a slower host are waited for",
+      test_leases_by_a_slower_host_are_waited_for },
     { "a deadline is over in time", test_deadline_is_over_in_time },
     { "readings of a clock", test_readings },
     { "random faults after idle times", test_random_faults_after_idle_times },
