--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -204,6 +204,7 @@
 
     def __init__(self, task, run_id, ends_at_s):
         self.task, self.run_id, self.ends_at_s = task, run_id, ends_at_s
+        self.work_s = ends_at_s - time.monotonic()
 
 
 class RunChecker:
@@ -212,6 +213,7 @@
 
     def __init__(self, work_s, gang_size):
         self.work_s, self.gang_size = work_s, gang_size
+        self.draw_work_s = lambda: self.work_s
         self.running = {}  # task -> (worker, run)
         self.acknowledged = set()  # tasks whose `done` was acknowledged
         self.violations = []
@@ -265,6 +267,12 @@
         self.cut_off = False  # from the store
         self.lease_limit_ms = LEASE_LIMIT_MS
         self.guards_capacity = True
+        self.clock_rate = 1.0  # 0.98: the clock is 2% slow
+        # Returns the seconds after which a start is carried out without an
+        # answer; None: it is answered.
+        self.delay_start = lambda: None
+        self.late_count = 0  # answered starts that were refused as late
+        self.poll_count = 0
         self.state = "ready"
         self.capacities = []  # (since_s, accelerators), oldest first
         self.set_capacity(WORKER_ACCELERATORS)
@@ -306,7 +314,8 @@
                                      min(deadline_ms, limit_ms))
 
     def clock_ms(self):
-        return int((time.monotonic() - self.started_s) * 1000)
+        elapsed_s = time.monotonic() - self.started_s
+        return int(elapsed_s * 1000 * self.clock_rate)
 
     def catalog_record(self, address, sequence):
         return json.dumps({
@@ -346,15 +355,34 @@
         if self.unresponsive:
             await asyncio.sleep(3600)
         command = json.loads(body)
+        delay_s = self.delay_start() if path == "/run-start" else None
+        if delay_s is not None:
+            await asyncio.sleep(delay_s)
+            self.execute(path, command)
+            raise ConnectionResetError
+        if path in ("/run-start", "/run-stop"):
+            status, answer = self.execute(path, command)
+            self.late_count += b'"late"' in answer
+            return status, answer
+        self.poll_count += 1
+        refusal = self.check_fence(command)
+        return refusal or await self.renew_lease(command)
+
+    def execute(self, path, command):
+        refusal = self.check_fence(command)
+        if refusal is not None:
+            return refusal
+        return self.start(command) if path == "/run-start" else self.stop(
+            command)
+
+    def check_fence(self, command):
+        """Returns the refusal of a call with a lower token than one before;
+        None: it is to be carried out."""
         self.end_due_runs()
         if command.get("fencing_token", 0) < self.fencing_token:
             return self.refuse("fence")
         self.fencing_token = command.get("fencing_token", 0)
-        if path == "/run-start":
-            return self.start(command)
-        if path == "/run-stop":
-            return self.stop(command)
-        return await self.renew_lease(command)
+        return None
 
     def refuse(self, reason):
         return 409, json.dumps({"clock_ms": self.clock_ms(),
@@ -383,7 +411,7 @@
         self.highest_run_ids[task] = run_id
         self.checker.record_start(task, self, run_id)
         self.runs[task] = Run(task, run_id,
-                              time.monotonic() + self.checker.work_s)
+                              time.monotonic() + self.checker.draw_work_s())
         if command["spec"] == DEADLY_SPEC and task.endswith(".0"):
             asyncio.get_running_loop().call_later(
                 CRASH_DELAY_S, self.crash_by, task, self.started_unix_ms)
@@ -404,7 +432,7 @@
 
     def percent(self, run):
         left_s = max(run.ends_at_s - time.monotonic(), 0)
-        return int(100 * (1 - left_s / self.checker.work_s))
+        return int(100 * (1 - left_s / run.work_s))
 
     async def renew_lease(self, command):
         if "deadline_ms" in command:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Randomized soak: real hosts, a stand-in of the platform, random faults.
 
-  soak.py SEED [DURATION_S [unread | release | deadly | takeovers | cuts]]
+  soak.py SEED [DURATION_S [unread | release | deadly | takeovers | cuts |
+                            late | idle]]
 
 With `unread`, the hosts write to a pipe that nobody reads: a full pipe must
 not stop them.  With `release`, the workers are replaced one after the other
@@ -12,12 +13,17 @@
 `takeovers`, the planner's host is killed again and again, as soon as the next
 planner holds rounds; each kill must lead to one takeover.  With `cuts`, hosts,
 the planner's first, and workers are cut off together from the store and all
-others, again and again, and runs outlast the leases.
+others, again and again, and runs outlast the leases.  With `late`, most workers'
+clocks are 2% slow, no job comes for IDLE_S, and then many starts are
+carried out late and without an answer.  With `idle`, there are no faults and
+the clocks are the same: after IDLE_S without work no start may be refused as
+late.
 
 Prints `kept` if there is no violation.  Otherwise prints each one and exits
 with 1: a task ran
 twice at once, a task started after its success was acknowledged, a task that
 crashes workers was started too often, a start took a worker over its capacity,
+a start was refused as late without a fault (`idle`),
 an accepted job did not complete or is unknown, a planner was not followed by
 one other within TAKEOVER_MAX_S, or no job was accepted.
 """
@@ -54,6 +60,14 @@
 CUT_MAX_S = 9.0
 CUT_SUBMIT_MIN_S, CUT_SUBMIT_MAX_S = 0.4, 1.2
 TAKEOVER_MAX_S = 2.0
+# With `late` and `idle`.  A clock that is 2% slow is 0.8 s behind after 40 s,
+# which is most of the time for which a start without an answer is valid.
+IDLE_S = float(os.environ.get("IDLE_S", "40"))
+SLOWEST_CLOCK = 0.98
+LATE_SHARE = 0.5
+LATE_MIN_S, LATE_MAX_S = 1.5, 2.2
+# Polls are answered when a run ends, so that a start is given up soon.
+LATE_RUN_MIN_S, LATE_RUN_MAX_S = 0.2, 1.4
 # Long enough for a lease to lapse, for takeovers and for the queued work.  The
 # time of the status calls comes on top.
 COMPLETION_TIMEOUT_S = 25
@@ -164,6 +178,9 @@
         self.deadly = False
         self.takeovers = False
         self.cuts = False
+        self.late = False
+        self.idle = False
+        self.late_share = 0.0
         self.paths = standin.Paths()
         self.deadly_jobs = set()
 
@@ -174,10 +191,16 @@
             self.checker.work_s = DEADLY_RUN_S
         if self.cuts:
             self.checker.work_s = CUT_RUN_S
+        if self.late:
+            self.checker.draw_work_s = lambda: self.rng.uniform(
+                LATE_RUN_MIN_S, LATE_RUN_MAX_S)
         await self.store.put("keyed.op", "config", json.dumps(config).encode())
         for i in range(WORKER_COUNT):
             worker = standin.Worker(f"w{i}", f"r{i // 3}", self.checker)
             worker.guards_capacity = not self.deadly
+            if self.late or self.idle:
+                worker.clock_rate = SLOWEST_CLOCK if i > 0 else 1.0
+                worker.delay_start = self.delay_start
             worker.address = await standin.serve(
                 standin.worker_handler(worker))
             self.workers.append(worker)
@@ -234,6 +257,11 @@
                        "gang": gang}]
             if self.rng.random() < 0.3:
                 phases.append(dict(phases[0], depends_on=[0]))
+            if number == 1 and (self.late or self.idle):
+                # All workers are idle: as many starts as they can take.
+                phases = [dict(phases[0], gang=False,
+                               count=WORKER_COUNT
+                               * standin.WORKER_ACCELERATORS)]
             text = "x"
             # The stand-in's gangs do not end together.
             if self.deadly and not gang and self.rng.random() < DEADLY_SHARE:
@@ -390,6 +418,20 @@
             for worker in workers:
                 worker.cut_off = False
 
+    def delay_start(self):
+        """How late a start is carried out; None: at once."""
+        if self.rng.random() >= self.late_share:
+            return None
+        return self.rng.uniform(LATE_MIN_S, LATE_MAX_S)
+
+    async def stay_idle(self):
+        """Lets IDLE_S pass without work."""
+        polls = sum(worker.poll_count for worker in self.workers)
+        await asyncio.sleep(IDLE_S)
+        polls = sum(worker.poll_count for worker in self.workers) - polls
+        self.faults.append(f"idle {IDLE_S:.0f} s, {polls} polls")
+        self.late_share = LATE_SHARE if self.late else 0.0
+
     async def inject_faults(self):
         while not self.stopping:
             await asyncio.sleep(self.rng.uniform(0.3, 1.5))
@@ -427,6 +469,9 @@
         await self.start(folder)
         await asyncio.sleep(1.5)
         worker_loop = asyncio.create_task(self.run_workers())
+        if self.late or self.idle:
+            await asyncio.sleep(1.5)  # until the workers have been polled
+            await self.stay_idle()
         tasks = [asyncio.create_task(self.submit_jobs())]
         if self.takeovers:
             tasks.append(asyncio.create_task(self.kill_planners()))
@@ -435,16 +480,22 @@
         elif self.release:
             tasks += [asyncio.create_task(self.replace_workers()),
                       asyncio.create_task(self.reset_and_kill())]
-        else:
+        elif not self.late and not self.idle:
             tasks.append(asyncio.create_task(self.inject_faults()))
         if self.deadly:
             tasks += [asyncio.create_task(self.change_capacities())
                       for _ in range(3)]
         await asyncio.sleep(self.duration_s)
         self.stopping = True
+        self.late_share = 0.0
         await asyncio.gather(*tasks)
         incomplete = await self.wait_until_completed()
         worker_loop.cancel()
+        refused = sum(worker.late_count for worker in self.workers)
+        self.faults.append(f"{refused} starts refused as late")
+        if self.idle and refused > 0:
+            self.checker.violations.append(
+                f"{refused} starts refused as late without a fault")
         for host in self.hosts:
             await host.stop(signal.SIGTERM)
         return incomplete
@@ -458,6 +509,8 @@
     soak.deadly = "deadly" in sys.argv[3:]
     soak.takeovers = "takeovers" in sys.argv[3:]
     soak.cuts = "cuts" in sys.argv[3:]
+    soak.late = "late" in sys.argv[3:]
+    soak.idle = "idle" in sys.argv[3:]
     soak.may_be_silent = not soak.release
     folder = tempfile.mkdtemp(prefix="soak-")
     incomplete = asyncio.run(soak.run(folder))
