--- a/lib/worker/worker_clock.h
+++ b/lib/worker/worker_clock.h
@@ -22,9 +22,9 @@
 enum
 {
   WC_SLOW_PERCENT = 2, /* a worker's clock may be slow by this much */
-  /* A deadline by an older reading loses more than 100 ms on a right clock,
+  /* A deadline by an older reading loses more than 300 ms on a right clock,
      so that a start no longer has time for three tries.  */
-  WC_RECENT_MS = 5000
+  WC_RECENT_MS = 15000
 };
 
 /* A worker's clock as read from an answer.  */
