Polls of idle workers without a start keep their timeout of 0.7 s (by reading)

While the store is silent, workers that are idle are polled, too, as a proof of the term. The short timeout is for workers where work has been placed.

--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -374,8 +374,8 @@
   return MIN (workers->params.lease_ttl_ms, limit_ms);
 }
 
-/* Whether the next renewal is to read the clock of a worker that was idle:
-   work has been placed there, and its start needs a recent reading.  */
+/* Whether the next renewal is to read the clock of a worker that was idle: a
+   start there would need a recent reading.  */
 static bool
 reads_clock (const struct worker_io *io, int64_t now_ms)
 {
@@ -436,8 +436,9 @@
           = MAX (wc_deadline_ms (&io->clock, now_ms + ttl_ms), 0);
       wk_deadline_sent (io, now_ms, ttl_ms, false);
     }
-  timeout_ms = reads_clock (io, now_ms) ? (uint32_t)CLOCK_POLL_TIMEOUT_MS
-                                        : renewal.wait_ms + RENEWAL_TIMEOUT_MS;
+  timeout_ms = worker->tasks->len > 0 && reads_clock (io, now_ms)
+                   ? (uint32_t)CLOCK_POLL_TIMEOUT_MS
+                   : renewal.wait_ms + RENEWAL_TIMEOUT_MS;
   io->renewal_in_flight = true;
   io->poll_at_once = false;
   io->poll_soon = false;
