--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -83,8 +83,9 @@
 
 /*! wk_start () :
  *  Sends the start of a task that is stored as placed, once the window of
- *  calls has room, and again for a while if the worker does not answer.  The
- *  scheduling core is told how it ended. */
+ *  calls has room and the worker's clock has been read recently, and again for
+ *  a while if the worker does not answer.  The scheduling core is told how it
+ *  ended. */
 void wk_start (struct worker_calls *workers, struct jb_task *task);
 
 /*! wk_stop () :
