--- a/tests/unit/test_hostd_clock.c
+++ b/tests/unit/test_hostd_clock.c
@@ -16,10 +16,11 @@
   LEASE_MS = 6000,
   LEASE_LIMIT_MS = 10000, /* of the workers */
   STOP_MS = 200,
-  STEP_MS = 2,       /* between two turns of the event loop */
-  IDLE_STEP_MS = 50, /* the same while there is no work */
-  STORE_MS = 6,      /* from a round until its records are stored */
-  TRIP_MS = 2,       /* of a call and of its answer */
+  STEP_MS = 2,            /* between two turns of the event loop */
+  IDLE_STEP_MS = 50,      /* the same while there is no work */
+  STORE_SILENT_MS = 1100, /* long enough for the workers to be polled */
+  STORE_MS = 6,           /* from a round until its records are stored */
+  TRIP_MS = 2,            /* of a call and of its answer */
   ROUND_TRIP_MS = 4,
   MOMENT_MS = 8,       /* a few turns */
   FIRST_START_MS = 12, /* the records are stored, and the start arrives */
@@ -102,6 +103,7 @@
   GRand *rng;                             /* NULL: no faults */
   uint32_t late_share; /* percent of the starts and stops that are late */
   bool polls_at_once;  /* they are answered without their wait */
+  int64_t stored_ms;   /* of the last stored append; 0: always now */
   bool done_acked;
   uint32_t violations; /* a run beside another one, or after the last one */
   int64_t start_deadline_ms; /* newest of a start, on its worker's clock */
@@ -351,6 +353,14 @@
   (void)ctx;
 }
 
+static int64_t
+term_stored_ms (void *ctx)
+{
+  const struct setup *setup = ctx;
+
+  return setup->stored_ms == 0 ? now_ms : setup->stored_ms;
+}
+
 /* Starts are ordered STORE_MS after the round that has placed them.  */
 static void
 run_round (struct setup *setup)
@@ -421,6 +431,7 @@
     .ctx = setup,
     .changed = on_event,
     .fenced = on_event,
+    .term_stored_ms = term_stored_ms,
   };
   size_t i;
 
@@ -578,6 +589,24 @@
   tear_down (&setup);
 }
 
+/* While the store is silent all idle workers are polled: a busy planner must
+   not take them as out of reach after the time that a start waits.  */
+static void
+test_idle_worker_has_its_time_to_prove_the_term (void)
+{
+  struct setup setup;
+  struct fake_call *poll;
+
+  set_up (&setup, 100);
+  hand_in_job_after (&setup, IDLE_MS);
+  setup.stored_ms = now_ms - STORE_SILENT_MS;
+  wk_send_waiting (setup.workers);
+  poll = fake_oldest_open_call (&setup.port, 'h');
+  CU_ASSERT_PTR_NOT_NULL_FATAL (poll);
+  CU_ASSERT (poll != NULL && poll->timeout_ms > CLOCK_POLL_MS);
+  tear_down (&setup);
+}
+
 /* The next planner reaches no worker: the former one may extend leases without
    the store for a time that it measures on a clock of its own.  */
 static void
@@ -717,6 +746,8 @@
       test_first_start_after_minutes_is_in_time },
     { "a start at a lost idle worker is not sent",
       test_start_at_a_lost_idle_worker_is_not_sent },
+    { "an idle worker has its time to prove the term",
+      test_idle_worker_has_its_time_to_prove_the_term },
     { "leases by a slower host are waited for",
       test_leases_by_a_slower_host_are_waited_for },
     { "a deadline is over in time", test_deadline_is_over_in_time },
