--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -112,6 +112,7 @@
   g_clear_pointer (&task->worker, g_free);
   task->worker_started_ms = 0;
   task->confirmed = false;
+  task->start_unsent = false;
   task->started_ms = 0;
   task->poll_conclusive_from_ms = 0;
   task->stop_reason = NULL;
@@ -149,6 +150,7 @@
       job->tasks[i].failures = 0;
       job->tasks[i].crashes = 0;
       job->tasks[i].lost_runs = 0;
+      job->tasks[i].given_up_run = 0;
     }
   for (i = 0; i < job->step_total; i++)
     job->steps[i].done_count = 0;
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -136,12 +136,16 @@
                          all its tasks */
   uint32_t crashes;   /* workers that crashed when a run had just started */
   uint32_t lost_runs; /* runs lost with their worker, for any cause */
-  char *worker;       /* id; NULL unless placed or stopping */
+  /* Last run that was given up before its outcome was known; 0: none, or its
+     outcome is known by now.  */
+  uint32_t given_up_run;
+  char *worker; /* id; NULL unless placed or stopping */
   /* Start time of the worker's process when the task was placed there, by a
      clock of the worker's own, to be compared for equality; 0: not known.  */
   int64_t worker_started_ms;
-  char *checkpoint; /* that the next run resumes from; NULL: none */
-  bool confirmed;   /* the worker has reported that the run is there */
+  char *checkpoint;  /* that the next run resumes from; NULL: none */
+  bool confirmed;    /* the worker has reported that the run is there */
+  bool start_unsent; /* this host has placed it and has not sent the start */
   /* The moments below are on the steady clock of the planner's process. */
   int64_t placed_ms;
   int64_t started_ms; /* when the run was confirmed; 0: not confirmed */
--- a/lib/proto/jobs.pb-c.c
+++ b/lib/proto/jobs.pb-c.c
@@ -883,7 +883,7 @@
   (ProtobufCMessageInit) ftj__cancel_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ftj__task_progress__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ftj__task_progress__field_descriptors[9] =
 {
   {
     "state",
@@ -981,11 +981,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "given_up_run",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__TaskProgress, given_up_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ftj__task_progress__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
   5,   /* field[5] = crashes */
   2,   /* field[2] = failures */
+  8,   /* field[8] = given_up_run */
   6,   /* field[6] = lost_runs */
   1,   /* field[1] = run */
   0,   /* field[0] = state */
@@ -995,7 +1008,7 @@
 static const ProtobufCIntRange ftj__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ftj__task_progress__descriptor =
 {
@@ -1005,7 +1018,7 @@
   "Ftj__TaskProgress",
   "ftj",
   sizeof(Ftj__TaskProgress),
-  8,
+  9,
   ftj__task_progress__field_descriptors,
   ftj__task_progress__field_indices_by_name,
   1,  ftj__task_progress__number_ranges,
--- a/lib/sched/accounting.c
+++ b/lib/sched/accounting.c
@@ -131,6 +131,7 @@
   task->run = run;
   task->worker = g_strdup (worker->report.id);
   task->worker_started_ms = worker->process_started_ms;
+  task->start_unsent = true;
   task->placed_ms = now_ms;
   task->poll_conclusive_from_ms = INT64_MAX;
   g_ptr_array_add (worker->tasks, task);
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -434,6 +434,7 @@
 sd_task_lost (struct sd_sched *sched, struct jb_task *task, int64_t now_ms)
 {
   (void)now_ms;
+  task->given_up_run = task->run;
   sd_release_task (sched, task);
   stop_gang (sched, task, "a member was lost");
 }
@@ -548,3 +549,49 @@
       return;
     }
 }
+
+/* Whether a run after RUN may have been started.  */
+static bool
+has_later_run (const struct jb_task *task, uint32_t run)
+{
+  return (task->state == JB_TASK_PLACED || task->state == JB_TASK_STOPPING)
+         && task->run > run && !task->start_unsent;
+}
+
+static bool
+step_has_later_run (const struct jb_step *step, uint32_t run)
+{
+  uint32_t i;
+
+  for (i = 0; i < step->spec->count; i++)
+    if (has_later_run (&step->tasks[i], run))
+      return true;
+  return false;
+}
+
+bool
+sd_given_up_run_done (struct sd_sched *sched, struct jb_task *task,
+                      uint32_t run, int64_t now_unix_ms)
+{
+  const struct jb_step *step = task->step;
+
+  if (step->spec->long_lived || task->state == JB_TASK_DONE
+      || jb_state_is_final (task->job->state) || has_later_run (task, run)
+      || (step->spec->gang && step_has_later_run (step, run)))
+    return false;
+  sd_release_task (sched, task);
+  handle_task_done (sched, task, now_unix_ms);
+  return true;
+}
+
+bool
+sd_given_up_run_failed (struct sd_sched *sched, struct jb_task *task,
+                        uint32_t run, int64_t now_unix_ms)
+{
+  if (run != task->given_up_run)
+    return false;
+  task->given_up_run = 0;
+  sd_mark_changed (sched, task->job);
+  handle_task_failed (sched, task, now_unix_ms);
+  return true;
+}
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -258,6 +258,22 @@
 void sd_runs_lost (struct sd_sched *sched, const struct sd_worker_loss *loss,
                    int64_t now_ms, int64_t now_unix_ms, GPtrArray *given_up);
 
+/*! sd_given_up_run_done () :
+ *  A worker lists that RUN of TASK, which was given up, has ended done.  So
+ *  the task is done, and with it its gang, unless a later run may have
+ *  started.
+ *  @return : whether it is done by that. */
+bool sd_given_up_run_done (struct sd_sched *sched, struct jb_task *task,
+                           uint32_t run, int64_t now_unix_ms);
+
+/*! sd_given_up_run_failed () :
+ *  The same for a run that has failed, which counts against the limit of
+ *  failed runs.
+ *  @return : whether it counts; a worker may list an outcome that has been
+ *            counted before. */
+bool sd_given_up_run_failed (struct sd_sched *sched, struct jb_task *task,
+                             uint32_t run, int64_t now_unix_ms);
+
 /*! sd_run_was_cut_off () :
  *  A worker lists that an earlier run of TASK, which was given up, has ended
  *  with its lease: the worker had not crashed, so the run does not count as
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -309,6 +309,7 @@
       await_clock (call, wk_io (workers, worker), now_ms);
       return;
     }
+  task->start_unsent = false;
   call->worker_started_ms = worker->process_started_ms;
   call->first_sent_ms = now_ms;
   call->sent_ms = now_ms;
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -180,16 +180,33 @@
   return task;
 }
 
-/* A run that is not current any more has ended.  */
+/* A run that is not current any more has ended.  Its outcome still counts, for
+   the worker is about to forget it.  */
 static void
-process_old_outcome (struct worker_calls *workers,
-                     const struct wp_outcome *outcome)
+process_old_outcome (struct worker_io *io, const struct wp_outcome *outcome)
 {
+  struct worker_calls *workers = io->workers;
+  struct sd_sched *sched = workers->params.sched;
   struct jb_task *task
       = jb_table_find_task (workers->params.table, outcome->task);
+  bool counts = false;
 
-  if (task != NULL && outcome->outcome == SD_OUTCOME_LEASE_EXPIRED)
-    sd_run_was_cut_off (workers->params.sched, task);
+  if (task == NULL)
+    return;
+  if (outcome->outcome == SD_OUTCOME_LEASE_EXPIRED)
+    sd_run_was_cut_off (sched, task);
+  else if (outcome->outcome == SD_OUTCOME_DONE)
+    counts = sd_given_up_run_done (sched, task, outcome->run, clk_unix_ms ());
+  else if (outcome->outcome == SD_OUTCOME_FAILED)
+    counts
+        = sd_given_up_run_failed (sched, task, outcome->run, clk_unix_ms ());
+  if (!counts)
+    return;
+  lg_info (PART, "The outcome of a run that was given up counts.", "task",
+           outcome->task, "run", lg_number (outcome->run), "how",
+           outcome->outcome == SD_OUTCOME_DONE ? "done" : "failed", "worker",
+           io->worker->report.id, NULL);
+  mt_add (workers->params.metrics, "foxtailgap_late_outcomes_total", 1);
 }
 
 static void
@@ -222,7 +239,7 @@
     sd_task_ended (workers->params.sched, task, outcome->outcome,
                    outcome->checkpoint, now_ms, clk_unix_ms ());
   else
-    process_old_outcome (workers, outcome);
+    process_old_outcome (io, outcome);
 }
 
 /* The runs of one status poll.  */
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -391,6 +391,132 @@
   tear_down (&setup);
 }
 
+/* Has the worker list that a run of the first job's task has ended.
+   @return : the number of acknowledged outcomes that the poll carried.  */
+static int64_t
+list_outcome (struct setup *setup, uint32_t run, int64_t number,
+              enum sd_outcome outcome)
+{
+  GArray *ends = g_array_new (FALSE, FALSE, sizeof (struct wp_outcome));
+  struct wp_outcome end = { .number = number,
+                            .task = (char *)"00000000000000aa.0.0.0",
+                            .run = run,
+                            .outcome = outcome,
+                            .checkpoint = (char *)"" };
+  struct fake_call *poll;
+  int64_t seen = -1;
+
+  g_array_append_val (ends, end);
+  wk_send_waiting (setup->workers);
+  poll = fake_oldest_open_call (&setup->port, 'h');
+  CU_ASSERT_PTR_NOT_NULL (poll);
+  if (poll != NULL)
+    {
+      seen = poll->seen;
+      fake_answer (poll,
+                   &(struct wp_answer){ .result = WP_DONE, .outcomes = ends });
+    }
+  g_array_free (ends, TRUE);
+  return seen;
+}
+
+/* Starts the first job's task; then its worker is out of reach until its lease
+   is over, so that the run is given up.  */
+static struct jb_task *
+give_up_run (struct setup *setup)
+{
+  struct jb_task *task;
+
+  set_up (setup, 300);
+  task = place_task_on_reachable_worker (setup);
+  wk_start (setup->workers, task);
+  fake_answer (fake_oldest_open_call (&setup->port, 's'),
+               &(struct wp_answer){ .result = WP_DONE });
+  wk_send_waiting (setup->workers);
+  fake_answer_all_unresponsive (&setup->port);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  /* The lease of 300 ms and its margins.  */
+  usleep (1000 * 700);
+  wk_send_waiting (setup->workers);
+  fake_answer_all_unresponsive (&setup->port);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  usleep (1000 * 300); /* until the next poll */
+  return task;
+}
+
+/* Guards against a task that runs again after its end: its run had ended on a
+   worker out of reach and was given up; while the task waited for resources
+   the worker listed the outcome, which was acknowledged and forgotten.  */
+static void
+test_run_given_up_that_was_done_is_not_started_again (void)
+{
+  struct setup setup;
+  struct jb_task *task = give_up_run (&setup);
+
+  list_outcome (&setup, 1, 1, SD_OUTCOME_DONE);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_DONE);
+  CU_ASSERT_EQUAL (setup.job->state, JB_COMPLETED);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   0);
+  tear_down (&setup);
+}
+
+/* The same while the next run is placed and its start is not sent yet.  */
+static void
+test_unsent_start_is_dropped_if_the_run_before_was_done (void)
+{
+  struct setup setup;
+  struct jb_task *task = give_up_run (&setup);
+
+  fixture_worker (setup.sched, "w2", "r1", 8);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  CU_ASSERT_EQUAL (task->run, 2);
+  setup.paused = true; /* so that the start waits */
+  wk_start (setup.workers, task);
+  list_outcome (&setup, 1, 1, SD_OUTCOME_DONE);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_DONE);
+  setup.paused = false;
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 's'));
+  tear_down (&setup);
+}
+
+/* A later run that may have started goes on, and its outcome counts.  */
+static void
+test_run_given_up_that_was_done_does_not_end_a_later_run (void)
+{
+  struct setup setup;
+  struct jb_task *task = give_up_run (&setup);
+
+  fixture_worker (setup.sched, "w2", "r1", 8);
+  answer_first_polls (&setup);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  wk_start (setup.workers, task);
+  CU_ASSERT_PTR_NOT_NULL (fake_oldest_open_call (&setup.port, 's'));
+  CU_ASSERT_FALSE (sd_given_up_run_done (setup.sched, task, 1, 1));
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  tear_down (&setup);
+}
+
+/* Guards against more failed runs than the limit: the outcome of a run that
+   had been given up was acknowledged and not counted.  */
+static void
+test_run_given_up_that_failed_counts_once (void)
+{
+  struct setup setup;
+  struct jb_task *task = give_up_run (&setup);
+
+  list_outcome (&setup, 1, 1, SD_OUTCOME_FAILED);
+  CU_ASSERT_EQUAL (task->failures, 1);
+  sd_begin_term (setup.sched, clk_monotonic_ms (NULL));
+  wk_begin_term (setup.workers, 2, NULL);
+  list_outcome (&setup, 1, 1, SD_OUTCOME_FAILED);
+  CU_ASSERT_EQUAL (task->failures, 1);
+  tear_down (&setup);
+}
+
 static void
 test_outcome_is_acknowledged_once_stored (void)
 {
@@ -804,6 +930,14 @@
       test_run_beyond_a_full_list_of_outcomes_is_not_gone },
     { "an outcome is acknowledged once stored",
       test_outcome_is_acknowledged_once_stored },
+    { "a run given up that was done is not started again",
+      test_run_given_up_that_was_done_is_not_started_again },
+    { "an unsent start is dropped if the run before was done",
+      test_unsent_start_is_dropped_if_the_run_before_was_done },
+    { "a run given up that was done does not end a later run",
+      test_run_given_up_that_was_done_does_not_end_a_later_run },
+    { "a run given up that failed counts once",
+      test_run_given_up_that_failed_counts_once },
     { "a wave of starts is sent in parts",
       test_wave_of_starts_is_sent_in_parts },
     { "a wave delays neither renewals nor urgent starts",
