The planner's load line tells the budget of the host's link

A planner that places nothing could not be told from one with nothing to place by its log. The line has the rate and the level of the budget that starts wait for: link_bytes_per_s, link_level_bytes.

--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -247,9 +247,11 @@
 log_load (struct planner *planner, int64_t now_ms)
 {
   struct ll_sample sample;
+  struct wk_link_state link;
 
   if (now_ms - planner->load_logged_ms < LOAD_LOG_INTERVAL_MS)
     return;
+  link = wk_link_state (planner->workers);
   sample = ll_take (planner->load);
   lg_info (PART, "The planner's load.", "rounds", lg_number (planner->rounds),
            "rounds_ms", lg_number (planner->rounds_us / 1000), "busy_ms",
@@ -257,7 +259,9 @@
            lg_number (sample.longest_us / 1000), "over_ms",
            lg_number (now_ms - planner->load_logged_ms), "window",
            lg_number (wk_window (planner->workers)), "waiting_starts",
-           lg_number (wk_waiting_starts (planner->workers)), NULL);
+           lg_number (wk_waiting_starts (planner->workers)),
+           "link_bytes_per_s", lg_number (link.bytes_per_s),
+           "link_level_bytes", lg_number (link.level_bytes), NULL);
   planner->load_logged_ms = now_ms;
   planner->rounds_us = 0;
   planner->rounds = 0;
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -397,6 +397,14 @@
              : bytes * 1000 / workers->link.bytes_per_s;
 }
 
+struct wk_link_state
+wk_link_state (struct worker_calls *workers)
+{
+  lb_has_room (&workers->link, clk_monotonic_ms (NULL)); /* fills it */
+  return (struct wk_link_state){ .bytes_per_s = workers->link.bytes_per_s,
+                                 .level_bytes = workers->link.level_bytes };
+}
+
 void
 wk_send_queued_starts (struct worker_calls *workers)
 {
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -110,6 +110,17 @@
 uint32_t wk_window (const struct worker_calls *workers);
 uint32_t wk_waiting_starts (const struct worker_calls *workers);
 
+/* The budget of the host's link, for the log.  */
+struct wk_link_state
+{
+  uint32_t bytes_per_s;
+  int64_t level_bytes; /* left; negative: none is left until it is repaid */
+};
+
+/*! wk_link_state () :
+ *  @return : as it is now. */
+struct wk_link_state wk_link_state (struct worker_calls *workers);
+
 /*! wk_backlog_ms () :
  *  @urgent_only : whether to count the starts of urgent jobs only.
  *  @return : for how long the starts that wait will keep the host's link
