Starts go on after the link of the planner's host was full

Cause: the budget of the link learns from answers to starts only, but polls and stops drew on it too, whether there was room or not. With the budget at its least, a tenth of the link, polls alone drew more (31.6 KB/s of 25 KB/s), so no start was sent, nothing was observed, and the budget stayed at its least after the link was free. Besides, a debt that calls sent again had taken of a large budget was repaid from the least one, for seconds.

Now only starts draw, and a debt is never more than 400 ms of the present budget. So as long as a start waits, some are sent, at a tenth of the link at least; each is answered or times out within 350 ms, and the budget has its input. Polls are one more of the other uses of the link, which show in the time of answers.

--- a/Makefile
+++ b/Makefile
@@ -90,8 +90,8 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ -o $@ $(PKG_LIBS) -lcunit
 
-# Its clock is the test's own, so that minutes take no time.
-$(BUILD)/unit/test_hostd_clock: LDFLAGS += -Wl,--wrap=clk_monotonic_ms
+# Their clock is the test's own, so that minutes take no time.
+$(BUILD)/unit/test_hostd_clock $(BUILD)/unit/test_hostd_full_link: LDFLAGS += -Wl,--wrap=clk_monotonic_ms
 
 $(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(PARTS) $(LIB)
 	@mkdir -p $(@D)
--- a/lib/worker/link_budget.c
+++ b/lib/worker/link_budget.c
@@ -9,7 +9,9 @@
   START_PERCENT = 50, /* of the link, as are the next three */
   MIN_PERCENT = 10,
   GROWTH_PERCENT = 4,
-  SHRINK_PERCENT = 75 /* of the budget */
+  SHRINK_PERCENT = 75, /* of the budget */
+  /* At the least budget of a link of 1 Mbit/s a start of 4 KB takes 330 ms. */
+  DEBT_MAX_MS = 400
 };
 
 static uint32_t
@@ -24,6 +26,14 @@
   return (int64_t)budget->bytes_per_s * budget->params.burst_ms / 1000;
 }
 
+/* A debt that was taken of a larger budget is reduced too.  */
+static void
+limit_debt (struct lb_budget *budget)
+{
+  budget->level_bytes = MAX (budget->level_bytes, -(int64_t)budget->bytes_per_s
+                                                      * DEBT_MAX_MS / 1000);
+}
+
 static void
 fill (struct lb_budget *budget, int64_t now_ms)
 {
@@ -60,6 +70,7 @@
 {
   fill (budget, now_ms);
   budget->level_bytes -= bytes;
+  limit_debt (budget);
 }
 
 static uint32_t
@@ -84,6 +95,7 @@
     return;
   fill (budget, now_ms);
   budget->bytes_per_s = adapted_bytes_per_s (budget);
+  limit_debt (budget);
   budget->changed_ms = now_ms;
   budget->fastest_ms = -1;
 }
--- a/lib/worker/link_budget.h
+++ b/lib/worker/link_budget.h
@@ -8,10 +8,16 @@
    a budget the starts wait in the process, where they do not expire, and the
    link stays free for heartbeats, lease renewals and the store.
 
-   How much the link has left for starts is not known: callers, the store and
-   other hosts use it too.  So the budget follows the time that answers take:
-   it shrinks when even the fastest answers are slow, and grows again when they
-   are fast.  The slow answers of single workers do not matter.
+   How much the link has left for starts is not known: callers, the store,
+   other hosts and the status polls use it too.  So the budget follows the time
+   that answers take: it shrinks when even the fastest answers are slow, and
+   grows again when they are fast.  The slow answers of single workers do not
+   matter.
+
+   Only answers to calls that wait for the budget are observed.  So no other
+   call may draw on it: with the budget at its least these could use all of it,
+   no start would be sent, no answer be observed, and the budget never grow
+   again.  For the same reason a debt is bounded in time, not in bytes.
    Prefix: lb_.  */
 
 #ifndef FT_LINK_BUDGET_H
@@ -33,7 +39,8 @@
 {
   struct lb_params params;
   uint32_t bytes_per_s; /* the budget */
-  int64_t level_bytes;  /* left; negative after a call larger than that */
+  int64_t level_bytes;  /* left; negative after a call larger than that, by
+                           at most what is repaid within 400 ms */
   int64_t filled_ms;    /* steady clock: when level_bytes was computed */
   int64_t changed_ms;   /* when the interval began */
   int64_t fastest_ms;   /* answer in the interval; negative: none */
@@ -49,7 +56,8 @@
 bool lb_has_room (struct lb_budget *budget, int64_t now_ms);
 
 /*! lb_take () :
- *  A call is sent, whether there was room or not. */
+ *  A call is sent that has waited for room, or is sent again.  To be followed
+ *  by lb_observe () at its end. */
 void lb_take (struct lb_budget *budget, uint32_t bytes, int64_t now_ms);
 
 /*! lb_observe () :
--- a/programs/foxtailgap-hostd/worker_commands.c
+++ b/programs/foxtailgap-hostd/worker_commands.c
@@ -61,7 +61,6 @@
   if (workers->term == 0 || target.address == NULL
       || !wk_may_command (workers))
     return;
-  lb_take (&workers->link, WK_CALL_OVERHEAD_BYTES, clk_monotonic_ms (NULL));
   call = wk_call_create (workers, worker, task, run);
   wk_call_opened (call);
   workers->params.port.stop (workers->params.port.ctx, &target, &stop,
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -444,7 +444,6 @@
   io->poll_soon = false;
   io->renewal_sent_ms = now_ms;
   io->renewal_tried_ms = now_ms;
-  lb_take (&workers->link, WK_CALL_OVERHEAD_BYTES, now_ms);
   call = wk_call_create (workers, worker, "", 0);
   if (renewal.wait_ms == 0)
     wk_call_opened (call);
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -69,7 +69,7 @@
   uint64_t generation;
   GHashTable *ios;                /* id -> struct worker_io */
   struct cw_window *window;       /* of the calls that are answered at once */
-  struct lb_budget link;          /* of the bytes of starts and other calls */
+  struct lb_budget link;          /* of the bytes of starts */
   GQueue urgent_starts;           /* struct wk_call: not sent yet */
   GQueue starts;                  /* the same, of less urgent jobs */
   uint32_t starts_awaiting_clock; /* of all workers together */
--- a/tests/unit/test_hostd_link.c
+++ b/tests/unit/test_hostd_link.c
@@ -13,6 +13,7 @@
   WAVE_CALLS = 200,
   ANSWER_MS = 4,
   START_TIMEOUT_MS = 350, /* of worker_starts.c */
+  DEBT_REPAID_MS = 500,
   SIMULATED_MS = 10000
 };
 
@@ -146,6 +147,26 @@
   CU_ASSERT_EQUAL (budget.bytes_per_s, LINK_BYTES_PER_S);
 }
 
+/* Guards against seconds without a start: calls that are sent again take from
+   the budget whether there is room or not, and what they took of a large
+   budget was repaid from the least one, with nothing to observe meanwhile.  */
+static void
+test_debt_is_repaid_within_a_bounded_time (void)
+{
+  struct lb_budget budget;
+  int64_t now_ms;
+
+  lb_init (&budget, &PARAMS, 0);
+  for (now_ms = 0; now_ms < 3000; now_ms += 10)
+    {
+      lb_take (&budget, CALL_BYTES, now_ms);
+      lb_observe (&budget, START_TIMEOUT_MS, now_ms);
+    }
+  CU_ASSERT_EQUAL (budget.bytes_per_s, LINK_BYTES_PER_S / 10);
+  CU_ASSERT_FALSE (lb_has_room (&budget, now_ms));
+  CU_ASSERT_TRUE (lb_has_room (&budget, now_ms + DEBT_REPAID_MS));
+}
+
 int
 main (void)
 {
@@ -156,6 +177,8 @@
     { "a slow worker does not shrink the budget",
       test_slow_worker_does_not_shrink_the_budget },
     { "the budget has bounds", test_budget_has_bounds },
+    { "a debt is repaid within a bounded time",
+      test_debt_is_repaid_within_a_bounded_time },
   };
 
   return check_run ("hostd link", tests, G_N_ELEMENTS (tests));
