What the planner's time goes to: the load of its loop split into parts

Sections of the loop now count for one of ten parts: rounds, looking for calls that are due, sending them, their connections, their answers, the store, records written, callers, logs, the rest. Sections nest, and each moment counts for the innermost one.

--- a/lib/common/logging.c
+++ b/lib/common/logging.c
@@ -9,6 +9,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "common/loop_load.h"
+
 enum
 {
   FIELD_LIMIT = 24,
@@ -322,10 +324,12 @@
   gsize count = 0;
   const char *key;
   const char *value;
+  enum ll_part outer;
   va_list pairs;
 
   if (level > least_severe_level)
     return;
+  outer = ll_enter (LL_LOGS);
   fields[count++] = (GLogField){ "part", part, -1 };
   fields[count++] = (GLogField){ "msg", message, -1 };
   va_start (pairs, message);
@@ -337,6 +341,7 @@
     }
   va_end (pairs);
   g_log_structured_array (level, fields, count);
+  ll_leave (outer);
 }
 
 const char *
--- a/lib/common/loop_load.c
+++ b/lib/common/loop_load.c
@@ -1,18 +1,36 @@
-/* Measures how busy an event loop is.  */
+/* Measures how busy an event loop is, and with what.  */
 
 #include "common/loop_load.h"
 
 #include <glib.h>
 
+#include "common/clock.h"
+
 struct loop_load
 {
   struct ev_loop *loop;
   ev_check woken;
   ev_prepare waiting;
-  int64_t woken_us;
+  int64_t woken_us;     /* 0: the loop has not run yet */
+  int64_t part_from_us; /* since when the current part runs; 0: the loop waits,
+                           or has not run yet */
+  int64_t taken_cpu_us; /* processor time at the last ll_take () */
+  int64_t iteration_part_us[LL_PARTS]; /* of the iteration that is running */
+  int64_t total_part_us[LL_PARTS];
   struct ll_sample sample;
 };
 
+/* Of the thread.  */
+static _Thread_local struct loop_load *thread_load;
+static _Thread_local enum ll_part thread_part = LL_REST;
+
+static void
+count_current_part (struct loop_load *load, int64_t now_us)
+{
+  load->iteration_part_us[thread_part] += now_us - load->part_from_us;
+  load->part_from_us = now_us;
+}
+
 static void
 on_woken (struct ev_loop *loop, ev_check *watcher, int events)
 {
@@ -21,21 +39,31 @@
   (void)loop;
   (void)events;
   load->woken_us = g_get_monotonic_time ();
+  load->part_from_us = load->woken_us;
 }
 
 static void
 on_waiting (struct ev_loop *loop, ev_prepare *watcher, int events)
 {
   struct loop_load *load = watcher->data;
-  int64_t took_us;
+  int64_t now_us = g_get_monotonic_time ();
+  int64_t took_us = now_us - load->woken_us;
+  int i;
 
   (void)loop;
   (void)events;
   if (load->woken_us == 0)
     return;
-  took_us = g_get_monotonic_time () - load->woken_us;
+  count_current_part (load, now_us);
+  load->part_from_us = 0;
   load->sample.busy_us += took_us;
   load->sample.longest_us = MAX (load->sample.longest_us, took_us);
+  for (i = 0; i < LL_PARTS; i++)
+    {
+      load->sample.part_us[i] += load->iteration_part_us[i];
+      load->total_part_us[i] += load->iteration_part_us[i];
+      load->iteration_part_us[i] = 0;
+    }
 }
 
 struct loop_load *
@@ -44,6 +72,7 @@
   struct loop_load *load = g_new0 (struct loop_load, 1);
 
   load->loop = loop;
+  load->taken_cpu_us = clk_cpu_us ();
   ev_check_init (&load->woken, on_woken);
   ev_prepare_init (&load->waiting, on_waiting);
   ev_set_priority (&load->woken, EV_MAXPRI); /* before any other event */
@@ -54,6 +83,7 @@
   ev_unref (loop);
   ev_prepare_start (loop, &load->waiting);
   ev_unref (loop);
+  thread_load = load;
   return load;
 }
 
@@ -62,6 +92,8 @@
 {
   if (load == NULL)
     return;
+  if (thread_load == load)
+    thread_load = NULL;
   ev_ref (load->loop);
   ev_check_stop (load->loop, &load->woken);
   ev_ref (load->loop);
@@ -73,7 +105,52 @@
 ll_take (struct loop_load *load)
 {
   struct ll_sample taken = load->sample;
+  int64_t cpu_us = clk_cpu_us ();
 
+  taken.cpu_us = cpu_us - load->taken_cpu_us;
+  load->taken_cpu_us = cpu_us;
   load->sample = (struct ll_sample){ 0 };
   return taken;
 }
+
+int64_t
+ll_part_total_us (const struct loop_load *load, enum ll_part part)
+{
+  return load->total_part_us[part];
+}
+
+const char *
+ll_part_name (enum ll_part part)
+{
+  static const char *const names[LL_PARTS] = {
+    [LL_REST] = "rest",
+    [LL_ROUNDS] = "rounds",
+    [LL_WORKER_DUE] = "worker_due",
+    [LL_WORKER_CALLS] = "worker_calls",
+    [LL_WORKER_IO] = "worker_io",
+    [LL_WORKER_ANSWERS] = "worker_answers",
+    [LL_STORE] = "store",
+    [LL_RECORDS] = "records",
+    [LL_CALLERS] = "callers",
+    [LL_LOGS] = "logs",
+  };
+
+  return names[part];
+}
+
+enum ll_part
+ll_enter (enum ll_part part)
+{
+  enum ll_part outer = thread_part;
+
+  if (thread_load != NULL && thread_load->part_from_us != 0 && part != outer)
+    count_current_part (thread_load, g_get_monotonic_time ());
+  thread_part = part;
+  return outer;
+}
+
+void
+ll_leave (enum ll_part outer)
+{
+  ll_enter (outer);
+}
--- a/lib/http/http_client.c
+++ b/lib/http/http_client.c
@@ -34,6 +34,7 @@
 struct hc_client
 {
   struct ev_loop *loop;
+  enum ll_part load_part;
   CURLM *multi;
   ev_timer timer;
   GQueue calls;
@@ -130,6 +131,7 @@
 {
   struct watched_socket *watched = watcher->data;
   struct hc_client *client = watched->client;
+  enum ll_part outer = ll_enter (client->load_part);
   int action = 0;
   int running;
 
@@ -140,18 +142,21 @@
     action |= CURL_CSELECT_OUT;
   curl_multi_socket_action (client->multi, watcher->fd, action, &running);
   finish_completed_calls (client);
+  ll_leave (outer);
 }
 
 static void
 on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct hc_client *client = watcher->data;
+  enum ll_part outer = ll_enter (client->load_part);
   int running;
 
   (void)loop;
   (void)events;
   curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
   finish_completed_calls (client);
+  ll_leave (outer);
 }
 
 static int
@@ -390,6 +395,7 @@
   if (client == NULL)
     return HC_ERR_MEMORY;
   client->loop = params->loop;
+  client->load_part = params->load_part;
   g_queue_init (&client->calls);
   client->multi = curl_multi_init ();
   if (client->multi == NULL)
--- a/lib/http/http_client.h
+++ b/lib/http/http_client.h
@@ -9,6 +9,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "common/loop_load.h"
+
 /* Result of hc_create () and hc_send (), and of a finished call.  */
 enum hc_error
 {
@@ -60,6 +62,7 @@
   struct ev_loop *loop;
   uint32_t host_connection_limit; /* open at once per server; 0: no limit */
   uint32_t idle_connection_limit; /* kept for reuse; 0: libcurl's default */
+  enum ll_part load_part;         /* what the work on its events counts for */
 };
 
 /*! hc_create () :
--- a/lib/http/http_server.c
+++ b/lib/http/http_server.c
@@ -12,6 +12,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "common/loop_load.h"
+
 enum
 {
   BODY_INITIAL_CAPACITY_BYTES = 1024,
@@ -77,8 +79,11 @@
 static void
 run_daemon (struct hs_server *server)
 {
+  enum ll_part outer = ll_enter (LL_CALLERS);
+
   server->resumed = false;
   MHD_run (server->mhd);
+  ll_leave (outer);
 }
 
 static void
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -28,6 +28,7 @@
   ROUND_JOBS_AGE_MAX_MS = 1800,
   JOB_REMOVAL_INTERVAL_MS = 1000,
   LOAD_LOG_INTERVAL_MS = 5000,
+  LOAD_COUNT_INTERVAL_MS = 1000, /* of the counters of the metrics address */
   /* Reservations for gangs may take as many tasks as this share of the
      workers: enough for two gangs of 8 tasks, each as large as a worker, on 48
      workers, and a little more.  34 has the same effect.  */
@@ -145,6 +146,7 @@
           .starts = g_ptr_array_new (),
           .stops = g_ptr_array_new (),
           .advisor_queries = sd_advisor_queries_create () };
+  enum ll_part outer = ll_enter (LL_ROUNDS);
   guint i;
 
   sd_round (planner->sched, clk_monotonic_ms (NULL), clk_unix_ms (),
@@ -169,6 +171,7 @@
   g_ptr_array_free (commands.advisor_queries, TRUE);
   g_ptr_array_free (commands.starts, TRUE);
   g_ptr_array_free (commands.stops, TRUE);
+  ll_leave (outer);
 }
 
 /* Whether rounds may be held: each listed worker has answered the first status
@@ -243,6 +246,22 @@
   ev_timer_start (planner->params.loop, &planner->round_timer);
 }
 
+/* Logs what the time of the loop went to; the parts add up to busy_ms.  */
+static void
+log_load_parts (const struct ll_sample *sample)
+{
+  GString *parts = g_string_new (NULL);
+  int i;
+
+  for (i = 0; i < LL_PARTS; i++)
+    g_string_append_printf (parts, "%s%s:%" G_GINT64_FORMAT, i == 0 ? "" : ",",
+                            ll_part_name (i), sample->part_us[i] / 1000);
+  lg_info (PART, "What the planner's time went to.", "busy_ms",
+           lg_number (sample->busy_us / 1000), "parts_ms", parts->str,
+           "cpu_ms", lg_number (sample->cpu_us / 1000), NULL);
+  g_string_free (parts, TRUE);
+}
+
 static void
 log_load (struct planner *planner, int64_t now_ms)
 {
@@ -258,11 +277,34 @@
            lg_number (now_ms - planner->load_logged_ms), "window",
            lg_number (wk_window (planner->workers)), "waiting_starts",
            lg_number (wk_waiting_starts (planner->workers)), NULL);
+  log_load_parts (&sample);
   planner->load_logged_ms = now_ms;
   planner->rounds_us = 0;
   planner->rounds = 0;
 }
 
+/* On each host, the planner or not.  */
+static void
+count_load (struct planner *planner, int64_t now_ms)
+{
+  int i;
+
+  if (now_ms - planner->load_counted_ms < LOAD_COUNT_INTERVAL_MS)
+    return;
+  planner->load_counted_ms = now_ms;
+  for (i = 0; i < LL_PARTS; i++)
+    {
+      char name[96];
+
+      g_snprintf (name, sizeof name, "foxtailgap_busy_ms_total{part=\"%s\"}",
+                  ll_part_name (i));
+      mt_set (planner->params.metrics, name,
+              ll_part_total_us (planner->load, i) / 1000);
+    }
+  mt_set (planner->params.metrics, "foxtailgap_cpu_ms_total",
+          clk_cpu_us () / 1000);
+}
+
 /* Collects the jobs that ended long ago, so that the next batch removes their
    records.  All hosts, this one too, remove a job from their table when they
    read that its record has been removed.  */
@@ -327,6 +369,7 @@
       planner->pause_end_ms = now_ms;
     }
   planner->last_tick_ms = now_ms;
+  count_load (planner, now_ms);
   if (planner->role == PL_PLANNER)
     tick_as_planner (planner, now_ms);
 }
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -101,6 +101,7 @@
   /* load of this host as the planner, since it was last logged */
   struct loop_load *load;
   int64_t load_logged_ms;
+  int64_t load_counted_ms;
   int64_t rounds_us;     /* duration of all rounds */
   int64_t last_round_us; /* duration of the last one */
   uint32_t rounds;       /* number of them */
--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -373,8 +373,8 @@
   planner->starts = left;
 }
 
-void
-pl_write_changes (struct planner *planner, bool heartbeat, bool release)
+static void
+write_changes (struct planner *planner, bool heartbeat, bool release)
 {
   struct pl_batch *batch;
   size_t size_bytes;
@@ -408,3 +408,12 @@
   planner->sending = batch;
   pl_send_batch (planner);
 }
+
+void
+pl_write_changes (struct planner *planner, bool heartbeat, bool release)
+{
+  enum ll_part outer = ll_enter (LL_RECORDS);
+
+  write_changes (planner, heartbeat, release);
+  ll_leave (outer);
+}
--- a/programs/foxtailgap-hostd/relay.c
+++ b/programs/foxtailgap-hostd/relay.c
@@ -244,7 +244,7 @@
 rl_create (const struct rl_params *params)
 {
   struct relay *relay = g_new0 (struct relay, 1);
-  struct hc_params http = { .loop = params->loop };
+  struct hc_params http = { .loop = params->loop, .load_part = LL_CALLERS };
 
   relay->params = *params;
   if (hc_create (&relay->http, &http) != HC_OK)
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -6,6 +6,7 @@
 
 #include "common/clock.h"
 #include "common/logging.h"
+#include "common/loop_load.h"
 #include "workers_private.h"
 
 static const char PART[] = "workers";
@@ -558,11 +559,15 @@
 void
 wk_send_waiting (struct worker_calls *workers)
 {
+  enum ll_part outer;
+
   if (workers->term == 0)
     return;
+  outer = ll_enter (LL_WORKER_DUE);
   wk_count_leases_if_due (workers, clk_monotonic_ms (NULL));
   wk_send_queued_starts (workers);
   send_due_renewals (workers, clk_monotonic_ms (NULL));
+  ll_leave (outer);
 }
 
 uint32_t
