Answers to starts no longer have all workers looked through

Cause: each answer to a start called wk_send_waiting (), which looks through all 1,100 workers for renewals that are due, some hundred times a second. In a profile of the planner (2,890 samples in user code) wk_send_waiting () had 7.8%, nearly half of it from there.

Now an answer only sends the starts that wait for its place in the window. Renewals have their passes with each round, each stored batch and each tick of 50 ms, so a lease is renewed 50 ms later at most.

Test: the answer to a start leaves renewals to the next pass (test_hostd_workers; failed before).

--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -193,7 +193,9 @@
     }
   if (call->sent_ms == sent_ms)
     wk_call_free (call); /* else the call has been sent again */
-  wk_send_waiting (workers);
+  /* Renewals that are due are left to the next pass: looking through all
+     workers after each of some hundred answers a second costs too much.  */
+  wk_send_queued_starts (workers);
 }
 
 static void
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -780,10 +780,32 @@
   tear_down (&setup);
 }
 
+/* Guards against a planner that looks through all workers after each answer to
+   a start: they are looked through by the passes of wk_send_waiting ().  */
+static void
+test_answer_to_start_leaves_renewals_to_next_pass (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+
+  set_up (&setup, 3000);
+  task = place_task_on_reachable_worker (&setup);
+  wk_start (setup.workers, task);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE });
+  CU_ASSERT_TRUE (task->confirmed);
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 'h'));
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_PTR_NOT_NULL (fake_oldest_open_call (&setup.port, 'h'));
+  tear_down (&setup);
+}
+
 int
 main (void)
 {
   static const struct check_test tests[] = {
+    { "the answer to a start leaves renewals to the next pass",
+      test_answer_to_start_leaves_renewals_to_next_pass },
     { "a refusal after a try without an answer is not final",
       test_refusal_after_unanswered_try_is_not_final },
     { "a refusal of the first try is final",
