HTTP client: handles of libcurl are kept for the next calls

Each call created a handle of libcurl and freed it with its buffer of 16 kB.

A finished call's handle is now reset and kept, four for each client.

Test: calls leave nothing to the next one (method, headers, body, header of the answer, whether it was sent), many calls at once end (test_http).

--- a/lib/http/http_client.c
+++ b/lib/http/http_client.c
@@ -10,7 +10,10 @@
 
 enum
 {
-  BODY_INITIAL_CAPACITY_BYTES = 1024
+  BODY_INITIAL_CAPACITY_BYTES = 1024,
+  /* Handles of finished calls kept for the next ones; each has a buffer of
+     16 kB.  */
+  IDLE_HANDLES_MAX = 4
 };
 
 struct hc_call
@@ -38,6 +41,8 @@
   CURLM *multi;
   ev_timer timer;
   GQueue calls;
+  CURL *idle_handles[IDLE_HANDLES_MAX]; /* reset, of finished calls */
+  uint32_t idle_handle_count;
 };
 
 /* One socket that libcurl has asked to watch.  */
@@ -47,6 +52,29 @@
   struct hc_client *client;
 };
 
+/* --- Handles --- */
+
+/* Creating a handle and freeing it costs more than resetting one.  */
+static CURL *
+take_handle (struct hc_client *client)
+{
+  return client->idle_handle_count > 0
+             ? client->idle_handles[--client->idle_handle_count]
+             : curl_easy_init ();
+}
+
+static void
+return_handle (struct hc_client *client, CURL *easy)
+{
+  if (client->idle_handle_count == IDLE_HANDLES_MAX)
+    {
+      curl_easy_cleanup (easy);
+      return;
+    }
+  curl_easy_reset (easy);
+  client->idle_handles[client->idle_handle_count++] = easy;
+}
+
 /* --- Completing calls --- */
 
 static void
@@ -56,7 +84,7 @@
   if (call->easy != NULL)
     {
       curl_multi_remove_handle (call->client->multi, call->easy);
-      curl_easy_cleanup (call->easy);
+      return_handle (call->client, call->easy);
     }
   curl_slist_free_all (call->headers);
   free (call->request_body);
@@ -350,7 +378,7 @@
   call->limit_bytes = request->response_limit_bytes;
   call->link.data = call;
   g_queue_push_tail_link (&client->calls, &call->link);
-  call->easy = curl_easy_init ();
+  call->easy = take_handle (client);
   if (call->easy == NULL)
     goto fail;
   set_options (call, request);
@@ -425,6 +453,8 @@
     return;
   while (!g_queue_is_empty (&client->calls))
     call_free (g_queue_peek_head (&client->calls));
+  while (client->idle_handle_count > 0)
+    curl_easy_cleanup (take_handle (client));
   curl_multi_cleanup (client->multi);
   ev_timer_stop (client->loop, &client->timer);
   free (client);
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -28,6 +28,9 @@
   int drops; /* requests closed without a response */
   int error;
   bool maybe_sent;
+  bool has_kind; /* the response has the header X-Kind */
+  bool has_mark; /* the request that the server has, has the header X-Mark */
+  char method[16];
   long status;
   char body[256];
 };
@@ -50,6 +53,8 @@
   const char *body;
   size_t size_bytes;
 
+  f->has_mark = hs_header (request, "X-Mark") != NULL;
+  snprintf (f->method, sizeof f->method, "%s", hs_method (request));
   if (strcmp (hs_path (request), "/hold") == 0)
     {
       f->unanswered = request;
@@ -82,6 +87,7 @@
   f->error = response->error;
   f->maybe_sent = response->maybe_sent;
   f->status = response->status;
+  f->has_kind = hc_response_header (response, "X-Kind") != NULL;
   snprintf (f->body, sizeof f->body, "%s", response->body);
   ev_break (f->loop, EVBREAK_ALL);
 }
@@ -180,6 +186,95 @@
   teardown (&f);
 }
 
+/* Calls one after another may share a handle of libcurl.  */
+static void
+test_calls_leave_nothing_to_the_next_one (void)
+{
+  static const char *const marked[] = { "X-Mark: a", NULL };
+  struct fixture f;
+  char url[100];
+  struct hc_request request = { .method = "PUT",
+                                .url = url,
+                                .headers = marked,
+                                .body = "abc",
+                                .body_size_bytes = 3,
+                                .timeout_ms = 2000,
+                                .connect_timeout_ms = 1000,
+                                .response_limit_bytes = 1000,
+                                .callback = on_answer,
+                                .ctx = &f };
+  struct hc_request plain = { .method = "GET",
+                              .url = url,
+                              .timeout_ms = 2000,
+                              .connect_timeout_ms = 1000,
+                              .response_limit_bytes = 1000,
+                              .callback = on_answer,
+                              .ctx = &f };
+  uint16_t port;
+
+  setup (&f);
+  port = hs_port (f.server);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/late", port);
+  CU_ASSERT_EQUAL_FATAL (hc_send (f.client, &request, NULL), HC_OK);
+  ev_run (f.loop, 0);
+  CU_ASSERT_STRING_EQUAL (f.method, "PUT");
+  CU_ASSERT_TRUE (f.has_mark);
+  CU_ASSERT_TRUE (f.has_kind);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/echo", port);
+  CU_ASSERT_EQUAL_FATAL (hc_send (f.client, &plain, NULL), HC_OK);
+  ev_run (f.loop, 0);
+  CU_ASSERT_EQUAL (f.status, 200);
+  CU_ASSERT_STRING_EQUAL (f.method, "GET");
+  CU_ASSERT_STRING_EQUAL (f.body, "");
+  CU_ASSERT_FALSE (f.has_mark);
+  CU_ASSERT_FALSE (f.has_kind);
+  call_and_wait (&f, "/echo", "abc", 1); /* nobody listens there */
+  CU_ASSERT_EQUAL (f.error, HC_ERR_CONNECT);
+  CU_ASSERT_EQUAL (f.status, 0);
+  CU_ASSERT_FALSE (f.maybe_sent);
+  teardown (&f);
+}
+
+/* Many calls at once, each cancelled or answered: more handles than are
+   kept.  */
+static void
+test_many_calls_at_once_end (void)
+{
+  enum
+  {
+    CALLS = 100
+  };
+  struct fixture f;
+  struct hc_call *calls[CALLS];
+  char url[100];
+  struct hc_request request = { .method = "POST",
+                                .url = url,
+                                .body = "abc",
+                                .body_size_bytes = 3,
+                                .timeout_ms = 2000,
+                                .connect_timeout_ms = 1000,
+                                .response_limit_bytes = 1000,
+                                .callback = on_answer,
+                                .ctx = &f };
+  int round;
+  int i;
+
+  setup (&f);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/echo", hs_port (f.server));
+  for (round = 0; round < 3; round++)
+    {
+      f.answers = 0;
+      for (i = 0; i < CALLS; i++)
+        CU_ASSERT_EQUAL_FATAL (hc_send (f.client, &request, &calls[i]), HC_OK);
+      for (i = 0; i < CALLS; i += 2)
+        hc_cancel (calls[i]);
+      while (f.answers < CALLS / 2)
+        ev_run (f.loop, EVRUN_ONCE);
+      CU_ASSERT_EQUAL (f.answers, CALLS / 2);
+    }
+  teardown (&f);
+}
+
 /* A request on a reused connection that closes without a response may have
    taken effect, so that the client must not send it twice.  libcurl resends
    such requests by default.  */
@@ -413,6 +508,9 @@
   CU_add_test (suite, "caller disconnects", test_caller_disconnects);
   CU_add_test (suite, "server freed with an unanswered request",
                test_free_with_unanswered_request);
+  CU_add_test (suite, "calls leave nothing to the next one",
+               test_calls_leave_nothing_to_the_next_one);
+  CU_add_test (suite, "many calls at once end", test_many_calls_at_once_end);
   CU_add_test (suite, "request is not resent", test_request_is_not_resent);
   CU_add_test (suite, "request received during a stall is served",
                test_request_received_during_stall_is_served);
