Progress of runs: rates are sorted only where a run may be slow

Whether the median is above three times the run's own rate follows from counting; only then it is computed. A run without a rate of its own is not compared at all. The verdicts are the same (test_hostd_sched).

--- a/lib/sched/health.c
+++ b/lib/sched/health.c
@@ -101,14 +101,16 @@
   return (left > right) - (left < right);
 }
 
-/* The median rate of the other tasks of its step that run on other workers;
-   0: there are none.  */
+/* The median rate of the other tasks of its step that run on other workers,
+   if it is above LIMIT; else 0, also if there are none.  It seldom is, so that
+   few have to be sorted.  */
 static double
-median_sibling_rate (const struct jb_task *task)
+median_sibling_rate_above (const struct jb_task *task, double limit)
 {
   const struct jb_step *step = task->step;
   double rates[SIBLINGS_EXAMINED_MAX];
   size_t count = 0;
+  size_t above = 0;
   uint32_t i;
 
   for (i = 0; i < step->spec->count && count < SIBLINGS_EXAMINED_MAX; i++)
@@ -117,9 +119,12 @@
       double rate = other == task ? 0 : percent_per_s (other);
 
       if (rate > 0 && strcmp (other->worker, task->worker) != 0)
-        rates[count++] = rate;
+        {
+          rates[count++] = rate;
+          above += rate > limit;
+        }
     }
-  if (count == 0)
+  if (above < count - count / 2 || count == 0)
     return 0;
   qsort (rates, count, sizeof rates[0], compare_rates);
   return rates[count / 2];
@@ -129,10 +134,12 @@
 sd_health_judge_progress (const struct jb_task *task)
 {
   double own_rate = percent_per_s (task);
-  double median_rate = median_sibling_rate (task);
+  double median_rate;
 
-  if (own_rate <= 0 || median_rate <= 0
-      || own_rate * SLOW_FACTOR >= median_rate)
+  if (own_rate <= 0)
+    return SD_PROGRESS_NORMAL;
+  median_rate = median_sibling_rate_above (task, own_rate * SLOW_FACTOR);
+  if (median_rate <= 0)
     return SD_PROGRESS_NORMAL;
   /* The time for the remaining work here against the time for all of the work
      elsewhere.  */
