--- a/programs/foxtailgap-hostd/worker_leases.c
+++ b/programs/foxtailgap-hostd/worker_leases.c
@@ -31,12 +31,12 @@
   bool unknown = io->worker->reachability == SD_WORKER_UNSEEN
                  && io->worker->report.address == NULL;
 
+  if (io->worker->reachability == SD_WORKER_REACHABLE)
+    return false;
   /* While leases are not counted, when this one ends is not known.  */
   if (!may_have_runs (io, now_ms) || wk_lease_is_uncounted (io))
     return false;
-  return unknown || wk_renewal_is_suspended (io, now_ms)
-         || (io->lease_recorded
-             && io->worker->reachability != SD_WORKER_REACHABLE);
+  return unknown || wk_renewal_is_suspended (io, now_ms) || io->lease_recorded;
 }
 
 bool
