--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -154,6 +154,20 @@
   return strcmp (left->worker->report.id, right->worker->report.id);
 }
 
+/* Whether RESOURCES hold one task; the same as sd_resources_copies () above
+   0, without its divisions.  */
+static bool
+hold_one (const struct jb_resources *need,
+          const struct jb_resources *resources)
+{
+  return (need->accelerators <= 0
+          || need->accelerators <= resources->accelerators)
+         && (need->cpus_milli <= 0
+             || need->cpus_milli <= resources->cpus_milli)
+         && (need->memory_mib <= 0
+             || need->memory_mib <= resources->memory_mib);
+}
+
 static GArray *
 collect_candidates (const struct sd_sched *sched, const struct sd_unit *unit,
                     bool use_reserved, int64_t now_ms)
@@ -167,7 +181,10 @@
       struct candidate candidate = { .worker = worker };
       struct jb_resources resources;
 
-      if (!can_start_now (worker, unit, now_ms))
+      /* While more work waits than fits, most workers have no room.  */
+      if (!hold_one (&unit->step->spec->resources,
+                     &worker->round_free_resources)
+          || !can_start_now (worker, unit, now_ms))
         continue;
       resources = worker->round_free_resources;
       if (!use_reserved)
