Progress of runs: most of it is judged without a look at the other tasks

The step now knows the fastest rate any of its runs has had; a run within three times of it can't be three times below the median.

Test: one fast task does not make others slow (test_hostd_sched); it and the tests of slow workers there pass with the former code too, for the verdicts are the same.

--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -172,6 +172,9 @@
   uint32_t index;        /* within its job, from 0 */
   struct jb_task *tasks; /* array of spec->count, owned by the job */
   uint32_t done_count;
+  /* Percent of its work that any run of the step has done in a second, by its
+     progress whenever that was reported, at most; 0: none yet.  */
+  double fastest_rate;
 };
 
 struct jb_job
--- a/lib/sched/health.c
+++ b/lib/sched/health.c
@@ -138,6 +138,10 @@
 
   if (own_rate <= 0)
     return SD_PROGRESS_NORMAL;
+  task->step->fastest_rate = MAX (task->step->fastest_rate, own_rate);
+  /* Most progress is judged here, without a look at the other tasks.  */
+  if (own_rate * SLOW_FACTOR >= task->step->fastest_rate)
+    return SD_PROGRESS_NORMAL;
   median_rate = median_sibling_rate_above (task, own_rate * SLOW_FACTOR);
   if (median_rate <= 0)
     return SD_PROGRESS_NORMAL;
--- a/tests/unit/test_hostd_sched.c
+++ b/tests/unit/test_hostd_sched.c
@@ -145,6 +145,39 @@
   tear_down (&setup);
 }
 
+/* The median counts, whatever the fastest task does.  */
+static void
+test_one_fast_task_does_not_make_others_slow (void)
+{
+  struct fixture_step step = { .count = 5, .accelerators = 8, .gang = true };
+  struct setup setup;
+  struct jb_job *job;
+  size_t i;
+
+  set_up (&setup);
+  for (i = 0; i < 5; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "w%zu", i);
+      fixture_worker (setup.sched, id, "r1", 8);
+    }
+  job = add_job (&setup, "00000000000000e1", "urgent", &step, 0);
+  fixture_run_round (setup.sched, 0);
+  start_placed_tasks (&setup, job, 1);
+  for (i = 1; i < 5; i++)
+    sd_task_progress (setup.sched, &job->tasks[i], 20, 2000);
+  sd_task_progress (setup.sched, &job->tasks[0], 90, 2000);
+  for (i = 1; i < 5; i++)
+    sd_task_progress (setup.sched, &job->tasks[i], 21, 2050);
+  CU_ASSERT_EQUAL (count_in (job, JB_TASK_STOPPING), 0);
+  for (i = 1; i < 4; i++)
+    sd_task_progress (setup.sched, &job->tasks[i], 90, 2100);
+  sd_task_progress (setup.sched, &job->tasks[4], 22, 2100);
+  CU_ASSERT_EQUAL (count_in (job, JB_TASK_STOPPING), 5);
+  tear_down (&setup);
+}
+
 /* --- Absence limits of long-lived steps --- */
 
 /* A long-lived step of three tasks that are up, each on a worker of its own.
@@ -871,6 +904,8 @@
     { "an uneven gang is not stopped", test_uneven_gang_is_not_stopped },
     { "a gang that is nearly done is not stopped",
       test_nearly_done_gang_is_not_stopped },
+    { "one fast task does not make others slow",
+      test_one_fast_task_does_not_make_others_slow },
     { "preemption respects the absence limit",
       test_preemption_respects_absence_limit },
     { "preemption counts tasks that are absent already",
