Runs that are stopped before their start is sent give their room back at once

Cause: work that is placed and then preempted (or cancelled) before its start was sent stayed on its worker until a poll showed that it was not there. That poll had to be sent after the stop, and the one in flight is a long poll, which nothing ends early where no run ends: up to 1.9 s.

A start that has not been sent and never will be can't take effect: the run is on no worker, whatever a poll says. So the core is told at once that it is gone, as it was already where such a start is refused while its task is still placed. Class of fault: room held by a belief whose proof waits for an event that need not come. Runs whose start was sent are proved gone as before.

Test: a waiting start of a stopped task is dropped (test_hostd_workers; failed before: all tasks went on stopping).

--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -64,8 +64,7 @@
         wk_start (planner->workers, start->task); /* once it is permitted */
       else if (start->task->state == JB_TASK_STOPPING
                && start->task->run == start->run)
-        start->task->poll_conclusive_from_ms = MIN (
-            start->task->poll_conclusive_from_ms, clk_monotonic_ms (NULL));
+        wk_drop_unsent_run (planner->workers, start->task);
     }
 }
 
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -232,14 +232,25 @@
 
 /* --- The queue --- */
 
-/* A start that was never sent can not take effect, so that any later poll
-   shows that the run is not there.  */
+void
+wk_drop_unsent_run (struct worker_calls *workers, struct jb_task *task)
+{
+  lg_info (PART, "A run is stopped before its start is sent.", "job",
+           task->job->id, "step", lg_number (task->step->index), "index",
+           lg_number (task->index), "run", lg_number (task->run), "worker",
+           task->worker, NULL);
+  mt_add (workers->params.metrics, "foxtailgap_unsent_runs_total", 1);
+  sd_task_lost (workers->params.sched, task, clk_monotonic_ms (NULL));
+  workers->params.changed (workers->params.ctx);
+}
+
 static void
 drop_unsent_start (struct wk_call *call, struct jb_task *task)
 {
-  task->poll_conclusive_from_ms
-      = MIN (task->poll_conclusive_from_ms, clk_monotonic_ms (NULL));
+  struct worker_calls *workers = call->workers;
+
   wk_call_free (call);
+  wk_drop_unsent_run (workers, task);
 }
 
 /* WHY: for the log.  */
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -88,6 +88,12 @@
  *  ended. */
 void wk_start (struct worker_calls *workers, struct jb_task *task);
 
+/*! wk_drop_unsent_run () :
+ *  The run of TASK is being stopped, and its start has not been sent and never
+ *  will be: it is on no worker, whatever a poll would say.  The scheduling
+ * core is told that it is gone. */
+void wk_drop_unsent_run (struct worker_calls *workers, struct jb_task *task);
+
 /*! wk_stop () :
  *  Sends the stop of a task, if orders may be given now.  The stop is sent
  *  again as long as a later poll shows the run. */
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -578,7 +578,20 @@
   tear_down (&setup);
 }
 
-/* A start that is still waiting when its job is cancelled is never sent.  */
+static uint32_t
+count_tasks_in (const struct jb_job *job, uint32_t state)
+{
+  uint32_t count = 0;
+  size_t i;
+
+  for (i = 0; i < job->task_total; i++)
+    count += job->tasks[i].state == state;
+  return count;
+}
+
+/* A start that is still waiting when its job is cancelled is never sent.
+   Guards against runs that never started and yet hold the room of others until
+   the long poll of their worker is over, which takes up to 2 s.  */
 static void
 test_waiting_start_of_stopped_task_is_dropped (void)
 {
@@ -597,6 +610,10 @@
       sent++;
     }
   CU_ASSERT_TRUE (sent <= WINDOW_CALLS);
+  CU_ASSERT_EQUAL (wk_waiting_starts (setup.workers), 0);
+  /* No poll has been answered meanwhile.  */
+  CU_ASSERT_EQUAL (count_tasks_in (job, JB_TASK_STOPPING), sent);
+  CU_ASSERT_EQUAL (count_tasks_in (job, JB_TASK_PLACED), 0);
   tear_down (&setup);
 }
 
