--- a/lib/http/http_client.c
+++ b/lib/http/http_client.c
@@ -10,7 +10,10 @@
 
 enum
 {
-  BODY_INITIAL_CAPACITY_BYTES = 1024
+  BODY_INITIAL_CAPACITY_BYTES = 1024,
+  /* Handles of finished calls kept for the next ones; each has a buffer of
+     16 kB.  */
+  IDLE_HANDLES_MAX = 4
 };
 
 struct hc_call
@@ -34,9 +37,12 @@
 struct hc_client
 {
   struct ev_loop *loop;
+  enum ll_part load_part;
   CURLM *multi;
   ev_timer timer;
   GQueue calls;
+  CURL *idle_handles[IDLE_HANDLES_MAX]; /* reset, of finished calls */
+  uint32_t idle_handle_count;
 };
 
 /* One socket that libcurl has asked to watch.  */
@@ -46,6 +52,29 @@
   struct hc_client *client;
 };
 
+/* --- Handles --- */
+
+/* Creating a handle and freeing it costs more than resetting one.  */
+static CURL *
+take_handle (struct hc_client *client)
+{
+  return client->idle_handle_count > 0
+             ? client->idle_handles[--client->idle_handle_count]
+             : curl_easy_init ();
+}
+
+static void
+return_handle (struct hc_client *client, CURL *easy)
+{
+  if (client->idle_handle_count == IDLE_HANDLES_MAX)
+    {
+      curl_easy_cleanup (easy);
+      return;
+    }
+  curl_easy_reset (easy);
+  client->idle_handles[client->idle_handle_count++] = easy;
+}
+
 /* --- Completing calls --- */
 
 static void
@@ -55,7 +84,7 @@
   if (call->easy != NULL)
     {
       curl_multi_remove_handle (call->client->multi, call->easy);
-      curl_easy_cleanup (call->easy);
+      return_handle (call->client, call->easy);
     }
   curl_slist_free_all (call->headers);
   free (call->request_body);
@@ -130,6 +159,7 @@
 {
   struct watched_socket *watched = watcher->data;
   struct hc_client *client = watched->client;
+  enum ll_part outer = ll_enter (client->load_part);
   int action = 0;
   int running;
 
@@ -140,18 +170,21 @@
     action |= CURL_CSELECT_OUT;
   curl_multi_socket_action (client->multi, watcher->fd, action, &running);
   finish_completed_calls (client);
+  ll_leave (outer);
 }
 
 static void
 on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct hc_client *client = watcher->data;
+  enum ll_part outer = ll_enter (client->load_part);
   int running;
 
   (void)loop;
   (void)events;
   curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
   finish_completed_calls (client);
+  ll_leave (outer);
 }
 
 static int
@@ -345,7 +378,7 @@
   call->limit_bytes = request->response_limit_bytes;
   call->link.data = call;
   g_queue_push_tail_link (&client->calls, &call->link);
-  call->easy = curl_easy_init ();
+  call->easy = take_handle (client);
   if (call->easy == NULL)
     goto fail;
   set_options (call, request);
@@ -390,6 +423,7 @@
   if (client == NULL)
     return HC_ERR_MEMORY;
   client->loop = params->loop;
+  client->load_part = params->load_part;
   g_queue_init (&client->calls);
   client->multi = curl_multi_init ();
   if (client->multi == NULL)
@@ -419,6 +453,8 @@
     return;
   while (!g_queue_is_empty (&client->calls))
     call_free (g_queue_peek_head (&client->calls));
+  while (client->idle_handle_count > 0)
+    curl_easy_cleanup (take_handle (client));
   curl_multi_cleanup (client->multi);
   ev_timer_stop (client->loop, &client->timer);
   free (client);
--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -64,8 +64,7 @@
         wk_start (planner->workers, start->task); /* once it is permitted */
       else if (start->task->state == JB_TASK_STOPPING
                && start->task->run == start->run)
-        start->task->poll_conclusive_from_ms = MIN (
-            start->task->poll_conclusive_from_ms, clk_monotonic_ms (NULL));
+        wk_drop_unsent_run (planner->workers, start->task);
     }
 }
 
@@ -373,8 +372,8 @@
   planner->starts = left;
 }
 
-void
-pl_write_changes (struct planner *planner, bool heartbeat, bool release)
+static void
+write_changes (struct planner *planner, bool heartbeat, bool release)
 {
   struct pl_batch *batch;
   size_t size_bytes;
@@ -408,3 +407,12 @@
   planner->sending = batch;
   pl_send_batch (planner);
 }
+
+void
+pl_write_changes (struct planner *planner, bool heartbeat, bool release)
+{
+  enum ll_part outer = ll_enter (LL_RECORDS);
+
+  write_changes (planner, heartbeat, release);
+  ll_leave (outer);
+}
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -704,7 +704,20 @@
   tear_down (&setup);
 }
 
-/* A start that is still waiting when its job is cancelled is never sent.  */
+static uint32_t
+count_tasks_in (const struct jb_job *job, uint32_t state)
+{
+  uint32_t count = 0;
+  size_t i;
+
+  for (i = 0; i < job->task_total; i++)
+    count += job->tasks[i].state == state;
+  return count;
+}
+
+/* A start that is still waiting when its job is cancelled is never sent.
+   Guards against runs that never started and yet hold the room of others until
+   the long poll of their worker is over, which takes up to 2 s.  */
 static void
 test_waiting_start_of_stopped_task_is_dropped (void)
 {
@@ -723,6 +736,10 @@
       sent++;
     }
   CU_ASSERT_TRUE (sent <= WINDOW_CALLS);
+  CU_ASSERT_EQUAL (wk_waiting_starts (setup.workers), 0);
+  /* No poll has been answered meanwhile.  */
+  CU_ASSERT_EQUAL (count_tasks_in (job, JB_TASK_STOPPING), sent);
+  CU_ASSERT_EQUAL (count_tasks_in (job, JB_TASK_PLACED), 0);
   tear_down (&setup);
 }
 
@@ -906,10 +923,32 @@
   tear_down (&setup);
 }
 
+/* Guards against a planner that looks through all workers after each answer to
+   a start: they are looked through by the passes of wk_send_waiting ().  */
+static void
+test_answer_to_start_leaves_renewals_to_next_pass (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+
+  set_up (&setup, 3000);
+  task = place_task_on_reachable_worker (&setup);
+  wk_start (setup.workers, task);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE });
+  CU_ASSERT_TRUE (task->confirmed);
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 'h'));
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_PTR_NOT_NULL (fake_oldest_open_call (&setup.port, 'h'));
+  tear_down (&setup);
+}
+
 int
 main (void)
 {
   static const struct check_test tests[] = {
+    { "the answer to a start leaves renewals to the next pass",
+      test_answer_to_start_leaves_renewals_to_next_pass },
     { "a refusal after a try without an answer is not final",
       test_refusal_after_unanswered_try_is_not_final },
     { "a refusal of the first try is final",
