A host that has lost its term does not take it up again

What followed: a planner that was told by a worker, or by the store, that its term was over could read an own heartbeat of that term right after, from a read that was answered before the next host's claim. It then held the term once more, with a table that had just been emptied: until the store refused its next append, it polled all workers under the old term and had every run stopped that they listed, except on workers that the next planner had reached already.

Cause: pl_end_term () kept the nonce by which a host knows its own records.

Both events have to be pending in one iteration of the loop, so it needs a planner that is late.

Now the nonce is forgotten with the term, so that only a new claim can begin one.

Test: test_hostd_planner, "an own old heartbeat does not renew the term"; failed before (a poll was sent under the old term).

--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -228,6 +228,7 @@
   lg_warning (PART, "The term is over.", "term",
               lg_number ((long long)planner->term), "why", why, NULL);
   planner->role = PL_FOLLOWER;
+  planner->nonce = 0; /* records of this term may still be read */
   pl_drop_batch (planner);
   planner->appends_in_flight = 0;
   wk_end_term (planner->workers);
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -528,6 +528,31 @@
   tear_down (&setup);
 }
 
+/* Guards against a host that takes its former term up again: it was told by a
+   worker that the term was over, and then read a heartbeat that it had written
+   itself.  Its table was empty by then, so that it had all runs stopped.  */
+static void
+test_own_old_heartbeat_does_not_renew_the_term (void)
+{
+  struct setup setup;
+  size_t calls;
+
+  become_planner (&setup);
+  answer_append (&setup, submit_job (&setup));
+  while (setup.store.jobs_read == NULL)
+    run_loop_for (&setup, 5);
+  run_loop_for (&setup, 300); /* a heartbeat is stored, and not read yet */
+  answer_all_appends (&setup);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_FENCED });
+  fake_answer_all_unresponsive (&setup.port);
+  calls = setup.port.count;
+  show_appends (&setup);
+  run_loop_for (&setup, 100);
+  CU_ASSERT_EQUAL (setup.port.count, calls);
+  tear_down (&setup);
+}
+
 /* Guards against waiting the whole 0.7 s of an append's timeout for an answer
    that was lost; another host acquired the term meanwhile (own day with
    platform_lost).  */
@@ -984,6 +1009,8 @@
       test_lease_is_not_renewed_after_a_pause },
     { "a superseded planner starts nothing",
       test_superseded_planner_starts_nothing },
+    { "an own old heartbeat does not renew the term",
+      test_own_old_heartbeat_does_not_renew_the_term },
     { "a change of a task writes its block only",
       test_change_of_a_task_writes_its_block_only },
     { "a completed job leaves no blocks",
