A term that is lost while the topic is loaded leaves no empty table

What followed: a host could forget how far all jobs were and take its table for loaded. As a later planner it would start running and completed tasks again from run 1 (TWICE), and its callers saw jobs go back.

Cause: the planner loads the jobs' topic anew when history was dropped (platform_compact). Progress in the loaded records is passed over, for this host has written it. If the same records show the term of another host, which is applied last, pl_end_term () empties the table and asks for another load (jr_reload ()); but jr_apply_newest_records () then marked the topic as loaded after all. It needs a planner that learns of its successor by that load before the store's refusal of its next append, so one whose appends have no answer, or that is late.

Now the topic counts as loaded before the records are applied, so that the request to load it again stands.

Test: test_hostd_planner, "progress is known after a term that was lost while loading"; failed before (run 0 and waiting in place of run 1 and placed).

--- a/programs/foxtailgap-hostd/journal_load.c
+++ b/programs/foxtailgap-hostd/journal_load.c
@@ -103,6 +103,12 @@
       if (!has_leases)
         forget_leases (journal);
     }
+  /* Before the records are applied: they may show that this host's term is
+     over, and then the topic is to be loaded once more.  */
+  reader->next_offset = reader->first_page_end_offset;
+  reader->loaded = true;
+  reader->caught_up = false;
+  reader->ever_loaded = true;
   for (i = 0; i < reader->newest_records->len; i++)
     {
       const struct so_record *record
@@ -115,10 +121,6 @@
         reader->apply_record (journal, record);
     }
   g_ptr_array_set_size (reader->newest_records, 0);
-  reader->next_offset = reader->first_page_end_offset;
-  reader->loaded = true;
-  reader->caught_up = false;
-  reader->ever_loaded = true;
   lg_info (PART, "A topic has been loaded.", "topic", reader->topic, "next",
            lg_number (reader->next_offset), NULL);
 }
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -553,6 +553,78 @@
   tear_down (&setup);
 }
 
+/* All records of the jobs' topic: of a job of one task, as stored by append
+   number APPEND, and of the term of another host.  */
+static GPtrArray *
+newest_of_next_term (const struct setup *setup, uint32_t append)
+{
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", &step);
+  GByteArray *job = jb_encode_spec (spec);
+  struct jb_term_record next = { .term = 9, .host = "b", .nonce = 9 };
+  GByteArray *term = jb_encode_term (&next);
+  char *key = g_strdup_printf ("j/%s", JOB);
+  GPtrArray *records = one_record (key, job->data, job->len);
+  guint i;
+
+  for (i = 0; i < setup->store.records[append]->len; i++)
+    {
+      const struct so_record *record
+          = g_ptr_array_index (setup->store.records[append], i);
+
+      g_ptr_array_add (records, so_record_create (record->key, record->value,
+                                                  record->size_bytes));
+    }
+  g_ptr_array_add (records, so_record_create ("t", term->data, term->len));
+  g_free (key);
+  g_byte_array_free (term, TRUE);
+  g_byte_array_free (job, TRUE);
+  jb_spec_free (spec);
+  return records;
+}
+
+/* Guards against a host that forgets how far all jobs are, and would run them
+   again as a later planner: while it was the planner it loaded the topic
+   again, and the records that it loaded showed that its term was over.  The
+   table was emptied then, after the progress in these records had been passed
+   over as written by this host, and counted as loaded.  */
+static void
+test_progress_is_known_after_a_term_lost_while_loading (void)
+{
+  struct setup setup;
+  struct so_read_answer expired = { .result = SO_EXPIRED };
+  const struct jb_job *job;
+  so_read_callback read;
+  uint32_t append;
+  int i;
+
+  become_planner (&setup);
+  append = submit_job (&setup);
+  while (setup.store.jobs_read == NULL)
+    run_loop_for (&setup, 5);
+  read = setup.store.jobs_read;
+  setup.store.jobs_read = NULL;
+  if (read != NULL)
+    read (setup.store.jobs_ctx, &expired);
+  CU_ASSERT_FALSE (jr_is_loaded (setup.journal));
+  for (i = 0; i < 100 && !jr_is_loaded (setup.journal); i++)
+    {
+      run_loop_for (&setup, 5);
+      if (setup.store.jobs_read != NULL)
+        answer_read (&setup, &setup.store.jobs_read, setup.store.jobs_ctx,
+                     newest_of_next_term (&setup, append));
+    }
+  CU_ASSERT_TRUE (jr_is_loaded (setup.journal));
+  job = jb_table_find (jr_job_table (setup.journal), JOB);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (job);
+  if (job != NULL)
+    {
+      CU_ASSERT_EQUAL (job->tasks[0].run, 1);
+      CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_PLACED);
+    }
+  tear_down (&setup);
+}
+
 /* Guards against waiting the whole 0.7 s of an append's timeout for an answer
    that was lost; another host acquired the term meanwhile (own day with
    platform_lost).  */
@@ -1011,6 +1083,8 @@
       test_superseded_planner_starts_nothing },
     { "an own old heartbeat does not renew the term",
       test_own_old_heartbeat_does_not_renew_the_term },
+    { "progress is known after a term that was lost while loading",
+      test_progress_is_known_after_a_term_lost_while_loading },
     { "a change of a task writes its block only",
       test_change_of_a_task_writes_its_block_only },
     { "a completed job leaves no blocks",
