A large configuration is read at the first try over a slow link

Cause: the record, about 370 KB, came late in the wait of the read, which timed out 0.9 s later (the wait and 0.7 s); what had been received was dropped, and the second read, with twice the time, took 1.5 s. Meanwhile the link was full for starts too.

Reads of the operator's topic now have from the start the 1.4 s beside their wait that they had after a failure. The longest time is as before, and so are the reads of the jobs, by which an unreachable store is noticed.

test_hostd_journal (a large configuration late in the wait is read) failed before.

--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -223,12 +223,16 @@
 }
 
 /* How long an answer may take, in addition to the wait: longer after failures,
-   so that a store that is slow for all its readers can answer some.  */
+   so that a store that is slow for all its readers can answer some, and longer
+   for the operator's records, which may be large: one of 370 KB needs 1.5 s of
+   a link of 2 Mbit/s.  */
 static uint32_t
 read_timeout_margin_ms (const struct topic_reader *reader)
 {
+  uint32_t steps_min = reader == &reader->journal->operator_reader ? 1 : 0;
+
   return READ_TIMEOUT_MARGIN_MS
-         << MIN (reader->failures, READ_MARGIN_STEPS_MAX);
+         << CLAMP (reader->failures, steps_min, READ_MARGIN_STEPS_MAX);
 }
 
 static uint32_t
--- a/tests/unit/hostd_store_fixture.h
+++ b/tests/unit/hostd_store_fixture.h
@@ -29,6 +29,8 @@
   /* Of any other topic: the operator's configuration.  */
   so_read_callback operator_read;
   void *operator_ctx;
+  uint32_t operator_wait_ms;    /* of the last read () */
+  uint32_t operator_timeout_ms; /* the same */
 };
 
 static inline void
@@ -88,9 +90,13 @@
   struct fake_store *store = ctx;
 
   (void)from;
-  (void)timeout_ms;
   if (strcmp (topic, "jobs") == 0)
     store->jobs_wait_ms = wait_ms;
+  if (strcmp (topic, "operator") == 0)
+    {
+      store->operator_wait_ms = wait_ms;
+      store->operator_timeout_ms = timeout_ms;
+    }
   fake_store_keep_read (ctx, topic, callback, callback_ctx);
 }
 
--- a/tests/unit/test_hostd_journal.c
+++ b/tests/unit/test_hostd_journal.c
@@ -612,6 +612,36 @@
   finish (&setup);
 }
 
+/* Guards against a large configuration that is read twice: it was stored late
+   in the wait of a read, which then timed out on a link of 2 Mbit/s (scale-2
+   of the small twin of large).  */
+static void
+test_large_configuration_late_in_the_wait_is_read (void)
+{
+  enum
+  {
+    RECORD_MS = 1400 /* 350 KB over 2 Mbit/s */
+  };
+  struct setup setup;
+  int i;
+
+  begin (&setup);
+  for (i = 0; i < 2; i++) /* the newest records, and what came since */
+    {
+      struct so_read_answer answer = { .result = SO_DONE,
+                                       .records = setup.records,
+                                       .at_end = true,
+                                       .wait_expired = true };
+
+      setup.store.operator_read (setup.store.operator_ctx, &answer);
+      run_for_ms (&setup, 20);
+    }
+  CU_ASSERT_TRUE (setup.store.operator_wait_ms > 0);
+  CU_ASSERT_TRUE (setup.store.operator_timeout_ms
+                  >= setup.store.operator_wait_ms + RECORD_MS);
+  finish (&setup);
+}
+
 int
 main (void)
 {
@@ -648,6 +678,8 @@
       test_leases_that_are_not_loaded_again_are_forgotten },
     { "the progress of a job stored again is applied",
       test_progress_of_job_stored_again_is_applied },
+    { "a large configuration late in the wait is read",
+      test_large_configuration_late_in_the_wait_is_read },
     { "hosts have different ranks", test_hosts_have_different_ranks },
   };
 
