--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -62,7 +62,11 @@
   LINK_SLOW_MS = 80,
   /* Renewals sent in one pass, so that the loop soon returns to other
      events.  */
-  RENEWALS_PER_PASS_MAX = 32
+  RENEWALS_PER_PASS_MAX = 32,
+  /* A poll that has waited for the window for so long is sent without room,
+     a few in one pass: starts can use the whole window for many seconds.  */
+  POLL_OVERDUE_MS = 1000,
+  OVERDUE_POLLS_PER_PASS_MAX = 4
 };
 
 /* --- Calls --- */
@@ -540,6 +544,12 @@
                       io->poll_at_once ? CW_URGENT : CW_BULK, now_ms);
 }
 
+static bool
+is_overdue (const struct worker_io *io, int64_t now_ms)
+{
+  return now_ms - io->renewal_tried_ms >= POLL_OVERDUE_MS;
+}
+
 /* Sends the renewals that are due, beginning with the worker at which the last
    pass ended, so that all have their turn.  */
 static void
@@ -548,6 +558,7 @@
   const GPtrArray *all = sd_workers (workers->params.sched);
   guint first = workers->next_renewal;
   uint32_t sent = 0;
+  uint32_t overdue = 0;
   guint i;
 
   for (i = 0; i < all->len; i++)
@@ -561,7 +572,11 @@
         wk_drop_runs_of_lapsed_lease (io, now_ms);
       if (!renewal_is_due (io, now_ms))
         continue;
-      if (sent < RENEWALS_PER_PASS_MAX && has_room_for_renewal (io, now_ms))
+      if (sent >= RENEWALS_PER_PASS_MAX)
+        continue;
+      if (has_room_for_renewal (io, now_ms)
+          || (is_overdue (io, now_ms)
+              && overdue++ < OVERDUE_POLLS_PER_PASS_MAX))
         {
           send_renewal (workers, io, now_ms);
           sent++;
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -676,6 +676,33 @@
   tear_down (&setup);
 }
 
+/* Guards against a worker out of reach that is not polled again for many
+   seconds, because starts use each place in the window at once.  */
+static void
+test_overdue_poll_is_sent_while_starts_fill_the_window (void)
+{
+  struct setup setup;
+  struct sd_worker *cut;
+  uint32_t polls = 0;
+  size_t i;
+
+  set_up (&setup, 6000);
+  cut = fixture_worker (setup.sched, "cut", "r1", 8);
+  sd_worker_set_reachability (cut, SD_WORKER_UNSEEN);
+  start_wave (&setup);
+  sd_worker_set_reachability (cut, SD_WORKER_UNREACHABLE);
+  usleep (1000 * 1100);
+  for (i = 0; i < WAVE_TASKS / 32; i++)
+    wk_send_waiting (setup.workers);
+  CU_ASSERT_TRUE (wk_waiting_starts (setup.workers) > 0);
+  for (i = 0; i < setup.port.count && i < FAKE_CALLS_MAX; i++)
+    if (setup.port.calls[i].open && setup.port.calls[i].kind == 'h'
+        && strcmp (setup.port.calls[i].worker, "cut") == 0)
+      polls++;
+  CU_ASSERT_EQUAL (polls, 1);
+  tear_down (&setup);
+}
+
 /* On a link of 80,000 bytes a second the starts wait in the queue; of those
    that wait, urgent ones go first.  */
 static void
@@ -981,6 +1008,8 @@
       test_wave_of_starts_is_sent_in_parts },
     { "a wave delays neither renewals nor urgent starts",
       test_wave_delays_neither_renewals_nor_urgent_starts },
+    { "an overdue poll is sent while starts fill the window",
+      test_overdue_poll_is_sent_while_starts_fill_the_window },
     { "a wave waits for the link", test_wave_waits_for_the_link },
     { "an idle worker out of reach is polled less often",
       test_idle_unreachable_worker_is_polled_less_often },
