--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -7,17 +7,13 @@
 #include "common/clock.h"
 #include "common/logging.h"
 #include "planner_private.h"
+#include "round_pacing.h"
 
 static const char PART[] = "planner";
 
 enum
 {
   TICK_MS = 50,
-  ROUND_DELAY_MIN_MS = 4, /* so that one round decides on several events */
-  /* A round is followed by this many times its duration without a round, which
-     leaves three quarters of the processor to calls and answers.  */
-  ROUND_IDLE_FACTOR = 3,
-  ROUND_DELAY_MAX_MS = 100,
   WRITE_DELAY_MS = 4, /* so that one append has several ends */
   HEARTBEAT_MS = 200,
   APPEND_RETRY_MS = 50,
@@ -213,6 +209,7 @@
       run_round (planner);
       planner->last_round_us = g_get_monotonic_time () - before_us;
       planner->rounds_us += planner->last_round_us;
+      planner->tick_rounds_us += planner->last_round_us;
       planner->rounds++;
     }
   wk_send_waiting (planner->workers);
@@ -235,14 +232,12 @@
 void
 pl_schedule_round (struct planner *planner)
 {
-  double delay_ms;
+  int64_t delay_ms;
 
   if (planner->role != PL_PLANNER || ev_is_active (&planner->round_timer))
     return;
-  delay_ms
-      = CLAMP ((double)planner->last_round_us / 1000.0 * ROUND_IDLE_FACTOR,
-               ROUND_DELAY_MIN_MS, ROUND_DELAY_MAX_MS);
-  ev_timer_set (&planner->round_timer, delay_ms / 1000.0, 0.0);
+  delay_ms = rp_delay_ms (planner->last_round_us);
+  ev_timer_set (&planner->round_timer, (double)delay_ms / 1000.0, 0.0);
   ev_timer_start (planner->params.loop, &planner->round_timer);
 }
 
@@ -365,7 +360,10 @@
 
   (void)loop;
   (void)events;
-  wk_observe_lag (planner->workers, now_ms - planner->last_tick_ms - TICK_MS);
+  wk_observe_lag (planner->workers,
+                  rp_call_lag_ms (now_ms - planner->last_tick_ms - TICK_MS,
+                                  planner->tick_rounds_us));
+  planner->tick_rounds_us = 0;
   if (now_ms - planner->last_tick_ms > PAUSE_MIN_MS)
     {
       lg_warning (PART, "The process was paused.", "for_ms",
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -102,9 +102,10 @@
   struct loop_load *load;
   int64_t load_logged_ms;
   int64_t load_counted_ms;
-  int64_t rounds_us;     /* duration of all rounds */
-  int64_t last_round_us; /* duration of the last one */
-  uint32_t rounds;       /* number of them */
+  int64_t rounds_us;      /* duration of all rounds */
+  int64_t last_round_us;  /* duration of the last one */
+  int64_t tick_rounds_us; /* of all rounds since the last tick */
+  uint32_t rounds;        /* number of them */
 };
 
 /* --- planner_term.c --- */
