Outcomes are acknowledged once, and soon after the answer that listed them

What followed: a task was started again after it had ended done, and that end counted as taken note of (TWICE).

Cause: each renewal to a reachable worker named the number of the last stored outcome again. A worker that had restarted while it was idle, which is not noticed before its next report or poll, took the number of its former process for one of its own: what had ended there by then was forgotten, and acknowledged, before it was processed. The run then looked lost with the former process. It happens if the first polls of the new process are carried out late.

Now a number is sent until one answer shows that it was received, and only within 1.1 s after the process listed its outcomes. Later the worker is polled first; it answers at once, for it has outcomes to list.

Tests: test_hostd_restarts, "an outcome is acknowledged once" and "an idle worker is polled before an acknowledgement"; both failed before.

--- a/programs/foxtailgap-hostd/worker_process.c
+++ b/programs/foxtailgap-hostd/worker_process.c
@@ -125,6 +125,7 @@
   sd_worker_process (io->worker, answer->worker_started_ms);
   io->outcome_processed = 0;
   io->outcome_stored = 0;
+  io->outcome_acked = 0;
 }
 
 bool
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -42,6 +42,9 @@
      longer than this: well below the lease, and above the time that a slow
      store takes for an answer.  */
   STORE_WAIT_MS = 1000,
+  /* Outcomes are acknowledged no later after the answer that listed them, for
+     the worker may restart unnoticed: somewhat longer than STORE_WAIT_MS.  */
+  ACKNOWLEDGE_WITHIN_MS = 1100,
   /* Outlasts a store that does not answer for 4.5 s while the planner is lost,
      and a takeover of 1 s.  */
   LEASE_MAX_MS = 6000,
@@ -349,6 +352,8 @@
     lg_info (PART, "A worker is in touch.", "worker", call->worker, NULL);
   sd_worker_set_reachability (worker, SD_WORKER_REACHABLE);
   io->answered_renewal_sent_ms = io->renewal_sent_ms;
+  io->lists_read_ms = now_ms;
+  io->outcome_acked = MAX (io->outcome_acked, io->outcome_told);
   process_lists (io, answer, now_ms);
   wk_update_clock (io, answer, now_ms);
   wk_update_pace (workers, worker);
@@ -406,6 +411,20 @@
   return wait_ms;
 }
 
+/* Another process of the worker numbers its outcomes anew, and would forget
+   those up to the number of an acknowledgement before they are processed.  So
+   each is sent once, and soon after an answer of the process that it is for.
+   @return : 0: nothing is acknowledged.  */
+static int64_t
+outcome_to_acknowledge (const struct worker_io *io, int64_t now_ms)
+{
+  if (io->worker->reachability != SD_WORKER_REACHABLE
+      || io->outcome_stored <= io->outcome_acked
+      || now_ms - io->lists_read_ms > ACKNOWLEDGE_WITHIN_MS)
+    return 0;
+  return io->outcome_stored;
+}
+
 static void
 send_renewal (struct worker_calls *workers, struct worker_io *io,
               int64_t now_ms)
@@ -420,9 +439,7 @@
   struct wk_call *call;
   struct wp_renew renewal = {
     .term = workers->term,
-    /* Another process, with numbers of its own, may answer.  */
-    .acked_outcome_number
-    = worker->reachability == SD_WORKER_REACHABLE ? io->outcome_stored : 0,
+    .acked_outcome_number = outcome_to_acknowledge (io, now_ms),
     .lease_deadline_ms = -1,
     .wait_ms = renewal_wait_ms (io),
   };
@@ -439,6 +456,7 @@
   timeout_ms = worker->tasks->len > 0 && reads_clock (io, now_ms)
                    ? (uint32_t)CLOCK_POLL_TIMEOUT_MS
                    : renewal.wait_ms + RENEWAL_TIMEOUT_MS;
+  io->outcome_told = renewal.acked_outcome_number;
   io->renewal_in_flight = true;
   io->poll_at_once = false;
   io->poll_soon = false;
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -36,6 +36,9 @@
   /* outcomes of runs */
   int64_t outcome_processed; /* number of the last outcome processed */
   int64_t outcome_stored;    /* of the last one whose effects are stored */
+  int64_t outcome_acked;     /* of the last one that it was told is stored */
+  int64_t outcome_told;      /* in the last renewal; 0: none */
+  int64_t lists_read_ms;     /* when its lists were last read; 0: never */
   /* lease renewals, which are also status polls */
   bool renewal_in_flight;
   bool poll_at_once;        /* the next poll is to be answered immediately */
--- a/tests/unit/test_hostd_restarts.c
+++ b/tests/unit/test_hostd_restarts.c
@@ -20,6 +20,7 @@
   START_EXPIRED_MS = 1300, /* no start by the known clock can arrive */
   /* After this and LEASE_IS_OVER_MS a lease of an earlier planner is over.  */
   EARLIER_LEASE_MS = 1500,
+  IDLE_MS = 1150,           /* an acknowledgement is too late after it */
   POLL_AGAIN_MS = 260,      /* of an unreachable worker */
   FORMER_STARTED_MS = 1000, /* of the former process, any number */
   FORMER_CLOCK_MS = 60000,
@@ -328,6 +329,57 @@
   tear_down (&setup);
 }
 
+/* Guards against an end that is forgotten before it was processed, so that its
+   task is started again after it has ended done: the worker had restarted
+   while it was idle, which was not noticed, and was told the number of an
+   outcome of its former process (soak.py with `reborn`, seed 14). ACKED:
+   whether an answer has shown that the number was received.  */
+static void
+check_no_late_acknowledgement (bool acked)
+{
+  struct setup setup;
+  GArray *outcomes = g_array_new (FALSE, FALSE, sizeof (struct wp_outcome));
+  struct wp_outcome outcome = { .number = 7,
+                                .task = (char *)"00000000000000ab.0.0.0",
+                                .run = 1,
+                                .outcome = SD_OUTCOME_STOPPED,
+                                .checkpoint = (char *)"" };
+
+  g_array_append_val (outcomes, outcome);
+  set_up (&setup);
+  answer_poll (&setup,
+               &(struct wp_answer){ .result = WP_DONE,
+                                    .worker_started_ms = FORMER_STARTED_MS,
+                                    .outcomes = outcomes });
+  wk_outcomes_stored (setup.workers, wk_mark_outcomes (setup.workers));
+  if (!acked)
+    usleep (1000 * IDLE_MS);
+  place_task (&setup);
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 'h')->seen,
+                   acked ? 7 : 0);
+  answer_poll (&setup,
+               &(struct wp_answer){ .result = WP_DONE,
+                                    .worker_started_ms = FORMER_STARTED_MS });
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 'h')->seen,
+                   acked ? 0 : 7);
+  g_array_free (outcomes, TRUE);
+  tear_down (&setup);
+}
+
+static void
+test_outcome_is_acknowledged_once (void)
+{
+  check_no_late_acknowledgement (true);
+}
+
+static void
+test_idle_worker_is_polled_before_an_acknowledgement (void)
+{
+  check_no_late_acknowledgement (false);
+}
+
 /* Guards against a job that stays `running` with nothing running: a host that
    held the term for a second time took each poll without an answer for one
    that had extended the worker's lease (review, case 1).  */
@@ -367,6 +419,9 @@
       test_start_waits_for_the_new_process },
     { "a worker out of reach gets no acknowledgement",
       test_unreachable_worker_gets_no_acknowledgement },
+    { "an outcome is acknowledged once", test_outcome_is_acknowledged_once },
+    { "an idle worker is polled before an acknowledgement",
+      test_idle_worker_is_polled_before_an_acknowledgement },
     { "a regained term ends the runs of a lost worker",
       test_regained_term_ends_runs_of_lost_worker },
   };
