--- a/lib/common/loop_load.c
+++ b/lib/common/loop_load.c
@@ -4,8 +4,6 @@
 
 #include <glib.h>
 
-#include "common/clock.h"
-
 struct loop_load
 {
   struct ev_loop *loop;
@@ -14,7 +12,6 @@
   int64_t woken_us;     /* 0: the loop has not run yet */
   int64_t part_from_us; /* since when the current part runs; 0: the loop waits,
                            or has not run yet */
-  int64_t taken_cpu_us; /* processor time at the last ll_take () */
   int64_t iteration_part_us[LL_PARTS]; /* of the iteration that is running */
   int64_t total_part_us[LL_PARTS];
   struct ll_sample sample;
@@ -72,7 +69,6 @@
   struct loop_load *load = g_new0 (struct loop_load, 1);
 
   load->loop = loop;
-  load->taken_cpu_us = clk_cpu_us ();
   ev_check_init (&load->woken, on_woken);
   ev_prepare_init (&load->waiting, on_waiting);
   ev_set_priority (&load->woken, EV_MAXPRI); /* before any other event */
@@ -105,10 +101,7 @@
 ll_take (struct loop_load *load)
 {
   struct ll_sample taken = load->sample;
-  int64_t cpu_us = clk_cpu_us ();
 
-  taken.cpu_us = cpu_us - load->taken_cpu_us;
-  load->taken_cpu_us = cpu_us;
   load->sample = (struct ll_sample){ 0 };
   return taken;
 }
--- a/lib/common/loop_load.h
+++ b/lib/common/loop_load.h
@@ -33,8 +33,6 @@
   int64_t busy_us;           /* all iterations together */
   int64_t longest_us;        /* the longest one */
   int64_t part_us[LL_PARTS]; /* of busy_us, by enum ll_part */
-  int64_t cpu_us;            /* processor time of the process, in the system
-                                and outside iterations too */
 };
 
 /*! ll_create () :
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -257,8 +257,7 @@
     g_string_append_printf (parts, "%s%s:%" G_GINT64_FORMAT, i == 0 ? "" : ",",
                             ll_part_name (i), sample->part_us[i] / 1000);
   lg_info (PART, "What the planner's time went to.", "busy_ms",
-           lg_number (sample->busy_us / 1000), "parts_ms", parts->str,
-           "cpu_ms", lg_number (sample->cpu_us / 1000), NULL);
+           lg_number (sample->busy_us / 1000), "parts_ms", parts->str, NULL);
   g_string_free (parts, TRUE);
 }
 
@@ -301,8 +300,6 @@
       mt_set (planner->params.metrics, name,
               ll_part_total_us (planner->load, i) / 1000);
     }
-  mt_set (planner->params.metrics, "foxtailgap_cpu_ms_total",
-          clk_cpu_us () / 1000);
 }
 
 /* Collects the jobs that ended long ago, so that the next batch removes their
