test_hostd_planner: a run cancelled before its placement is stored is gone

The second place where a start is never sent: the task is stopped while the batch with its placement is on its way to the store. Fails where the run is left to a poll.

--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -400,6 +400,40 @@
   return submit_job_of_tasks (setup, 1);
 }
 
+/* Guards against a run that was never started and yet holds its worker's room
+   until a poll has shown that it is not there.  */
+static void
+test_run_cancelled_before_its_placement_is_stored_is_gone (void)
+{
+  struct setup setup;
+  char *key = g_strdup_printf ("c/%s", JOB);
+  const struct jb_job *job;
+  uint32_t append;
+  int i;
+
+  become_planner (&setup);
+  append = submit_job (&setup);
+  job = jb_table_find (jr_job_table (setup.journal), JOB);
+  CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_PLACED);
+  for (i = 0; i < 400 && setup.store.jobs_read == NULL; i++)
+    run_loop_for (&setup, 5);
+  setup.offset++;
+  answer_read (&setup, &setup.store.jobs_read, setup.store.jobs_ctx,
+               one_record (key, (const uint8_t *)"c", 1));
+  CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_STOPPING);
+  answer_append (&setup, append);
+  for (i = 0; i < 20; i++)
+    {
+      run_loop_for (&setup, 10);
+      answer_all_appends (&setup);
+    }
+  /* No poll has been answered meanwhile.  */
+  CU_ASSERT_NOT_EQUAL (job->tasks[0].state, JB_TASK_STOPPING);
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 's'));
+  tear_down (&setup);
+  g_free (key);
+}
+
 static void
 test_start_is_sent_once_placement_is_stored (void)
 {
@@ -974,6 +1008,8 @@
   static const struct check_test tests[] = {
     { "a start is sent once its placement is stored",
       test_start_is_sent_once_placement_is_stored },
+    { "a run cancelled before its placement is stored is gone",
+      test_run_cancelled_before_its_placement_is_stored_is_gone },
     { "a strong host relieves a weak planner",
       test_strong_host_relieves_a_weak_planner },
     { "a weak host lets others claim the first term",
