credit_bound.py: reads today's lines of placements, and prints the bound of each priority

The planner logs "Tasks are placed." for several tasks at once since the large fleet, so that the tool found no placement and said that no job had finished.

--- a/tests/bench/credit_bound.py
+++ b/tests/bench/credit_bound.py
@@ -14,7 +14,9 @@
 to other seconds (augmenting paths).
 
 Prints the bound, the share that was done on time according to the log, and the
-seconds whose resources are used up.
+seconds whose resources are used up; then the first two for each priority of the
+queues.  The bound of a priority is its part of the bound of all, not the most
+that it alone could earn.
 """
 import collections
 import re
@@ -55,13 +57,16 @@
     message = fields["msg"]
     if message == "A job is taken in.":
         job.spec = fields
-    elif message == "A task is placed.":
-        key = (fields["step"], fields["index"])
-        job.placed_s[key] = moment_s
-        job.task_counts[fields["step"]] = len(
-            [1 for step, _ in job.placed_s if step == fields["step"]])
-    elif message == "A run has ended." and fields["how"] == "done":
-        _, _, step, index = fields["task"].split(".")
+    elif message == "Tasks are placed.":
+        step, first = int(fields["step"]), int(fields["first"])
+        for index in range(first, first + int(fields["tasks"])):
+            job.placed_s[(step, index)] = moment_s
+        job.task_counts[step] = max(job.task_counts.get(step, 0),
+                                    first + int(fields["tasks"]))
+    elif message == "A run has ended." and fields["how"] == "done" \
+            and job.spec:
+        occurrence, step, index = map(int, fields["task"].split(".")[1:])
+        step += occurrence * int(job.spec["steps"])
         if (step, index) in job.placed_s:
             job.took_s[step] = max(job.took_s.get(step, 0.0),
                                    moment_s - job.placed_s[(step, index)])
@@ -150,7 +155,8 @@
               * (0.3 + 0.7 * min(4.0, work / means[job.spec["priority"]]))
               for job, work in zip(jobs, works)]
     seconds = SlotCapacity(workers * SLOT_S)
-    earned = on_time = 0.0
+    earned, on_time = collections.Counter(), collections.Counter()
+    owed = collections.Counter()
     order = sorted(range(len(jobs)), key=lambda i: -worths[i] / works[i])
     for i in order:
         job = jobs[i]
@@ -163,10 +169,12 @@
             if placed <= 0:
                 break
             remaining -= placed
-        earned += worths[i] * (1 - remaining / works[i])
-        if job.ended_s and job.ended_s - job.first_s <= job.objective_s():
-            on_time += worths[i]
-    return earned / sum(worths), on_time / sum(worths), seconds
+        for kind in (job.spec["priority"], "all"):
+            owed[kind] += worths[i]
+            earned[kind] += worths[i] * (1 - remaining / works[i])
+            if job.ended_s and job.ended_s - job.first_s <= job.objective_s():
+                on_time[kind] += worths[i]
+    return owed, earned, on_time, seconds
 
 
 def main():
@@ -180,11 +188,19 @@
     if not jobs:
         print("no finished jobs in this log", file=sys.stderr)
         return 1
-    share, seen, seconds = credit_bound(jobs, worker_resources, figures[0])
+    owed, earned, on_time, seconds = credit_bound(jobs, worker_resources,
+                                                  figures[0])
     full = sorted(slot for slot in seconds.used
                   if seconds.free[slot] < 0.02 * seconds.capacity)
-    print(f"jobs {len(jobs)} bound {share:.3f} on time {seen:.3f} "
+    print(f"jobs {len(jobs)} bound {earned['all'] / owed['all']:.3f} "
+          f"on time {on_time['all'] / owed['all']:.3f} "
           f"full seconds {len(full)}: {' '.join(map(str, full[:40]))}")
+    for kind in sorted(owed):
+        if kind != "all":
+            print(f"priority {kind} "
+                  f"jobs {sum(job.spec['priority'] == kind for job in jobs)} "
+                  f"bound {earned[kind] / owed[kind]:.3f} "
+                  f"on time {on_time[kind] / owed[kind]:.3f}")
     return 0
 
 
