--- a/tests/bench/credit_bound.py
+++ b/tests/bench/credit_bound.py
@@ -87,9 +87,13 @@
                           for key, value in FIELD.findall(match[2])}
                 if "msg" in fields:
                     apply_line(jobs, float(match[1]), fields)
-    return [job for job in jobs.values()
-            if job.spec and job.took_s and not job.cancelled
-            and job.first_s >= 0]
+    jobs = [job for job in jobs.values()
+            if job.spec and not job.cancelled and job.first_s >= 0]
+    for job in jobs:
+        if not job.took_s:
+            job.took_s = {0: int(job.spec["estimate_ms"]) / 1000}
+            job.task_counts = {0: int(job.spec["tasks"])}
+    return jobs
 
 
 class SlotCapacity:
