--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -30,6 +30,34 @@
   return critical_ms;
 }
 
+/* The expected run time of the longest chain of dependent steps that begins
+   with STEP.  */
+static int64_t
+remaining_path_ms (const struct sd_sched *sched, const struct jb_step *step)
+{
+  const struct jb_spec *spec = step->job->spec;
+  size_t first = (size_t)(step->spec - spec->steps);
+  int64_t finish_ms[JB_STEPS_MAX] = { 0 };
+  int64_t longest_ms = 0;
+  size_t i;
+  size_t k;
+
+  for (i = first; i < spec->step_count; i++)
+    {
+      int64_t earlier_ms = 0;
+
+      for (k = 0; k < spec->steps[i].depends_on_count; k++)
+        earlier_ms = MAX (earlier_ms, finish_ms[spec->steps[i].depends_on[k]]);
+      if (i != first && earlier_ms == 0)
+        continue; /* it does not depend on STEP */
+      finish_ms[i] = earlier_ms
+                     + es_expect_ms (sched->estimates, step->job->queue,
+                                     spec->steps[i].estimate_ms);
+      longest_ms = MAX (longest_ms, finish_ms[i]);
+    }
+  return longest_ms;
+}
+
 /* The accelerators of the step that needs most.  */
 static int64_t
 peak_step_accelerators (const struct jb_job *job)
@@ -154,6 +182,16 @@
   return true;
 }
 
+/* Whether the job of STEP, due at DUE_MS, will be late even if STEP starts
+   now.  */
+static bool
+is_late (const struct sd_sched *sched, const struct jb_step *step,
+         int64_t due_ms, int64_t now_ms)
+{
+  return !step->spec->long_lived
+         && now_ms + remaining_path_ms (sched, step) > due_ms;
+}
+
 static void
 collect_job (struct sd_sched *sched, GArray *units, struct jb_job *job,
              const struct ct_queue *queue, bool guaranteed, int64_t now_ms,
@@ -182,6 +220,7 @@
       unit.waiting_count = count_waiting (step);
       if (unit.waiting_count == 0 || !step_ready (step, now_unix_ms))
         continue;
+      unit.late = is_late (sched, step, unit.due_ms, now_ms);
       unit.last_attempt = is_last_attempt (step, queue);
       unit.avoids_suspects = sched->suspects_are_few;
       unit.starts_alone = must_start_alone (step);
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -229,6 +229,8 @@
   struct sd_advice *advice; /* NULL: its queue has no advisor */
   /* Within its team's guarantee: placed before others of its priority.  */
   bool guaranteed;
+  /* Its job can not be done by due_ms any more.  */
+  bool late;
   int64_t oldest_report_ms; /* of sd_oldest_report_ms () */
   bool last_attempt;        /* one more failure of a task would fail the job */
   bool avoids_suspects;     /* it is not placed on suspect workers */
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -156,3 +156,48 @@
                      g_ptr_array_index (sched->pending_stops, i));
   g_ptr_array_set_size (sched->pending_stops, 0);
 }
+
+struct sd_room
+sd_survey (struct sd_sched *sched, int64_t now_ms, int64_t now_unix_ms)
+{
+  struct sd_room room
+      = { .reservations = g_hash_table_size (sched->reservations),
+          .reserved_tasks = sched->reserved_task_count };
+  GArray *units;
+  guint i;
+
+  for (i = 0; i < sched->workers->len; i++)
+    {
+      const struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
+
+      if (!worker->listed || worker->reachability != SD_WORKER_REACHABLE
+          || worker->report.draining)
+        continue;
+      if (sd_health_is_avoided (worker, now_ms))
+        {
+          room.avoided_workers++;
+          continue;
+        }
+      room.usable_workers++;
+      if (worker->tasks->len > 0)
+        continue;
+      room.idle_workers++;
+      if (worker->round_reserved_resources.cpus_milli > 0)
+        room.idle_reserved++;
+    }
+  if (sched->catalog == NULL)
+    return room;
+  units = sd_collect_units (sched, now_ms, now_unix_ms);
+  for (i = 0; i < units->len; i++)
+    {
+      const struct sd_unit *unit = &g_array_index (units, struct sd_unit, i);
+
+      if (!unit->step->spec->gang)
+        continue;
+      room.waiting_gangs++;
+      if (unit->late)
+        room.waiting_late++;
+    }
+  g_array_free (units, TRUE);
+  return room;
+}
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -360,6 +360,25 @@
 bool sd_start_is_safe (const struct sd_sched *sched,
                        const struct jb_task *task, int64_t now_ms);
 
+/* How the room of the workers is used, as of the last round.  */
+struct sd_room
+{
+  uint32_t usable_workers;  /* listed, reachable, not draining, not avoided */
+  uint32_t avoided_workers; /* listed and reachable, but avoided */
+  uint32_t idle_workers;    /* usable, and without a task */
+  uint32_t idle_reserved;   /* of these, those with a reservation */
+  uint32_t reservations;    /* gangs with one */
+  uint32_t reserved_tasks;  /* the tasks of these gangs */
+  uint32_t waiting_gangs;   /* steps that wait as a whole, of any priority */
+  uint32_t waiting_late;    /* of these, of jobs that can not be done within
+                               their objective any more */
+};
+
+/*! sd_survey () :
+ *  @return : the use of room, for the log. */
+struct sd_room sd_survey (struct sd_sched *sched, int64_t now_ms,
+                          int64_t now_unix_ms);
+
 /*! sd_take_changed () :
  *  @return : the jobs whose progress is to be recorded since the last call,
  *            struct jb_job; to be freed by g_ptr_array_free (). */
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -243,6 +243,22 @@
   ev_timer_start (planner->params.loop, &planner->round_timer);
 }
 
+static void
+log_room (struct planner *planner, int64_t now_ms)
+{
+  struct sd_room room = sd_survey (planner->sched, now_ms, clk_unix_ms ());
+
+  lg_info (PART, "The room of the workers.", "usable",
+           lg_number (room.usable_workers), "avoided",
+           lg_number (room.avoided_workers), "idle",
+           lg_number (room.idle_workers), "idle_reserved",
+           lg_number (room.idle_reserved), "reservations",
+           lg_number (room.reservations), "reserved_tasks",
+           lg_number (room.reserved_tasks), "waiting_gangs",
+           lg_number (room.waiting_gangs), "waiting_late",
+           lg_number (room.waiting_late), NULL);
+}
+
 static void
 log_load (struct planner *planner, int64_t now_ms)
 {
@@ -258,6 +274,7 @@
            lg_number (now_ms - planner->load_logged_ms), "window",
            lg_number (wk_window (planner->workers)), "waiting_starts",
            lg_number (wk_waiting_starts (planner->workers)), NULL);
+  log_room (planner, now_ms);
   planner->load_logged_ms = now_ms;
   planner->rounds_us = 0;
   planner->rounds = 0;
