--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -256,6 +256,22 @@
   g_string_free (parts, TRUE);
 }
 
+static void
+log_room (struct planner *planner, int64_t now_ms)
+{
+  struct sd_room room = sd_survey (planner->sched, now_ms, clk_unix_ms ());
+
+  lg_info (PART, "The room of the workers.", "usable",
+           lg_number (room.usable_workers), "avoided",
+           lg_number (room.avoided_workers), "idle",
+           lg_number (room.idle_workers), "idle_reserved",
+           lg_number (room.idle_reserved), "reservations",
+           lg_number (room.reservations), "reserved_tasks",
+           lg_number (room.reserved_tasks), "waiting_gangs",
+           lg_number (room.waiting_gangs), "waiting_late",
+           lg_number (room.waiting_late), NULL);
+}
+
 static void
 log_load (struct planner *planner, int64_t now_ms)
 {
@@ -276,6 +292,7 @@
            "link_bytes_per_s", lg_number (link.bytes_per_s),
            "link_level_bytes", lg_number (link.level_bytes), NULL);
   log_load_parts (&sample);
+  log_room (planner, now_ms);
   planner->load_logged_ms = now_ms;
   planner->rounds_us = 0;
   planner->rounds = 0;
