--- a/tests/unit/test_hostd_rounds.c
+++ b/tests/unit/test_hostd_rounds.c
@@ -11,7 +11,7 @@
 static void
 test_long_rounds_take_a_quarter_of_the_processor (void)
 {
-  static const int64_t rounds_us[] = { 2000, 20 * 1000, 90 * 1000 };
+  static const int64_t rounds_us[] = { 2000, 20000, 90000 };
   size_t i;
 
   for (i = 0; i < sizeof rounds_us / sizeof rounds_us[0]; i++)
@@ -22,15 +22,15 @@
 test_pause_is_bounded (void)
 {
   CU_ASSERT_EQUAL (rp_delay_ms (0), 4);
-  CU_ASSERT_EQUAL (rp_delay_ms (1000 * 1000), 300);
+  CU_ASSERT_EQUAL (rp_delay_ms (1000000), 300);
 }
 
 static void
 test_rounds_are_no_lag_of_calls (void)
 {
-  CU_ASSERT_EQUAL (rp_call_lag_ms (95, 90 * 1000), 5);
+  CU_ASSERT_EQUAL (rp_call_lag_ms (95, 90000), 5);
   CU_ASSERT_EQUAL (rp_call_lag_ms (60, 0), 60);
-  CU_ASSERT_EQUAL (rp_call_lag_ms (20, 90 * 1000), 0);
+  CU_ASSERT_EQUAL (rp_call_lag_ms (20, 90000), 0);
 }
 
 int
