--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -517,6 +517,22 @@
   tear_down (&setup);
 }
 
+/* The same if the next run was dropped before its start was sent.  */
+static void
+test_unsent_run_does_not_hide_that_the_run_before_failed (void)
+{
+  struct setup setup;
+  struct jb_task *task = give_up_run (&setup);
+
+  fixture_worker (setup.sched, "w2", "r1", 8);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  wk_drop_unsent_run (setup.workers, task);
+  list_outcome (&setup, 1, 1, SD_OUTCOME_FAILED);
+  CU_ASSERT_EQUAL (task->failures, 1);
+  tear_down (&setup);
+}
+
 static void
 test_outcome_is_acknowledged_once_stored (void)
 {
@@ -703,6 +719,43 @@
   tear_down (&setup);
 }
 
+/* Guards against starts that are not sent at all: with a small window the
+   polls of many workers out of reach, none of which answers, use all of it. */
+static void
+test_overdue_polls_leave_the_window_to_starts (void)
+{
+  struct setup setup;
+  struct wp_answer done = { .result = WP_DONE };
+  char id[16];
+  size_t known;
+  uint32_t waiting;
+  uint32_t i;
+
+  set_up (&setup, 6000);
+  start_wave (&setup);
+  waiting = wk_waiting_starts (setup.workers);
+  for (i = 0; i < 100; i++)
+    wk_observe_lag (setup.workers, 1000);
+  for (i = 0; i < WAVE_TASKS; i++)
+    {
+      g_snprintf (id, sizeof id, "cut%u", i);
+      sd_worker_set_reachability (fixture_worker (setup.sched, id, "r1", 8),
+                                  SD_WORKER_UNREACHABLE);
+    }
+  for (i = 0; i < 40; i++)
+    {
+      wk_send_waiting (setup.workers);
+      for (known = setup.port.count; known-- > 0;)
+        if (setup.port.calls[known].open
+            && setup.port.calls[known].kind == 's')
+          fake_answer (&setup.port.calls[known], &done);
+      usleep (1000 * 10);
+    }
+  CU_ASSERT_TRUE (waiting > 100);
+  CU_ASSERT_EQUAL (wk_waiting_starts (setup.workers), 0);
+  tear_down (&setup);
+}
+
 /* On a link of 80,000 bytes a second the starts wait in the queue; of those
    that wait, urgent ones go first.  */
 static void
@@ -1004,12 +1057,16 @@
       test_run_given_up_that_was_done_does_not_end_a_later_run },
     { "a run given up that failed counts once",
       test_run_given_up_that_failed_counts_once },
+    { "an unsent run does not hide that the run before failed",
+      test_unsent_run_does_not_hide_that_the_run_before_failed },
     { "a wave of starts is sent in parts",
       test_wave_of_starts_is_sent_in_parts },
     { "a wave delays neither renewals nor urgent starts",
       test_wave_delays_neither_renewals_nor_urgent_starts },
     { "an overdue poll is sent while starts fill the window",
       test_overdue_poll_is_sent_while_starts_fill_the_window },
+    { "overdue polls leave the window to starts",
+      test_overdue_polls_leave_the_window_to_starts },
     { "a wave waits for the link", test_wave_waits_for_the_link },
     { "an idle worker out of reach is polled less often",
       test_idle_unreachable_worker_is_polled_less_often },
