Soak: what the new mode needs of the stand-in holds in that mode only

Calls that wait end with their process, and a run whose outcome was lost in a crash counts as lost, with reborn only; in the other modes both are as before.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -222,6 +222,8 @@
                 worker.delay_start = self.delay_start
             if self.reborn:
                 worker.delay_start = worker.delay_other = self.delay_call
+                worker.calls_outlive_process = False
+                worker.counts_lost_outcomes = True
             worker.address = await standin.serve(
                 standin.worker_handler(worker))
             self.workers.append(worker)
