Overdue polls do not use the window of calls

A poll that has waited for over a second is sent without room, and used a place of the window until its answer or for 100 ms. With the window at its least (8 calls) four such polls in each pass keep it full for as long as many workers are out of reach, so that no start is sent, urgent ones included. Idle workers out of reach are polled once in 1,000 ms, and so each of their polls is overdue when it is due.

Such polls are now sent beside the window.

--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -67,7 +67,8 @@
      events.  */
   RENEWALS_PER_PASS_MAX = 32,
   /* A poll that has waited for the window for so long is sent without room,
-     a few in one pass: starts can use the whole window for many seconds.  */
+     a few in one pass: starts can use the whole window for many seconds.  Such
+     polls do not use the window in turn, since many may have no answer.  */
   POLL_OVERDUE_MS = 1000,
   OVERDUE_POLLS_PER_PASS_MAX = 4
 };
@@ -447,9 +448,10 @@
   return io->outcome_stored;
 }
 
+/* BEYOND_WINDOW: it does not use the window of calls.  */
 static void
 send_renewal (struct worker_calls *workers, struct worker_io *io,
-              int64_t now_ms)
+              bool beyond_window, int64_t now_ms)
 {
   struct sd_worker *worker = io->worker;
   struct wp_target target = wk_target (worker);
@@ -485,7 +487,7 @@
   io->renewal_sent_ms = now_ms;
   io->renewal_tried_ms = now_ms;
   call = wk_call_create (workers, worker, "", 0);
-  if (renewal.wait_ms == 0)
+  if (renewal.wait_ms == 0 && !beyond_window)
     wk_call_opened (call);
   workers->params.port.renew (workers->params.port.ctx, &target, &renewal,
                               timeout_ms, on_renewal_answer, call);
@@ -497,7 +499,7 @@
 {
   io->poll_at_once = true;
   if (!io->renewal_in_flight)
-    send_renewal (io->workers, io, now_ms);
+    send_renewal (io->workers, io, false, now_ms);
 }
 
 bool
@@ -584,6 +586,7 @@
       guint index = (first + i) % all->len;
       struct sd_worker *worker = g_ptr_array_index (all, index);
       struct worker_io *io = wk_io (workers, worker);
+      bool has_room;
 
       if (worker->reachability != SD_WORKER_REACHABLE && worker->tasks->len > 0
           && now_ms > wk_lease_end_ms (io))
@@ -592,11 +595,12 @@
         continue;
       if (sent >= RENEWALS_PER_PASS_MAX)
         continue;
-      if (has_room_for_renewal (io, now_ms)
+      has_room = has_room_for_renewal (io, now_ms);
+      if (has_room
           || (is_overdue (io, now_ms)
               && overdue++ < OVERDUE_POLLS_PER_PASS_MAX))
         {
-          send_renewal (workers, io, now_ms);
+          send_renewal (workers, io, !has_room, now_ms);
           sent++;
           workers->next_renewal = index + 1;
         }
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -703,6 +703,43 @@
   tear_down (&setup);
 }
 
+/* Guards against starts that are not sent at all: with a small window the
+   polls of many workers out of reach, none of which answers, use all of it. */
+static void
+test_overdue_polls_leave_the_window_to_starts (void)
+{
+  struct setup setup;
+  struct wp_answer done = { .result = WP_DONE };
+  char id[16];
+  size_t known;
+  uint32_t waiting;
+  uint32_t i;
+
+  set_up (&setup, 6000);
+  start_wave (&setup);
+  waiting = wk_waiting_starts (setup.workers);
+  for (i = 0; i < 100; i++)
+    wk_observe_lag (setup.workers, 1000);
+  for (i = 0; i < WAVE_TASKS; i++)
+    {
+      g_snprintf (id, sizeof id, "cut%u", i);
+      sd_worker_set_reachability (fixture_worker (setup.sched, id, "r1", 8),
+                                  SD_WORKER_UNREACHABLE);
+    }
+  for (i = 0; i < 40; i++)
+    {
+      wk_send_waiting (setup.workers);
+      for (known = setup.port.count; known-- > 0;)
+        if (setup.port.calls[known].open
+            && setup.port.calls[known].kind == 's')
+          fake_answer (&setup.port.calls[known], &done);
+      usleep (1000 * 10);
+    }
+  CU_ASSERT_TRUE (waiting > 100);
+  CU_ASSERT_EQUAL (wk_waiting_starts (setup.workers), 0);
+  tear_down (&setup);
+}
+
 /* On a link of 80,000 bytes a second the starts wait in the queue; of those
    that wait, urgent ones go first.  */
 static void
@@ -1010,6 +1047,8 @@
       test_wave_delays_neither_renewals_nor_urgent_starts },
     { "an overdue poll is sent while starts fill the window",
       test_overdue_poll_is_sent_while_starts_fill_the_window },
+    { "overdue polls leave the window to starts",
+      test_overdue_polls_leave_the_window_to_starts },
     { "a wave waits for the link", test_wave_waits_for_the_link },
     { "an idle worker out of reach is polled less often",
       test_idle_unreachable_worker_is_polled_less_often },
