The outcome of a given up run counts also after a run that was never sent

A run that was dropped before its start was sent was noted as the run that was given up last, in place of the run before it, of which a failure that was listed later was then not counted against the limit.

Only a run whose start may have been sent has an outcome. Test (test_hostd_workers), failed before: an unsent run does not hide that the run before failed.

--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -434,7 +434,8 @@
 sd_task_lost (struct sd_sched *sched, struct jb_task *task, int64_t now_ms)
 {
   (void)now_ms;
-  task->given_up_run = task->run;
+  if (!task->start_unsent) /* else it has no outcome */
+    task->given_up_run = task->run;
   sd_release_task (sched, task);
   stop_gang (sched, task, "a member was lost");
 }
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -517,6 +517,22 @@
   tear_down (&setup);
 }
 
+/* The same if the next run was dropped before its start was sent.  */
+static void
+test_unsent_run_does_not_hide_that_the_run_before_failed (void)
+{
+  struct setup setup;
+  struct jb_task *task = give_up_run (&setup);
+
+  fixture_worker (setup.sched, "w2", "r1", 8);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  wk_drop_unsent_run (setup.workers, task);
+  list_outcome (&setup, 1, 1, SD_OUTCOME_FAILED);
+  CU_ASSERT_EQUAL (task->failures, 1);
+  tear_down (&setup);
+}
+
 static void
 test_outcome_is_acknowledged_once_stored (void)
 {
@@ -1041,6 +1057,8 @@
       test_run_given_up_that_was_done_does_not_end_a_later_run },
     { "a run given up that failed counts once",
       test_run_given_up_that_failed_counts_once },
+    { "an unsent run does not hide that the run before failed",
+      test_unsent_run_does_not_hide_that_the_run_before_failed },
     { "a wave of starts is sent in parts",
       test_wave_of_starts_is_sent_in_parts },
     { "a wave delays neither renewals nor urgent starts",
