A task whose earlier run was done is not started again after a run that did not start (TWICE)

The end done of a run that was given up was dropped, and then acknowledged, whenever the start of a later run had been sent, or when the later run was placed by an earlier planner, of which it is not known whether it was sent. If that start was refused, or never arrived, the task was placed and started once more although its worker had listed it as done.

Such an end is now noted with the task, also in its record. The later run goes on, for it may be running; once the task, and of a gang each member, has no run, the task is done.

Test (test_hostd_workers), failed before: a refused start does not hide that the run before was done.

--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -151,7 +151,9 @@
       job->tasks[i].crashes = 0;
       job->tasks[i].lost_runs = 0;
       job->tasks[i].given_up_run = 0;
+      job->tasks[i].done_before = false;
     }
+  job->has_done_before = false;
   for (i = 0; i < job->step_total; i++)
     job->steps[i].done_count = 0;
   job->state = job->cancel_requested ? JB_CANCELLED : JB_QUEUED;
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -139,6 +139,9 @@
   /* Last run that was given up before its outcome was known; 0: none, or its
      outcome is known by now.  */
   uint32_t given_up_run;
+  /* A run that was given up has ended done while a later one may have started;
+     so no other run is started after that one.  */
+  bool done_before;
   char *worker; /* id; NULL unless placed or stopping */
   /* Start time of the worker's process when the task was placed there, by a
      clock of the worker's own, to be compared for equality; 0: not known.  */
@@ -190,6 +193,7 @@
   bool cancel_requested;       /* cancelling was requested; tasks may still be
                                   running */
   bool started;                /* a task has started */
+  bool has_done_before;        /* a task may have done_before */
   bool progress_changed; /* its progress has changed since it was last recorded
                           */
   struct jb_step *steps; /* ordered by occurrence, then by step index */
--- a/lib/jobs/records.c
+++ b/lib/jobs/records.c
@@ -188,6 +188,7 @@
       tasks[i].crashes = task->crashes;
       tasks[i].lost_runs = task->lost_runs;
       tasks[i].given_up_run = task->given_up_run;
+      tasks[i].done_before = task->done_before;
       tasks[i].worker = empty_if_null (task->worker);
       tasks[i].worker_started_ms = task->worker_started_ms;
       if (!final && task->state != JB_TASK_DONE)
@@ -209,6 +210,8 @@
   task->crashes = record->crashes;
   task->lost_runs = record->lost_runs;
   task->given_up_run = record->given_up_run;
+  task->done_before = record->done_before;
+  task->job->has_done_before |= task->done_before;
   task->worker = dup_or_null_if_empty (record->worker);
   task->worker_started_ms = record->worker_started_ms;
   if (task->worker == NULL && task->state != JB_TASK_DONE)
--- a/lib/proto/jobs.pb-c.c
+++ b/lib/proto/jobs.pb-c.c
@@ -883,7 +883,7 @@
   (ProtobufCMessageInit) ftj__cancel_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ftj__task_progress__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ftj__task_progress__field_descriptors[10] =
 {
   {
     "state",
@@ -993,10 +993,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "done_before",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__TaskProgress, done_before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ftj__task_progress__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
   5,   /* field[5] = crashes */
+  9,   /* field[9] = done_before */
   2,   /* field[2] = failures */
   8,   /* field[8] = given_up_run */
   6,   /* field[6] = lost_runs */
@@ -1008,7 +1021,7 @@
 static const ProtobufCIntRange ftj__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor ftj__task_progress__descriptor =
 {
@@ -1018,7 +1031,7 @@
   "Ftj__TaskProgress",
   "ftj",
   sizeof(Ftj__TaskProgress),
-  9,
+  10,
   ftj__task_progress__field_descriptors,
   ftj__task_progress__field_indices_by_name,
   1,  ftj__task_progress__number_ranges,
--- a/lib/proto/jobs.pb-c.h
+++ b/lib/proto/jobs.pb-c.h
@@ -101,6 +101,7 @@
   uint32_t run;
   uint32_t failures;
   uint32_t given_up_run;
+  protobuf_c_boolean done_before;
   char *worker;
   char *checkpoint;
   uint32_t crashes;
@@ -109,7 +110,7 @@
 };
 #define FTJ__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ftj__task_progress__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -95,6 +95,11 @@
  *            NULL. */
 uint32_t sd_index_of (GHashTable *names, const char *name);
 
+/*! sd_end_tasks_done_before () :
+ *  Ends the tasks of which an earlier run had ended done while a later one may
+ *  have started, and that have no run now. */
+void sd_end_tasks_done_before (struct sd_sched *sched, int64_t now_unix_ms);
+
 /*! sd_mark_changed () :
  *  As sd_job_changed (), for the files of lib/sched. */
 void sd_mark_changed (struct sd_sched *sched, struct jb_job *job);
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -133,6 +133,7 @@
   GArray *units;
   guint i;
 
+  sd_end_tasks_done_before (sched, now_unix_ms);
   if (sched->catalog != NULL && commands->placing != SD_PLACE_NONE)
     {
       begin_round (sched, now_ms);
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -577,14 +577,55 @@
   const struct jb_step *step = task->step;
 
   if (step->spec->long_lived || task->state == JB_TASK_DONE
-      || jb_state_is_final (task->job->state) || has_later_run (task, run)
-      || (step->spec->gang && step_has_later_run (step, run)))
+      || jb_state_is_final (task->job->state))
     return false;
+  if (has_later_run (task, run)
+      || (step->spec->gang && step_has_later_run (step, run)))
+    {
+      task->done_before = true;
+      task->job->has_done_before = true;
+      sd_mark_changed (sched, task->job);
+      return false;
+    }
   sd_release_task (sched, task);
   handle_task_done (sched, task, now_unix_ms);
   return true;
 }
 
+/* Of a gang: whether all its members wait.  */
+static bool
+has_no_run (const struct jb_task *task)
+{
+  const struct jb_step *step = task->step;
+  uint32_t i;
+
+  for (i = 0; step->spec->gang && i < step->spec->count; i++)
+    if (step->tasks[i].state != JB_TASK_WAITING)
+      return false;
+  return task->state == JB_TASK_WAITING;
+}
+
+void
+sd_end_tasks_done_before (struct sd_sched *sched, int64_t now_unix_ms)
+{
+  guint i;
+  size_t k;
+
+  for (i = sched->active_jobs->len; i-- > 0;)
+    {
+      struct jb_job *job = g_ptr_array_index (sched->active_jobs, i);
+
+      for (k = 0; job->has_done_before && k < job->task_total
+                  && !jb_state_is_final (job->state);
+           k++)
+        if (job->tasks[k].done_before && has_no_run (&job->tasks[k]))
+          {
+            handle_task_done (sched, &job->tasks[k], now_unix_ms);
+            sd_mark_changed (sched, job);
+          }
+    }
+}
+
 bool
 sd_given_up_run_failed (struct sd_sched *sched, struct jb_task *task,
                         uint32_t run, int64_t now_unix_ms)
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -260,9 +260,9 @@
 
 /*! sd_given_up_run_done () :
  *  A worker lists that RUN of TASK, which was given up, has ended done.  So
- *  the task is done, and with it its gang, unless a later run may have
- *  started.
- *  @return : whether it is done by that. */
+ *  the task is done, and with it its gang.  If a later run may have started,
+ *  it goes on, and the task is done once it has ended in any way.
+ *  @return : whether it is done now. */
 bool sd_given_up_run_done (struct sd_sched *sched, struct jb_task *task,
                            uint32_t run, int64_t now_unix_ms);
 
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -533,6 +533,38 @@
   tear_down (&setup);
 }
 
+/* Guards against a task that runs again after its end: the outcome was listed
+   while the start of the next run was under way, and that start was refused.
+ */
+static void
+test_refused_start_does_not_hide_that_the_run_before_was_done (void)
+{
+  struct setup setup;
+  struct jb_task *task = give_up_run (&setup);
+  GByteArray *block;
+
+  fixture_worker (setup.sched, "w2", "r1", 8);
+  answer_first_polls (&setup);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  wk_start (setup.workers, task);
+  CU_ASSERT_FALSE (sd_given_up_run_done (setup.sched, task, 1, 1));
+  /* The next planner knows it from the record.  */
+  block = jb_encode_block (setup.job, 0);
+  task->done_before = false;
+  setup.job->has_done_before = false;
+  CU_ASSERT_EQUAL (jb_apply_block (setup.job, 0, block->data, block->len), 0);
+  CU_ASSERT_TRUE (task->done_before && setup.job->has_done_before);
+  g_byte_array_free (block, TRUE);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_NO_RESOURCES });
+  CU_ASSERT_EQUAL (
+      fixture_run_round (setup.sched, clk_monotonic_ms (NULL) + 5000), 0);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_DONE);
+  CU_ASSERT_EQUAL (setup.job->state, JB_COMPLETED);
+  tear_down (&setup);
+}
+
 static void
 test_outcome_is_acknowledged_once_stored (void)
 {
@@ -1059,6 +1091,8 @@
       test_run_given_up_that_failed_counts_once },
     { "an unsent run does not hide that the run before failed",
       test_unsent_run_does_not_hide_that_the_run_before_failed },
+    { "a refused start does not hide that the run before was done",
+      test_refused_start_does_not_hide_that_the_run_before_was_done },
     { "a wave of starts is sent in parts",
       test_wave_of_starts_is_sent_in_parts },
     { "a wave delays neither renewals nor urgent starts",
