--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -182,14 +182,12 @@
   return true;
 }
 
-/* Whether the job of STEP, due at DUE_MS, will be late even if STEP starts
-   now.  */
-static bool
-is_late (const struct sd_sched *sched, const struct jb_step *step,
-         int64_t due_ms, int64_t now_ms)
+bool
+sd_unit_is_late (const struct sd_sched *sched, const struct sd_unit *unit,
+                 int64_t now_ms)
 {
-  return !step->spec->long_lived
-         && now_ms + remaining_path_ms (sched, step) > due_ms;
+  return !unit->step->spec->long_lived
+         && now_ms + remaining_path_ms (sched, unit->step) > unit->due_ms;
 }
 
 static void
@@ -220,7 +218,6 @@
       unit.waiting_count = count_waiting (step);
       if (unit.waiting_count == 0 || !step_ready (step, now_unix_ms))
         continue;
-      unit.late = is_late (sched, step, unit.due_ms, now_ms);
       unit.last_attempt = is_last_attempt (step, queue);
       unit.avoids_suspects = sched->suspects_are_few;
       unit.starts_alone = must_start_alone (step);
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -234,8 +234,6 @@
   struct sd_advice *advice; /* NULL: its queue has no advisor */
   /* Within its team's guarantee: placed before others of its priority.  */
   bool guaranteed;
-  /* Its job can not be done by due_ms any more.  */
-  bool late;
   int64_t oldest_report_ms; /* of sd_oldest_report_ms () */
   bool last_attempt;        /* one more failure of a task would fail the job */
   bool avoids_suspects;     /* it is not placed on suspect workers */
@@ -243,6 +241,12 @@
                         where no run is starting */
 };
 
+/*! sd_unit_is_late () :
+ *  @return : whether the job of UNIT will be done after due_ms even if it
+ *            starts now. */
+bool sd_unit_is_late (const struct sd_sched *sched, const struct sd_unit *unit,
+                      int64_t now_ms);
+
 /*! sd_collect_units () :
  *  @return : a struct sd_unit for each step that could start now, in the
  *            order in which they are placed; to be freed by
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -196,7 +196,7 @@
       if (!unit->step->spec->gang)
         continue;
       room.waiting_gangs++;
-      if (unit->late)
+      if (sd_unit_is_late (sched, unit, now_ms))
         room.waiting_late++;
     }
   g_array_free (units, TRUE);
--- a/programs/foxtailgap-hostd/round_pacing.c
+++ b/programs/foxtailgap-hostd/round_pacing.c
@@ -10,7 +10,7 @@
   /* A round is followed by this many times its duration without a round, which
      leaves three quarters of the processor to calls and answers.  */
   ROUND_IDLE_FACTOR = 3,
-  /* Urgent work must begin within 2.7 s, after several rounds.  */
+  /* Urgent work waits for a round, and for one more after a stop.  */
   ROUND_DELAY_MAX_MS = 300,
   US_PER_MS = 1000
 };
