--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -155,7 +155,10 @@
     }
   job->has_done_before = false;
   for (i = 0; i < job->step_total; i++)
-    job->steps[i].done_count = 0;
+    {
+      job->steps[i].done_count = 0;
+      job->steps[i].standing_since_ms = 0;
+    }
   job->state = job->cancel_requested ? JB_CANCELLED : JB_QUEUED;
   job->progress_changed = false;
 }
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -182,6 +182,9 @@
   /* Percent of its work that any run of the step has done in a second, by its
      progress whenever that was reported, at most; 0: none yet.  */
   double fastest_rate;
+  /* Since when it waits beside room for it, on the steady clock of the
+     planner's process; 0: it does not.  */
+  int64_t standing_since_ms;
 };
 
 struct jb_job
--- a/lib/sched/accounting.c
+++ b/lib/sched/accounting.c
@@ -112,6 +112,38 @@
     }
 }
 
+void
+sd_service_uses_begin_round (struct sd_sched *sched)
+{
+  guint i;
+
+  g_array_set_size (sched->service_uses, 0);
+  g_array_set_size (sched->service_uses,
+                    g_hash_table_size (sched->service_indexes) + 1);
+  for (i = 0; i < sched->workers->len; i++)
+    {
+      const struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
+      struct sd_service_use *use = &g_array_index (
+          sched->service_uses, struct sd_service_use, worker->service_index);
+
+      if (!worker->listed)
+        continue;
+      sd_resources_add (&use->used, &worker->used_resources);
+      sd_resources_add (&use->capacity, &worker->report.resources);
+    }
+}
+
+const struct sd_service_use *
+sd_service_use (const struct sd_sched *sched, uint32_t service_index)
+{
+  static const struct sd_service_use nothing = { .used = { 0 } };
+
+  return service_index < sched->service_uses->len
+             ? &g_array_index (sched->service_uses, struct sd_service_use,
+                               service_index)
+             : &nothing; /* no worker has had it yet */
+}
+
 void
 sd_mark_changed (struct sd_sched *sched, struct jb_job *job)
 {
@@ -134,6 +166,7 @@
   task->start_unsent = true;
   task->placed_ms = now_ms;
   task->poll_conclusive_from_ms = INT64_MAX;
+  task->step->standing_since_ms = 0;
   g_ptr_array_add (worker->tasks, task);
   sd_resources_add (&worker->used_resources, &task->step->spec->resources);
   sd_mark_changed (sched, task->job);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -34,6 +34,16 @@
          && !sd_advice_refuses (unit->advice, worker->report.id);
 }
 
+/* Whether recent failures there keep the unit from the worker.  */
+static bool
+is_disliked (const struct sd_worker *worker, const struct sd_unit *unit,
+             int64_t now_ms)
+{
+  return sd_health_is_avoided (worker, now_ms)
+         || (unit->avoids_suspects
+             && sd_health_is_suspect (worker, unit->last_attempt, now_ms));
+}
+
 bool
 sd_worker_is_available (const struct sd_worker *worker,
                         const struct sd_unit *unit, int64_t now_ms)
@@ -41,9 +51,7 @@
   return sd_worker_is_eligible (worker, unit)
          && worker->reachability == SD_WORKER_REACHABLE
          && worker->reported_ms >= unit->oldest_report_ms
-         && !sd_health_is_avoided (worker, now_ms)
-         && !(unit->avoids_suspects
-              && sd_health_is_suspect (worker, unit->last_attempt, now_ms))
+         && (unit->takes_avoided || !is_disliked (worker, unit, now_ms))
          && sd_advice_allows (unit->advice, worker->report.id);
 }
 
@@ -90,6 +98,19 @@
   return sd_resources_copies (&spec->resources, resources, limit);
 }
 
+uint32_t
+sd_copies_without_preferences (const struct sd_worker *worker,
+                               const struct sd_unit *unit, uint32_t limit,
+                               int64_t now_ms)
+{
+  struct sd_unit any = *unit;
+
+  any.takes_avoided = true;
+  return sd_worker_is_available (worker, &any, now_ms) ? MIN (
+             copies_on (worker, unit, &worker->round_free_resources), limit)
+                                                       : 0;
+}
+
 static bool
 is_remote (const struct sd_worker *worker, const struct jb_step_spec *spec)
 {
@@ -371,21 +392,35 @@
     }
 }
 
-/* USE_RESERVED: also resources that are reserved for gangs.  */
+/* What a choice may use.  */
+struct freedom
+{
+  bool reserved; /* resources that are reserved for gangs */
+  bool racks;    /* several racks, for a gang that prefers one */
+  bool avoided;  /* avoided and suspect workers */
+};
+
 static bool
 choose_with (const struct sd_sched *sched, const struct sd_unit *unit,
-             bool use_reserved, int64_t now_ms, struct sd_placement *placement)
+             const struct freedom *freedom, int64_t now_ms,
+             struct sd_placement *placement)
 {
   const struct jb_step_spec *spec = unit->step->spec;
-  GArray *candidates = collect_candidates (sched, unit, use_reserved, now_ms);
+  struct sd_unit chosen = *unit;
+  GArray *candidates;
   uint32_t rack = 0;
 
+  chosen.takes_avoided = freedom->avoided;
+  g_ptr_array_set_size (placement->tasks, 0);
+  g_ptr_array_set_size (placement->workers, 0);
+  candidates = collect_candidates (sched, &chosen, freedom->reserved, now_ms);
   if (spec->gang)
     {
       if (count_copies (candidates, unit->waiting_count) < unit->waiting_count)
         goto done;
       rack = choose_rack (sched, unit, candidates);
-      if (rack == 0 && spec->one_rack && sd_could_ever_fit (sched, unit, true))
+      if (rack == 0 && spec->one_rack && !freedom->racks
+          && sd_could_ever_fit (sched, unit, true))
         goto done;
     }
   assign_tasks (unit, candidates, rack, placement);
@@ -395,15 +430,37 @@
   return placement->tasks->len == unit->waiting_count;
 }
 
+/* How many of the tries below the unit is given.  */
+static size_t
+count_tries (const struct sd_sched *sched, const struct sd_unit *unit,
+             size_t all)
+{
+  if (unit->has_stood_too_long)
+    return all;
+  return unit->priority == 0 || sched->low_utilization ? 2 : 1;
+}
+
 bool
 sd_choose_workers (const struct sd_sched *sched, const struct sd_unit *unit,
                    int64_t now_ms, struct sd_placement *placement)
 {
-  if (choose_with (sched, unit, false, now_ms, placement))
-    return true;
-  if (unit->priority > 0 && !sched->low_utilization)
-    return false;
-  g_ptr_array_set_size (placement->tasks, 0);
-  g_ptr_array_set_size (placement->workers, 0);
-  return choose_with (sched, unit, true, now_ms, placement);
+  static const struct freedom tries[] = {
+    { .reserved = false },
+    { .reserved = true },
+    { .reserved = true, .racks = true },
+    { .reserved = true, .racks = true, .avoided = true },
+  };
+  size_t count = count_tries (sched, unit, G_N_ELEMENTS (tries));
+  bool complete = false;
+  size_t i;
+
+  for (i = 0; i < count && !complete; i++)
+    {
+      complete = choose_with (sched, unit, &tries[i], now_ms, placement);
+      /* One task that starts is enough for work that has stood.  */
+      if (unit->has_stood_too_long && !unit->step->spec->gang
+          && placement->tasks->len > 0)
+        break;
+    }
+  return complete;
 }
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -46,6 +46,13 @@
   SD_SUSPECT_EXCLUSIVE_MS = 600,
 };
 
+/* What the listed workers of a service have, and what is in use there.  */
+struct sd_service_use
+{
+  struct jb_resources used;
+  struct jb_resources capacity;
+};
+
 struct sd_sched
 {
   struct sd_params params;
@@ -68,6 +75,11 @@
   bool suspects_are_few;         /* in a round */
   bool low_utilization; /* in a round: little is in use, so all work may use
                            reserved resources */
+  /* In a round: by sd_worker.service_index.  */
+  GArray *service_uses;          /* struct sd_service_use */
+  bool looks_for_standing;       /* in a round; see standing.c */
+  int64_t standing_checked_ms;   /* when a round last did */
+  int64_t last_job_ms;           /* when the last job was added */
   GHashTable *reservations;      /* struct jb_step -> struct sd_reservation */
   GHashTable *advice;            /* struct jb_step -> struct sd_advice */
   uint64_t advised_worker_count; /* workers named in answered queries */
@@ -115,6 +127,15 @@
 void sd_stop_step (struct sd_sched *sched, struct jb_step *step,
                    const char *reason);
 
+/*! sd_service_uses_begin_round () :
+ *  Adds up what is in use of each service. */
+void sd_service_uses_begin_round (struct sd_sched *sched);
+
+/*! sd_service_use () :
+ *  @return : what is in use of a service in this round; never NULL. */
+const struct sd_service_use *sd_service_use (const struct sd_sched *sched,
+                                             uint32_t service_index);
+
 /*! sd_resources_fit () :
  *  @return : whether RESOURCES has at least NEED of each kind. */
 bool sd_resources_fit (const struct jb_resources *need,
@@ -239,6 +260,8 @@
   bool avoids_suspects;     /* it is not placed on suspect workers */
   bool starts_alone; /* it has a suspect task, see crash.c, and is placed only
                         where no run is starting */
+  bool has_stood_too_long; /* its preferences are not kept any more */
+  bool takes_avoided; /* it is also placed on avoided and suspect workers */
 };
 
 /*! sd_unit_is_late () :
@@ -316,6 +339,13 @@
                         const struct sd_unit *unit, int64_t now_ms,
                         struct sd_placement *placement);
 
+/*! sd_copies_without_preferences () :
+ *  @return : how many waiting tasks of UNIT, at most LIMIT, WORKER has room
+ * for in this round, whatever is reserved or avoided there. */
+uint32_t sd_copies_without_preferences (const struct sd_worker *worker,
+                                        const struct sd_unit *unit,
+                                        uint32_t limit, int64_t now_ms);
+
 /*! sd_could_ever_fit () :
  *  @return : whether all waiting tasks of the unit fit on the eligible workers
  *            when these are empty; with ONE_RACK, on those of one rack. */
@@ -328,6 +358,17 @@
 bool sd_is_known_unplaceable (const struct sd_sched *sched,
                               const struct sd_unit *unit);
 
+/* --- standing.c: work that waits beside room for it --- */
+
+void sd_standing_begin_round (struct sd_sched *sched, int64_t now_ms);
+
+/*! sd_has_stood_too_long () :
+ *  For a unit of which no task could be placed.
+ *  @return : whether it has waited beside room for it for so long that its
+ *            preferences must not be kept any more. */
+bool sd_has_stood_too_long (struct sd_sched *sched, const struct sd_unit *unit,
+                            int64_t now_ms);
+
 /* --- reserve.c: resources kept free for gangs --- */
 
 void sd_reservation_free (void *data);
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -19,6 +19,8 @@
       sd_resources_subtract (&worker->round_free_resources,
                              &worker->unassigned_resources);
     }
+  sd_service_uses_begin_round (sched);
+  sd_standing_begin_round (sched, now_ms);
   sd_preemptions_begin_round (sched, now_ms);
   sd_reservations_begin_round (sched);
 }
@@ -105,6 +107,12 @@
           && (unit->step->spec->gang || placement.tasks->len == 0))
         g_array_append_val (sched->unplaceable_units, *unit);
     }
+  if (!complete && (unit->step->spec->gang || placement.tasks->len == 0)
+      && sd_has_stood_too_long (sched, unit, now_ms))
+    {
+      unplaced.has_stood_too_long = true;
+      complete = sd_choose_workers (sched, &unplaced, now_ms, &placement);
+    }
 
   if (complete || !unit->step->spec->gang)
     start_placement (sched, unit, &placement, now_ms, commands);
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -33,6 +33,8 @@
   sched->pending_stops = g_ptr_array_new ();
   sched->unplaceable_units
       = g_array_new (FALSE, FALSE, sizeof (struct sd_unit));
+  sched->service_uses
+      = g_array_new (FALSE, TRUE, sizeof (struct sd_service_use));
   sched->estimates = es_create ();
   sched->reservations
       = g_hash_table_new_full (NULL, NULL, NULL, sd_reservation_free);
@@ -55,6 +57,7 @@
   g_ptr_array_free (sched->changed_jobs, TRUE);
   g_ptr_array_free (sched->pending_stops, TRUE);
   g_array_free (sched->unplaceable_units, TRUE);
+  g_array_free (sched->service_uses, TRUE);
   g_hash_table_destroy (sched->preemptions);
   g_hash_table_destroy (sched->reservations);
   g_hash_table_destroy (sched->advice);
@@ -265,6 +268,7 @@
   GHashTableIter iter;
   void *value;
   guint i;
+  size_t k;
 
   for (i = 0; i < sched->workers->len; i++)
     {
@@ -291,6 +295,8 @@
       struct jb_job *job = value;
 
       job->progress_changed = false;
+      for (k = 0; k < job->step_total; k++)
+        job->steps[k].standing_since_ms = 0;
       if (job->spec == NULL)
         continue;
       restore_placed_tasks (sched, job, now_ms);
@@ -307,8 +313,10 @@
 void
 sd_job_added (struct sd_sched *sched, struct jb_job *job)
 {
-  if (!g_ptr_array_find (sched->active_jobs, job, NULL))
-    g_ptr_array_add (sched->active_jobs, job);
+  if (g_ptr_array_find (sched->active_jobs, job, NULL))
+    return;
+  g_ptr_array_add (sched->active_jobs, job);
+  sched->last_job_ms = MAX (sched->last_job_ms, job->added_ms);
 }
 
 void
--- /dev/null
+++ b/lib/sched/standing.c
@@ -0,0 +1,98 @@
+/* Work that stands: nothing of its job runs, though its turn has come and
+   there is room for it.  Made for this load: the traffic has ended, and gangs
+   that prefer one rack, or other workers than those with room, wait for tasks
+   that run for long.  A preference is kept for a bounded time, so that it does
+   not keep accepted work waiting beside idle workers.  */
+
+#include "sched/private.h"
+
+enum
+{
+  /* The platform requires that work starts within 3 s while there is room for
+     it ROOM_FACTOR times and less than half of its service is in use.  The
+     other half of that time is for recording and sending the starts.  */
+  PREFERENCES_KEPT_MS = 1500,
+  ROOM_FACTOR = 2,
+  /* Above one half, for resources in use here may be free at the worker.  */
+  IN_USE_PERCENT_MAX = 60,
+  /* Without a new job for this time, reserved resources protect no gang from a
+     stream of other work.  The platform's rule holds from 14 s on.  */
+  STREAM_OVER_MS = 10000,
+  /* Between rounds that look for such work, which takes time for each waiting
+     unit.  */
+  CHECK_INTERVAL_MS = 200
+};
+
+void
+sd_standing_begin_round (struct sd_sched *sched, int64_t now_ms)
+{
+  sched->looks_for_standing
+      = now_ms - sched->standing_checked_ms >= CHECK_INTERVAL_MS;
+  if (sched->looks_for_standing)
+    sched->standing_checked_ms = now_ms;
+}
+
+static bool
+is_little (int64_t used, int64_t capacity)
+{
+  return used * 100 < capacity * IN_USE_PERCENT_MAX;
+}
+
+/* Of each kind of resource; if no jobs arrive any more, of any one kind.  */
+static bool
+is_little_used (const struct sd_sched *sched, uint32_t service_index,
+                int64_t now_ms)
+{
+  const struct sd_service_use *use = sd_service_use (sched, service_index);
+  bool cpus = is_little (use->used.cpus_milli, use->capacity.cpus_milli);
+  bool memory = is_little (use->used.memory_mib, use->capacity.memory_mib);
+  bool accelerators
+      = is_little (use->used.accelerators, use->capacity.accelerators);
+
+  return now_ms - sched->last_job_ms >= STREAM_OVER_MS
+             ? cpus || memory || accelerators
+             : cpus && memory && accelerators;
+}
+
+/* Each task of a long-lived step has to run, whether others of its job do or
+   not.  */
+static bool
+has_run (const struct sd_unit *unit)
+{
+  return !unit->step->spec->long_lived
+         && !jb_job_has_no_runs (unit->step->job);
+}
+
+static bool
+has_room (const struct sd_sched *sched, const struct sd_unit *unit,
+          int64_t now_ms)
+{
+  uint32_t needed
+      = ROOM_FACTOR * (unit->step->spec->gang ? unit->waiting_count : 1);
+  uint32_t found = 0;
+  guint i;
+
+  for (i = 0; i < sched->workers->len && found < needed; i++)
+    found += sd_copies_without_preferences (
+        g_ptr_array_index (sched->workers, i), unit, needed - found, now_ms);
+  return found >= needed;
+}
+
+bool
+sd_has_stood_too_long (struct sd_sched *sched, const struct sd_unit *unit,
+                       int64_t now_ms)
+{
+  struct jb_step *step = unit->step;
+
+  if (!sched->looks_for_standing)
+    return false;
+  if (has_run (unit) || !is_little_used (sched, unit->service_index, now_ms)
+      || !has_room (sched, unit, now_ms))
+    {
+      step->standing_since_ms = 0;
+      return false;
+    }
+  if (step->standing_since_ms == 0)
+    step->standing_since_ms = now_ms;
+  return now_ms - step->standing_since_ms >= PREFERENCES_KEPT_MS;
+}
