A last attempt does not hold up other jobs of its size

What callers saw: jobs that waited beside an idle worker, for up to 10 s. Cause: a round does not look for room for a unit if an earlier one that needs no more did not fit (needs_at_least ()). A unit on its last attempt may not use a worker for 10 s after a failure there, others only for 1.5 s; this was not compared, so the unit marked later ones of its size as unplaceable, too. Change: a unit on its last attempt shows this only for others that are. Result: the new test fails before (0 starts after 2 s) and passes now.

--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -309,14 +309,15 @@
 /* --- Units that did not fit --- */
 
 /* Whether UNIT cannot fit where UNPLACEABLE, a unit that came earlier in the
-   round, did not.  */
+   round, did not.  On its last attempt a unit uses fewer workers.  */
 static bool
 needs_at_least (const struct sd_unit *unit, const struct sd_unit *unplaceable)
 {
   const struct jb_step_spec *spec = unit->step->spec;
   const struct jb_step_spec *other = unplaceable->step->spec;
 
-  return unit->advice == NULL && unplaceable->advice == NULL
+  return (unit->last_attempt || !unplaceable->last_attempt)
+         && unit->advice == NULL && unplaceable->advice == NULL
          && sd_resources_fit (&other->resources, &spec->resources)
          && spec->gang >= other->gang && spec->one_rack >= other->one_rack
          && (!other->gang || unit->waiting_count >= unplaceable->waiting_count)
--- a/tests/unit/test_hostd_sched.c
+++ b/tests/unit/test_hostd_sched.c
@@ -484,6 +484,34 @@
   tear_down (&setup);
 }
 
+/* Guards against jobs that wait beside an idle worker: a job on its last
+   attempt does not use a worker that has failed lately, for 10 s, and for as
+   long no other job of its size was placed there either.  */
+static void
+test_last_attempt_does_not_hold_up_other_jobs (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 8 };
+  struct fixture_step rest = { .count = 7, .accelerators = 8 };
+  struct jb_job *victim;
+  struct jb_job *later;
+
+  set_up (&setup);
+  add_eight_workers (&setup);
+  victim = add_job (&setup, "0000000000000001", "batch", &one, 0);
+  fixture_run_round (setup.sched, 0);
+  add_job (&setup, "0000000000000002", "batch", &rest, 1);
+  fixture_run_round (setup.sched, 1); /* takes all other workers */
+  sd_task_ended (setup.sched, &victim->tasks[0], SD_OUTCOME_FAILED, "", 2, 2);
+  later = add_job (&setup, "0000000000000003", "batch", &one, 10);
+  /* The worker is suspect for all jobs for 1.5 s.  */
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 1000), 0);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 2000), 1);
+  CU_ASSERT_EQUAL (later->tasks[0].state, JB_TASK_PLACED);
+  CU_ASSERT_EQUAL (victim->tasks[0].state, JB_TASK_WAITING);
+  tear_down (&setup);
+}
+
 /* One failure may be the job's own fault.  */
 static void
 test_suspect_worker_is_avoided_for_a_short_time (void)
@@ -923,6 +951,8 @@
       test_resources_of_pending_preemption_are_kept },
     { "a last attempt avoids a worker that failed",
       test_last_attempt_avoids_a_worker_that_failed },
+    { "a last attempt does not hold up other jobs",
+      test_last_attempt_does_not_hold_up_other_jobs },
     { "a suspect worker is avoided for a short time",
       test_suspect_worker_is_avoided_for_a_short_time },
     { "a worker that fails two jobs is avoided",
