A gang that waits for a rack does not hold up one that no rack will hold

What callers saw: a gang that waited beside enough idle workers, for as long as a smaller one waited. Cause: a gang of one rack may use several racks if no rack can ever hold it; one that some rack will hold waits for that rack. A larger gang of the first kind was taken as unplaceable because an earlier, smaller one of the second kind had not fitted (needs_at_least ()). Change: a gang of one rack that did not fit says nothing of those that no rack will ever hold.

--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -309,9 +309,11 @@
 /* --- Units that did not fit --- */
 
 /* Whether UNIT cannot fit where UNPLACEABLE, a unit that came earlier in the
-   round, did not.  On its last attempt a unit uses fewer workers.  */
+   round, did not.  On its last attempt a unit uses fewer workers; one that has
+   to wait for a rack says nothing of one that no rack will ever hold.  */
 static bool
-needs_at_least (const struct sd_unit *unit, const struct sd_unit *unplaceable)
+needs_at_least (const struct sd_sched *sched, const struct sd_unit *unit,
+                const struct sd_unit *unplaceable)
 {
   const struct jb_step_spec *spec = unit->step->spec;
   const struct jb_step_spec *other = unplaceable->step->spec;
@@ -325,7 +327,9 @@
          && (other->label == NULL
              || g_strcmp0 (spec->label, other->label) == 0)
          && other->tasks_per_worker_limit == 0
-         && unit->priority >= unplaceable->priority;
+         && unit->priority >= unplaceable->priority
+         && (!other->gang || !other->one_rack
+             || sd_could_ever_fit (sched, unit, true));
 }
 
 bool
@@ -335,8 +339,9 @@
   guint i;
 
   for (i = 0; i < sched->unplaceable_units->len; i++)
-    if (needs_at_least (unit, &g_array_index (sched->unplaceable_units,
-                                              struct sd_unit, i)))
+    if (needs_at_least (
+            sched, unit,
+            &g_array_index (sched->unplaceable_units, struct sd_unit, i)))
       return true;
   return false;
 }
--- a/tests/unit/test_hostd_sched.c
+++ b/tests/unit/test_hostd_sched.c
@@ -291,6 +291,43 @@
   tear_down (&setup);
 }
 
+/* Guards against a gang that waits beside idle workers: a gang that no rack
+   can ever hold may use several racks, but one that one rack will hold once it
+   is free has to wait, and was taken to show that no larger one fits.  */
+static void
+test_gang_that_waits_for_a_rack_does_not_hold_up_a_larger_one (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 8 };
+  struct fixture_step small
+      = { .count = 3, .accelerators = 8, .gang = true, .one_rack = true };
+  struct fixture_step large
+      = { .count = 4, .accelerators = 8, .gang = true, .one_rack = true };
+  struct jb_job *waiting;
+  struct jb_job *job;
+  char id[8];
+  int i;
+
+  set_up (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  add_job (&setup, "00000000000000b1", "batch", &one, 0);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 0), 1);
+  fixture_worker (setup.sched, "w2", "r2", 8);
+  add_job (&setup, "00000000000000b2", "batch", &one, 1);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 1), 1);
+  for (i = 3; i <= 6; i++)
+    {
+      g_snprintf (id, sizeof id, "w%d", i);
+      fixture_worker (setup.sched, id, i <= 4 ? "r1" : "r2", 8);
+    }
+  waiting = add_job (&setup, "00000000000000b3", "batch", &small, 2);
+  job = add_job (&setup, "00000000000000b4", "batch", &large, 3);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 4), 4);
+  CU_ASSERT_EQUAL (count_in (waiting, JB_TASK_WAITING), 3);
+  CU_ASSERT_EQUAL (count_in (job, JB_TASK_PLACED), 4);
+  tear_down (&setup);
+}
+
 static void
 test_gang_is_done_when_one_member_is (void)
 {
@@ -942,6 +979,8 @@
       test_gang_is_placed_whole_or_not_at_all },
     { "a gang of one rack waits for a rack",
       test_gang_of_one_rack_waits_for_a_rack },
+    { "a gang that waits for a rack does not hold up a larger one",
+      test_gang_that_waits_for_a_rack_does_not_hold_up_a_larger_one },
     { "a gang is done when one member is done",
       test_gang_is_done_when_one_member_is },
     { "a gang counts a failure once", test_gang_counts_a_failure_once },
