A start that did not arrive is given up soon after it has expired

What callers saw: a task that is believed to be placed for up to 5 s after its start was lost, on a worker that is in touch, while nothing of its job runs. Cause: a poll shows that a run is not there only if it is sent after the last moment at which the start can take effect, 1.26 s after the first try. Polls were sent with their whole wait of 1.9 s all the same: the one in flight, one sent before that moment, and one after it, 1.9 s each, then 0.26 s. Change: a poll of a worker with such a start waits no longer than until that moment, and the next one is answered at once. Result: the two new tests fail before (not given up 4.9 s after the placement) and pass now (below 2.5 s with a poll in flight, and below 2.0 s).

--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -411,11 +411,30 @@
          && !wc_is_recent (&io->clock, now_ms);
 }
 
-/* How long the worker may delay its answer to the next renewal.  */
+/* How long until no start without an answer can take effect there any more; 0
+   also if the last renewal was sent before that, so that it does not show
+   whether the run is there; INT64_MAX: there is no such start.  */
+static int64_t
+unanswered_start_wait_ms (const struct worker_io *io, int64_t now_ms)
+{
+  int64_t wait_ms = INT64_MAX;
+  guint i;
+
+  for (i = 0; i < io->worker->tasks->len; i++)
+    {
+      const struct jb_task *task = g_ptr_array_index (io->worker->tasks, i);
+
+      if (!task->confirmed && task->poll_conclusive_from_ms < INT64_MAX
+          && io->renewal_sent_ms <= task->poll_conclusive_from_ms)
+        wait_ms = MIN (wait_ms,
+                       MAX (task->poll_conclusive_from_ms + 1 - now_ms, 0));
+    }
+  return wait_ms;
+}
+
 static uint32_t
-renewal_wait_ms (const struct worker_io *io)
+usual_wait_ms (const struct worker_io *io, int64_t now_ms)
 {
-  int64_t now_ms = clk_monotonic_ms (NULL);
   uint32_t wait_ms
       = MIN ((uint32_t)RENEWAL_WAIT_MS,
              io->workers->params.lease_ttl_ms / RENEWALS_PER_LEASE);
@@ -434,6 +453,16 @@
   return wait_ms;
 }
 
+/* How long the worker may delay its answer to the next renewal.  */
+static uint32_t
+renewal_wait_ms (const struct worker_io *io)
+{
+  int64_t now_ms = clk_monotonic_ms (NULL);
+
+  return (uint32_t)MIN ((int64_t)usual_wait_ms (io, now_ms),
+                        unanswered_start_wait_ms (io, now_ms));
+}
+
 /* Another process of the worker numbers its outcomes anew, and would forget
    those up to the number of an acknowledgement before they are processed.  So
    each is sent once, and soon after an answer of the process that it is for.
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -358,6 +358,85 @@
   tear_down (&setup);
 }
 
+/* Plays a worker that lists nothing, and answers each poll once its wait is
+   over, until TASK waits again.
+   @return : after how many ms it did; LIMIT_MS: it did not.  */
+static int64_t
+list_nothing_until_given_up (struct setup *setup, const struct jb_task *task,
+                             int64_t limit_ms)
+{
+  int64_t start_ms = clk_monotonic_ms (NULL);
+  int64_t poll_due_ms = 0;
+
+  while (task->state != JB_TASK_WAITING
+         && clk_monotonic_ms (NULL) - start_ms < limit_ms)
+    {
+      const struct fake_call *poll = fake_oldest_open_call (&setup->port, 'h');
+
+      if (poll == NULL)
+        {
+          wk_send_waiting (setup->workers);
+          poll = fake_oldest_open_call (&setup->port, 'h');
+          poll_due_ms = clk_monotonic_ms (NULL) + 2
+                        + (poll == NULL ? 0 : (int64_t)poll->wait_ms);
+        }
+      else if (clk_monotonic_ms (NULL) >= poll_due_ms)
+        poll_worker (setup);
+      usleep (1000);
+    }
+  return clk_monotonic_ms (NULL) - start_ms;
+}
+
+/* Guards against a task that waits for seconds although its worker is in
+   touch: no try of its start arrived, and the polls that could show that its
+   run is not there were answered after their whole wait.  */
+static void
+test_start_that_did_not_arrive_is_given_up_soon (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+  int64_t placed_ms;
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  placed_ms = clk_monotonic_ms (NULL);
+  wk_start (setup.workers, task);
+  wk_send_waiting (setup.workers); /* a poll with the whole wait */
+  CU_ASSERT_TRUE (fake_oldest_open_call (&setup.port, 'h')->wait_ms > 1500);
+  usleep (1000 * 870); /* as long as the tries */
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_NO_ANSWER });
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 's'));
+  usleep (1000 * 1030); /* until that poll is answered */
+  poll_worker (&setup);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  list_nothing_until_given_up (&setup, task, 4000);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  CU_ASSERT_TRUE (clk_monotonic_ms (NULL) - placed_ms < 2500);
+  tear_down (&setup);
+}
+
+/* The same where the poll is answered before the start has expired.  */
+static void
+test_poll_waits_until_a_start_has_expired (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+  int64_t placed_ms;
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  placed_ms = clk_monotonic_ms (NULL);
+  wk_start (setup.workers, task);
+  usleep (1000 * 870);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_NO_ANSWER });
+  list_nothing_until_given_up (&setup, task, 4000);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  CU_ASSERT_TRUE (clk_monotonic_ms (NULL) - placed_ms < 2000);
+  tear_down (&setup);
+}
+
 /* Guards against tasks that run again after their end: more than 500 runs had
    ended on one worker while the store was down, and those that the answers had
    no room for were taken as gone (review, case 2).  */
@@ -1077,6 +1156,10 @@
       test_leases_are_no_longer_than_needed },
     { "a run that is not listed is gone after the time of a stop",
       test_unlisted_run_is_gone_after_stop_time },
+    { "a start that did not arrive is given up soon",
+      test_start_that_did_not_arrive_is_given_up_soon },
+    { "a poll waits until a start has expired",
+      test_poll_waits_until_a_start_has_expired },
     { "a run beyond a full list of outcomes is not gone",
       test_run_beyond_a_full_list_of_outcomes_is_not_gone },
     { "an outcome is acknowledged once stored",
