A run of a worker's former process is given up soon after its restart

What callers saw: a task that is believed to be placed for 2 s after the restart of its worker was seen, and 2 s more for each lost stop. Cause: a start by the clock of the former process counts as possible until a stop has been carried out and a later poll does not list the run. The poll after the stop was sent at once, before the stop was answered, with its whole wait of 1.9 s. Change: while such a run is in doubt, polls wait no longer than a stop takes. Result: the new test fails before (2 s from the first answer of the new process) and passes now (below 1 s).

--- a/programs/foxtailgap-hostd/worker_losses.c
+++ b/programs/foxtailgap-hostd/worker_losses.c
@@ -108,7 +108,10 @@
   if (io->renewal_sent_ms <= task->poll_conclusive_from_ms)
     {
       if (wk_has_restarted_since (io, task))
-        wk_prevent_start (io->workers, task, now_ms);
+        {
+          wk_prevent_start (io->workers, task, now_ms);
+          io->poll_soon = true; /* to learn what the stop has shown */
+        }
       return false;
     }
   if (wk_has_restarted_since (io, task))
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -371,17 +371,17 @@
   while (task->state != JB_TASK_WAITING
          && clk_monotonic_ms (NULL) - start_ms < limit_ms)
     {
-      const struct fake_call *poll = fake_oldest_open_call (&setup->port, 'h');
+      const struct fake_call *poll;
 
-      if (poll == NULL)
+      wk_send_waiting (setup->workers);
+      poll = fake_oldest_open_call (&setup->port, 'h');
+      if (poll != NULL && poll_due_ms == 0)
+        poll_due_ms = clk_monotonic_ms (NULL) + 2 + (int64_t)poll->wait_ms;
+      if (poll != NULL && clk_monotonic_ms (NULL) >= poll_due_ms)
         {
-          wk_send_waiting (setup->workers);
-          poll = fake_oldest_open_call (&setup->port, 'h');
-          poll_due_ms = clk_monotonic_ms (NULL) + 2
-                        + (poll == NULL ? 0 : (int64_t)poll->wait_ms);
+          poll_worker (setup);
+          poll_due_ms = 0;
         }
-      else if (clk_monotonic_ms (NULL) >= poll_due_ms)
-        poll_worker (setup);
       usleep (1000);
     }
   return clk_monotonic_ms (NULL) - start_ms;
@@ -437,6 +437,48 @@
   tear_down (&setup);
 }
 
+/* Guards against a task that waits for seconds at a worker that has restarted:
+   its run counts as possible until a stop has been carried out and a later
+   poll does not list it, and that poll was sent after a whole wait.  */
+static void
+test_run_of_former_process_is_given_up_soon (void)
+{
+  struct setup setup;
+  struct sd_worker *worker;
+  struct jb_task *task;
+  struct wp_answer life = { .result = WP_DONE, .worker_started_ms = 1 };
+  int64_t seen_ms;
+
+  set_up (&setup, 6000);
+  worker = fixture_worker (setup.sched, "w1", "r1", 8);
+  sd_worker_set_reachability (worker, SD_WORKER_UNSEEN);
+  wk_begin_term (setup.workers, 1, NULL);
+  wk_send_waiting (setup.workers);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'), &life);
+  sd_job_added (setup.sched, setup.job);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  task = &setup.job->tasks[0];
+  wk_start (setup.workers, task);
+  usleep (1000 * 870); /* as long as the tries */
+  fake_answer_all_unresponsive (&setup.port);
+  usleep (1000 * 260);
+  poll_without_answer (&setup);
+  usleep (1000 * 260);
+  life.worker_started_ms = 2;
+  wk_send_waiting (setup.workers);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'), &life);
+  seen_ms = clk_monotonic_ms (NULL);
+  wk_send_waiting (setup.workers);
+  fake_answer (fake_oldest_open_call (&setup.port, 'x'),
+               &(struct wp_answer){ .result = WP_DONE });
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  list_nothing_until_given_up (&setup, task, 4000);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  CU_ASSERT_TRUE (clk_monotonic_ms (NULL) - seen_ms < 1000);
+  tear_down (&setup);
+}
+
 /* Guards against tasks that run again after their end: more than 500 runs had
    ended on one worker while the store was down, and those that the answers had
    no room for were taken as gone (review, case 2).  */
@@ -1160,6 +1202,8 @@
       test_start_that_did_not_arrive_is_given_up_soon },
     { "a poll waits until a start has expired",
       test_poll_waits_until_a_start_has_expired },
+    { "a run of a former process is given up soon",
+      test_run_of_former_process_is_given_up_soon },
     { "a run beyond a full list of outcomes is not gone",
       test_run_beyond_a_full_list_of_outcomes_is_not_gone },
     { "an outcome is acknowledged once stored",
