A start that could not be sent does not wait for the lease of its worker

What callers saw: a task that waits for 6.4 s after its worker had crashed while it was idle, beside other workers with room. Cause: the start finds no connection, as does the poll. The worker is then out of touch, and the run counts as possible until a lease of the longest kind is over, though no byte of the start was sent. An idle worker is not polled, so it may be chosen for as long as it is in the store's list. Change: the port tells calls that were not sent from calls without an answer. Such a start is tried again while the worker is in touch, as before, and is given up at once when it is not, unless an earlier try may have arrived. Result: with the answer that the port gave before, the new test fails (the task stays placed); now it is placed on the other worker in the next round. The port's own test: a closed connection and a closed port give "not sent", a worker that does not answer does not.

--- a/lib/worker/worker_port.c
+++ b/lib/worker/worker_port.c
@@ -27,6 +27,8 @@
       return "invalid";
     case WP_TICKET_INVALID:
       return "ticket";
+    case WP_NOT_SENT:
+      return "unsent";
     }
   return "?";
 }
--- a/lib/worker/worker_port.h
+++ b/lib/worker/worker_port.h
@@ -24,6 +24,7 @@
   WP_WRONG_WORKER = -7,      /* the address belongs to another worker now */
   WP_MALFORMED_COMMAND = -8, /* the worker cannot read the command */
   WP_TICKET_INVALID = -9,    /* the advisor's ticket is not valid there */
+  WP_NOT_SENT = -10, /* no connection: nothing of the call has reached it */
 };
 
 /*! wp_result_name () :
@@ -64,7 +65,6 @@
 struct wp_answer
 {
   enum wp_result result;
-  bool maybe_sent;           /* the call may have reached the worker */
   int64_t worker_clock_ms;   /* -1: not reported */
   int64_t worker_started_ms; /* start of the worker's process, by a clock of
                                 its own: only compared for equality, to detect
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -117,6 +117,14 @@
         }
       task->poll_conclusive_from_ms = start_expiry_ms (call, io);
       return;
+    case WP_NOT_SENT:
+      sd_worker_unresponsive (worker, now_ms);
+      if (worker->reachability == SD_WORKER_REACHABLE
+          && may_send_again (call, task, io, now_ms))
+        send_start (call, task, worker);
+      else
+        handle_refusal (call, task, io, SD_REFUSED_OTHER, now_ms);
+      return;
     case WP_NO_RESOURCES:
       handle_refusal (call, task, io, SD_REFUSED_NO_RESOURCES, now_ms);
       return;
--- a/tests/unit/test_hostd_platform.c
+++ b/tests/unit/test_hostd_platform.c
@@ -454,6 +454,7 @@
   char *body; /* of the worker's answer */
   guint outcomes;
   bool outcomes_limited;
+  enum wp_result result;
 };
 
 static void
@@ -471,6 +472,7 @@
 
   poll->outcomes = answer->outcomes->len;
   poll->outcomes_limited = answer->outcomes_limited;
+  poll->result = answer->result;
   ev_break (poll->loop, EVBREAK_ONE);
 }
 
@@ -534,6 +536,67 @@
   g_free (address);
 }
 
+static void
+leave_unanswered (void *ctx, struct hs_request *request)
+{
+  (void)ctx;
+  (void)request;
+}
+
+/* A run whose start was not sent is not there; one whose start had no answer
+   may be.  A connection that was open to a worker that has crashed is found
+   closed before it is used.  */
+static void
+test_start_without_connection_is_not_sent (void)
+{
+  struct poll poll = { .loop = ev_loop_new (EVFLAG_AUTO) };
+  struct hs_params params = { .loop = poll.loop,
+                              .address = "127.0.0.1",
+                              .connection_limit = 4,
+                              .body_limit_bytes = 10000,
+                              .receive_timeout_ms = 1000,
+                              .handler = on_poll,
+                              .ctx = &poll };
+  struct wp_renew renewal = { .term = 1, .lease_deadline_ms = -1 };
+  struct wp_start start = { .task = "00000000000000aa.0.0.0",
+                            .run = 1,
+                            .job_text = "work",
+                            .deadline_ms = 1,
+                            .term = 1 };
+  struct hs_server *server = NULL;
+  struct hs_server *silent = NULL;
+  struct pf_workers *workers = pf_workers_create (poll.loop, 16);
+  struct wp_port port = pf_workers_port (workers);
+  struct wp_target target = { .worker = "w1" };
+  char *address;
+  char *silent_address;
+
+  CU_ASSERT_EQUAL_FATAL (hs_create (&server, &params), HS_OK);
+  params.handler = leave_unanswered;
+  CU_ASSERT_EQUAL_FATAL (hs_create (&silent, &params), HS_OK);
+  address = g_strdup_printf ("127.0.0.1:%u", hs_port (server));
+  silent_address = g_strdup_printf ("127.0.0.1:%u", hs_port (silent));
+  target.address = silent_address;
+  port.start (port.ctx, &target, &start, 100, on_polled, &poll);
+  ev_run (poll.loop, 0);
+  CU_ASSERT_EQUAL (poll.result, WP_NO_ANSWER);
+  target.address = address;
+  poll.body = body_with_outcomes (0);
+  port.renew (port.ctx, &target, &renewal, 1000, on_polled, &poll);
+  ev_run (poll.loop, 0);
+  CU_ASSERT_EQUAL (poll.result, WP_DONE);
+  hs_free (server);
+  port.start (port.ctx, &target, &start, 1000, on_polled, &poll);
+  ev_run (poll.loop, 0);
+  CU_ASSERT_EQUAL (poll.result, WP_NOT_SENT);
+  pf_workers_free (workers);
+  hs_free (silent);
+  ev_loop_destroy (poll.loop);
+  g_free (poll.body);
+  g_free (address);
+  g_free (silent_address);
+}
+
 /* --- The store --- */
 
 struct page
@@ -630,6 +693,8 @@
     { "the advisor is queried", test_advisor_is_queried },
     { "a full list of outcomes is recognised",
       test_full_list_of_outcomes_is_recognised },
+    { "a start without a connection is not sent",
+      test_start_without_connection_is_not_sent },
     { "the configuration is decoded", test_configuration_is_decoded },
     { "a worker's entry is decoded", test_worker_entry_is_decoded },
     { "odd entries name no worker", test_odd_worker_entries_name_no_worker },
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -161,6 +161,55 @@
   tear_down (&setup);
 }
 
+/* Guards against a task that waits for 6.4 s, until a lease of the longest
+   kind is over: its worker had crashed while it was idle, which shows only
+   when the start and the poll find no connection.  */
+static void
+test_start_without_connection_is_given_up_at_once (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+  struct wp_answer unsent = { .result = WP_NOT_SENT, .worker_clock_ms = -1 };
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  fixture_worker (setup.sched, "w2", "r1", 8);
+  wk_start (setup.workers, task);
+  wk_send_waiting (setup.workers);
+  /* The worker is still in touch, and one try may fail for another reason.  */
+  fake_answer (fake_oldest_open_call (&setup.port, 's'), &unsent);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'), &unsent);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'), &unsent);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  CU_ASSERT_STRING_EQUAL (task->worker, "w2");
+  tear_down (&setup);
+}
+
+/* Guards against a task that runs twice: an earlier try may have arrived.  */
+static void
+test_start_unsent_after_unanswered_try_may_be_there (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  wk_start (setup.workers, task);
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 's'),
+      &(struct wp_answer){ .result = WP_NO_ANSWER, .worker_clock_ms = -1 });
+  usleep (1000 * 870); /* as long as the tries */
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 's'),
+      &(struct wp_answer){ .result = WP_NOT_SENT, .worker_clock_ms = -1 });
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 's'));
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  tear_down (&setup);
+}
+
 static void
 test_refusal_of_first_try_is_final (void)
 {
@@ -1184,6 +1233,10 @@
       test_answer_to_start_leaves_renewals_to_next_pass },
     { "a refusal after a try without an answer is not final",
       test_refusal_after_unanswered_try_is_not_final },
+    { "a start without a connection is given up at once",
+      test_start_without_connection_is_given_up_at_once },
+    { "a start that is not sent after a try without an answer may be there",
+      test_start_unsent_after_unanswered_try_may_be_there },
     { "a refusal of the first try is final",
       test_refusal_of_first_try_is_final },
     { "runs of a worker known from records only end with its lease",
