A start is not sent to a worker that is known to be out of touch

What callers saw: the same wait of 6.4 s for a lease, where the poll showed first that the worker was lost: while the placement was being stored, or while the start waited in the queue. Cause: only a worker that had restarted was refused (send_queued_start ()); the start went out, had no answer, and its run counted as possible. Change: such a start is not sent; the task is placed elsewhere.

--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -318,6 +318,12 @@
                            "the worker has restarted and was not polled yet");
       return;
     }
+  if (worker->reachability == SD_WORKER_UNREACHABLE)
+    {
+      refuse_unsent_start (call, task, SD_REFUSED_OTHER,
+                           "the worker is out of touch");
+      return;
+    }
   if (!sd_start_is_safe (workers->params.sched, task, now_ms))
     {
       refuse_unsent_start (
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -188,6 +188,30 @@
   tear_down (&setup);
 }
 
+/* The same where polls find that the worker is out of touch while the
+   placement is being stored.  */
+static void
+test_start_is_not_sent_to_worker_out_of_touch (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  fixture_worker (setup.sched, "w2", "r1", 8);
+  wk_send_waiting (setup.workers);
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 'h'),
+      &(struct wp_answer){ .result = WP_NO_ANSWER, .worker_clock_ms = -1 });
+  wk_start (setup.workers, task);
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 's'));
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  CU_ASSERT_STRING_EQUAL (task->worker, "w2");
+  tear_down (&setup);
+}
+
 /* Guards against a task that runs twice: an earlier try may have arrived.  */
 static void
 test_start_unsent_after_unanswered_try_may_be_there (void)
@@ -1235,6 +1259,8 @@
       test_refusal_after_unanswered_try_is_not_final },
     { "a start without a connection is given up at once",
       test_start_without_connection_is_given_up_at_once },
+    { "a start is not sent to a worker out of touch",
+      test_start_is_not_sent_to_worker_out_of_touch },
     { "a start that is not sent after a try without an answer may be there",
       test_start_unsent_after_unanswered_try_may_be_there },
     { "a refusal of the first try is final",
