A renewal that could not be sent extends no lease

What callers saw: tasks of a crashed worker, and the gangs they belong to, that wait for up to 7.8 s where 6.3 s are needed. Cause: while a worker is newly out of touch its lease is still renewed, for 1.5 s, and the lease was counted from the last such renewal, also where none of them found a connection. Change: a renewal that was not sent leaves the end of the lease as it was before, unless another call may have changed it meanwhile. Two more tests guard the change: a renewal that libcurl repeats counts as sent, and one that was not sent does not hide a restart (fails without the check of later calls).

--- a/programs/foxtailgap-hostd/worker_process.c
+++ b/programs/foxtailgap-hostd/worker_process.c
@@ -30,6 +30,7 @@
 void
 wk_extend_lease_to_limit (struct worker_io *io, int64_t now_ms)
 {
+  io->deadlines++; /* by a call that this host may not know of */
   io->lease_end_ms = MAX (io->lease_end_ms, longest_lease_end_ms (io, now_ms));
 }
 
@@ -38,11 +39,30 @@
                   bool is_start)
 {
   io->deadline_sent_ms = now_ms;
+  io->deadlines++;
   if (is_start)
     io->unverified_start_ms = now_ms;
   io->lease_end_ms = MAX (io->lease_end_ms, now_ms + ttl_ms + LEASE_SLACK_MS);
 }
 
+void
+wk_renewal_sent (struct worker_io *io, struct wk_call *call, uint32_t ttl_ms)
+{
+  call->earlier_lease_end_ms = io->lease_end_ms;
+  call->earlier_deadline_sent_ms = io->deadline_sent_ms;
+  wk_deadline_sent (io, call->sent_ms, ttl_ms, false);
+  call->deadlines = io->deadlines;
+}
+
+void
+wk_deadline_not_sent (struct worker_io *io, const struct wk_call *call)
+{
+  if (call->deadlines == 0 || call->deadlines != io->deadlines)
+    return; /* a later call may have extended the lease */
+  io->lease_end_ms = call->earlier_lease_end_ms;
+  io->deadline_sent_ms = call->earlier_deadline_sent_ms;
+}
+
 int64_t
 wk_lease_end_ms (const struct worker_io *io)
 {
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -366,6 +366,8 @@
       io->last_result = answer->result;
       if (answer->result == WP_NO_ANSWER)
         wk_deadline_unanswered (io, call, now_ms);
+      else if (answer->result == WP_NOT_SENT)
+        wk_deadline_not_sent (io, call);
       sd_worker_set_reachability (worker, SD_WORKER_UNREACHABLE);
       if (answer->result == WP_WRONG_WORKER)
         wk_drop_runs_of_replaced_worker (io, now_ms);
@@ -488,8 +490,8 @@
   bool extends_lease = !io->lease_recorded && allowance_ms > 0
                        && !wk_renewal_is_suspended (io, now_ms)
                        && wk_may_command (workers);
+  struct wk_call *call = wk_call_create (workers, worker, "", 0);
   uint32_t timeout_ms;
-  struct wk_call *call;
   struct wp_renew renewal = {
     .term = workers->term,
     .acked_outcome_number = outcome_to_acknowledge (io, now_ms),
@@ -504,7 +506,7 @@
 
       renewal.lease_deadline_ms
           = MAX (wc_deadline_ms (&io->clock, now_ms + ttl_ms), 0);
-      wk_deadline_sent (io, now_ms, ttl_ms, false);
+      wk_renewal_sent (io, call, ttl_ms);
     }
   timeout_ms = worker->tasks->len > 0 && reads_clock (io, now_ms)
                    ? (uint32_t)CLOCK_POLL_TIMEOUT_MS
@@ -515,7 +517,6 @@
   io->poll_soon = false;
   io->renewal_sent_ms = now_ms;
   io->renewal_tried_ms = now_ms;
-  call = wk_call_create (workers, worker, "", 0);
   if (renewal.wait_ms == 0 && !beyond_window)
     wk_call_opened (call);
   workers->params.port.renew (workers->params.port.ctx, &target, &renewal,
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -53,6 +53,7 @@
   /* See wk_lease_end_ms ().  */
   int64_t lease_end_ms;     /* if the process has not restarted unnoticed */
   int64_t deadline_sent_ms; /* of the last start or lease renewal */
+  uint64_t deadlines;       /* so many may have changed lease_end_ms */
   /* Of the last start; 0: a later poll has shown that the process is still the
      same.  */
   int64_t unverified_start_ms;
@@ -112,6 +113,10 @@
   bool earlier_try_unanswered; /* so that try may still take effect */
   /* Of the worker's process by whose clock its deadline was computed.  */
   int64_t worker_started_ms;
+  /* Of a renewal that extends the lease; see wk_deadline_not_sent ().  */
+  uint64_t deadlines;           /* worker_io.deadlines with it; 0: others */
+  int64_t earlier_lease_end_ms; /* lease_end_ms and deadline_sent_ms of the */
+  int64_t earlier_deadline_sent_ms; /* worker before it */
 };
 
 /*! wk_io () :
@@ -136,6 +141,13 @@
 void wk_deadline_sent (struct worker_io *io, int64_t now_ms, uint32_t ttl_ms,
                        bool is_start);
 
+/*! wk_renewal_sent (), wk_deadline_not_sent () :
+ *  CALL is a renewal that is sent by wk_deadline_sent () of TTL_MS; it has not
+ *  reached the worker, so that it has not extended the lease. */
+void wk_renewal_sent (struct worker_io *io, struct wk_call *call,
+                      uint32_t ttl_ms);
+void wk_deadline_not_sent (struct worker_io *io, const struct wk_call *call);
+
 /*! wk_deadline_unanswered () :
  *  A start or lease renewal has had no answer: it may have reached a process
  *  that has restarted since it was sent. */
--- a/tests/unit/test_hostd_platform.c
+++ b/tests/unit/test_hostd_platform.c
@@ -1,7 +1,10 @@
 /* Tests of the platform's adapter: decoding of documents, also of invalid
    ones, and queries to the advisor.  */
 
+#include <arpa/inet.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "check.h"
 #include "hostd_fixture.h"
@@ -597,6 +600,61 @@
   g_free (silent_address);
 }
 
+/* Answers the first request of a connection, and closes it after the second
+   one without an answer; nobody listens then.
+   @return : to be joined.  */
+static void *
+answer_once (void *ctx)
+{
+  static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n"
+                               "{\"clock_ms\":1}";
+  int listener = *(int *)ctx;
+  int connection = accept (listener, NULL, NULL);
+  char bytes[4000];
+
+  close (listener);
+  if (read (connection, bytes, sizeof bytes) > 0
+      && write (connection, answer, sizeof answer - 1) > 0)
+    (void)!read (connection, bytes, sizeof bytes);
+  close (connection);
+  return NULL;
+}
+
+/* Such a renewal may have extended the lease, although libcurl sends it again
+   and finds no connection then.  */
+static void
+test_repeated_renewal_may_have_been_sent (void)
+{
+  struct poll poll = { .loop = ev_loop_new (EVFLAG_AUTO) };
+  struct wp_renew renewal = { .term = 1, .lease_deadline_ms = 1 };
+  struct pf_workers *workers = pf_workers_create (poll.loop, 16);
+  struct wp_port port = pf_workers_port (workers);
+  struct wp_target target = { .worker = "w1" };
+  struct sockaddr_in at
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t size_bytes = sizeof at;
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  char *address;
+  GThread *thread;
+
+  CU_ASSERT_EQUAL_FATAL (bind (listener, (void *)&at, sizeof at), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (listener, 1), 0);
+  CU_ASSERT_EQUAL (getsockname (listener, (void *)&at, &size_bytes), 0);
+  address = g_strdup_printf ("127.0.0.1:%u", ntohs (at.sin_port));
+  target.address = address;
+  thread = g_thread_new ("answers", answer_once, &listener);
+  port.renew (port.ctx, &target, &renewal, 1000, on_polled, &poll);
+  ev_run (poll.loop, 0);
+  CU_ASSERT_EQUAL (poll.result, WP_DONE);
+  port.renew (port.ctx, &target, &renewal, 1000, on_polled, &poll);
+  ev_run (poll.loop, 0);
+  CU_ASSERT_EQUAL (poll.result, WP_NO_ANSWER);
+  g_thread_join (thread);
+  pf_workers_free (workers);
+  ev_loop_destroy (poll.loop);
+  g_free (address);
+}
+
 /* --- The store --- */
 
 struct page
@@ -695,6 +753,8 @@
       test_full_list_of_outcomes_is_recognised },
     { "a start without a connection is not sent",
       test_start_without_connection_is_not_sent },
+    { "a renewal that libcurl repeats may have been sent",
+      test_repeated_renewal_may_have_been_sent },
     { "the configuration is decoded", test_configuration_is_decoded },
     { "a worker's entry is decoded", test_worker_entry_is_decoded },
     { "odd entries name no worker", test_odd_worker_entries_name_no_worker },
--- a/tests/unit/test_hostd_restarts.c
+++ b/tests/unit/test_hostd_restarts.c
@@ -281,6 +281,34 @@
   tear_down (&setup);
 }
 
+/* Guards against a task that runs twice: a report shows a restart while a
+   renewal is under way, which is not sent in the end; the lease may last to
+   the limit by calls before it.  */
+static void
+test_renewal_not_sent_does_not_hide_a_restart (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  list_worker (&setup, FORMER_STARTED_MS);
+  usleep (1000 * EARLIER_LEASE_MS);
+  send_start (&setup);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE,
+                                    .worker_clock_ms = FORMER_CLOCK_MS });
+  answer_poll_of_former_process (&setup); /* sent with the start */
+  usleep (1000 * 2);
+  answer_poll_of_former_process (&setup);
+  wk_send_waiting (setup.workers);
+  list_worker (&setup, STARTED_MS);
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 'h'),
+      &(struct wp_answer){ .result = WP_NOT_SENT, .worker_clock_ms = -1 });
+  be_unreachable (&setup, LEASE_IS_OVER_MS);
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_PLACED);
+  tear_down (&setup);
+}
+
 /* The report comes in while a start waits to be sent.  */
 static void
 test_start_waits_for_the_new_process (void)
@@ -417,6 +445,8 @@
       test_restart_is_noticed_by_the_report },
     { "a start waits for the new process",
       test_start_waits_for_the_new_process },
+    { "a renewal that is not sent does not hide a restart",
+      test_renewal_not_sent_does_not_hide_a_restart },
     { "a worker out of reach gets no acknowledgement",
       test_unreachable_worker_gets_no_acknowledgement },
     { "an outcome is acknowledged once", test_outcome_is_acknowledged_once },
