A removed queue does not lower the attempt limit of its jobs

What callers saw: a job that is shown as failed after its first failure, though its queue allowed more attempts. Cause: the limit of a queue that is not configured counted as 1 (attempt_limit ()). Change: the last limit that was configured for the job's queue counts. A host that has taken over since the queue was removed does not know it; then it is still 1. Result: the new test fails before and passes now.

--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -208,9 +208,11 @@
   /* Steady clock: when visible_state became final here, by a cancellation or a
      final state; 0: it is not final.  */
   int64_t final_since_ms;
-  int64_t ended_unix_ms; /* 0: not ended */
-  char *queue;           /* a copy of spec->queue */
-  uint32_t priority;     /* of its queue, as of the scheduler's last round */
+  int64_t ended_unix_ms;  /* 0: not ended */
+  char *queue;            /* a copy of spec->queue */
+  uint32_t priority;      /* of its queue, as of the scheduler's last round */
+  uint32_t attempt_limit; /* of its queue, as of the last round in which that
+                             was configured; 0: none yet */
 };
 
 /*! jb_state_is_final () :
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -245,6 +245,7 @@
       job->priority = queue == NULL ? UINT32_MAX : queue->priority;
       if (queue == NULL)
         continue; /* its queue is not configured any more: the job waits */
+      job->attempt_limit = queue->attempt_limit;
       guaranteed = queue->priority == 0
                    && within_guarantee (sched, requested_by_team, job);
       collect_job (sched, units, job, queue, guaranteed, now_ms, now_unix_ms);
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -482,8 +482,9 @@
   const struct ct_queue *queue
       = sched->catalog == NULL ? NULL
                                : ct_find_queue (sched->catalog, job->queue);
+  uint32_t limit = queue == NULL ? job->attempt_limit : queue->attempt_limit;
 
-  return queue == NULL || queue->attempt_limit == 0 ? 1 : queue->attempt_limit;
+  return MAX (limit, 1);
 }
 
 static void
--- a/tests/unit/test_hostd_sched.c
+++ b/tests/unit/test_hostd_sched.c
@@ -178,6 +178,39 @@
   tear_down (&setup);
 }
 
+/* --- Queues that are not configured --- */
+
+/* Guards against a job that is shown as failed after one failure, though its
+   queue allowed two: the operator had removed the queue meanwhile.  */
+static void
+test_removed_queue_does_not_lower_the_attempt_limit (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 8 };
+  struct ct_catalog *without = fixture_catalog ();
+  struct jb_job *job;
+
+  without->version = 2;
+  g_hash_table_remove (without->queues_by_name, "batch");
+  set_up (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  job = add_job (&setup, "0000000000000001", "batch", &one, 0);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 0), 1);
+  sd_set_catalog (setup.sched, without);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 1), 0);
+  sd_task_ended (setup.sched, &job->tasks[0], SD_OUTCOME_FAILED, "", 2, 2);
+  CU_ASSERT_NOT_EQUAL_FATAL (job->state, JB_FAILED);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 9000), 0);
+  sd_set_catalog (setup.sched, setup.catalog);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 18000), 1);
+  sd_set_catalog (setup.sched, without);
+  sd_task_ended (setup.sched, &job->tasks[0], SD_OUTCOME_FAILED, "", 18001,
+                 18001);
+  CU_ASSERT_EQUAL (job->state, JB_FAILED);
+  tear_down (&setup);
+  ct_catalog_free (without);
+}
+
 /* --- Absence limits of long-lived steps --- */
 
 /* A long-lived step of three tasks that are up, each on a worker of its own.
@@ -965,6 +998,8 @@
 {
   static const struct check_test tests[] = {
     { "a round places only what it may", test_round_places_only_what_it_may },
+    { "a removed queue does not lower the attempt limit",
+      test_removed_queue_does_not_lower_the_attempt_limit },
     { "a gang leaves a slow worker", test_gang_leaves_a_slow_worker },
     { "an uneven gang is not stopped", test_uneven_gang_is_not_stopped },
     { "a gang that is nearly done is not stopped",
