--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -161,6 +161,116 @@
   tear_down (&setup);
 }
 
+/* Guards against a task that waits for 6.4 s, until a lease of the longest
+   kind is over: its worker had crashed while it was idle, which shows only
+   when the start and the poll find no connection.  */
+static void
+test_start_without_connection_is_given_up_at_once (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+  struct wp_answer unsent = { .result = WP_NOT_SENT, .worker_clock_ms = -1 };
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  fixture_worker (setup.sched, "w2", "r1", 8);
+  wk_start (setup.workers, task);
+  wk_send_waiting (setup.workers);
+  /* The worker is still in touch, and one try may fail for another reason.  */
+  fake_answer (fake_oldest_open_call (&setup.port, 's'), &unsent);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'), &unsent);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'), &unsent);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  CU_ASSERT_STRING_EQUAL (task->worker, "w2");
+  tear_down (&setup);
+}
+
+/* The same where polls find that the worker is out of touch while the
+   placement is being stored.  */
+static void
+test_start_is_not_sent_to_worker_out_of_touch (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  fixture_worker (setup.sched, "w2", "r1", 8);
+  wk_send_waiting (setup.workers);
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 'h'),
+      &(struct wp_answer){ .result = WP_NO_ANSWER, .worker_clock_ms = -1 });
+  wk_start (setup.workers, task);
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 's'));
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  CU_ASSERT_STRING_EQUAL (task->worker, "w2");
+  tear_down (&setup);
+}
+
+/* Guards against runs that are waited for 1.5 s longer than needed: a worker
+   has crashed, and renewals that find no connection were taken to extend its
+   lease.  */
+static void
+test_renewal_that_is_not_sent_extends_no_lease (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+  int64_t sent_ms;
+
+  set_up (&setup, 1000);
+  task = place_task_on_reachable_worker (&setup);
+  wk_start (setup.workers, task);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE });
+  usleep (1000 * 3);
+  wk_send_waiting (setup.workers);
+  sent_ms = clk_monotonic_ms (NULL); /* of a renewal that may have arrived */
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 'h'),
+      &(struct wp_answer){ .result = WP_NO_ANSWER, .worker_clock_ms = -1 });
+  while (task->state != JB_TASK_WAITING
+         && clk_monotonic_ms (NULL) - sent_ms < 4000)
+    {
+      wk_send_waiting (setup.workers);
+      if (fake_oldest_open_call (&setup.port, 'h') != NULL)
+        fake_answer (fake_oldest_open_call (&setup.port, 'h'),
+                     &(struct wp_answer){ .result = WP_NOT_SENT,
+                                          .worker_clock_ms = -1 });
+      usleep (1000 * 5);
+    }
+  /* The lease of 1000 ms, 3% of it and 300 ms, and not before that.  */
+  CU_ASSERT_TRUE (clk_monotonic_ms (NULL) - sent_ms >= 1250);
+  CU_ASSERT_TRUE (clk_monotonic_ms (NULL) - sent_ms < 1600);
+  tear_down (&setup);
+}
+
+/* Guards against a task that runs twice: an earlier try may have arrived.  */
+static void
+test_start_unsent_after_unanswered_try_may_be_there (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  wk_start (setup.workers, task);
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 's'),
+      &(struct wp_answer){ .result = WP_NO_ANSWER, .worker_clock_ms = -1 });
+  usleep (1000 * 870); /* as long as the tries */
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 's'),
+      &(struct wp_answer){ .result = WP_NOT_SENT, .worker_clock_ms = -1 });
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 's'));
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  tear_down (&setup);
+}
+
 static void
 test_refusal_of_first_try_is_final (void)
 {
@@ -358,6 +468,127 @@
   tear_down (&setup);
 }
 
+/* Plays a worker that lists nothing, and answers each poll once its wait is
+   over, until TASK waits again.
+   @return : after how many ms it did; LIMIT_MS: it did not.  */
+static int64_t
+list_nothing_until_given_up (struct setup *setup, const struct jb_task *task,
+                             int64_t limit_ms)
+{
+  int64_t start_ms = clk_monotonic_ms (NULL);
+  int64_t poll_due_ms = 0;
+
+  while (task->state != JB_TASK_WAITING
+         && clk_monotonic_ms (NULL) - start_ms < limit_ms)
+    {
+      const struct fake_call *poll;
+
+      wk_send_waiting (setup->workers);
+      poll = fake_oldest_open_call (&setup->port, 'h');
+      if (poll != NULL && poll_due_ms == 0)
+        poll_due_ms = clk_monotonic_ms (NULL) + 2 + (int64_t)poll->wait_ms;
+      if (poll != NULL && clk_monotonic_ms (NULL) >= poll_due_ms)
+        {
+          poll_worker (setup);
+          poll_due_ms = 0;
+        }
+      usleep (1000);
+    }
+  return clk_monotonic_ms (NULL) - start_ms;
+}
+
+/* Guards against a task that waits for seconds although its worker is in
+   touch: no try of its start arrived, and the polls that could show that its
+   run is not there were answered after their whole wait.  */
+static void
+test_start_that_did_not_arrive_is_given_up_soon (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+  int64_t placed_ms;
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  placed_ms = clk_monotonic_ms (NULL);
+  wk_start (setup.workers, task);
+  wk_send_waiting (setup.workers); /* a poll with the whole wait */
+  CU_ASSERT_TRUE (fake_oldest_open_call (&setup.port, 'h')->wait_ms > 1500);
+  usleep (1000 * 870); /* as long as the tries */
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_NO_ANSWER });
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 's'));
+  usleep (1000 * 1030); /* until that poll is answered */
+  poll_worker (&setup);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  list_nothing_until_given_up (&setup, task, 4000);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  CU_ASSERT_TRUE (clk_monotonic_ms (NULL) - placed_ms < 2500);
+  tear_down (&setup);
+}
+
+/* The same where the poll is answered before the start has expired.  */
+static void
+test_poll_waits_until_a_start_has_expired (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+  int64_t placed_ms;
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  placed_ms = clk_monotonic_ms (NULL);
+  wk_start (setup.workers, task);
+  usleep (1000 * 870);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_NO_ANSWER });
+  list_nothing_until_given_up (&setup, task, 4000);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  CU_ASSERT_TRUE (clk_monotonic_ms (NULL) - placed_ms < 2000);
+  tear_down (&setup);
+}
+
+/* Guards against a task that waits for seconds at a worker that has restarted:
+   its run counts as possible until a stop has been carried out and a later
+   poll does not list it, and that poll was sent after a whole wait.  */
+static void
+test_run_of_former_process_is_given_up_soon (void)
+{
+  struct setup setup;
+  struct sd_worker *worker;
+  struct jb_task *task;
+  struct wp_answer life = { .result = WP_DONE, .worker_started_ms = 1 };
+  int64_t seen_ms;
+
+  set_up (&setup, 6000);
+  worker = fixture_worker (setup.sched, "w1", "r1", 8);
+  sd_worker_set_reachability (worker, SD_WORKER_UNSEEN);
+  wk_begin_term (setup.workers, 1, NULL);
+  wk_send_waiting (setup.workers);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'), &life);
+  sd_job_added (setup.sched, setup.job);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  task = &setup.job->tasks[0];
+  wk_start (setup.workers, task);
+  usleep (1000 * 870); /* as long as the tries */
+  fake_answer_all_unresponsive (&setup.port);
+  usleep (1000 * 260);
+  poll_without_answer (&setup);
+  usleep (1000 * 260);
+  life.worker_started_ms = 2;
+  wk_send_waiting (setup.workers);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'), &life);
+  seen_ms = clk_monotonic_ms (NULL);
+  wk_send_waiting (setup.workers);
+  fake_answer (fake_oldest_open_call (&setup.port, 'x'),
+               &(struct wp_answer){ .result = WP_DONE });
+  CU_ASSERT_EQUAL (task->state, JB_TASK_PLACED);
+  list_nothing_until_given_up (&setup, task, 4000);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  CU_ASSERT_TRUE (clk_monotonic_ms (NULL) - seen_ms < 1000);
+  tear_down (&setup);
+}
+
 /* Guards against tasks that run again after their end: more than 500 runs had
    ended on one worker while the store was down, and those that the answers had
    no room for were taken as gone (review, case 2).  */
@@ -1063,6 +1294,14 @@
       test_answer_to_start_leaves_renewals_to_next_pass },
     { "a refusal after a try without an answer is not final",
       test_refusal_after_unanswered_try_is_not_final },
+    { "a start without a connection is given up at once",
+      test_start_without_connection_is_given_up_at_once },
+    { "a start is not sent to a worker out of touch",
+      test_start_is_not_sent_to_worker_out_of_touch },
+    { "a renewal that is not sent extends no lease",
+      test_renewal_that_is_not_sent_extends_no_lease },
+    { "a start that is not sent after a try without an answer may be there",
+      test_start_unsent_after_unanswered_try_may_be_there },
     { "a refusal of the first try is final",
       test_refusal_of_first_try_is_final },
     { "runs of a worker known from records only end with its lease",
@@ -1077,6 +1316,12 @@
       test_leases_are_no_longer_than_needed },
     { "a run that is not listed is gone after the time of a stop",
       test_unlisted_run_is_gone_after_stop_time },
+    { "a start that did not arrive is given up soon",
+      test_start_that_did_not_arrive_is_given_up_soon },
+    { "a poll waits until a start has expired",
+      test_poll_waits_until_a_start_has_expired },
+    { "a run of a former process is given up soon",
+      test_run_of_former_process_is_given_up_soon },
     { "a run beyond a full list of outcomes is not gone",
       test_run_beyond_a_full_list_of_outcomes_is_not_gone },
     { "an outcome is acknowledged once stored",
