A start without a connection is tried three times at most

Cause: tries were bounded by time alone, for a try without an answer takes 350 ms; one that finds nobody listening fails at once.

Change: a start is tried three times. The test counts 40 without it.

--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -12,6 +12,7 @@
 enum
 {
   START_TIMEOUT_MS = 350,
+  START_TRIES_MAX = 3, /* a try without a connection may fail at once */
   /* The third try is sent by then.  A worker refuses a start that arrives
      after WK_START_EXPIRY_MS, with a right clock somewhat earlier.  */
   LAST_TRY_MAX_MS = 850
@@ -60,7 +61,8 @@
 {
   struct worker_calls *workers = call->workers;
 
-  return now_ms < call->first_sent_ms + LAST_TRY_MAX_MS
+  return call->tries < START_TRIES_MAX
+         && now_ms < call->first_sent_ms + LAST_TRY_MAX_MS
          && task->state == JB_TASK_PLACED && may_start (workers, now_ms)
          && wk_call_is_of_process (call, io) && io->clock.clock_ms >= 0
          && !io->lease_recorded
@@ -231,6 +233,7 @@
   call->deadline_ms = start.deadline_ms;
   call->clock_age_ms = now_ms - io->clock.read_ms;
   call->sent_ms = MAX (now_ms, call->sent_ms + 1);
+  call->tries++;
   lb_take (&workers->link, call->bytes, now_ms);
   wk_call_opened (call);
   wk_deadline_sent (io, now_ms, (uint32_t)MAX (left_ms, 0), true);
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -110,6 +110,7 @@
   int64_t deadline_ms;         /* of a start, on the worker's clock, */
   int64_t clock_age_ms;        /* and how old the reading of that clock was */
   uint32_t bytes;              /* of a start: about as many are sent */
+  uint32_t tries;              /* of a start, so many were sent */
   bool earlier_try_unanswered; /* so that try may still take effect */
   /* Of the worker's process by whose clock its deadline was computed.  */
   int64_t worker_started_ms;
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -188,7 +188,31 @@
   tear_down (&setup);
 }
 
-/* The same where polls find that the worker is out of touch while the
+/* Guards against some forty tries of a start within 0.85 s, each with a line
+   in the log: nobody listens at the worker's address, and its last poll has no
+   answer yet.  */
+static void
+test_start_without_connection_is_tried_three_times (void)
+{
+  struct setup setup;
+  struct jb_task *task;
+  struct wp_answer unsent = { .result = WP_NOT_SENT, .worker_clock_ms = -1 };
+  int tries = 0;
+
+  set_up (&setup, 6000);
+  task = place_task_on_reachable_worker (&setup);
+  wk_start (setup.workers, task);
+  while (fake_oldest_open_call (&setup.port, 's') != NULL && tries < 40)
+    {
+      fake_answer (fake_oldest_open_call (&setup.port, 's'), &unsent);
+      tries++;
+    }
+  CU_ASSERT_EQUAL (tries, 3);
+  CU_ASSERT_EQUAL (task->state, JB_TASK_WAITING);
+  tear_down (&setup);
+}
+
+/* A start to a worker that polls find out of touch while the
    placement is being stored.  */
 static void
 test_start_is_not_sent_to_worker_out_of_touch (void)
@@ -1296,6 +1320,8 @@
       test_refusal_after_unanswered_try_is_not_final },
     { "a start without a connection is given up at once",
       test_start_without_connection_is_given_up_at_once },
+    { "a start without a connection is tried three times",
+      test_start_without_connection_is_tried_three_times },
     { "a start is not sent to a worker out of touch",
       test_start_is_not_sent_to_worker_out_of_touch },
     { "a renewal that is not sent extends no lease",
