The core names the reason for which work stands

lib/sched/waiting.c finds the one condition that keeps a step from starting: it may not start yet, some of its tasks count as placed, there is room that is reserved, not within one rack or on workers that get no start, or there is too little room of one kind. Each step that may start is tried again with one condition lifted after the other, for a limited number of steps a survey. jb_step.waiting_since_ms: since when it has been ready with all tasks waiting.

--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -170,6 +170,18 @@
   int64_t missing_since_ms; /* since when polls do not list it; 0: listed */
 };
 
+/* How long a step has stood, and why, as of the last survey of what waits;
+   kept by lib/sched/waiting.c and by the planner's log of it.  Moments are on
+   the steady clock.  */
+struct jb_standing
+{
+  int64_t since_ms;    /* 0: it does not stand */
+  uint32_t why;        /* enum sd_wait, as last found; 0: not looked at yet */
+  int64_t examined_ms; /* when `why` was found */
+  uint32_t logged_why; /* enum sd_wait, as last logged; 0: not logged */
+  int64_t logged_ms;
+};
+
 /* One step of one occurrence of a job.  */
 struct jb_step
 {
@@ -182,6 +194,10 @@
   /* Percent of its work that any run of the step has done in a second, by its
      progress whenever that was reported, at most; 0: none yet.  */
   double fastest_rate;
+  /* Steady clock: since when it has been ready with all its tasks waiting; 0:
+     it is not.  */
+  int64_t waiting_since_ms;
+  struct jb_standing standing;
 };
 
 struct jb_job
--- a/lib/sched/accounting.c
+++ b/lib/sched/accounting.c
@@ -133,6 +133,7 @@
   task->worker_started_ms = worker->process_started_ms;
   task->start_unsent = true;
   task->placed_ms = now_ms;
+  task->step->waiting_since_ms = 0;
   task->poll_conclusive_from_ms = INT64_MAX;
   g_ptr_array_add (worker->tasks, task);
   sd_resources_add (&worker->used_resources, &task->step->spec->resources);
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -217,7 +217,14 @@
 
       unit.waiting_count = count_waiting (step);
       if (unit.waiting_count == 0 || !step_ready (step, now_unix_ms))
-        continue;
+        {
+          step->waiting_since_ms = 0;
+          continue;
+        }
+      if (unit.waiting_count < step->spec->count)
+        step->waiting_since_ms = 0;
+      else if (step->waiting_since_ms == 0)
+        step->waiting_since_ms = now_ms;
       unit.last_attempt = is_last_attempt (step, queue);
       unit.avoids_suspects = sched->suspects_are_few;
       unit.starts_alone = must_start_alone (step);
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -360,6 +360,22 @@
 void sd_reservation_remove (struct sd_sched *sched,
                             const struct sd_unit *unit);
 
+/*! sd_reserved_workers () :
+ *  @return : struct sd_worker, one for each task of the gang. */
+struct sd_reservation;
+const GPtrArray *
+sd_reserved_workers (const struct sd_reservation *reservation);
+
+/* --- waiting.c: why work stands --- */
+
+/*! sd_explain_step () :
+ *  Finds out why STEP, of which nothing runs, stands, also at the cost of
+ *  trying several choices of workers.
+ *  @unit : of STEP; NULL: it is in none, for it may not be placed now. */
+void sd_explain_step (struct sd_sched *sched, struct jb_step *step,
+                      const struct sd_unit *unit, int64_t now_ms,
+                      int64_t now_unix_ms, struct sd_waiting *waiting);
+
 /* --- preempt.c: preemption --- */
 
 /* A pending preemption: resources that stopping tasks will free for one step.
--- a/lib/sched/reserve.c
+++ b/lib/sched/reserve.c
@@ -410,3 +410,9 @@
   g_hash_table_insert (sched->reservations, unit->step, reservation);
   add_reserved (sched, reservation, unit->step);
 }
+
+const GPtrArray *
+sd_reserved_workers (const struct sd_reservation *reservation)
+{
+  return reservation->workers;
+}
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -259,6 +259,19 @@
   return strcmp (left->id, right->id);
 }
 
+/* Moments of an earlier term of this host do not count.  */
+static void
+forget_waits (struct jb_job *job)
+{
+  size_t i;
+
+  for (i = 0; i < job->step_total; i++)
+    {
+      job->steps[i].waiting_since_ms = 0;
+      job->steps[i].standing = (struct jb_standing){ 0 };
+    }
+}
+
 void
 sd_begin_term (struct sd_sched *sched, int64_t now_ms)
 {
@@ -293,6 +306,7 @@
       job->progress_changed = false;
       if (job->spec == NULL)
         continue;
+      forget_waits (job);
       restore_placed_tasks (sched, job, now_ms);
       if (!jb_state_is_final (job->state))
         sd_job_added (sched, job);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -395,6 +395,87 @@
 struct sd_room sd_survey (struct sd_sched *sched, int64_t now_ms,
                           int64_t now_unix_ms);
 
+/* Why a step stands of which nothing runs.  The words for the log and the
+   metrics are those of sd_wait_name ().  */
+enum sd_wait
+{
+  SD_WAIT_UNKNOWN = 0, /* it has not been looked at yet */
+  /* It may not start yet.  */
+  SD_WAIT_NO_QUEUE,     /* its queue is not in the configuration */
+  SD_WAIT_NOT_DUE,      /* its due time has not come */
+  SD_WAIT_EARLIER_STEP, /* an earlier step is not done */
+  /* Some of its tasks count as placed.  */
+  SD_WAIT_MEMBER_STOPPING,  /* a task is being stopped */
+  SD_WAIT_MEMBER_PLACED,    /* a member of its gang is placed, another waits */
+  SD_WAIT_START,            /* all are placed, and not all confirmed */
+  SD_WAIT_START_UNSTORED,   /* by the planner: the append is not done yet, */
+  SD_WAIT_START_UNSENT,     /* or the start is not sent yet, */
+  SD_WAIT_START_UNANSWERED, /* or not answered yet */
+  /* It may start.  */
+  SD_WAIT_NEXT_ROUND,      /* it fits; the next round should place it */
+  SD_WAIT_NO_ROUNDS,       /* by the planner: rounds are not held, */
+  SD_WAIT_START_BACKLOG,   /* or place less while earlier starts wait, */
+  SD_WAIT_ROUND_ENDED,     /* or the last one ended before it */
+  SD_WAIT_TOO_FEW_WORKERS, /* it does not fit on the eligible workers, not
+                              even when they are empty */
+  SD_WAIT_RESERVED,        /* room is reserved for other gangs */
+  SD_WAIT_ONE_RACK,        /* there is room, but not within one rack */
+  SD_WAIT_PREEMPTING,      /* room is kept for urgent work */
+  SD_WAIT_UNASSIGNED,      /* room is used by runs that are not assigned */
+  /* There is room on workers that get no start of it:  */
+  SD_WAIT_BACKOFF,     /* one was refused or not answered there just now */
+  SD_WAIT_EXCLUSIVE,   /* a suspect task is starting there */
+  SD_WAIT_ALONE,       /* it is to start alone, and a run is starting there */
+  SD_WAIT_ADVISOR,     /* the advisor has not answered about them */
+  SD_WAIT_SUSPECT,     /* they are suspect */
+  SD_WAIT_AVOIDED,     /* they are avoided */
+  SD_WAIT_OLD_REPORT,  /* their report is too old */
+  SD_WAIT_UNSEEN,      /* they were not called yet under this term */
+  SD_WAIT_UNREACHABLE, /* their last call failed */
+  /* There is too little room on the available workers: of this kind alone, or
+     (SD_WAIT_NO_ROOM) of no kind alone.  */
+  SD_WAIT_NO_CPUS,
+  SD_WAIT_NO_MEMORY,
+  SD_WAIT_NO_ACCELERATORS,
+  SD_WAIT_NO_ROOM,
+  SD_WAIT_COUNT
+};
+
+/*! sd_wait_name () :
+ *  @return : a constant word, e.g. "one-rack". */
+const char *sd_wait_name (enum sd_wait why);
+
+enum
+{
+  SD_WAITING_MIN_MS = 1000, /* what has stood for less is not looked at */
+  SD_WAITING_DETAIL_BYTES = 144
+};
+
+/* A step that stands.  */
+struct sd_waiting
+{
+  struct jb_step *step;
+  enum sd_wait why;
+  uint32_t tasks;             /* that are not done */
+  const struct jb_task *task; /* that it waits for; NULL: none */
+  bool examined; /* in this survey; else `why` is of an earlier one and there
+                    is no detail */
+  char detail[SD_WAITING_DETAIL_BYTES];
+};
+
+/*! sd_survey_waiting () :
+ *  To be called about every SD_WAITING_MIN_MS or more often, for a step counts
+ *  as standing from the first call that finds it so.
+ *  @examined_max : for so many steps it tries choices of workers, those first
+ *                  that were looked at least lately.
+ *  @return : struct sd_waiting, by the state after the last round: the steps
+ *            that have stood for SD_WAITING_MIN_MS, of jobs of which nothing
+ *            runs, and the steps of tasks that last of which some wait; of
+ *            each job those that are not ready only if none is; to be freed by
+ *            g_array_free (). */
+GArray *sd_survey_waiting (struct sd_sched *sched, uint32_t examined_max,
+                           int64_t now_ms, int64_t now_unix_ms);
+
 /*! sd_take_changed () :
  *  @return : the jobs whose progress is to be recorded since the last call,
  *            struct jb_job; to be freed by g_ptr_array_free (). */
--- a/tests/bench/bench-rounds/main.c
+++ b/tests/bench/bench-rounds/main.c
@@ -190,6 +190,39 @@
           total_us / rounds, longest_us);
 }
 
+/* Surveys what waits, as the planner does each second, and prints how long
+   that took.  */
+static void
+measure_waiting (struct bench *bench, uint32_t examined_max)
+{
+  int64_t longest_us = 0;
+  int64_t total_us = 0;
+  uint32_t surveys = 20;
+  uint32_t listed = 0;
+  uint32_t i;
+
+  for (i = 0; i < surveys; i++)
+    {
+      int64_t before_us;
+      int64_t took_us;
+      GArray *found;
+
+      bench->now_ms += SD_WAITING_MIN_MS;
+      hold_round (bench);
+      before_us = g_get_monotonic_time ();
+      found = sd_survey_waiting (bench->sched, examined_max, bench->now_ms, 0);
+      took_us = g_get_monotonic_time () - before_us;
+      listed = found->len;
+      g_array_free (found, TRUE);
+      total_us += took_us;
+      longest_us = MAX (longest_us, took_us);
+    }
+  printf (
+      "waiting examined_max=%u listed=%u surveys=%u mean_us=%" G_GINT64_FORMAT
+      " longest_us=%" G_GINT64_FORMAT "\n",
+      examined_max, listed, surveys, total_us / surveys, longest_us);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -213,6 +246,9 @@
   for (i = 0; i < jobs / 2; i++)
     add_job_of (&bench, &shapes[0]);
   measure (&bench, "burst", rounds);
+  measure_waiting (&bench, 0);
+  measure_waiting (&bench, 16);
+  measure_waiting (&bench, 1000);
   sd_free (bench.sched);
   jb_table_free (bench.table);
   ct_catalog_free (bench.catalog);
