The planner logs and counts what waits, with the reason

Once a second the planner surveys the jobs of which nothing runs. The planner adds the reasons that the core does not know: rounds are not held, earlier starts wait, a round ended early, the start is not stored, not sent or not answered.

--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -448,7 +448,7 @@
 enum
 {
   SD_WAITING_MIN_MS = 1000, /* what has stood for less is not looked at */
-  SD_WAITING_DETAIL_BYTES = 144
+  SD_WAITING_DETAIL_BYTES = 192
 };
 
 /* A step that stands.  */
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -162,6 +162,9 @@
   while (commands.advisor_queries->len > 0)
     av_submit_query (planner->advisor,
                      g_ptr_array_steal_index (commands.advisor_queries, 0));
+  planner->placing = commands.placing;
+  planner->round_ended_early = commands.more;
+  planner->round_held_ms = clk_monotonic_ms (NULL);
   if (commands.more || commands.placing != SD_PLACE_ALL)
     pl_schedule_round (planner);
   g_ptr_array_free (commands.advisor_queries, TRUE);
@@ -192,6 +195,19 @@
   return true;
 }
 
+/* @return : why no round may be held now, a constant text; NULL: it may.  */
+static const char *
+why_no_round (struct planner *planner)
+{
+  if (!workers_are_polled (planner))
+    return "the first status polls of the workers";
+  if (!may_command (planner))
+    return "an append that shows that the term holds";
+  if (jr_jobs_age_ms (planner->params.journal) >= ROUND_JOBS_AGE_MAX_MS)
+    return "a reading of the jobs' topic";
+  return NULL;
+}
+
 static void
 on_round (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -201,8 +217,8 @@
   (void)events;
   if (planner->role != PL_PLANNER || planner->releasing)
     return;
-  if (workers_are_polled (planner) && may_command (planner)
-      && jr_jobs_age_ms (planner->params.journal) < ROUND_JOBS_AGE_MAX_MS)
+  planner->no_round_why = why_no_round (planner);
+  if (planner->no_round_why == NULL)
     {
       int64_t before_us = g_get_monotonic_time ();
 
@@ -354,6 +370,7 @@
   pl_read_worker_list_if_due (planner);
   wk_send_waiting (planner->workers);
   log_load (planner, now_ms);
+  pl_survey_waiting (planner, now_ms);
   collect_old_jobs (planner, now_ms);
   if (planner->releasing)
     {
@@ -417,6 +434,7 @@
   planner->sequence = 1;
   planner->workers_polled = false;
   planner->term_started_ms = now_ms;
+  pl_forget_waiting (planner);
   planner->load_logged_ms = now_ms;
   ll_take (planner->load);
   planner->last_append_end_ms = now_ms;
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -1,5 +1,6 @@
 /* Internal to the planner: the term is in planner_term.c, the list of workers
-   in planner_worker_list.c, records in planner_write.c, rounds in planner.c.
+   in planner_worker_list.c, records in planner_write.c, rounds in planner.c,
+   the log of what waits in planner_waiting.c.
  */
 
 #ifndef FT_HOSTD_PLANNER_PRIVATE_H
@@ -106,6 +107,15 @@
   int64_t last_round_us;  /* duration of the last one */
   int64_t tick_rounds_us; /* of all rounds since the last tick */
   uint32_t rounds;        /* number of them */
+  /* what waits, see planner_waiting.c */
+  const char *no_round_why;    /* why no round was held when the last one was
+                                  due; a constant text; NULL: it was held */
+  int64_t round_held_ms;       /* when the last round was held; 0: none under
+                                  this term */
+  enum sd_placing placing;     /* of the last round */
+  bool round_ended_early;      /* the last round has left work to another */
+  int64_t waiting_surveyed_ms; /* 0: not under this term */
+  uint32_t waiting_jobs[SD_WAIT_COUNT]; /* as last counted */
 };
 
 /* --- planner_term.c --- */
@@ -164,6 +174,17 @@
  *  is running already. */
 void pl_schedule_round (struct planner *planner);
 
+/* --- planner_waiting.c --- */
+
+/*! pl_survey_waiting () :
+ *  If the last time is long enough ago: counts the jobs of which nothing runs
+ *  by the reason, and logs some of them. */
+void pl_survey_waiting (struct planner *planner, int64_t now_ms);
+
+/*! pl_forget_waiting () :
+ *  A term begins or is over: no job is counted as waiting. */
+void pl_forget_waiting (struct planner *planner);
+
 /* --- planner_write.c --- */
 
 /*! pl_batch_free () :
--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -232,6 +232,7 @@
   pl_drop_batch (planner);
   planner->appends_in_flight = 0;
   wk_end_term (planner->workers);
+  pl_forget_waiting (planner);
   av_drop_queries (planner->advisor);
   jr_set_own_term (planner->params.journal, 0);
   jr_reload (planner->params.journal);
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -439,6 +439,51 @@
     }
 }
 
+static bool
+queue_has_start (GQueue *queue, const char *name, uint32_t run)
+{
+  const GList *link;
+
+  for (link = queue->head; link != NULL; link = link->next)
+    {
+      const struct wk_call *call = link->data;
+
+      if (call->run == run && strcmp (call->task, name) == 0)
+        return true;
+    }
+  return false;
+}
+
+const char *
+wk_why_unsent (struct worker_calls *workers, const struct jb_task *task)
+{
+  struct sd_worker *worker
+      = sd_worker_find (workers->params.sched, task->worker);
+  char *name = jb_task_name (task);
+  int64_t now_ms = clk_monotonic_ms (NULL);
+  bool urgent = queue_has_start (&workers->urgent_starts, name, task->run);
+  const char *why;
+
+  if (worker != NULL && worker->driver_data != NULL
+      && queue_has_start (
+          &((struct worker_io *)worker->driver_data)->starts_awaiting_clock,
+          name, task->run))
+    why = "its worker's clock";
+  else if (!urgent && !queue_has_start (&workers->starts, name, task->run))
+    why = "nothing, for it is not queued";
+  else if (!may_start (workers, now_ms))
+    why = "a proof that the term holds";
+  else if (!lb_has_room (&workers->link, now_ms))
+    why = "the host's link";
+  else if (!cw_has_room (workers->window, urgent ? CW_URGENT : CW_BULK,
+                         now_ms))
+    why = "the window of calls";
+  else
+    why = "other starts";
+  g_free (name);
+  return why;
+}
+
 void
 wk_drop_queued_starts (struct worker_calls *workers)
 {
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -127,6 +127,13 @@
  *  @return : as it is now. */
 struct wk_link_state wk_link_state (struct worker_calls *workers);
 
+/*! wk_why_unsent () :
+ *  Looks through all starts that wait, so it is not for every task.
+ *  @return : what the start of TASK waits for, which is stored and not sent; a
+ *            constant text. */
+const char *wk_why_unsent (struct worker_calls *workers,
+                           const struct jb_task *task);
+
 /*! wk_backlog_ms () :
  *  @urgent_only : whether to count the starts of urgent jobs only.
  *  @return : for how long the starts that wait will keep the host's link
