--- a/programs/foxtailgapctl/explain.c
+++ b/programs/foxtailgapctl/explain.c
@@ -10,6 +10,7 @@
 static const char LINE_WRITE_OUTCOME[] = "A caller's write has an outcome.";
 static const char LINE_RECEIVED_BY_PLANNER[] = "A job is taken in.";
 static const char LINE_TASKS_PLACED[] = "Tasks are placed.";
+static const char LINE_JOB_WAITS[] = "A job waits.";
 static const char LINE_RUN_ENDED[] = "A run has ended.";
 static const char LINE_RUN_LOST[] = "A run is gone without an end.";
 static const char LINE_TASK_GIVEN_UP[]
@@ -198,6 +199,7 @@
                                   received the job yet */
   GHashTable *runs;            /* task_key () of a task -> int64_t placed_ms */
   GHashTable *event_counts;    /* outcome of a run, or message -> number */
+  struct ew_waits *waits;
   const char *last_refusal_reason;
   /* LINE_TASK_GIVEN_UP; NULL: not seen; owned by the report.  */
   const struct lf_line *given_up;
@@ -363,8 +365,13 @@
       scan->planner_received_ms = scan->idle_since_ms = line->aligned_ms;
       scan->gang = strcmp (lf_field (line, "gang"), "yes") == 0;
     }
+  else if (lf_has_message (line, LINE_JOB_WAITS))
+    ew_add_line (scan->waits, line);
   else if (lf_has_message (line, LINE_TASKS_PLACED))
-    scan_placed (scan, line);
+    {
+      ew_step_placed (scan->waits, line);
+      scan_placed (scan, line);
+    }
   else if (lf_has_message (line, LINE_RUN_ENDED)
            && strcmp (lf_field (line, "current"), "no") != 0)
     scan_ended (scan, line, lf_field (line, "how"));
@@ -407,6 +414,24 @@
                           event_count (scan, "failed"));
 }
 
+static char *
+describe_wait (const struct scan *scan)
+{
+  const GPtrArray *waits = scan->report->waits;
+  const struct ex_wait *longest;
+
+  if (waits->len > 0)
+    {
+      longest = g_ptr_array_index (waits, 0);
+      return g_strdup_printf ("most of its time it waited: %s",
+                              ew_meaning (longest->why));
+    }
+  return event_count (scan, LINE_HOST_IS_PLANNER) > 0
+             ? g_strdup ("most of its time nothing of it ran; a planner "
+                         "took over meanwhile")
+             : g_strdup ("most of its time it waited for room");
+}
+
 static char *
 describe_longest_phase (const struct scan *scan)
 {
@@ -424,10 +449,7 @@
     case EX_PHASE_PLANNER:
       return g_strdup ("most of its time passed before a planner knew of it");
     case EX_PHASE_NOT_RUNNING:
-      return event_count (scan, LINE_HOST_IS_PLANNER) > 0
-                 ? g_strdup ("most of its time nothing of it ran; a planner "
-                             "took over meanwhile")
-                 : g_strdup ("most of its time it waited for room");
+      return describe_wait (scan);
     case EX_PHASE_UNSUCCESSFUL_RUNS:
       return describe_unsuccessful_runs (scan);
     case EX_PHASE_SUCCESSFUL_RUNS:
@@ -504,6 +526,7 @@
     .runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
     .event_counts
     = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+    .waits = ew_create (),
   };
   guint i;
 
@@ -521,7 +544,9 @@
   for (i = 0; i < report->lines->len; i++)
     scan_line (&scan, g_ptr_array_index (report->lines, i));
   finish_phases (&scan);
+  report->waits = ew_finish (scan.waits, report->end_ms);
   report->cause = describe_cause (&scan);
+  ew_free (scan.waits);
   g_hash_table_destroy (scan.runs);
   g_hash_table_destroy (scan.event_counts);
   return report;
@@ -533,6 +558,7 @@
   if (report == NULL)
     return;
   g_ptr_array_free (report->lines, TRUE);
+  g_ptr_array_free (report->waits, TRUE);
   g_free (report->cause);
   g_free (report);
 }
--- a/programs/foxtailgapctl/explain.h
+++ b/programs/foxtailgapctl/explain.h
@@ -6,6 +6,7 @@
 
 #include <jansson.h>
 
+#include "explain_waits.h"
 #include "log_file.h"
 
 /* A part of the time between submission and end of a job.  The parts may
@@ -39,7 +40,8 @@
   int64_t start_ms; /* by the first file's clock */
   int64_t end_ms;   /* by the first file's clock */
   int64_t phases_ms[EX_PHASE_COUNT];
-  char *cause; /* one clause, for people */
+  GPtrArray *waits; /* struct ex_wait, the longest first */
+  char *cause;      /* one clause, for people */
 };
 
 /*! ex_explain () :
--- a/programs/foxtailgapctl/explain_show.c
+++ b/programs/foxtailgapctl/explain_show.c
@@ -18,9 +18,10 @@
 format_details (const struct lf_line *line)
 {
   static const char *const keys[]
-      = { "what",  "outcome", "status",  "reason",      "to",      "result",
-          "queue", "team",    "tasks",   "estimate_ms", "step",    "run",
-          "how",   "worker",  "workers", "state",       "after_s", "took_ms" };
+      = { "what",  "outcome", "status",   "reason",      "to",      "result",
+          "queue", "team",    "tasks",    "estimate_ms", "step",    "run",
+          "how",   "worker",  "workers",  "state",       "after_s", "took_ms",
+          "why",   "detail",  "waited_ms" };
   GString *text = g_string_new (NULL);
   size_t i;
 
@@ -38,7 +39,8 @@
 static bool
 is_same_event (const struct lf_line *left, const struct lf_line *right)
 {
-  static const char *const keys[] = { "msg", "run", "how", "step", "status" };
+  static const char *const keys[]
+      = { "msg", "run", "how", "step", "status", "why" };
   size_t i;
 
   if (left->file != right->file)
@@ -69,6 +71,26 @@
   return (double)time_ms / 1000.0;
 }
 
+static void
+print_waits (const struct ex_report *report)
+{
+  guint i;
+
+  if (report->waits->len == 0)
+    return;
+  printf ("\nwhat it waited for:\n");
+  for (i = 0; i < report->waits->len; i++)
+    {
+      const struct ex_wait *wait = g_ptr_array_index (report->waits, i);
+
+      printf ("%9.3f s %s: %s", seconds (wait->time_ms), wait->why,
+              ew_meaning (wait->why));
+      if (wait->detail[0] != '\0')
+        printf (" (%s)", wait->detail);
+      printf ("\n");
+    }
+}
+
 void
 ex_print (const struct ex_report *report, const char *id)
 {
@@ -94,6 +116,7 @@
       printf ("%s\n", text);
       g_free (text);
     }
+  print_waits (report);
   if (report->outcome != EX_OUTCOME_COMPLETED
       && report->outcome != EX_OUTCOME_ACCEPTED)
     return;
@@ -122,6 +145,25 @@
   return row;
 }
 
+static json_t *
+waits_json (const struct ex_report *report)
+{
+  json_t *rows = json_array ();
+  guint i;
+
+  for (i = 0; i < report->waits->len; i++)
+    {
+      const struct ex_wait *wait = g_ptr_array_index (report->waits, i);
+      json_t *row = json_object ();
+
+      json_object_set_new (row, "why", json_string (wait->why));
+      json_object_set_new (row, "time_ms", json_integer (wait->time_ms));
+      json_object_set_new (row, "detail", json_string (wait->detail));
+      json_array_append_new (rows, row);
+    }
+  return rows;
+}
+
 json_t *
 ex_json (const struct ex_report *report, const char *id)
 {
@@ -143,6 +185,7 @@
                        json_string (outcome_names[report->outcome]));
   json_object_set_new (root, "cause", json_string (report->cause));
   json_object_set_new (root, "times", times);
+  json_object_set_new (root, "waits", waits_json (report));
   json_object_set_new (root, "lines", rows);
   return root;
 }
--- a/tests/scripts/explain.t
+++ b/tests/scripts/explain.t
@@ -98,13 +98,56 @@
   job 00000000000000ee: failed, 7.005 s
   cause: 2 workers crashed when its task had just started there, 2 of its runs were lost in all; it was given up
 
+A job that waited twice, first for room, then for rounds; its run in between was
+stopped.
+
+  $ cat > d.log <<'EOF'
+  > time=2026-05-01T06:00:09.900Z level=info part=daemon msg="The daemon serves." host=entry-4 data_centre=kality
+  > time=2026-05-01T06:00:10.000Z level=info part=planner msg="A job is taken in." job=00000000000000ff queue=plans team=clinic steps=1 tasks=2 gang=yes one_rack=no accelerators=8 memory_mib=1 estimate_ms=900
+  > time=2026-05-01T06:00:12.000Z level=info part=planner msg="A job waits." job=00000000000000ff occurrence=0 step=0 tasks=2 why=no-accelerators detail="1 of 2 tasks fit now on 4 of 4 eligible workers" waited_ms=2000
+  > time=2026-05-01T06:00:13.000Z level=info part=planner msg="A job waits." job=00000000000000ff occurrence=0 step=0 tasks=2 why=reserved detail="for job 00000000000000aa" waited_ms=3000
+  > time=2026-05-01T06:00:18.000Z level=info part=planner msg="A job waits." job=00000000000000ff occurrence=0 step=0 tasks=2 why=reserved detail="for job 00000000000000cc" waited_ms=8000
+  > time=2026-05-01T06:00:18.500Z level=info part=planner msg="Tasks are placed." job=00000000000000ff step=0 first=0 tasks=2 run=1 workers=w1,w2
+  > time=2026-05-01T06:00:18.600Z level=info part=workers msg="A run has ended." task=00000000000000ff.0.0.0 run=1 how=stopped worker=w1 current=yes
+  > time=2026-05-01T06:00:18.600Z level=info part=workers msg="A run has ended." task=00000000000000ff.0.0.1 run=1 how=stopped worker=w2 current=yes
+  > time=2026-05-01T06:00:20.600Z level=info part=planner msg="A job waits." job=00000000000000ff occurrence=0 step=0 tasks=2 why=no-rounds detail="waits for a reading of the jobs' topic; last round 1900 ms ago" waited_ms=2000
+  > EOF
+  $ foxtailgapctl explain 00000000000000ff d.log
+  job 00000000000000ff: accepted, 10.600 s
+  cause: most of its time it waited: room was reserved for other gangs
+  
+     +0.000 entry-4: A job is taken in. queue=plans team=clinic tasks=2 estimate_ms=900
+     +2.000 entry-4: A job waits. tasks=2 step=0 why=no-accelerators detail=1 of 2 tasks fit now on 4 of 4 eligible workers waited_ms=2000
+     +3.000 entry-4: A job waits. (2 times) tasks=2 step=0 why=reserved detail=for job 00000000000000aa waited_ms=3000
+     +8.500 entry-4: Tasks are placed. tasks=2 step=0 run=1 workers=w1,w2
+     +8.600 entry-4: A run has ended. (2 times) run=1 how=stopped worker=w1
+    +10.600 entry-4: A job waits. tasks=2 step=0 why=no-rounds detail=waits for a reading of the jobs' topic; last round 1900 ms ago waited_ms=2000
+  
+  what it waited for:
+      5.500 s reserved: room was reserved for other gangs (for job 00000000000000cc)
+      3.000 s no-accelerators: too few accelerators were free (1 of 2 tasks fit now on 4 of 4 eligible workers)
+      2.000 s no-rounds: the planner held no rounds (waits for a reading of the jobs' topic; last round 1900 ms ago)
+  
+  where its time went:
+      0.000 s until it was stored
+      0.000 s until a planner knew of it
+     10.500 s with nothing running
+      0.100 s in runs that were in vain
+      0.000 s in work
+  $ foxtailgapctl explain 00000000000000ff d.log --json | grep -A 4 '"waits"'
+    "waits": [
+      {
+        "why": "reserved",
+        "time_ms": 5500,
+        "detail": "for job 00000000000000cc"
+
 An unknown job, the output as JSON, and invalid input.
 
   $ foxtailgapctl explain 00000000000000dd b.log a.log
   job 00000000000000dd: unseen
   cause: no line of these logs tells of it
   [5]
-  $ foxtailgapctl explain 00000000000000aa b.log a.log --json | head -12
+  $ foxtailgapctl explain 00000000000000aa b.log a.log --json | head -13
   {
     "job": "00000000000000aa",
     "fate": "completed",
@@ -116,6 +159,7 @@
       "wasted_ms": 0,
       "work_ms": 1100
     },
+    "waits": [],
     "lines": [
   $ foxtailgapctl explain 00000000000000aa none.log
   none.log: No such file or directory
