--- a/lib/sched/standing.c
+++ b/lib/sched/standing.c
@@ -89,10 +89,10 @@
   if (has_run (unit) || !is_little_used (sched, unit->service_index, now_ms)
       || !has_room (sched, unit, now_ms))
     {
-      step->standing_since_ms = 0;
+      step->beside_room_since_ms = 0;
       return false;
     }
-  if (step->standing_since_ms == 0)
-    step->standing_since_ms = now_ms;
-  return now_ms - step->standing_since_ms >= PREFERENCES_KEPT_MS;
+  if (step->beside_room_since_ms == 0)
+    step->beside_room_since_ms = now_ms;
+  return now_ms - step->beside_room_since_ms >= PREFERENCES_KEPT_MS;
 }
