Scheduler: utilization is judged by service

Seen: by reading; in a test, a gang waits beside idle workers of its service that are reserved for a larger gang, because the workers of another service are full.

Cause: whether all work may use reserved resources was decided by the utilization of all workers together.

Change: by that of the unit's own service, over its listed workers. The test fails without the change.

--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -228,6 +228,9 @@
       unit.last_attempt = is_last_attempt (step, queue);
       unit.avoids_suspects = sched->suspects_are_few;
       unit.starts_alone = must_start_alone (step);
+      unit.uses_reserved
+          = unit.priority == 0
+            || sd_is_utilization_low (sched, unit.service_index);
       if (queue->uses_advisor)
         unit.advice = sd_advice_get (sched, step);
       g_array_append_val (units, unit);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -438,12 +438,11 @@
 
 /* How many of the tries below the unit is given.  */
 static size_t
-count_tries (const struct sd_sched *sched, const struct sd_unit *unit,
-             size_t all)
+count_tries (const struct sd_unit *unit, size_t all)
 {
   if (unit->has_stood_too_long)
     return all;
-  return unit->priority == 0 || sched->low_utilization ? 2 : 1;
+  return unit->uses_reserved ? 2 : 1;
 }
 
 bool
@@ -456,7 +455,7 @@
     { .reserved = true, .racks = true },
     { .reserved = true, .racks = true, .avoided = true },
   };
-  size_t count = count_tries (sched, unit, G_N_ELEMENTS (tries));
+  size_t count = count_tries (unit, G_N_ELEMENTS (tries));
   bool complete = false;
   size_t i;
 
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -73,8 +73,6 @@
   uint32_t reservation_searches; /* in a round: for new reservations */
   uint32_t preemption_searches;  /* in a round: for new plans */
   bool suspects_are_few;         /* in a round */
-  bool low_utilization; /* in a round: little is in use, so all work may use
-                           reserved resources */
   /* In a round: by sd_worker.service_index.  */
   GArray *service_uses;          /* struct sd_service_use */
   bool looks_for_standing;       /* in a round; see standing.c */
@@ -258,8 +256,9 @@
   int64_t oldest_report_ms; /* of sd_oldest_report_ms () */
   bool last_attempt;        /* one more failure of a task would fail the job */
   bool avoids_suspects;     /* it is not placed on suspect workers */
-  bool starts_alone; /* it has a suspect task, see crash.c, and is placed only
-                        where no run is starting */
+  bool starts_alone;  /* it has a suspect task, see crash.c, and is placed only
+                         where no run is starting */
+  bool uses_reserved; /* it is also placed in what is reserved for gangs */
   bool has_stood_too_long; /* its preferences are not kept any more */
   bool takes_avoided; /* it is also placed on avoided and suspect workers */
 };
@@ -380,6 +379,12 @@
 void sd_reservations_begin_round (struct sd_sched *sched);
 void sd_reservations_end_round (struct sd_sched *sched);
 
+/*! sd_is_utilization_low () :
+ *  @return : whether little of each kind of resource of a service is in use,
+ * so that all work may use reserved resources. */
+bool sd_is_utilization_low (const struct sd_sched *sched,
+                            uint32_t service_index);
+
 /*! sd_reservation_suspend () :
  *  Takes the unit's own reservation out of the reserved resources of its
  *  workers, so that the unit can be placed there.  The reservation itself
--- a/lib/sched/reserve.c
+++ b/lib/sched/reserve.c
@@ -84,28 +84,17 @@
   return used * 100 < capacity * LOW_UTILIZATION_PERCENT;
 }
 
-/* Whether little of each kind of resource on the reachable workers is in
-   use.  */
-static bool
-is_utilization_low (const struct sd_sched *sched)
+bool
+sd_is_utilization_low (const struct sd_sched *sched, uint32_t service_index)
 {
-  struct jb_resources used = { 0 };
-  struct jb_resources capacity = { 0 };
-  guint i;
-
-  for (i = 0; i < sched->workers->len; i++)
-    {
-      const struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
-
-      if (!worker->listed || worker->reachability != SD_WORKER_REACHABLE)
-        continue;
-      sd_resources_add (&used, &worker->used_resources);
-      sd_resources_add (&capacity, &worker->report.resources);
-    }
-  return is_below_low_utilization (used.cpus_milli, capacity.cpus_milli)
-         && is_below_low_utilization (used.memory_mib, capacity.memory_mib)
-         && is_below_low_utilization (used.accelerators,
-                                      capacity.accelerators);
+  const struct sd_service_use *use = sd_service_use (sched, service_index);
+
+  return is_below_low_utilization (use->used.cpus_milli,
+                                   use->capacity.cpus_milli)
+         && is_below_low_utilization (use->used.memory_mib,
+                                      use->capacity.memory_mib)
+         && is_below_low_utilization (use->used.accelerators,
+                                      use->capacity.accelerators);
 }
 
 void
@@ -118,7 +107,6 @@
 
   sched->reserved_task_count = 0;
   sched->reservation_searches = 0;
-  sched->low_utilization = is_utilization_low (sched);
   for (i = 0; i < sched->workers->len; i++)
     ((struct sd_worker *)g_ptr_array_index (sched->workers, i))
         ->round_reserved_resources
--- a/lib/sched/waiting.c
+++ b/lib/sched/waiting.c
@@ -324,19 +324,18 @@
 would_start_if (const struct sd_sched *sched, const struct sd_unit *unit,
                 bool use_reserved, bool any_rack, int64_t now_ms)
 {
-  struct sd_sched relaxed = *sched;
   struct sd_unit other = *unit;
   struct jb_step step = *unit->step;
   struct jb_step_spec spec = *unit->step->spec;
 
-  relaxed.low_utilization = sched->low_utilization || use_reserved;
+  other.uses_reserved = unit->uses_reserved || use_reserved;
   if (any_rack)
     {
       spec.one_rack = false;
       step.spec = &spec;
       other.step = &step;
     }
-  return would_start (&relaxed, &other, now_ms);
+  return would_start (sched, &other, now_ms);
 }
 
 /* The step for which most tasks are reserved on workers that have room for the
--- a/tests/unit/test_hostd_reserve.c
+++ b/tests/unit/test_hostd_reserve.c
@@ -247,6 +247,43 @@
   tear_down (&setup);
 }
 
+/* The same while the workers of another service are full.  */
+static void
+test_utilization_of_another_service_does_not_count (void)
+{
+  struct fixture_step blocks
+      = { .count = 2, .accelerators = WORKER_ACCELERATORS };
+  struct fixture_step large = { .count = WORKERS - 1,
+                                .accelerators = WORKER_ACCELERATORS,
+                                .gang = true };
+  struct fixture_step small
+      = { .count = 2, .accelerators = WORKER_ACCELERATORS, .gang = true };
+  struct setup setup;
+  struct jb_job *other;
+  uint32_t i;
+
+  set_up (&setup, 100);
+  for (i = 0; i < 2 * WORKERS; i++)
+    {
+      struct sd_worker_report report
+          = { .id = g_strdup_printf ("f%u", i),
+              .service = g_strdup ("full"),
+              .resources = { .accelerators = WORKER_ACCELERATORS } };
+      struct sd_worker *worker = sd_worker_listed (setup.sched, &report, 0);
+
+      sd_worker_set_reachability (worker, SD_WORKER_REACHABLE);
+      worker->used_resources = worker->report.resources;
+    }
+  add_job (&setup, "batch", &blocks);
+  advance (&setup);
+  add_job (&setup, "batch", &large);
+  advance (&setup);
+  other = add_job (&setup, "batch", &small);
+  advance (&setup);
+  CU_ASSERT_EQUAL (count_placed (other), 2);
+  tear_down (&setup);
+}
+
 static void
 test_reservation_ends_with_its_gang (void)
 {
@@ -307,6 +344,8 @@
       test_urgent_work_uses_reserved_resources },
     { "all work uses reserved resources at low utilization",
       test_all_work_uses_reserved_resources_at_low_utilization },
+    { "the utilization of another service does not count",
+      test_utilization_of_another_service_does_not_count },
     { "a reservation ends with its gang",
       test_reservation_ends_with_its_gang },
     { "estimates are corrected", test_estimates_are_corrected },
