Scheduler: accelerators decide whether work stands; a takeover is no arrival

Seen: with three hosts and 48 workers as real processes, a job of one accelerator waited 11.8 s beside 15 idle workers that were reserved for one gang (soak_waiting.py, scene reserved), and 7.8 to 8.5 s after a takeover.

Cause: more than 60% of the memory was in use, and less than half of the accelerators; and after a takeover all jobs seemed to have arrived just now.

Change: less than 60% of the accelerators in use is enough, and jobs that a term begins with are no arrivals. Both tests fail without it.

--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -74,10 +74,10 @@
   uint32_t preemption_searches;  /* in a round: for new plans */
   bool suspects_are_few;         /* in a round */
   /* In a round: by sd_worker.service_index.  */
-  GArray *service_uses;          /* struct sd_service_use */
-  bool looks_for_standing;       /* in a round; see standing.c */
-  int64_t standing_checked_ms;   /* when a round last did */
-  int64_t last_job_ms;           /* when the last job was added */
+  GArray *service_uses;        /* struct sd_service_use */
+  bool looks_for_standing;     /* in a round; see standing.c */
+  int64_t standing_checked_ms; /* when a round last did */
+  int64_t last_job_ms; /* when the last job arrived; 0: none in this term */
   GHashTable *reservations;      /* struct jb_step -> struct sd_reservation */
   GHashTable *advice;            /* struct jb_step -> struct sd_advice */
   uint64_t advised_worker_count; /* workers named in answered queries */
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -318,6 +318,7 @@
         sd_job_cancelled (sched, job, now_ms);
     }
   g_ptr_array_sort (sched->active_jobs, compare_arrival);
+  sched->last_job_ms = 0; /* these have arrived before */
 }
 
 /* --- Jobs --- */
--- a/lib/sched/standing.c
+++ b/lib/sched/standing.c
@@ -38,20 +38,26 @@
   return used * 100 < capacity * IN_USE_PERCENT_MAX;
 }
 
-/* Of each kind of resource; if no jobs arrive any more, of any one kind.  */
+static bool
+is_stream_over (const struct sd_sched *sched, int64_t now_ms)
+{
+  return sched->last_job_ms == 0
+         || now_ms - sched->last_job_ms >= STREAM_OVER_MS;
+}
+
+/* Of the accelerators; once no jobs arrive any more, or for a service without
+   them, of any kind of resource.  */
 static bool
 is_little_used (const struct sd_sched *sched, uint32_t service_index,
                 int64_t now_ms)
 {
   const struct sd_service_use *use = sd_service_use (sched, service_index);
-  bool cpus = is_little (use->used.cpus_milli, use->capacity.cpus_milli);
-  bool memory = is_little (use->used.memory_mib, use->capacity.memory_mib);
-  bool accelerators
-      = is_little (use->used.accelerators, use->capacity.accelerators);
 
-  return now_ms - sched->last_job_ms >= STREAM_OVER_MS
-             ? cpus || memory || accelerators
-             : cpus && memory && accelerators;
+  if (is_little (use->used.accelerators, use->capacity.accelerators))
+    return true;
+  return (use->capacity.accelerators == 0 || is_stream_over (sched, now_ms))
+         && (is_little (use->used.cpus_milli, use->capacity.cpus_milli)
+             || is_little (use->used.memory_mib, use->capacity.memory_mib));
 }
 
 /* Each task of a long-lived step has to run, whether others of its job do or
--- a/tests/unit/test_hostd_standing.c
+++ b/tests/unit/test_hostd_standing.c
@@ -447,12 +447,118 @@
     }
 }
 
+/* --- Single cases --- */
+
+/* USED is in use on two thirds of the workers.  */
+static void
+use_most_workers (struct day *day, const struct jb_resources *used)
+{
+  size_t i;
+
+  for (i = 0; i < WORKERS; i++)
+    {
+      struct sd_worker *worker = day->workers[i].worker;
+
+      sd_worker_set_reachability (worker, SD_WORKER_REACHABLE);
+      if (i < WORKERS * 2 / 3)
+        worker->used_resources = *used;
+    }
+}
+
+static struct jb_job *
+add_fixture_job (struct day *day, uint32_t number,
+                 const struct fixture_step *step, int64_t memory_mib)
+{
+  char id[JB_ID_DIGITS + 1];
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", step);
+  struct jb_job *job;
+
+  g_snprintf (id, sizeof id, "%016x", number);
+  spec->steps[0].resources.memory_mib = memory_mib;
+  job = jb_table_add (day->table, id, spec, day->now_ms);
+  sd_job_added (day->sched, job);
+  return job;
+}
+
+/* @return : whether the job has started within STANDING_MAX_MS.  */
+static bool
+starts_in_time (struct day *day, const struct jb_job *job)
+{
+  int64_t end_ms = day->now_ms + STANDING_MAX_MS;
+
+  while (!job->started && day->now_ms < end_ms)
+    {
+      day->now_ms += STEP_MS;
+      run_round (day);
+    }
+  return job->started;
+}
+
+/* On the workers where nothing is in use, a gang that needs all of them waits
+   for a single task, and a job of one task, which fits nowhere else, waits
+   since it was added.
+   @return : that job.  */
+static struct jb_job *
+set_up_reserved_workers (struct day *day, const struct jb_resources *used)
+{
+  const struct fixture_step single
+      = { .count = 1, .accelerators = WORKER_ACCELERATORS };
+  const struct fixture_step gang = { .count = WORKERS / 3,
+                                     .accelerators = WORKER_ACCELERATORS,
+                                     .gang = true };
+  const struct fixture_step small = { .count = 1, .accelerators = 1 };
+  const struct jb_job *waiting;
+
+  set_up (day, 1);
+  day->now_ms = STEP_MS;
+  use_most_workers (day, used);
+  add_fixture_job (day, 1, &single, 1000);
+  run_round (day);
+  waiting = add_fixture_job (day, 2, &gang, 1000);
+  run_round (day);
+  CU_ASSERT_FALSE (waiting->started);
+  return add_fixture_job (day, 3, &small, 16000);
+}
+
+/* Guards against a task that waits for as long as a gang does, beside 15 idle
+   workers, since more than 60% of the memory is in use.  */
+static void
+test_memory_in_use_does_not_keep_reserved_workers_idle (void)
+{
+  const struct jb_resources used = { .memory_mib = 250000, .accelerators = 2 };
+  struct day day;
+  const struct jb_job *job = set_up_reserved_workers (&day, &used);
+
+  CU_ASSERT_TRUE (starts_in_time (&day, job));
+  tear_down (&day);
+}
+
+/* Guards against such a wait that begins anew with a takeover, to which all
+   jobs seemed new.  */
+static void
+test_jobs_of_earlier_terms_are_no_stream (void)
+{
+  const struct jb_resources used = { .accelerators = WORKER_ACCELERATORS };
+  struct day day;
+  const struct jb_job *job = set_up_reserved_workers (&day, &used);
+
+  CU_ASSERT_FALSE (starts_in_time (&day, job)); /* a stream may go on */
+  sd_begin_term (day.sched, day.now_ms);
+  use_most_workers (&day, &used);
+  CU_ASSERT_TRUE (starts_in_time (&day, job));
+  tear_down (&day);
+}
+
 int
 main (int argc, char **argv)
 {
   static const struct check_test tests[] = {
     { "no job waits beside free workers",
       test_no_job_waits_beside_free_workers },
+    { "memory in use does not keep reserved workers idle",
+      test_memory_in_use_does_not_keep_reserved_workers_idle },
+    { "jobs of earlier terms are no stream",
+      test_jobs_of_earlier_terms_are_no_stream },
   };
 
   if (argc > 1)
