Scheduler: work that stands does not give way while accelerators are used

Cause: once no job had arrived for 10 s, little use of any one kind of resource was enough; avoided workers were taken then too; and the use of the service was asked for tasks that last, which the platform does not.

Change: only the accelerators count (of a service without them, each other kind); avoided workers are taken only if few of these are in use; long-lived tasks are placed however many are.

--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -441,7 +441,7 @@
 count_tries (const struct sd_unit *unit, size_t all)
 {
   if (unit->has_stood_too_long)
-    return all;
+    return unit->may_use_avoided ? all : all - 1;
   return unit->uses_reserved ? 2 : 1;
 }
 
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -74,10 +74,9 @@
   uint32_t preemption_searches;  /* in a round: for new plans */
   bool suspects_are_few;         /* in a round */
   /* In a round: by sd_worker.service_index.  */
-  GArray *service_uses;        /* struct sd_service_use */
-  bool looks_for_standing;     /* in a round; see standing.c */
-  int64_t standing_checked_ms; /* when a round last did */
-  int64_t last_job_ms; /* when the last job arrived; 0: none in this term */
+  GArray *service_uses;          /* struct sd_service_use */
+  bool looks_for_standing;       /* in a round; see standing.c */
+  int64_t standing_checked_ms;   /* when a round last did */
   GHashTable *reservations;      /* struct jb_step -> struct sd_reservation */
   GHashTable *advice;            /* struct jb_step -> struct sd_advice */
   uint64_t advised_worker_count; /* workers named in answered queries */
@@ -260,6 +259,7 @@
                          where no run is starting */
   bool uses_reserved; /* it is also placed in what is reserved for gangs */
   bool has_stood_too_long; /* its preferences are not kept any more */
+  bool may_use_avoided;    /* then also on avoided and suspect workers */
   bool takes_avoided; /* it is also placed on avoided and suspect workers */
 };
 
@@ -361,12 +361,12 @@
 
 void sd_standing_begin_round (struct sd_sched *sched, int64_t now_ms);
 
-/*! sd_has_stood_too_long () :
- *  For a unit of which no task could be placed.
- *  @return : whether it has waited beside room for it for so long that its
- *            preferences must not be kept any more. */
-bool sd_has_stood_too_long (struct sd_sched *sched, const struct sd_unit *unit,
-                            int64_t now_ms);
+/*! sd_drop_preferences () :
+ *  For a unit of which no task could be placed: if it has waited beside room
+ *  for it for too long, sets it to be placed where there is room.
+ *  @return : whether it was set so. */
+bool sd_drop_preferences (struct sd_sched *sched, struct sd_unit *unit,
+                          int64_t now_ms);
 
 /* --- reserve.c: resources kept free for gangs --- */
 
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -108,11 +108,8 @@
         g_array_append_val (sched->unplaceable_units, *unit);
     }
   if (!complete && (unit->step->spec->gang || placement.tasks->len == 0)
-      && sd_has_stood_too_long (sched, unit, now_ms))
-    {
-      unplaced.has_stood_too_long = true;
-      complete = sd_choose_workers (sched, &unplaced, now_ms, &placement);
-    }
+      && sd_drop_preferences (sched, &unplaced, now_ms))
+    complete = sd_choose_workers (sched, &unplaced, now_ms, &placement);
 
   if (complete || !unit->step->spec->gang)
     start_placement (sched, unit, &placement, now_ms, commands);
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -318,7 +318,6 @@
         sd_job_cancelled (sched, job, now_ms);
     }
   g_ptr_array_sort (sched->active_jobs, compare_arrival);
-  sched->last_job_ms = 0; /* these have arrived before */
 }
 
 /* --- Jobs --- */
@@ -326,10 +325,8 @@
 void
 sd_job_added (struct sd_sched *sched, struct jb_job *job)
 {
-  if (g_ptr_array_find (sched->active_jobs, job, NULL))
-    return;
-  g_ptr_array_add (sched->active_jobs, job);
-  sched->last_job_ms = MAX (sched->last_job_ms, job->added_ms);
+  if (!g_ptr_array_find (sched->active_jobs, job, NULL))
+    g_ptr_array_add (sched->active_jobs, job);
 }
 
 void
