--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -173,7 +173,7 @@
 /* How long a step has stood, and why, as of the last survey of what waits;
    kept by lib/sched/waiting.c and by the planner's log of it.  Moments are on
    the steady clock.  */
-struct jb_standing
+struct jb_wait
 {
   int64_t since_ms;    /* 0: it does not stand */
   uint32_t why;        /* enum sd_wait, as last found; 0: not looked at yet */
@@ -197,7 +197,10 @@
   /* Steady clock: since when it has been ready with all its tasks waiting; 0:
      it is not.  */
   int64_t waiting_since_ms;
-  struct jb_standing standing;
+  struct jb_wait wait;
+  /* Since when it waits beside room for it, on the steady clock of the
+     planner's process; 0: it does not.  */
+  int64_t standing_since_ms;
 };
 
 struct jb_job
@@ -224,9 +227,11 @@
   /* Steady clock: when visible_state became final here, by a cancellation or a
      final state; 0: it is not final.  */
   int64_t final_since_ms;
-  int64_t ended_unix_ms; /* 0: not ended */
-  char *queue;           /* a copy of spec->queue */
-  uint32_t priority;     /* of its queue, as of the scheduler's last round */
+  int64_t ended_unix_ms;  /* 0: not ended */
+  char *queue;            /* a copy of spec->queue */
+  uint32_t priority;      /* of its queue, as of the scheduler's last round */
+  uint32_t attempt_limit; /* of its queue, as of the last round in which that
+                             was configured; 0: none yet */
 };
 
 /*! jb_state_is_final () :
--- a/lib/sched/waiting.c
+++ b/lib/sched/waiting.c
@@ -543,8 +543,8 @@
           g_free (saved);
         }
     }
-  step->standing.why = waiting->why;
-  step->standing.examined_ms = now_ms;
+  step->wait.why = waiting->why;
+  step->wait.examined_ms = now_ms;
 }
 
 /* --- All steps that stand --- */
@@ -605,7 +605,7 @@
 note_standing (struct jb_step *step, int64_t now_ms, int64_t now_unix_ms)
 {
   int64_t due_unix_ms = jb_step_due_unix_ms (step);
-  struct jb_standing *standing = &step->standing;
+  struct jb_wait *standing = &step->wait;
 
   if (standing->since_ms == 0)
     standing->since_ms = step->waiting_since_ms > 0
@@ -638,22 +638,22 @@
 
       if (!step_stands (step, runs))
         {
-          step->standing = (struct jb_standing){ 0 };
+          step->wait = (struct jb_wait){ 0 };
           continue;
         }
       note_standing (step, now_ms, now_unix_ms);
-      if (now_ms - step->standing.since_ms < SD_WAITING_MIN_MS)
+      if (now_ms - step->wait.since_ms < SD_WAITING_MIN_MS)
         continue;
       if (explain_cheaply (sched, step, now_ms, now_unix_ms, &waiting))
         {
           if (!is_worth_showing (&waiting, found->len == first))
             continue;
           waiting.examined = true;
-          step->standing.why = waiting.why;
-          step->standing.examined_ms = now_ms;
+          step->wait.why = waiting.why;
+          step->wait.examined_ms = now_ms;
         }
       else
-        waiting.why = step->standing.why;
+        waiting.why = step->wait.why;
       g_array_append_val (found, waiting);
     }
 }
@@ -661,10 +661,8 @@
 static int
 compare_examined (const void *a, const void *b)
 {
-  const struct jb_standing *left
-      = &(*(struct sd_waiting *const *)a)->step->standing;
-  const struct jb_standing *right
-      = &(*(struct sd_waiting *const *)b)->step->standing;
+  const struct jb_wait *left = &(*(struct sd_waiting *const *)a)->step->wait;
+  const struct jb_wait *right = &(*(struct sd_waiting *const *)b)->step->wait;
 
   if (left->examined_ms != right->examined_ms)
     return left->examined_ms < right->examined_ms ? -1 : 1;
--- a/tests/unit/test_hostd_sched.c
+++ b/tests/unit/test_hostd_sched.c
@@ -178,6 +178,39 @@
   tear_down (&setup);
 }
 
+/* --- Queues that are not configured --- */
+
+/* Guards against a job that is shown as failed after one failure, though its
+   queue allowed two: the operator had removed the queue meanwhile.  */
+static void
+test_removed_queue_does_not_lower_the_attempt_limit (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 8 };
+  struct ct_catalog *without = fixture_catalog ();
+  struct jb_job *job;
+
+  without->version = 2;
+  g_hash_table_remove (without->queues_by_name, "batch");
+  set_up (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  job = add_job (&setup, "0000000000000001", "batch", &one, 0);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 0), 1);
+  sd_set_catalog (setup.sched, without);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 1), 0);
+  sd_task_ended (setup.sched, &job->tasks[0], SD_OUTCOME_FAILED, "", 2, 2);
+  CU_ASSERT_NOT_EQUAL_FATAL (job->state, JB_FAILED);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 9000), 0);
+  sd_set_catalog (setup.sched, setup.catalog);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 18000), 1);
+  sd_set_catalog (setup.sched, without);
+  sd_task_ended (setup.sched, &job->tasks[0], SD_OUTCOME_FAILED, "", 18001,
+                 18001);
+  CU_ASSERT_EQUAL (job->state, JB_FAILED);
+  tear_down (&setup);
+  ct_catalog_free (without);
+}
+
 /* --- Absence limits of long-lived steps --- */
 
 /* A long-lived step of three tasks that are up, each on a worker of its own.
@@ -291,6 +324,43 @@
   tear_down (&setup);
 }
 
+/* Guards against a gang that waits beside idle workers: a gang that no rack
+   can ever hold may use several racks, but one that one rack will hold once it
+   is free has to wait, and was taken to show that no larger one fits.  */
+static void
+test_gang_that_waits_for_a_rack_does_not_hold_up_a_larger_one (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 8 };
+  struct fixture_step small
+      = { .count = 3, .accelerators = 8, .gang = true, .one_rack = true };
+  struct fixture_step large
+      = { .count = 4, .accelerators = 8, .gang = true, .one_rack = true };
+  struct jb_job *waiting;
+  struct jb_job *job;
+  char id[8];
+  int i;
+
+  set_up (&setup);
+  fixture_worker (setup.sched, "w1", "r1", 8);
+  add_job (&setup, "00000000000000b1", "batch", &one, 0);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 0), 1);
+  fixture_worker (setup.sched, "w2", "r2", 8);
+  add_job (&setup, "00000000000000b2", "batch", &one, 1);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 1), 1);
+  for (i = 3; i <= 6; i++)
+    {
+      g_snprintf (id, sizeof id, "w%d", i);
+      fixture_worker (setup.sched, id, i <= 4 ? "r1" : "r2", 8);
+    }
+  waiting = add_job (&setup, "00000000000000b3", "batch", &small, 2);
+  job = add_job (&setup, "00000000000000b4", "batch", &large, 3);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 4), 4);
+  CU_ASSERT_EQUAL (count_in (waiting, JB_TASK_WAITING), 3);
+  CU_ASSERT_EQUAL (count_in (job, JB_TASK_PLACED), 4);
+  tear_down (&setup);
+}
+
 static void
 test_gang_is_done_when_one_member_is (void)
 {
@@ -484,6 +554,34 @@
   tear_down (&setup);
 }
 
+/* Guards against jobs that wait beside an idle worker: a job on its last
+   attempt does not use a worker that has failed lately, for 10 s, and for as
+   long no other job of its size was placed there either.  */
+static void
+test_last_attempt_does_not_hold_up_other_jobs (void)
+{
+  struct setup setup;
+  struct fixture_step one = { .count = 1, .accelerators = 8 };
+  struct fixture_step rest = { .count = 7, .accelerators = 8 };
+  struct jb_job *victim;
+  struct jb_job *later;
+
+  set_up (&setup);
+  add_eight_workers (&setup);
+  victim = add_job (&setup, "0000000000000001", "batch", &one, 0);
+  fixture_run_round (setup.sched, 0);
+  add_job (&setup, "0000000000000002", "batch", &rest, 1);
+  fixture_run_round (setup.sched, 1); /* takes all other workers */
+  sd_task_ended (setup.sched, &victim->tasks[0], SD_OUTCOME_FAILED, "", 2, 2);
+  later = add_job (&setup, "0000000000000003", "batch", &one, 10);
+  /* The worker is suspect for all jobs for 1.5 s.  */
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 1000), 0);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, 2000), 1);
+  CU_ASSERT_EQUAL (later->tasks[0].state, JB_TASK_PLACED);
+  CU_ASSERT_EQUAL (victim->tasks[0].state, JB_TASK_WAITING);
+  tear_down (&setup);
+}
+
 /* One failure may be the job's own fault.  */
 static void
 test_suspect_worker_is_avoided_for_a_short_time (void)
@@ -900,6 +998,8 @@
 {
   static const struct check_test tests[] = {
     { "a round places only what it may", test_round_places_only_what_it_may },
+    { "a removed queue does not lower the attempt limit",
+      test_removed_queue_does_not_lower_the_attempt_limit },
     { "a gang leaves a slow worker", test_gang_leaves_a_slow_worker },
     { "an uneven gang is not stopped", test_uneven_gang_is_not_stopped },
     { "a gang that is nearly done is not stopped",
@@ -914,6 +1014,8 @@
       test_gang_is_placed_whole_or_not_at_all },
     { "a gang of one rack waits for a rack",
       test_gang_of_one_rack_waits_for_a_rack },
+    { "a gang that waits for a rack does not hold up a larger one",
+      test_gang_that_waits_for_a_rack_does_not_hold_up_a_larger_one },
     { "a gang is done when one member is done",
       test_gang_is_done_when_one_member_is },
     { "a gang counts a failure once", test_gang_counts_a_failure_once },
@@ -923,6 +1025,8 @@
       test_resources_of_pending_preemption_are_kept },
     { "a last attempt avoids a worker that failed",
       test_last_attempt_avoids_a_worker_that_failed },
+    { "a last attempt does not hold up other jobs",
+      test_last_attempt_does_not_hold_up_other_jobs },
     { "a suspect worker is avoided for a short time",
       test_suspect_worker_is_avoided_for_a_short_time },
     { "a worker that fails two jobs is avoided",
--- a/tests/unit/test_hostd_waiting.c
+++ b/tests/unit/test_hostd_waiting.c
@@ -559,7 +559,7 @@
   sd_health_avoid (setup.workers[0], setup.now_ms);
   CU_ASSERT_EQUAL (fixture_run_round (setup.sched, setup.now_ms), 0);
   CU_ASSERT_EQUAL (survey (&setup, &why), 0);
-  CU_ASSERT_EQUAL (setup.job->steps[0].standing.since_ms, setup.now_ms);
+  CU_ASSERT_EQUAL (setup.job->steps[0].wait.since_ms, setup.now_ms);
   setup.now_ms += SD_WAITING_MIN_MS - 1;
   CU_ASSERT_EQUAL (survey (&setup, &why), 0);
   setup.now_ms++;
