--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -173,7 +173,7 @@
 /* How long a step has stood, and why, as of the last survey of what waits;
    kept by lib/sched/waiting.c and by the planner's log of it.  Moments are on
    the steady clock.  */
-struct jb_standing
+struct jb_wait
 {
   int64_t since_ms;    /* 0: it does not stand */
   uint32_t why;        /* enum sd_wait, as last found; 0: not looked at yet */
@@ -194,13 +194,13 @@
   /* Percent of its work that any run of the step has done in a second, by its
      progress whenever that was reported, at most; 0: none yet.  */
   double fastest_rate;
-  /* Since when it has waited beside room for it twice over, on the steady
-     clock of the planner's process; 0: it has not.  */
-  int64_t beside_room_since_ms;
   /* Steady clock: since when it has been ready with all its tasks waiting; 0:
      it is not.  */
   int64_t waiting_since_ms;
-  struct jb_standing standing;
+  struct jb_wait wait;
+  /* Since when it has waited beside room for it twice over, on the steady
+     clock of the planner's process; 0: it has not.  */
+  int64_t beside_room_since_ms;
 };
 
 struct jb_job
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -272,7 +272,7 @@
     {
       job->steps[i].waiting_since_ms = 0;
       job->steps[i].beside_room_since_ms = 0;
-      job->steps[i].standing = (struct jb_standing){ 0 };
+      job->steps[i].wait = (struct jb_wait){ 0 };
     }
 }
 
--- a/programs/foxtailgap-hostd/planner_waiting.c
+++ b/programs/foxtailgap-hostd/planner_waiting.c
@@ -166,14 +166,14 @@
 static bool
 has_new_reason (const struct sd_waiting *waiting)
 {
-  return waiting->step->standing.logged_why != (uint32_t)waiting->why;
+  return waiting->step->wait.logged_why != (uint32_t)waiting->why;
 }
 
 /* That a due time has not come is logged once only.  */
 static bool
 is_to_be_logged (const struct sd_waiting *waiting, int64_t now_ms)
 {
-  const struct jb_standing *standing = &waiting->step->standing;
+  const struct jb_wait *standing = &waiting->step->wait;
 
   if (now_ms - standing->since_ms < LOG_MIN_MS)
     return false;
@@ -189,8 +189,8 @@
 {
   const struct sd_waiting *left = *(struct sd_waiting *const *)a;
   const struct sd_waiting *right = *(struct sd_waiting *const *)b;
-  int64_t left_ms = left->step->standing.since_ms;
-  int64_t right_ms = right->step->standing.since_ms;
+  int64_t left_ms = left->step->wait.since_ms;
+  int64_t right_ms = right->step->wait.since_ms;
 
   if (has_new_reason (left) != has_new_reason (right))
     return has_new_reason (left) ? -1 : 1;
@@ -208,9 +208,9 @@
            lg_number (step->occurrence), "step", lg_number (step->index),
            "tasks", lg_number (waiting->tasks), "why",
            sd_wait_name (waiting->why), "detail", waiting->detail, "waited_ms",
-           lg_number (now_ms - step->standing.since_ms), NULL);
-  step->standing.logged_why = waiting->why;
-  step->standing.logged_ms = now_ms;
+           lg_number (now_ms - step->wait.since_ms), NULL);
+  step->wait.logged_why = waiting->why;
+  step->wait.logged_ms = now_ms;
 }
 
 static void
