--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -217,6 +217,7 @@
 CAPACITY_NOTICE_MS = 3000
 HEARTBEAT_MS = 500
 LEASE_LIMIT_MS = 8000
+POLL_STEP_S = 0.01  # between two looks at the ends while a poll waits
 
 
 class Run:
@@ -316,6 +317,8 @@
         self.late_count = 0  # answered starts that were refused as late
         self.poll_count = 0
         self.state = "ready"
+        self.data_centre = "dc"
+        self.cpus_milli = self.memory_mib = 8000
         self.capacities = []  # (since_s, accelerators), oldest first
         self.set_capacity(WORKER_ACCELERATORS)
         self.reset()
@@ -363,9 +366,10 @@
 
     def catalog_record(self, address, sequence):
         return json.dumps({
-            "service": "desk", "address": address, "zone": "dc",
+            "service": "desk", "address": address,
+            "zone": self.data_centre,
             "version": "v1", "slots": 8, "state": self.state, "seq": sequence,
-            "capacity": {"cpu": 8000, "mem_mb": 8000,
+            "capacity": {"cpu": self.cpus_milli, "mem_mb": self.memory_mib,
                          "gpu": self.accelerators},
             "labels": ["a", self.rack], "born": self.started_unix_ms}).encode()
 
@@ -455,7 +459,7 @@
             return self.refuse("old")
         if command["deadline_ms"] < self.clock_ms():
             return self.refuse("late")
-        if self.guards_capacity and len(self.runs) >= self.accelerators:
+        if self.guards_capacity and not self.has_room(task):
             return self.refuse("room")
         if len(self.runs) >= self.largest_recent_capacity():
             self.checker.violations.append(
@@ -463,13 +467,19 @@
         self.extend_lease(command["deadline_ms"])
         self.highest_run_ids[task] = run_id
         self.checker.record_start(task, self, run_id)
-        self.runs[task] = Run(task, run_id,
-                              time.monotonic() + self.checker.draw_work_s())
+        self.add_run(task, run_id)
         if command["spec"] == DEADLY_SPEC and task.endswith(".0"):
             asyncio.get_running_loop().call_later(
                 CRASH_DELAY_S, self.crash_by, task, self.started_unix_ms)
         return self.ok()
 
+    def has_room(self, _):
+        return len(self.runs) < self.accelerators
+
+    def add_run(self, task, run_id):
+        self.runs[task] = Run(task, run_id,
+                              time.monotonic() + self.checker.draw_work_s())
+
     def crash_by(self, task, started_unix_ms):
         if self.started_unix_ms == started_unix_ms and task in self.runs:
             self.crash(task)
@@ -502,7 +512,7 @@
         wait_end_s = time.monotonic() + command.get("wait_ms", 0) / 1000
         started_s = self.started_s
         while not self.outcomes and time.monotonic() < wait_end_s:
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(POLL_STEP_S)
             if (self.started_s != started_s
                     and not self.calls_outlive_process):
                 raise ConnectionResetError
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -149,11 +149,11 @@
             self.being_killed = False
 
 
-def call(host, method, job, body=None):
+def call(host, method, job, body=None, queue="q", key="k"):
     request = urllib.request.Request(
-        f"http://127.0.0.1:{host.port}/q/{job}", method=method,
+        f"http://127.0.0.1:{host.port}/{queue}/{job}", method=method,
         data=None if body is None else json.dumps(body).encode(),
-        headers={"Host": "h", "Foxtailgap-Credential": "k",
+        headers={"Host": "h", "Foxtailgap-Credential": key,
                  "Foxtailgap-Deadline-Ms": "2000"})
     try:
         with urllib.request.urlopen(request, timeout=3) as answer:
@@ -166,9 +166,9 @@
         return (NO_CONNECTION if refused else NO_WHOLE_ANSWER), b""
 
 
-async def call_async(host, method, job, body=None):
+async def call_async(*arguments):
     return await asyncio.get_running_loop().run_in_executor(
-        None, call, host, method, job, body)
+        None, call, *arguments)
 
 
 CONFIG = {
@@ -303,15 +303,16 @@
             else:
                 await asyncio.sleep(self.rng.uniform(0.02, 0.15))
 
-    async def inject_fault(self):
-        """Injects one random fault; all but crash last for a random time.
+    async def inject_fault(self, kind=None):
+        """Injects one fault, by default of a random kind; all but crash last
+        for a random time.
 
         Of a host: kill (SIGKILL), term (SIGTERM), freeze (SIGSTOP).  Of the
         store: busy, silent (no answers), lost (answers lost).  Of a worker:
         dark (unresponsive), crash (restarts without its runs), failing (all
         runs fail).
         """
-        kind = self.rng.choice(
+        kind = kind or self.rng.choice(
             ["kill", "term", "freeze", "busy", "silent", "lost", "dark",
              "crash", "failing"])
         self.faults.append(kind)
