--- a/tests/soak/soak_waiting.py
+++ b/tests/soak/soak_waiting.py
@@ -593,8 +593,8 @@
         job, (occurrence, number) = self.jobs[case["job"]], case["step"]
         return (f"by {case['kind']}: job {job.name} of {job.queue} has "
                 f"nothing running from {case['unix']} UTC for "
-                f"{case['until'] - case['since']:.1f} s, step {occurrence}.{number} "
-                f"could run: {json.dumps(job.steps[number])}; "
+                f"{case['until'] - case['since']:.1f} s, "
+                f"step {occurrence}.{number} could run: {json.dumps(job.steps[number])}; "
                 f"{case['others']} others, "
                 f"{'moved later' if case['moved'] else 'did not move'}; "
                 f"use {case['use']}, room by racks {case['places']}")
