--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -182,6 +182,9 @@
   /* Percent of its work that any run of the step has done in a second, by its
      progress whenever that was reported, at most; 0: none yet.  */
   double fastest_rate;
+  /* Since when it waits beside room for it, on the steady clock of the
+     planner's process; 0: it does not.  */
+  int64_t standing_since_ms;
 };
 
 struct jb_job
@@ -208,9 +211,11 @@
   /* Steady clock: when visible_state became final here, by a cancellation or a
      final state; 0: it is not final.  */
   int64_t final_since_ms;
-  int64_t ended_unix_ms; /* 0: not ended */
-  char *queue;           /* a copy of spec->queue */
-  uint32_t priority;     /* of its queue, as of the scheduler's last round */
+  int64_t ended_unix_ms;  /* 0: not ended */
+  char *queue;            /* a copy of spec->queue */
+  uint32_t priority;      /* of its queue, as of the scheduler's last round */
+  uint32_t attempt_limit; /* of its queue, as of the last round in which that
+                             was configured; 0: none yet */
 };
 
 /*! jb_state_is_final () :
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -366,6 +366,8 @@
       io->last_result = answer->result;
       if (answer->result == WP_NO_ANSWER)
         wk_deadline_unanswered (io, call, now_ms);
+      else if (answer->result == WP_NOT_SENT)
+        wk_deadline_not_sent (io, call);
       sd_worker_set_reachability (worker, SD_WORKER_UNREACHABLE);
       if (answer->result == WP_WRONG_WORKER)
         wk_drop_runs_of_replaced_worker (io, now_ms);
@@ -411,11 +413,30 @@
          && !wc_is_recent (&io->clock, now_ms);
 }
 
-/* How long the worker may delay its answer to the next renewal.  */
+/* How long until no start without an answer can take effect there any more; 0
+   also if the last renewal was sent before that, so that it does not show
+   whether the run is there; INT64_MAX: there is no such start.  */
+static int64_t
+unanswered_start_wait_ms (const struct worker_io *io, int64_t now_ms)
+{
+  int64_t wait_ms = INT64_MAX;
+  guint i;
+
+  for (i = 0; i < io->worker->tasks->len; i++)
+    {
+      const struct jb_task *task = g_ptr_array_index (io->worker->tasks, i);
+
+      if (!task->confirmed && task->poll_conclusive_from_ms < INT64_MAX
+          && io->renewal_sent_ms <= task->poll_conclusive_from_ms)
+        wait_ms = MIN (wait_ms,
+                       MAX (task->poll_conclusive_from_ms + 1 - now_ms, 0));
+    }
+  return wait_ms;
+}
+
 static uint32_t
-renewal_wait_ms (const struct worker_io *io)
+usual_wait_ms (const struct worker_io *io, int64_t now_ms)
 {
-  int64_t now_ms = clk_monotonic_ms (NULL);
   uint32_t wait_ms
       = MIN ((uint32_t)RENEWAL_WAIT_MS,
              io->workers->params.lease_ttl_ms / RENEWALS_PER_LEASE);
@@ -434,6 +455,16 @@
   return wait_ms;
 }
 
+/* How long the worker may delay its answer to the next renewal.  */
+static uint32_t
+renewal_wait_ms (const struct worker_io *io)
+{
+  int64_t now_ms = clk_monotonic_ms (NULL);
+
+  return (uint32_t)MIN ((int64_t)usual_wait_ms (io, now_ms),
+                        unanswered_start_wait_ms (io, now_ms));
+}
+
 /* Another process of the worker numbers its outcomes anew, and would forget
    those up to the number of an acknowledgement before they are processed.  So
    each is sent once, and soon after an answer of the process that it is for.
@@ -459,8 +490,8 @@
   bool extends_lease = !io->lease_recorded && allowance_ms > 0
                        && !wk_renewal_is_suspended (io, now_ms)
                        && wk_may_command (workers);
+  struct wk_call *call = wk_call_create (workers, worker, "", 0);
   uint32_t timeout_ms;
-  struct wk_call *call;
   struct wp_renew renewal = {
     .term = workers->term,
     .acked_outcome_number = outcome_to_acknowledge (io, now_ms),
@@ -475,7 +506,7 @@
 
       renewal.lease_deadline_ms
           = MAX (wc_deadline_ms (&io->clock, now_ms + ttl_ms), 0);
-      wk_deadline_sent (io, now_ms, ttl_ms, false);
+      wk_renewal_sent (io, call, ttl_ms);
     }
   timeout_ms = worker->tasks->len > 0 && reads_clock (io, now_ms)
                    ? (uint32_t)CLOCK_POLL_TIMEOUT_MS
@@ -486,7 +517,6 @@
   io->poll_soon = false;
   io->renewal_sent_ms = now_ms;
   io->renewal_tried_ms = now_ms;
-  call = wk_call_create (workers, worker, "", 0);
   if (renewal.wait_ms == 0 && !beyond_window)
     wk_call_opened (call);
   workers->params.port.renew (workers->params.port.ctx, &target, &renewal,
