--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -73,13 +73,11 @@
   uint32_t reservation_searches; /* in a round: for new reservations */
   uint32_t preemption_searches;  /* in a round: for new plans */
   bool suspects_are_few;         /* in a round */
-  bool low_utilization; /* in a round: little is in use, so all work may use
-                           reserved resources */
   /* In a round: by sd_worker.service_index.  */
-  GArray *service_uses;          /* struct sd_service_use */
-  bool looks_for_standing;       /* in a round; see standing.c */
-  int64_t standing_checked_ms;   /* when a round last did */
-  int64_t last_job_ms;           /* when the last job was added */
+  GArray *service_uses;        /* struct sd_service_use */
+  bool looks_for_standing;     /* in a round; see standing.c */
+  int64_t standing_checked_ms; /* when a round last did */
+  int64_t last_job_ms; /* when the last job arrived; 0: none in this term */
   GHashTable *reservations;      /* struct jb_step -> struct sd_reservation */
   GHashTable *advice;            /* struct jb_step -> struct sd_advice */
   uint64_t advised_worker_count; /* workers named in answered queries */
@@ -258,8 +256,9 @@
   int64_t oldest_report_ms; /* of sd_oldest_report_ms () */
   bool last_attempt;        /* one more failure of a task would fail the job */
   bool avoids_suspects;     /* it is not placed on suspect workers */
-  bool starts_alone; /* it has a suspect task, see crash.c, and is placed only
-                        where no run is starting */
+  bool starts_alone;  /* it has a suspect task, see crash.c, and is placed only
+                         where no run is starting */
+  bool uses_reserved; /* it is also placed in what is reserved for gangs */
   bool has_stood_too_long; /* its preferences are not kept any more */
   bool takes_avoided; /* it is also placed on avoided and suspect workers */
 };
@@ -380,6 +379,12 @@
 void sd_reservations_begin_round (struct sd_sched *sched);
 void sd_reservations_end_round (struct sd_sched *sched);
 
+/*! sd_is_utilization_low () :
+ *  @return : whether little of each kind of resource of a service is in use,
+ * so that all work may use reserved resources. */
+bool sd_is_utilization_low (const struct sd_sched *sched,
+                            uint32_t service_index);
+
 /*! sd_reservation_suspend () :
  *  Takes the unit's own reservation out of the reserved resources of its
  *  workers, so that the unit can be placed there.  The reservation itself
@@ -401,6 +406,22 @@
 void sd_reservation_remove (struct sd_sched *sched,
                             const struct sd_unit *unit);
 
+/*! sd_reserved_workers () :
+ *  @return : struct sd_worker, one for each task of the gang. */
+struct sd_reservation;
+const GPtrArray *
+sd_reserved_workers (const struct sd_reservation *reservation);
+
+/* --- waiting.c: why work stands --- */
+
+/*! sd_explain_step () :
+ *  Finds out why STEP, of which nothing runs, stands, also at the cost of
+ *  trying several choices of workers.
+ *  @unit : of STEP; NULL: it is in none, for it may not be placed now. */
+void sd_explain_step (struct sd_sched *sched, struct jb_step *step,
+                      const struct sd_unit *unit, int64_t now_ms,
+                      int64_t now_unix_ms, struct sd_waiting *waiting);
+
 /* --- preempt.c: preemption --- */
 
 /* A pending preemption: resources that stopping tasks will free for one step.
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -262,13 +262,26 @@
   return strcmp (left->id, right->id);
 }
 
+/* Moments of an earlier term of this host do not count.  */
+static void
+forget_waits (struct jb_job *job)
+{
+  size_t i;
+
+  for (i = 0; i < job->step_total; i++)
+    {
+      job->steps[i].waiting_since_ms = 0;
+      job->steps[i].beside_room_since_ms = 0;
+      job->steps[i].standing = (struct jb_standing){ 0 };
+    }
+}
+
 void
 sd_begin_term (struct sd_sched *sched, int64_t now_ms)
 {
   GHashTableIter iter;
   void *value;
   guint i;
-  size_t k;
 
   for (i = 0; i < sched->workers->len; i++)
     {
@@ -295,10 +308,9 @@
       struct jb_job *job = value;
 
       job->progress_changed = false;
-      for (k = 0; k < job->step_total; k++)
-        job->steps[k].standing_since_ms = 0;
       if (job->spec == NULL)
         continue;
+      forget_waits (job);
       restore_placed_tasks (sched, job, now_ms);
       if (!jb_state_is_final (job->state))
         sd_job_added (sched, job);
@@ -306,6 +318,7 @@
         sd_job_cancelled (sched, job, now_ms);
     }
   g_ptr_array_sort (sched->active_jobs, compare_arrival);
+  sched->last_job_ms = 0; /* these have arrived before */
 }
 
 /* --- Jobs --- */
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -12,6 +12,7 @@
 enum
 {
   START_TIMEOUT_MS = 350,
+  START_TRIES_MAX = 3, /* a try without a connection may fail at once */
   /* The third try is sent by then.  A worker refuses a start that arrives
      after WK_START_EXPIRY_MS, with a right clock somewhat earlier.  */
   LAST_TRY_MAX_MS = 850
@@ -60,7 +61,8 @@
 {
   struct worker_calls *workers = call->workers;
 
-  return now_ms < call->first_sent_ms + LAST_TRY_MAX_MS
+  return call->tries < START_TRIES_MAX
+         && now_ms < call->first_sent_ms + LAST_TRY_MAX_MS
          && task->state == JB_TASK_PLACED && may_start (workers, now_ms)
          && wk_call_is_of_process (call, io) && io->clock.clock_ms >= 0
          && !io->lease_recorded
@@ -231,6 +233,7 @@
   call->deadline_ms = start.deadline_ms;
   call->clock_age_ms = now_ms - io->clock.read_ms;
   call->sent_ms = MAX (now_ms, call->sent_ms + 1);
+  call->tries++;
   lb_take (&workers->link, call->bytes, now_ms);
   wk_call_opened (call);
   wk_deadline_sent (io, now_ms, (uint32_t)MAX (left_ms, 0), true);
@@ -453,6 +456,51 @@
     }
 }
 
+static bool
+queue_has_start (GQueue *queue, const char *name, uint32_t run)
+{
+  const GList *link;
+
+  for (link = queue->head; link != NULL; link = link->next)
+    {
+      const struct wk_call *call = link->data;
+
+      if (call->run == run && strcmp (call->task, name) == 0)
+        return true;
+    }
+  return false;
+}
+
+const char *
+wk_why_unsent (struct worker_calls *workers, const struct jb_task *task)
+{
+  struct sd_worker *worker
+      = sd_worker_find (workers->params.sched, task->worker);
+  char *name = jb_task_name (task);
+  int64_t now_ms = clk_monotonic_ms (NULL);
+  bool urgent = queue_has_start (&workers->urgent_starts, name, task->run);
+  const char *why;
+
+  if (worker != NULL && worker->driver_data != NULL
+      && queue_has_start (
+          &((struct worker_io *)worker->driver_data)->starts_awaiting_clock,
+          name, task->run))
+    why = "its worker's clock";
+  else if (!urgent && !queue_has_start (&workers->starts, name, task->run))
+    why = "nothing, for it is not queued";
+  else if (!may_start (workers, now_ms))
+    why = "a proof that the term holds";
+  else if (!lb_has_room (&workers->link, now_ms))
+    why = "the host's link";
+  else if (!cw_has_room (workers->window, urgent ? CW_URGENT : CW_BULK,
+                         now_ms))
+    why = "the window of calls";
+  else
+    why = "other starts";
+  g_free (name);
+  return why;
+}
+
 void
 wk_drop_queued_starts (struct worker_calls *workers)
 {
