Scheduler: a wait beside room ends when a run does begin

Cause: one look without room, or a placement, began the wait anew; a kind of resource that no worker has counted as used; whether one rack could hold a gang ignored the limit per worker.

Change: a wait goes on over 0.5 s without room and ends when a worker confirms a run; a kind without capacity counts as little used; the limit counts.

--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -58,7 +58,7 @@
   uint32_t *depends_on; /* indexes of the earlier steps that it depends on */
   size_t depends_on_count;
   bool gang;           /* its tasks must all run at the same time */
-  bool one_rack;       /* its tasks must all run in the same rack */
+  bool one_rack;       /* its tasks run faster if all are in one rack */
   bool can_checkpoint; /* a stopped task can resume from a checkpoint */
   bool copies_allowed; /* a task may run twice at once; stored, but no code
                           uses it */
@@ -201,6 +201,7 @@
   /* Since when it has waited beside room for it twice over, on the steady
      clock of the planner's process; 0: it has not.  */
   int64_t beside_room_since_ms;
+  int64_t room_seen_ms; /* when it last did */
 };
 
 struct jb_job
--- a/lib/sched/accounting.c
+++ b/lib/sched/accounting.c
@@ -167,7 +167,6 @@
   task->placed_ms = now_ms;
   task->step->waiting_since_ms = 0;
   task->poll_conclusive_from_ms = INT64_MAX;
-  task->step->beside_room_since_ms = 0;
   g_ptr_array_add (worker->tasks, task);
   sd_resources_add (&worker->used_resources, &task->step->spec->resources);
   sd_mark_changed (sched, task->job);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -36,8 +36,8 @@
 
 /* Whether recent failures there keep the unit from the worker.  */
 static bool
-is_disliked (const struct sd_worker *worker, const struct sd_unit *unit,
-             int64_t now_ms)
+has_failed_lately (const struct sd_worker *worker, const struct sd_unit *unit,
+                   int64_t now_ms)
 {
   return sd_health_is_avoided (worker, now_ms)
          || (unit->avoids_suspects
@@ -51,7 +51,7 @@
   return sd_worker_is_eligible (worker, unit)
          && worker->reachability == SD_WORKER_REACHABLE
          && worker->reported_ms >= unit->oldest_report_ms
-         && (unit->takes_avoided || !is_disliked (worker, unit, now_ms))
+         && (unit->takes_avoided || !has_failed_lately (worker, unit, now_ms))
          && sd_advice_allows (unit->advice, worker->report.id);
 }
 
@@ -106,9 +106,9 @@
   struct sd_unit any = *unit;
 
   any.takes_avoided = true;
-  return sd_worker_is_available (worker, &any, now_ms) ? MIN (
-             copies_on (worker, unit, &worker->round_free_resources), limit)
-                                                       : 0;
+  if (!sd_worker_is_available (worker, &any, now_ms))
+    return 0;
+  return MIN (copies_on (worker, unit, &worker->round_free_resources), limit);
 }
 
 static bool
@@ -299,6 +299,14 @@
   return best;
 }
 
+static uint32_t
+limit_per_worker (const struct sd_unit *unit)
+{
+  uint32_t limit = unit->step->spec->tasks_per_worker_limit;
+
+  return limit > 0 ? MIN (limit, unit->waiting_count) : unit->waiting_count;
+}
+
 bool
 sd_could_ever_fit (const struct sd_sched *sched, const struct sd_unit *unit,
                    bool one_rack)
@@ -318,7 +326,7 @@
         continue;
       copies = sd_resources_copies (&unit->step->spec->resources,
                                     &worker->report.resources,
-                                    unit->waiting_count);
+                                    limit_per_worker (unit));
       copies += GPOINTER_TO_UINT (g_hash_table_lookup (racks, key));
       g_hash_table_insert (racks, key, GUINT_TO_POINTER (copies));
       most = MAX (most, copies);
@@ -412,14 +420,14 @@
              struct sd_placement *placement)
 {
   const struct jb_step_spec *spec = unit->step->spec;
-  struct sd_unit chosen = *unit;
+  struct sd_unit allowed = *unit;
   GArray *candidates;
   uint32_t rack = 0;
 
-  chosen.takes_avoided = freedom->avoided;
+  allowed.takes_avoided = freedom->avoided;
   g_ptr_array_set_size (placement->tasks, 0);
   g_ptr_array_set_size (placement->workers, 0);
-  candidates = collect_candidates (sched, &chosen, freedom->reserved, now_ms);
+  candidates = collect_candidates (sched, &allowed, freedom->reserved, now_ms);
   if (spec->gang)
     {
       if (count_copies (candidates, unit->waiting_count) < unit->waiting_count)
--- a/lib/sched/reserve.c
+++ b/lib/sched/reserve.c
@@ -81,7 +81,7 @@
 static bool
 is_below_low_utilization (int64_t used, int64_t capacity)
 {
-  return used * 100 < capacity * LOW_UTILIZATION_PERCENT;
+  return capacity == 0 || used * 100 < capacity * LOW_UTILIZATION_PERCENT;
 }
 
 bool
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -368,6 +368,7 @@
   if (!task->confirmed)
     task->started_ms = now_ms;
   task->confirmed = true;
+  task->step->beside_room_since_ms = 0;
   if (!job->started)
     {
       job->started = true;
--- a/lib/sched/standing.c
+++ b/lib/sched/standing.c
@@ -1,7 +1,7 @@
 /* Work that stands: nothing of its job runs, though its turn has come and
-   there is room for it.  Made for this load: the traffic has ended, and gangs
-   that prefer one rack, or other workers than those with room, wait for tasks
-   that run for long.  A preference is kept for a bounded time, so that it does
+   there is room for it.  Made for this load: gangs that prefer one rack, or
+   other workers than those with room, wait for tasks that run for long, while
+   little is in use.  A preference is kept for a bounded time, so that it does
    not keep accepted work waiting beside idle workers.  */
 
 #include "sched/private.h"
@@ -15,6 +15,9 @@
   ROOM_FACTOR = 2,
   /* Above one half, for resources in use here may be free at the worker.  */
   IN_USE_PERCENT_MAX = 60,
+  /* A look that finds no room, as after a start that was refused, ends the
+     wait only after this time.  */
+  ROOM_GAP_MS = 500,
   /* Between rounds that look for such work, which takes time for each waiting
      unit.  */
   CHECK_INTERVAL_MS = 200
@@ -32,7 +35,7 @@
 static bool
 is_little (int64_t used, int64_t capacity)
 {
-  return used * 100 < capacity * IN_USE_PERCENT_MAX;
+  return capacity == 0 || used * 100 < capacity * IN_USE_PERCENT_MAX;
 }
 
 /* Of the accelerators; of a service without them, of each kind of resource. */
@@ -76,17 +79,20 @@
                      int64_t now_ms)
 {
   struct jb_step *step = unit->step;
-  bool little_used = is_little_used (sched, unit->service_index);
+  bool little_used;
 
   if (!sched->looks_for_standing)
     return false;
+  little_used = is_little_used (sched, unit->service_index);
   /* Long-lived tasks have to run however much of their service is in use.  */
-  if (has_run (unit) || (!little_used && !step->spec->long_lived)
+  if ((!little_used && !step->spec->long_lived) || has_run (unit)
       || !has_room (sched, unit, now_ms))
     {
-      step->beside_room_since_ms = 0;
+      if (now_ms - step->room_seen_ms > ROOM_GAP_MS)
+        step->beside_room_since_ms = 0;
       return false;
     }
+  step->room_seen_ms = now_ms;
   if (step->beside_room_since_ms == 0)
     step->beside_room_since_ms = now_ms;
   unit->has_stood_too_long
