A start that is not sent extends no lease

Seen by the review: after a start that found no connection, the other runs of a crashed worker were waited for past the lease that it had, over 1.6 s for a lease of 1 s.

Cause: as for renewals, the lease was taken to be extended by a call of which nothing had reached the worker.

Change: such a start is undone like such a renewal, if nothing else may have extended the lease meanwhile. The test fails without it.

--- a/programs/foxtailgap-hostd/worker_process.c
+++ b/programs/foxtailgap-hostd/worker_process.c
@@ -46,11 +46,13 @@
 }
 
 void
-wk_renewal_sent (struct worker_io *io, struct wk_call *call, uint32_t ttl_ms)
+wk_call_extends_lease (struct worker_io *io, struct wk_call *call,
+                       uint32_t ttl_ms, bool is_start)
 {
   call->earlier_lease_end_ms = io->lease_end_ms;
   call->earlier_deadline_sent_ms = io->deadline_sent_ms;
-  wk_deadline_sent (io, call->sent_ms, ttl_ms, false);
+  call->earlier_unverified_start_ms = io->unverified_start_ms;
+  wk_deadline_sent (io, call->sent_ms, ttl_ms, is_start);
   call->deadlines = io->deadlines;
 }
 
@@ -61,6 +63,7 @@
     return; /* a later call may have extended the lease */
   io->lease_end_ms = call->earlier_lease_end_ms;
   io->deadline_sent_ms = call->earlier_deadline_sent_ms;
+  io->unverified_start_ms = call->earlier_unverified_start_ms;
 }
 
 int64_t
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -120,6 +120,7 @@
       task->poll_conclusive_from_ms = start_expiry_ms (call, io);
       return;
     case WP_NOT_SENT:
+      wk_deadline_not_sent (io, call);
       sd_worker_unresponsive (worker, now_ms);
       if (worker->reachability == SD_WORKER_REACHABLE
           && may_send_again (call, task, io, now_ms))
@@ -236,7 +237,7 @@
   call->tries++;
   lb_take (&workers->link, call->bytes, now_ms);
   wk_call_opened (call);
-  wk_deadline_sent (io, now_ms, (uint32_t)MAX (left_ms, 0), true);
+  wk_call_extends_lease (io, call, (uint32_t)MAX (left_ms, 0), true);
   workers->params.port.start (workers->params.port.ctx, &target, &start,
                               START_TIMEOUT_MS, on_start_answer, call);
 }
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -506,7 +506,7 @@
 
       renewal.lease_deadline_ms
           = MAX (wc_deadline_ms (&io->clock, now_ms + ttl_ms), 0);
-      wk_renewal_sent (io, call, ttl_ms);
+      wk_call_extends_lease (io, call, ttl_ms, false);
     }
   timeout_ms = worker->tasks->len > 0 && reads_clock (io, now_ms)
                    ? (uint32_t)CLOCK_POLL_TIMEOUT_MS
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -53,7 +53,7 @@
   /* See wk_lease_end_ms ().  */
   int64_t lease_end_ms;     /* if the process has not restarted unnoticed */
   int64_t deadline_sent_ms; /* of the last start or lease renewal */
-  uint64_t deadlines;       /* so many may have changed lease_end_ms */
+  uint64_t deadlines;       /* count of what may have changed lease_end_ms */
   /* Of the last start; 0: a later poll has shown that the process is still the
      same.  */
   int64_t unverified_start_ms;
@@ -114,10 +114,11 @@
   bool earlier_try_unanswered; /* so that try may still take effect */
   /* Of the worker's process by whose clock its deadline was computed.  */
   int64_t worker_started_ms;
-  /* Of a renewal that extends the lease; see wk_deadline_not_sent ().  */
+  /* Of a call that extends the lease; see wk_deadline_not_sent ().  */
   uint64_t deadlines;           /* worker_io.deadlines with it; 0: others */
   int64_t earlier_lease_end_ms; /* lease_end_ms and deadline_sent_ms of the */
   int64_t earlier_deadline_sent_ms; /* worker before it */
+  int64_t earlier_unverified_start_ms;
 };
 
 /*! wk_io () :
@@ -142,11 +143,12 @@
 void wk_deadline_sent (struct worker_io *io, int64_t now_ms, uint32_t ttl_ms,
                        bool is_start);
 
-/*! wk_renewal_sent (), wk_deadline_not_sent () :
- *  CALL is a renewal that is sent by wk_deadline_sent () of TTL_MS; it has not
- *  reached the worker, so that it has not extended the lease. */
-void wk_renewal_sent (struct worker_io *io, struct wk_call *call,
-                      uint32_t ttl_ms);
+/*! wk_call_extends_lease (), wk_deadline_not_sent () :
+ *  CALL is a renewal, or a start, that is sent by wk_deadline_sent () of
+ * TTL_MS; it has not reached the worker, so that it has not extended the
+ * lease. */
+void wk_call_extends_lease (struct worker_io *io, struct wk_call *call,
+                            uint32_t ttl_ms, bool is_start);
 void wk_deadline_not_sent (struct worker_io *io, const struct wk_call *call);
 
 /*! wk_deadline_unanswered () :
--- a/tests/unit/test_hostd_workers.c
+++ b/tests/unit/test_hostd_workers.c
@@ -273,6 +273,47 @@
   tear_down (&setup);
 }
 
+/* As above, where a start is what found no connection.  */
+static void
+test_start_that_is_not_sent_extends_no_lease (void)
+{
+  struct setup setup;
+  struct wp_answer unsent = { .result = WP_NOT_SENT, .worker_clock_ms = -1 };
+  struct jb_task *task;
+  struct jb_task *second;
+  int64_t sent_ms;
+
+  set_up (&setup, 1000);
+  task = place_task_on_reachable_worker (&setup);
+  wk_start (setup.workers, task);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE });
+  usleep (1000 * 3);
+  wk_send_waiting (setup.workers);
+  sent_ms = clk_monotonic_ms (NULL); /* of a renewal that may have arrived */
+  usleep (1000 * 500);
+  place_second_job (&setup);
+  second = jb_table_find_task (setup.table, "00000000000000ab.0.0.0");
+  wk_start (setup.workers, second);
+  while (fake_oldest_open_call (&setup.port, 's') != NULL)
+    fake_answer (fake_oldest_open_call (&setup.port, 's'), &unsent);
+  CU_ASSERT_EQUAL (second->state, JB_TASK_WAITING);
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 'h'),
+      &(struct wp_answer){ .result = WP_NO_ANSWER, .worker_clock_ms = -1 });
+  while (task->state != JB_TASK_WAITING
+         && clk_monotonic_ms (NULL) - sent_ms < 4000)
+    {
+      wk_send_waiting (setup.workers);
+      if (fake_oldest_open_call (&setup.port, 'h') != NULL)
+        fake_answer (fake_oldest_open_call (&setup.port, 'h'), &unsent);
+      usleep (1000 * 5);
+    }
+  CU_ASSERT_TRUE (clk_monotonic_ms (NULL) - sent_ms >= 1250);
+  CU_ASSERT_TRUE (clk_monotonic_ms (NULL) - sent_ms < 1600);
+  tear_down (&setup);
+}
+
 /* Guards against a task that runs twice: an earlier try may have arrived.  */
 static void
 test_start_unsent_after_unanswered_try_may_be_there (void)
@@ -1326,6 +1367,8 @@
       test_start_is_not_sent_to_worker_out_of_touch },
     { "a renewal that is not sent extends no lease",
       test_renewal_that_is_not_sent_extends_no_lease },
+    { "a start that is not sent extends no lease",
+      test_start_that_is_not_sent_extends_no_lease },
     { "a start that is not sent after a try without an answer may be there",
       test_start_unsent_after_unanswered_try_may_be_there },
     { "a refusal of the first try is final",
