Scheduler: use is judged by what a unit needs; looks are limited per round

Cause: idle accelerators counted as little use for work that needs none; all waiting units were looked at in one round.

Both tests fail without the change.

--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -53,6 +53,16 @@
   struct jb_resources capacity;
 };
 
+/* A sweep over the waiting units for work that stands; see standing.c.  */
+struct sd_sweep
+{
+  int64_t started_ms;
+  uint32_t looks_left; /* in this round */
+  uint32_t done;       /* in this sweep */
+  uint32_t to_skip;    /* in this round, for they were done in earlier ones */
+  bool unfinished;
+};
+
 struct sd_sched
 {
   struct sd_params params;
@@ -74,9 +84,8 @@
   uint32_t preemption_searches;  /* in a round: for new plans */
   bool suspects_are_few;         /* in a round */
   /* In a round: by sd_worker.service_index.  */
-  GArray *service_uses;          /* struct sd_service_use */
-  bool looks_for_standing;       /* in a round; see standing.c */
-  int64_t standing_checked_ms;   /* when a round last did */
+  GArray *service_uses; /* struct sd_service_use */
+  struct sd_sweep sweep;
   GHashTable *reservations;      /* struct jb_step -> struct sd_reservation */
   GHashTable *advice;            /* struct jb_step -> struct sd_advice */
   uint64_t advised_worker_count; /* workers named in answered queries */
--- a/lib/sched/standing.c
+++ b/lib/sched/standing.c
@@ -18,18 +18,45 @@
   /* A look that finds no room, as after a start that was refused, ends the
      wait only after this time.  */
   ROOM_GAP_MS = 500,
-  /* Between rounds that look for such work, which takes time for each waiting
-     unit.  */
-  CHECK_INTERVAL_MS = 200
+  /* Between sweeps over the waiting units.  A look takes 15 us with 1,100
+     workers, so that a sweep may take several rounds.  */
+  SWEEP_INTERVAL_MS = 200,
+  LOOKS_PER_ROUND_MAX = 128
 };
 
 void
 sd_standing_begin_round (struct sd_sched *sched, int64_t now_ms)
 {
-  sched->looks_for_standing
-      = now_ms - sched->standing_checked_ms >= CHECK_INTERVAL_MS;
-  if (sched->looks_for_standing)
-    sched->standing_checked_ms = now_ms;
+  struct sd_sweep *sweep = &sched->sweep;
+
+  sweep->looks_left = LOOKS_PER_ROUND_MAX;
+  if (sweep->unfinished)
+    sweep->to_skip = sweep->done;
+  else if (now_ms - sweep->started_ms >= SWEEP_INTERVAL_MS)
+    *sweep = (struct sd_sweep){ .looks_left = LOOKS_PER_ROUND_MAX,
+                                .started_ms = now_ms };
+  else
+    *sweep = (struct sd_sweep){ .started_ms = sweep->started_ms };
+  sweep->unfinished = false;
+}
+
+/* Whether it is the turn of the next unit.  */
+static bool
+takes_look (struct sd_sweep *sweep)
+{
+  if (sweep->to_skip > 0)
+    {
+      sweep->to_skip--;
+      return false;
+    }
+  if (sweep->looks_left == 0)
+    {
+      sweep->unfinished = sweep->done > 0;
+      return false;
+    }
+  sweep->looks_left--;
+  sweep->done++;
+  return true;
 }
 
 static bool
@@ -38,13 +65,15 @@
   return capacity == 0 || used * 100 < capacity * IN_USE_PERCENT_MAX;
 }
 
-/* Of the accelerators; of a service without them, of each kind of resource. */
+/* Of the accelerators; for a unit without them, of each other kind of
+   resource.  */
 static bool
-is_little_used (const struct sd_sched *sched, uint32_t service_index)
+is_little_used (const struct sd_sched *sched, const struct sd_unit *unit)
 {
-  const struct sd_service_use *use = sd_service_use (sched, service_index);
+  const struct sd_service_use *use
+      = sd_service_use (sched, unit->service_index);
 
-  if (use->capacity.accelerators > 0)
+  if (unit->step->spec->resources.accelerators > 0)
     return is_little (use->used.accelerators, use->capacity.accelerators);
   return is_little (use->used.cpus_milli, use->capacity.cpus_milli)
          && is_little (use->used.memory_mib, use->capacity.memory_mib);
@@ -79,11 +108,10 @@
                      int64_t now_ms)
 {
   struct jb_step *step = unit->step;
-  bool little_used;
+  bool little_used = is_little_used (sched, unit);
 
-  if (!sched->looks_for_standing)
+  if (!takes_look (&sched->sweep))
     return false;
-  little_used = is_little_used (sched, unit->service_index);
   /* Long-lived tasks have to run however much of their service is in use.  */
   if ((!little_used && !step->spec->long_lived) || has_run (unit)
       || !has_room (sched, unit, now_ms))
--- a/tests/unit/test_hostd_beside_room.c
+++ b/tests/unit/test_hostd_beside_room.c
@@ -86,7 +86,7 @@
 
 /* Sound workers are only busy, with most of their accelerators in use.  */
 static void
-test_job_fails_on_failing_workers_while_sound_ones_are_busy (void)
+check_no_job_fails (const struct fixture_step *step, int64_t cpus_milli)
 {
   enum
   {
@@ -100,10 +100,7 @@
 
   set_up (&scene, 20, 5);
   for (i = 0; i < JOBS; i++)
-    jobs[i] = add_job (
-        &scene,
-        make_spec (&(struct fixture_step){ .count = 1, .accelerators = 4 },
-                   8000));
+    jobs[i] = add_job (&scene, make_spec (step, cpus_milli));
   while (scene.now_ms < 120000)
     {
       end_runs (&scene, jobs, JOBS, FAILING, 8000);
@@ -115,10 +112,25 @@
   tear_down (&scene);
 }
 
+static void
+test_job_fails_on_failing_workers_while_sound_ones_are_busy (void)
+{
+  check_no_job_fails (&(struct fixture_step){ .count = 1, .accelerators = 4 },
+                      8000);
+}
+
+static void
+test_job_fails_while_processors_are_busy (void)
+{
+  check_no_job_fails (&(struct fixture_step){ .count = 1 }, 64000);
+}
+
 /* A gang's reservation is of use also where the small work that it guards
    against was handed in before.  */
 static void
-test_gang_waits_for_the_whole_backlog_of_small_jobs (void)
+check_gang_is_placed_before_backlog (const struct fixture_step *step,
+                                     int64_t cpus_milli,
+                                     int64_t gang_cpus_milli)
 {
   enum
   {
@@ -139,13 +151,10 @@
                           make_spec (&(struct fixture_step){ .count = 16,
                                                              .accelerators = 8,
                                                              .gang = true },
-                                     52000));
+                                     gang_cpus_milli));
           gang->spec->steps[0].estimate_ms = 30000;
         }
-      jobs[i] = add_job (
-          &scene,
-          make_spec (&(struct fixture_step){ .count = 1, .accelerators = 2 },
-                     4000));
+      jobs[i] = add_job (&scene, make_spec (step, cpus_milli));
     }
   while (gang->tasks[0].worker == NULL && scene.now_ms < 60000)
     {
@@ -161,6 +170,20 @@
   tear_down (&scene);
 }
 
+static void
+test_gang_waits_for_the_whole_backlog_of_small_jobs (void)
+{
+  check_gang_is_placed_before_backlog (
+      &(struct fixture_step){ .count = 1, .accelerators = 2 }, 4000, 52000);
+}
+
+static void
+test_gang_waits_for_a_backlog_that_needs_processors (void)
+{
+  check_gang_is_placed_before_backlog (&(struct fixture_step){ .count = 1 },
+                                       32000, 100000);
+}
+
 /* A start that is refused does not begin the time anew, for nothing ran.  */
 static void
 test_refused_start_begins_the_wait_anew (void)
@@ -378,6 +401,10 @@
       test_job_fails_on_failing_workers_while_sound_ones_are_busy },
     { "a gang waits for the whole backlog of small jobs",
       test_gang_waits_for_the_whole_backlog_of_small_jobs },
+    { "a job fails on failing workers while processors are busy",
+      test_job_fails_while_processors_are_busy },
+    { "a gang waits for a backlog that needs processors",
+      test_gang_waits_for_a_backlog_that_needs_processors },
     { "a refused start begins the wait anew",
       test_refused_start_begins_the_wait_anew },
     { "a gang with a limit per worker waits for a rack that cannot hold it",
