--- a/tests/soak/soak_waiting.py
+++ b/tests/soak/soak_waiting.py
@@ -603,9 +603,8 @@
         try:
             await self.run_hosts(folder)
         finally:
-            for host in self.hosts:
-                if host.process:
-                    await host.stop(signal.SIGTERM)
+            await asyncio.gather(*[host.stop(signal.SIGTERM)
+                                   for host in self.hosts if host.process])
 
     async def run_hosts(self, folder):
         await self.start(folder)
