--- a/tests/unit/test_hostd_beside_room.c
+++ b/tests/unit/test_hostd_beside_room.c
@@ -37,20 +37,21 @@
   struct scene scene;
   struct jb_spec *spec = make_spec (
       &(struct fixture_step){ .count = 1, .accelerators = 1 }, 4000);
-  struct jb_job *gang;
+  struct jb_job *waiting;
   struct jb_job *lasting;
 
   set_up (&scene, 20, 5);
   fill (&scene, 14);
-  gang = add_job (&scene, make_spec (&(struct fixture_step){ .count = 8,
-                                                             .accelerators = 8,
-                                                             .gang = true },
-                                     100000));
+  waiting
+      = add_job (&scene, make_spec (&(struct fixture_step){ .count = 8,
+                                                            .accelerators = 8,
+                                                            .gang = true },
+                                    100000));
   hold_round (&scene);
   spec->steps[0].long_lived = true;
   lasting = add_job (&scene, spec);
   CU_ASSERT_TRUE (wait_for (&scene, lasting, 9000) < STANDING_MAX_MS);
-  CU_ASSERT_PTR_NULL (gang->tasks[0].worker);
+  CU_ASSERT_PTR_NULL (waiting->tasks[0].worker);
   tear_down (&scene);
 }
 
@@ -137,26 +138,21 @@
     JOBS = 600
   };
   struct scene scene;
+  const struct fixture_step large
+      = { .count = 16, .accelerators = 8, .gang = true };
   struct jb_job *jobs[JOBS];
-  struct jb_job *gang = NULL;
+  struct jb_job *waiting;
   uint32_t i;
 
   set_up (&scene, 40, 8);
-  for (i = 0; i < JOBS; i++)
-    {
-      if (i == JOBS / 2)
-        {
-          hold_round (&scene);
-          gang = add_job (&scene,
-                          make_spec (&(struct fixture_step){ .count = 16,
-                                                             .accelerators = 8,
-                                                             .gang = true },
-                                     gang_cpus_milli));
-          gang->spec->steps[0].estimate_ms = 30000;
-        }
-      jobs[i] = add_job (&scene, make_spec (step, cpus_milli));
-    }
-  while (gang->tasks[0].worker == NULL && scene.now_ms < 60000)
+  for (i = 0; i < JOBS / 2; i++)
+    jobs[i] = add_job (&scene, make_spec (step, cpus_milli));
+  hold_round (&scene);
+  waiting = add_job (&scene, make_spec (&large, gang_cpus_milli));
+  waiting->spec->steps[0].estimate_ms = 30000;
+  for (; i < JOBS; i++)
+    jobs[i] = add_job (&scene, make_spec (step, cpus_milli));
+  while (waiting->tasks[0].worker == NULL && scene.now_ms < 60000)
     {
       for (i = 0; i < JOBS; i++)
         if (jobs[i]->tasks[0].worker != NULL
@@ -189,7 +185,7 @@
 test_refused_start_begins_the_wait_anew (void)
 {
   struct scene scene;
-  struct jb_job *gang;
+  struct jb_job *waiting;
   struct sd_commands commands
       = { .starts = g_ptr_array_new (), .stops = g_ptr_array_new () };
   int64_t start_ms;
@@ -209,7 +205,7 @@
           g_free (id);
         }
     }
-  gang
+  waiting
       = add_job (&scene, make_spec (&(struct fixture_step){ .count = 6,
                                                             .accelerators = 8,
                                                             .gang = true,
@@ -239,7 +235,7 @@
   for (i = 0; i < commands.starts->len; i++)
     sd_task_refused (scene.sched, g_ptr_array_index (commands.starts, i),
                      SD_REFUSED_OTHER, scene.now_ms);
-  wait_for (&scene, gang, 9000);
+  wait_for (&scene, waiting, 9000);
   CU_ASSERT_TRUE (scene.now_ms - start_ms < STANDING_MAX_MS);
   g_ptr_array_free (commands.starts, TRUE);
   g_ptr_array_free (commands.stops, TRUE);
@@ -255,13 +251,13 @@
       &(struct fixture_step){
           .count = 6, .accelerators = 1, .gang = true, .one_rack = true },
       4000);
-  struct jb_job *gang;
+  struct jb_job *waiting;
 
   set_up (&scene, 20, 5);
   fill (&scene, 14);
   spec->steps[0].tasks_per_worker_limit = 1;
-  gang = add_job (&scene, spec);
-  CU_ASSERT_TRUE (wait_for (&scene, gang, 30000) < STANDING_MAX_MS);
+  waiting = add_job (&scene, spec);
+  CU_ASSERT_TRUE (wait_for (&scene, waiting, 30000) < STANDING_MAX_MS);
   tear_down (&scene);
 }
 
@@ -271,7 +267,7 @@
 {
   struct scene scene;
   struct sd_worker *worker;
-  struct jb_job *gang;
+  struct jb_job *waiting;
   int64_t start_ms;
   uint32_t i;
 
@@ -285,14 +281,14 @@
       g_free (id);
     }
   worker = sd_worker_find (scene.sched, "w01");
-  gang
+  waiting
       = add_job (&scene, make_spec (&(struct fixture_step){ .count = 3,
                                                             .accelerators = 8,
                                                             .gang = true,
                                                             .one_rack = true },
                                     52000));
   start_ms = scene.now_ms;
-  while (gang->tasks[0].worker == NULL && scene.now_ms - start_ms < 30000)
+  while (waiting->tasks[0].worker == NULL && scene.now_ms - start_ms < 30000)
     {
       sd_worker_set_reachability (worker,
                                   (scene.now_ms - start_ms) % 1500 < 1250
@@ -309,7 +305,7 @@
 test_nothing_is_little_used_without_accelerators (void)
 {
   struct scene scene;
-  struct jb_job *gang;
+  struct jb_job *waiting;
   int64_t start_ms;
   uint32_t i;
 
@@ -323,12 +319,13 @@
       if (i % 5 < 2)
         worker->used_resources = worker->report.resources;
     }
-  gang = add_job (&scene, make_spec (
-                              &(struct fixture_step){
-                                  .count = 4, .gang = true, .one_rack = true },
-                              100000));
+  waiting
+      = add_job (&scene, make_spec (&(struct fixture_step){ .count = 4,
+                                                            .gang = true,
+                                                            .one_rack = true },
+                                    100000));
   start_ms = scene.now_ms;
-  while (gang->tasks[0].worker == NULL && scene.now_ms - start_ms < 30000)
+  while (waiting->tasks[0].worker == NULL && scene.now_ms - start_ms < 30000)
     {
       if (scene.now_ms % 5000 == 0)
         add_job (&scene,
