--- a/tests/soak/soak_waiting.py
+++ b/tests/soak/soak_waiting.py
@@ -585,9 +585,9 @@
             look_s = time.monotonic() - before_s
             self.slowest_look_s = max(self.slowest_look_s, look_s)
             if look_s > PAUSE_S:
-                # No worker ran for so long.
-                self.fault_s = time.monotonic()
-                self.pauses_s.append(round(self.fault_s - self.begin_s, 1))
+                # No worker ran for so long; shown, and still judged.
+                self.pauses_s.append(
+                    round(time.monotonic() - self.begin_s, 1))
 
     def describe(self, case):
         job, (occurrence, number) = self.jobs[case["job"]], case["step"]
