Soak: the store's stand-in waits without a lock, so that a soak ends

Cause: a read of a topic waited by asyncio.wait_for () on an asyncio.Condition. In Python 3.11, a task that is cancelled while such a wait ends (its time is over, or a record comes) leaves the condition while the inner wait does not have the lock again. The inner wait takes it afterwards, nobody gives it back, and each other inner wait asks for the lock again and again, also when it is cancelled. asyncio.run () cancels all tasks at the end of a soak and waits for them without a limit, so that the soak never printed its verdict. soak_waiting.py stops its seven hosts at once, so that many reads end just then.

Why the fix works: the stand-in runs in one thread and needs no lock. A read waits by asyncio.wait () for a future that the next append sets, which swallows no cancellation and holds nothing. An append is now also done without a wait between its offset and its records; by reading, it could be answered with the offset of another one before.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -38,7 +38,22 @@
         self.epoch = 0
         self.sequence = -1
         self.answers = {}
-        self.appended = asyncio.Condition()
+        self.appended = asyncio.get_running_loop().create_future()
+
+    def append(self, *records):
+        self.records.extend(records)
+        self.appended.set_result(None)
+        self.appended = asyncio.get_running_loop().create_future()
+
+    async def wait_for_record(self, offset, wait_s):
+        """Waits until there is a record at the offset, for at most wait_s.
+        Not by asyncio.Condition and asyncio.wait_for: in Python 3.11, a
+        cancelled task can lose the condition's lock, or its cancellation, and
+        then never ends."""
+        end_s = time.monotonic() + wait_s
+        while len(self.records) <= offset and time.monotonic() < end_s:
+            await asyncio.wait([self.appended],
+                               timeout=end_s - time.monotonic())
 
 
 class Paths:
@@ -100,10 +115,7 @@
         return self.topics.setdefault(name, Topic())
 
     async def put(self, name, key, value):
-        topic = self.topic(name)
-        async with topic.appended:
-            topic.records.append((key, value))
-            topic.appended.notify_all()
+        self.topic(name).append((key, value))
 
     def value_for(self, host, value):
         """Each host reaches a worker at an address of its own, so that their
@@ -146,14 +158,13 @@
                 return 409, b'{"reason":"seq"}'
             topic.epoch, topic.sequence = epoch, sequence
         first = len(topic.records)
-        async with topic.appended:
-            while body:
-                (length,) = struct.unpack(">I", body[:4])
-                content, body = body[4:4 + length], body[4 + length:]
-                key = content[1:1 + content[0]].decode()
-                value = content[1 + content[0]:]
-                topic.records.append((key, value or None))
-            topic.appended.notify_all()
+        records = []
+        while body:
+            (length,) = struct.unpack(">I", body[:4])
+            content, body = body[4:4 + length], body[4 + length:]
+            key = content[1:1 + content[0]].decode()
+            records.append((key, content[1 + content[0]:] or None))
+        topic.append(*records)
         answer = json.dumps(
             {"offset": first, "end_offset": len(topic.records)}).encode()
         if "epoch" in query:
@@ -162,15 +173,7 @@
 
     async def read(self, topic, query, host):
         start, wait_ms = int(query["from"][0]), int(query["wait_ms"][0])
-        async with topic.appended:
-            if len(topic.records) <= start and wait_ms > 0:
-                try:
-                    await asyncio.wait_for(
-                        topic.appended.wait_for(
-                            lambda: len(topic.records) > start),
-                        wait_ms / 1000)
-                except asyncio.TimeoutError:
-                    pass
+        await topic.wait_for_record(start, wait_ms / 1000)
         if start < topic.first_kept:
             return 410, json.dumps({"start_offset": topic.first_kept}).encode()
         out = [struct.pack(">QQ", len(topic.records), topic.first_kept)]
