--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -46,6 +46,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import platform_standin as standin  # noqa: E402
+import stack_dump  # noqa: E402
 
 HOST_COUNT = 3
 WORKER_COUNT = 6
@@ -592,6 +593,7 @@
 
 
 def main():
+    stack_dump.register()
     seed = int(sys.argv[1])
     duration_s = float(sys.argv[2]) if len(sys.argv) > 2 else 20.0
     soak = Soak(seed, duration_s, "unread" in sys.argv[3:])
--- a/tests/soak/soak_waiting.py
+++ b/tests/soak/soak_waiting.py
@@ -42,6 +42,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import platform_standin as standin  # noqa: E402
 import soak  # noqa: E402
+import stack_dump  # noqa: E402
 
 DATA_CENTRES = ["bole", "merkato", "kality"]
 RACK_WORKERS = 8
@@ -645,6 +646,7 @@
 
 
 def main():
+    stack_dump.register()
     parser = argparse.ArgumentParser()
     parser.add_argument("seed", type=int)
     parser.add_argument("--traffic", type=float, default=22.0)
--- a/tests/soak/worker_list.py
+++ b/tests/soak/worker_list.py
@@ -17,6 +17,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import platform_standin as standin  # noqa: E402
 import soak  # noqa: E402
+import stack_dump  # noqa: E402
 
 ENTRY_COUNT = 5000
 ODD_VALUES = [None, -1, "x", [], {}, 2**63, -2**70, 1e308, "127.0.0.1:0",
@@ -105,6 +106,7 @@
 
 
 def main():
+    stack_dump.register()
     folder = tempfile.mkdtemp(prefix="worker-list-")
     return 0 if asyncio.run(run(folder)) else 1
 
