The attempt limit of a job is stored with its progress

What callers saw: a job that is shown as failed after its first failed run, though its queue allowed three. The operator had removed the queue while the job ran, and another host had become the planner since. Cause: the limit of a queue that is not configured any more was known only to the process that had held a round with the queue; after a takeover it counted as 1 (attempt_limit ()). Evidence: the case in test_hostd_beside_room_open, which set the limit to 0 in place of a takeover. Change: the progress record has the limit that was in force, and is written again if the limit of a job that has started changes. The first start of a job is stored after the round that has set the limit, so that each run that can fail has one. A record of an earlier version has none and counts as before; an earlier version ignores the field. Result: the case has moved to test_hostd_beside_room, where the next host reads encoded records, which the former test stood in for by a field set to 0; with a case of a limit that is raised.

--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -232,7 +232,8 @@
   char *queue;            /* a copy of spec->queue */
   uint32_t priority;      /* of its queue, as of the scheduler's last round */
   uint32_t attempt_limit; /* of its queue, as of the last round in which that
-                             was configured; 0: none yet */
+                             was configured, of this planner or an earlier one;
+                             0: none yet */
 };
 
 /*! jb_state_is_final () :
--- a/lib/jobs/records.c
+++ b/lib/jobs/records.c
@@ -155,6 +155,7 @@
   record.state = job->state;
   record.begun = job->started;
   record.ended_unix_ms = job->ended_unix_ms;
+  record.attempt_limit = job->attempt_limit;
   return pack (&record.base);
 }
 
@@ -251,6 +252,8 @@
     job->visible_state = JB_CANCELLED;
   job->started = record->begun;
   job->ended_unix_ms = record->ended_unix_ms;
+  if (record->attempt_limit > 0)
+    job->attempt_limit = record->attempt_limit;
   job->progress_changed = false;
   if (job->state == JB_COMPLETED)
     {
--- a/lib/proto/jobs.pb-c.c
+++ b/lib/proto/jobs.pb-c.c
@@ -1038,7 +1038,7 @@
   (ProtobufCMessageInit) ftj__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ftj__progress__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ftj__progress__field_descriptors[5] =
 {
   {
     "term",
@@ -1088,8 +1088,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "attempt_limit",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__Progress, attempt_limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ftj__progress__field_indices_by_name[] = {
+  4,   /* field[4] = attempt_limit */
   2,   /* field[2] = begun */
   3,   /* field[3] = ended_unix_ms */
   1,   /* field[1] = state */
@@ -1099,7 +1112,7 @@
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ftj__progress__descriptor =
 {
@@ -1109,7 +1122,7 @@
   "Ftj__Progress",
   "ftj",
   sizeof(Ftj__Progress),
-  4,
+  5,
   ftj__progress__field_descriptors,
   ftj__progress__field_indices_by_name,
   2,  ftj__progress__number_ranges,
--- a/lib/proto/jobs.pb-c.h
+++ b/lib/proto/jobs.pb-c.h
@@ -127,10 +127,14 @@
   uint32_t state;
   protobuf_c_boolean begun;
   int64_t ended_unix_ms;
+  /*
+   * of its queue; 0: not known
+   */
+  uint32_t attempt_limit;
 };
 #define FTJ__PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ftj__progress__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -237,6 +237,18 @@
     }
 }
 
+/* Stored with the progress of the job, for planners that begin their term
+   after its queue has been removed.  */
+static void
+note_attempt_limit (struct sd_sched *sched, struct jb_job *job, uint32_t limit)
+{
+  if (job->attempt_limit == limit)
+    return;
+  job->attempt_limit = limit;
+  if (job->started) /* else it is stored with the first start */
+    sd_mark_changed (sched, job);
+}
+
 GArray *
 sd_collect_units (struct sd_sched *sched, int64_t now_ms, int64_t now_unix_ms)
 {
@@ -255,7 +267,7 @@
       job->priority = queue == NULL ? UINT32_MAX : queue->priority;
       if (queue == NULL)
         continue; /* its queue is not configured any more: the job waits */
-      job->attempt_limit = queue->attempt_limit;
+      note_attempt_limit (sched, job, queue->attempt_limit);
       guaranteed = queue->priority == 0
                    && within_guarantee (sched, requested_by_team, job);
       collect_job (sched, units, job, queue, guaranteed, now_ms, now_unix_ms);
--- a/tests/unit/test_hostd_beside_room.c
+++ b/tests/unit/test_hostd_beside_room.c
@@ -2,6 +2,7 @@
    cases of lib/sched/standing.c on workers of 8 accelerators.  */
 
 #include "check.h"
+#include "jobs/records.h"
 #include "room_fixture.h"
 
 /* Fills WORKERS of the workers, one task each.  */
@@ -388,6 +389,92 @@
   tear_down (&scene);
 }
 
+/* Another host that begins a term with the records of JOB.
+   @return : its job.  */
+static struct jb_job *
+take_over (struct scene *next, const struct jb_job *job,
+           const struct ct_catalog *catalog)
+{
+  const struct fixture_step one = { .count = 1, .accelerators = 1 };
+  GByteArray *bytes = jb_encode_progress (job, 1);
+  uint64_t term;
+  struct jb_job *copy;
+
+  set_up (next, 1, 1);
+  copy = jb_table_add (next->table, job->id, make_spec (&one, 4000), STEP_MS);
+  CU_ASSERT_EQUAL (jb_apply_progress (copy, &term, bytes->data, bytes->len),
+                   JB_OK);
+  g_byte_array_free (bytes, TRUE);
+  bytes = jb_encode_block (job, 0);
+  CU_ASSERT_EQUAL (jb_apply_block (copy, 0, bytes->data, bytes->len), JB_OK);
+  g_byte_array_free (bytes, TRUE);
+  sd_set_catalog (next->sched, catalog);
+  sd_begin_term (next->sched, next->now_ms);
+  return copy;
+}
+
+static struct ct_catalog *
+make_catalog_without_batch (void)
+{
+  struct ct_catalog *catalog = fixture_catalog ();
+
+  catalog->version = 2;
+  g_hash_table_remove (catalog->queues_by_name, "batch");
+  return catalog;
+}
+
+/* The queue is removed before the takeover.  */
+static void
+test_takeover_lowers_the_attempt_limit_of_a_removed_queue (void)
+{
+  const struct fixture_step one = { .count = 1, .accelerators = 1 };
+  struct ct_catalog *without = make_catalog_without_batch ();
+  struct scene scene;
+  struct scene next;
+  struct jb_job *job;
+
+  set_up (&scene, 1, 1);
+  job = add_job (&scene, make_spec (&one, 4000));
+  hold_round (&scene);
+  job = take_over (&next, job, without);
+  sd_task_ended (next.sched, &job->tasks[0], SD_OUTCOME_FAILED, "",
+                 next.now_ms, 0);
+  CU_ASSERT_NOT_EQUAL (job->state, JB_FAILED);
+  tear_down (&next);
+  tear_down (&scene);
+  ct_catalog_free (without);
+}
+
+/* The limit is raised while the job runs.  */
+static void
+test_raised_attempt_limit_of_a_removed_queue_is_not_stored (void)
+{
+  const struct fixture_step one = { .count = 1, .accelerators = 1 };
+  struct ct_catalog *without = make_catalog_without_batch ();
+  struct scene scene;
+  struct scene next;
+  struct jb_job *job;
+
+  set_up (&scene, 1, 1);
+  scene.catalog->queues[1].attempt_limit = 1;
+  job = add_job (&scene, make_spec (&one, 4000));
+  hold_round (&scene);
+  hold_round (&scene);
+  g_ptr_array_free (sd_take_changed (scene.sched), TRUE);
+  hold_round (&scene);
+  CU_ASSERT_FALSE (sd_has_changed (scene.sched));
+  scene.catalog->queues[1].attempt_limit = 3;
+  hold_round (&scene);
+  CU_ASSERT_TRUE (sd_has_changed (scene.sched));
+  job = take_over (&next, job, without);
+  sd_task_ended (next.sched, &job->tasks[0], SD_OUTCOME_FAILED, "",
+                 next.now_ms, 0);
+  CU_ASSERT_NOT_EQUAL (job->state, JB_FAILED);
+  tear_down (&next);
+  tear_down (&scene);
+  ct_catalog_free (without);
+}
+
 int
 main (void)
 {
@@ -412,6 +499,10 @@
       test_nothing_is_little_used_without_accelerators },
     { "a job waits beside reserved workers without accelerators",
       test_job_waits_beside_reserved_workers_without_accelerators },
+    { "a takeover lowers the attempt limit of a removed queue",
+      test_takeover_lowers_the_attempt_limit_of_a_removed_queue },
+    { "a raised attempt limit of a removed queue is not stored",
+      test_raised_attempt_limit_of_a_removed_queue_is_not_stored },
   };
 
   return check_run ("hostd beside room", tests, G_N_ELEMENTS (tests));
--- a/tests/unit/test_hostd_beside_room_open.c
+++ b/tests/unit/test_hostd_beside_room_open.c
@@ -40,44 +40,12 @@
   tear_down (&scene);
 }
 
-/* The limit of a removed queue is known only to the process that had the queue
-   in a round.  */
-static void
-test_takeover_lowers_the_attempt_limit_of_a_removed_queue (void)
-{
-  struct sd_params params = { .stop_max_ms = 200 };
-  struct ct_catalog *without = fixture_catalog ();
-  struct scene scene;
-  struct sd_sched *next;
-  struct jb_job *job;
-
-  without->version = 2;
-  g_hash_table_remove (without->queues_by_name, "batch");
-  set_up (&scene, 1, 1);
-  job = add_job (
-      &scene,
-      make_spec (&(struct fixture_step){ .count = 1, .accelerators = 1 },
-                 4000));
-  hold_round (&scene);
-  job->attempt_limit = 0; /* as read from the records by another host */
-  next = sd_create (&params, scene.table);
-  sd_set_catalog (next, without);
-  sd_begin_term (next, scene.now_ms);
-  sd_task_ended (next, &job->tasks[0], SD_OUTCOME_FAILED, "", scene.now_ms, 0);
-  CU_ASSERT_NOT_EQUAL (job->state, JB_FAILED);
-  sd_free (next);
-  tear_down (&scene);
-  ct_catalog_free (without);
-}
-
 int
 main (void)
 {
   static const struct check_test tests[] = {
     { "the advisor is not asked about avoided workers",
       test_advisor_is_not_asked_about_avoided_workers },
-    { "a takeover lowers the attempt limit of a removed queue",
-      test_takeover_lowers_the_attempt_limit_of_a_removed_queue },
   };
 
   return check_run ("hostd beside room, open", tests, G_N_ELEMENTS (tests));
