The advisor is asked about avoided workers if work would stand

What callers saw: a job of a queue with a placement advisor waits for as long as all workers with room are avoided (6 s after a fault, and longer if they fail again), with little of its service in use. Cause: only workers that the advisor has allowed count as room for a step, and a query never named avoided workers (collect_query_candidates ()). So the time after which a step is placed there too did not begin. Change: once a query has no other workers to name, it names avoided ones, if the unit is one that must not stand: nothing of its job runs, and little of its service is in use or its tasks last (sd_may_stand ()). While much is in use there are no such queries, for the advisor handles one after the other.

--- a/lib/sched/advice.c
+++ b/lib/sched/advice.c
@@ -185,9 +185,11 @@
   return copies >= (uint64_t)unit->waiting_count * ALLOWED_CAPACITY_FACTOR;
 }
 
+/* AVOIDED: of the avoided workers, else of the others.  */
 static GArray *
 collect_query_candidates (const struct sd_sched *sched,
-                          const struct sd_unit *unit, int64_t now_ms)
+                          const struct sd_unit *unit, bool avoided,
+                          int64_t now_ms)
 {
   GArray *found = g_array_new (FALSE, FALSE, sizeof (struct query_candidate));
   bool enough = allowed_workers_suffice (sched, unit);
@@ -201,7 +203,7 @@
 
       if (!sd_worker_is_eligible (worker, unit)
           || worker->reachability != SD_WORKER_REACHABLE
-          || sd_health_is_avoided (worker, now_ms)
+          || sd_health_is_avoided (worker, now_ms) != avoided
           || sd_advice_has_ticket (unit->advice, id, now_ms))
         continue;
       candidate.fits = sd_resources_fit (&unit->step->spec->resources,
@@ -261,7 +263,12 @@
   if (advice == NULL || advice->query_pending
       || now_ms - advice->last_query_ms < QUERY_INTERVAL_MS)
     return;
-  found = collect_query_candidates (sched, unit, now_ms);
+  found = collect_query_candidates (sched, unit, false, now_ms);
+  if (found->len == 0 && sd_may_stand (sched, unit))
+    {
+      g_array_free (found, TRUE);
+      found = collect_query_candidates (sched, unit, true, now_ms);
+    }
   count = MIN (found->len, query_worker_count (sched, unit));
   if (count > 0)
     {
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -313,7 +313,9 @@
 /*! sd_query_advice () :
  *  For a unit of which not all tasks could be placed: adds a query about
  *  further workers to QUERIES, if the queue has an advisor, no query for the
- *  step is pending or has just failed, and there are workers to name. */
+ *  step is pending or has just failed, and there are workers to name.  Avoided
+ *  workers are named if there are no others and the unit must not wait for
+ *  long. */
 void sd_query_advice (struct sd_sched *sched, const struct sd_unit *unit,
                       int64_t now_ms, GPtrArray *queries);
 
@@ -370,6 +372,12 @@
 
 void sd_standing_begin_round (struct sd_sched *sched, int64_t now_ms);
 
+/*! sd_may_stand () :
+ *  @return : whether UNIT must not wait for long beside room for it: nothing
+ * of its job runs and little of its service is in use.  Long-lived tasks must
+ * not, whatever runs and however much is in use. */
+bool sd_may_stand (const struct sd_sched *sched, const struct sd_unit *unit);
+
 /*! sd_drop_preferences () :
  *  For a unit of which no task could be placed: if it has waited beside room
  *  for it for too long, sets it to be placed where there is room.
--- a/lib/sched/standing.c
+++ b/lib/sched/standing.c
@@ -88,6 +88,13 @@
          && !jb_job_has_no_runs (unit->step->job);
 }
 
+bool
+sd_may_stand (const struct sd_sched *sched, const struct sd_unit *unit)
+{
+  return (unit->step->spec->long_lived || is_little_used (sched, unit))
+         && !has_run (unit);
+}
+
 static bool
 has_room (const struct sd_sched *sched, const struct sd_unit *unit,
           int64_t now_ms)
@@ -108,13 +115,10 @@
                      int64_t now_ms)
 {
   struct jb_step *step = unit->step;
-  bool little_used = is_little_used (sched, unit);
 
   if (!takes_look (&sched->sweep))
     return false;
-  /* Long-lived tasks have to run however much of their service is in use.  */
-  if ((!little_used && !step->spec->long_lived) || has_run (unit)
-      || !has_room (sched, unit, now_ms))
+  if (!sd_may_stand (sched, unit) || !has_room (sched, unit, now_ms))
     {
       if (now_ms - step->room_seen_ms > ROOM_GAP_MS)
         step->beside_room_since_ms = 0;
@@ -126,6 +130,7 @@
   unit->has_stood_too_long
       = now_ms - step->beside_room_since_ms >= PREFERENCES_KEPT_MS;
   /* Else the sound workers are only busy.  */
-  unit->may_use_avoided = unit->has_stood_too_long && little_used;
+  unit->may_use_avoided
+      = unit->has_stood_too_long && is_little_used (sched, unit);
   return unit->has_stood_too_long;
 }
--- a/tests/unit/test_hostd_beside_room.c
+++ b/tests/unit/test_hostd_beside_room.c
@@ -475,6 +475,88 @@
   ct_catalog_free (without);
 }
 
+/* Answers the queries, all workers being allowed, 100 ms after they were
+   made.  */
+static void
+answer_queries (struct scene *scene, GPtrArray *queries)
+{
+  guint i;
+
+  scene->now_ms += 100;
+  for (i = 0; i < queries->len; i++)
+    {
+      const struct sd_advisor_query *query = g_ptr_array_index (queries, i);
+      size_t count = g_strv_length (query->workers);
+      struct ap_allowed_worker *allowed
+          = g_new0 (struct ap_allowed_worker, count);
+      struct ap_answer answer = { .result = AP_DONE,
+                                  .allowed = allowed,
+                                  .allowed_count = count,
+                                  .validity_ms = 30000 };
+      size_t k;
+
+      for (k = 0; k < count; k++)
+        allowed[k] = (struct ap_allowed_worker){ .worker = query->workers[k],
+                                                 .ticket = "t" };
+      sd_advisor_answered (scene->sched, query, &answer, scene->now_ms);
+      g_free (allowed);
+    }
+  g_ptr_array_set_size (queries, 0);
+}
+
+/* All workers are avoided, and BUSY accelerators of each are in use.
+   @return : after how many ms a job of an advisor's queue is placed; LIMIT_MS:
+             it is not.  */
+static int64_t
+wait_for_advice_on_avoided_workers (int64_t busy, int64_t limit_ms)
+{
+  struct scene scene;
+  struct sd_commands commands
+      = { .starts = g_ptr_array_new (),
+          .stops = g_ptr_array_new (),
+          .advisor_queries = sd_advisor_queries_create () };
+  int64_t start_ms;
+  int64_t waited_ms;
+  uint32_t i;
+
+  set_up (&scene, 4, 4);
+  scene.catalog->queues[1].uses_advisor = true;
+  for (i = 0; i < 4; i++)
+    {
+      struct sd_worker *worker
+          = g_ptr_array_index (sd_workers (scene.sched), i);
+
+      worker->avoid_until_ms = 60000;
+      worker->used_resources.accelerators = busy;
+    }
+  add_job (&scene,
+           make_spec (&(struct fixture_step){ .count = 1, .accelerators = 1 },
+                      4000));
+  start_ms = scene.now_ms;
+  while (commands.starts->len == 0 && scene.now_ms - start_ms < limit_ms)
+    {
+      sd_round (scene.sched, scene.now_ms, 0, &commands);
+      scene.now_ms += STEP_MS;
+      if (commands.advisor_queries->len > 0)
+        answer_queries (&scene, commands.advisor_queries);
+    }
+  waited_ms = scene.now_ms - start_ms;
+  g_ptr_array_free (commands.advisor_queries, TRUE);
+  g_ptr_array_free (commands.starts, TRUE);
+  g_ptr_array_free (commands.stops, TRUE);
+  tear_down (&scene);
+  return waited_ms;
+}
+
+/* Else they never count as room.  */
+static void
+test_advisor_is_not_asked_about_avoided_workers (void)
+{
+  CU_ASSERT_TRUE (wait_for_advice_on_avoided_workers (2, 9000)
+                  < STANDING_MAX_MS);
+  CU_ASSERT_EQUAL (wait_for_advice_on_avoided_workers (6, 9000), 9000);
+}
+
 int
 main (void)
 {
@@ -499,6 +581,8 @@
       test_nothing_is_little_used_without_accelerators },
     { "a job waits beside reserved workers without accelerators",
       test_job_waits_beside_reserved_workers_without_accelerators },
+    { "the advisor is not asked about avoided workers",
+      test_advisor_is_not_asked_about_avoided_workers },
     { "a takeover lowers the attempt limit of a removed queue",
       test_takeover_lowers_the_attempt_limit_of_a_removed_queue },
     { "a raised attempt limit of a removed queue is not stored",
