Scheduler: a backlog of another service does not use up the looks

What callers saw: nothing yet; found by a test. A gang that prefers one rack would wait for over 3 s beside room for it at a service of which little is in use, while a backlog of thousands waits for another service. Cause: each waiting unit used up one of the 128 looks of a round, also those that may wait for as long as they do, since much of their service is in use or their job runs. Change: only units that must not stand take a look; the check of that needs no pass over the workers.

--- a/lib/sched/standing.c
+++ b/lib/sched/standing.c
@@ -115,10 +115,11 @@
                      int64_t now_ms)
 {
   struct jb_step *step = unit->step;
+  bool may_stand = sd_may_stand (sched, unit);
 
-  if (!takes_look (&sched->sweep))
+  if (may_stand && !takes_look (&sched->sweep))
     return false;
-  if (!sd_may_stand (sched, unit) || !has_room (sched, unit, now_ms))
+  if (!may_stand || !has_room (sched, unit, now_ms))
     {
       if (now_ms - step->room_seen_ms > ROOM_GAP_MS)
         step->beside_room_since_ms = 0;
--- /dev/null
+++ b/tests/unit/test_hostd_standing_more.c
@@ -0,0 +1,104 @@
+/* Work that stands beside room for it, where something else keeps it from
+   being looked at, or the time of its wait from going on.  */
+
+#include "check.h"
+#include "room_fixture.h"
+
+static struct sd_worker *
+worker_at (const struct scene *scene, uint32_t index)
+{
+  return g_ptr_array_index (sd_workers (scene->sched), index);
+}
+
+/* All of the workers from FIRST on, one in STRIDE, is in use.  */
+static void
+use_workers (struct scene *scene, uint32_t first, uint32_t stride)
+{
+  uint32_t i;
+
+  for (i = first; i < sd_workers (scene->sched)->len; i += stride)
+    worker_at (scene, i)->used_resources
+        = worker_at (scene, i)->report.resources;
+}
+
+/* @return : after how many ms all tasks of the job have been placed; LIMIT_MS:
+             they were not.  */
+static int64_t
+wait_for_all (struct scene *scene, const struct jb_job *job, int64_t limit_ms)
+{
+  int64_t start_ms = scene->now_ms;
+  size_t placed = 0;
+
+  while (placed < job->task_total && scene->now_ms - start_ms < limit_ms)
+    {
+      hold_round (scene);
+      for (placed = 0;
+           placed < job->task_total && job->tasks[placed].worker != NULL;)
+        placed++;
+    }
+  return scene->now_ms - start_ms;
+}
+
+static const struct fixture_step rack_gang
+    = { .count = 4, .accelerators = 8, .gang = true, .one_rack = true };
+
+/* --- Looks --- */
+
+/* More units than a round looks at wait for another service, all of which is
+   in use.  */
+static void
+test_backlog_of_another_service_uses_up_the_looks (void)
+{
+  enum
+  {
+    BACKLOG = 6000
+  };
+  struct scene scene;
+  struct jb_job *gang;
+  uint32_t i;
+
+  set_up (&scene, 40, 5);
+  scene.catalog->queues[0].priority = 1;
+  g_free (scene.catalog->queues[0].service);
+  scene.catalog->queues[0].service = g_strdup ("office");
+  for (i = 0; i < 20; i++)
+    {
+      struct sd_worker *worker = worker_at (&scene, i);
+      struct sd_worker_report report = worker->report;
+
+      report.id = g_strdup (worker->report.id);
+      report.address = g_strdup (worker->report.address);
+      report.service = g_strdup ("office");
+      report.data_centre = g_strdup ("dc");
+      report.rack = g_strdup (worker->report.rack);
+      report.labels = g_new0 (char *, 1);
+      sd_worker_listed (scene.sched, &report, 0);
+      worker->used_resources = worker->report.resources;
+    }
+  use_workers (&scene, 20, 5);
+  use_workers (&scene, 21, 5);
+  for (i = 0; i < BACKLOG; i++)
+    {
+      struct jb_spec *spec = make_spec (
+          &(struct fixture_step){ .count = 1, .accelerators = 1 }, 4000);
+
+      g_free (spec->queue);
+      spec->queue = g_strdup ("urgent");
+      add_job (&scene, spec);
+    }
+  scene.now_ms += STEP_MS;
+  gang = add_job (&scene, make_spec (&rack_gang, 4000));
+  CU_ASSERT_TRUE (wait_for_all (&scene, gang, 9000) < STANDING_MAX_MS);
+  tear_down (&scene);
+}
+
+int
+main (void)
+{
+  static const struct check_test tests[] = {
+    { "a backlog of another service uses up the looks",
+      test_backlog_of_another_service_uses_up_the_looks },
+  };
+
+  return check_run ("hostd standing, more", tests, G_N_ELEMENTS (tests));
+}
