--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -53,14 +53,16 @@
   struct jb_resources capacity;
 };
 
-/* A sweep over the waiting units for work that stands; see standing.c.  */
+/* A sweep over waiting units for work that stands; see standing.c.  */
 struct sd_sweep
 {
+  bool active; /* in this round */
   int64_t started_ms;
   uint32_t looks_left; /* in this round */
   uint32_t done;       /* in this sweep */
   uint32_t to_skip;    /* in this round, for they were done in earlier ones */
-  bool unfinished;
+  bool unfinished;     /* the next round goes on with it */
+  bool cut_short;      /* the next round begins another one */
 };
 
 struct sd_sched
@@ -84,8 +86,9 @@
   uint32_t preemption_searches;  /* in a round: for new plans */
   bool suspects_are_few;         /* in a round */
   /* In a round: by sd_worker.service_index.  */
-  GArray *service_uses; /* struct sd_service_use */
-  struct sd_sweep sweep;
+  GArray *service_uses;         /* struct sd_service_use */
+  struct sd_sweep urgent_sweep; /* over the units of priority 0 */
+  struct sd_sweep other_sweep;
   GHashTable *reservations;      /* struct jb_step -> struct sd_reservation */
   GHashTable *advice;            /* struct jb_step -> struct sd_advice */
   uint64_t advised_worker_count; /* workers named in answered queries */
@@ -370,7 +373,15 @@
 
 /* --- standing.c: work that waits beside room for it --- */
 
-void sd_standing_begin_round (struct sd_sched *sched, int64_t now_ms);
+/*! sd_standing_begin_round (), sd_standing_end_round () :
+ *  Around the placement of units in a round.
+ *  @placing : which jobs the round may place.
+ *  @first_left : the first unit that is left for another round; NULL: none
+ *                is. */
+void sd_standing_begin_round (struct sd_sched *sched, enum sd_placing placing,
+                              int64_t now_ms);
+void sd_standing_end_round (struct sd_sched *sched,
+                            const struct sd_unit *first_left);
 
 /*! sd_may_stand () :
  *  @return : whether UNIT must not wait for long beside room for it: nothing
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -3,7 +3,7 @@
 #include "sched/private.h"
 
 static void
-begin_round (struct sd_sched *sched, int64_t now_ms)
+begin_round (struct sd_sched *sched, enum sd_placing placing, int64_t now_ms)
 {
   guint i;
 
@@ -20,7 +20,7 @@
                              &worker->unassigned_resources);
     }
   sd_service_uses_begin_round (sched);
-  sd_standing_begin_round (sched, now_ms);
+  sd_standing_begin_round (sched, placing, now_ms);
   sd_preemptions_begin_round (sched, now_ms);
   sd_reservations_begin_round (sched);
 }
@@ -141,7 +141,7 @@
   sd_end_tasks_done_before (sched, now_unix_ms);
   if (sched->catalog != NULL && commands->placing != SD_PLACE_NONE)
     {
-      begin_round (sched, now_ms);
+      begin_round (sched, commands->placing, now_ms);
       units = sd_collect_units (sched, now_ms, now_unix_ms);
       for (i = 0; i < units->len; i++)
         {
@@ -153,6 +153,9 @@
           place_unit (sched, unit, now_ms, commands);
         }
       commands->more = i < units->len;
+      sd_standing_end_round (
+          sched,
+          commands->more ? &g_array_index (units, struct sd_unit, i) : NULL);
       if (!commands->more)
         sd_reservations_end_round (sched);
       g_array_free (units, TRUE);
--- a/lib/sched/standing.c
+++ b/lib/sched/standing.c
@@ -24,26 +24,66 @@
   LOOKS_PER_ROUND_MAX = 128
 };
 
-void
-sd_standing_begin_round (struct sd_sched *sched, int64_t now_ms)
+static void
+begin_sweep (struct sd_sweep *sweep, int64_t now_ms)
 {
-  struct sd_sweep *sweep = &sched->sweep;
-
-  sweep->looks_left = LOOKS_PER_ROUND_MAX;
   if (sweep->unfinished)
-    sweep->to_skip = sweep->done;
-  else if (now_ms - sweep->started_ms >= SWEEP_INTERVAL_MS)
-    *sweep = (struct sd_sweep){ .looks_left = LOOKS_PER_ROUND_MAX,
+    {
+      sweep->looks_left = LOOKS_PER_ROUND_MAX;
+      sweep->to_skip = sweep->done;
+      sweep->unfinished = false;
+      sweep->active = true;
+    }
+  else if (sweep->cut_short || now_ms - sweep->started_ms >= SWEEP_INTERVAL_MS)
+    *sweep = (struct sd_sweep){ .active = true,
+                                .looks_left = LOOKS_PER_ROUND_MAX,
                                 .started_ms = now_ms };
   else
-    *sweep = (struct sd_sweep){ .started_ms = sweep->started_ms };
-  sweep->unfinished = false;
+    sweep->active = false;
+}
+
+void
+sd_standing_begin_round (struct sd_sched *sched, enum sd_placing placing,
+                         int64_t now_ms)
+{
+  begin_sweep (&sched->urgent_sweep, now_ms);
+  /* Rounds that do not come to the other units must not use up their
+     sweeps.  */
+  if (placing == SD_PLACE_ALL)
+    begin_sweep (&sched->other_sweep, now_ms);
+  else
+    sched->other_sweep.active = false;
+}
+
+/* The round has left units over that the sweep would have come to.  */
+static void
+leave_sweep (struct sd_sweep *sweep)
+{
+  if (!sweep->active)
+    return;
+  if (sweep->looks_left == 0)
+    sweep->unfinished = true;
+  else
+    sweep->cut_short = true;
+}
+
+void
+sd_standing_end_round (struct sd_sched *sched,
+                       const struct sd_unit *first_left)
+{
+  if (first_left == NULL)
+    return;
+  leave_sweep (&sched->other_sweep);
+  if (first_left->priority == 0)
+    leave_sweep (&sched->urgent_sweep);
 }
 
 /* Whether it is the turn of the next unit.  */
 static bool
 takes_look (struct sd_sweep *sweep)
 {
+  if (!sweep->active)
+    return false;
   if (sweep->to_skip > 0)
     {
       sweep->to_skip--;
@@ -51,7 +91,7 @@
     }
   if (sweep->looks_left == 0)
     {
-      sweep->unfinished = sweep->done > 0;
+      sweep->unfinished = true;
       return false;
     }
   sweep->looks_left--;
@@ -117,7 +157,9 @@
   struct jb_step *step = unit->step;
   bool may_stand = sd_may_stand (sched, unit);
 
-  if (may_stand && !takes_look (&sched->sweep))
+  if (may_stand
+      && !takes_look (unit->priority == 0 ? &sched->urgent_sweep
+                                          : &sched->other_sweep))
     return false;
   if (!may_stand || !has_room (sched, unit, now_ms))
     {
--- a/tests/unit/test_hostd_standing_more.c
+++ b/tests/unit/test_hostd_standing_more.c
@@ -42,6 +42,17 @@
 static const struct fixture_step rack_gang
     = { .count = 4, .accelerators = 8, .gang = true, .one_rack = true };
 
+/* 20 workers in racks of 5, of which 2 in each rack are in use: a gang of 4
+   that prefers one rack stands.  */
+static struct jb_job *
+set_up_rack_gang (struct scene *scene)
+{
+  set_up (scene, 20, 5);
+  use_workers (scene, 0, 5);
+  use_workers (scene, 1, 5);
+  return add_job (scene, make_spec (&rack_gang, 4000));
+}
+
 /* --- Looks --- */
 
 /* More units than a round looks at wait for another service, all of which is
@@ -92,12 +103,39 @@
   tear_down (&scene);
 }
 
+/* Now and then only urgent work is placed, while starts wait to be sent.  */
+static void
+test_rounds_of_urgent_work_use_up_the_sweeps (void)
+{
+  struct scene scene;
+  const struct jb_job *gang = set_up_rack_gang (&scene);
+  struct sd_commands commands
+      = { .starts = g_ptr_array_new (), .stops = g_ptr_array_new () };
+  int64_t start_ms = scene.now_ms;
+  uint32_t round;
+
+  for (round = 0;
+       gang->tasks[0].worker == NULL && scene.now_ms - start_ms < 9000;
+       round++)
+    {
+      commands.placing = round % 4 == 2 ? SD_PLACE_ALL : SD_PLACE_URGENT;
+      sd_round (scene.sched, scene.now_ms, 0, &commands);
+      scene.now_ms += STEP_MS;
+    }
+  CU_ASSERT_TRUE (scene.now_ms - start_ms < STANDING_MAX_MS);
+  g_ptr_array_free (commands.starts, TRUE);
+  g_ptr_array_free (commands.stops, TRUE);
+  tear_down (&scene);
+}
+
 int
 main (void)
 {
   static const struct check_test tests[] = {
     { "a backlog of another service uses up the looks",
       test_backlog_of_another_service_uses_up_the_looks },
+    { "rounds of urgent work use up the sweeps",
+      test_rounds_of_urgent_work_use_up_the_sweeps },
   };
 
   return check_run ("hostd standing, more", tests, G_N_ELEMENTS (tests));
