Scheduler: a long-lived task does not wait for avoided workers to be sound

What callers saw: nothing yet; found by a test. A task that lasts stands for the 6 s for which a worker is avoided, and longer if that is renewed, beside room for it on avoided workers only, while over 60% of its service is in use. The platform's rule holds for such tasks however much is in use. Cause: avoided workers were used by work that stands only while little is in use, so that no job uses up its attempts on workers that fail everything. A long-lived task has no limit of attempts. Change: for long-lived tasks avoided workers are used after the same time, however much is in use.

--- a/lib/sched/standing.c
+++ b/lib/sched/standing.c
@@ -172,8 +172,10 @@
     step->beside_room_since_ms = now_ms;
   unit->has_stood_too_long
       = now_ms - step->beside_room_since_ms >= PREFERENCES_KEPT_MS;
-  /* Else the sound workers are only busy.  */
+  /* Else the sound workers are only busy.  No number of failed runs fails the
+     job of a long-lived task.  */
   unit->may_use_avoided
-      = unit->has_stood_too_long && is_little_used (sched, unit);
+      = unit->has_stood_too_long
+        && (step->spec->long_lived || is_little_used (sched, unit));
   return unit->has_stood_too_long;
 }
--- a/tests/unit/test_hostd_standing_more.c
+++ b/tests/unit/test_hostd_standing_more.c
@@ -128,6 +128,38 @@
   tear_down (&scene);
 }
 
+/* --- Tasks that last --- */
+
+static struct jb_job *
+add_lasting_job (struct scene *scene, uint32_t count)
+{
+  struct jb_spec *spec = make_spec (
+      &(struct fixture_step){ .count = count, .accelerators = 8 }, 4000);
+
+  spec->steps[0].long_lived = true;
+  return add_job (scene, spec);
+}
+
+/* The platform's rule holds for it however full the service is, and no number
+   of failed runs fails its job.  */
+static void
+test_lasting_task_waits_for_avoided_workers_while_much_is_used (void)
+{
+  struct scene scene;
+  struct jb_job *lasting;
+  uint32_t i;
+
+  set_up (&scene, 20, 5);
+  for (i = 0; i < 16; i++)
+    worker_at (&scene, i)->used_resources
+        = worker_at (&scene, i)->report.resources;
+  for (i = 16; i < 20; i++)
+    worker_at (&scene, i)->avoid_until_ms = 60000;
+  lasting = add_lasting_job (&scene, 1);
+  CU_ASSERT_TRUE (wait_for_all (&scene, lasting, 9000) < STANDING_MAX_MS);
+  tear_down (&scene);
+}
+
 int
 main (void)
 {
@@ -136,6 +168,8 @@
       test_backlog_of_another_service_uses_up_the_looks },
     { "rounds of urgent work use up the sweeps",
       test_rounds_of_urgent_work_use_up_the_sweeps },
+    { "a lasting task waits for avoided workers while much is used",
+      test_lasting_task_waits_for_avoided_workers_while_much_is_used },
   };
 
   return check_run ("hostd standing, more", tests, G_N_ELEMENTS (tests));
