--- a/tests/unit/test_hostd_standing_more.c
+++ b/tests/unit/test_hostd_standing_more.c
@@ -140,6 +140,62 @@
   return add_job (scene, spec);
 }
 
+/* One is placed in reserved room, the next one only on an avoided worker.  */
+static void
+test_lasting_task_that_starts_begins_the_wait_of_others_anew (void)
+{
+  struct scene scene;
+  struct jb_job *lasting;
+  uint32_t i;
+
+  set_up (&scene, 20, 5);
+  for (i = 0; i < 13; i++)
+    add_job (&scene, make_spec (&(struct fixture_step){ .count = 1,
+                                                        .accelerators = 8 },
+                                100000));
+  hold_round (&scene);
+  for (i = 13; i < 18; i++)
+    worker_at (&scene, i)->avoid_until_ms = 60000;
+  add_job (&scene, make_spec (&(struct fixture_step){ .count = 9,
+                                                      .accelerators = 8,
+                                                      .gang = true },
+                              100000));
+  hold_round (&scene);
+  lasting = add_lasting_job (&scene, 4);
+  CU_ASSERT_TRUE (wait_for_all (&scene, lasting, 9000) < STANDING_MAX_MS);
+  tear_down (&scene);
+}
+
+/* A poll of the worker of another task of its step confirms that one each
+   POLL_MS.  */
+static void
+test_poll_of_a_lasting_task_begins_the_wait_of_others_anew (void)
+{
+  struct scene scene;
+  struct jb_job *lasting;
+  int64_t start_ms;
+  uint32_t i;
+
+  set_up (&scene, 20, 5);
+  for (i = 0; i < 15; i++)
+    worker_at (&scene, i)->used_resources
+        = worker_at (&scene, i)->report.resources;
+  for (i = 16; i < 20; i++)
+    worker_at (&scene, i)->avoid_until_ms = 60000;
+  lasting = add_lasting_job (&scene, 2);
+  hold_round (&scene);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (lasting->tasks[0].worker);
+  start_ms = scene.now_ms;
+  while (lasting->tasks[1].worker == NULL && scene.now_ms - start_ms < 9000)
+    {
+      if (scene.now_ms % POLL_MS == 0)
+        sd_task_running (scene.sched, &lasting->tasks[0], scene.now_ms);
+      hold_round (&scene);
+    }
+  CU_ASSERT_TRUE (scene.now_ms - start_ms < STANDING_MAX_MS);
+  tear_down (&scene);
+}
+
 /* The platform's rule holds for it however full the service is, and no number
    of failed runs fails its job.  */
 static void
@@ -168,6 +224,10 @@
       test_backlog_of_another_service_uses_up_the_looks },
     { "rounds of urgent work use up the sweeps",
       test_rounds_of_urgent_work_use_up_the_sweeps },
+    { "a lasting task that starts begins the wait of others anew",
+      test_lasting_task_that_starts_begins_the_wait_of_others_anew },
+    { "a poll of a lasting task begins the wait of others anew",
+      test_poll_of_a_lasting_task_begins_the_wait_of_others_anew },
     { "a lasting task waits for avoided workers while much is used",
       test_lasting_task_waits_for_avoided_workers_while_much_is_used },
   };
