Scheduler: a takeover does not begin a wait beside room anew

What callers saw: nothing yet; found by a test. Cause: a term forgets since when work has stood, which is not stored, so that the preferences were kept for another 1.5 s. Change: the work that a term begins with may have stood before it, so its preferences are kept for 0.5 s then. A step whose turn has not come has no wait, whatever a term begins with.

--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -216,7 +216,13 @@
                               .due_ms = job->added_ms + objective_ms };
 
       unit.waiting_count = count_waiting (step);
-      if (unit.waiting_count == 0 || !step_ready (step, now_unix_ms))
+      if (!step_ready (step, now_unix_ms))
+        {
+          step->waiting_since_ms = 0;
+          step->beside_room_since_ms = 0;
+          continue;
+        }
+      if (unit.waiting_count == 0)
         {
           step->waiting_since_ms = 0;
           continue;
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -373,6 +373,10 @@
 
 /* --- standing.c: work that waits beside room for it --- */
 
+/*! sd_standing_begin_term () :
+ *  A term begins; STEP may have stood before it. */
+void sd_standing_begin_term (struct jb_step *step, int64_t now_ms);
+
 /*! sd_standing_begin_round (), sd_standing_end_round () :
  *  Around the placement of units in a round.
  *  @placing : which jobs the round may place.
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -264,14 +264,14 @@
 
 /* Moments of an earlier term of this host do not count.  */
 static void
-forget_waits (struct jb_job *job)
+forget_waits (struct jb_job *job, int64_t now_ms)
 {
   size_t i;
 
   for (i = 0; i < job->step_total; i++)
     {
       job->steps[i].waiting_since_ms = 0;
-      job->steps[i].beside_room_since_ms = 0;
+      sd_standing_begin_term (&job->steps[i], now_ms);
       job->steps[i].wait = (struct jb_wait){ 0 };
     }
 }
@@ -310,7 +310,7 @@
       job->progress_changed = false;
       if (job->spec == NULL)
         continue;
-      forget_waits (job);
+      forget_waits (job, now_ms);
       restore_placed_tasks (sched, job, now_ms);
       if (!jb_state_is_final (job->state))
         sd_job_added (sched, job);
--- a/lib/sched/standing.c
+++ b/lib/sched/standing.c
@@ -12,6 +12,9 @@
      it ROOM_FACTOR times and less than half of its service is in use.  The
      other half of that time is for recording and sending the starts.  */
   PREFERENCES_KEPT_MS = 1500,
+  /* Of the work that a term begins with, which may have stood before it.  The
+     workers answer their first polls within this time.  */
+  PREFERENCES_KEPT_AFTER_TAKEOVER_MS = 500,
   ROOM_FACTOR = 2,
   /* Above one half, for resources in use here may be free at the worker.  */
   IN_USE_PERCENT_MAX = 60,
@@ -24,6 +27,14 @@
   LOOKS_PER_ROUND_MAX = 128
 };
 
+void
+sd_standing_begin_term (struct jb_step *step, int64_t now_ms)
+{
+  step->beside_room_since_ms
+      = now_ms - (PREFERENCES_KEPT_MS - PREFERENCES_KEPT_AFTER_TAKEOVER_MS);
+  step->room_seen_ms = now_ms;
+}
+
 static void
 begin_sweep (struct sd_sweep *sweep, int64_t now_ms)
 {
--- a/tests/unit/test_hostd_standing_more.c
+++ b/tests/unit/test_hostd_standing_more.c
@@ -53,6 +53,19 @@
   return add_job (scene, make_spec (&rack_gang, 4000));
 }
 
+/* The time of day is that of the steady clock.  */
+static void
+hold_timed_round (struct scene *scene)
+{
+  struct sd_commands commands
+      = { .starts = g_ptr_array_new (), .stops = g_ptr_array_new () };
+
+  sd_round (scene->sched, scene->now_ms, scene->now_ms, &commands);
+  g_ptr_array_free (commands.starts, TRUE);
+  g_ptr_array_free (commands.stops, TRUE);
+  scene->now_ms += STEP_MS;
+}
+
 /* --- Looks --- */
 
 /* More units than a round looks at wait for another service, all of which is
@@ -216,6 +229,65 @@
   tear_down (&scene);
 }
 
+/* --- Terms --- */
+
+/* A term of this host that begins after PAUSE_MS without a planner; the
+   workers answer their first polls after 300 ms.  */
+static void
+take_over (struct scene *scene, int64_t pause_ms)
+{
+  uint32_t i;
+
+  scene->now_ms += pause_ms;
+  sd_begin_term (scene->sched, scene->now_ms);
+  use_workers (scene, 0, 5);
+  use_workers (scene, 1, 5);
+  scene->now_ms += 300;
+  for (i = 0; i < sd_workers (scene->sched)->len; i++)
+    sd_worker_set_reachability (worker_at (scene, i), SD_WORKER_REACHABLE);
+}
+
+static void
+test_takeover_begins_the_wait_anew (void)
+{
+  struct scene scene;
+  const struct jb_job *gang = set_up_rack_gang (&scene);
+  int64_t start_ms = scene.now_ms;
+
+  while (scene.now_ms - start_ms < 1400)
+    hold_round (&scene);
+  CU_ASSERT_PTR_NULL_FATAL (gang->tasks[0].worker);
+  take_over (&scene, 700);
+  while (gang->tasks[0].worker == NULL && scene.now_ms - start_ms < 9000)
+    hold_round (&scene);
+  CU_ASSERT_TRUE (scene.now_ms - start_ms < STANDING_MAX_MS);
+  tear_down (&scene);
+}
+
+/* Its turn comes later: it has not stood before the takeover.  */
+static void
+test_gang_loses_its_rack_by_an_earlier_takeover (void)
+{
+  struct scene scene;
+  struct jb_spec *spec = make_spec (&rack_gang, 4000);
+  const struct jb_job *gang;
+  int64_t due_ms = 5000;
+
+  set_up (&scene, 20, 5);
+  spec->has_due_time = true;
+  spec->first_due_unix_ms = due_ms; /* the clocks of the scene agree */
+  gang = add_job (&scene, spec);
+  hold_timed_round (&scene);
+  take_over (&scene, 700);
+  while (scene.now_ms < due_ms + 1000)
+    hold_timed_round (&scene);
+  CU_ASSERT_PTR_NULL (gang->tasks[0].worker);
+  while (gang->tasks[0].worker == NULL && scene.now_ms < due_ms + 9000)
+    hold_timed_round (&scene);
+  CU_ASSERT_TRUE (scene.now_ms - due_ms < STANDING_MAX_MS);
+  tear_down (&scene);
+}
+
 int
 main (void)
 {
@@ -230,6 +302,9 @@
       test_poll_of_a_lasting_task_begins_the_wait_of_others_anew },
     { "a lasting task waits for avoided workers while much is used",
       test_lasting_task_waits_for_avoided_workers_while_much_is_used },
+    { "a takeover begins the wait anew", test_takeover_begins_the_wait_anew },
+    { "a gang loses its rack by an earlier takeover",
+      test_gang_loses_its_rack_by_an_earlier_takeover },
   };
 
   return check_run ("hostd standing, more", tests, G_N_ELEMENTS (tests));
