Scheduler: one worker may have room for a job twice over

A job of one task stands for as long as the one worker that has its label is avoided, or its room reserved, however much of it is free. Cause: whether there is room twice over was counted with at most as many tasks on one worker as wait (copies_on ()), so that one worker counted once for a job of one task. Change: the room of a worker is counted up to twice the number of tasks.

--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -106,9 +106,10 @@
   struct sd_unit any = *unit;
 
   any.takes_avoided = true;
+  any.waiting_count = limit;
   if (!sd_worker_is_available (worker, &any, now_ms))
     return 0;
-  return MIN (copies_on (worker, unit, &worker->round_free_resources), limit);
+  return copies_on (worker, &any, &worker->round_free_resources);
 }
 
 static bool
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -353,8 +353,8 @@
                         struct sd_placement *placement);
 
 /*! sd_copies_without_preferences () :
- *  @return : how many waiting tasks of UNIT, at most LIMIT, WORKER has room
- * for in this round, whatever is reserved or avoided there. */
+ *  @return : how many tasks like those of UNIT, at most LIMIT, WORKER has room
+ *            for in this round, whatever is reserved or avoided there. */
 uint32_t sd_copies_without_preferences (const struct sd_worker *worker,
                                         const struct sd_unit *unit,
                                         uint32_t limit, int64_t now_ms);
--- a/tests/unit/test_hostd_standing_more.c
+++ b/tests/unit/test_hostd_standing_more.c
@@ -141,6 +141,30 @@
   tear_down (&scene);
 }
 
+/* --- Room --- */
+
+/* There is room for it several times over, on the one worker that has its
+   label, which is avoided.  */
+static void
+test_room_on_one_worker_counts_once (void)
+{
+  struct scene scene;
+  struct jb_spec *spec = make_spec (
+      &(struct fixture_step){ .count = 1, .accelerators = 1 }, 4000);
+  struct sd_worker *worker;
+  const struct jb_job *job;
+
+  set_up (&scene, 20, 5);
+  worker = worker_at (&scene, 7);
+  g_strfreev (worker->report.labels);
+  worker->report.labels = g_strsplit ("fast", ",", 0);
+  worker->avoid_until_ms = 60000;
+  spec->steps[0].label = g_strdup ("fast");
+  job = add_job (&scene, spec);
+  CU_ASSERT_TRUE (wait_for_all (&scene, job, 9000) < STANDING_MAX_MS);
+  tear_down (&scene);
+}
+
 /* --- Tasks that last --- */
 
 static struct jb_job *
@@ -296,6 +320,7 @@
       test_backlog_of_another_service_uses_up_the_looks },
     { "rounds of urgent work use up the sweeps",
       test_rounds_of_urgent_work_use_up_the_sweeps },
+    { "room on one worker counts once", test_room_on_one_worker_counts_once },
     { "a lasting task that starts begins the wait of others anew",
       test_lasting_task_that_starts_begins_the_wait_of_others_anew },
     { "a poll of a lasting task begins the wait of others anew",
