--- a/lib/sched/standing.c
+++ b/lib/sched/standing.c
@@ -12,6 +12,9 @@
      it ROOM_FACTOR times and less than half of its service is in use.  The
      other half of that time is for recording and sending the starts.  */
   PREFERENCES_KEPT_MS = 1500,
+  /* Of the work that a term begins with, which may have stood before it.  The
+     workers answer their first polls within this time.  */
+  PREFERENCES_KEPT_AFTER_TAKEOVER_MS = 500,
   ROOM_FACTOR = 2,
   /* Above one half, for resources in use here may be free at the worker.  */
   IN_USE_PERCENT_MAX = 60,
@@ -25,25 +28,73 @@
 };
 
 void
-sd_standing_begin_round (struct sd_sched *sched, int64_t now_ms)
+sd_standing_begin_term (struct jb_step *step, int64_t now_ms)
 {
-  struct sd_sweep *sweep = &sched->sweep;
+  step->beside_room_since_ms
+      = now_ms - (PREFERENCES_KEPT_MS - PREFERENCES_KEPT_AFTER_TAKEOVER_MS);
+  step->room_seen_ms = now_ms;
+}
 
-  sweep->looks_left = LOOKS_PER_ROUND_MAX;
+static void
+begin_sweep (struct sd_sweep *sweep, int64_t now_ms)
+{
   if (sweep->unfinished)
-    sweep->to_skip = sweep->done;
-  else if (now_ms - sweep->started_ms >= SWEEP_INTERVAL_MS)
-    *sweep = (struct sd_sweep){ .looks_left = LOOKS_PER_ROUND_MAX,
+    {
+      sweep->looks_left = LOOKS_PER_ROUND_MAX;
+      sweep->to_skip = sweep->done;
+      sweep->unfinished = false;
+      sweep->active = true;
+    }
+  else if (sweep->cut_short || now_ms - sweep->started_ms >= SWEEP_INTERVAL_MS)
+    *sweep = (struct sd_sweep){ .active = true,
+                                .looks_left = LOOKS_PER_ROUND_MAX,
                                 .started_ms = now_ms };
   else
-    *sweep = (struct sd_sweep){ .started_ms = sweep->started_ms };
-  sweep->unfinished = false;
+    sweep->active = false;
+}
+
+void
+sd_standing_begin_round (struct sd_sched *sched, enum sd_placing placing,
+                         int64_t now_ms)
+{
+  begin_sweep (&sched->urgent_sweep, now_ms);
+  /* Rounds that do not come to the other units must not use up their
+     sweeps.  */
+  if (placing == SD_PLACE_ALL)
+    begin_sweep (&sched->other_sweep, now_ms);
+  else
+    sched->other_sweep.active = false;
+}
+
+/* The round has left units over that the sweep would have come to.  */
+static void
+leave_sweep (struct sd_sweep *sweep)
+{
+  if (!sweep->active)
+    return;
+  if (sweep->looks_left == 0)
+    sweep->unfinished = true;
+  else
+    sweep->cut_short = true;
+}
+
+void
+sd_standing_end_round (struct sd_sched *sched,
+                       const struct sd_unit *first_left)
+{
+  if (first_left == NULL)
+    return;
+  leave_sweep (&sched->other_sweep);
+  if (first_left->priority == 0)
+    leave_sweep (&sched->urgent_sweep);
 }
 
 /* Whether it is the turn of the next unit.  */
 static bool
 takes_look (struct sd_sweep *sweep)
 {
+  if (!sweep->active)
+    return false;
   if (sweep->to_skip > 0)
     {
       sweep->to_skip--;
@@ -51,7 +102,7 @@
     }
   if (sweep->looks_left == 0)
     {
-      sweep->unfinished = sweep->done > 0;
+      sweep->unfinished = true;
       return false;
     }
   sweep->looks_left--;
@@ -88,6 +139,13 @@
          && !jb_job_has_no_runs (unit->step->job);
 }
 
+bool
+sd_may_stand (const struct sd_sched *sched, const struct sd_unit *unit)
+{
+  return (unit->step->spec->long_lived || is_little_used (sched, unit))
+         && !has_run (unit);
+}
+
 static bool
 has_room (const struct sd_sched *sched, const struct sd_unit *unit,
           int64_t now_ms)
@@ -108,13 +166,13 @@
                      int64_t now_ms)
 {
   struct jb_step *step = unit->step;
-  bool little_used = is_little_used (sched, unit);
+  bool may_stand = sd_may_stand (sched, unit);
 
-  if (!takes_look (&sched->sweep))
+  if (may_stand
+      && !takes_look (unit->priority == 0 ? &sched->urgent_sweep
+                                          : &sched->other_sweep))
     return false;
-  /* Long-lived tasks have to run however much of their service is in use.  */
-  if ((!little_used && !step->spec->long_lived) || has_run (unit)
-      || !has_room (sched, unit, now_ms))
+  if (!may_stand || !has_room (sched, unit, now_ms))
     {
       if (now_ms - step->room_seen_ms > ROOM_GAP_MS)
         step->beside_room_since_ms = 0;
@@ -125,7 +183,10 @@
     step->beside_room_since_ms = now_ms;
   unit->has_stood_too_long
       = now_ms - step->beside_room_since_ms >= PREFERENCES_KEPT_MS;
-  /* Else the sound workers are only busy.  */
-  unit->may_use_avoided = unit->has_stood_too_long && little_used;
+  /* Else the sound workers are only busy.  No number of failed runs fails the
+     job of a long-lived task.  */
+  unit->may_use_avoided
+      = unit->has_stood_too_long
+        && (step->spec->long_lived || is_little_used (sched, unit));
   return unit->has_stood_too_long;
 }
