--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -523,7 +523,21 @@
                        finished=self.outcomes[:MAX_OUTCOMES_PER_ANSWER])
 
 
-open_connections = set()
+open_connections = {}  # writer -> group
+silent_connections = set()  # writers
+
+
+def silence_connections(group):
+    """All connections of a group that are open now stay open, but are not
+    answered any more; new ones work."""
+    silent_connections.update(
+        writer for writer, other in open_connections.items()
+        if other == group)
+
+
+async def until_cancelled():
+    while True:
+        await asyncio.sleep(3600)
 
 
 def reset_connections():
@@ -532,14 +546,15 @@
         writer.transport.abort()
 
 
-async def serve(handler):
+async def serve(handler, group=None):
     """Serves HTTP on a free loopback port and returns its address, IP:PORT.
 
-    The handler gets method, target and body, and returns (status, body).
+    The handler gets method, target and body, and returns (status, body).  See
+    silence_connections() for the group.
     """
 
     async def connection(reader, writer):
-        open_connections.add(writer)
+        open_connections[writer] = group
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -549,7 +564,11 @@
                     if line.lower().startswith("content-length:"):
                         length = int(line.split(":")[1])
                 body = await reader.readexactly(length)
+                if writer in silent_connections:
+                    await until_cancelled()
                 status, answer = await handler(method, target, body)
+                if writer in silent_connections:
+                    await until_cancelled()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n"
                              % (status, len(answer)) + answer)
                 await writer.drain()
@@ -557,7 +576,8 @@
                 asyncio.CancelledError):
             pass
         finally:
-            open_connections.discard(writer)
+            open_connections.pop(writer, None)
+            silent_connections.discard(writer)
             writer.close()
 
     server = await asyncio.start_server(connection, "127.0.0.1", 0)
--- a/tests/soak/soak_waiting.py
+++ b/tests/soak/soak_waiting.py
@@ -3,20 +3,21 @@
 
   soak_waiting.py SEED [--traffic S] [--finish S] [--check S] [--load FACTOR]
                   [--hosts N] [--workers N] [--faults KINDS] [--busy N]
-                  [--timed FACTOR] [--last QUEUE] [--kill S]
-                  [--scene rack | reserved | suspect]
+                  [--timed FACTOR] [--last QUEUE] [--kill S] [--wait S]
+                  [--scene rack | reserved | suspect | silent]
                   [--kind gpu | cpu | mem_mb | cores]
 
 Hosts and workers of three data centres, wide gangs that start and end
 together, and as much traffic as the workers can just bear.  The traffic ends.
-FINISH_S later, and for CHECK_S, no accepted job may stand for WAIT_MAX_S with
+FINISH_S later, and for CHECK_S, no accepted job may stand for --wait S with
 nothing running while a step's turn has come, there is room for its waiting
 tasks twice over, and under half of the accelerators are in use.  All of this
 is judged by what the workers run, and not within CONTACT_S after a fault, or
 after a moment when this process did not run.
 
 KINDS, separated by commas: kill term freeze (hosts), busy silent lost (store),
-dark crash failing (workers), config.  Faults end before the traffic does.
+dark crash failing (workers), config, silent-workers silent-store (their open
+connections are not answered any more, nor closed; new ones work).  Faults end before the traffic does.
 --scene: a few jobs that lead to such a wait, instead of random ones.
 --timed: factor of the share of jobs that run several times, by the clock.
 --last: only this queue gets jobs in the last seconds, in a burst.
@@ -24,6 +25,8 @@
 --busy: processes that compute beside.  --kind: of what under half has to be in
 use; cases by another kind go to standard error.
 
+With silent connections as the only faults, no lease may lapse.
+
 Prints `kept`; otherwise each job that waited and each other violation, and
 exits with 1.  Jobs that waited so before FINISH_S go to standard error.
 """
@@ -59,6 +62,8 @@
 LOOK_S = 0.1
 PAUSE_S = 0.6  # for so long this process, and each worker, did not run
 STEP_S = 0.05
+# Kinds of faults, and groups of connections.
+SILENT_GROUPS = ["silent-workers", "silent-store"]
 LONG_S = 60.0
 ACCELERATOR_CPU = 8000
 SETTINGS = ("lease_ttl_ms: 6000\nlease_limit_ms: 6000\nstop_ms: 200\n"
@@ -272,6 +277,8 @@
         if self.runs.get(run.task) is not run:
             return
         super().end_run(run, outcome)
+        if outcome == "lapsed" and self.world.only_silent:
+            self.checker.violations.append(f"LAPSED {run.task} on {self.name}")
         if outcome == "failed":
             key = run.gang[0] if run.step.get("gang") else run.task
             run.job.fails[key] = run.job.fails.get(key, 0) + 1
@@ -316,6 +323,10 @@
         super().__init__(options.seed, options.traffic, False)
         self.options = options
         self.jobs, self.gangs, self.calls = {}, {}, []
+        # No fault may end a run.
+        self.only_silent = options.scene == "silent" or (
+            0 < len(options.faults) == sum(
+                kind in SILENT_GROUPS for kind in options.faults))
         self.checking = False  # FINISH_S after the traffic
         self.waits_since, self.cases = {}, {}
         self.fault_s = 0.0  # the last moment of a fault
@@ -365,13 +376,13 @@
             worker.data_centre = DATA_CENTRES[centre]
             worker.speed = self.rng.choice(SPEEDS)
             worker.address = await standin.serve(
-                standin.worker_handler(worker))
+                standin.worker_handler(worker), "silent-workers")
             self.workers.append(worker)
         self.racks = sorted({worker.rack for worker in self.workers})
         for i in range(self.options.hosts):
             name = f"front-{i}"
             store = await standin.serve(standin.store_handler(
-                self.store, name))
+                self.store, name), "silent-store")
             host = soak.Host(folder, name, store, False, LEASE_MS)
             with open(host.settings_path, encoding="utf-8") as lines:
                 kept = [line for line in lines if line.split(":")[0] in (
@@ -410,7 +421,10 @@
         and prefers one.  `reserved`: seven in ten workers have no memory
         left; then a gang that needs one more than are idle, then a small
         job.  `suspect`: a gang that fails twice, each time on other
-        workers, and has one attempt left."""
+        workers, and has one attempt left.  `silent`: so many starts at once
+        that each worker gets several connections, which go silent when half
+        of the workers are idle and the others run one long task; then two
+        gangs, one after the other."""
         def job(name, work_s, due_s=None, **step):
             made = Job.of_one_step(rng, name, work_s, **step)
             made.start_s = due_s
@@ -428,6 +442,13 @@
                        gpu=ROOM["gpu"])
             gang.failing_runs = 2
             return [(0.0, gang)]
+        if self.options.scene == "silent":
+            return [(0.0, job("settle", 1.0, count=7 * count)),
+                    (0.0, job("settle", LONG_S, count=count // 2,
+                              anti_affinity=1))] + [
+                (self.duration_s - 1, job(
+                    "route", 1.0, due_s + 5.0 * i, count=count // 4,
+                    gang=True, gpu=ROOM["gpu"])) for i in range(2)]
         full = count * 7 // 10
         return [(0.0, job("wash", LONG_S, count=full, anti_affinity=1,
                           mem_mb=ROOM["mem_mb"])),
@@ -478,13 +499,18 @@
             await asyncio.sleep(self.rng.uniform(0.3, 1.5))
             await self.inject_fault()
 
-    async def inject_fault(self):
-        kind = self.rng.choice(self.options.faults)
+    async def inject_fault(self, kind=None):
+        kind = kind or self.rng.choice(self.options.faults)
         if kind == "config":
             self.faults.append(kind)
             self.version += self.rng.randint(1, 3)
             await self.store.put("keyed.op", "config", self.config())
             return
+        if kind in SILENT_GROUPS:
+            self.faults.append(kind)
+            standin.silence_connections(kind)
+            self.fault_s = time.monotonic()
+            return
         await super().inject_fault(kind)
         self.fault_s = time.monotonic()
 
@@ -561,10 +587,10 @@
             if kind == "gpu":
                 self.longest_wait_s[self.checking] = max(
                     self.longest_wait_s[self.checking], now - since_s)
-            if now - since_s < WAIT_MAX_S or (
+            if now - since_s < self.options.wait or (
                     case and (case["late"] or not self.checking)):
                 continue
-            others = sum(now - other_s >= WAIT_MAX_S and other[1] == kind
+            others = sum(now - other_s >= self.options.wait and other[1] == kind
                          for other, (other_s, _) in
                          self.waits_since.items()) - 1
             self.cases[(name, kind)] = {
@@ -617,6 +643,8 @@
         loops.append(asyncio.create_task(self.look_again_and_again()))
         await asyncio.gather(self.submit_jobs(), self.inject_faults())
         self.show("end of the traffic")
+        if self.options.scene == "silent":
+            await self.inject_fault("silent-workers")
         loops.append(asyncio.create_task(self.kill_planner()))
         await asyncio.sleep(self.options.finish)
         await asyncio.gather(*self.calls)
@@ -658,8 +686,9 @@
     parser.add_argument("--timed", type=float, default=1.0)
     parser.add_argument("--last", choices=QUEUES)
     parser.add_argument("--kill", type=float)
-    parser.add_argument("--scene", choices=["rack", "reserved", "suspect"])
+    parser.add_argument("--scene", choices=["rack", "reserved", "suspect", "silent"])
     parser.add_argument("--kind", default="gpu")
+    parser.add_argument("--wait", type=float, default=WAIT_MAX_S)
     parser.add_argument("--busy", type=int, default=0)
     options = parser.parse_args()
     standin.HEARTBEAT_MS, standin.POLL_STEP_S = HEARTBEAT_MS, 0.03
