Workers: an acknowledgement is not resent to the next process of a worker

Cause: a renewal was sent as a repeatable request. When a worker crashed while it delayed its answer, the reused connection closed without a response and libcurl sent the renewal again, on its own and within 1 ms, to the process that had started under the same id. If it carried the number of an acknowledged outcome, the new process forgot its own outcomes up to that number, whenever it carried the call out; those that the planner had not read by then were lost, and their runs counted as gone.

Starts, stops and appends are sent in one piece, too.

test_hostd_platform (an acknowledgement is not resent to the next process) failed before with the renewal answered by the second process; test_http (a request is not resent) passes with both ways.

--- a/lib/http/http_client.c
+++ b/lib/http/http_client.c
@@ -23,8 +23,6 @@
   CURL *easy;
   struct curl_slist *headers;
   char *request_body;
-  size_t request_size_bytes;
-  size_t request_read_bytes; /* passed to libcurl so far */
   char *body;
   size_t body_size_bytes;
   size_t body_capacity_bytes;
@@ -270,25 +268,26 @@
   return size_bytes;
 }
 
-static size_t
-on_request_body (char *to, size_t unit_bytes, size_t units, void *ctx)
+/* Called before each sending of a request.  When a reused connection closes
+   without a response, libcurl resends the request on its own, although the
+   first copy may have taken effect.  */
+static int
+on_sending (void *ctx, char *server_address, char *own_address,
+            int server_port, int own_port)
 {
   struct hc_call *call = ctx;
-  size_t left_bytes = call->request_size_bytes - call->request_read_bytes;
-  size_t size_bytes = MIN (unit_bytes * units, left_bytes);
-
-  if (size_bytes > 0)
-    memcpy (to, call->request_body + call->request_read_bytes, size_bytes);
-  call->request_read_bytes += size_bytes;
-  return size_bytes;
+  long sent_bytes = 0;
+
+  (void)server_address;
+  (void)own_address;
+  (void)server_port;
+  (void)own_port;
+  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+  return sent_bytes > 0 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
-/* Prevents libcurl from repeating a request.  When a reused connection closes
-   without a response, libcurl resends the request on its own, although the
-   first copy may have taken effect.  It cannot resend a body that comes from a
-   read callback, which cannot be rewound, and it does not resend on a new
-   connection.  Hence bodies use a read callback, and requests without a body
-   other than GET use a new connection, unless the request is repeatable.  */
+/* Requests without a body other than GET use a new connection, on which
+   libcurl does not resend, unless the request is repeatable.  */
 static bool
 set_request_body (struct hc_call *call, const struct hc_request *request)
 {
@@ -299,7 +298,6 @@
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
   if (request->body == NULL)
     return true;
-  call->request_size_bytes = request->body_size_bytes;
   call->request_body = malloc (MAX (request->body_size_bytes, 1));
   if (call->request_body == NULL)
     return false;
@@ -307,12 +305,11 @@
   curl_easy_setopt (easy, CURLOPT_POST, 1L);
   curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
                     (curl_off_t)request->body_size_bytes);
-  if (request->repeatable)
-    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, call->request_body);
-  else
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, call->request_body);
+  if (!request->repeatable)
     {
-      curl_easy_setopt (easy, CURLOPT_READFUNCTION, on_request_body);
-      curl_easy_setopt (easy, CURLOPT_READDATA, call);
+      curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_sending);
+      curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
     }
   return true;
 }
--- a/lib/http/http_client.h
+++ b/lib/http/http_client.h
@@ -48,7 +48,7 @@
   const void *body;           /* copied */
   size_t body_size_bytes;
   /* The request may reach the server twice, if a reused connection closes
-     without a response.  It is sent in one piece, which costs less.  */
+     without a response.  */
   bool repeatable;
   uint32_t timeout_ms; /* from connecting to the complete response */
   uint32_t connect_timeout_ms;
--- a/tests/unit/test_hostd_platform.c
+++ b/tests/unit/test_hostd_platform.c
@@ -2,6 +2,7 @@
    ones, and queries to the advisor.  */
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -18,7 +19,8 @@
 
 enum
 {
-  MUTATIONS = 20000
+  MUTATIONS = 20000,
+  RESEND_WAIT_MS = 300 /* libcurl resends at once */
 };
 
 static const char CONFIG[]
@@ -620,6 +622,80 @@
   return NULL;
 }
 
+/* A worker that restarts: its process answers the first request of a
+   connection and ends while it has the second one; the next process answers
+   another connection, if there is one.  */
+struct restarting_worker
+{
+  int listener;
+  bool next_was_called;
+};
+
+/* @return : to be joined.  */
+static void *
+restart_during_call (void *ctx)
+{
+  static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n"
+                               "{\"clock_ms\":1}";
+  struct restarting_worker *worker = ctx;
+  struct pollfd next = { .fd = worker->listener, .events = POLLIN };
+  int connection = accept (worker->listener, NULL, NULL);
+  char bytes[4000];
+
+  if (read (connection, bytes, sizeof bytes) > 0
+      && write (connection, answer, sizeof answer - 1) > 0)
+    (void)!read (connection, bytes, sizeof bytes);
+  close (connection);
+  if (poll (&next, 1, RESEND_WAIT_MS) == 1)
+    {
+      connection = accept (worker->listener, NULL, NULL);
+      worker->next_was_called = read (connection, bytes, sizeof bytes) > 0;
+      (void)!write (connection, answer, sizeof answer - 1);
+      close (connection);
+    }
+  close (worker->listener);
+  return NULL;
+}
+
+/* Guards against an end that is forgotten before it was processed: libcurl
+   sent the acknowledgement of a former process to the next one (soak.py with
+   `reborn`, seed 105).  */
+static void
+test_acknowledgement_is_not_resent_to_the_next_process (void)
+{
+  struct poll poll = { .loop = ev_loop_new (EVFLAG_AUTO) };
+  struct wp_renew renewal = { .term = 1, .lease_deadline_ms = 1 };
+  struct pf_workers *workers = pf_workers_create (poll.loop, 16);
+  struct wp_port port = pf_workers_port (workers);
+  struct wp_target target = { .worker = "w1" };
+  struct sockaddr_in at
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t size_bytes = sizeof at;
+  struct restarting_worker worker
+      = { .listener = socket (AF_INET, SOCK_STREAM, 0) };
+  char *address;
+  GThread *thread;
+
+  CU_ASSERT_EQUAL_FATAL (bind (worker.listener, (void *)&at, sizeof at), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (worker.listener, 1), 0);
+  CU_ASSERT_EQUAL (getsockname (worker.listener, (void *)&at, &size_bytes), 0);
+  address = g_strdup_printf ("127.0.0.1:%u", ntohs (at.sin_port));
+  target.address = address;
+  thread = g_thread_new ("restarts", restart_during_call, &worker);
+  port.renew (port.ctx, &target, &renewal, 1000, on_polled, &poll);
+  ev_run (poll.loop, 0);
+  CU_ASSERT_EQUAL (poll.result, WP_DONE);
+  renewal.acked_outcome_number = 28;
+  port.renew (port.ctx, &target, &renewal, 1000, on_polled, &poll);
+  ev_run (poll.loop, 0);
+  g_thread_join (thread);
+  CU_ASSERT_EQUAL (poll.result, WP_NO_ANSWER);
+  CU_ASSERT_FALSE (worker.next_was_called);
+  pf_workers_free (workers);
+  ev_loop_destroy (poll.loop);
+  g_free (address);
+}
+
 /* Such a renewal may have extended the lease, although libcurl sends it again
    and finds no connection then.  */
 static void
@@ -755,6 +831,8 @@
       test_start_without_connection_is_not_sent },
     { "a renewal that libcurl repeats may have been sent",
       test_repeated_renewal_may_have_been_sent },
+    { "an acknowledgement is not resent to the next process",
+      test_acknowledgement_is_not_resent_to_the_next_process },
     { "the configuration is decoded", test_configuration_is_decoded },
     { "a worker's entry is decoded", test_worker_entry_is_decoded },
     { "odd entries name no worker", test_odd_worker_entries_name_no_worker },
