Soak: two soaks do not use the same port

Cause: a port was tried and then closed, until its host was started or started again; another soak, or a later host of the same one, could choose it meanwhile. Of 42 ports (soak-waiting.t starts two soaks at once) two are the same in 7% of draws (20,000 drawn).

Now a socket that does not listen stays bound to each port until the soak ends. Another soak's bind () fails, and that of the host succeeds, for it sets SO_REUSEADDR.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -96,17 +96,25 @@
 BUILD = os.environ.get("BUILD", "build")
 
 
-def free_port():
-    """Returns a port that no outgoing connection takes meanwhile, for it is
-    below the kernel's range for these."""
+reserved_sockets = []
+
+
+def reserve_port():
+    """Returns a port that no outgoing connection takes, for it is below the
+    kernel's range for these, and that no other soak reserves until this
+    process ends: a socket that does not listen stays bound to it, beside which
+    only a socket with SO_REUSEADDR, such as that of a host, may be bound."""
     while True:
         port = random.SystemRandom().randrange(*LISTEN_PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                continue
+        reserved = socket.socket()
+        try:
+            reserved.bind(("127.0.0.1", port))
+        except OSError:
+            reserved.close()
+            continue
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved_sockets.append(reserved)
+        return port
 
 
 def unread_pipe():
@@ -118,15 +126,15 @@
 
 class Host:
     def __init__(self, folder, name, store, unread, limit_ms):
-        self.name, self.port = name, free_port()
+        self.name, self.port = name, reserve_port()
         self.settings_path = os.path.join(folder, name + ".yaml")
         self.log_path = os.path.join(folder, name + ".log")
         self.output = unread_pipe() if unread else open(self.log_path, "ab")
         with open(self.settings_path, "w", encoding="utf-8") as out:
             out.write(f"host: {name}\ndata_centre: dc\n"
                       f"callers: 127.0.0.1:{self.port}\n"
-                      f"readiness: 127.0.0.1:{free_port()}\n"
-                      f"metrics: 127.0.0.1:{free_port()}\n"
+                      f"readiness: 127.0.0.1:{reserve_port()}\n"
+                      f"metrics: 127.0.0.1:{reserve_port()}\n"
                       f"store: {store}\nlease_ttl_ms: {LEASE_MS}\n"
                       f"lease_limit_ms: {limit_ms}\n"
                       f"worker_heartbeat_ms: {standin.HEARTBEAT_MS}\n"
--- a/tests/soak/worker_list.py
+++ b/tests/soak/worker_list.py
@@ -64,7 +64,7 @@
     await run_soak.start(folder)
     for host in run_soak.hosts[1:]:
         await host.stop(9)
-    dead_address = f"127.0.0.1:{soak.free_port()}"
+    dead_address = f"127.0.0.1:{soak.reserve_port()}"
     for number in range(ENTRY_COUNT):
         await run_soak.store.put("keyed.servers", "useless-%d" % number,
                                  useless_entry(number, dead_address))
