Soak: a host that does not end is a violation; all hosts are stopped after an error

By reading, beside the soak that hung: a soak waited without a limit for a host to end after a signal, so that a daemon that does not end on SIGTERM would have hung the whole run instead of failing it; and an error in soak.py left the hosts running.

Now a host has 30 s (shutdown_ms is 5 s by default), then it is killed and is a violation. soak.py stops the hosts after an error, too, as soak_waiting.py does. No daemon that did not end was seen.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -87,6 +87,9 @@
 # time of the status calls comes on top.
 COMPLETION_TIMEOUT_S = 25
 
+# A host ends in shutdown_ms, 5 s by default, after SIGTERM.
+STOP_MAX_S = 30.0
+
 # Statuses of calls without a status.
 NO_WHOLE_ANSWER = 0
 NO_CONNECTION = -1
@@ -125,7 +128,11 @@
 
 
 class Host:
-    def __init__(self, folder, name, store, unread, limit_ms):
+    """A process of the daemon.  violations: list to which it is added if the
+    daemon does not end in time."""
+
+    def __init__(self, folder, name, store, unread, limit_ms, violations):
+        self.violations = violations
         self.name, self.port = name, reserve_port()
         self.settings_path = os.path.join(folder, name + ".yaml")
         self.log_path = os.path.join(folder, name + ".log")
@@ -154,9 +161,19 @@
             self.being_killed = signal_number == signal.SIGKILL
             self.process.send_signal(signal.SIGCONT)
             self.process.send_signal(signal_number)
-            await self.process.wait()
+            await self.wait_until_ended(signal_number)
             self.being_killed = False
 
+    async def wait_until_ended(self, signal_number):
+        ended = asyncio.create_task(self.process.wait())
+        await asyncio.wait([ended], timeout=STOP_MAX_S)
+        if not ended.done():
+            self.violations.append(
+                f"{self.name} has not ended {STOP_MAX_S} s after signal "
+                f"{signal_number}")
+            self.process.kill()
+        await ended
+
 
 def call(host, method, job, body=None, queue="q", key="k"):
     request = urllib.request.Request(
@@ -252,7 +269,7 @@
                                     standin.worker_handler(worker)))
         limit_ms = LEASE_MS if self.cuts else standin.LEASE_LIMIT_MS
         self.hosts.append(Host(folder, name, store, self.output_unread,
-                               limit_ms))
+                               limit_ms, self.checker.violations))
         await self.hosts[-1].start()
 
     async def run_workers(self):
@@ -561,6 +578,14 @@
         return incomplete
 
     async def run(self, folder):
+        try:
+            return await self.run_hosts(folder)
+        finally:
+            for host in self.hosts:
+                if host.process:
+                    await host.stop(signal.SIGTERM)
+
+    async def run_hosts(self, folder):
         await self.start(folder)
         await asyncio.sleep(1.5)
         worker_loop = asyncio.create_task(self.run_workers())
@@ -595,8 +620,6 @@
         if self.idle and refused > 0:
             self.checker.violations.append(
                 f"{refused} starts refused as late without a fault")
-        for host in self.hosts:
-            await host.stop(signal.SIGTERM)
         return incomplete
 
 
--- a/tests/soak/soak_waiting.py
+++ b/tests/soak/soak_waiting.py
@@ -373,7 +373,8 @@
             name = f"front-{i}"
             store = await standin.serve(standin.store_handler(
                 self.store, name))
-            host = soak.Host(folder, name, store, False, LEASE_MS)
+            host = soak.Host(folder, name, store, False, LEASE_MS,
+                             self.checker.violations)
             with open(host.settings_path, encoding="utf-8") as lines:
                 kept = [line for line in lines if line.split(":")[0] in (
                     "host", "callers", "readiness", "metrics", "store")]
