Scheduler: a plan to preempt counts the tasks of its step on a worker

Urgent work of which some tasks run, with a limit of tasks per worker, stops other work again and again on workers that may take no further task of it, and keeps what is idle there from all other work for as long as it waits. Cause: a plan counted only the tasks that it places itself against the limit (judge_candidate ()), not those that are on the worker already. Change: both count.

--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -66,8 +66,8 @@
          && sd_advice_has_ticket (unit->advice, worker->report.id, now_ms);
 }
 
-static uint32_t
-count_tasks_of_step (const struct sd_worker *worker,
+uint32_t
+sd_tasks_of_step_on (const struct sd_worker *worker,
                      const struct jb_step *step)
 {
   uint32_t count = 0;
@@ -90,7 +90,7 @@
 
   if (spec->tasks_per_worker_limit > 0)
     {
-      there = count_tasks_of_step (worker, unit->step);
+      there = sd_tasks_of_step_on (worker, unit->step);
       if (there >= spec->tasks_per_worker_limit)
         return 0;
       limit = MIN (limit, spec->tasks_per_worker_limit - there);
--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -344,7 +344,10 @@
 
   candidate->judged = true;
   candidate->fits
-      = (limit == 0 || count_planned_on (plan, candidate->worker) < limit)
+      = (limit == 0
+         || count_planned_on (plan, candidate->worker)
+                    + sd_tasks_of_step_on (candidate->worker, unit->step)
+                < limit)
         && find_victims (unit, plan, candidate, now_ms, &victims);
   candidate->loss = candidate->fits ? victims.loss : 0;
 }
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -352,6 +352,11 @@
                         const struct sd_unit *unit, int64_t now_ms,
                         struct sd_placement *placement);
 
+/*! sd_tasks_of_step_on () :
+ *  @return : how many tasks of STEP are placed or stopping on WORKER. */
+uint32_t sd_tasks_of_step_on (const struct sd_worker *worker,
+                              const struct jb_step *step);
+
 /*! sd_copies_without_preferences () :
  *  @return : how many tasks like those of UNIT, at most LIMIT, WORKER has room
  *            for in this round, whatever is reserved or avoided there. */
--- a/tests/unit/test_hostd_standing_more.c
+++ b/tests/unit/test_hostd_standing_more.c
@@ -4,6 +4,15 @@
 #include "check.h"
 #include "room_fixture.h"
 
+static const char LABEL[] = "fast";
+
+static void
+label_worker (struct sd_worker *worker)
+{
+  g_strfreev (worker->report.labels);
+  worker->report.labels = g_strsplit (LABEL, ",", 0);
+}
+
 static struct sd_worker *
 worker_at (const struct scene *scene, uint32_t index)
 {
@@ -156,15 +165,67 @@
 
   set_up (&scene, 20, 5);
   worker = worker_at (&scene, 7);
-  g_strfreev (worker->report.labels);
-  worker->report.labels = g_strsplit ("fast", ",", 0);
+  label_worker (worker);
   worker->avoid_until_ms = 60000;
-  spec->steps[0].label = g_strdup ("fast");
+  spec->steps[0].label = g_strdup (LABEL);
+  job = add_job (&scene, spec);
+  CU_ASSERT_TRUE (wait_for_all (&scene, job, 9000) < STANDING_MAX_MS);
+  tear_down (&scene);
+}
+
+/* An urgent job of two tasks, of which one fits on the one worker that has
+   their label, since a worker takes one.  */
+static void
+add_urgent_job_for_two_workers (struct scene *scene)
+{
+  struct jb_spec *spec = make_spec (
+      &(struct fixture_step){ .count = 2, .accelerators = 4 }, 4000);
+
+  label_worker (worker_at (scene, 0));
+  g_free (spec->queue);
+  spec->queue = g_strdup ("urgent");
+  spec->steps[0].label = g_strdup (LABEL);
+  spec->steps[0].tasks_per_worker_limit = 1;
+  add_job (scene, spec);
+}
+
+static void
+test_room_is_kept_for_a_task_beyond_the_limit_per_worker (void)
+{
+  struct scene scene;
+  struct jb_spec *spec = make_spec (
+      &(struct fixture_step){ .count = 1, .accelerators = 1 }, 4000);
+  const struct jb_job *job;
+
+  set_up (&scene, 2, 2);
+  add_urgent_job_for_two_workers (&scene);
+  hold_round (&scene);
+  hold_round (&scene);
+  spec->steps[0].label = g_strdup (LABEL);
   job = add_job (&scene, spec);
   CU_ASSERT_TRUE (wait_for_all (&scene, job, 9000) < STANDING_MAX_MS);
   tear_down (&scene);
 }
 
+static void
+test_work_is_stopped_for_a_task_beyond_the_limit_per_worker (void)
+{
+  struct scene scene;
+  const struct jb_job *job;
+
+  set_up (&scene, 1, 1);
+  job = add_job (
+      &scene,
+      make_spec (&(struct fixture_step){ .count = 1, .accelerators = 4 },
+                 4000));
+  hold_round (&scene);
+  add_urgent_job_for_two_workers (&scene);
+  while (scene.now_ms < 5000)
+    hold_round (&scene);
+  CU_ASSERT_EQUAL (job->tasks[0].state, JB_TASK_PLACED);
+  tear_down (&scene);
+}
+
 /* --- Tasks that last --- */
 
 static struct jb_job *
@@ -321,6 +382,10 @@
     { "rounds of urgent work use up the sweeps",
       test_rounds_of_urgent_work_use_up_the_sweeps },
     { "room on one worker counts once", test_room_on_one_worker_counts_once },
+    { "room is kept for a task beyond the limit per worker",
+      test_room_is_kept_for_a_task_beyond_the_limit_per_worker },
+    { "work is stopped for a task beyond the limit per worker",
+      test_work_is_stopped_for_a_task_beyond_the_limit_per_worker },
     { "a lasting task that starts begins the wait of others anew",
       test_lasting_task_that_starts_begins_the_wait_of_others_anew },
     { "a poll of a lasting task begins the wait of others anew",
