--- a/tests/unit/test_hostd_standing_mixed.c
+++ b/tests/unit/test_hostd_standing_mixed.c
@@ -158,8 +158,8 @@
   step->gang = draws (day, 0.6);
   step->one_rack = step->gang && draws (day, 0.6);
   step->resources = (struct jb_resources){
-    .cpus_milli = g_rand_int_range (day->rand, 4, 60) * 1000,
-    .memory_mib = g_rand_int_range (day->rand, 8, 120) * 1000,
+    .cpus_milli = g_rand_int_range (day->rand, 4, 60) * INT64_C (1000),
+    .memory_mib = g_rand_int_range (day->rand, 8, 120) * INT64_C (1000),
     .accelerators
     = office ? 0 : accelerators[g_rand_int_range (day->rand, 0, 4)]
   };
