--- a/tests/unit/test_hostd_standing_mixed.c
+++ b/tests/unit/test_hostd_standing_mixed.c
@@ -286,7 +286,8 @@
       sim->labelled = i % 3 != 0;
       sim->office = i >= DESK_WORKERS;
       sim->heartbeat_offset_ms
-          = g_rand_int_range (day->rand, 0, HEARTBEAT_MS / STEP_MS) * STEP_MS;
+          = (int64_t)STEP_MS
+            * g_rand_int_range (day->rand, 0, HEARTBEAT_MS / STEP_MS);
       sim->lost_until_ms = 0;
       sim->failing = fault > 0.92;
       sim->slow = fault > 0.84 && !sim->failing;
@@ -756,8 +757,8 @@
   draw_workers (day);
   day->takeover_ms = seed % 2 == 0
                          ? INT64_MAX
-                         : g_rand_int_range (day->rand, 2000, TRAFFIC_END_MS)
-                               / STEP_MS * STEP_MS;
+                         : g_rand_int_range (day->rand, 2000, TRAFFIC_END_MS);
+  day->takeover_ms -= day->takeover_ms % STEP_MS;
 }
 
 static void
