Scheduler: workers out of touch do not count as use of a service

What callers saw: nothing yet; found by reading. While many workers are out of touch, a gang that prefers one rack stands beside room for it on the others, of which less than half is in use, until the runs on the lost workers are given up (6.3 s). Cause: what is in use of a service included workers out of touch, all of whose runs are believed to be there until their leases have lapsed. Change: only workers that are in touch, or not called yet under this term, count, by what they have and what is in use. Result: the new test failed before (build/unit/test_hostd_standing_more: 1 of 11) and passes now.

--- a/lib/sched/accounting.c
+++ b/lib/sched/accounting.c
@@ -126,7 +126,7 @@
       struct sd_service_use *use = &g_array_index (
           sched->service_uses, struct sd_service_use, worker->service_index);
 
-      if (!worker->listed)
+      if (!worker->listed || worker->reachability == SD_WORKER_UNREACHABLE)
         continue;
       sd_resources_add (&use->used, &worker->used_resources);
       sd_resources_add (&use->capacity, &worker->report.resources);
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -46,7 +46,8 @@
   SD_SUSPECT_EXCLUSIVE_MS = 600,
 };
 
-/* What the listed workers of a service have, and what is in use there.  */
+/* What the listed workers of a service have that are in touch, and what is in
+   use there.  */
 struct sd_service_use
 {
   struct jb_resources used;
--- a/tests/unit/test_hostd_standing_more.c
+++ b/tests/unit/test_hostd_standing_more.c
@@ -173,6 +173,30 @@
   tear_down (&scene);
 }
 
+/* Workers that are out of touch, all of which is in use as far as is known
+   until their leases have lapsed; of the others less than half is.  */
+static void
+test_workers_out_of_touch_count_as_use (void)
+{
+  struct scene scene;
+  const struct jb_job *gang;
+  uint32_t i;
+
+  set_up (&scene, 35, 5);
+  use_workers (&scene, 0, 5);
+  use_workers (&scene, 1, 5);
+  for (i = 20; i < 35; i++)
+    {
+      worker_at (&scene, i)->used_resources
+          = worker_at (&scene, i)->report.resources;
+      sd_worker_set_reachability (worker_at (&scene, i),
+                                  SD_WORKER_UNREACHABLE);
+    }
+  gang = add_job (&scene, make_spec (&rack_gang, 4000));
+  CU_ASSERT_TRUE (wait_for_all (&scene, gang, 9000) < STANDING_MAX_MS);
+  tear_down (&scene);
+}
+
 /* An urgent job of two tasks, of which one fits on the one worker that has
    their label, since a worker takes one.  */
 static void
@@ -382,6 +406,8 @@
     { "rounds of urgent work use up the sweeps",
       test_rounds_of_urgent_work_use_up_the_sweeps },
     { "room on one worker counts once", test_room_on_one_worker_counts_once },
+    { "workers out of touch count as use",
+      test_workers_out_of_touch_count_as_use },
     { "room is kept for a task beyond the limit per worker",
       test_room_is_kept_for_a_task_beyond_the_limit_per_worker },
     { "work is stopped for a task beyond the limit per worker",
