Scheduler: a refused start of a long-lived task does not begin its wait anew

Tasks that last are placed in one round; one begins, the start of another is refused, and that one stands for 1.5 s more. Cause: the wait of the step ended when a run began while no other task waited; a task whose start had not been answered did not count as waiting. Change: it ends once each task of the step has a confirmed run.

--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -363,12 +363,12 @@
 /* Whether a run that begins ends the wait of its whole step.  Of a long-lived
    step each task has to run.  */
 static bool
-none_waits (const struct jb_step *step)
+ends_wait_of_step (const struct jb_step *step)
 {
   uint32_t i;
 
   for (i = 0; step->spec->long_lived && i < step->spec->count; i++)
-    if (step->tasks[i].state == JB_TASK_WAITING)
+    if (!step->tasks[i].confirmed)
       return false;
   return true;
 }
@@ -381,7 +381,7 @@
   if (!task->confirmed)
     task->started_ms = now_ms;
   task->confirmed = true;
-  if (none_waits (task->step))
+  if (ends_wait_of_step (task->step))
     task->step->beside_room_since_ms = 0;
   if (!job->started)
     {
--- a/tests/unit/test_hostd_standing_more.c
+++ b/tests/unit/test_hostd_standing_more.c
@@ -318,6 +318,41 @@
   tear_down (&scene);
 }
 
+/* Both are placed in one round; the start of the second one is refused after
+   the first one has begun.  */
+static void
+test_refused_start_of_a_lasting_task_begins_its_wait_anew (void)
+{
+  struct scene scene;
+  struct sd_commands commands
+      = { .starts = g_ptr_array_new (), .stops = g_ptr_array_new () };
+  struct jb_job *lasting;
+  int64_t start_ms;
+  uint32_t i;
+
+  set_up (&scene, 20, 5);
+  use_workers (&scene, 0, 2);
+  for (i = 1; i < 20; i += 2)
+    worker_at (&scene, i)->avoid_until_ms = 60000;
+  lasting = add_lasting_job (&scene, 2);
+  start_ms = scene.now_ms;
+  while (commands.starts->len < 2 && scene.now_ms - start_ms < 9000)
+    {
+      sd_round (scene.sched, scene.now_ms, 0, &commands);
+      scene.now_ms += STEP_MS;
+    }
+  CU_ASSERT_EQUAL_FATAL (commands.starts->len, 2);
+  sd_task_running (scene.sched, &lasting->tasks[0], scene.now_ms);
+  sd_task_refused (scene.sched, &lasting->tasks[1], SD_REFUSED_OTHER,
+                   scene.now_ms);
+  while (lasting->tasks[1].worker == NULL && scene.now_ms - start_ms < 9000)
+    hold_round (&scene);
+  CU_ASSERT_TRUE (scene.now_ms - start_ms < STANDING_MAX_MS);
+  g_ptr_array_free (commands.starts, TRUE);
+  g_ptr_array_free (commands.stops, TRUE);
+  tear_down (&scene);
+}
+
 /* The platform's rule holds for it however full the service is, and no number
    of failed runs fails its job.  */
 static void
@@ -416,6 +451,8 @@
       test_lasting_task_that_starts_begins_the_wait_of_others_anew },
     { "a poll of a lasting task begins the wait of others anew",
       test_poll_of_a_lasting_task_begins_the_wait_of_others_anew },
+    { "a refused start of a lasting task begins its wait anew",
+      test_refused_start_of_a_lasting_task_begins_its_wait_anew },
     { "a lasting task waits for avoided workers while much is used",
       test_lasting_task_waits_for_avoided_workers_while_much_is_used },
     { "a takeover begins the wait anew", test_takeover_begins_the_wait_anew },
