LOST: tasks that last are never given up for lost runs

Cause: sd_runs_lost () counts crashes and lost runs without looking at the kind of task, as handle_task_failed () does for failed runs. Such tasks are to be restarted however their runs end, and have no limit of attempts.

Fix: they are not given up. From two crashes on they are placed on workers without other runs first, so that a crash takes no other job's run with it; where there is none they still start, for they have to run again within seconds. A growing delay between their starts was weighed and left: a crash is known 3.5 to 6.2 s after it, and the next run is owed 9 s after the last one.

--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -64,7 +64,8 @@
     }
 }
 
-/* SUSPECT_JOB: of find_suspect_job ().  */
+/* Tasks that last are restarted however their runs end.
+   SUSPECT_JOB: of find_suspect_job ().  */
 static bool
 must_be_given_up (const struct sd_worker_loss *loss,
                   const struct jb_task *task, const struct jb_job *suspect_job)
@@ -72,6 +73,8 @@
   bool crashed_alone
       = loss->crashed && task->job == suspect_job && is_suspect (loss, task);
 
+  if (task->step->spec->long_lived)
+    return false;
   return (crashed_alone && task->crashes >= CRASH_LIMIT)
          || task->lost_runs >= LOST_RUN_LIMIT;
 }
@@ -117,6 +120,12 @@
   return task->crashes > 0;
 }
 
+bool
+sd_crash_prefers_idle (const struct jb_task *task)
+{
+  return task->step->spec->long_lived && task->crashes >= CRASH_LIMIT;
+}
+
 bool
 sd_crash_has_starting_run (const struct sd_worker *worker, int64_t now_ms)
 {
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -140,6 +140,20 @@
   return false;
 }
 
+static bool
+prefers_idle (const struct jb_step *step)
+{
+  uint32_t i;
+
+  if (!step->spec->long_lived)
+    return false;
+  for (i = 0; i < step->spec->count; i++)
+    if (step->tasks[i].state == JB_TASK_WAITING
+        && sd_crash_prefers_idle (&step->tasks[i]))
+      return true;
+  return false;
+}
+
 static int
 compare_units (const void *a, const void *b)
 {
@@ -228,6 +242,7 @@
       unit.last_attempt = is_last_attempt (step, queue);
       unit.avoids_suspects = sched->suspects_are_few;
       unit.starts_alone = must_start_alone (step);
+      unit.prefers_idle = prefers_idle (step);
       unit.uses_reserved
           = unit.priority == 0
             || sd_is_utilization_low (sched, unit.service_index);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -139,14 +139,17 @@
   return false;
 }
 
-/* Remote workers come last; then those where best-effort and serving tasks
-   would share the worker, or with recent failures.  A step that has failed
-   before prefers workers that have finished a run.  */
+/* Workers with other runs come last for a step that may crash them; then
+   remote workers; then those where best-effort and serving tasks would share
+   the worker, or with recent failures.  A step that has failed before prefers
+   workers that have finished a run.  */
 static uint32_t
 placement_penalty (const struct sd_worker *worker, const struct sd_unit *unit)
 {
   uint32_t penalty = 0;
 
+  if (unit->prefers_idle && worker->tasks->len > 0)
+    penalty += 16;
   if (is_remote (worker, unit->step->spec))
     penalty += 4;
   if (would_interfere (worker, unit->step->spec))
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -228,6 +228,11 @@
  *  @return : whether a worker has crashed when TASK had just started there. */
 bool sd_crash_is_suspect (const struct jb_task *task);
 
+/*! sd_crash_prefers_idle () :
+ *  @return : whether TASK, which is not given up, has crashed so many workers
+ *            that it should start where it takes no other run with it. */
+bool sd_crash_prefers_idle (const struct jb_task *task);
+
 /*! sd_crash_has_starting_run () :
  *  A suspect must not start on such a worker.
  *  @return : whether a run on WORKER has just been placed or started. */
@@ -266,6 +271,7 @@
   bool avoids_suspects;     /* it is not placed on suspect workers */
   bool starts_alone;  /* it has a suspect task, see crash.c, and is placed only
                          where no run is starting */
+  bool prefers_idle;  /* it is placed on workers without other runs first */
   bool uses_reserved; /* it is also placed in what is reserved for gangs */
   bool has_stood_too_long; /* its preferences are not kept any more */
   bool may_use_avoided;    /* then also on avoided and suspect workers */
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -252,7 +252,8 @@
 
 /*! sd_runs_lost () :
  *  Has lost runs wait for workers again, and counts them and the crashes.  The
- *  job of a task that has crashed too many workers has failed; see crash.c.
+ *  job of a task that has crashed too many workers has failed, unless the task
+ *  is long-lived; see crash.c.
  *  @given_up : struct jb_task: the tasks for which a job has failed are
  *              added. */
 void sd_runs_lost (struct sd_sched *sched, const struct sd_worker_loss *loss,
--- a/tests/unit/test_hostd_crashes.c
+++ b/tests/unit/test_hostd_crashes.c
@@ -606,6 +606,72 @@
   tear_down (&setup);
 }
 
+static struct jb_job *
+add_lasting_job (struct setup *setup, const char *id)
+{
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", &step);
+  struct jb_job *job;
+
+  spec->steps[0].long_lived = true;
+  job = jb_table_add (setup->table, id, spec, 0);
+  sd_job_added (setup->sched, job);
+  return job;
+}
+
+/* LOST (review/5): a task that lasts was not started again after two crashes,
+   and its job was shown as failed.  */
+static void
+test_lasting_task_is_not_given_up (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+  uint32_t proven;
+
+  for (proven = 0; proven < 2; proven++)
+    {
+      set_up (&setup);
+      job = add_lasting_job (&setup, JOB);
+      CU_ASSERT_EQUAL (
+          crash_workers (&setup, &job->tasks[0], proven == 1, false),
+          TRIES_MAX);
+      CU_ASSERT_EQUAL (job->state, JB_RUNNING);
+      tear_down (&setup);
+    }
+}
+
+/* Each crash of such a task took the runs of other jobs with it.  */
+static void
+test_lasting_task_that_crashes_workers_starts_on_an_idle_one (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+  struct jb_job *other;
+  struct sd_worker *busy;
+  struct sd_worker *worker;
+  uint32_t crashes;
+
+  set_up (&setup);
+  busy = add_worker (&setup);
+  other = start_other_job (&setup, 1);
+  job = add_lasting_job (&setup, JOB);
+  for (crashes = 0; crashes < 3; crashes++)
+    {
+      worker = add_worker (&setup);
+      if (crashes < 2) /* so that it starts there */
+        busy->report.resources.accelerators = 1;
+      else
+        busy->report.resources.accelerators = 8;
+      CU_ASSERT_EQUAL_FATAL (run_round (&setup), 1);
+      CU_ASSERT_PTR_EQUAL (worker_of (&setup, &job->tasks[0]), worker);
+      start_task (&setup, &job->tasks[0]);
+      lose_worker (&setup, worker);
+      answer_by_another_process (&setup, worker);
+    }
+  CU_ASSERT_EQUAL (other->tasks[0].state, JB_TASK_PLACED);
+  tear_down (&setup);
+}
+
 int
 main (void)
 {
@@ -634,6 +700,9 @@
       test_returning_workers_do_not_fail_a_job },
     { "a gang that crashes workers is given up",
       test_gang_that_crashes_workers_is_given_up },
+    { "a lasting task is not given up", test_lasting_task_is_not_given_up },
+    { "a lasting task that crashes workers starts on an idle one",
+      test_lasting_task_that_crashes_workers_starts_on_an_idle_one },
   };
 
   return check_run ("hostd crashes", tests, G_N_ELEMENTS (tests));
