Workers: an acknowledgement follows its answer within 100 ms

Cause: outcomes were acknowledged up to 1.1 s after they had been listed.

Change: 100 ms; an append to the store usually takes some milliseconds. After them the worker is polled without a number. It lists the outcomes again at once, or shows that it has restarted, and the number goes out after that.

Cost: one more call, answered at once, for outcomes that take the store longer than that, and for a worker that gets work again 0.1 to 1.1 s after its last run.

test_hostd_restarts (an idle worker is polled before an acknowledgement) waits 150 ms now in place of 1,150 and failed before.

--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -44,8 +44,9 @@
      store takes for an answer.  */
   STORE_WAIT_MS = 1000,
   /* Outcomes are acknowledged no later after the answer that listed them, for
-     the worker may restart unnoticed: somewhat longer than STORE_WAIT_MS.  */
-  ACKNOWLEDGE_WITHIN_MS = 1100,
+     the worker may restart unnoticed.  Longer than a store usually takes;
+     otherwise the worker is polled first, and lists them again at once.  */
+  ACKNOWLEDGE_WITHIN_MS = 100,
   /* Outlasts a store that does not answer for 4.5 s while the planner is lost,
      and a takeover of 1 s.  */
   LEASE_MAX_MS = 6000,
--- a/tests/unit/test_hostd_restarts.c
+++ b/tests/unit/test_hostd_restarts.c
@@ -20,7 +20,7 @@
   START_EXPIRED_MS = 1300, /* no start by the known clock can arrive */
   /* After this and LEASE_IS_OVER_MS a lease of an earlier planner is over.  */
   EARLIER_LEASE_MS = 1500,
-  IDLE_MS = 1150,           /* an acknowledgement is too late after it */
+  IDLE_MS = 150,            /* an acknowledgement is too late after it */
   POLL_AGAIN_MS = 260,      /* of an unreachable worker */
   FORMER_STARTED_MS = 1000, /* of the former process, any number */
   FORMER_CLOCK_MS = 60000,
