Workers: a clock that has gone back shows a restart

What callers saw: a task that had ended `done` was started again (AFTER DONE of soak-reborn.t): a new process of a worker, which the planner took for the former one, carried out an acknowledgement of the former one's outcomes late, and forgot the ends of starts that it had got beside it.

Cause: the answers to those starts came at once and had the clock of the new process, but only polls and reports were looked at for restarts, and no poll was sent while the acknowledgement had no answer (up to its wait and 700 ms).

Change: an answer to a start or a stop whose clock is behind the one that was read before the call was sent is of another process, however late it is. The worker is then polled first, once, as after a report that shows a restart; in both cases a poll that is under way is not waited for, and its answer is not read. A clock is forgotten with its process.

Tests (test_hostd_restarts), each seen to fail without its part: a restart is noticed by the clock of a start; a new process is polled beside an acknowledgement; a new process is polled once; the clock of the former process shows no restart. A delayed answer shows no restart.

--- a/programs/foxtailgap-hostd/worker_commands.c
+++ b/programs/foxtailgap-hostd/worker_commands.c
@@ -28,7 +28,8 @@
     goto done;
   worker = sd_worker_find (workers->params.sched, call->worker);
   if (worker != NULL && worker->driver_data != NULL)
-    wk_update_clock (worker->driver_data, answer, clk_monotonic_ms (NULL));
+    wk_clock_answered (worker->driver_data, call, answer,
+                       clk_monotonic_ms (NULL));
   if (answer->result == WP_FENCED)
     {
       workers->params.fenced (workers->params.ctx);
--- a/programs/foxtailgap-hostd/worker_process.c
+++ b/programs/foxtailgap-hostd/worker_process.c
@@ -146,6 +146,7 @@
       doubt_unconfirmed_starts (io);
     }
   sd_worker_process (io->worker, answer->worker_started_ms);
+  io->clock.clock_ms = -1; /* was the former process's */
   io->outcome_processed = 0;
   io->outcome_stored = 0;
   io->outcome_acked = 0;
@@ -158,6 +159,19 @@
          && task->worker_started_ms != io->worker->process_started_ms;
 }
 
+/* No start and no acknowledgement is sent until the process has answered.  A
+   poll in flight is not waited for: the new process may have it and answer it
+   late, and forget outcomes meanwhile that it has not listed.  */
+static void
+poll_new_process_first (struct worker_io *io, int64_t now_ms)
+{
+  wk_extend_lease_to_limit (io, now_ms);
+  io->clock.clock_ms = -1;
+  io->renewal = NULL;
+  if (io->worker->reachability == SD_WORKER_REACHABLE)
+    sd_worker_set_reachability (io->worker, SD_WORKER_UNSEEN);
+}
+
 void
 wk_worker_reported (struct worker_calls *workers, struct sd_worker *worker)
 {
@@ -173,8 +187,33 @@
     return;
   lg_info (PART, "A worker's report shows a restart; it is polled first.",
            "worker", worker->report.id, NULL);
-  wk_extend_lease_to_limit (io, clk_monotonic_ms (NULL));
-  io->clock.clock_ms = -1;
-  if (worker->reachability == SD_WORKER_REACHABLE)
-    sd_worker_set_reachability (worker, SD_WORKER_UNSEEN);
+  poll_new_process_first (io, clk_monotonic_ms (NULL));
+}
+
+/* The call was sent after the clock had been read, so that the same process
+   would have a later time, however late the answer is.  */
+static bool
+clock_went_back (const struct worker_io *io, const struct wk_call *call,
+                 const struct wp_answer *answer)
+{
+  return answer->worker_clock_ms >= 0 && answer->result != WP_WRONG_WORKER
+         && io->worker->reachability == SD_WORKER_REACHABLE
+         && wk_call_is_of_process (call, io)
+         && answer->worker_clock_ms < call->worker_clock_ms;
+}
+
+void
+wk_clock_answered (struct worker_io *io, const struct wk_call *call,
+                   const struct wp_answer *answer, int64_t now_ms)
+{
+  if (!clock_went_back (io, call, answer))
+    {
+      wk_update_clock (io, answer, now_ms);
+      return;
+    }
+  lg_info (PART, "A worker's clock shows a restart; it is polled first.",
+           "worker", io->worker->report.id, "clock_ms",
+           lg_number (answer->worker_clock_ms), "earlier_clock_ms",
+           lg_number (call->worker_clock_ms), NULL);
+  poll_new_process_first (io, now_ms);
 }
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -193,7 +193,7 @@
              lg_number (call->clock_age_ms), "worker_clock_ms",
              lg_number (answer->worker_clock_ms), NULL);
   if (worker != NULL && worker->driver_data != NULL)
-    wk_update_clock (worker->driver_data, answer, clk_monotonic_ms (NULL));
+    wk_clock_answered (worker->driver_data, call, answer, now_ms);
   if (task != NULL && worker != NULL)
     {
       handle_start_answer (call, task, worker, answer);
@@ -233,6 +233,7 @@
 
   call->deadline_ms = start.deadline_ms;
   call->clock_age_ms = now_ms - io->clock.read_ms;
+  call->worker_clock_ms = io->clock.clock_ms;
   call->sent_ms = MAX (now_ms, call->sent_ms + 1);
   call->tries++;
   lb_take (&workers->link, call->bytes, now_ms);
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -115,6 +115,7 @@
                 const char *task, uint32_t run)
 {
   struct wk_call *call = g_new0 (struct wk_call, 1);
+  const struct worker_io *io = worker->driver_data;
 
   call->workers = workers;
   call->generation = workers->generation;
@@ -122,6 +123,7 @@
   call->task = g_strdup (task);
   call->run = run;
   call->worker_started_ms = worker->process_started_ms;
+  call->worker_clock_ms = io == NULL ? -1 : io->clock.clock_ms;
   call->sent_ms = clk_monotonic_ms (NULL);
   call->first_sent_ms = call->sent_ms;
   g_hash_table_add (workers->calls, call);
@@ -339,6 +341,7 @@
   int64_t now_ms = clk_monotonic_ms (NULL);
   struct sd_worker *worker;
   struct worker_io *io = NULL;
+  bool is_awaited;
 
   wk_call_answered (call);
   if (!wk_call_is_current (call))
@@ -347,12 +350,21 @@
   if (worker == NULL || worker->driver_data == NULL)
     goto done;
   io = worker->driver_data;
-  io->renewal_in_flight = false;
+  is_awaited = io->renewal == call;
+  if (is_awaited)
+    io->renewal = NULL;
   if (answer->result == WP_FENCED)
     {
       workers->params.fenced (workers->params.ctx);
       goto done;
     }
+  if (!is_awaited)
+    {
+      if (answer->result != WP_NOT_SENT)
+        wk_extend_lease_to_limit (io, now_ms);
+      io = NULL;
+      goto done;
+    }
   if (answer->result != WP_DONE)
     {
       if (worker->reachability != SD_WORKER_UNREACHABLE)
@@ -513,7 +525,7 @@
                    ? (uint32_t)CLOCK_POLL_TIMEOUT_MS
                    : renewal.wait_ms + RENEWAL_TIMEOUT_MS;
   io->outcome_told = renewal.acked_outcome_number;
-  io->renewal_in_flight = true;
+  io->renewal = call;
   io->poll_at_once = false;
   io->poll_soon = false;
   io->renewal_sent_ms = now_ms;
@@ -529,7 +541,7 @@
 wk_poll_at_once (struct worker_io *io, int64_t now_ms)
 {
   io->poll_at_once = true;
-  if (!io->renewal_in_flight)
+  if (io->renewal == NULL)
     send_renewal (io->workers, io, false, now_ms);
 }
 
@@ -567,7 +579,7 @@
 {
   const struct sd_worker *worker = io->worker;
 
-  if (io->renewal_in_flight || worker->report.address == NULL
+  if (io->renewal != NULL || worker->report.address == NULL
       || waits_for_store (io, now_ms))
     return false;
   if (io->lease_recorded && now_ms - io->renewal_tried_ms < RECORDED_RETRY_MS)
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -40,7 +40,7 @@
   int64_t outcome_told;      /* in the last renewal; 0: none */
   int64_t lists_read_ms;     /* when its lists were last read; 0: never */
   /* lease renewals, which are also status polls */
-  bool renewal_in_flight;
+  struct wk_call *renewal;  /* in flight; NULL: none */
   bool poll_at_once;        /* the next poll is to be answered immediately */
   bool has_unassigned_runs; /* the last poll has listed some */
   bool poll_soon; /* the next poll is to be answered after the time of a stop
@@ -114,6 +114,7 @@
   bool earlier_try_unanswered; /* so that try may still take effect */
   /* Of the worker's process by whose clock its deadline was computed.  */
   int64_t worker_started_ms;
+  int64_t worker_clock_ms; /* as read last before the last try; -1: never */
   /* Of a call that extends the lease; see wk_deadline_not_sent ().  */
   uint64_t deadlines;           /* worker_io.deadlines with it; 0: others */
   int64_t earlier_lease_end_ms; /* lease_end_ms and deadline_sent_ms of the */
@@ -131,6 +132,12 @@
 void wk_update_clock (struct worker_io *io, const struct wp_answer *answer,
                       int64_t now_ms);
 
+/*! wk_clock_answered () :
+ *  The same of an answer without lists, which does not tell the worker's
+ *  process: a clock that has gone back since CALL was sent shows a restart. */
+void wk_clock_answered (struct worker_io *io, const struct wk_call *call,
+                        const struct wp_answer *answer, int64_t now_ms);
+
 /*! wk_extend_lease_to_limit () :
  *  Runs may go on there for as long as any lease may last, for an earlier
  *  planner may have sent a call just now, or one by the clock of a former
--- a/tests/unit/test_hostd_restarts.c
+++ b/tests/unit/test_hostd_restarts.c
@@ -408,6 +408,155 @@
   check_no_late_acknowledgement (false);
 }
 
+static const struct wp_outcome STOPPED_7
+    = { .number = 7,
+        .task = (char *)"00000000000000ab.0.0.0",
+        .run = 1,
+        .outcome = SD_OUTCOME_STOPPED,
+        .checkpoint = (char *)"" };
+
+/* Has a start sent and outcome 7 of the former process stored.  */
+static void
+send_start_beside_outcome (struct setup *setup)
+{
+  GArray *outcomes = g_array_new (FALSE, FALSE, sizeof (struct wp_outcome));
+
+  g_array_append_val (outcomes, STOPPED_7);
+  set_up (setup);
+  answer_poll (setup,
+               &(struct wp_answer){ .result = WP_DONE,
+                                    .worker_clock_ms = FORMER_CLOCK_MS,
+                                    .worker_started_ms = FORMER_STARTED_MS,
+                                    .outcomes = outcomes });
+  place_task (setup);
+  wk_start (setup->workers, setup->task);
+  wk_outcomes_stored (setup->workers, wk_mark_outcomes (setup->workers));
+  g_array_free (outcomes, TRUE);
+}
+
+static void
+answer_start_by_new_process (struct setup *setup)
+{
+  fake_answer (
+      fake_oldest_open_call (&setup->port, 's'),
+      &(struct wp_answer){ .result = WP_DONE, .worker_clock_ms = CLOCK_MS });
+}
+
+/* Guards against an end that is forgotten before it was processed: the answer
+   to a start had the clock of a new process, which was told the number of the
+   former one's outcome, and got other starts (soak.py with `reborn`, seed
+   110).
+ */
+static void
+test_restart_is_noticed_by_the_clock_of_a_start (void)
+{
+  struct setup setup;
+
+  send_start_beside_outcome (&setup);
+  answer_start_by_new_process (&setup);
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_UNSEEN);
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 'h')->seen, 0);
+  answer_poll_of_new_process (&setup, true);
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_REACHABLE);
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_PLACED);
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 'h')->seen, 0);
+  tear_down (&setup);
+}
+
+/* Guards against an end that is forgotten before it was processed: while an
+   acknowledgement of the former process's outcomes was under way, the new one
+   was not polled (soak.py with `reborn`, seed 108).  */
+static void
+test_new_process_is_polled_beside_an_acknowledgement (void)
+{
+  struct setup setup;
+  struct fake_call *acknowledgement;
+
+  send_start_beside_outcome (&setup);
+  wk_send_waiting (setup.workers);
+  acknowledgement = fake_oldest_open_call (&setup.port, 'h');
+  CU_ASSERT_PTR_NOT_NULL_FATAL (acknowledgement);
+  if (acknowledgement == NULL)
+    return;
+  CU_ASSERT_EQUAL (acknowledgement->seen, 7);
+  answer_start_by_new_process (&setup);
+  wk_send_waiting (setup.workers);
+  acknowledgement->open = false;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fake_oldest_open_call (&setup.port, 'h'));
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 'h')->seen, 0);
+  answer_poll_of_new_process (&setup, true);
+  /* Its answer may be older than the other one.  */
+  fake_answer (acknowledgement, &(struct wp_answer){ .result = WP_NO_ANSWER,
+                                                     .worker_clock_ms = -1 });
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_REACHABLE);
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_PLACED);
+  tear_down (&setup);
+}
+
+/* Several calls were under way when the worker restarted.  */
+static void
+test_new_process_is_polled_once (void)
+{
+  struct setup setup;
+  size_t calls;
+  uint32_t i;
+
+  send_start_beside_outcome (&setup);
+  wk_stop (setup.workers, setup.task);
+  wk_stop (setup.workers, setup.task);
+  answer_start_by_new_process (&setup);
+  wk_send_waiting (setup.workers);
+  calls = setup.port.count;
+  for (i = 0; i < 2; i++)
+    {
+      fake_answer (fake_oldest_open_call (&setup.port, 'x'),
+                   &(struct wp_answer){ .result = WP_DONE,
+                                        .worker_clock_ms = CLOCK_MS });
+      wk_send_waiting (setup.workers);
+    }
+  CU_ASSERT_EQUAL (setup.port.count, calls);
+  tear_down (&setup);
+}
+
+/* The answer to a start comes in after one to a later poll.  */
+static void
+test_delayed_answer_shows_no_restart (void)
+{
+  struct setup setup;
+
+  send_start_beside_outcome (&setup);
+  answer_poll (&setup,
+               &(struct wp_answer){ .result = WP_DONE,
+                                    .worker_clock_ms = FORMER_CLOCK_MS + 100,
+                                    .worker_started_ms = FORMER_STARTED_MS });
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE,
+                                    .worker_clock_ms = FORMER_CLOCK_MS });
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_REACHABLE);
+  tear_down (&setup);
+}
+
+/* A stop is sent while the answer that shows the restart is processed.  */
+static void
+test_clock_of_the_former_process_shows_no_restart (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  answer_poll_of_former_process (&setup);
+  place_task (&setup);
+  wk_send_waiting (setup.workers);
+  sd_task_lost (setup.sched, setup.task, clk_monotonic_ms (NULL));
+  answer_poll_of_new_process (&setup, true);
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 'x'),
+      &(struct wp_answer){ .result = WP_DONE, .worker_clock_ms = CLOCK_MS });
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_REACHABLE);
+  tear_down (&setup);
+}
+
 /* Guards against a job that stays `running` with nothing running: a host that
    held the term for a second time took each poll without an answer for one
    that had extended the worker's lease (review, case 1).  */
@@ -452,6 +601,15 @@
     { "an outcome is acknowledged once", test_outcome_is_acknowledged_once },
     { "an idle worker is polled before an acknowledgement",
       test_idle_worker_is_polled_before_an_acknowledgement },
+    { "a restart is noticed by the clock of a start",
+      test_restart_is_noticed_by_the_clock_of_a_start },
+    { "a new process is polled beside an acknowledgement",
+      test_new_process_is_polled_beside_an_acknowledgement },
+    { "a new process is polled once", test_new_process_is_polled_once },
+    { "a delayed answer shows no restart",
+      test_delayed_answer_shows_no_restart },
+    { "the clock of the former process shows no restart",
+      test_clock_of_the_former_process_shows_no_restart },
     { "a regained term ends the runs of a lost worker",
       test_regained_term_ends_runs_of_lost_worker },
   };
