Workers: an acknowledgement that waited for a connection is not sent

Cause: the client opens four connections to a worker. Three stops without an answer and another call held them, so that an acknowledgement which was made 5 ms after the lists were read was sent 590 ms after them. The worker had restarted meanwhile; the new process carried the number out 2 s after that, 20 ms after a run had ended there and while a poll was late.

Change: a request may have a time by which it is sent, looked at when libcurl has a connection for it; an acknowledgement has 200 ms. One that is not sent leaves the worker in touch, and it is polled at once without a number. The time also ends an acknowledgement that was made before the host was paused.

Tests: test_http (late request is not sent) failed with the request sent; test_hostd_restarts (an acknowledgement not sent in time is left out) crashed for want of a poll with the result taken for a lost worker.

--- a/lib/http/http_client.c
+++ b/lib/http/http_client.c
@@ -2,6 +2,8 @@
 
 #include "http/http_client.h"
 
+#include "common/clock.h"
+
 #include <assert.h>
 #include <curl/curl.h>
 #include <glib.h>
@@ -28,6 +30,8 @@
   size_t body_capacity_bytes;
   size_t limit_bytes;
   bool too_large;
+  int64_t send_by_ms; /* monotonic; INT64_MAX: no limit */
+  bool late;          /* it was not sent by then */
   hc_callback callback;
   void *ctx;
 };
@@ -95,6 +99,8 @@
 {
   if (call->too_large)
     return HC_ERR_TOO_LARGE;
+  if (call->late)
+    return HC_ERR_LATE;
   switch (code)
     {
     case CURLE_OK:
@@ -283,7 +289,10 @@
   (void)server_port;
   (void)own_port;
   curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
-  return sent_bytes > 0 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  if (sent_bytes > 0)
+    return CURL_PREREQFUNC_ABORT;
+  call->late = clk_monotonic_ms (NULL) > call->send_by_ms;
+  return call->late ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
 /* Requests without a body other than GET use a new connection, on which
@@ -373,6 +382,9 @@
   call->callback = request->callback;
   call->ctx = request->ctx;
   call->limit_bytes = request->response_limit_bytes;
+  call->send_by_ms = request->send_within_ms == 0
+                         ? INT64_MAX
+                         : clk_monotonic_ms (NULL) + request->send_within_ms;
   call->link.data = call;
   g_queue_push_tail_link (&client->calls, &call->link);
   call->easy = take_handle (client);
@@ -476,6 +488,8 @@
       return "answer too large";
     case HC_ERR_REQUEST:
       return "request not valid";
+    case HC_ERR_LATE:
+      return "not sent in time";
     default:
       return "unknown error";
     }
--- a/lib/http/http_client.h
+++ b/lib/http/http_client.h
@@ -21,6 +21,7 @@
   HC_ERR_CONNECTION_LOST = -4, /* connection closed during the response */
   HC_ERR_TOO_LARGE = -5,       /* body above response_limit_bytes */
   HC_ERR_REQUEST = -6,         /* the URL is malformed or not HTTP(S) */
+  HC_ERR_LATE = -7,            /* not sent, for send_within_ms had passed */
 };
 
 struct hc_client;
@@ -50,6 +51,10 @@
   /* The request may reach the server twice, if a reused connection closes
      without a response.  */
   bool repeatable;
+  /* The request is not sent later than this after hc_send (), for instance if
+     it has waited for a connection; 0: whenever there is one.  Only of a
+     request that has a body and is not repeatable.  */
+  uint32_t send_within_ms;
   uint32_t timeout_ms; /* from connecting to the complete response */
   uint32_t connect_timeout_ms;
   size_t response_limit_bytes; /* of the body */
--- a/lib/worker/worker_port.c
+++ b/lib/worker/worker_port.c
@@ -29,6 +29,8 @@
       return "ticket";
     case WP_NOT_SENT:
       return "unsent";
+    case WP_SEND_LATE:
+      return "send-late";
     }
   return "?";
 }
--- a/lib/worker/worker_port.h
+++ b/lib/worker/worker_port.h
@@ -24,7 +24,8 @@
   WP_WRONG_WORKER = -7,      /* the address belongs to another worker now */
   WP_MALFORMED_COMMAND = -8, /* the worker cannot read the command */
   WP_TICKET_INVALID = -9,    /* the advisor's ticket is not valid there */
-  WP_NOT_SENT = -10, /* no connection: nothing of the call has reached it */
+  WP_NOT_SENT = -10,  /* no connection: nothing of the call has reached it */
+  WP_SEND_LATE = -11, /* not sent, for wp_renew.send_within_ms had passed */
 };
 
 /*! wp_result_name () :
@@ -115,6 +116,8 @@
   uint64_t term;                /* of the planner: the fencing token */
   int64_t acked_outcome_number; /* the worker may forget wp_outcome up to this
                                    number */
+  uint32_t send_within_ms;   /* with such a number: it is not sent later; 0: no
+                                limit */
   int64_t lease_deadline_ms; /* of the lease, on the worker's clock; negative:
                           the lease is not renewed */
   uint32_t wait_ms; /* the worker may delay its answer by this until a run
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -120,6 +120,7 @@
       task->poll_conclusive_from_ms = start_expiry_ms (call, io);
       return;
     case WP_NOT_SENT:
+    case WP_SEND_LATE:
       wk_deadline_not_sent (io, call);
       sd_worker_unresponsive (worker, now_ms);
       if (worker->reachability == SD_WORKER_REACHABLE
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -47,6 +47,9 @@
      the worker may restart unnoticed.  Longer than a store usually takes;
      otherwise the worker is polled first, and lists them again at once.  */
   ACKNOWLEDGE_WITHIN_MS = 100,
+  /* An acknowledgement may wait for a connection behind calls without an
+     answer; longer than an iteration of the loop usually takes.  */
+  ACKNOWLEDGE_SEND_MS = 200,
   /* Outlasts a store that does not answer for 4.5 s while the planner is lost,
      and a takeover of 1 s.  */
   LEASE_MAX_MS = 6000,
@@ -358,13 +361,22 @@
       workers->params.fenced (workers->params.ctx);
       goto done;
     }
+  if (answer->result == WP_SEND_LATE)
+    {
+      lg_info (PART, "An acknowledgement was not sent in time.", "worker",
+               call->worker, NULL);
+      wk_deadline_not_sent (io, call);
+      io->poll_at_once = true;
+      workers->params.changed (workers->params.ctx);
+    }
   if (!is_awaited)
     {
-      if (answer->result != WP_NOT_SENT)
+      if (answer->result != WP_NOT_SENT && answer->result != WP_SEND_LATE)
         wk_extend_lease_to_limit (io, now_ms);
       io = NULL;
-      goto done;
     }
+  if (!is_awaited || answer->result == WP_SEND_LATE)
+    goto done;
   if (answer->result != WP_DONE)
     {
       if (worker->reachability != SD_WORKER_UNREACHABLE)
@@ -508,6 +520,7 @@
   struct wp_renew renewal = {
     .term = workers->term,
     .acked_outcome_number = outcome_to_acknowledge (io, now_ms),
+    .send_within_ms = ACKNOWLEDGE_SEND_MS,
     .lease_deadline_ms = -1,
     .wait_ms = renewal_wait_ms (io),
   };
--- a/tests/unit/test_hostd_restarts.c
+++ b/tests/unit/test_hostd_restarts.c
@@ -495,6 +495,28 @@
   tear_down (&setup);
 }
 
+/* Guards against an end that is forgotten before it was processed: an
+   acknowledgement had waited for a connection while the worker restarted
+   (soak.py with `reborn`, seed 117).  */
+static void
+test_acknowledgement_not_sent_in_time_is_left_out (void)
+{
+  struct setup setup;
+
+  send_start_beside_outcome (&setup);
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 'h')->seen, 7);
+  usleep (1000 * IDLE_MS);
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 'h'),
+      &(struct wp_answer){ .result = WP_SEND_LATE, .worker_clock_ms = -1 });
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_REACHABLE);
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 'h')->seen, 0);
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 'h')->wait_ms, 0);
+  tear_down (&setup);
+}
+
 /* Several calls were under way when the worker restarted.  */
 static void
 test_new_process_is_polled_once (void)
@@ -605,6 +627,8 @@
       test_restart_is_noticed_by_the_clock_of_a_start },
     { "a new process is polled beside an acknowledgement",
       test_new_process_is_polled_beside_an_acknowledgement },
+    { "an acknowledgement not sent in time is left out",
+      test_acknowledgement_not_sent_in_time_is_left_out },
     { "a new process is polled once", test_new_process_is_polled_once },
     { "a delayed answer shows no restart",
       test_delayed_answer_shows_no_restart },
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -299,6 +299,46 @@
   teardown (&f);
 }
 
+/* A request that has waited for a connection for too long is not sent.  */
+static void
+test_late_request_is_not_sent (void)
+{
+  struct hc_params one = { .loop = EV_DEFAULT, .host_connection_limit = 1 };
+  struct fixture f;
+  char hold[100];
+  char drop[100];
+  struct hc_request first = { .method = "POST",
+                              .url = hold,
+                              .body = "x",
+                              .body_size_bytes = 1,
+                              .timeout_ms = 150,
+                              .connect_timeout_ms = 100,
+                              .response_limit_bytes = 1000,
+                              .callback = on_answer,
+                              .ctx = &f };
+  struct hc_request second = first;
+
+  setup (&f);
+  hc_free (f.client);
+  CU_ASSERT_EQUAL_FATAL (hc_create (&f.client, &one), HC_OK);
+  snprintf (hold, sizeof hold, "http://127.0.0.1:%u/hold", hs_port (f.server));
+  snprintf (drop, sizeof drop, "http://127.0.0.1:%u/drop", hs_port (f.server));
+  second.url = drop;
+  second.timeout_ms = 2000;
+  second.send_within_ms = 50;
+  CU_ASSERT_EQUAL_FATAL (hc_send (f.client, &first, NULL), HC_OK);
+  while (f.unanswered == NULL)
+    ev_run (f.loop, EVRUN_ONCE);
+  CU_ASSERT_EQUAL_FATAL (hc_send (f.client, &second, NULL), HC_OK);
+  while (f.answers < 2)
+    ev_run (f.loop, EVRUN_ONCE);
+  CU_ASSERT_EQUAL (f.error, HC_ERR_LATE);
+  CU_ASSERT_FALSE (f.maybe_sent);
+  CU_ASSERT_EQUAL (f.drops, 0);
+  hs_respond (f.unanswered, 200, NULL, 0, "", 0);
+  teardown (&f);
+}
+
 static void
 on_gone (void *ctx)
 {
@@ -512,6 +552,8 @@
                test_calls_leave_nothing_to_the_next_one);
   CU_add_test (suite, "many calls at once end", test_many_calls_at_once_end);
   CU_add_test (suite, "request is not resent", test_request_is_not_resent);
+  CU_add_test (suite, "late request is not sent",
+               test_late_request_is_not_sent);
   CU_add_test (suite, "request received during a stall is served",
                test_request_received_during_stall_is_served);
   CU_add_test (suite, "idle connection stays open",
