--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -120,6 +120,7 @@
       task->poll_conclusive_from_ms = start_expiry_ms (call, io);
       return;
     case WP_NOT_SENT:
+    case WP_SEND_LATE:
       wk_deadline_not_sent (io, call);
       sd_worker_unresponsive (worker, now_ms);
       if (worker->reachability == SD_WORKER_REACHABLE
@@ -197,7 +198,7 @@
              lg_number (call->clock_age_ms), "worker_clock_ms",
              lg_number (answer->worker_clock_ms), NULL);
   if (worker != NULL && worker->driver_data != NULL)
-    wk_update_clock (worker->driver_data, answer, clk_monotonic_ms (NULL));
+    wk_clock_answered (worker->driver_data, call, answer, now_ms);
   if (task != NULL && worker != NULL)
     {
       handle_start_answer (call, task, worker, answer);
@@ -237,6 +238,7 @@
 
   call->deadline_ms = start.deadline_ms;
   call->clock_age_ms = now_ms - io->clock.read_ms;
+  call->worker_clock_ms = io->clock.clock_ms;
   call->sent_ms = MAX (now_ms, call->sent_ms + 1);
   call->tries++;
   lb_take (&workers->link, call->bytes, now_ms);
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -44,8 +44,12 @@
      store takes for an answer.  */
   STORE_WAIT_MS = 1000,
   /* Outcomes are acknowledged no later after the answer that listed them, for
-     the worker may restart unnoticed: somewhat longer than STORE_WAIT_MS.  */
-  ACKNOWLEDGE_WITHIN_MS = 1100,
+     the worker may restart unnoticed.  Longer than a store usually takes;
+     otherwise the worker is polled first, and lists them again at once.  */
+  ACKNOWLEDGE_WITHIN_MS = 100,
+  /* An acknowledgement may wait for a connection behind calls without an
+     answer; longer than an iteration of the loop usually takes.  */
+  ACKNOWLEDGE_SEND_MS = 200,
   /* Outlasts a store that does not answer for 4.5 s while the planner is lost,
      and a takeover of 1 s.  */
   LEASE_MAX_MS = 6000,
@@ -114,6 +118,7 @@
                 const char *task, uint32_t run)
 {
   struct wk_call *call = g_new0 (struct wk_call, 1);
+  const struct worker_io *io = worker->driver_data;
 
   call->workers = workers;
   call->generation = workers->generation;
@@ -121,6 +126,7 @@
   call->task = g_strdup (task);
   call->run = run;
   call->worker_started_ms = worker->process_started_ms;
+  call->worker_clock_ms = io == NULL ? -1 : io->clock.clock_ms;
   call->sent_ms = clk_monotonic_ms (NULL);
   call->first_sent_ms = call->sent_ms;
   g_hash_table_add (workers->calls, call);
@@ -338,6 +344,7 @@
   int64_t now_ms = clk_monotonic_ms (NULL);
   struct sd_worker *worker;
   struct worker_io *io = NULL;
+  bool is_awaited;
 
   wk_call_answered (call);
   if (!wk_call_is_current (call))
@@ -346,12 +353,30 @@
   if (worker == NULL || worker->driver_data == NULL)
     goto done;
   io = worker->driver_data;
-  io->renewal_in_flight = false;
+  is_awaited = io->renewal == call;
+  if (is_awaited)
+    io->renewal = NULL;
   if (answer->result == WP_FENCED)
     {
       workers->params.fenced (workers->params.ctx);
       goto done;
     }
+  if (answer->result == WP_SEND_LATE)
+    {
+      lg_info (PART, "An acknowledgement was not sent in time.", "worker",
+               call->worker, NULL);
+      wk_deadline_not_sent (io, call);
+      io->poll_at_once = true;
+      workers->params.changed (workers->params.ctx);
+    }
+  if (!is_awaited)
+    {
+      if (answer->result != WP_NOT_SENT && answer->result != WP_SEND_LATE)
+        wk_extend_lease_to_limit (io, now_ms);
+      io = NULL;
+    }
+  if (!is_awaited || answer->result == WP_SEND_LATE)
+    goto done;
   if (answer->result != WP_DONE)
     {
       if (worker->reachability != SD_WORKER_UNREACHABLE)
@@ -495,6 +520,7 @@
   struct wp_renew renewal = {
     .term = workers->term,
     .acked_outcome_number = outcome_to_acknowledge (io, now_ms),
+    .send_within_ms = ACKNOWLEDGE_SEND_MS,
     .lease_deadline_ms = -1,
     .wait_ms = renewal_wait_ms (io),
   };
@@ -512,7 +538,7 @@
                    ? (uint32_t)CLOCK_POLL_TIMEOUT_MS
                    : renewal.wait_ms + RENEWAL_TIMEOUT_MS;
   io->outcome_told = renewal.acked_outcome_number;
-  io->renewal_in_flight = true;
+  io->renewal = call;
   io->poll_at_once = false;
   io->poll_soon = false;
   io->renewal_sent_ms = now_ms;
@@ -528,7 +554,7 @@
 wk_poll_at_once (struct worker_io *io, int64_t now_ms)
 {
   io->poll_at_once = true;
-  if (!io->renewal_in_flight)
+  if (io->renewal == NULL)
     send_renewal (io->workers, io, false, now_ms);
 }
 
@@ -566,7 +592,7 @@
 {
   const struct sd_worker *worker = io->worker;
 
-  if (io->renewal_in_flight || worker->report.address == NULL
+  if (io->renewal != NULL || worker->report.address == NULL
       || waits_for_store (io, now_ms))
     return false;
   if (io->lease_recorded && now_ms - io->renewal_tried_ms < RECORDED_RETRY_MS)
