Each append of the planner shows that it lives

While a term changes hands nothing is placed, and leases are not counted until enough workers are reached.

Cause: hosts count the planner's silence from its records of the term and of progress. The planner writes a record of its term as a heartbeat only into an append that would be empty, 0.2 s after the last one. An append with nothing but the record of leases, which workers out of touch cause, or with writes of callers (a slow store) or removals, postponed the heartbeat and did not count as one. That writes of callers and removals do the same is by reading.

The test failed before (each append with leases only) and passes now.

--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -372,6 +372,23 @@
   planner->starts = left;
 }
 
+/* Whether other hosts, which count the planner's silence from its records of
+   the term and of progress, would see nothing of it in the batch.  */
+static bool
+shows_no_planner (const struct pl_batch *batch)
+{
+  guint i;
+
+  for (i = 0; i < batch->records->len; i++)
+    {
+      const struct so_record *record = g_ptr_array_index (batch->records, i);
+
+      if (record->value != NULL && g_str_has_prefix (record->key, "p/"))
+        return false;
+    }
+  return true;
+}
+
 static void
 write_changes (struct planner *planner, bool heartbeat, bool release)
 {
@@ -402,7 +419,7 @@
   if (!release && size_bytes < BATCH_MAX_BYTES)
     batch->caller_writes = jr_add_writes_to_append (
         planner->params.journal, batch->records, BATCH_MAX_BYTES - size_bytes);
-  if (batch->records->len == 0 || release)
+  if (release || shows_no_planner (batch))
     g_ptr_array_add (batch->records, pl_create_term_record (planner, release));
   planner->sending = batch;
   pl_send_batch (planner);
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -1099,6 +1099,66 @@
   tear_down (&setup);
 }
 
+static bool
+append_has_record (const struct setup *setup, uint32_t number, char key)
+{
+  guint i;
+
+  for (i = 0; i < setup->store.records[number]->len; i++)
+    if (((struct so_record *)g_ptr_array_index (setup->store.records[number],
+                                                i))
+            ->key[0]
+        == key)
+      return true;
+  return false;
+}
+
+/* Guards against a term that a healthy planner loses to another host, which
+   sees it by its records of the term and of progress: with several workers out
+   of touch there were only records of their leases for 0.5 s
+   (soak_waiting.py 1 --scene silent).  */
+static void
+test_each_append_shows_that_the_planner_lives (void)
+{
+  enum
+  {
+    OUT_OF_TOUCH_MS = 2500
+  };
+  static const struct wp_answer none
+      = { .result = WP_NO_ANSWER, .worker_clock_ms = -1 };
+  struct setup setup;
+  int64_t until_ms;
+  bool leases_stored = false;
+  uint32_t i;
+
+  become_planner (&setup);
+  answer_append (&setup, submit_job (&setup));
+  while (fake_oldest_open_call (&setup.port, 's') == NULL)
+    {
+      run_loop_for (&setup, 5);
+      answer_all_appends (&setup);
+    }
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE });
+  until_ms = clk_monotonic_ms (NULL) + OUT_OF_TOUCH_MS;
+  while (clk_monotonic_ms (NULL) < until_ms)
+    {
+      run_loop_for (&setup, 5);
+      answer_all_appends (&setup);
+      if (fake_oldest_open_call (&setup.port, 'h') != NULL)
+        fake_answer (fake_oldest_open_call (&setup.port, 'h'), &none);
+    }
+  for (i = 0; i < setup.store.append_count; i++)
+    if (setup.store.writers[i].name != NULL)
+      {
+        leases_stored = leases_stored || append_has_record (&setup, i, 'w');
+        CU_ASSERT_TRUE (append_has_record (&setup, i, 't')
+                        || append_has_record (&setup, i, 'p'));
+      }
+  CU_ASSERT_TRUE (leases_stored);
+  tear_down (&setup);
+}
+
 int
 main (void)
 {
@@ -1133,6 +1193,8 @@
       test_worker_that_is_not_listed_again_gets_nothing },
     { "a start waits for the batch of its job",
       test_start_waits_for_the_batch_of_its_job },
+    { "each append shows that the planner lives",
+      test_each_append_shows_that_the_planner_lives },
     { "a lost append is sent again", test_lost_append_is_sent_again },
     { "an append to a slow store is not sent again",
       test_append_to_slow_store_is_not_sent_again },
