HTTP client: one call finds that idle connections have gone silent

Open connections can go silent for good, without a reset, while new ones work. The clients of the store and of the relay between hosts have the same pool.

Now a call on a reused connection without a response in time has the connections to the same server shut down that were idle since before it; libcurl closes such a connection instead of using it. One that has answered since the call was sent is kept, and nothing is closed after a call on a new connection, or when the timeout was noticed over 100 ms late, since then this process was paused. So no new connection is opened where nothing was silent. The client knows its connections by libcurl's callbacks for sockets. A response says whether its connection was reused.

test_one_call_finds_that_idle_connections_are_silent failed without the shutdown (the second call timed out as well).

--- a/lib/http/http_client.c
+++ b/lib/http/http_client.c
@@ -7,13 +7,32 @@
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "common/logging.h"
+
+static const char PART[] = "http";
 
 enum
 {
   BODY_INITIAL_CAPACITY_BYTES = 1024,
   /* Handles of finished calls kept for the next ones; each has a buffer of
      16 kB.  */
-  IDLE_HANDLES_MAX = 4
+  IDLE_HANDLES_MAX = 4,
+  /* A timeout that is noticed this much late shows that this process was
+     paused, not that the connection is silent.  */
+  TIMEOUT_LATE_MS = 100
+};
+
+/* A connection that libcurl has open.  */
+struct connection
+{
+  int fd;
+  char *server;         /* the authority of its URL */
+  struct hc_call *call; /* that uses it; NULL: it is idle */
+  int64_t answered_ms;  /* when the last response on it ended; 0: none */
 };
 
 struct hc_call
@@ -22,6 +41,10 @@
   struct hc_client *client;
   CURL *easy;
   struct curl_slist *headers;
+  char *server;                  /* the authority of its URL */
+  struct connection *connection; /* that it uses; NULL: none */
+  int64_t sent_ms;
+  uint32_t timeout_ms;
   char *request_body;
   size_t request_size_bytes;
   size_t request_read_bytes; /* passed to libcurl so far */
@@ -41,6 +64,7 @@
   CURLM *multi;
   ev_timer timer;
   GQueue calls;
+  GHashTable *connections;              /* fd -> struct connection */
   CURL *idle_handles[IDLE_HANDLES_MAX]; /* reset, of finished calls */
   uint32_t idle_handle_count;
 };
@@ -75,18 +99,114 @@
   client->idle_handles[client->idle_handle_count++] = easy;
 }
 
+/* --- Connections --- */
+
+static void
+connection_free (void *data)
+{
+  struct connection *connection = data;
+
+  if (connection->call != NULL)
+    connection->call->connection = NULL;
+  g_free (connection->server);
+  g_free (connection);
+}
+
+static curl_socket_t
+on_socket_open (void *ctx, curlsocktype purpose, struct curl_sockaddr *address)
+{
+  struct hc_call *call = ctx;
+  struct connection *connection;
+  int fd = socket (address->family, address->socktype | SOCK_CLOEXEC,
+                   address->protocol);
+
+  (void)purpose;
+  if (fd < 0)
+    return CURL_SOCKET_BAD;
+  connection = g_new0 (struct connection, 1);
+  connection->fd = fd;
+  connection->server = g_strdup (call->server);
+  g_hash_table_replace (call->client->connections, GINT_TO_POINTER (fd),
+                        connection);
+  return fd;
+}
+
+static int
+on_socket_close (void *ctx, curl_socket_t fd)
+{
+  struct hc_client *client = ctx;
+
+  g_hash_table_remove (client->connections, GINT_TO_POINTER (fd));
+  return close (fd);
+}
+
+static void
+release_connection (struct hc_call *call)
+{
+  if (call->connection != NULL)
+    call->connection->call = NULL;
+  call->connection = NULL;
+}
+
+/* CALL uses the connection on FD from now on.  */
+static void
+use_connection (struct hc_call *call, int fd)
+{
+  struct connection *connection
+      = g_hash_table_lookup (call->client->connections, GINT_TO_POINTER (fd));
+
+  if (connection == NULL || connection == call->connection)
+    return;
+  release_connection (call);
+  if (connection->call != NULL)
+    release_connection (connection->call);
+  connection->call = call;
+  call->connection = connection;
+}
+
+/* CALL has had no response on a reused connection.  Connections to a server
+   can go silent together, so the next calls do not use those that were idle
+   since before CALL: libcurl closes a connection that is shut down instead of
+   using it.  */
+static void
+shut_down_doubtful_connections (const struct hc_call *call)
+{
+  GHashTableIter iter;
+  void *value;
+  int64_t count = 0;
+
+  g_hash_table_iter_init (&iter, call->client->connections);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct connection *connection = value;
+
+      if (connection->call != NULL || connection->answered_ms > call->sent_ms
+          || strcmp (connection->server, call->server) != 0)
+        continue;
+      if (shutdown (connection->fd, SHUT_RDWR) == 0)
+        count++;
+    }
+  if (count > 0)
+    lg_info (PART,
+             "Idle connections are closed, for a call on another one has had "
+             "no answer.",
+             "server", call->server, "connections", lg_number (count), NULL);
+}
+
 /* --- Completing calls --- */
 
 static void
 call_free (struct hc_call *call)
 {
   g_queue_unlink (&call->client->calls, &call->link);
+  release_connection (call);
   if (call->easy != NULL)
     {
       curl_multi_remove_handle (call->client->multi, call->easy);
       return_handle (call->client, call->easy);
     }
   curl_slist_free_all (call->headers);
+  g_free (call->server);
   free (call->request_body);
   free (call->body);
   free (call);
@@ -116,11 +236,26 @@
     }
 }
 
+/* Before the callback, which may send the next call.  */
+static void
+judge_connections (struct hc_call *call, const struct hc_response *response)
+{
+  int64_t now_ms = clk_monotonic_ms (NULL);
+
+  if (response->error == HC_OK && call->connection != NULL)
+    call->connection->answered_ms = now_ms;
+  release_connection (call);
+  if (response->error == HC_ERR_TIMEOUT && response->reused_connection
+      && now_ms - call->sent_ms <= call->timeout_ms + TIMEOUT_LATE_MS)
+    shut_down_doubtful_connections (call);
+}
+
 static void
 finish_call (struct hc_call *call, CURLcode code)
 {
   struct hc_response response = { .call = call };
   long request_size_bytes = 0;
+  long new_connections = 0;
 
   response.error = error_from_curl (code, call);
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &response.status);
@@ -128,6 +263,9 @@
   response.maybe_sent = request_size_bytes > 0;
   if (response.error == HC_ERR_TIMEOUT && !response.maybe_sent)
     response.error = HC_ERR_CONNECT;
+  curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &new_connections);
+  response.reused_connection = response.maybe_sent && new_connections == 0;
+  judge_connections (call, &response);
   response.body = call->body == NULL ? "" : call->body;
   response.body_size_bytes = call->body_size_bytes;
   call->callback (call->ctx, &response);
@@ -208,9 +346,9 @@
 {
   struct hc_client *client = ctx;
   struct watched_socket *watched = socket_ctx;
+  struct hc_call *call = NULL;
   int events = 0;
 
-  (void)easy;
   if (watched != NULL)
     ev_io_stop (client->loop, &watched->io);
   if (what == CURL_POLL_REMOVE)
@@ -227,6 +365,9 @@
       watched->client = client;
       curl_multi_assign (client->multi, fd, watched);
     }
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, &call);
+  if (call != NULL)
+    use_connection (call, (int)fd);
   if (what & CURL_POLL_IN)
     events |= EV_READ;
   if (what & CURL_POLL_OUT)
@@ -354,6 +495,10 @@
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, on_socket_open);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, call);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, on_socket_close);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, call->client);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_response_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
@@ -363,6 +508,16 @@
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
 }
 
+/* The part of a URL that names its server.  */
+static char *
+server_of_url (const char *url)
+{
+  const char *scheme_end = strstr (url, "://");
+  const char *begin = scheme_end == NULL ? url : scheme_end + 3;
+
+  return g_strndup (begin, strcspn (begin, "/?#"));
+}
+
 int
 hc_send (struct hc_client *client, const struct hc_request *request,
          struct hc_call **out)
@@ -376,6 +531,9 @@
   call->callback = request->callback;
   call->ctx = request->ctx;
   call->limit_bytes = request->response_limit_bytes;
+  call->server = server_of_url (request->url);
+  call->sent_ms = clk_monotonic_ms (NULL);
+  call->timeout_ms = request->timeout_ms;
   call->link.data = call;
   g_queue_push_tail_link (&client->calls, &call->link);
   call->easy = take_handle (client);
@@ -425,9 +583,12 @@
   client->loop = params->loop;
   client->load_part = params->load_part;
   g_queue_init (&client->calls);
+  client->connections
+      = g_hash_table_new_full (NULL, NULL, NULL, connection_free);
   client->multi = curl_multi_init ();
   if (client->multi == NULL)
     {
+      g_hash_table_destroy (client->connections);
       free (client);
       return HC_ERR_MEMORY;
     }
@@ -456,6 +617,7 @@
   while (client->idle_handle_count > 0)
     curl_easy_cleanup (take_handle (client));
   curl_multi_cleanup (client->multi);
+  g_hash_table_destroy (client->connections);
   ev_timer_stop (client->loop, &client->timer);
   free (client);
 }
--- a/lib/http/http_client.h
+++ b/lib/http/http_client.h
@@ -1,5 +1,7 @@
 /* HTTP client of the daemon, the command-line tool and the tests: libcurl's
-   multi interface driven by a libev loop.  Prefix: hc_.  */
+   multi interface driven by a libev loop.  When a call on a reused connection
+   has no response in time, connections to that server that were idle since
+   before the call are not used any more.  Prefix: hc_.  */
 
 #ifndef FT_HTTP_CLIENT_H
 #define FT_HTTP_CLIENT_H
@@ -28,8 +30,11 @@
 
 struct hc_response
 {
-  int error;        /* HC_OK or an hc_error */
-  bool maybe_sent;  /* false: no byte of the request has reached the server */
+  int error;       /* HC_OK or an hc_error */
+  bool maybe_sent; /* false: no byte of the request has reached the server */
+  /* It was sent on a connection of earlier calls, so that without a response
+     the connection may be at fault instead of the server.  */
+  bool reused_connection;
   long status;      /* HTTP status; 0 if no response arrived */
   const char *body; /* followed by a zero byte; never NULL */
   size_t body_size_bytes;
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -28,6 +28,7 @@
   int drops; /* requests closed without a response */
   int error;
   bool maybe_sent;
+  bool reused_connection;
   bool has_kind; /* the response has the header X-Kind */
   bool has_mark; /* the request that the server has, has the header X-Mark */
   char method[16];
@@ -86,6 +87,7 @@
   f->answers++;
   f->error = response->error;
   f->maybe_sent = response->maybe_sent;
+  f->reused_connection = response->reused_connection;
   f->status = response->status;
   f->has_kind = hc_response_header (response, "X-Kind") != NULL;
   snprintf (f->body, sizeof f->body, "%s", response->body);
@@ -492,6 +494,197 @@
   teardown (&f);
 }
 
+/* --- A server whose open connections go silent --- */
+
+enum
+{
+  SILENT_CONNECTIONS_MAX = 8,
+  SILENT_TIMEOUT_MS = 150
+};
+
+/* Answers each request at once, unless its connection is silent or its path is
+   /never.  */
+struct silent_server
+{
+  struct ev_loop *loop;
+  ev_io accept;
+  ev_io read[SILENT_CONNECTIONS_MAX];
+  int accepted;
+  int silent; /* the first so many connections are */
+};
+
+static void
+on_silent_read (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  static const char answer[] = "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok";
+  struct silent_server *server = watcher->data;
+  char text[1000];
+  ssize_t size_bytes = recv (watcher->fd, text, sizeof text - 1, 0);
+
+  (void)events;
+  if (size_bytes <= 0)
+    {
+      ev_io_stop (loop, watcher);
+      return;
+    }
+  text[size_bytes] = '\0';
+  if (watcher - server->read < server->silent
+      || strstr (text, "/never") != NULL)
+    return;
+  CU_ASSERT_EQUAL (send (watcher->fd, answer, sizeof answer - 1, MSG_NOSIGNAL),
+                   (ssize_t)sizeof answer - 1);
+}
+
+static void
+on_silent_accept (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct silent_server *server = watcher->data;
+  ev_io *read = &server->read[server->accepted];
+  int fd = accept (watcher->fd, NULL, NULL);
+
+  (void)events;
+  CU_ASSERT_FATAL (fd >= 0 && server->accepted < SILENT_CONNECTIONS_MAX);
+  server->accepted++;
+  ev_io_init (read, on_silent_read, fd, EV_READ);
+  read->data = server;
+  ev_io_start (loop, read);
+}
+
+/* @return : its port.  */
+static uint16_t
+silent_server_open (struct silent_server *server)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t size = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  memset (server, 0, sizeof *server);
+  server->loop = EV_DEFAULT;
+  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&address, size), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (fd, SILENT_CONNECTIONS_MAX), 0);
+  CU_ASSERT_EQUAL_FATAL (getsockname (fd, (struct sockaddr *)&address, &size),
+                         0);
+  ev_io_init (&server->accept, on_silent_accept, fd, EV_READ);
+  server->accept.data = server;
+  ev_io_start (server->loop, &server->accept);
+  return ntohs (address.sin_port);
+}
+
+static void
+silent_server_close (struct silent_server *server)
+{
+  int i;
+
+  for (i = 0; i < server->accepted; i++)
+    {
+      ev_io_stop (server->loop, &server->read[i]);
+      close (server->read[i].fd);
+    }
+  ev_io_stop (server->loop, &server->accept);
+  close (server->accept.fd);
+}
+
+static void
+send_short_call (struct fixture *f, const char *path, uint16_t port)
+{
+  char url[100];
+  struct hc_request request = { .method = "POST",
+                                .url = url,
+                                .body = "x",
+                                .body_size_bytes = 1,
+                                .timeout_ms = SILENT_TIMEOUT_MS,
+                                .connect_timeout_ms = SILENT_TIMEOUT_MS,
+                                .response_limit_bytes = 1000,
+                                .callback = on_answer,
+                                .ctx = f };
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u%s", port, path);
+  CU_ASSERT_EQUAL_FATAL (hc_send (f->client, &request, NULL), HC_OK);
+}
+
+static void
+run_until_answers (struct fixture *f, int answers)
+{
+  while (f->answers < answers)
+    ev_run (f->loop, EVRUN_ONCE);
+}
+
+/* Calls that are sent together, so that each opens a connection.  */
+static void
+open_connections (struct fixture *f, uint16_t port, int count)
+{
+  int i;
+
+  for (i = 0; i < count; i++)
+    send_short_call (f, "/echo", port);
+  run_until_answers (f, count);
+  CU_ASSERT_EQUAL (f->error, HC_OK);
+  f->answers = 0;
+}
+
+/* Guards against a job that waits beside free workers: all connections to them
+   went silent while these were idle, and each call was sent on the next silent
+   one.  */
+static void
+test_one_call_finds_that_idle_connections_are_silent (void)
+{
+  struct silent_server server;
+  struct fixture f;
+  uint16_t port = silent_server_open (&server);
+
+  setup (&f);
+  open_connections (&f, port, 4);
+  CU_ASSERT_EQUAL (server.accepted, 4);
+  server.silent = 4;
+  send_short_call (&f, "/echo", port);
+  run_until_answers (&f, 1);
+  CU_ASSERT_EQUAL (f.error, HC_ERR_TIMEOUT);
+  CU_ASSERT_TRUE (f.reused_connection);
+  send_short_call (&f, "/echo", port);
+  run_until_answers (&f, 2);
+  CU_ASSERT_EQUAL (f.error, HC_OK);
+  CU_ASSERT_FALSE (f.reused_connection);
+  send_short_call (&f, "/echo", port);
+  run_until_answers (&f, 3);
+  CU_ASSERT_EQUAL (f.error, HC_OK);
+  CU_ASSERT_TRUE (f.reused_connection);
+  CU_ASSERT_EQUAL (server.accepted, 5);
+  teardown (&f);
+  silent_server_close (&server);
+}
+
+/* Of a server that answers some calls only, and of another server.  */
+static void
+test_connections_that_answer_are_kept (void)
+{
+  struct silent_server server;
+  struct silent_server other;
+  struct fixture f;
+  uint16_t port = silent_server_open (&server);
+  uint16_t other_port = silent_server_open (&other);
+
+  setup (&f);
+  open_connections (&f, other_port, 1);
+  open_connections (&f, port, 2);
+  send_short_call (&f, "/never", port);
+  run_loop_for (&f, 0.02);
+  send_short_call (&f, "/echo", port);
+  run_until_answers (&f, 2);
+  CU_ASSERT_EQUAL (f.error, HC_ERR_TIMEOUT);
+  send_short_call (&f, "/echo", port);
+  run_until_answers (&f, 3);
+  CU_ASSERT_EQUAL (f.error, HC_OK);
+  send_short_call (&f, "/echo", other_port);
+  run_until_answers (&f, 4);
+  CU_ASSERT_EQUAL (f.error, HC_OK);
+  CU_ASSERT_EQUAL (server.accepted, 2);
+  CU_ASSERT_EQUAL (other.accepted, 1);
+  teardown (&f);
+  silent_server_close (&server);
+  silent_server_close (&other);
+}
+
 int
 main (void)
 {
@@ -517,6 +710,10 @@
   CU_add_test (suite, "idle connection stays open",
                test_idle_connection_stays_open);
   CU_add_test (suite, "slow caller is cut off", test_slow_caller_is_cut_off);
+  CU_add_test (suite, "one call finds that idle connections are silent",
+               test_one_call_finds_that_idle_connections_are_silent);
+  CU_add_test (suite, "connections that answer are kept",
+               test_connections_that_answer_are_kept);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
