A silent connection does not hold up the start on an idle worker

Causes: - The first poll of a worker that was idle is a long one, which shows only after 2.6 s that its connection is silent. It was to renew the lease; the lease of a start lasts 1.2 s. Now the first poll after 2.6 s without an answer is answered at once and times out after 350 ms, as it did already where the worker's clock had not been read for 15 s. - A poll without an answer put the worker out of touch at once, so that a start there was not sent again, or was refused. Now a poll on a reused connection is sent once more, on another connection, before the worker counts as out of touch. That poll renews no lease, acknowledges nothing and times out after 350 ms, so that the lease ends as before.

--- a/lib/worker/worker_port.h
+++ b/lib/worker/worker_port.h
@@ -72,6 +72,9 @@
   const GArray *runs; /* struct wp_run; of a lease renewal or status poll */
   const GArray
       *outcomes; /* struct wp_outcome; of a lease renewal or status poll */
+  /* Without an answer: the connection was used by earlier calls, and may be at
+     fault; the next call is sent on another.  */
+  bool reused_connection;
   bool outcomes_limited; /* the worker may have more outcomes than one answer
                             lists, so a run in neither list may have ended */
 };
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -19,6 +19,8 @@
   RENEWAL_TIMEOUT_MS = 700, /* in addition to the wait */
   /* Of a poll that a start waits for: as long as that of a start.  */
   CLOCK_POLL_TIMEOUT_MS = 350,
+  /* A worker without any answer for so long has had no poll in flight.  */
+  IDLE_MIN_MS = RENEWAL_WAIT_MS + RENEWAL_TIMEOUT_MS,
   /* A lease lasts until the renewal after the next one, also if the term was
      proved some hundred ms before the renewal.  */
   RENEWALS_PER_LEASE = 3,
@@ -330,6 +332,30 @@
 
 /* --- Lease renewals and status polls --- */
 
+static void send_renewal (struct worker_calls *workers, struct worker_io *io,
+                          bool beyond_window, int64_t now_ms);
+
+/* A poll has had no answer on a connection that may have gone silent: the
+   worker is polled once more at once, on another connection, before it counts
+   as out of touch.  This poll only asks for the state of the worker, so that
+   its lease ends as if it had not been sent.
+   @return : whether it has been sent.  */
+static bool
+poll_on_another_connection (struct worker_io *io,
+                            const struct wp_answer *answer, int64_t now_ms)
+{
+  if (answer->result != WP_NO_ANSWER || !answer->reused_connection
+      || io->is_second_poll || io->worker->reachability != SD_WORKER_REACHABLE)
+    return false;
+  lg_info (PART, "A poll has had no answer; another connection is tried.",
+           "worker", io->worker->report.id, NULL);
+  mt_add (io->workers->params.metrics, "foxtailgap_second_polls_total", 1);
+  io->is_second_poll = true;
+  io->poll_at_once = true;
+  send_renewal (io->workers, io, false, now_ms);
+  return true;
+}
+
 static void
 on_renewal_answer (void *ctx, const struct wp_answer *answer)
 {
@@ -338,6 +364,7 @@
   int64_t now_ms = clk_monotonic_ms (NULL);
   struct sd_worker *worker;
   struct worker_io *io = NULL;
+  bool polled_again = false;
 
   wk_call_answered (call);
   if (!wk_call_is_current (call))
@@ -354,6 +381,14 @@
     }
   if (answer->result != WP_DONE)
     {
+      if (answer->result == WP_NO_ANSWER)
+        wk_deadline_unanswered (io, call, now_ms);
+      else if (answer->result == WP_NOT_SENT)
+        wk_deadline_not_sent (io, call);
+      polled_again = poll_on_another_connection (io, answer, now_ms);
+      if (polled_again)
+        goto done;
+      io->is_second_poll = false;
       if (worker->reachability != SD_WORKER_UNREACHABLE)
         lg_info (PART, "A worker is out of touch.", "worker", call->worker,
                  "result", wp_result_name (answer->result), NULL);
@@ -364,10 +399,6 @@
       if (worker->reachability != SD_WORKER_UNREACHABLE)
         io->unreachable_since_ms = now_ms;
       io->last_result = answer->result;
-      if (answer->result == WP_NO_ANSWER)
-        wk_deadline_unanswered (io, call, now_ms);
-      else if (answer->result == WP_NOT_SENT)
-        wk_deadline_not_sent (io, call);
       sd_worker_set_reachability (worker, SD_WORKER_UNREACHABLE);
       if (answer->result == WP_WRONG_WORKER)
         wk_drop_runs_of_replaced_worker (io, now_ms);
@@ -376,6 +407,7 @@
   if (worker->reachability != SD_WORKER_REACHABLE)
     lg_info (PART, "A worker is in touch.", "worker", call->worker, NULL);
   sd_worker_set_reachability (worker, SD_WORKER_REACHABLE);
+  io->is_second_poll = false;
   io->answered_renewal_sent_ms = io->renewal_sent_ms;
   io->lists_read_ms = now_ms;
   io->outcome_acked = MAX (io->outcome_acked, io->outcome_told);
@@ -385,7 +417,7 @@
   workers->params.changed (workers->params.ctx);
 
 done:
-  if (io != NULL)
+  if (io != NULL && !polled_again)
     wk_poll_ended (io, now_ms);
   wk_call_free (call);
   if (workers != NULL)
@@ -404,13 +436,16 @@
   return MIN (workers->params.lease_ttl_ms, limit_ms);
 }
 
-/* Whether the next renewal is to read the clock of a worker that was idle: a
-   start there would need a recent reading.  */
+/* Whether the next renewal is to be answered immediately, for the worker was
+   idle: a start there needs a recent reading of its clock, and its open
+   connections may have gone silent.  A long poll would show that only after
+   the lease of a start, which is as short as its expiry.  */
 static bool
-reads_clock (const struct worker_io *io, int64_t now_ms)
+ends_idle_time (const struct worker_io *io, int64_t now_ms)
 {
   return io->worker->reachability == SD_WORKER_REACHABLE
-         && !wc_is_recent (&io->clock, now_ms);
+         && (!wc_is_recent (&io->clock, now_ms)
+             || now_ms - io->clock.read_ms > IDLE_MIN_MS);
 }
 
 /* How long until no start without an answer can take effect there any more; 0
@@ -444,7 +479,7 @@
   if (io->worker->reachability != SD_WORKER_REACHABLE || io->poll_at_once
       || io->lease_recorded)
     return 0;
-  if (reads_clock (io, now_ms))
+  if (ends_idle_time (io, now_ms))
     return 0;
   if (sd_worker_is_shared (io->worker))
     return SHARED_POLL_WAIT_MS;
@@ -472,7 +507,7 @@
 static int64_t
 outcome_to_acknowledge (const struct worker_io *io, int64_t now_ms)
 {
-  if (io->worker->reachability != SD_WORKER_REACHABLE
+  if (io->worker->reachability != SD_WORKER_REACHABLE || io->is_second_poll
       || io->outcome_stored <= io->outcome_acked
       || now_ms - io->lists_read_ms > ACKNOWLEDGE_WITHIN_MS)
     return 0;
@@ -487,9 +522,9 @@
   struct sd_worker *worker = io->worker;
   struct wp_target target = wk_target (worker);
   int64_t allowance_ms = wk_lease_allowance_ms (workers, now_ms);
-  bool extends_lease = !io->lease_recorded && allowance_ms > 0
-                       && !wk_renewal_is_suspended (io, now_ms)
-                       && wk_may_command (workers);
+  bool extends_lease
+      = !io->lease_recorded && !io->is_second_poll && allowance_ms > 0
+        && !wk_renewal_is_suspended (io, now_ms) && wk_may_command (workers);
   struct wk_call *call = wk_call_create (workers, worker, "", 0);
   uint32_t timeout_ms;
   struct wp_renew renewal = {
@@ -508,9 +543,11 @@
           = MAX (wc_deadline_ms (&io->clock, now_ms + ttl_ms), 0);
       wk_call_extends_lease (io, call, ttl_ms, false);
     }
-  timeout_ms = worker->tasks->len > 0 && reads_clock (io, now_ms)
-                   ? (uint32_t)CLOCK_POLL_TIMEOUT_MS
-                   : renewal.wait_ms + RENEWAL_TIMEOUT_MS;
+  timeout_ms
+      = io->is_second_poll
+                || (worker->tasks->len > 0 && ends_idle_time (io, now_ms))
+            ? (uint32_t)CLOCK_POLL_TIMEOUT_MS
+            : renewal.wait_ms + RENEWAL_TIMEOUT_MS;
   io->outcome_told = renewal.acked_outcome_number;
   io->renewal_in_flight = true;
   io->poll_at_once = false;
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -42,6 +42,8 @@
   /* lease renewals, which are also status polls */
   bool renewal_in_flight;
   bool poll_at_once;        /* the next poll is to be answered immediately */
+  bool is_second_poll;      /* the poll in flight; see
+                               poll_on_another_connection () */
   bool has_unassigned_runs; /* the last poll has listed some */
   bool poll_soon; /* the next poll is to be answered after the time of a stop
                      at the latest */
