--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -362,6 +362,57 @@
   return true;
 }
 
+/* @return : whether the worker has been polled again at once.  */
+static bool
+process_failed_poll (struct worker_io *io, const struct wk_call *call,
+                     const struct wp_answer *answer, int64_t now_ms)
+{
+  struct sd_worker *worker = io->worker;
+  const char *result = wp_result_name (answer->result);
+
+  if (answer->result == WP_NO_ANSWER)
+    wk_deadline_unanswered (io, call, now_ms);
+  else if (answer->result == WP_NOT_SENT)
+    wk_deadline_not_sent (io, call);
+  if (poll_on_another_connection (io, answer, now_ms))
+    return true;
+  io->is_second_poll = false;
+  if (worker->reachability != SD_WORKER_UNREACHABLE)
+    {
+      lg_info (PART, "A worker is out of touch.", "worker", call->worker,
+               "result", result, NULL);
+      wk_out_of_touch (io, now_ms);
+    }
+  else if (answer->result != io->last_result)
+    lg_info (PART, "A worker is still out of touch.", "worker", call->worker,
+             "result", result, NULL);
+  io->last_result = answer->result;
+  sd_worker_set_reachability (worker, SD_WORKER_UNREACHABLE);
+  if (answer->result == WP_WRONG_WORKER)
+    wk_drop_runs_of_replaced_worker (io, now_ms);
+  return false;
+}
+
+static void
+process_poll (struct worker_io *io, const struct wp_answer *answer,
+              int64_t now_ms)
+{
+  struct worker_calls *workers = io->workers;
+  struct sd_worker *worker = io->worker;
+
+  if (worker->reachability != SD_WORKER_REACHABLE)
+    lg_info (PART, "A worker is in touch.", "worker", worker->report.id, NULL);
+  sd_worker_set_reachability (worker, SD_WORKER_REACHABLE);
+  io->is_second_poll = false;
+  io->answered_renewal_sent_ms = io->renewal_sent_ms;
+  io->lists_read_ms = now_ms;
+  io->outcome_acked = MAX (io->outcome_acked, io->outcome_told);
+  process_lists (io, answer, now_ms);
+  wk_update_clock (io, answer, now_ms);
+  wk_update_pace (workers, worker);
+  workers->params.changed (workers->params.ctx);
+}
+
 static void
 on_renewal_answer (void *ctx, const struct wp_answer *answer)
 {
@@ -404,42 +455,10 @@
     }
   if (!is_awaited || answer->result == WP_SEND_LATE)
     goto done;
-  if (answer->result != WP_DONE)
-    {
-      if (answer->result == WP_NO_ANSWER)
-        wk_deadline_unanswered (io, call, now_ms);
-      else if (answer->result == WP_NOT_SENT)
-        wk_deadline_not_sent (io, call);
-      polled_again = poll_on_another_connection (io, answer, now_ms);
-      if (polled_again)
-        goto done;
-      io->is_second_poll = false;
-      if (worker->reachability != SD_WORKER_UNREACHABLE)
-        lg_info (PART, "A worker is out of touch.", "worker", call->worker,
-                 "result", wp_result_name (answer->result), NULL);
-      else if (answer->result != io->last_result)
-        lg_info (PART, "A worker is still out of touch.", "worker",
-                 call->worker, "result", wp_result_name (answer->result),
-                 NULL);
-      if (worker->reachability != SD_WORKER_UNREACHABLE)
-        wk_out_of_touch (io, now_ms);
-      io->last_result = answer->result;
-      sd_worker_set_reachability (worker, SD_WORKER_UNREACHABLE);
-      if (answer->result == WP_WRONG_WORKER)
-        wk_drop_runs_of_replaced_worker (io, now_ms);
-      goto done;
-    }
-  if (worker->reachability != SD_WORKER_REACHABLE)
-    lg_info (PART, "A worker is in touch.", "worker", call->worker, NULL);
-  sd_worker_set_reachability (worker, SD_WORKER_REACHABLE);
-  io->is_second_poll = false;
-  io->answered_renewal_sent_ms = io->renewal_sent_ms;
-  io->lists_read_ms = now_ms;
-  io->outcome_acked = MAX (io->outcome_acked, io->outcome_told);
-  process_lists (io, answer, now_ms);
-  wk_update_clock (io, answer, now_ms);
-  wk_update_pace (workers, worker);
-  workers->params.changed (workers->params.ctx);
+  if (answer->result == WP_DONE)
+    process_poll (io, answer, now_ms);
+  else
+    polled_again = process_failed_poll (io, call, answer, now_ms);
 
 done:
   if (io != NULL && !polled_again)
