--- a/tests/soak/soak_waiting.py
+++ b/tests/soak/soak_waiting.py
@@ -17,7 +17,8 @@
 
 KINDS, separated by commas: kill term freeze (hosts), busy silent lost (store),
 dark crash failing (workers), config, silent-workers silent-store (their open
-connections are not answered any more, nor closed; new ones work).  Faults end before the traffic does.
+connections are not answered any more, nor closed; new ones work).  Faults end
+before the traffic does.
 --scene: a few jobs that lead to such a wait, instead of random ones.
 --timed: factor of the share of jobs that run several times, by the clock.
 --last: only this queue gets jobs in the last seconds, in a burst.
