Workers: an acknowledgement does not wait for its worker's turn

Cause: a worker with unacknowledged outcomes answers each poll at once; its next poll waited for its turn among all workers, came more than 100 ms after that answer, and so had no number again. Change: if outcomes that are stored are not acknowledged yet, the poll with the number is sent in the callback of the answer that has listed them.

--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -410,6 +410,11 @@
   process_lists (io, answer, now_ms);
   wk_update_clock (io, answer, now_ms);
   wk_update_pace (workers, worker);
+  /* The number must follow the answer closely.  If the worker waited for its
+     turn among others, it might never be sent.  */
+  if (io->outcome_stored > io->outcome_acked && worker->tasks->len > 0
+      && io->renewal == NULL && !io->lease_recorded)
+    send_renewal (workers, io, true, now_ms);
   workers->params.changed (workers->params.ctx);
 }
 
