Workers: a late answer does not restore the former process's clock

A start or renewal to the new process of a worker could carry a deadline by the clock of the former one, far in the future, so that a start could be carried out long after it had been given up. Cause: the answer to a start of the former process that came after the poll that shows the restart was taken for a reading of the clock. Change: such answers, and those that come before the process that is to be polled first has answered, do not set the clock; the poll of a new process is no second poll.

--- a/programs/foxtailgap-hostd/worker_process.c
+++ b/programs/foxtailgap-hostd/worker_process.c
@@ -160,14 +160,15 @@
 }
 
 /* No start and no acknowledgement is sent until the process has answered.  A
-   poll in flight is not waited for: the new process may have it and answer it
-   late, and forget outcomes meanwhile that it has not listed.  */
+   poll in flight is not waited for: the new process may answer it late, and
+   may forget outcomes that it has not listed yet.  */
 static void
 poll_new_process_first (struct worker_io *io, int64_t now_ms)
 {
   wk_extend_lease_to_limit (io, now_ms);
   io->clock.clock_ms = -1;
   io->renewal = NULL;
+  io->is_second_poll = false;
   if (io->worker->reachability == SD_WORKER_REACHABLE)
     sd_worker_set_reachability (io->worker, SD_WORKER_UNSEEN);
 }
@@ -198,7 +199,6 @@
 {
   return answer->worker_clock_ms >= 0 && answer->result != WP_WRONG_WORKER
          && io->worker->reachability == SD_WORKER_REACHABLE
-         && wk_call_is_of_process (call, io)
          && answer->worker_clock_ms < call->worker_clock_ms;
 }
 
@@ -206,6 +206,11 @@
 wk_clock_answered (struct worker_io *io, const struct wk_call *call,
                    const struct wp_answer *answer, int64_t now_ms)
 {
+  /* It may be of the former process, or of the one that is to be polled
+     first.  */
+  if (!wk_call_is_of_process (call, io)
+      || io->worker->reachability == SD_WORKER_UNSEEN)
+    return;
   if (!clock_went_back (io, call, answer))
     {
       wk_update_clock (io, answer, now_ms);
--- a/tests/unit/test_hostd_restarts.c
+++ b/tests/unit/test_hostd_restarts.c
@@ -434,6 +434,31 @@
   g_array_free (outcomes, TRUE);
 }
 
+/* Guards against workers that are polled again and again without an
+   acknowledgement: the turn of each among many came too late after its
+   answer.  */
+static void
+test_acknowledgement_does_not_wait_for_a_turn (void)
+{
+  struct setup setup;
+  struct fake_call *poll;
+
+  send_start_beside_outcome (&setup);
+  usleep (1000 * IDLE_MS);
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 'h')->seen, 0);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'),
+               &(struct wp_answer){ .result = WP_DONE,
+                                    .worker_clock_ms = FORMER_CLOCK_MS,
+                                    .worker_started_ms = FORMER_STARTED_MS });
+  usleep (1000 * IDLE_MS);
+  wk_send_waiting (setup.workers);
+  poll = fake_oldest_open_call (&setup.port, 'h');
+  CU_ASSERT_PTR_NOT_NULL_FATAL (poll);
+  CU_ASSERT_EQUAL (poll->seen, 7);
+  tear_down (&setup);
+}
+
 static void
 answer_start_by_new_process (struct setup *setup)
 {
@@ -442,6 +467,28 @@
       &(struct wp_answer){ .result = WP_DONE, .worker_clock_ms = CLOCK_MS });
 }
 
+/* Guards against a start that is carried out long after it was given up: its
+   deadline was computed by the clock of the former process, which an answer
+   had that came after the restart had been seen.  */
+static void
+test_late_answer_does_not_restore_the_former_clock (void)
+{
+  struct setup setup;
+  struct fake_call *start;
+
+  send_start_beside_outcome (&setup);
+  start = fake_oldest_open_call (&setup.port, 's');
+  answer_poll_of_new_process (&setup, true);
+  answer_poll_of_new_process (&setup, true);
+  fake_answer (start,
+               &(struct wp_answer){ .result = WP_DONE,
+                                    .worker_clock_ms = FORMER_CLOCK_MS });
+  wk_send_waiting (setup.workers);
+  CU_ASSERT (fake_oldest_open_call (&setup.port, 'h')->deadline_ms
+             < FORMER_CLOCK_MS);
+  tear_down (&setup);
+}
+
 /* Guards against an end that is forgotten before it was processed: the answer
    to a start had the clock of a new process, which was told the number of the
    former one's outcome, and got other starts (soak.py with `reborn`, seed
@@ -623,6 +670,10 @@
     { "an outcome is acknowledged once", test_outcome_is_acknowledged_once },
     { "an idle worker is polled before an acknowledgement",
       test_idle_worker_is_polled_before_an_acknowledgement },
+    { "an acknowledgement does not wait for a turn",
+      test_acknowledgement_does_not_wait_for_a_turn },
+    { "a late answer does not restore the former clock",
+      test_late_answer_does_not_restore_the_former_clock },
     { "a restart is noticed by the clock of a start",
       test_restart_is_noticed_by_the_clock_of_a_start },
     { "a new process is polled beside an acknowledgement",
