--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -485,6 +485,18 @@
   return MIN (workers->params.lease_ttl_ms, limit_ms);
 }
 
+static bool
+has_confirmed_run (const struct sd_worker *worker)
+{
+  guint i;
+
+  for (i = 0; i < worker->tasks->len; i++)
+    if (((const struct jb_task *)g_ptr_array_index (worker->tasks, i))
+            ->confirmed)
+      return true;
+  return false;
+}
+
 /* Whether the next renewal is to be answered immediately, for the worker was
    idle: a start there needs a recent reading of its clock, and its open
    connections may have gone silent.  A long poll would show that only after
@@ -494,7 +506,8 @@
 {
   return io->worker->reachability == SD_WORKER_REACHABLE
          && (!wc_is_recent (&io->clock, now_ms)
-             || now_ms - io->clock.read_ms > IDLE_MIN_MS);
+             || (now_ms - io->clock.read_ms > IDLE_MIN_MS
+                 && !has_confirmed_run (io->worker)));
 }
 
 /* How long until no start without an answer can take effect there any more; 0
