--- a/tests/unit/test_hostd_restarts.c
+++ b/tests/unit/test_hostd_restarts.c
@@ -454,8 +454,7 @@
   usleep (1000 * IDLE_MS);
   wk_send_waiting (setup.workers);
   poll = fake_oldest_open_call (&setup.port, 'h');
-  CU_ASSERT_PTR_NOT_NULL_FATAL (poll);
-  CU_ASSERT_EQUAL (poll->seen, 7);
+  CU_ASSERT (poll != NULL && poll->seen == 7);
   tear_down (&setup);
 }
 
