Test: the workers' clocks go on in test_hostd_term

The stand-in's clock stood still, so that a deadline on it, computed by a reading that was 20 ms old and more, was taken for one that much later: with 80 ms between the polls in place of 20 the test fails without a fault (lines 210 and 239, 1 of 1). Now the clock goes on, and the deadline is compared on it; the bound is the same. With 80 ms it passes, and with a lease 100 ms too long (scratch copy) both checks fail.

--- a/tests/unit/test_hostd_term.c
+++ b/tests/unit/test_hostd_term.c
@@ -15,7 +15,7 @@
   WORKERS = 6,
   LEASE_MS = 2000,
   LEASE_OVER_MS = 2450, /* 3% and 300 ms more, and some for the test */
-  CLOCK_MS = 1000       /* what the workers' clocks show, always */
+  CLOCK_MS = 1000       /* what the workers' clocks show at first */
 };
 
 struct setup
@@ -28,6 +28,7 @@
   struct worker_calls *workers;
   struct jb_job *job;
   struct jb_task *task;
+  int64_t set_up_ms;
   int64_t stored_ms;        /* 0: the store answers */
   bool worker_of_task_lost; /* it does not answer either */
   int64_t started_ms;       /* of the other workers' processes */
@@ -47,6 +48,12 @@
   return setup->stored_ms == 0 ? clk_monotonic_ms (NULL) : setup->stored_ms;
 }
 
+static int64_t
+worker_clock_ms (const struct setup *setup)
+{
+  return clk_monotonic_ms (NULL) - setup->set_up_ms + CLOCK_MS;
+}
+
 /* Adds the workers, and a job of one task.  */
 static void
 set_up (struct setup *setup)
@@ -67,6 +74,7 @@
   uint32_t i;
 
   memset (setup, 0, sizeof *setup);
+  setup->set_up_ms = clk_monotonic_ms (NULL);
   setup->started_ms = 1;
   setup->table = jb_table_create ();
   setup->sched = sd_create (&sched, setup->table);
@@ -139,7 +147,7 @@
                      && strcmp (call->worker, setup->task->worker) == 0;
       struct wp_answer answer
           = { .result = WP_DONE,
-              .worker_clock_ms = CLOCK_MS,
+              .worker_clock_ms = worker_clock_ms (setup),
               .worker_started_ms = of_task ? 1 : setup->started_ms,
               .runs = of_task ? runs : NULL };
 
@@ -169,7 +177,8 @@
   wk_start (setup->workers, setup->task);
   fake_answer (
       fake_oldest_open_call (&setup->port, 's'),
-      &(struct wp_answer){ .result = WP_DONE, .worker_clock_ms = CLOCK_MS });
+      &(struct wp_answer){ .result = WP_DONE,
+                           .worker_clock_ms = worker_clock_ms (setup) });
   poll_workers (setup, WORKERS);
   setup->stored_ms = clk_monotonic_ms (NULL);
 }
@@ -186,10 +195,10 @@
 
   while (clk_monotonic_ms (NULL) < until_ms)
     {
-      int64_t before_ms = clk_monotonic_ms (NULL);
       int64_t deadline_ms = poll_workers (setup, reachable);
 
-      if (deadline_ms >= 0 && before_ms + deadline_ms - CLOCK_MS > limit_ms)
+      if (deadline_ms >= 0
+          && setup->set_up_ms + deadline_ms - CLOCK_MS > limit_ms)
         beyond = true;
       usleep (1000 * 20);
     }
