--- a/review/standin-2/harness.py
+++ b/review/standin-2/harness.py
@@ -278,6 +278,7 @@
         self.fail_after_s = 0.3
         self.up, self.server, self.port = False, None, 0
         self.beats = True  # reaches the store
+        self.holds = 0  # calls of /hold so far
         self.beat_phase_s = random.random() * HEARTBEAT_MS / 1000
         platform.minions[name] = self
         self.reset()
@@ -466,6 +467,7 @@
         return max(0, min(99, int(100 * share)))
 
     async def hold(self, command):
+        self.holds += 1
         if "deadline_ms" in command:
             self.extend(command["deadline_ms"])
         born = self.born
