--- a/review/7/case.py
+++ b/review/7/case.py
@@ -26,6 +26,7 @@
     await new.start()
     world.tasks.append(asyncio.create_task(new.beat_on()))
     old.state = "draining"
+    old.remaining_ms = int(DRAIN_S * 1000)
     await old.beat()
     world.record(f"release: {old.name} reports draining, {new.name} is ready")
     await asyncio.sleep(DRAIN_S + LONGER_S)
--- a/review/standin-2/harness.py
+++ b/review/standin-2/harness.py
@@ -262,6 +262,7 @@
         self.rack, self.kind = rack, kind
         self.capacity = {"cpu": cpu, "mem_mb": mem_mb, "gpu": gpu}
         self.state, self.sequence = "ready", 0
+        self.remaining_ms = 0  # the least time left while it drains
         self.fails_all = False  # every run that it starts ends `failed`
         self.fail_after_s = 0.3
         self.up, self.server, self.port = False, None, 0
@@ -315,7 +316,10 @@
                  "zone": "z1", "version": "v1", "slots": 8,
                  "state": self.state, "cold_remaining_ms": 0,
                  "seq": self.sequence, "capacity": self.capacity,
-                 "labels": [self.kind, self.rack], "born": self.born}
+                 "labels": [self.kind, self.rack], "born": self.born,
+                 "clock_ms": self.clock_ms()}
+        if self.state == "draining":
+            entry["remaining_ms"] = self.remaining_ms
         await self.platform.store.put("keyed.servers", self.name,
                                       json.dumps(entry).encode())
 
