--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -111,6 +111,7 @@
   task->state = JB_TASK_WAITING;
   g_clear_pointer (&task->worker, g_free);
   task->worker_started_ms = 0;
+  task->worker_leaving = false;
   task->confirmed = false;
   task->start_unsent = false;
   task->started_ms = 0;
@@ -125,6 +126,39 @@
   task->pace_sent_ms = 0;
 }
 
+static void
+loss_clear (void *data)
+{
+  g_free (((struct jb_loss *)data)->worker);
+}
+
+struct jb_loss *
+jb_task_add_loss (struct jb_task *task, const char *worker,
+                  int64_t worker_started_ms)
+{
+  struct jb_loss loss = { .worker = g_strdup (worker),
+                          .worker_started_ms = worker_started_ms };
+
+  if (task->undecided_losses == NULL)
+    {
+      task->undecided_losses
+          = g_array_new (FALSE, FALSE, sizeof (struct jb_loss));
+      g_array_set_clear_func (task->undecided_losses, loss_clear);
+    }
+  g_array_append_val (task->undecided_losses, loss);
+  task->job->has_undecided_losses = true;
+  return &g_array_index (task->undecided_losses, struct jb_loss,
+                         task->undecided_losses->len - 1);
+}
+
+void
+jb_task_forget_losses (struct jb_task *task)
+{
+  if (task->undecided_losses != NULL)
+    g_array_free (task->undecided_losses, TRUE);
+  task->undecided_losses = NULL;
+}
+
 bool
 jb_job_has_no_runs (const struct jb_job *job)
 {
@@ -150,10 +184,12 @@
       job->tasks[i].failures = 0;
       job->tasks[i].crashes = 0;
       job->tasks[i].lost_runs = 0;
+      jb_task_forget_losses (&job->tasks[i]);
       job->tasks[i].given_up_run = 0;
       job->tasks[i].done_before = false;
     }
   job->has_done_before = false;
+  job->has_undecided_losses = false;
   for (i = 0; i < job->step_total; i++)
     {
       job->steps[i].done_count = 0;
@@ -187,6 +223,7 @@
     {
       g_free (job->tasks[i].worker);
       g_free (job->tasks[i].checkpoint);
+      jb_task_forget_losses (&job->tasks[i]);
     }
   g_free (job->tasks);
   g_free (job->steps);
--- a/lib/jobs/records.c
+++ b/lib/jobs/records.c
@@ -167,6 +167,33 @@
   return (job->task_total + JB_BLOCK_TASKS - 1) / JB_BLOCK_TASKS;
 }
 
+/* Of the tasks of a block; there are seldom any.  */
+static void
+encode_losses (Ftj__TaskProgress *record, const struct jb_task *task,
+               GPtrArray *owned)
+{
+  guint i;
+
+  if (task->undecided_losses == NULL || task->undecided_losses->len == 0)
+    return;
+  record->n_undecided_losses = task->undecided_losses->len;
+  record->undecided_losses
+      = g_new0 (Ftj__UndecidedLoss *, task->undecided_losses->len);
+  g_ptr_array_add (owned, record->undecided_losses);
+  for (i = 0; i < task->undecided_losses->len; i++)
+    {
+      const struct jb_loss *loss
+          = &g_array_index (task->undecided_losses, struct jb_loss, i);
+      Ftj__UndecidedLoss *row = g_new0 (Ftj__UndecidedLoss, 1);
+
+      ftj__undecided_loss__init (row);
+      row->worker = loss->worker;
+      row->worker_started_ms = loss->worker_started_ms;
+      record->undecided_losses[i] = row;
+      g_ptr_array_add (owned, row);
+    }
+}
+
 GByteArray *
 jb_encode_block (const struct jb_job *job, size_t block)
 {
@@ -176,6 +203,8 @@
   bool final = jb_state_is_final (job->state);
   size_t first = block * JB_BLOCK_TASKS;
   size_t count = MIN (job->task_total - first, JB_BLOCK_TASKS);
+  GPtrArray *owned = g_ptr_array_new_with_free_func (g_free);
+  GByteArray *bytes;
   size_t i;
 
   for (i = 0; i < count; i++)
@@ -192,18 +221,25 @@
       tasks[i].done_before = task->done_before;
       tasks[i].worker = empty_if_null (task->worker);
       tasks[i].worker_started_ms = task->worker_started_ms;
+      tasks[i].worker_leaving = task->worker_leaving;
+      if (!final)
+        encode_losses (&tasks[i], task, owned);
       if (!final && task->state != JB_TASK_DONE)
         tasks[i].checkpoint = empty_if_null (task->checkpoint);
       rows[i] = &tasks[i];
     }
   record.tasks = rows;
   record.n_tasks = count;
-  return pack (&record.base);
+  bytes = pack (&record.base);
+  g_ptr_array_free (owned, TRUE);
+  return bytes;
 }
 
 static void
 apply_task_progress (struct jb_task *task, const Ftj__TaskProgress *record)
 {
+  size_t i;
+
   jb_task_reset (task);
   task->state = MIN (record->state, JB_TASK_DONE);
   task->run = record->run;
@@ -215,6 +251,11 @@
   task->job->has_done_before |= task->done_before;
   task->worker = dup_or_null_if_empty (record->worker);
   task->worker_started_ms = record->worker_started_ms;
+  task->worker_leaving = record->worker_leaving;
+  jb_task_forget_losses (task);
+  for (i = 0; i < record->n_undecided_losses; i++)
+    jb_task_add_loss (task, record->undecided_losses[i]->worker,
+                      record->undecided_losses[i]->worker_started_ms);
   if (task->worker == NULL && task->state != JB_TASK_DONE)
     task->state = JB_TASK_WAITING;
   if (record->checkpoint[0] != '\0')
--- a/lib/proto/jobs.pb-c.c
+++ b/lib/proto/jobs.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &ftj__cancel_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ftj__undecided_loss__init
+                     (Ftj__UndecidedLoss         *message)
+{
+  static const Ftj__UndecidedLoss init_value = FTJ__UNDECIDED_LOSS__INIT;
+  *message = init_value;
+}
+size_t ftj__undecided_loss__get_packed_size
+                     (const Ftj__UndecidedLoss *message)
+{
+  assert(message->base.descriptor == &ftj__undecided_loss__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ftj__undecided_loss__pack
+                     (const Ftj__UndecidedLoss *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ftj__undecided_loss__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ftj__undecided_loss__pack_to_buffer
+                     (const Ftj__UndecidedLoss *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ftj__undecided_loss__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ftj__UndecidedLoss *
+       ftj__undecided_loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ftj__UndecidedLoss *)
+     protobuf_c_message_unpack (&ftj__undecided_loss__descriptor,
+                                allocator, len, data);
+}
+void   ftj__undecided_loss__free_unpacked
+                     (Ftj__UndecidedLoss *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ftj__undecided_loss__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ftj__task_progress__init
                      (Ftj__TaskProgress         *message)
 {
@@ -883,7 +928,58 @@
   (ProtobufCMessageInit) ftj__cancel_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ftj__task_progress__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ftj__undecided_loss__field_descriptors[2] =
+{
+  {
+    "worker",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__UndecidedLoss, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker_started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__UndecidedLoss, worker_started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ftj__undecided_loss__field_indices_by_name[] = {
+  0,   /* field[0] = worker */
+  1,   /* field[1] = worker_started_ms */
+};
+static const ProtobufCIntRange ftj__undecided_loss__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ftj__undecided_loss__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ftj.UndecidedLoss",
+  "UndecidedLoss",
+  "Ftj__UndecidedLoss",
+  "ftj",
+  sizeof(Ftj__UndecidedLoss),
+  2,
+  ftj__undecided_loss__field_descriptors,
+  ftj__undecided_loss__field_indices_by_name,
+  1,  ftj__undecided_loss__number_ranges,
+  (ProtobufCMessageInit) ftj__undecided_loss__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ftj__task_progress__field_descriptors[12] =
 {
   {
     "state",
@@ -1005,6 +1101,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "worker_leaving",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__TaskProgress, worker_leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "undecided_losses",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ftj__TaskProgress, n_undecided_losses),
+    offsetof(Ftj__TaskProgress, undecided_losses),
+    &ftj__undecided_loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ftj__task_progress__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
@@ -1015,13 +1135,15 @@
   6,   /* field[6] = lost_runs */
   1,   /* field[1] = run */
   0,   /* field[0] = state */
+  11,   /* field[11] = undecided_losses */
   3,   /* field[3] = worker */
+  10,   /* field[10] = worker_leaving */
   7,   /* field[7] = worker_started_ms */
 };
 static const ProtobufCIntRange ftj__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ftj__task_progress__descriptor =
 {
@@ -1031,7 +1153,7 @@
   "Ftj__TaskProgress",
   "ftj",
   sizeof(Ftj__TaskProgress),
-  10,
+  12,
   ftj__task_progress__field_descriptors,
   ftj__task_progress__field_indices_by_name,
   1,  ftj__task_progress__number_ranges,
--- a/lib/proto/jobs.pb-c.h
+++ b/lib/proto/jobs.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Ftj__StepRecord Ftj__StepRecord;
 typedef struct Ftj__JobRecord Ftj__JobRecord;
 typedef struct Ftj__CancelRecord Ftj__CancelRecord;
+typedef struct Ftj__UndecidedLoss Ftj__UndecidedLoss;
 typedef struct Ftj__TaskProgress Ftj__TaskProgress;
 typedef struct Ftj__Progress Ftj__Progress;
 typedef struct Ftj__TaskBlock Ftj__TaskBlock;
@@ -91,6 +92,20 @@
     , 0 }
 
 
+/*
+ * A run that was lost with a worker which may have crashed.
+ */
+struct  Ftj__UndecidedLoss
+{
+  ProtobufCMessage base;
+  char *worker;
+  int64_t worker_started_ms;
+};
+#define FTJ__UNDECIDED_LOSS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ftj__undecided_loss__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Ftj__TaskProgress
 {
   ProtobufCMessage base;
@@ -107,10 +122,16 @@
   uint32_t crashes;
   uint32_t lost_runs;
   int64_t worker_started_ms;
+  /*
+   * the worker has announced that it leaves
+   */
+  protobuf_c_boolean worker_leaving;
+  size_t n_undecided_losses;
+  Ftj__UndecidedLoss **undecided_losses;
 };
 #define FTJ__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ftj__task_progress__descriptor) \
-    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -272,6 +293,25 @@
 void   ftj__cancel_record__free_unpacked
                      (Ftj__CancelRecord *message,
                       ProtobufCAllocator *allocator);
+/* Ftj__UndecidedLoss methods */
+void   ftj__undecided_loss__init
+                     (Ftj__UndecidedLoss         *message);
+size_t ftj__undecided_loss__get_packed_size
+                     (const Ftj__UndecidedLoss   *message);
+size_t ftj__undecided_loss__pack
+                     (const Ftj__UndecidedLoss   *message,
+                      uint8_t             *out);
+size_t ftj__undecided_loss__pack_to_buffer
+                     (const Ftj__UndecidedLoss   *message,
+                      ProtobufCBuffer     *buffer);
+Ftj__UndecidedLoss *
+       ftj__undecided_loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ftj__undecided_loss__free_unpacked
+                     (Ftj__UndecidedLoss *message,
+                      ProtobufCAllocator *allocator);
 /* Ftj__TaskProgress methods */
 void   ftj__task_progress__init
                      (Ftj__TaskProgress         *message);
@@ -416,6 +456,9 @@
 typedef void (*Ftj__CancelRecord_Closure)
                  (const Ftj__CancelRecord *message,
                   void *closure_data);
+typedef void (*Ftj__UndecidedLoss_Closure)
+                 (const Ftj__UndecidedLoss *message,
+                  void *closure_data);
 typedef void (*Ftj__TaskProgress_Closure)
                  (const Ftj__TaskProgress *message,
                   void *closure_data);
@@ -446,6 +489,7 @@
 extern const ProtobufCMessageDescriptor ftj__step_record__descriptor;
 extern const ProtobufCMessageDescriptor ftj__job_record__descriptor;
 extern const ProtobufCMessageDescriptor ftj__cancel_record__descriptor;
+extern const ProtobufCMessageDescriptor ftj__undecided_loss__descriptor;
 extern const ProtobufCMessageDescriptor ftj__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor ftj__progress__descriptor;
 extern const ProtobufCMessageDescriptor ftj__task_block__descriptor;
--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -10,7 +10,11 @@
 
    Workers without any run that had just started show, if they are lost at the
    same time, that there is another cause.  Crashes beside such losses are weak
-   evidence, so that more of them are needed.  */
+   evidence, so that more of them are needed.
+
+   Only crashes count.  A run that is lost with a worker which had announced
+   that it leaves does not, and where a worker may only have been out of touch,
+   loss.c decides later.  */
 
 #include "sched/private.h"
 
@@ -21,8 +25,8 @@
   /* and forbids the third start after three.  Of crashes and lost runs
      together: each crash adds two, beside other losses one.  */
   EVIDENCE_LIMIT = 4,
-  /* The same if it is not shown that the last worker was lost by the task:
-     each of these runs may have been a crash.  */
+  /* The same if it is not shown that the last worker was lost by the task: in
+     each of these runs its worker has crashed.  */
   LOSS_LIMIT = 5
 };
 
@@ -30,7 +34,7 @@
 static bool
 is_suspect (const struct sd_worker_loss *loss, const struct jb_task *task)
 {
-  return task->confirmed
+  return task->confirmed && !task->worker_leaving
          && task->started_ms + SD_TASK_START_MS > loss->last_answer_ms;
 }
 
@@ -38,7 +42,8 @@
 static bool
 may_be_suspect (const struct sd_worker_loss *loss, const struct jb_task *task)
 {
-  return is_suspect (loss, task) || (!task->confirmed && !task->start_unsent);
+  return is_suspect (loss, task)
+         || (!task->confirmed && !task->start_unsent && !task->worker_leaving);
 }
 
 /* The job of all runs that had just started; NULL: there are none, or of
@@ -80,7 +85,7 @@
                       const struct jb_task *task,
                       const struct jb_job *suspect_job)
 {
-  if (task->start_unsent)
+  if (task->start_unsent || task->worker_leaving)
     return false;
   if (loss->others_lost && !loss->crashed)
     return task->job == suspect_job && is_suspect (loss, task);
@@ -92,7 +97,7 @@
 /* SUSPECT_JOB: of find_suspect_job ().  */
 static void
 count_loss (const struct sd_worker_loss *loss,
-            const struct jb_job *suspect_job)
+            const struct jb_job *suspect_job, int64_t now_ms)
 {
   guint i;
 
@@ -100,13 +105,45 @@
     {
       struct jb_task *task = g_ptr_array_index (loss->tasks, i);
 
-      if (may_have_lost_worker (loss, task, suspect_job))
-        task->lost_runs++;
       if (loss->crashed && is_suspect (loss, task))
         task->crashes++;
+      if (!may_have_lost_worker (loss, task, suspect_job))
+        continue;
+      if (loss->crashed)
+        task->lost_runs++;
+      else if (!jb_state_is_final (task->job->state))
+        sd_loss_add (loss->worker, task, now_ms);
     }
 }
 
+uint32_t
+sd_crash_evidence (const struct jb_task *task)
+{
+  uint32_t evidence = task->crashes + task->lost_runs;
+  guint i;
+
+  for (i = 0;
+       task->undecided_losses != NULL && i < task->undecided_losses->len; i++)
+    evidence
+        += g_array_index (task->undecided_losses, struct jb_loss, i).counted;
+  return evidence;
+}
+
+bool
+sd_crash_is_too_much (uint32_t evidence)
+{
+  return evidence >= LOSS_LIMIT;
+}
+
+bool
+sd_crash_must_wait (const struct jb_task *task)
+{
+  return task->undecided_losses != NULL && task->undecided_losses->len > 0
+         && !task->step->spec->long_lived
+         && sd_crash_is_too_much (task->crashes + task->lost_runs
+                                  + task->undecided_losses->len);
+}
+
 /* Tasks that last are restarted however their runs end.
    SUSPECT_JOB: of find_suspect_job ().  */
 static bool
@@ -115,11 +152,11 @@
 {
   bool crashed_alone
       = loss->crashed && task->job == suspect_job && is_suspect (loss, task);
-  uint32_t evidence = task->crashes + task->lost_runs;
+  uint32_t evidence = sd_crash_evidence (task);
 
   if (task->step->spec->long_lived)
     return false;
-  return evidence >= LOSS_LIMIT
+  return sd_crash_is_too_much (evidence)
          || (crashed_alone && task->crashes >= CRASH_LIMIT
              && evidence >= EVIDENCE_LIMIT);
 }
@@ -131,7 +168,7 @@
   const struct jb_job *suspect_job = find_suspect_job (loss);
   guint i;
 
-  count_loss (loss, suspect_job);
+  count_loss (loss, suspect_job, now_ms);
   for (i = 0; i < loss->tasks->len; i++)
     {
       struct jb_task *task = g_ptr_array_index (loss->tasks, i);
@@ -150,15 +187,6 @@
     }
 }
 
-void
-sd_run_was_cut_off (struct sd_sched *sched, struct jb_task *task)
-{
-  if (task->lost_runs == 0)
-    return;
-  task->lost_runs--;
-  sd_mark_changed (sched, task->job);
-}
-
 bool
 sd_crash_is_suspect (const struct jb_task *task)
 {
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -100,10 +100,11 @@
     return 0;
   for (i = 0; i < step->spec->count; i++)
     {
-      if (step->tasks[i].state == JB_TASK_WAITING)
+      if (step->tasks[i].state == JB_TASK_WAITING
+          && !sd_crash_must_wait (&step->tasks[i]))
         waiting++;
       else if (step->spec->gang)
-        return 0; /* a member is placed or stopping */
+        return 0; /* a member is placed or stopping, or must wait */
     }
   return waiting;
 }
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -401,7 +401,7 @@
         {
           struct jb_task *task = &unit->step->tasks[next];
 
-          if (task->state != JB_TASK_WAITING)
+          if (task->state != JB_TASK_WAITING || sd_crash_must_wait (task))
             continue;
           candidate->copies--;
           g_ptr_array_add (placement->tasks, task);
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -248,11 +248,50 @@
  *  has started. */
 void sd_crash_suspect_placed (struct sd_worker *worker, int64_t now_ms);
 
+/*! sd_crash_must_wait () :
+ *  @return : whether TASK must not start before more of its losses are
+ *            decided: if all were crashes, it would have had too many. */
+bool sd_crash_must_wait (const struct jb_task *task);
+
+/*! sd_crash_evidence () :
+ *  @return : what counts against TASK; crashes are counted more than once. */
+uint32_t sd_crash_evidence (const struct jb_task *task);
+
+/*! sd_crash_is_too_much () :
+ *  @return : whether so much evidence fails the job of a task. */
+bool sd_crash_is_too_much (uint32_t evidence);
+
 /*! sd_crash_absolve () :
  *  TASK is at work on a worker that has not crashed: its crashes and lost runs
  *  do not count any more. */
 void sd_crash_absolve (struct sd_sched *sched, struct jb_task *task);
 
+/* --- loss.c: lost runs of which it is not known why --- */
+
+/*! sd_loss_add () :
+ *  The run of TASK is lost with WORKER, which may have crashed. */
+void sd_loss_add (struct sd_worker *worker, struct jb_task *task,
+                  int64_t now_ms);
+
+/*! sd_losses_begin_term () :
+ *  Enters the undecided losses of JOB, as recorded, in its workers. */
+void sd_losses_begin_term (struct sd_sched *sched, struct jb_job *job,
+                           int64_t now_ms);
+
+/*! sd_losses_end_job () :
+ *  JOB has ended: its undecided losses do not matter any more. */
+void sd_losses_end_job (struct sd_sched *sched, struct jb_job *job);
+
+/*! sd_loss_worker_leaves () :
+ *  The report of WORKER says that it is draining: what it runs is not lost by
+ * a crash. */
+void sd_loss_worker_leaves (struct sd_sched *sched, struct sd_worker *worker);
+
+/*! sd_find_or_add_worker () :
+ *  @return : the worker of this id, which may be known from records only. */
+struct sd_worker *sd_find_or_add_worker (struct sd_sched *sched,
+                                         const char *id);
+
 /* --- order.c: the order of waiting work --- */
 
 /* The unit of placement: the waiting tasks of a step.  The tasks of a gang
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -175,6 +175,8 @@
       memset (report, 0, sizeof *report);
     }
   worker->listed = true;
+  if (worker->report.draining)
+    sd_loss_worker_leaves (sched, worker);
   worker->reported_ms = MAX (worker->reported_ms, reported_ms);
   worker->rack_index = sd_index_of (sched->rack_indexes, worker->report.rack);
   worker->service_index
@@ -213,8 +215,8 @@
 
 /* --- Terms --- */
 
-static struct sd_worker *
-find_or_add_worker (struct sd_sched *sched, const char *id)
+struct sd_worker *
+sd_find_or_add_worker (struct sd_sched *sched, const char *id)
 {
   struct sd_worker *worker = sd_worker_find (sched, id);
   struct sd_worker_report report = { 0 };
@@ -238,7 +240,7 @@
 
       if (task->state != JB_TASK_PLACED && task->state != JB_TASK_STOPPING)
         continue;
-      worker = find_or_add_worker (sched, task->worker);
+      worker = sd_find_or_add_worker (sched, task->worker);
       g_ptr_array_add (worker->tasks, task);
       sd_resources_add (&worker->used_resources, &task->step->spec->resources);
       task->placed_ms = now_ms;
@@ -292,6 +294,7 @@
       worker->unassigned_resources = (struct jb_resources){ 0 };
       worker->reachability = SD_WORKER_UNSEEN;
       worker->process_started_ms = 0;
+      worker->undecided_losses = 0;
       /* Until a status poll reports the tails of the serving tasks.  */
       worker->pace_level = 0;
       worker->pace_changed_ms = now_ms;
@@ -313,7 +316,10 @@
       forget_waits (job, now_ms);
       restore_placed_tasks (sched, job, now_ms);
       if (!jb_state_is_final (job->state))
-        sd_job_added (sched, job);
+        {
+          sd_losses_begin_term (sched, job, now_ms);
+          sd_job_added (sched, job);
+        }
       if (job->cancel_requested)
         sd_job_cancelled (sched, job, now_ms);
     }
@@ -340,6 +346,7 @@
   for (i = 0; i < job->step_total; i++)
     sd_stop_step (sched, &job->steps[i], jb_state_name (state));
   g_ptr_array_remove (sched->active_jobs, job);
+  sd_losses_end_job (sched, job);
   for (i = 0; i < job->step_total; i++)
     {
       g_hash_table_remove (sched->preemptions, &job->steps[i]);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -70,6 +70,7 @@
   int64_t last_done_ms;       /* 0: no run done yet */
   int64_t avoid_until_ms;     /* no new task before: the worker seems to be
                                  unhealthy */
+  uint32_t undecided_losses;  /* of it, that tasks have; see jb_loss */
   int64_t exclusive_until_ms; /* no new task before: one that may crash the
                                  worker is starting there */
   /* pace of the best-effort tasks there */
@@ -243,10 +244,12 @@
 /* Runs that are lost together with their worker.  */
 struct sd_worker_loss
 {
+  struct sd_worker *worker;
   GPtrArray *tasks; /* struct jb_task: their last recorded runs are lost, as
                        for sd_task_lost () */
   bool crashed;     /* the worker's process has ended without having announced
-                       it; false: it may only be unreachable */
+                       it; false: it may only be unreachable, see
+                       sd_settle_losses () */
   int64_t last_answer_ms; /* when that process last answered a call */
   bool others_lost; /* at about the same time other workers were lost on which
                        no run had just started */
@@ -257,9 +260,9 @@
 bool sd_crash_had_starting_run (const struct sd_worker_loss *loss);
 
 /*! sd_runs_lost () :
- *  Has lost runs wait for workers again, and counts them and the crashes.  The
- *  job of a task that has crashed too many workers has failed, unless the task
- *  is long-lived; see crash.c.
+ *  Has lost runs wait for workers again, and counts the crashes; losses that
+ *  may be none stay undecided.  The job of a task that has crashed too many
+ *  workers has failed, unless the task is long-lived; see crash.c.
  *  @given_up : struct jb_task: the tasks for which a job has failed are
  *              added. */
 void sd_runs_lost (struct sd_sched *sched, const struct sd_worker_loss *loss,
@@ -281,11 +284,28 @@
 bool sd_given_up_run_failed (struct sd_sched *sched, struct jb_task *task,
                              uint32_t run, int64_t now_unix_ms);
 
-/*! sd_run_was_cut_off () :
- *  A worker lists that an earlier run of TASK, which was given up, has ended
- *  with its lease: the worker had not crashed, so the run does not count as
- *  lost with it. */
-void sd_run_was_cut_off (struct sd_sched *sched, struct jb_task *task);
+/* What shows whether a worker that was unreachable has crashed.  */
+enum sd_sighting
+{
+  SD_SEEN_PROCESS,  /* this process of it is there, or has been there since */
+  SD_SEEN_LEAVING,  /* this process of it has announced that it leaves */
+  SD_SEEN_REPLACED, /* another process answers at its address */
+  SD_SEEN_NOTHING,  /* nothing of it has been seen for a long time */
+};
+
+/*! sd_settle_losses () :
+ *  Decides the losses of runs with WORKER that are undecided.  The same
+ *  process as that of the run has not crashed; another one that is there shows
+ *  a crash, and so does, until WORKER is seen again, SD_SEEN_NOTHING.
+ *  @started_ms : of the process, as sd_worker.process_started_ms; 0: not
+ *                known, taken for the same process.
+ *  @seen_ms : of SD_SEEN_PROCESS, the process was there at this moment or
+ *             later.  Losses since then stay undecided.
+ *  @given_up : as for sd_runs_lost (). */
+void sd_settle_losses (struct sd_sched *sched, struct sd_worker *worker,
+                       enum sd_sighting sighting, int64_t started_ms,
+                       int64_t seen_ms, int64_t now_unix_ms,
+                       GPtrArray *given_up);
 
 /* --- Pace --- */
 
@@ -411,6 +431,7 @@
   SD_WAIT_NO_QUEUE,     /* its queue is not in the configuration */
   SD_WAIT_NOT_DUE,      /* its due time has not come */
   SD_WAIT_EARLIER_STEP, /* an earlier step is not done */
+  SD_WAIT_UNDECIDED, /* whether a task has crashed its workers is not known */
   /* Some of its tasks count as placed.  */
   SD_WAIT_MEMBER_STOPPING,  /* a task is being stopped */
   SD_WAIT_MEMBER_PLACED,    /* a member of its gang is placed, another waits */
--- a/lib/sched/waiting.c
+++ b/lib/sched/waiting.c
@@ -15,6 +15,7 @@
   [SD_WAIT_NO_QUEUE] = "no-queue",
   [SD_WAIT_NOT_DUE] = "not-due",
   [SD_WAIT_EARLIER_STEP] = "earlier-step",
+  [SD_WAIT_UNDECIDED] = "undecided-losses",
   [SD_WAIT_MEMBER_STOPPING] = "member-stopping",
   [SD_WAIT_MEMBER_PLACED] = "member-placed",
   [SD_WAIT_START] = "start",
@@ -164,6 +165,28 @@
   return true;
 }
 
+/* A task of the step that must wait for its losses to be decided, unless
+   another task of the step need not; NULL: there is none.  */
+static const struct jb_task *
+find_undecided (const struct jb_step *step)
+{
+  const struct jb_task *undecided = NULL;
+  uint32_t i;
+
+  for (i = 0; i < step->spec->count; i++)
+    {
+      const struct jb_task *task = &step->tasks[i];
+
+      if (task->state != JB_TASK_WAITING)
+        continue;
+      if (sd_crash_must_wait (task))
+        undecided = task;
+      else if (!step->spec->gang)
+        return NULL;
+    }
+  return undecided;
+}
+
 /* @return : whether the reason is found without a choice of workers.  */
 static bool
 explain_cheaply (const struct sd_sched *sched, const struct jb_step *step,
@@ -172,6 +195,7 @@
 {
   int64_t due_unix_ms = jb_step_due_unix_ms (step);
   const struct jb_step *earlier = find_earlier_step (step);
+  const struct jb_task *undecided = find_undecided (step);
 
   if (sched->catalog == NULL
       || ct_find_queue (sched->catalog, step->job->queue) == NULL)
@@ -185,6 +209,9 @@
   else if (earlier != NULL)
     set_wait (waiting, SD_WAIT_EARLIER_STEP, "step %u, %u of %u tasks done",
               earlier->index, earlier->done_count, earlier->spec->count);
+  else if (undecided != NULL)
+    set_wait (waiting, SD_WAIT_UNDECIDED, "task %u, %u losses",
+              undecided->index, undecided->undecided_losses->len);
   else
     return explain_placed (sched, step, now_ms, waiting);
   return true;
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -32,6 +32,9 @@
   /* Of a gang and the small jobs beside it; a wave of thousands of tasks takes
      several rounds.  */
   STARTS_PER_ROUND = 256,
+  /* Longer than the store takes to list workers again that it had lost, and
+     than a deadly task's worker takes to start again.  */
+  ABSENCE_MAX_MS = 10000,
   BYTES_PER_MBIT = 125000,
   /* A decision that waits longer than this to be sent may be overtaken by
      ends, arrivals and cancellations.  */
@@ -583,6 +586,7 @@
     .lease_ttl_ms = params->settings->lease_ttl_ms,
     .lease_limit_ms = params->settings->lease_limit_ms,
     .stop_max_ms = params->settings->stop_ms,
+    .absence_max_ms = ABSENCE_MAX_MS,
     .link_bytes_per_s
     = (uint32_t)(params->settings->link_mbps * BYTES_PER_MBIT),
     .ctx = planner,
--- a/programs/foxtailgap-hostd/worker_losses.c
+++ b/programs/foxtailgap-hostd/worker_losses.c
@@ -90,6 +90,75 @@
   return false;
 }
 
+/* --- Losses of which it is not known whether the worker crashed --- */
+
+static void
+settle_losses (struct worker_io *io, enum sd_sighting sighting,
+               int64_t started_ms, int64_t seen_ms)
+{
+  static const char *const sighting_words[]
+      = { "process", "leaving", "replaced", "nothing" };
+  GPtrArray *given_up = g_ptr_array_new ();
+  uint32_t before = io->worker->undecided_losses;
+  guint i;
+
+  sd_settle_losses (io->workers->params.sched, io->worker, sighting,
+                    started_ms, seen_ms, clk_unix_ms (), given_up);
+  if (io->worker->undecided_losses != before || sighting == SD_SEEN_NOTHING)
+    {
+      lg_info (PART, "It is settled why runs were lost.", "worker",
+               io->worker->report.id, "seen", sighting_words[sighting],
+               "losses", lg_number (before), "undecided",
+               lg_number (io->worker->undecided_losses), NULL);
+      io->workers->params.changed (io->workers->params.ctx);
+    }
+  for (i = 0; i < given_up->len; i++)
+    note_given_up_task (io, g_ptr_array_index (given_up, i));
+  g_ptr_array_free (given_up, TRUE);
+}
+
+void
+wk_settle_losses_by_poll (struct worker_io *io, const struct wp_answer *answer,
+                          int64_t now_ms)
+{
+  if (io->worker->undecided_losses > 0)
+    settle_losses (io, SD_SEEN_PROCESS, answer->worker_started_ms, now_ms);
+}
+
+void
+wk_settle_losses_by_report (struct worker_io *io)
+{
+  const struct sd_worker *worker = io->worker;
+
+  if (worker->undecided_losses == 0 || worker->report.process_started_ms == 0)
+    return;
+  if (worker->report.draining)
+    settle_losses (io, SD_SEEN_LEAVING, worker->report.process_started_ms, 0);
+  settle_losses (io, SD_SEEN_PROCESS, worker->report.process_started_ms,
+                 worker->reported_ms);
+}
+
+void
+wk_settle_losses_of_absent (struct worker_io *io, int64_t now_ms)
+{
+  const struct sd_worker *worker = io->worker;
+
+  if (worker->undecided_losses == 0 || worker->listed
+      || worker->reachability == SD_WORKER_REACHABLE)
+    {
+      io->absent_since_ms = 0;
+      io->absence_settled = false;
+      return;
+    }
+  if (io->absent_since_ms == 0)
+    io->absent_since_ms = now_ms;
+  if (io->absence_settled
+      || now_ms - io->absent_since_ms < io->workers->params.absence_max_ms)
+    return;
+  settle_losses (io, SD_SEEN_NOTHING, 0, 0);
+  io->absence_settled = true;
+}
+
 /* --- Runs lost with their worker --- */
 
 /* TASKS: struct jb_task, placed on the worker; not kept.
@@ -101,6 +170,7 @@
 {
   GPtrArray *given_up = g_ptr_array_new ();
   struct sd_worker_loss loss = {
+    .worker = io->worker,
     .tasks = tasks,
     /* A worker that has announced that it leaves has not crashed.  */
     .crashed = process_ended && !io->worker->report.draining,
@@ -120,6 +190,7 @@
                 given_up);
   for (i = 0; i < given_up->len; i++)
     note_given_up_task (io, g_ptr_array_index (given_up, i));
+  wk_settle_losses_of_absent (io, now_ms);
 
 done:
   g_ptr_array_free (given_up, TRUE);
@@ -151,6 +222,8 @@
 {
   if (io->worker->tasks->len > 0)
     lose_all_runs (io, "replaced", true, now_ms);
+  if (io->worker->undecided_losses > 0)
+    settle_losses (io, SD_SEEN_REPLACED, 0, 0);
 }
 
 /* --- Runs that a poll does not list --- */
--- a/programs/foxtailgap-hostd/worker_process.c
+++ b/programs/foxtailgap-hostd/worker_process.c
@@ -180,6 +180,7 @@
   int64_t started_ms = worker->report.process_started_ms;
   int64_t earlier_ms = io->reported_started_ms;
 
+  wk_settle_losses_by_report (io);
   io->reported_started_ms = started_ms;
   /* The first report, and one that lags behind a poll, show nothing new.  */
   if (earlier_ms == 0 || started_ms == earlier_ms || started_ms == 0
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -210,9 +210,7 @@
 
   if (task == NULL)
     return;
-  if (outcome->outcome == SD_OUTCOME_LEASE_EXPIRED)
-    sd_run_was_cut_off (sched, task);
-  else if (outcome->outcome == SD_OUTCOME_DONE)
+  if (outcome->outcome == SD_OUTCOME_DONE)
     counts = sd_given_up_run_done (sched, task, outcome->run, clk_unix_ms ());
   else if (outcome->outcome == SD_OUTCOME_FAILED)
     counts
@@ -320,6 +318,7 @@
   guint i;
 
   wk_process_answered (io, answer, now_ms);
+  wk_settle_losses_by_poll (io, answer, now_ms);
   for (i = 0; i < answer->outcomes->len; i++)
     process_outcome (
         io, &g_array_index (answer->outcomes, struct wp_outcome, i), now_ms);
@@ -672,7 +671,8 @@
   if (io->lease_recorded && now_ms - io->renewal_tried_ms < RECORDED_RETRY_MS)
     return false;
   if (worker->reachability == SD_WORKER_UNREACHABLE)
-    return (worker->tasks->len > 0 || worker->listed)
+    return (worker->tasks->len > 0 || worker->listed
+            || (worker->undecided_losses > 0 && !io->absence_settled))
            && now_ms - io->renewal_tried_ms
                   >= unreachable_retry_ms (io, now_ms);
   if (worker->listed && wk_needs_proof (io->workers, now_ms)
@@ -721,6 +721,7 @@
       if (worker->reachability != SD_WORKER_REACHABLE && worker->tasks->len > 0
           && now_ms > wk_lease_end_ms (io))
         wk_drop_runs_of_lapsed_lease (io, now_ms);
+      wk_settle_losses_of_absent (io, now_ms);
       if (!renewal_is_due (io, now_ms))
         continue;
       if (sent >= RENEWALS_PER_PASS_MAX)
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -41,6 +41,9 @@
   /* The time of a stop: it takes at most this long, and meanwhile the run may
      be listed neither as running nor as ended.  */
   uint32_t stop_max_ms;
+  /* After this time a worker that neither answers nor is in the store's list
+     is taken for crashed.  */
+  uint32_t absence_max_ms;
   /* Of the host's network link, for calls to workers; 0: no limit.  */
   uint32_t link_bytes_per_s;
   void *ctx;
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -64,8 +64,12 @@
   int64_t unverified_start_ms;
   bool lease_adopted; /* lease_end_ms is by the record of the planner before */
   bool in_first_list; /* the worker was listed when the term began */
-  bool lease_recorded; /* the stored record of leases contains this worker, or
-                          may contain it */
+  /* Since when nothing is seen of a worker with undecided losses, neither by
+     polls nor in the store's list; 0: it is seen, or has none.  */
+  int64_t absent_since_ms;
+  bool absence_settled; /* these losses count as crashes until it is seen */
+  bool lease_recorded;  /* the stored record of leases contains this worker, or
+                           may contain it */
   int64_t lease_recorded_ms; /* since when */
 };
 
@@ -254,6 +258,18 @@
 void wk_drop_runs_of_lapsed_lease (struct worker_io *io, int64_t now_ms);
 void wk_drop_runs_of_replaced_worker (struct worker_io *io, int64_t now_ms);
 
+/*! wk_settle_losses_by_poll (), wk_settle_losses_by_report () :
+ *  A poll has been answered, or a report of the worker has been read: decides
+ *  whether runs that were lost with it were lost by a crash. */
+void wk_settle_losses_by_poll (struct worker_io *io,
+                               const struct wp_answer *answer, int64_t now_ms);
+void wk_settle_losses_by_report (struct worker_io *io);
+
+/*! wk_settle_losses_of_absent () :
+ *  The same by the absence of the worker, if it has lasted for
+ *  wk_params.absence_max_ms. */
+void wk_settle_losses_of_absent (struct worker_io *io, int64_t now_ms);
+
 /*! wk_update_pace () :
  *  Sends pace commands to the best-effort tasks on a worker as needed. */
 void wk_update_pace (struct worker_calls *workers, struct sd_worker *worker);
--- a/programs/foxtailgapctl/explain_waits.c
+++ b/programs/foxtailgapctl/explain_waits.c
@@ -187,6 +187,7 @@
     { "no-queue", "its queue was not in the configuration" },
     { "not-due", "its due time had not come" },
     { "earlier-step", "an earlier step was not done" },
+    { "undecided-losses", "its task may have crashed too many workers" },
     { "member-stopping", "a task of it was being stopped" },
     { "member-placed", "one member of its gang was placed, another waited" },
     { "start-unstored", "its placement was not stored" },
