--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -126,6 +126,37 @@
   task->pace_sent_ms = 0;
 }
 
+bool
+jb_task_has_failed_run (const struct jb_task *task, uint32_t run)
+{
+  guint i;
+
+  for (i = 0; task->failed_runs != NULL && i < task->failed_runs->len; i++)
+    if (g_array_index (task->failed_runs, uint32_t, i) == run)
+      return true;
+  return false;
+}
+
+void
+jb_task_add_failed_run (struct jb_task *task, uint32_t run)
+{
+  task->failures++;
+  if (task->step->spec->long_lived)
+    return;
+  if (task->failed_runs == NULL)
+    task->failed_runs = g_array_new (FALSE, FALSE, sizeof run);
+  g_array_append_val (task->failed_runs, run);
+}
+
+void
+jb_task_forget_failed_runs (struct jb_task *task)
+{
+  task->failures = 0;
+  if (task->failed_runs != NULL)
+    g_array_free (task->failed_runs, TRUE);
+  task->failed_runs = NULL;
+}
+
 static void
 loss_clear (void *data)
 {
@@ -181,11 +212,10 @@
       jb_task_reset (&job->tasks[i]);
       g_clear_pointer (&job->tasks[i].checkpoint, g_free);
       job->tasks[i].run = 0;
-      job->tasks[i].failures = 0;
+      jb_task_forget_failed_runs (&job->tasks[i]);
       job->tasks[i].crashes = 0;
       job->tasks[i].lost_runs = 0;
       jb_task_forget_losses (&job->tasks[i]);
-      job->tasks[i].given_up_run = 0;
       job->tasks[i].done_before = false;
     }
   job->has_done_before = false;
@@ -223,6 +253,7 @@
     {
       g_free (job->tasks[i].worker);
       g_free (job->tasks[i].checkpoint);
+      jb_task_forget_failed_runs (&job->tasks[i]);
       jb_task_forget_losses (&job->tasks[i]);
     }
   g_free (job->tasks);
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -141,20 +141,20 @@
 {
   struct jb_job *job;
   struct jb_step *step;
-  uint32_t index;     /* within its step, from 0 */
-  uint32_t state;     /* enum jb_task_state */
-  uint32_t run;       /* number of the last run; 0: never started */
-  uint32_t failures;  /* failed runs; the first task of a gang counts those of
-                         all its tasks */
-  uint32_t crashes;   /* workers that crashed when a run had just started */
-  uint32_t lost_runs; /* runs lost with a worker that had crashed, with no
-                         other cause for that in sight */
+  uint32_t index; /* within its step, from 0 */
+  uint32_t state; /* enum jb_task_state */
+  uint32_t run;   /* number of the last run; 0: never started */
+  /* Failed runs.  The first task of a gang counts those of the gang, in each
+     of which several members may have failed.  */
+  uint32_t failures;
+  GArray *failed_runs; /* uint32_t: their numbers; NULL: none.  Not kept of
+                          tasks that last, whose runs have no limit.  */
+  uint32_t crashes;    /* workers that crashed when a run had just started */
+  uint32_t lost_runs;  /* runs lost with a worker that had crashed, with no
+                          other cause for that in sight */
   /* struct jb_loss, of which it is not known whether the worker crashed; NULL:
      none.  */
   GArray *undecided_losses;
-  /* Last run that was given up before its outcome was known; 0: none, or its
-     outcome is known by now.  */
-  uint32_t given_up_run;
   /* A run that was given up has ended done while a later one may have started;
      so no other run is started after that one.  */
   bool done_before;
@@ -283,6 +283,18 @@
  *  stay. */
 void jb_task_reset (struct jb_task *task);
 
+/*! jb_task_has_failed_run () :
+ *  @return : whether RUN counts as failed. */
+bool jb_task_has_failed_run (const struct jb_task *task, uint32_t run);
+
+/*! jb_task_add_failed_run () :
+ *  Counts a failed run, which must not count yet. */
+void jb_task_add_failed_run (struct jb_task *task, uint32_t run);
+
+/*! jb_task_forget_failed_runs () :
+ *  Sets the count of failed runs to 0. */
+void jb_task_forget_failed_runs (struct jb_task *task);
+
 /*! jb_task_add_loss () :
  *  Adds an undecided loss.
  *  @worker : its id, copied.
--- a/lib/jobs/records.c
+++ b/lib/jobs/records.c
@@ -215,9 +215,13 @@
       tasks[i].state = task->state;
       tasks[i].run = task->run;
       tasks[i].failures = task->failures;
+      if (task->failed_runs != NULL)
+        {
+          tasks[i].failed_runs = (uint32_t *)(void *)task->failed_runs->data;
+          tasks[i].n_failed_runs = task->failed_runs->len;
+        }
       tasks[i].crashes = task->crashes;
       tasks[i].lost_runs = task->lost_runs;
-      tasks[i].given_up_run = task->given_up_run;
       tasks[i].done_before = task->done_before;
       tasks[i].worker = empty_if_null (task->worker);
       tasks[i].worker_started_ms = task->worker_started_ms;
@@ -235,6 +239,34 @@
   return bytes;
 }
 
+/* Earlier versions have stored how many runs have failed, and not which. Their
+   ends may still be listed by workers, so the last runs that are over are
+   taken for them.  A run that was given up had not been counted.  */
+static void
+assume_failed_runs (struct jb_task *task, const Ftj__TaskProgress *record)
+{
+  bool runs
+      = record->state == JB_TASK_PLACED || record->state == JB_TASK_STOPPING;
+  uint32_t run = runs ? record->run - 1 : record->run;
+
+  for (; run > 0 && task->failures < record->failures; run--)
+    if (run != record->given_up_run)
+      jb_task_add_failed_run (task, run);
+}
+
+static void
+apply_failed_runs (struct jb_task *task, const Ftj__TaskProgress *record)
+{
+  size_t i;
+
+  jb_task_forget_failed_runs (task);
+  for (i = 0; i < record->n_failed_runs; i++)
+    jb_task_add_failed_run (task, record->failed_runs[i]);
+  if (!task->step->spec->long_lived)
+    assume_failed_runs (task, record);
+  task->failures = record->failures;
+}
+
 static void
 apply_task_progress (struct jb_task *task, const Ftj__TaskProgress *record)
 {
@@ -243,10 +275,9 @@
   jb_task_reset (task);
   task->state = MIN (record->state, JB_TASK_DONE);
   task->run = record->run;
-  task->failures = record->failures;
+  apply_failed_runs (task, record);
   task->crashes = record->crashes;
   task->lost_runs = record->lost_runs;
-  task->given_up_run = record->given_up_run;
   task->done_before = record->done_before;
   task->job->has_done_before |= task->done_before;
   task->worker = dup_or_null_if_empty (record->worker);
--- a/lib/proto/jobs.pb-c.c
+++ b/lib/proto/jobs.pb-c.c
@@ -979,7 +979,7 @@
   (ProtobufCMessageInit) ftj__undecided_loss__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ftj__task_progress__field_descriptors[12] =
+static const ProtobufCFieldDescriptor ftj__task_progress__field_descriptors[13] =
 {
   {
     "state",
@@ -1125,11 +1125,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_runs",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ftj__TaskProgress, n_failed_runs),
+    offsetof(Ftj__TaskProgress, failed_runs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ftj__task_progress__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
   5,   /* field[5] = crashes */
   9,   /* field[9] = done_before */
+  12,   /* field[12] = failed_runs */
   2,   /* field[2] = failures */
   8,   /* field[8] = given_up_run */
   6,   /* field[6] = lost_runs */
@@ -1143,7 +1156,7 @@
 static const ProtobufCIntRange ftj__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor ftj__task_progress__descriptor =
 {
@@ -1153,7 +1166,7 @@
   "Ftj__TaskProgress",
   "ftj",
   sizeof(Ftj__TaskProgress),
-  12,
+  13,
   ftj__task_progress__field_descriptors,
   ftj__task_progress__field_indices_by_name,
   1,  ftj__task_progress__number_ranges,
--- a/lib/proto/jobs.pb-c.h
+++ b/lib/proto/jobs.pb-c.h
@@ -115,23 +115,31 @@
   uint32_t state;
   uint32_t run;
   uint32_t failures;
+  /*
+   * read in records of earlier versions
+   */
   uint32_t given_up_run;
   protobuf_c_boolean done_before;
-  char *worker;
-  char *checkpoint;
-  uint32_t crashes;
-  uint32_t lost_runs;
-  int64_t worker_started_ms;
   /*
    * the worker has announced that it leaves
    */
   protobuf_c_boolean worker_leaving;
+  uint32_t crashes;
+  uint32_t lost_runs;
+  char *worker;
+  char *checkpoint;
+  int64_t worker_started_ms;
   size_t n_undecided_losses;
   Ftj__UndecidedLoss **undecided_losses;
+  /*
+   * as many as failures, unless it lasts
+   */
+  size_t n_failed_runs;
+  uint32_t *failed_runs;
 };
 #define FTJ__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ftj__task_progress__descriptor) \
-    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
 
 
 /*
--- a/lib/sched/health.c
+++ b/lib/sched/health.c
@@ -36,7 +36,7 @@
 
 void
 sd_health_failed (struct sd_worker *worker, const struct jb_job *job,
-                  int64_t now_ms)
+                  bool first_failed_run, int64_t now_ms)
 {
   if (strcmp (worker->last_failed_job, job->id) == 0)
     return;
@@ -45,7 +45,7 @@
   worker->last_failed_ms = now_ms;
   if (worker->failure_streak >= SD_FAILURE_STREAK_LIMIT)
     worker->avoid_until_ms = now_ms + SD_AVOID_MS;
-  else if (job->failed_runs == 0)
+  else if (first_failed_run)
     worker->suspect_until_ms = now_ms + SD_SUSPECT_MS;
 }
 
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -183,10 +183,12 @@
 
 /*! sd_health_done (), sd_health_failed (), sd_health_refused () :
  *  A run on WORKER was done; a run of JOB there failed; WORKER refused a start
- *  because it is unhealthy. */
+ *  because it is unhealthy.
+ *  @first_failed_run : whether JOB has not failed in any other run; members of
+ * a gang that fail on several workers are of one run. */
 void sd_health_done (struct sd_worker *worker, int64_t now_ms);
 void sd_health_failed (struct sd_worker *worker, const struct jb_job *job,
-                       int64_t now_ms);
+                       bool first_failed_run, int64_t now_ms);
 void sd_health_refused (struct sd_worker *worker, int64_t now_ms);
 
 /*! sd_health_avoid () :
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -474,8 +474,6 @@
 sd_task_lost (struct sd_sched *sched, struct jb_task *task, int64_t now_ms)
 {
   (void)now_ms;
-  if (!task->start_unsent) /* else it has no outcome */
-    task->given_up_run = task->run;
   sd_release_task (sched, task);
   stop_gang (sched, task, "a member was lost");
 }
@@ -527,19 +525,39 @@
   return MAX (limit, 1);
 }
 
-static void
-handle_task_failed (struct sd_sched *sched, struct jb_task *task,
-                    int64_t now_unix_ms)
+/* The task that counts the failed runs of TASK.  */
+static struct jb_task *
+counting_task (struct jb_task *task)
 {
-  struct jb_task *representative
-      = task->step->spec->gang ? task->step->tasks : task;
+  return task->step->spec->gang ? task->step->tasks : task;
+}
 
-  representative->failures++;
+/* A run counts once, however many members of a gang have failed in it, and
+   however often and in which order their workers list it.
+   @return : whether RUN has not counted before.  */
+static bool
+handle_run_failed (struct sd_sched *sched, struct jb_task *task, uint32_t run,
+                   int64_t now_unix_ms)
+{
+  struct jb_task *counting = counting_task (task);
+
+  if (jb_task_has_failed_run (counting, run))
+    return false;
+  jb_task_add_failed_run (counting, run);
   task->job->failed_runs++;
-  if (jb_state_is_final (task->job->state) || task->step->spec->long_lived)
-    return;
-  if (representative->failures >= attempt_limit (sched, task->job))
+  if (!jb_state_is_final (task->job->state) && !task->step->spec->long_lived
+      && counting->failures >= attempt_limit (sched, task->job))
     sd_finish_job (sched, task->job, JB_FAILED, now_unix_ms);
+  return true;
+}
+
+/* Whether the job has not failed in another run than the last of TASK.  */
+static bool
+is_first_failed_run (struct jb_task *task)
+{
+  bool counted = jb_task_has_failed_run (counting_task (task), task->run);
+
+  return task->job->failed_runs <= (counted ? 1 : 0);
 }
 
 /* Only runs from the beginning show how long the work takes, so runs that have
@@ -579,8 +597,9 @@
       return;
     case SD_OUTCOME_FAILED:
       if (worker != NULL)
-        sd_health_failed (worker, task->job, now_ms);
-      handle_task_failed (sched, task, now_unix_ms);
+        sd_health_failed (worker, task->job, is_first_failed_run (task),
+                          now_ms);
+      handle_run_failed (sched, task, task->run, now_unix_ms);
       stop_gang (sched, task, "a member failed");
       return;
     case SD_OUTCOME_STOPPED:
@@ -671,10 +690,9 @@
 sd_given_up_run_failed (struct sd_sched *sched, struct jb_task *task,
                         uint32_t run, int64_t now_unix_ms)
 {
-  if (run != task->given_up_run)
+  if (task->step->spec->long_lived || task->state == JB_TASK_DONE
+      || !handle_run_failed (sched, task, run, now_unix_ms))
     return false;
-  task->given_up_run = 0;
   sd_mark_changed (sched, task->job);
-  handle_task_failed (sched, task, now_unix_ms);
   return true;
 }
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -279,8 +279,8 @@
 /*! sd_given_up_run_failed () :
  *  The same for a run that has failed, which counts against the limit of
  *  failed runs.
- *  @return : whether it counts; a worker may list an outcome that has been
- *            counted before. */
+ *  @return : whether it counts; it may have been counted before, by an outcome
+ *            that is listed again, or of another member of its gang. */
 bool sd_given_up_run_failed (struct sd_sched *sched, struct jb_task *task,
                              uint32_t run, int64_t now_unix_ms);
 
