--- a/lib/jobs/catalog.h
+++ b/lib/jobs/catalog.h
@@ -56,18 +56,37 @@
   size_t service_count;
   uint64_t body_limit_bytes; /* of a submission; 0: no limit given.  The
                                 settings' body_limit_bytes applies too.  */
-  GHashTable
-      *queues_by_name; /* name -> struct ct_queue; see ct_index_queues () */
+  /* struct ct_queue by their names, and by their hosts and path prefixes; see
+     ct_index_queues ().  */
+  GHashTable *queues_by_name;
+  GHashTable *queues_by_address;
 };
 
 /*! ct_catalog_free () :
  *  Frees CATALOG with all that it owns.  Accepts NULL. */
 void ct_catalog_free (struct ct_catalog *catalog);
 
+/*! ct_queue_copy () :
+ *  @return : a copy, to be freed by ct_queue_free (). */
+struct ct_queue *ct_queue_copy (const struct ct_queue *queue);
+
+/*! ct_queue_free () :
+ *  Frees a copy.  Accepts NULL. */
+void ct_queue_free (struct ct_queue *queue);
+
+/*! ct_queue_equal () :
+ *  @return : whether both have the same address and run their jobs alike;
+ * their names may differ.  Either may be NULL. */
+bool ct_queue_equal (const struct ct_queue *a, const struct ct_queue *b);
+
+/*! ct_same_address () :
+ *  @return : whether requests to both have the same host and path prefix. */
+bool ct_same_address (const struct ct_queue *a, const struct ct_queue *b);
+
 /*! ct_index_queues () :
- *  Builds the index that ct_find_queue () needs, once all queues are in the
- *  catalog.  A catalog may have hundreds of queues, and each round of the
- *  scheduler looks them up. */
+ *  Builds the indexes of the queues, once all of them are in the catalog.  A
+ * catalog may have hundreds of queues, and each round of the scheduler looks
+ * them up. */
 void ct_index_queues (struct ct_catalog *catalog);
 
 /*! ct_route_request () :
@@ -81,6 +100,13 @@
                                          const char *host, const char *path,
                                          const char **rest);
 
+/*! ct_find_queue_like () :
+ *  Finds the queue that the requests of QUEUE go to now: the one with its host
+ *  and path prefix, which may have another name.
+ *  @return : owned by the catalog; NULL if there is none. */
+const struct ct_queue *ct_find_queue_like (const struct ct_catalog *catalog,
+                                           const struct ct_queue *queue);
+
 /*! ct_find_queue (), ct_find_team () :
  *  Finds a queue or a team by its name.  The name of a team may be NULL.
  *  @return : owned by the catalog; NULL if there is none. */
--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "jobs/catalog.h"
+
 void
 jb_spec_free (struct jb_spec *spec)
 {
@@ -22,6 +24,7 @@
     }
   g_free (spec->steps);
   g_free (spec->queue);
+  ct_queue_free (spec->queue_config);
   g_free (spec->team);
   g_free (spec->text);
   g_free (spec);
@@ -259,6 +262,7 @@
   g_free (job->tasks);
   g_free (job->steps);
   g_free (job->queue);
+  ct_queue_free (job->queue_config);
   jb_spec_free (job->spec);
   g_free (job);
 }
@@ -347,6 +351,7 @@
           = 0; /* uses what other tasks leave */
   job->spec = spec;
   job->queue = g_strdup (spec->queue);
+  job->queue_config = g_steal_pointer (&spec->queue_config);
   create_steps_and_tasks (job);
   return job;
 }
--- a/lib/jobs/records.c
+++ b/lib/jobs/records.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "jobs/catalog.h"
 #include "proto/jobs.pb-c.h"
 
 static GByteArray *
@@ -29,6 +30,44 @@
   return text == NULL || text[0] == '\0' ? NULL : g_strdup (text);
 }
 
+/* --- Queues --- */
+
+static void
+encode_queue (Ftj__QueueRecord *record, const struct ct_queue *queue)
+{
+  ftj__queue_record__init (record);
+  record->host = queue->host_header;
+  record->path_prefix = queue->path_prefix;
+  record->service = queue->service;
+  record->priority = queue->priority;
+  record->attempt_limit = queue->attempt_limit;
+  record->slack_factor = (float)queue->slack_factor;
+  record->target_ms = queue->target_ms;
+  record->uses_advisor = queue->uses_advisor;
+  record->advice_call_ms = queue->advice_call_ms;
+  record->advice_per_worker_ms = queue->advice_per_worker_ms;
+}
+
+/* @return : to be freed by ct_queue_free ().  */
+static struct ct_queue *
+decode_queue (const Ftj__QueueRecord *record, const char *name)
+{
+  const struct ct_queue queue
+      = { .name = (char *)name,
+          .host_header = record->host,
+          .path_prefix = record->path_prefix,
+          .service = record->service,
+          .priority = record->priority,
+          .attempt_limit = record->attempt_limit,
+          .slack_factor = record->slack_factor,
+          .target_ms = record->target_ms,
+          .uses_advisor = record->uses_advisor,
+          .advice_call_ms = record->advice_call_ms,
+          .advice_per_worker_ms = record->advice_per_worker_ms };
+
+  return ct_queue_copy (&queue);
+}
+
 /* --- Specification --- */
 
 static void
@@ -62,6 +101,7 @@
   Ftj__JobRecord record = FTJ__JOB_RECORD__INIT;
   Ftj__StepRecord *steps = g_new0 (Ftj__StepRecord, spec->step_count);
   Ftj__StepRecord **rows = g_new0 (Ftj__StepRecord *, spec->step_count);
+  Ftj__QueueRecord queue;
   GByteArray *bytes;
   size_t i;
 
@@ -71,6 +111,11 @@
       rows[i] = &steps[i];
     }
   record.queue = empty_if_null (spec->queue);
+  if (spec->queue_config != NULL)
+    {
+      encode_queue (&queue, spec->queue_config);
+      record.queue_config = &queue;
+    }
   record.team = empty_if_null (spec->team);
   record.accepted_unix_ms = spec->accepted_unix_ms;
   record.text = empty_if_null (spec->text);
@@ -123,6 +168,8 @@
     return JB_ERR_FORMAT;
   spec = g_new0 (struct jb_spec, 1);
   spec->queue = g_strdup (record->queue);
+  if (record->queue_config != NULL)
+    spec->queue_config = decode_queue (record->queue_config, record->queue);
   spec->team = dup_or_null_if_empty (record->team);
   spec->text = g_strdup (record->text);
   spec->accepted_unix_ms = record->accepted_unix_ms;
@@ -150,12 +197,17 @@
 jb_encode_progress (const struct jb_job *job, uint64_t term)
 {
   Ftj__Progress record = FTJ__PROGRESS__INIT;
+  Ftj__QueueRecord queue;
 
   record.term = term;
   record.state = job->state;
   record.begun = job->started;
   record.ended_unix_ms = job->ended_unix_ms;
-  record.attempt_limit = job->attempt_limit;
+  if (job->queue_config_changed)
+    {
+      encode_queue (&queue, job->queue_config);
+      record.queue_config = &queue;
+    }
   return pack (&record.base);
 }
 
@@ -326,6 +378,12 @@
   job->ended_unix_ms = record->ended_unix_ms;
   if (record->attempt_limit > 0)
     job->attempt_limit = record->attempt_limit;
+  if (record->queue_config != NULL)
+    {
+      ct_queue_free (job->queue_config);
+      job->queue_config = decode_queue (record->queue_config, job->queue);
+      job->queue_config_changed = true;
+    }
   job->progress_changed = false;
   if (job->state == JB_COMPLETED)
     {
--- a/lib/proto/jobs.pb-c.c
+++ b/lib/proto/jobs.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &ftj__step_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ftj__queue_record__init
+                     (Ftj__QueueRecord         *message)
+{
+  static const Ftj__QueueRecord init_value = FTJ__QUEUE_RECORD__INIT;
+  *message = init_value;
+}
+size_t ftj__queue_record__get_packed_size
+                     (const Ftj__QueueRecord *message)
+{
+  assert(message->base.descriptor == &ftj__queue_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ftj__queue_record__pack
+                     (const Ftj__QueueRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ftj__queue_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ftj__queue_record__pack_to_buffer
+                     (const Ftj__QueueRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ftj__queue_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ftj__QueueRecord *
+       ftj__queue_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ftj__QueueRecord *)
+     protobuf_c_message_unpack (&ftj__queue_record__descriptor,
+                                allocator, len, data);
+}
+void   ftj__queue_record__free_unpacked
+                     (Ftj__QueueRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ftj__queue_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ftj__job_record__init
                      (Ftj__JobRecord         *message)
 {
@@ -761,7 +806,162 @@
   (ProtobufCMessageInit) ftj__step_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ftj__job_record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ftj__queue_record__field_descriptors[10] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__QueueRecord, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path_prefix",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__QueueRecord, path_prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__QueueRecord, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__QueueRecord, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt_limit",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__QueueRecord, attempt_limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slack_factor",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__QueueRecord, slack_factor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__QueueRecord, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "uses_advisor",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__QueueRecord, uses_advisor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_call_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__QueueRecord, advice_call_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_per_worker_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__QueueRecord, advice_per_worker_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ftj__queue_record__field_indices_by_name[] = {
+  8,   /* field[8] = advice_call_ms */
+  9,   /* field[9] = advice_per_worker_ms */
+  4,   /* field[4] = attempt_limit */
+  0,   /* field[0] = host */
+  1,   /* field[1] = path_prefix */
+  3,   /* field[3] = priority */
+  2,   /* field[2] = service */
+  5,   /* field[5] = slack_factor */
+  6,   /* field[6] = target_ms */
+  7,   /* field[7] = uses_advisor */
+};
+static const ProtobufCIntRange ftj__queue_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor ftj__queue_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ftj.QueueRecord",
+  "QueueRecord",
+  "Ftj__QueueRecord",
+  "ftj",
+  sizeof(Ftj__QueueRecord),
+  10,
+  ftj__queue_record__field_descriptors,
+  ftj__queue_record__field_indices_by_name,
+  1,  ftj__queue_record__number_ranges,
+  (ProtobufCMessageInit) ftj__queue_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ftj__job_record__field_descriptors[9] =
 {
   {
     "queue",
@@ -859,12 +1059,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue_config",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__JobRecord, queue_config),
+    &ftj__queue_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ftj__job_record__field_indices_by_name[] = {
   2,   /* field[2] = accepted_unix_ms */
   6,   /* field[6] = first_unix_ms */
   7,   /* field[7] = interval_ms */
   0,   /* field[0] = queue */
+  8,   /* field[8] = queue_config */
   4,   /* field[4] = steps */
   1,   /* field[1] = team */
   3,   /* field[3] = text */
@@ -873,7 +1086,7 @@
 static const ProtobufCIntRange ftj__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ftj__job_record__descriptor =
 {
@@ -883,7 +1096,7 @@
   "Ftj__JobRecord",
   "ftj",
   sizeof(Ftj__JobRecord),
-  8,
+  9,
   ftj__job_record__field_descriptors,
   ftj__job_record__field_indices_by_name,
   1,  ftj__job_record__number_ranges,
@@ -1173,7 +1386,7 @@
   (ProtobufCMessageInit) ftj__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ftj__progress__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ftj__progress__field_descriptors[6] =
 {
   {
     "term",
@@ -1235,11 +1448,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue_config",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__Progress, queue_config),
+    &ftj__queue_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ftj__progress__field_indices_by_name[] = {
   4,   /* field[4] = attempt_limit */
   2,   /* field[2] = begun */
   3,   /* field[3] = ended_unix_ms */
+  5,   /* field[5] = queue_config */
   1,   /* field[1] = state */
   0,   /* field[0] = term */
 };
@@ -1247,7 +1473,7 @@
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ftj__progress__descriptor =
 {
@@ -1257,7 +1483,7 @@
   "Ftj__Progress",
   "ftj",
   sizeof(Ftj__Progress),
-  5,
+  6,
   ftj__progress__field_descriptors,
   ftj__progress__field_indices_by_name,
   2,  ftj__progress__number_ranges,
--- a/lib/proto/jobs.pb-c.h
+++ b/lib/proto/jobs.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Ftj__StepRecord Ftj__StepRecord;
+typedef struct Ftj__QueueRecord Ftj__QueueRecord;
 typedef struct Ftj__JobRecord Ftj__JobRecord;
 typedef struct Ftj__CancelRecord Ftj__CancelRecord;
 typedef struct Ftj__UndecidedLoss Ftj__UndecidedLoss;
@@ -64,6 +65,28 @@
     , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * A queue as it was configured; its name is JobRecord.queue.
+ */
+struct  Ftj__QueueRecord
+{
+  ProtobufCMessage base;
+  char *host;
+  char *path_prefix;
+  char *service;
+  uint32_t priority;
+  uint32_t attempt_limit;
+  float slack_factor;
+  uint32_t target_ms;
+  protobuf_c_boolean uses_advisor;
+  uint32_t advice_call_ms;
+  uint32_t advice_per_worker_ms;
+};
+#define FTJ__QUEUE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ftj__queue_record__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+
+
 struct  Ftj__JobRecord
 {
   ProtobufCMessage base;
@@ -76,10 +99,14 @@
   uint32_t times;
   int64_t first_unix_ms;
   int64_t interval_ms;
+  /*
+   * when it was accepted; absent: not known
+   */
+  Ftj__QueueRecord *queue_config;
 };
 #define FTJ__JOB_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ftj__job_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, NULL }
 
 
 struct  Ftj__CancelRecord
@@ -157,13 +184,17 @@
   protobuf_c_boolean begun;
   int64_t ended_unix_ms;
   /*
-   * of its queue; 0: not known
+   * read in records of earlier versions
    */
   uint32_t attempt_limit;
+  /*
+   * As last configured, if it differs from that in the JobRecord.
+   */
+  Ftj__QueueRecord *queue_config;
 };
 #define FTJ__PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ftj__progress__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, NULL }
 
 
 /*
@@ -263,6 +294,25 @@
 void   ftj__step_record__free_unpacked
                      (Ftj__StepRecord *message,
                       ProtobufCAllocator *allocator);
+/* Ftj__QueueRecord methods */
+void   ftj__queue_record__init
+                     (Ftj__QueueRecord         *message);
+size_t ftj__queue_record__get_packed_size
+                     (const Ftj__QueueRecord   *message);
+size_t ftj__queue_record__pack
+                     (const Ftj__QueueRecord   *message,
+                      uint8_t             *out);
+size_t ftj__queue_record__pack_to_buffer
+                     (const Ftj__QueueRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Ftj__QueueRecord *
+       ftj__queue_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ftj__queue_record__free_unpacked
+                     (Ftj__QueueRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Ftj__JobRecord methods */
 void   ftj__job_record__init
                      (Ftj__JobRecord         *message);
@@ -458,6 +508,9 @@
 typedef void (*Ftj__StepRecord_Closure)
                  (const Ftj__StepRecord *message,
                   void *closure_data);
+typedef void (*Ftj__QueueRecord_Closure)
+                 (const Ftj__QueueRecord *message,
+                  void *closure_data);
 typedef void (*Ftj__JobRecord_Closure)
                  (const Ftj__JobRecord *message,
                   void *closure_data);
@@ -495,6 +548,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor ftj__step_record__descriptor;
+extern const ProtobufCMessageDescriptor ftj__queue_record__descriptor;
 extern const ProtobufCMessageDescriptor ftj__job_record__descriptor;
 extern const ProtobufCMessageDescriptor ftj__cancel_record__descriptor;
 extern const ProtobufCMessageDescriptor ftj__undecided_loss__descriptor;
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -259,15 +259,13 @@
     }
 }
 
-/* Stored with the progress of the job, for planners that begin their term
-   after its queue has been removed.  */
+/* The configuration of the job's queue is stored when it has changed, for it
+   may be gone when the next planner begins its term.  */
 static void
-note_attempt_limit (struct sd_sched *sched, struct jb_job *job, uint32_t limit)
+note_queue (struct sd_sched *sched, struct jb_job *job,
+            const struct ct_queue *queue)
 {
-  if (job->attempt_limit == limit)
-    return;
-  job->attempt_limit = limit;
-  if (job->started) /* else it is stored with the first start */
+  if (jq_note (job, queue))
     sd_mark_changed (sched, job);
 }
 
@@ -282,14 +280,13 @@
   for (i = 0; i < sched->active_jobs->len; i++)
     {
       struct jb_job *job = g_ptr_array_index (sched->active_jobs, i);
-      const struct ct_queue *queue
-          = ct_find_queue (sched->catalog, job->queue);
+      const struct ct_queue *queue = jq_of_job (sched->catalog, job);
       bool guaranteed;
 
       job->priority = queue == NULL ? UINT32_MAX : queue->priority;
       if (queue == NULL)
-        continue; /* its queue is not configured any more: the job waits */
-      note_attempt_limit (sched, job, queue->attempt_limit);
+        continue; /* nothing is known of it any more: the job waits */
+      note_queue (sched, job, queue);
       guaranteed = queue->priority == 0
                    && within_guarantee (sched, requested_by_team, job);
       collect_job (sched, units, job, queue, guaranteed, now_ms, now_unix_ms);
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -5,6 +5,7 @@
 #ifndef FT_SCHED_PRIVATE_H
 #define FT_SCHED_PRIVATE_H
 
+#include "jobs/job_queue.h"
 #include "sched/estimate.h"
 #include "sched/sched.h"
 
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -517,9 +517,7 @@
 static uint32_t
 attempt_limit (const struct sd_sched *sched, const struct jb_job *job)
 {
-  const struct ct_queue *queue
-      = sched->catalog == NULL ? NULL
-                               : ct_find_queue (sched->catalog, job->queue);
+  const struct ct_queue *queue = jq_of_job (sched->catalog, job);
   uint32_t limit = queue == NULL ? job->attempt_limit : queue->attempt_limit;
 
   return MAX (limit, 1);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -428,7 +428,8 @@
 {
   SD_WAIT_UNKNOWN = 0, /* it has not been looked at yet */
   /* It may not start yet.  */
-  SD_WAIT_NO_QUEUE,     /* its queue is not in the configuration */
+  SD_WAIT_NO_QUEUE,     /* its queue is not in the configuration, and nothing
+                           is known of it */
   SD_WAIT_NOT_DUE,      /* its due time has not come */
   SD_WAIT_EARLIER_STEP, /* an earlier step is not done */
   SD_WAIT_UNDECIDED, /* whether a task has crashed its workers is not known */
--- a/lib/sched/waiting.c
+++ b/lib/sched/waiting.c
@@ -197,8 +197,7 @@
   const struct jb_step *earlier = find_earlier_step (step);
   const struct jb_task *undecided = find_undecided (step);
 
-  if (sched->catalog == NULL
-      || ct_find_queue (sched->catalog, step->job->queue) == NULL)
+  if (sched->catalog == NULL || jq_of_job (sched->catalog, step->job) == NULL)
     set_wait (waiting, SD_WAIT_NO_QUEUE, "queue %.100s%s", step->job->queue,
               sched->catalog == NULL ? ", no configuration" : "");
   else if (due_unix_ms > now_unix_ms)
--- a/programs/foxtailgap-hostd/front_jobs.c
+++ b/programs/foxtailgap-hostd/front_jobs.c
@@ -5,6 +5,7 @@
 #include "common/clock.h"
 #include "common/logging.h"
 #include "front_private.h"
+#include "jobs/job_queue.h"
 
 static const char PART[] = "front";
 
@@ -149,6 +150,7 @@
       goto done;
     }
   spec->queue = g_strdup (queue->name);
+  spec->queue_config = ct_queue_copy (queue);
   spec->team = team == NULL ? NULL : g_strdup (team->name);
   spec->accepted_unix_ms = clk_unix_ms ();
   pending = create_pending_call (front, request, id, "submit");
@@ -279,7 +281,7 @@
       const struct jb_job *job = value;
 
       if (!job->started && !jb_state_is_final (job->visible_state)
-          && job->queue != NULL && strcmp (job->queue, queue->name) == 0)
+          && jq_is_of (job, queue))
         jobs++;
     }
   body = front->params.dialect.encode_queue_length (jobs);
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -6,6 +6,7 @@
 
 #include "common/clock.h"
 #include "common/logging.h"
+#include "jobs/job_queue.h"
 #include "planner_private.h"
 #include "round_pacing.h"
 
@@ -461,9 +462,8 @@
 log_job (const struct planner *planner, const struct jb_job *job)
 {
   const struct jb_step_spec *step = &job->spec->steps[0];
-  const struct ct_catalog *catalog = jr_catalog (planner->params.journal);
   const struct ct_queue *queue
-      = catalog == NULL ? NULL : ct_find_queue (catalog, job->spec->queue);
+      = jq_of_job (jr_catalog (planner->params.journal), job);
 
   lg_info (
       PART, "A job is taken in.", "job", job->id, "queue", job->spec->queue,
