--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -38,6 +38,7 @@
   struct jr_batch
       *caller_writes; /* of jr_add_writes_to_append (); NULL: none */
   bool release;       /* it releases the term */
+  bool raise;         /* it raises the term: it is the first of its epoch */
   int64_t sent_ms;    /* when it was last sent */
 };
 
@@ -64,8 +65,8 @@
   int64_t acquire_started_ms; /* when its record was first sent */
   int64_t acquire_sent_ms;    /* when its record was last sent */
   int64_t acquire_jitter_ms;  /* random, added to the timeout of a term */
-  uint64_t seen_term;         /* the newest term that has been read, */
-  int64_t seen_term_since_ms; /* and since when */
+  char seen_planner[128];     /* host of the newest term that has been read, */
+  int64_t seen_planner_since_ms; /* and since when */
   int64_t no_term_since_ms; /* when this host first read that there has been no
                                term yet; 0: it has not */
   int64_t term_started_ms;
--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -168,15 +168,16 @@
   const struct jb_term_record *term = jr_term (planner->params.journal);
   uint32_t strength = jr_host_strength (planner->params.journal, term->host);
 
-  if (planner->seen_term != term->term)
+  if (strcmp (planner->seen_planner, term->host) != 0)
     {
-      planner->seen_term = term->term;
-      planner->seen_term_since_ms = now_ms;
+      g_strlcpy (planner->seen_planner, term->host,
+                 sizeof planner->seen_planner);
+      planner->seen_planner_since_ms = now_ms;
     }
   return strength > 0
          && pl_strength (planner->params.settings)
                 >= WEAK_PLANNER_FACTOR * strength
-         && now_ms - planner->seen_term_since_ms
+         && now_ms - planner->seen_planner_since_ms
                 >= WEAK_PLANNER_MS + acquire_delay_ms (planner);
 }
 
@@ -252,6 +253,8 @@
     {
       if (!own)
         pl_end_term (planner, "another host has claimed it");
+      else if (term->term == planner->term)
+        jr_set_own_term (planner->params.journal, term->term); /* raised */
       return;
     }
   if (planner->role == PL_ACQUIRING && !own && term->term >= planner->term)
--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -14,7 +14,11 @@
 
 enum
 {
-  APPENDS_IN_FLIGHT_MAX = 4,    /* of a batch; four lost in a row are rare */
+  APPENDS_IN_FLIGHT_MAX = 4, /* of a batch; four lost in a row are rare */
+  /* Of the first append under a term that the planner has raised.  A claim of
+     the same term by another host begins at 0, so that the store refuses
+     whichever comes second, and takes neither for a repetition.  */
+  RAISED_SEQUENCE = 1 << 20,
   BATCH_MAX_BYTES = 1024 * 1024 /* half of the platform's limit for a call */
 };
 
@@ -97,6 +101,12 @@
 
   planner->appends_in_flight = 0;
   planner->sequence++;
+  if (batch->raise)
+    {
+      lg_info (PART, "The term is raised.", "term",
+               lg_number ((long long)planner->term), NULL);
+      wk_term_raised (planner->workers, planner->term);
+    }
   planner->last_append_end_ms = clk_monotonic_ms (NULL);
   if (batch->caller_writes != NULL)
     jr_added_writes_done (g_steal_pointer (&batch->caller_writes), SO_DONE);
@@ -399,6 +409,7 @@
     return;
   if (!heartbeat && !release && !sd_has_changed (planner->sched)
       && planner->starts->len == 0 && no_new_outcomes (planner)
+      && !wk_needs_higher_term (planner->workers)
       && !jr_writes_wait_for_planner (planner->params.journal)
       && !wk_lease_record_is_due (planner->workers))
     return;
@@ -407,6 +418,12 @@
   batch->jobs = g_ptr_array_new_with_free_func (g_free);
   batch->starts = g_array_new (FALSE, FALSE, sizeof (struct pl_pending_start));
   batch->release = release;
+  batch->raise = !release && wk_needs_higher_term (planner->workers);
+  if (batch->raise)
+    {
+      planner->term++;
+      planner->sequence = RAISED_SEQUENCE;
+    }
   size_bytes = add_changed_jobs (planner, batch);
   add_starts (planner, batch);
   /* An outcome may belong to any of the jobs that are left.  */
@@ -419,7 +436,7 @@
   if (!release && size_bytes < BATCH_MAX_BYTES)
     batch->caller_writes = jr_add_writes_to_append (
         planner->params.journal, batch->records, BATCH_MAX_BYTES - size_bytes);
-  if (release || shows_no_planner (batch))
+  if (release || batch->raise || shows_no_planner (batch))
     g_ptr_array_add (batch->records, pl_create_term_record (planner, release));
   planner->sending = batch;
   pl_send_batch (planner);
--- a/programs/foxtailgap-hostd/worker_commands.c
+++ b/programs/foxtailgap-hostd/worker_commands.c
@@ -30,7 +30,7 @@
   if (worker != NULL && worker->driver_data != NULL)
     wk_clock_answered (worker->driver_data, call, answer,
                        clk_monotonic_ms (NULL));
-  if (answer->result == WP_FENCED)
+  if (answer->result == WP_FENCED && wk_is_superseded (call))
     {
       workers->params.fenced (workers->params.ctx);
       goto done;
@@ -56,7 +56,8 @@
              const char *task, uint32_t run)
 {
   struct wp_target target = wk_target (worker);
-  struct wp_stop stop = { .task = task, .run = run, .term = workers->term };
+  struct wp_stop stop
+      = { .task = task, .run = run, .term = wk_io (workers, worker)->term };
   struct wk_call *call;
 
   if (workers->term == 0 || target.address == NULL
@@ -108,7 +109,7 @@
 
   if (!wk_call_is_current (call))
     goto done;
-  if (answer->result == WP_FENCED)
+  if (answer->result == WP_FENCED && wk_is_superseded (call))
     {
       workers->params.fenced (workers->params.ctx);
       goto done;
@@ -135,7 +136,7 @@
   struct wp_pace pace = { .task = name,
                           .run = task->run,
                           .percent = order->percent,
-                          .term = workers->term };
+                          .term = call->term };
 
   call->percent = order->percent;
   workers->params.port.pace (workers->params.port.ctx, &target, &pace,
--- a/programs/foxtailgap-hostd/worker_process.c
+++ b/programs/foxtailgap-hostd/worker_process.c
@@ -144,6 +144,7 @@
                io->worker->report.id, NULL);
       wk_extend_lease_to_limit (io, now_ms);
       doubt_unconfirmed_starts (io);
+      wk_fence_former_process (io, now_ms);
     }
   sd_worker_process (io->worker, answer->worker_started_ms);
   io->clock.clock_ms = -1; /* was the former process's */
@@ -166,6 +167,7 @@
 poll_new_process_first (struct worker_io *io, int64_t now_ms)
 {
   wk_extend_lease_to_limit (io, now_ms);
+  wk_fence_former_process (io, now_ms);
   io->clock.clock_ms = -1;
   io->renewal = NULL;
   io->is_second_poll = false;
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -149,7 +149,10 @@
       handle_refusal (call, task, io, SD_REFUSED_OTHER, now_ms);
       return;
     case WP_FENCED:
-      workers->params.fenced (workers->params.ctx);
+      if (wk_is_superseded (call))
+        workers->params.fenced (workers->params.ctx);
+      else
+        handle_refusal (call, task, io, SD_REFUSED_OTHER, now_ms);
       return;
     }
 }
@@ -231,11 +234,12 @@
     .run = call->run,
     .job_text = task->job->spec->text,
     .deadline_ms = MAX (wc_deadline_ms (&io->clock, now_ms + left_ms), 0),
-    .term = workers->term,
+    .term = io->term,
     .checkpoint = checkpoint_task->checkpoint,
     .ticket = sd_task_ticket (workers->params.sched, task),
   };
 
+  call->term = io->term;
   call->deadline_ms = start.deadline_ms;
   call->clock_age_ms = now_ms - io->clock.read_ms;
   call->worker_clock_ms = io->clock.clock_ms;
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -92,6 +92,7 @@
   io->workers = workers;
   io->worker = worker;
   io->clock.clock_ms = -1;
+  io->term = workers->term;
   worker->driver_data = io;
   g_hash_table_insert (workers->ios, worker->report.id, io);
   return io;
@@ -124,6 +125,7 @@
 
   call->workers = workers;
   call->generation = workers->generation;
+  call->term = io == NULL ? workers->term : io->term;
   call->worker = g_strdup (worker->report.id);
   call->task = g_strdup (task);
   call->run = run;
@@ -407,6 +409,8 @@
   io->lists_read_ms = now_ms;
   io->outcome_acked = MAX (io->outcome_acked, io->outcome_told);
   process_lists (io, answer, now_ms);
+  if (io->awaits_term_since_ms != 0)
+    sd_worker_set_reachability (worker, SD_WORKER_UNSEEN);
   wk_update_clock (io, answer, now_ms);
   wk_update_pace (workers, worker);
   /* The number must follow the answer closely.  If the worker waited for its
@@ -438,11 +442,13 @@
   is_awaited = io->renewal == call;
   if (is_awaited)
     io->renewal = NULL;
-  if (answer->result == WP_FENCED)
+  if (answer->result == WP_FENCED && wk_is_superseded (call))
     {
       workers->params.fenced (workers->params.ctx);
       goto done;
     }
+  if (answer->result == WP_NO_ANSWER)
+    wk_acknowledgement_unanswered (io, call);
   if (answer->result == WP_SEND_LATE)
     {
       lg_info (PART, "An acknowledgement was not sent in time.", "worker",
@@ -457,7 +463,8 @@
         wk_extend_lease_to_limit (io, now_ms);
       io = NULL;
     }
-  if (!is_awaited || answer->result == WP_SEND_LATE)
+  if (!is_awaited || answer->result == WP_SEND_LATE
+      || answer->result == WP_FENCED)
     goto done;
   if (answer->result == WP_DONE)
     process_poll (io, answer, now_ms);
@@ -589,7 +596,7 @@
   struct wk_call *call = wk_call_create (workers, worker, "", 0);
   uint32_t timeout_ms;
   struct wp_renew renewal = {
-    .term = workers->term,
+    .term = io->term,
     .acked_outcome_number = outcome_to_acknowledge (io, now_ms),
     .send_within_ms = ACKNOWLEDGE_SEND_MS,
     .lease_deadline_ms = -1,
@@ -610,6 +617,7 @@
                 || (worker->tasks->len > 0 && ends_idle_time (io, now_ms))
             ? (uint32_t)CLOCK_POLL_TIMEOUT_MS
             : renewal.wait_ms + RENEWAL_TIMEOUT_MS;
+  call->acknowledges = renewal.acked_outcome_number > 0;
   io->outcome_told = renewal.acked_outcome_number;
   io->renewal = call;
   io->poll_at_once = false;
@@ -670,6 +678,10 @@
     return false;
   if (io->lease_recorded && now_ms - io->renewal_tried_ms < RECORDED_RETRY_MS)
     return false;
+  if (io->awaits_term_since_ms != 0
+      && io->renewal_tried_ms > io->awaits_term_since_ms
+      && now_ms - io->renewal_tried_ms < UNREACHABLE_RETRY_MS)
+    return false;
   if (worker->reachability == SD_WORKER_UNREACHABLE)
     return (worker->tasks->len > 0 || worker->listed
             || (worker->undecided_losses > 0 && !io->absence_settled))
@@ -838,6 +850,7 @@
 
   wk_drop_queued_starts (workers);
   workers->term = term;
+  workers->awaiting_term = 0;
   workers->generation++;
   wk_begin_counting_leases (workers, now_ms);
   for (i = 0; i < all->len; i++)
@@ -847,6 +860,7 @@
 
       *io = (struct worker_io){ .workers = workers,
                                 .worker = worker,
+                                .term = term,
                                 .clock.clock_ms = -1 };
       /* The previous planner may have renewed it until just now.  */
       wk_extend_lease_to_limit (io, now_ms);
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -74,6 +74,16 @@
                     GHashTable *leases);
 void wk_end_term (struct worker_calls *workers);
 
+/*! wk_needs_higher_term () :
+ *  @return : whether a worker waits for a higher term, so that it refuses
+ * calls that were sent to its former process. */
+bool wk_needs_higher_term (const struct worker_calls *workers);
+
+/*! wk_term_raised () :
+ *  This planner holds TERM now, higher than before; what it has sent under the
+ *  former term still counts. */
+void wk_term_raised (struct worker_calls *workers, uint64_t term);
+
 /*! wk_worker_reported () :
  *  The report of WORKER has been read from the store's list.  If its process
  *  has restarted, it gets no start until it has answered a poll. */
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -1,7 +1,8 @@
 /* Internal header of the calls to workers: lease renewals and status polls are
    in workers.c, starts in worker_starts.c, stop and pace commands in
    worker_commands.c, runs that are gone without an outcome in worker_losses.c,
-   restarts under the same id in worker_process.c, the record of unreachable
+   restarts under the same id in worker_process.c, acknowledgements that were
+   sent before a restart in worker_fence.c, the record of unreachable
    workers' leases in worker_leases.c, how long the term is known to hold in
    worker_term.c.  */
 
@@ -39,6 +40,14 @@
   int64_t outcome_acked;     /* of the last one that it was told is stored */
   int64_t outcome_told;      /* in the last renewal; 0: none */
   int64_t lists_read_ms;     /* when its lists were last read; 0: never */
+  /* see worker_fence.c */
+  uint64_t term; /* that calls to it carry: this planner's, as of when it was
+                    last raised for this worker */
+  int64_t unanswered_ack_ms; /* when an acknowledgement was last sent that has
+                                had no answer; 0: none */
+  /* Since when it gets no start until the term is raised; 0: it does not wait
+     for that.  */
+  int64_t awaits_term_since_ms;
   /* lease renewals, which are also status polls */
   struct wk_call *renewal;  /* in flight; NULL: none */
   bool poll_at_once;        /* the next poll is to be answered immediately */
@@ -76,7 +85,8 @@
 struct worker_calls
 {
   struct wk_params params;
-  uint64_t term; /* that commands carry; 0: none, nothing is sent */
+  uint64_t term;          /* held; 0: none, nothing is sent */
+  uint32_t awaiting_term; /* workers with worker_io.awaits_term_since_ms */
   /* Grows when a term begins or ends; answers to calls of an earlier
      generation are ignored.  */
   uint64_t generation;
@@ -108,6 +118,8 @@
 {
   struct worker_calls *workers; /* NULL: freed */
   uint64_t generation;          /* of `workers`, when the call was made */
+  uint64_t term;                /* that it carries */
+  bool acknowledges;            /* of a poll: it acknowledges outcomes */
   char *worker;                 /* id */
   char *task;                   /* name; empty for a renewal */
   uint32_t run;
@@ -189,6 +201,21 @@
 void wk_process_answered (struct worker_io *io, const struct wp_answer *answer,
                           int64_t now_ms);
 
+/*! wk_acknowledgement_unanswered () :
+ *  CALL, a poll, has had no answer. */
+void wk_acknowledgement_unanswered (struct worker_io *io,
+                                    const struct wk_call *call);
+
+/*! wk_fence_former_process () :
+ *  The worker has been seen to restart: if an acknowledgement that was sent to
+ *  its former process may still arrive, the term is to be raised. */
+void wk_fence_former_process (struct worker_io *io, int64_t now_ms);
+
+/*! wk_is_superseded () :
+ *  @return : whether the refusal of CALL for a higher term shows another
+ *            planner; else it was sent before this planner raised its term. */
+bool wk_is_superseded (const struct wk_call *call);
+
 /*! wk_needs_proof () :
  *  @return : whether the store has been silent for so long that answers of the
  *            workers are needed to prove that the term holds. */
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -3,7 +3,8 @@
 
 #include <unistd.h>
 
-#include "../../programs/foxtailgap-hostd/planner.h"
+#include "../../programs/foxtailgap-hostd/planner_private.h"
+#include "../../programs/foxtailgap-hostd/workers_private.h"
 #include "check.h"
 #include "hostd_fixture.h"
 #include "hostd_store_fixture.h"
@@ -711,6 +712,81 @@
   tear_down (&setup);
 }
 
+/* Has the planner find that an acknowledgement may reach the next process of
+   its worker.
+   @return : the number of the append that raises the term.  */
+static uint32_t
+begin_to_raise_term (struct setup *setup)
+{
+  struct worker_io *io
+      = wk_io (setup->planner->workers,
+               sd_worker_find (setup->planner->sched, worker_id));
+  uint32_t append = setup->store.append_count;
+  int64_t now_ms = clk_monotonic_ms (NULL);
+
+  io->unanswered_ack_ms = now_ms;
+  wk_fence_former_process (io, now_ms);
+  CU_ASSERT_TRUE (wk_needs_higher_term (setup->planner->workers));
+  while (setup->store.append_count == append
+         && clk_monotonic_ms (NULL) < now_ms + 1000)
+    run_loop_for (setup, 5);
+  CU_ASSERT_EQUAL_FATAL (setup->store.append_count, append + 1);
+  return append;
+}
+
+/* TWICE (review/6): the planner raises its term by the first append of the
+   next epoch, and goes on with all that it knows.  */
+static void
+test_planner_raises_its_term (void)
+{
+  struct setup setup;
+  const struct so_record *record;
+  uint64_t term;
+  uint32_t append;
+
+  become_planner (&setup);
+  term = setup.planner->term;
+  append = begin_to_raise_term (&setup);
+  CU_ASSERT_EQUAL (setup.store.writers[append].epoch, term + 1);
+  /* A claim of the same term by another host begins at 0.  */
+  CU_ASSERT_TRUE (setup.store.writers[append].sequence > 1);
+  record = g_ptr_array_index (setup.store.records[append],
+                              setup.store.records[append]->len - 1);
+  CU_ASSERT_STRING_EQUAL (record->key, "t");
+  CU_ASSERT_EQUAL (setup.planner->workers->term, term); /* not stored yet */
+  answer_append (&setup, append);
+  CU_ASSERT_EQUAL (setup.planner->workers->term, term + 1);
+  while (setup.store.jobs_read == NULL)
+    run_loop_for (&setup, 5);
+  show_appends (&setup);
+  run_loop_for (&setup, 300);
+  CU_ASSERT_EQUAL (setup.planner->role, PL_PLANNER);
+  CU_ASSERT_TRUE (setup.store.append_count > append + 1);
+  CU_ASSERT_EQUAL (setup.store.writers[append + 1].epoch, term + 1);
+  CU_ASSERT_EQUAL (setup.store.writers[append + 1].sequence,
+                   setup.store.writers[append].sequence + 1);
+  tear_down (&setup);
+}
+
+/* Another host has claimed the same term before.  */
+static void
+test_term_that_cannot_be_raised_is_over (void)
+{
+  struct setup setup;
+  struct so_append_answer refused = { .result = SO_OUT_OF_SEQUENCE };
+  so_append_callback callback;
+  uint32_t append;
+
+  become_planner (&setup);
+  append = begin_to_raise_term (&setup);
+  callback = setup.store.appended[append];
+  setup.store.appended[append] = NULL;
+  callback (setup.store.append_ctx[append], &refused);
+  CU_ASSERT_NOT_EQUAL (setup.planner->role, PL_PLANNER);
+  CU_ASSERT_EQUAL (setup.planner->workers->term, 0);
+  tear_down (&setup);
+}
+
 static size_t
 count_calls (const struct setup *setup, char kind)
 {
@@ -1196,6 +1272,9 @@
     { "each append shows that the planner lives",
       test_each_append_shows_that_the_planner_lives },
     { "a lost append is sent again", test_lost_append_is_sent_again },
+    { "a planner raises its term", test_planner_raises_its_term },
+    { "a term that cannot be raised is over",
+      test_term_that_cannot_be_raised_is_over },
     { "an append to a slow store is not sent again",
       test_append_to_slow_store_is_not_sent_again },
   };
--- a/tests/unit/test_hostd_restarts.c
+++ b/tests/unit/test_hostd_restarts.c
@@ -25,7 +25,8 @@
   FORMER_STARTED_MS = 1000, /* of the former process, any number */
   FORMER_CLOCK_MS = 60000,
   STARTED_MS = 61000, /* of the new process */
-  CLOCK_MS = 50
+  CLOCK_MS = 50,
+  NEXT_TERM = 2
 };
 
 struct setup
@@ -38,6 +39,7 @@
   struct worker_calls *workers;
   struct sd_worker *worker;
   struct jb_task *task;
+  uint32_t fenced; /* times that another planner has shown */
 };
 
 static void
@@ -46,6 +48,12 @@
   (void)ctx;
 }
 
+static void
+on_fenced (void *ctx)
+{
+  ((struct setup *)ctx)->fenced++;
+}
+
 /* Adds a worker, which has not been polled, and a job of one task.  */
 static void
 set_up (struct setup *setup)
@@ -59,7 +67,7 @@
     .stop_max_ms = 200,
     .ctx = setup,
     .changed = on_event,
-    .fenced = on_event,
+    .fenced = on_fenced,
   };
   struct jb_job *job;
 
@@ -536,11 +544,106 @@
   /* Its answer may be older than the other one.  */
   fake_answer (acknowledgement, &(struct wp_answer){ .result = WP_NO_ANSWER,
                                                      .worker_clock_ms = -1 });
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_UNSEEN);
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_PLACED);
+  wk_term_raised (setup.workers, NEXT_TERM);
+  answer_poll_of_new_process (&setup, true);
   CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_REACHABLE);
   CU_ASSERT_EQUAL (setup.task->state, JB_TASK_PLACED);
   tear_down (&setup);
 }
 
+/* TWICE (review/6): an acknowledgement that was under way when its worker
+   restarted was carried out by the next process, which forgot an end that was
+   not read, and the task ran again after its end.
+   @return : the acknowledgement, which has had no answer.  */
+static struct fake_call *
+restart_during_acknowledgement (struct setup *setup)
+{
+  struct fake_call *acknowledgement;
+
+  send_start_beside_outcome (setup);
+  wk_send_waiting (setup->workers);
+  acknowledgement = fake_oldest_open_call (&setup->port, 'h');
+  CU_ASSERT_PTR_NOT_NULL_FATAL (acknowledgement);
+  if (acknowledgement == NULL)
+    return NULL;
+  CU_ASSERT_EQUAL (acknowledgement->seen, 7);
+  answer_start_by_new_process (setup);
+  acknowledgement->open = false;
+  return acknowledgement;
+}
+
+static void
+test_acknowledgement_of_former_process_is_fenced (void)
+{
+  struct setup setup;
+  struct jb_job *other;
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+
+  restart_during_acknowledgement (&setup);
+  CU_ASSERT_TRUE (wk_needs_higher_term (setup.workers));
+  other = jb_table_add (setup.table, "00000000000000bb",
+                        fixture_spec ("batch", "clinic", &step), 0);
+  sd_job_added (setup.sched, other);
+  answer_poll_of_new_process (&setup, true);
+  /* It may still be carried out there: nothing starts.  */
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   0);
+  wk_term_raised (setup.workers, NEXT_TERM);
+  CU_ASSERT_FALSE (wk_needs_higher_term (setup.workers));
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   0);
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 'h')->term, NEXT_TERM);
+  answer_poll_of_new_process (&setup, true);
+  /* From now on the worker refuses calls of the former term.  */
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   1);
+  wk_start (setup.workers, &other->tasks[0]);
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 's')->term, NEXT_TERM);
+  tear_down (&setup);
+}
+
+/* An acknowledgement that was answered, or none, cannot arrive late.  */
+static void
+test_term_is_not_raised_without_a_late_acknowledgement (void)
+{
+  struct setup setup;
+
+  send_start_beside_outcome (&setup);
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_EQUAL (fake_oldest_open_call (&setup.port, 'h')->seen, 7);
+  answer_poll_of_former_process (&setup);
+  answer_start_by_new_process (&setup);
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_UNSEEN);
+  CU_ASSERT_FALSE (wk_needs_higher_term (setup.workers));
+  answer_poll_of_new_process (&setup, true);
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_REACHABLE);
+  tear_down (&setup);
+}
+
+/* A call of the former term that the worker refuses, since it knows the raised
+   one, does not show another planner; a call of the raised term does.  */
+static void
+test_own_raised_term_supersedes_nobody (void)
+{
+  struct setup setup;
+  struct fake_call *acknowledgement = restart_during_acknowledgement (&setup);
+  const struct wp_answer refusal
+      = { .result = WP_FENCED, .worker_clock_ms = CLOCK_MS };
+
+  answer_poll_of_new_process (&setup, true);
+  wk_term_raised (setup.workers, NEXT_TERM);
+  answer_poll_of_new_process (&setup, true);
+  fake_answer (acknowledgement, &refusal);
+  CU_ASSERT_EQUAL (setup.fenced, 0);
+  wk_send_waiting (setup.workers);
+  fake_answer (fake_oldest_open_call (&setup.port, 'h'), &refusal);
+  CU_ASSERT_EQUAL (setup.fenced, 1);
+  tear_down (&setup);
+}
+
 /* Guards against an end that is forgotten before it was processed: an
    acknowledgement had waited for a connection while the worker restarted
    (soak.py with `reborn`, seed 117).  */
@@ -677,6 +780,12 @@
       test_restart_is_noticed_by_the_clock_of_a_start },
     { "a new process is polled beside an acknowledgement",
       test_new_process_is_polled_beside_an_acknowledgement },
+    { "an acknowledgement of a former process is fenced",
+      test_acknowledgement_of_former_process_is_fenced },
+    { "the term is not raised without a late acknowledgement",
+      test_term_is_not_raised_without_a_late_acknowledgement },
+    { "the own raised term supersedes nobody",
+      test_own_raised_term_supersedes_nobody },
     { "an acknowledgement not sent in time is left out",
       test_acknowledgement_not_sent_in_time_is_left_out },
     { "a new process is polled once", test_new_process_is_polled_once },
