A term that begins without advice does not begin the wait of work anew

Cause: a term begins without the advisor's answers. That no room on allowed workers was known for ROOM_GAP_MS ended the wait, as if there were none, though workers that the advisor had not been asked about had room.

Such room keeps the wait.

--- a/lib/sched/standing.c
+++ b/lib/sched/standing.c
@@ -146,12 +146,18 @@
          && !has_run (unit);
 }
 
+/* The tasks that there must be room for.  */
+static uint32_t
+room_needed (const struct sd_unit *unit)
+{
+  return ROOM_FACTOR * (unit->step->spec->gang ? unit->waiting_count : 1);
+}
+
 static bool
 has_room (const struct sd_sched *sched, const struct sd_unit *unit,
           int64_t now_ms)
 {
-  uint32_t needed
-      = ROOM_FACTOR * (unit->step->spec->gang ? unit->waiting_count : 1);
+  uint32_t needed = room_needed (unit);
   uint32_t found = 0;
   guint i;
 
@@ -161,6 +167,32 @@
   return found >= needed;
 }
 
+/* Whether there is room on workers that the advisor has not been asked about,
+   so that a look at those it allows does not show that there is none.  A term
+   begins without its answers.  */
+static bool
+may_have_room (const struct sd_sched *sched, const struct sd_unit *unit,
+               int64_t now_ms)
+{
+  struct sd_unit unadvised = *unit;
+  uint32_t needed = room_needed (unit);
+  uint32_t found = 0;
+  guint i;
+
+  if (unit->advice == NULL)
+    return false;
+  unadvised.advice = NULL;
+  for (i = 0; i < sched->workers->len && found < needed; i++)
+    {
+      const struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
+
+      if (!sd_advice_refuses (unit->advice, worker->report.id))
+        found += sd_copies_without_preferences (worker, &unadvised,
+                                                needed - found, now_ms);
+    }
+  return found >= needed;
+}
+
 bool
 sd_drop_preferences (struct sd_sched *sched, struct sd_unit *unit,
                      int64_t now_ms)
@@ -174,6 +206,8 @@
     return false;
   if (!may_stand || !has_room (sched, unit, now_ms))
     {
+      if (may_stand && may_have_room (sched, unit, now_ms))
+        step->room_seen_ms = now_ms;
       if (now_ms - step->room_seen_ms > ROOM_GAP_MS)
         step->beside_room_since_ms = 0;
       return false;
--- a/tests/unit/test_hostd_standing_mixed.c
+++ b/tests/unit/test_hostd_standing_mixed.c
@@ -839,11 +839,27 @@
     }
 }
 
+/* Two tasks that last, of an advisor's queue, stood for over 3 s: a term
+   begins without the advisor's answers, and that no room was known for half a
+   second began the wait anew.  */
+static void
+test_term_without_advice_does_not_begin_the_wait_anew (void)
+{
+  enum
+  {
+    DAY = 1947
+  };
+
+  CU_ASSERT_EQUAL (simulate_day (DAY, false), 0);
+}
+
 int
 main (int argc, char **argv)
 {
   static const struct check_test tests[] = {
     { "no job waits beside room", test_no_job_waits_beside_room },
+    { "a term without advice does not begin the wait anew",
+      test_term_without_advice_does_not_begin_the_wait_anew },
   };
 
   if (argc > 1)
