--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -124,6 +124,7 @@
   task->missing_since_ms = 0;
   task->percent = 0;
   task->progress_changed_ms = 0;
+  task->percent_ms = 0;
   task->reported_load = 0;
   task->pace = JB_PACE_FULL_PERCENT;
   task->pace_sent_ms = 0;
@@ -218,6 +219,7 @@
       jb_task_forget_failed_runs (&job->tasks[i]);
       job->tasks[i].crashes = 0;
       job->tasks[i].lost_runs = 0;
+      job->tasks[i].stalls = 0;
       jb_task_forget_losses (&job->tasks[i]);
       job->tasks[i].done_before = false;
     }
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -183,6 +183,11 @@
   int64_t percent; /* done of its work, or of the start-up of a long-lived
                       task, as its worker last reported */
   int64_t progress_changed_ms; /* when `percent` last changed */
+  int64_t percent_ms; /* time that each of the last percents has taken; 0: not
+                         known */
+  /* Times that it was stopped as stalled, under this planner; the first task
+     of a gang counts those of all its tasks.  */
+  uint32_t stalls;
   /* As its worker last reported: the tail of the response times in ms of a
      task that serves requests; the processors used of any other task, which no
      code reads.  */
--- a/lib/sched/health.c
+++ b/lib/sched/health.c
@@ -66,6 +66,44 @@
   worker->avoid_until_ms = MAX (worker->avoid_until_ms, now_ms + SD_AVOID_MS);
 }
 
+void
+sd_health_progressed (struct jb_task *task, int64_t percent, int64_t now_ms)
+{
+  /* At 0 percent it may wait for its gang, or restore its checkpoint.  */
+  if (task->percent > 0 && percent > task->percent)
+    task->percent_ms
+        = (now_ms - task->progress_changed_ms) / (percent - task->percent);
+  task->percent = percent;
+  task->progress_changed_ms = now_ms;
+}
+
+static uint32_t *
+stalls_of (const struct jb_task *task)
+{
+  return &(task->step->spec->gang ? task->step->tasks
+                                  : &task->step->tasks[task->index])
+              ->stalls;
+}
+
+void
+sd_health_stalled (struct jb_task *task)
+{
+  (*stalls_of (task))++;
+}
+
+/* How long a percent of the task's work takes, as expected, or as it has taken
+   last if that was much longer.  Reports are up to 1.9 s apart, so that what
+   it has taken is a rough figure.  */
+static int64_t
+percent_ms (const struct sd_sched *sched, const struct jb_task *task)
+{
+  int64_t expected_ms = es_expect_ms (sched->estimates, task->job->queue,
+                                      task->step->spec->estimate_ms)
+                        / 100;
+
+  return task->percent_ms > 2 * expected_ms ? task->percent_ms : expected_ms;
+}
+
 bool
 sd_health_is_stalled (const struct sd_sched *sched, const struct jb_task *task,
                       int64_t now_ms)
@@ -75,8 +113,12 @@
                          : (int64_t)SD_STALL_TIMEOUT_MS
                                * sched->params.remote_slowdown_factor;
 
-  return task->progress_changed_ms > 0 && task->percent < 99
-         && now_ms - task->progress_changed_ms > limit_ms;
+  if (task->progress_changed_ms <= 0 || task->percent >= 99
+      || now_ms - task->progress_changed_ms <= limit_ms)
+    return false;
+  limit_ms = MAX (limit_ms, SD_STALL_PERCENTS * percent_ms (sched, task));
+  limit_ms <<= MIN (*stalls_of (task), SD_STALL_DOUBLINGS_MAX);
+  return now_ms - task->progress_changed_ms > limit_ms;
 }
 
 /* The rate of a running task by its last reported progress; 0: not enough
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -40,6 +40,12 @@
   /* A worker that did not answer a command gets no new task for this time.  By
      then a status poll has usually shown whether it is unreachable.  */
   SD_NO_ANSWER_BACKOFF_MS = 800,
+  /* In addition, for progress is reported in whole percents: a task is stalled
+     only after the time of so many percents of its work.  */
+  SD_STALL_PERCENTS = 10,
+  /* Each stop of a stalled task doubles its limits, up to this many times, so
+     that a task of which the run time is not known is not stopped for ever. */
+  SD_STALL_DOUBLINGS_MAX = 20,
   /* A run that has been on a worker for this time is past its start.  */
   SD_TASK_START_MS = 500,
   /* From the placement of a suspect until it is past its start, with the time
@@ -196,6 +202,15 @@
  *  No task is placed on WORKER for SD_AVOID_MS. */
 void sd_health_avoid (struct sd_worker *worker, int64_t now_ms);
 
+/*! sd_health_progressed () :
+ *  The percentage of TASK has changed to PERCENT. */
+void sd_health_progressed (struct jb_task *task, int64_t percent,
+                           int64_t now_ms);
+
+/*! sd_health_stalled () :
+ *  TASK is stopped since sd_health_is_stalled (). */
+void sd_health_stalled (struct jb_task *task);
+
 /*! sd_health_is_stalled () :
  *  @return : whether the percentage of TASK has not changed for too long. */
 bool sd_health_is_stalled (const struct sd_sched *sched,
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -419,10 +419,7 @@
   const char *reason = moved ? "slow" : "stalled";
 
   if (moved)
-    {
-      task->percent = percent;
-      task->progress_changed_ms = now_ms;
-    }
+    sd_health_progressed (task, percent, now_ms);
   if (task->step->spec->long_lived && percent == 100)
     sd_crash_absolve (sched, task);
   if (task->state != JB_TASK_PLACED || task->step->spec->long_lived)
@@ -430,7 +427,10 @@
   if (moved)
     pace = sd_health_judge_progress (task);
   else if (sd_health_is_stalled (sched, task, now_ms))
-    pace = SD_PROGRESS_RESTART;
+    {
+      sd_health_stalled (task);
+      pace = SD_PROGRESS_RESTART;
+    }
   if (pace == SD_PROGRESS_NORMAL)
     return;
   if (worker != NULL)
