The records of a raised term are the planner's own, also after two raises

By reading: a planner that raised its term twice before it read the first record of it took the records in between for another planner's, and would have applied them over what it knew by then.

test_records_of_raised_terms_are_own fails without the change.

--- a/programs/foxtailgap-hostd/planner_term.c
+++ b/programs/foxtailgap-hostd/planner_term.c
@@ -253,7 +253,7 @@
     {
       if (!own)
         pl_end_term (planner, "another host has claimed it");
-      else if (term->term == planner->term)
+      else
         jr_set_own_term (planner->params.journal, term->term); /* raised */
       return;
     }
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -3,6 +3,7 @@
 
 #include <unistd.h>
 
+#include "../../programs/foxtailgap-hostd/journal_private.h"
 #include "../../programs/foxtailgap-hostd/planner_private.h"
 #include "../../programs/foxtailgap-hostd/workers_private.h"
 #include "check.h"
@@ -712,6 +713,26 @@
   tear_down (&setup);
 }
 
+/* The records of the first append that was not read yet.  */
+static GPtrArray *
+next_append (struct setup *setup)
+{
+  const GPtrArray *append = setup->store.records[setup->stored++];
+  GPtrArray *records = so_records_create ();
+  guint i;
+
+  for (i = 0; i < append->len; i++)
+    {
+      const struct so_record *record = g_ptr_array_index (append, i);
+      struct so_record *copy
+          = so_record_create (record->key, record->value, record->size_bytes);
+
+      copy->offset = setup->offset++;
+      g_ptr_array_add (records, copy);
+    }
+  return records;
+}
+
 /* Has the planner find that an acknowledgement may reach the next process of
    its worker.
    @return : the number of the append that raises the term.  */
@@ -768,6 +789,31 @@
   tear_down (&setup);
 }
 
+/* The planner knows its own records as its own, also if it has raised the term
+   twice before it reads them: else they would replace what it knows by now. */
+static void
+test_records_of_raised_terms_are_own (void)
+{
+  struct setup setup;
+  uint32_t raises;
+
+  become_planner (&setup);
+  for (raises = 0; raises < 2; raises++)
+    answer_append (&setup, begin_to_raise_term (&setup));
+  while (setup.store.jobs_read == NULL)
+    run_loop_for (&setup, 5);
+  while (jr_term (setup.journal)->term < setup.planner->term)
+    {
+      if (setup.store.jobs_read != NULL)
+        answer_read (&setup, &setup.store.jobs_read, setup.store.jobs_ctx,
+                     next_append (&setup));
+      CU_ASSERT_EQUAL (setup.journal->own_term, jr_term (setup.journal)->term);
+      run_loop_for (&setup, 5);
+    }
+  CU_ASSERT_EQUAL (setup.planner->role, PL_PLANNER);
+  tear_down (&setup);
+}
+
 /* Another host has claimed the same term before.  */
 static void
 test_term_that_cannot_be_raised_is_over (void)
@@ -1273,6 +1319,8 @@
       test_each_append_shows_that_the_planner_lives },
     { "a lost append is sent again", test_lost_append_is_sent_again },
     { "a planner raises its term", test_planner_raises_its_term },
+    { "records of raised terms are own",
+      test_records_of_raised_terms_are_own },
     { "a term that cannot be raised is over",
       test_term_that_cannot_be_raised_is_over },
     { "an append to a slow store is not sent again",
