--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -111,7 +111,8 @@
         continue;
       if (loss->crashed)
         task->lost_runs++;
-      else if (!jb_state_is_final (task->job->state))
+      else if (!jb_state_is_final (task->job->state)
+               && !task->step->spec->long_lived) /* it is never given up */
         sd_loss_add (loss->worker, task, now_ms);
     }
 }
--- a/tests/unit/test_hostd_losses.c
+++ b/tests/unit/test_hostd_losses.c
@@ -358,6 +358,22 @@
   tear_down (&setup);
 }
 
+/* A task that lasts is never given up, so that nothing is to be settled, and
+   its record does not grow with each loss.  */
+static void
+test_losses_of_a_lasting_task_are_not_kept (void)
+{
+  struct setup setup;
+  struct jb_job *job;
+
+  set_up_for_absence (&setup, ABSENCE_MS);
+  job = add_job (&setup, JOB, false);
+  job->spec->steps[0].long_lived = true;
+  cut_off (&setup, job, start_on_new_worker (&setup, job));
+  check_no_crash (job);
+  tear_down (&setup);
+}
+
 /* By a preemption, an evacuation or a cancellation.  */
 static void
 test_stop_is_no_crash (void)
@@ -439,6 +455,8 @@
       test_workers_that_stay_away_have_crashed },
     { "a worker that returns late has not crashed",
       test_worker_that_returns_late_has_not_crashed },
+    { "losses of a lasting task are not kept",
+      test_losses_of_a_lasting_task_are_not_kept },
     { "a stop is no crash", test_stop_is_no_crash },
     { "a run that was not there is no crash",
       test_run_that_was_not_there_is_no_crash },
