--- a/lib/jobs/catalog.h
+++ b/lib/jobs/catalog.h
@@ -75,8 +75,8 @@
 void ct_queue_free (struct ct_queue *queue);
 
 /*! ct_queue_equal () :
- *  @return : whether both have the same address and run their jobs alike;
- * their names may differ.  Either may be NULL. */
+ *  @return : whether both have the same address and run their jobs alike, under
+ *            whatever names.  Either may be NULL. */
 bool ct_queue_equal (const struct ct_queue *a, const struct ct_queue *b);
 
 /*! ct_same_address () :
@@ -84,9 +84,8 @@
 bool ct_same_address (const struct ct_queue *a, const struct ct_queue *b);
 
 /*! ct_index_queues () :
- *  Builds the indexes of the queues, once all of them are in the catalog.  A
- * catalog may have hundreds of queues, and each round of the scheduler looks
- * them up. */
+ *  Builds the indexes of the queues, once all of them are in the catalog.
+ *  There may be hundreds, and each round of the scheduler looks them up. */
 void ct_index_queues (struct ct_catalog *catalog);
 
 /*! ct_route_request () :
--- a/lib/jobs/job_queue.h
+++ b/lib/jobs/job_queue.h
@@ -8,10 +8,10 @@
 #include "jobs/model.h"
 
 /*! jq_of_job () :
- *  Finds what JOB is run by: the queue of CATALOG that its requests go to, by
- *  host and path prefix; if there is none, its queue as it was last
- * configured; if that is not known (an earlier version stored the job), the
- * queue with its queue's name.
+ *  Finds the queue by which JOB is run: that of CATALOG to which its requests
+ *  go, by host and path prefix; if there is none, its queue as it was last
+ *  configured.  If that is not known (an earlier version stored the job), the
+ *  queue of CATALOG with the stored name.
  *  @catalog : NULL: no configuration is known.
  *  @return : owned by CATALOG or JOB; NULL if nothing is known of the queue.
  */
@@ -20,7 +20,7 @@
 
 /*! jq_note () :
  *  Keeps QUEUE, of jq_of_job (), as the configuration that JOB goes on with
- * once the catalog does not have it.
+ *  once the catalog does not have it.
  *  @return : whether that is to be stored with the progress of the job. */
 bool jq_note (struct jb_job *job, const struct ct_queue *queue);
 
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -186,13 +186,18 @@
 void sd_finish_job (struct sd_sched *sched, struct jb_job *job,
                     enum jb_state state, int64_t now_unix_ms);
 
+/*! sd_find_or_add_worker () :
+ *  @return : the worker of this id, which may be known from records only. */
+struct sd_worker *sd_find_or_add_worker (struct sd_sched *sched,
+                                         const char *id);
+
 /* --- health.c: unhealthy workers, stalled and slow tasks --- */
 
 /*! sd_health_done (), sd_health_failed (), sd_health_refused () :
  *  A run on WORKER was done; a run of JOB there failed; WORKER refused a start
  *  because it is unhealthy.
- *  @first_failed_run : whether JOB has not failed in any other run; members of
- * a gang that fail on several workers are of one run. */
+ *  @first_failed_run : whether JOB has failed in no other run; the members of a
+ *                      gang that fail on several workers are of one run. */
 void sd_health_done (struct sd_worker *worker, int64_t now_ms);
 void sd_health_failed (struct sd_worker *worker, const struct jb_job *job,
                        bool first_failed_run, int64_t now_ms);
@@ -302,14 +307,9 @@
 
 /*! sd_loss_worker_leaves () :
  *  The report of WORKER says that it is draining: what it runs is not lost by
- * a crash. */
+ *  a crash. */
 void sd_loss_worker_leaves (struct sd_sched *sched, struct sd_worker *worker);
 
-/*! sd_find_or_add_worker () :
- *  @return : the worker of this id, which may be known from records only. */
-struct sd_worker *sd_find_or_add_worker (struct sd_sched *sched,
-                                         const char *id);
-
 /* --- order.c: the order of waiting work --- */
 
 /* The unit of placement: the waiting tasks of a step.  The tasks of a gang
