--- a/lib/jobs/catalog.h
+++ b/lib/jobs/catalog.h
@@ -75,8 +75,8 @@
 void ct_queue_free (struct ct_queue *queue);
 
 /*! ct_queue_equal () :
- *  @return : whether both have the same address and run their jobs alike, under
- *            whatever names.  Either may be NULL. */
+ *  @return : whether both have the same address and run their jobs alike;
+ *            names do not matter.  Either may be NULL. */
 bool ct_queue_equal (const struct ct_queue *a, const struct ct_queue *b);
 
 /*! ct_same_address () :
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -196,8 +196,8 @@
 /*! sd_health_done (), sd_health_failed (), sd_health_refused () :
  *  A run on WORKER was done; a run of JOB there failed; WORKER refused a start
  *  because it is unhealthy.
- *  @first_failed_run : whether JOB has failed in no other run; the members of a
- *                      gang that fail on several workers are of one run. */
+ *  @first_failed_run : whether JOB has failed in no other run; the members of
+ *                      a gang that fail on several workers are of one run. */
 void sd_health_done (struct sd_worker *worker, int64_t now_ms);
 void sd_health_failed (struct sd_worker *worker, const struct jb_job *job,
                        bool first_failed_run, int64_t now_ms);
