Data centres that the operator closes for new work

With the setting closing_ms no start is sent by knowledge of the operator's topic that could be too old for it. What runs goes on.

--- a/lib/jobs/catalog.h
+++ b/lib/jobs/catalog.h
@@ -31,6 +31,17 @@
   uint32_t advice_per_worker_ms;
 };
 
+/* What a record of the operator says of a data centre that is closed for new
+   work: one that starts nothing while there is such a record.  */
+enum ct_closing
+{
+  CT_CLOSING_NONE,       /* the record is of something else */
+  CT_CLOSING_NAMELESS,   /* its key names no data centre that may exist */
+  CT_CLOSING_UNREADABLE, /* its key names one, and its value says nothing or
+                            something else */
+  CT_CLOSING_READ,
+};
+
 struct ct_team
 {
   char *name;
--- a/lib/sched/advice.c
+++ b/lib/sched/advice.c
@@ -176,7 +176,7 @@
     {
       const struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
 
-      if (sd_worker_is_eligible (worker, unit)
+      if (sd_worker_is_eligible (worker, unit) && !worker->closed
           && sd_advice_allows (unit->advice, worker->report.id))
         copies += sd_resources_copies (&unit->step->spec->resources,
                                        &worker->report.resources,
@@ -201,7 +201,7 @@
       const char *id = worker->report.id;
       struct query_candidate candidate = { .worker = worker };
 
-      if (!sd_worker_is_eligible (worker, unit)
+      if (!sd_worker_is_eligible (worker, unit) || worker->closed
           || worker->reachability != SD_WORKER_REACHABLE
           || sd_health_is_avoided (worker, now_ms) != avoided
           || sd_advice_has_ticket (unit->advice, id, now_ms))
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -48,7 +48,7 @@
 sd_worker_is_available (const struct sd_worker *worker,
                         const struct sd_unit *unit, int64_t now_ms)
 {
-  return sd_worker_is_eligible (worker, unit)
+  return sd_worker_is_eligible (worker, unit) && !worker->closed
          && worker->reachability == SD_WORKER_REACHABLE
          && worker->reported_ms >= unit->oldest_report_ms
          && (unit->takes_avoided || !has_failed_lately (worker, unit, now_ms))
@@ -326,7 +326,8 @@
                                                           : (char *)"";
       uint32_t copies;
 
-      if (!sd_worker_is_eligible (worker, unit))
+      if (!sd_worker_is_eligible (worker, unit)
+          || (worker->closed && !unit->counts_closed))
         continue;
       copies = sd_resources_copies (&unit->step->spec->resources,
                                     &worker->report.resources,
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -102,6 +102,7 @@
   uint64_t advised_worker_count; /* workers named in answered queries */
   uint64_t allowed_worker_count; /* those of them that the advisor allowed */
   GHashTable *preemptions;       /* struct jb_step -> struct sd_preemption */
+  GHashTable *closed_data_centres; /* names, as a set */
 };
 
 /* --- accounting.c: resource accounting of workers --- */
@@ -337,6 +338,7 @@
   bool has_stood_too_long; /* its preferences are not kept any more */
   bool may_use_avoided;    /* then also on avoided and suspect workers */
   bool takes_avoided; /* it is also placed on avoided and suspect workers */
+  bool counts_closed; /* for sd_could_ever_fit (): closed data centres count */
 };
 
 /*! sd_unit_is_late () :
@@ -386,6 +388,12 @@
 void sd_query_advice (struct sd_sched *sched, const struct sd_unit *unit,
                       int64_t now_ms, GPtrArray *queries);
 
+/* --- closed.c: data centres that are closed for new work --- */
+
+/*! sd_is_closed () :
+ *  @data_centre : NULL: not known, which is not closed. */
+bool sd_is_closed (const struct sd_sched *sched, const char *data_centre);
+
 /* --- place.c: choice of workers --- */
 
 /* Workers chosen for tasks: tasks[i] goes to workers[i].  */
@@ -403,8 +411,9 @@
                             const struct sd_unit *unit);
 
 /*! sd_worker_is_available () :
- *  @return : whether the worker is eligible and also reachable, not avoided
- *            and, for a queue with an advisor, allowed by it. */
+ *  @return : whether the worker is eligible and also reachable, not in a
+ *            closed data centre, not avoided and, for a queue with an advisor,
+ *            allowed by it. */
 bool sd_worker_is_available (const struct sd_worker *worker,
                              const struct sd_unit *unit, int64_t now_ms);
 
@@ -430,7 +439,8 @@
 
 /*! sd_could_ever_fit () :
  *  @return : whether all waiting tasks of the unit fit on the eligible workers
- *            when these are empty; with ONE_RACK, on those of one rack. */
+ *            that are not in closed data centres, when these are empty; with
+ *            ONE_RACK, on those of one rack. */
 bool sd_could_ever_fit (const struct sd_sched *sched,
                         const struct sd_unit *unit, bool one_rack);
 
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -179,6 +179,11 @@
     {
       const struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
 
+      if (worker->listed && worker->closed)
+        {
+          room.closed_workers++;
+          continue;
+        }
       if (!worker->listed || worker->reachability != SD_WORKER_REACHABLE
           || worker->report.draining)
         continue;
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -41,6 +41,8 @@
   sched->advice = g_hash_table_new_full (NULL, NULL, NULL, sd_advice_free);
   sched->preemptions
       = g_hash_table_new_full (NULL, NULL, NULL, sd_preemption_free);
+  sched->closed_data_centres
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return sched;
 }
 
@@ -58,6 +60,7 @@
   g_ptr_array_free (sched->pending_stops, TRUE);
   g_array_free (sched->unplaceable_units, TRUE);
   g_array_free (sched->service_uses, TRUE);
+  g_hash_table_destroy (sched->closed_data_centres);
   g_hash_table_destroy (sched->preemptions);
   g_hash_table_destroy (sched->reservations);
   g_hash_table_destroy (sched->advice);
@@ -175,6 +178,7 @@
       memset (report, 0, sizeof *report);
     }
   worker->listed = true;
+  worker->closed = sd_is_closed (sched, worker->report.data_centre);
   if (worker->report.draining)
     sd_loss_worker_leaves (sched, worker);
   worker->reported_ms = MAX (worker->reported_ms, reported_ms);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -48,6 +48,8 @@
 {
   struct sd_worker_report report;
   bool listed;         /* the store has an entry for it */
+  bool closed;         /* its data centre is closed for new work, see
+                          sd_set_closed () */
   int64_t reported_ms; /* `report` is not older than this; 0: not known */
   enum sd_reachability reachability;
   int64_t process_started_ms; /* by its answers under this term, on a clock of
@@ -114,6 +116,13 @@
   SD_REFUSED_OTHER,
 };
 
+/* What a data centre has.  */
+struct sd_data_centre_use
+{
+  uint32_t workers; /* listed */
+  uint32_t tasks;   /* placed or stopping there */
+};
+
 struct sd_params
 {
   uint32_t remote_slowdown_factor; /* the slow-down factor of remote tasks:
@@ -166,6 +175,19 @@
  *  there. */
 void sd_worker_unlisted (struct sd_sched *sched, const char *id);
 
+/*! sd_set_closed () :
+ *  Closes a data centre for new work, or opens it again: while it is closed,
+ *  no task is placed on a worker there, now or later, and no start that is
+ *  placed there may be sent.  What runs there goes on.  Lasts over terms.
+ *  @data_centre : may have no worker yet. */
+void sd_set_closed (struct sd_sched *sched, const char *data_centre,
+                    bool closed);
+
+/*! sd_survey_data_centre () :
+ *  @return : what is listed and placed in a data centre, for the log. */
+struct sd_data_centre_use sd_survey_data_centre (const struct sd_sched *sched,
+                                                 const char *data_centre);
+
 /*! sd_worker_find () :
  *  @return : NULL if there is none with this id. */
 struct sd_worker *sd_worker_find (const struct sd_sched *sched,
@@ -406,8 +428,10 @@
 /* How the room of the workers is used, as of the last round.  */
 struct sd_room
 {
-  uint32_t usable_workers;  /* listed, reachable, not draining, not avoided */
+  uint32_t usable_workers;  /* listed, reachable, not draining, not avoided,
+                               and not in a closed data centre */
   uint32_t avoided_workers; /* listed and reachable, but avoided */
+  uint32_t closed_workers;  /* listed, in a closed data centre */
   uint32_t idle_workers;    /* usable, and without a task */
   uint32_t idle_reserved;   /* of these, those with a reservation */
   uint32_t reservations;    /* gangs with one */
@@ -461,6 +485,7 @@
   SD_WAIT_OLD_REPORT,  /* their report is too old */
   SD_WAIT_UNSEEN,      /* they were not called yet under this term */
   SD_WAIT_UNREACHABLE, /* their last call failed */
+  SD_WAIT_CLOSED,      /* their data centre is closed for new work */
   /* There is too little room on the available workers: of this kind alone, or
      (SD_WAIT_NO_ROOM) of no kind alone.  */
   SD_WAIT_NO_CPUS,
--- a/lib/sched/waiting.c
+++ b/lib/sched/waiting.c
@@ -40,6 +40,7 @@
   [SD_WAIT_OLD_REPORT] = "old-report",
   [SD_WAIT_UNSEEN] = "unseen",
   [SD_WAIT_UNREACHABLE] = "unreachable",
+  [SD_WAIT_CLOSED] = "closed-data-centre",
   [SD_WAIT_NO_CPUS] = "no-cpus",
   [SD_WAIT_NO_MEMORY] = "no-memory",
   [SD_WAIT_NO_ACCELERATORS] = "no-accelerators",
@@ -119,6 +120,8 @@
     return "unseen";
   if (worker->reachability == SD_WORKER_UNREACHABLE)
     return "unreachable";
+  if (worker->closed)
+    return "closed";
   return worker->report.draining ? "draining" : "reachable";
 }
 
@@ -224,6 +227,7 @@
 {
   uint32_t needed;   /* tasks that must fit at least */
   uint32_t eligible; /* workers */
+  uint32_t closed;   /* of them, those in closed data centres */
   uint32_t open;     /* of them, those that nothing keeps from a start */
   /* Tasks that fit, by enum sd_wait: on the workers that this condition keeps
      from a start; [SD_WAIT_NEXT_ROUND]: on those that are open.  */
@@ -244,6 +248,8 @@
 {
   if (!sd_worker_is_available (worker, unit, now_ms))
     {
+      if (worker->closed)
+        return SD_WAIT_CLOSED;
       if (worker->reachability == SD_WORKER_UNSEEN)
         return SD_WAIT_UNSEEN;
       if (worker->reachability != SD_WORKER_REACHABLE)
@@ -322,6 +328,7 @@
       if (!sd_worker_is_eligible (worker, unit))
         continue;
       room.eligible++;
+      room.closed += worker->closed;
       limit = limit_on (worker, unit);
       obstacle = find_obstacle (worker, unit, now_ms);
       room.copies[obstacle] += sd_resources_copies (
@@ -428,7 +435,8 @@
   static const enum sd_wait order[]
       = { SD_WAIT_BACKOFF,    SD_WAIT_EXCLUSIVE, SD_WAIT_ALONE,
           SD_WAIT_ADVISOR,    SD_WAIT_SUSPECT,   SD_WAIT_AVOIDED,
-          SD_WAIT_OLD_REPORT, SD_WAIT_UNSEEN,    SD_WAIT_UNREACHABLE };
+          SD_WAIT_OLD_REPORT, SD_WAIT_UNSEEN,    SD_WAIT_UNREACHABLE,
+          SD_WAIT_CLOSED };
   enum sd_wait most = SD_WAIT_UNKNOWN;
   uint64_t open = room->copies[SD_WAIT_NEXT_ROUND];
   uint64_t all = open;
@@ -460,12 +468,22 @@
   return memory ? SD_WAIT_NO_MEMORY : SD_WAIT_NO_ACCELERATORS;
 }
 
+static bool
+fits_with_closed (const struct sd_sched *sched, const struct sd_unit *unit)
+{
+  struct sd_unit any = *unit;
+
+  any.counts_closed = true;
+  return sd_could_ever_fit (sched, &any, false);
+}
+
 static void
 explain_unit (const struct sd_sched *sched, const struct sd_unit *unit,
               int64_t now_ms, struct sd_waiting *waiting)
 {
   struct room room = survey_room (sched, unit, now_ms);
   struct sd_unit least = *unit;
+  char closed[48] = "";
   enum sd_wait why;
 
   least.waiting_count = room.needed;
@@ -473,7 +491,8 @@
       && would_start (sched, unit, now_ms))
     why = SD_WAIT_NEXT_ROUND;
   else if (!sd_could_ever_fit (sched, &least, false))
-    why = SD_WAIT_TOO_FEW_WORKERS;
+    why = fits_with_closed (sched, &least) ? SD_WAIT_CLOSED
+                                           : SD_WAIT_TOO_FEW_WORKERS;
   else if (room.copies[SD_WAIT_NEXT_ROUND] >= room.needed)
     {
       /* Room on open workers, so that only their order of use is left.  */
@@ -495,12 +514,16 @@
       else
         why = choose_short_kind (&room);
     }
+  if (room.closed > 0)
+    g_snprintf (closed, sizeof closed, "; %u in closed data centres",
+                room.closed);
   set_wait (waiting, why,
             "%" G_GUINT64_FORMAT " of %u tasks fit now on %u of %u eligible "
             "workers; by cpus %" G_GUINT64_FORMAT ", memory %" G_GUINT64_FORMAT
-            ", accelerators %" G_GUINT64_FORMAT,
+            ", accelerators %" G_GUINT64_FORMAT "%s",
             room.copies[SD_WAIT_NEXT_ROUND], room.needed, room.open,
-            room.eligible, room.by_cpus, room.by_memory, room.by_accelerators);
+            room.eligible, room.by_cpus, room.by_memory, room.by_accelerators,
+            closed);
 }
 
 /* The resources of a worker within a round, which suspending what the unit
--- a/programs/foxtailgap-hostd/hostd_settings.h
+++ b/programs/foxtailgap-hostd/hostd_settings.h
@@ -33,6 +33,10 @@
   /* When a worker's capacity shrinks, its former one may be used for this time
      and a heartbeat longer.  */
   uint32_t capacity_notice_ms;
+  /* A data centre that the operator closes for new work starts nothing after
+     this time, so that no start is sent by older knowledge; 0: starts do not
+     wait for such knowledge.  */
+  uint32_t closing_ms;
   uint32_t key_validity_ms;  /* for how long a key may still be accepted after
                                 it has been revoked */
   uint32_t shutdown_ms;      /* from SIGTERM to the end of the process */
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -473,6 +473,8 @@
   journal->table = jb_table_create ();
   journal->hosts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  journal->closed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   journal->jobs_before_load
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   journal->jobs_reader.apply_record = jr_fold_jobs_record;
@@ -496,6 +498,7 @@
   jb_table_free (journal->table);
   g_hash_table_destroy (journal->hosts);
   g_hash_table_destroy (journal->jobs_before_load);
+  g_hash_table_destroy (journal->closed);
   ct_catalog_free (journal->catalog);
   if (journal->leases != NULL)
     g_hash_table_destroy (journal->leases);
@@ -520,6 +523,12 @@
   return journal->catalog;
 }
 
+GHashTable *
+jr_closed_data_centres (const struct journal *journal)
+{
+  return journal->closed;
+}
+
 bool
 jr_ever_loaded (const struct journal *journal)
 {
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -29,6 +29,8 @@
   /* Called while jr_catalog () still returns the previous catalog, which is
      freed after this call.  */
   void (*catalog_changed) (void *ctx, const struct ct_catalog *catalog);
+  /* A data centre is closed for new work, or open again.  */
+  void (*closing_changed) (void *ctx, const char *data_centre, bool closed);
   /* Called after each successful read of the jobs' topic.  */
   void (*jobs_read) (void *ctx);
   /* Called when callers' writes wait for the planner's next append; see
@@ -42,6 +44,14 @@
 typedef int (*jr_decode_catalog) (struct ct_catalog **out, const void *text,
                                   size_t size_bytes);
 
+/* Reads the key and the value of a record of the operator's topic; the
+   platform's adapter implements it.  *data_centre is set to a name that lives
+   as long as KEY, or to NULL.  TEXT NULL: the record has been removed.  */
+typedef enum ct_closing (*jr_decode_closing) (const char **data_centre,
+                                              const char *key,
+                                              const void *text,
+                                              size_t size_bytes);
+
 struct jr_params
 {
   struct ev_loop *loop;
@@ -50,6 +60,7 @@
   const char *operator_topic;
   const char *catalog_key; /* of the configuration in the operator's topic */
   jr_decode_catalog decode_catalog;
+  jr_decode_closing decode_closing; /* NULL: no data centre is ever closed */
   struct mt_registry *metrics;
 };
 
@@ -122,6 +133,11 @@
 struct jb_table *jr_job_table (struct journal *journal);
 const struct ct_catalog *jr_catalog (const struct journal *journal);
 
+/*! jr_closed_data_centres () :
+ *  @return : the data centres that the operator has closed for new work: their
+ *            names, as a set, by the records read so far. */
+GHashTable *jr_closed_data_centres (const struct journal *journal);
+
 /*! jr_ever_loaded () :
  *  @return : whether the jobs' topic has been loaded at least once and a
  *            catalog is known.  Stays true while the jobs are reloaded. */
@@ -139,8 +155,9 @@
 void jr_reload (struct journal *journal);
 
 /*! jr_jobs_age_ms (), jr_catalog_age_ms () :
- *  @return : age of the table of jobs or of the catalog: every record that was
- *            stored longer ago than this has been read. */
+ *  @return : age of the table of jobs, or of the catalog and the closed data
+ *            centres: every record that was stored longer ago than this has
+ *            been read. */
 int64_t jr_jobs_age_ms (const struct journal *journal);
 int64_t jr_catalog_age_ms (const struct journal *journal);
 
--- a/programs/foxtailgap-hostd/journal_fold.c
+++ b/programs/foxtailgap-hostd/journal_fold.c
@@ -205,14 +205,65 @@
 /* --- The operator --- */
 
 void
-jr_fold_operator_record (struct journal *journal,
-                         const struct so_record *record)
+jr_set_closed (struct journal *journal, const char *data_centre, bool closed,
+               bool readable)
 {
-  struct ct_catalog *catalog = NULL;
+  bool changes
+      = closed != g_hash_table_contains (journal->closed, data_centre);
 
-  if (strcmp (record->key, journal->params.catalog_key) != 0
-      || record->value == NULL)
+  if (closed && !readable)
+    lg_warning (PART,
+                "The value of a closed data centre's record cannot be read; "
+                "the data centre is closed by the record's key.",
+                "data_centre", data_centre, NULL);
+  if (!changes)
     return;
+  if (closed)
+    g_hash_table_add (journal->closed, g_strdup (data_centre));
+  else
+    g_hash_table_remove (journal->closed, data_centre);
+  lg_info (PART,
+           closed ? "A data centre is closed for new work."
+                  : "A data centre is open for new work again.",
+           "data_centre", data_centre, "closed",
+           lg_number (g_hash_table_size (journal->closed)), NULL);
+  mt_set (journal->params.metrics, "foxtailgap_closed_data_centres",
+          g_hash_table_size (journal->closed));
+  if (journal->observer.closing_changed != NULL)
+    journal->observer.closing_changed (journal->observer.ctx, data_centre,
+                                       closed);
+}
+
+/* @return : whether RECORD is one of a closed data centre.  */
+static bool
+apply_closing (struct journal *journal, const struct so_record *record)
+{
+  const char *data_centre = NULL;
+  enum ct_closing closing;
+
+  if (journal->params.decode_closing == NULL)
+    return false;
+  closing = journal->params.decode_closing (&data_centre, record->key,
+                                            record->value, record->size_bytes);
+  if (closing == CT_CLOSING_NONE)
+    return false;
+  if (data_centre == NULL)
+    lg_warning (PART,
+                "The key of a record names no data centre to close; the "
+                "record is ignored.",
+                "key_bytes", lg_number ((long long)strlen (record->key)),
+                NULL);
+  else
+    jr_set_closed (journal, data_centre, record->value != NULL,
+                   closing == CT_CLOSING_READ);
+  return true;
+}
+
+static void
+apply_catalog (struct journal *journal, const struct so_record *record)
+{
+  struct ct_catalog *catalog = NULL;
+
   if (journal->params.decode_catalog (&catalog, record->value,
                                       record->size_bytes)
       < 0)
@@ -236,3 +287,14 @@
   ct_catalog_free (journal->catalog);
   journal->catalog = catalog;
 }
+
+void
+jr_fold_operator_record (struct journal *journal,
+                         const struct so_record *record)
+{
+  if (apply_closing (journal, record))
+    return;
+  if (strcmp (record->key, journal->params.catalog_key) == 0
+      && record->value != NULL)
+    apply_catalog (journal, record);
+}
--- a/programs/foxtailgap-hostd/journal_load.c
+++ b/programs/foxtailgap-hostd/journal_load.c
@@ -70,6 +70,41 @@
   g_hash_table_remove_all (journal->jobs_before_load);
 }
 
+/* Opens the data centres whose records were removed while this host read
+   nothing.  */
+static void
+open_without_record (struct journal *journal, const GPtrArray *records)
+{
+  GHashTable *found;
+  GPtrArray *gone = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  void *name;
+  guint i;
+
+  if (journal->params.decode_closing == NULL)
+    goto out;
+  found = g_hash_table_new (g_str_hash, g_str_equal);
+  for (i = 0; i < records->len; i++)
+    {
+      const struct so_record *record = g_ptr_array_index (records, i);
+      const char *data_centre = NULL;
+
+      journal->params.decode_closing (&data_centre, record->key, NULL, 0);
+      if (data_centre != NULL)
+        g_hash_table_add (found, (char *)data_centre);
+    }
+  g_hash_table_iter_init (&iter, journal->closed);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    if (!g_hash_table_contains (found, name))
+      g_ptr_array_add (gone, g_strdup (name));
+  g_hash_table_destroy (found);
+  for (i = 0; i < gone->len; i++)
+    jr_set_closed (journal, g_ptr_array_index (gone, i), false, true);
+
+out:
+  g_ptr_array_free (gone, TRUE);
+}
+
 /* An empty list of leases is stored as a record without a value, which leaves
    nothing to load.  */
 static void
@@ -103,6 +138,8 @@
       if (!has_leases)
         forget_leases (journal);
     }
+  else
+    open_without_record (journal, reader->newest_records);
   /* Before the records are applied: they may show that this host's term is
      over, and then the topic is to be loaded once more.  */
   reader->next_offset = reader->first_page_end_offset;
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -49,6 +49,7 @@
   GHashTable *hosts;            /* name -> struct jb_host_record */
   uint32_t own_strength;        /* of this host, as announced */
   struct ct_catalog *catalog;
+  GHashTable *closed; /* names of the closed data centres, as a set */
   struct jb_term_record term;
   GHashTable *leases; /* of jb_decode_leases (); NULL: none yet */
   uint64_t own_term;  /* 0: this host is not the planner */
@@ -77,6 +78,12 @@
 void jr_fold_operator_record (struct journal *journal,
                               const struct so_record *record);
 
+/*! jr_set_closed () :
+ *  The operator has closed a data centre, or it is open again.
+ *  @readable : whether the record's value says so too, for the log. */
+void jr_set_closed (struct journal *journal, const char *data_centre,
+                    bool closed, bool readable);
+
 /* --- journal_load.c --- */
 
 /*! jr_begin_load () :
--- a/programs/foxtailgap-hostd/main.c
+++ b/programs/foxtailgap-hostd/main.c
@@ -138,6 +138,7 @@
   else
     {
       lg_set_level (settings->log_level);
+      process->settings->closing_ms = settings->closing_ms;
       process->settings->key_validity_ms = settings->key_validity_ms;
       process->settings->shutdown_ms = settings->shutdown_ms;
       process->settings->job_retention_ms = settings->job_retention_ms;
@@ -216,6 +217,7 @@
     .operator_topic = PF_TOPIC_OPERATOR,
     .catalog_key = PF_KEY_CATALOG,
     .decode_catalog = pf_decode_catalog,
+    .decode_closing = pf_decode_closing,
     .metrics = process->metrics,
   };
   struct pl_params planner = {
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -40,6 +40,12 @@
   /* A decision that waits longer than this to be sent may be overtaken by
      ends, arrivals and cancellations.  */
   START_BACKLOG_MAX_MS = 200,
+  /* Of closed data centres.  A start takes effect up to WK_START_EXPIRY_MS
+     after it is sent, and its answer may pass through a busy event loop.  */
+  CLOSED_KNOWN_MARGIN_MS = 500,
+  /* Not below the interval of reads of the operator's topic and the time of a
+     slow answer, so that starts are sent at all.  */
+  CLOSED_KNOWN_MIN_MS = 1300,
   TASKS_PER_LOG_LINE = 64, /* so that a line stays below PIPE_BUF */
   /* Ticks further apart than this show that the process was paused.  */
   PAUSE_MIN_MS = 700
@@ -68,6 +74,20 @@
   return ((const struct planner *)ctx)->stored_batch_sent_ms;
 }
 
+/* Whether each data centre that was closed so long ago that a start would come
+   too late is known to be closed.  */
+static bool
+knows_closed (void *ctx)
+{
+  const struct planner *planner = ctx;
+  int64_t closing_ms = planner->params.settings->closing_ms;
+
+  return closing_ms == 0
+         || jr_catalog_age_ms (planner->params.journal) <= MAX (
+                closing_ms - WK_START_EXPIRY_MS - CLOSED_KNOWN_MARGIN_MS,
+                CLOSED_KNOWN_MIN_MS);
+}
+
 /* --- Rounds --- */
 
 /* Logs the starts from index NEXT on that are of one step and run, and follow
@@ -177,6 +197,31 @@
   ll_leave (outer);
 }
 
+/* Logs what a closed data centre has; without workers its name may
+   be wrong.  */
+static void
+log_closed (const struct planner *planner, const char *data_centre)
+{
+  struct sd_data_centre_use use
+      = sd_survey_data_centre (planner->sched, data_centre);
+
+  lg_info (PART, "No work is started in a closed data centre.", "data_centre",
+           data_centre, "workers", lg_number (use.workers), "tasks",
+           lg_number (use.tasks), NULL);
+}
+
+static void
+log_all_closed (const struct planner *planner)
+{
+  GHashTableIter iter;
+  void *data_centre;
+
+  g_hash_table_iter_init (&iter,
+                          jr_closed_data_centres (planner->params.journal));
+  while (g_hash_table_iter_next (&iter, &data_centre, NULL))
+    log_closed (planner, data_centre);
+}
+
 /* Whether rounds may be held: each listed worker has answered the first status
    poll or failed to, or the wait for that is over.  */
 static bool
@@ -196,6 +241,7 @@
            "The first status polls of the workers are over; rounds begin.",
            "unseen", lg_number (wk_count_unpolled (planner->workers)),
            "after_ms", lg_number (now_ms - planner->term_started_ms), NULL);
+  log_all_closed (planner);
   return true;
 }
 
@@ -209,6 +255,8 @@
     return "an append that shows that the term holds";
   if (jr_jobs_age_ms (planner->params.journal) >= ROUND_JOBS_AGE_MAX_MS)
     return "a reading of the jobs' topic";
+  if (!knows_closed (planner))
+    return "a reading of the operator's topic";
   return NULL;
 }
 
@@ -283,7 +331,8 @@
 
   lg_info (PART, "The room of the workers.", "usable",
            lg_number (room.usable_workers), "avoided",
-           lg_number (room.avoided_workers), "idle",
+           lg_number (room.avoided_workers), "closed",
+           lg_number (room.closed_workers), "idle",
            lg_number (room.idle_workers), "idle_reserved",
            lg_number (room.idle_reserved), "reservations",
            lg_number (room.reservations), "reserved_tasks",
@@ -519,6 +568,17 @@
   pl_schedule_round (planner);
 }
 
+static void
+on_closing_changed (void *ctx, const char *data_centre, bool closed)
+{
+  struct planner *planner = ctx;
+
+  sd_set_closed (planner->sched, data_centre, closed);
+  if (planner->role == PL_PLANNER && closed)
+    log_closed (planner, data_centre);
+  pl_schedule_round (planner);
+}
+
 static void
 on_read_done (void *ctx)
 {
@@ -593,6 +653,7 @@
     .changed = on_workers_changed,
     .fenced = on_worker_fenced,
     .may_command = may_command,
+    .knows_closed = knows_closed,
     .term_stored_ms = term_stored_ms,
   };
   struct av_params advisor = { .port = params->advisor_port,
@@ -605,6 +666,7 @@
     .job_cancelled = on_job_cancelled,
     .term_read = on_term_read,
     .catalog_changed = on_catalog_changed,
+    .closing_changed = on_closing_changed,
     .jobs_read = on_read_done,
     .writes_waiting = on_workers_changed,
   };
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -44,11 +44,18 @@
              : INT64_MAX;
 }
 
+static bool
+knows_closed (const struct worker_calls *workers)
+{
+  return workers->params.knows_closed == NULL
+         || workers->params.knows_closed (workers->params.ctx);
+}
+
 /* A start also keeps what runs on its worker running until it expires.  */
 static bool
 may_start (struct worker_calls *workers, int64_t now_ms)
 {
-  return wk_may_command (workers)
+  return wk_may_command (workers) && knows_closed (workers)
          && wk_lease_allowance_ms (workers, now_ms)
                 >= MIN ((int64_t)WK_START_EXPIRY_MS,
                         workers->params.lease_limit_ms / 2);
@@ -57,11 +64,12 @@
 /* Whether a start without an answer may be sent again.  */
 static bool
 may_send_again (const struct wk_call *call, const struct jb_task *task,
-                const struct worker_io *io, int64_t now_ms)
+                const struct sd_worker *worker, int64_t now_ms)
 {
   struct worker_calls *workers = call->workers;
+  const struct worker_io *io = worker->driver_data;
 
-  return call->tries < START_TRIES_MAX
+  return call->tries < START_TRIES_MAX && !worker->closed
          && now_ms < call->first_sent_ms + LAST_TRY_MAX_MS
          && task->state == JB_TASK_PLACED && may_start (workers, now_ms)
          && wk_call_is_of_process (call, io) && io->clock.clock_ms >= 0
@@ -112,7 +120,7 @@
       call->earlier_try_unanswered = true;
       sd_worker_unresponsive (worker, now_ms);
       wk_deadline_unanswered (io, call, now_ms);
-      if (may_send_again (call, task, io, now_ms))
+      if (may_send_again (call, task, worker, now_ms))
         {
           send_start (call, task, worker);
           return;
@@ -124,7 +132,7 @@
       wk_deadline_not_sent (io, call);
       sd_worker_unresponsive (worker, now_ms);
       if (worker->reachability == SD_WORKER_REACHABLE
-          && may_send_again (call, task, io, now_ms))
+          && may_send_again (call, task, worker, now_ms))
         send_start (call, task, worker);
       else
         handle_refusal (call, task, io, SD_REFUSED_OTHER, now_ms);
@@ -326,6 +334,13 @@
                            "it would extend a recorded lease");
       return;
     }
+  if (worker->closed)
+    {
+      mt_add (workers->params.metrics, "foxtailgap_closed_starts_total", 1);
+      refuse_unsent_start (call, task, SD_REFUSED_OTHER,
+                           "the worker's data centre is closed for new work");
+      return;
+    }
   if (worker->reachability == SD_WORKER_UNSEEN)
     {
       refuse_unsent_start (call, task, SD_REFUSED_OTHER,
@@ -499,6 +514,8 @@
     why = "its worker's clock";
   else if (!urgent && !queue_has_start (&workers->starts, name, task->run))
     why = "nothing, for it is not queued";
+  else if (!knows_closed (workers))
+    why = "a reading of the operator's topic";
   else if (!may_start (workers, now_ms))
     why = "a proof that the term holds";
   else if (!lb_has_room (&workers->link, now_ms))
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -53,6 +53,9 @@
      been paused, no start or stop is sent and no lease is renewed.  NULL:
      always.  */
   bool (*may_command) (void *ctx);
+  /* Whether it is known recently enough which data centres are closed for new
+     work.  While it is not, no start is sent.  NULL: always.  */
+  bool (*knows_closed) (void *ctx);
   /* When the last append under this term that is stored was sent.  NULL:
      always now.  */
   int64_t (*term_stored_ms) (void *ctx);
