Scheduling: runs that cannot end before their worker leaves are stopped

Such a run is now stopped at the notice if that loses less than to let it go on, by its own progress; work that checkpoints goes on until a stop just fits in before. Tasks that last are left alone.

--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -469,8 +469,39 @@
 bool sd_drop_preferences (struct sd_sched *sched, struct sd_unit *unit,
                           int64_t now_ms);
 
+/* --- leave.c: runs on workers that leave --- */
+
+/* A run of which the worker has announced that it leaves.  Times in ms.  */
+struct sd_leaving_run
+{
+  bool checkpoints; /* it saves its progress, also when it is stopped */
+  int64_t ran_ms;
+  int64_t expected_ms; /* that it still needs */
+  bool measured;       /* that is known by its own progress */
+  int64_t stays_ms;    /* until its worker leaves */
+  int64_t stop_ms;     /* a stop takes at most this */
+};
+
+/*! sd_leave_should_stop () :
+ *  @return : whether a stop now loses less work than to let it run on. */
+bool sd_leave_should_stop (const struct sd_leaving_run *run);
+
+/*! sd_leave_consider () :
+ *  If WORKER leaves: stops the runs there, with their gangs, for which that
+ *  loses less.  Tasks that last run on. */
+void sd_leave_consider (struct sd_sched *sched, const struct sd_worker *worker,
+                        int64_t now_ms);
+
 /* --- reserve.c: resources kept free for gangs --- */
 
+/*! sd_remaining_ms () :
+ *  @overrun_ms : for a run that should have ended.
+ *  @measured : set to whether the progress of its run shows it.
+ *  @return : the expected time until TASK ends on its worker. */
+int64_t sd_remaining_ms (const struct sd_sched *sched,
+                         const struct jb_task *task, int64_t now_ms,
+                         int64_t overrun_ms, bool *measured);
+
 void sd_reservation_free (void *data);
 
 /*! sd_reservations_begin_round (), sd_reservations_end_round () :
--- a/lib/sched/reserve.c
+++ b/lib/sched/reserve.c
@@ -138,10 +138,9 @@
 
 /* --- When resources will be free --- */
 
-/* The expected time until the task ends on its worker.  */
-static int64_t
-remaining_ms (const struct sd_sched *sched, const struct jb_task *task,
-              int64_t now_ms)
+int64_t
+sd_remaining_ms (const struct sd_sched *sched, const struct jb_task *task,
+                 int64_t now_ms, int64_t overrun_ms, bool *measured)
 {
   int64_t expected_ms = es_expect_ms (sched->estimates, task->job->queue,
                                       task->step->spec->estimate_ms);
@@ -150,16 +149,17 @@
                                : task->started_ms;
   int64_t left_ms;
 
+  *measured = task->percent >= RATE_MIN_PERCENT && task->checkpoint == NULL;
   if (task->state == JB_TASK_STOPPING)
     return sched->params.stop_max_ms;
   if (task->started_ms == 0)
     return expected_ms;
-  if (task->percent >= RATE_MIN_PERCENT && task->checkpoint == NULL)
+  if (*measured)
     left_ms = (task->progress_changed_ms - task->started_ms)
               * (100 - task->percent) / task->percent;
   else
     left_ms = expected_ms * (100 - task->percent) / 100;
-  return MAX (left_ms - (now_ms - last_change_ms), OVERRUN_REMAINING_MS);
+  return MAX (left_ms - (now_ms - last_change_ms), overrun_ms);
 }
 
 /* The expected end of a task on its worker, and the resources that it
@@ -191,10 +191,13 @@
   for (i = 0; i < count; i++)
     {
       const struct jb_task *task = g_ptr_array_index (worker->tasks, i);
+      bool measured;
 
-      task_ends[i]
-          = (struct task_end){ .after_ms = remaining_ms (sched, task, now_ms),
-                               .resources = &task->step->spec->resources };
+      task_ends[i] = (struct task_end){
+        .after_ms = sd_remaining_ms (sched, task, now_ms, OVERRUN_REMAINING_MS,
+                                     &measured),
+        .resources = &task->step->spec->resources
+      };
     }
   qsort (task_ends, count, sizeof task_ends[0], compare_task_ends);
   return count;
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -139,6 +139,8 @@
   guint i;
 
   sd_end_tasks_done_before (sched, now_unix_ms);
+  for (i = 0; i < sched->workers->len; i++)
+    sd_leave_consider (sched, g_ptr_array_index (sched->workers, i), now_ms);
   if (sched->catalog != NULL && commands->placing != SD_PLACE_NONE)
     {
       begin_round (sched, commands->placing, now_ms);
--- a/programs/foxtailgap-hostd/planner_worker_list.c
+++ b/programs/foxtailgap-hostd/planner_worker_list.c
@@ -75,7 +75,7 @@
              "address", report.address, "service", report.service, NULL);
   else if (report.draining && !worker->report.draining)
     lg_info (PART, "A worker is draining; it gets no new task.", "worker",
-             report.id, NULL);
+             report.id, "stays_ms", lg_number (report.min_remaining_ms), NULL);
   worker = sd_worker_listed (planner->sched, &report, reported_ms);
   if (!planner->list_loaded)
     g_hash_table_add (planner->listed, g_strdup (worker->report.id));
