Front: a host without a configuration does not hold relayed requests

Hosts that were restarted while the store refused all held what other hosts relayed to them for 1 s, waiting for the configuration; the other hosts gave up after 0.9 s and answered 504, after which callers can't try again, though nothing had been done. A relayed request now waits for 300 ms, and any request is refused at once with a 503 if the store has been out of reach for 1 s.

--- a/programs/foxtailgap-hostd/front_private.h
+++ b/programs/foxtailgap-hostd/front_private.h
@@ -83,7 +83,7 @@
 
 /*! fr_defer_until_catalog_known () :
  *  Serves the request once a current catalog has been read, or answers 503 if
- *  that takes too long. */
+ *  that takes too long, at once if the store is out of reach. */
 void fr_defer_until_catalog_known (struct front *front,
                                    struct hs_request *request);
 
--- a/programs/foxtailgap-hostd/front_start.c
+++ b/programs/foxtailgap-hostd/front_start.c
@@ -13,6 +13,9 @@
   /* Enough to load two topics and read them to their ends.  An unreachable
      store is detected after the same time.  */
   EARLY_WAIT_MAX_MS = 1000,
+  /* Of a request that another host has relayed here.  That host counts it as
+     one that may have been served unless it is answered within 900 ms.  */
+  RELAYED_EARLY_WAIT_MAX_MS = 300,
   RETRY_AFTER_S = 1
 };
 
@@ -38,6 +41,13 @@
   ((struct early_request *)ctx)->request = NULL;
 }
 
+static void
+refuse (struct front *front, struct hs_request *request)
+{
+  fr_answer_retry_later (front, request, "any", 503, RETRY_AFTER_S,
+                         "no configuration yet");
+}
+
 static void
 finish_early_request (struct front *front, struct early_request *early)
 {
@@ -50,23 +60,31 @@
   if (front->catalog_known)
     fr_dispatch (front, request);
   else
-    fr_answer_retry_later (front, request, "any", 503, RETRY_AFTER_S,
-                           "no configuration yet");
+    refuse (front, request);
 }
 
 static void
 on_early_check (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct front *front = watcher->data;
-  const struct early_request *first;
+  int64_t now_ms = clk_monotonic_ms (NULL);
+  GList *link = front->early_requests.head;
 
   (void)events;
   front->catalog_known = catalog_is_known_and_current (front);
-  while ((first = g_queue_peek_head (&front->early_requests)) != NULL
-         && (front->catalog_known
-             || first->deadline_ms <= clk_monotonic_ms (NULL)))
-    finish_early_request (front, g_queue_pop_head (&front->early_requests));
-  if (first == NULL)
+  while (link != NULL)
+    {
+      struct early_request *early = link->data;
+      GList *next = link->next;
+
+      if (front->catalog_known || early->deadline_ms <= now_ms)
+        {
+          g_queue_delete_link (&front->early_requests, link);
+          finish_early_request (front, early);
+        }
+      link = next;
+    }
+  if (g_queue_is_empty (&front->early_requests))
     ev_timer_stop (loop, watcher);
 }
 
@@ -81,10 +99,19 @@
 void
 fr_defer_until_catalog_known (struct front *front, struct hs_request *request)
 {
-  struct early_request *early = g_new0 (struct early_request, 1);
+  struct early_request *early;
 
+  /* It is known by now that the configuration cannot be read soon.  */
+  if (jr_store_unreachable_ms (front->params.journal) > 0)
+    {
+      refuse (front, request);
+      return;
+    }
+  early = g_new0 (struct early_request, 1);
   early->request = request;
-  early->deadline_ms = clk_monotonic_ms (NULL) + EARLY_WAIT_MAX_MS;
+  early->deadline_ms = clk_monotonic_ms (NULL)
+                       + (rl_is_relayed (request) ? RELAYED_EARLY_WAIT_MAX_MS
+                                                  : EARLY_WAIT_MAX_MS);
   g_queue_push_tail (&front->early_requests, early);
   hs_on_disconnect (request, on_caller_gone, early);
   ev_timer_start (front->params.loop, &front->early_timer);
--- a/tests/unit/test_hostd_front.c
+++ b/tests/unit/test_hostd_front.c
@@ -250,6 +250,40 @@
   finish (&setup);
 }
 
+/* On the premium service's trouble-3 hosts were restarted while the store
+   refused all: what others relayed to them waited for 1 s, and the others gave
+   16 callers a 504, after which these could not try again.  */
+static void
+test_relayed_request_does_not_wait_for_long (void)
+{
+  static const char *const headers[]
+      = { "Host: h", "Foxtailgap-Relayed: b", NULL };
+  struct setup setup;
+
+  begin (&setup);
+  send_get_with_headers (&setup, "/nowhere/", headers);
+  run_for_ms (&setup, 100);
+  CU_ASSERT_EQUAL (setup.answers, 0);
+  run_for_ms (&setup, 500);
+  CU_ASSERT_EQUAL (setup.answers, 1);
+  CU_ASSERT_EQUAL (setup.status, 503);
+  finish (&setup);
+}
+
+static void
+test_request_is_refused_at_once_while_the_store_is_out_of_reach (void)
+{
+  struct setup setup;
+
+  begin (&setup);
+  run_for_ms (&setup, 1100);
+  send_get (&setup, "/nowhere/");
+  run_for_ms (&setup, 100);
+  CU_ASSERT_EQUAL (setup.answers, 1);
+  CU_ASSERT_EQUAL (setup.status, 503);
+  finish (&setup);
+}
+
 static void
 test_waiting_caller_may_disconnect (void)
 {
@@ -462,6 +496,10 @@
       test_request_waits_for_the_configuration },
     { "a request is refused if the configuration stays unknown",
       test_request_is_refused_if_the_configuration_stays_unknown },
+    { "a relayed request does not wait for long",
+      test_relayed_request_does_not_wait_for_long },
+    { "a request is refused at once while the store is out of reach",
+      test_request_is_refused_at_once_while_the_store_is_out_of_reach },
     { "a waiting caller may disconnect", test_waiting_caller_may_disconnect },
     { "a catalog that is too old is not used",
       test_catalog_that_is_too_old_is_not_used },
