Place work by the speed of workers, which is learned

Cause: nothing knew how fast a worker is. Logs show that the members of a gang report their own rates (45 and 18 percent after 1.9 s).

Change: speed.c learns speeds from progress, speed_feed.c says what counts as progress, place.c chooses at which speed a unit runs: urgent work at the fastest that has room for all of it, other work at the slowest that is in time, a gang no faster than its slowest member. Restarts of slow tasks and the run times of queues are free of the speed. While workers are not seen to be uneven all is as before.

--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -125,6 +125,8 @@
   task->percent = 0;
   task->progress_changed_ms = 0;
   task->percent_ms = 0;
+  task->rate_from_ms = 0;
+  task->rate_from_percent = 0;
   task->reported_load = 0;
   task->pace = JB_PACE_FULL_PERCENT;
   task->pace_sent_ms = 0;
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -185,6 +185,10 @@
   int64_t progress_changed_ms; /* when `percent` last changed */
   int64_t percent_ms; /* time that each of the last percents has taken; 0: not
                          known */
+  /* Its rate since this moment, at which it had done this, has not been
+     learned from yet; 0: there is no such moment.  */
+  int64_t rate_from_ms;
+  int64_t rate_from_percent;
   /* Times that it was stopped as stalled, under this planner; the first task
      of a gang counts those of all its tasks.  */
   uint32_t stalls;
--- a/lib/sched/health.c
+++ b/lib/sched/health.c
@@ -121,17 +121,20 @@
   return now_ms - task->progress_changed_ms > limit_ms;
 }
 
-/* The rate of a running task by its last reported progress; 0: not enough
-   progress yet.  */
+/* The rate of a running task by its last reported progress, as it would be on
+   a worker of the nominal speed; 0: not enough progress yet.  */
 static double
-percent_per_s (const struct jb_task *task)
+percent_per_s (const struct sd_sched *sched, const struct jb_task *task)
 {
+  const struct sd_worker *worker;
   int64_t ran_ms = task->progress_changed_ms - task->started_ms;
 
   if (task->state != JB_TASK_PLACED || !task->confirmed || task->percent <= 0
       || task->started_ms == 0 || ran_ms < RATE_MIN_RUN_MS)
     return 0;
-  return (double)task->percent * 1000.0 / (double)ran_ms;
+  worker = sd_worker_find (sched, task->worker);
+  return (double)task->percent * 1000.0 / (double)ran_ms
+         / sd_speed_if_normal (sched, worker);
 }
 
 static int
@@ -147,7 +150,8 @@
    if it is above LIMIT; else 0, also if there are none.  It seldom is, so that
    few have to be sorted.  */
 static double
-median_sibling_rate_above (const struct jb_task *task, double limit)
+median_sibling_rate_above (const struct sd_sched *sched,
+                           const struct jb_task *task, double limit)
 {
   const struct jb_step *step = task->step;
   double rates[SIBLINGS_EXAMINED_MAX];
@@ -158,7 +162,7 @@
   for (i = 0; i < step->spec->count && count < SIBLINGS_EXAMINED_MAX; i++)
     {
       const struct jb_task *other = &step->tasks[i];
-      double rate = other == task ? 0 : percent_per_s (other);
+      double rate = other == task ? 0 : percent_per_s (sched, other);
 
       if (rate > 0 && strcmp (other->worker, task->worker) != 0)
         {
@@ -173,9 +177,10 @@
 }
 
 enum sd_progress_verdict
-sd_health_judge_progress (const struct jb_task *task)
+sd_health_judge_progress (const struct sd_sched *sched,
+                          const struct jb_task *task)
 {
-  double own_rate = percent_per_s (task);
+  double own_rate = percent_per_s (sched, task);
   double median_rate;
 
   if (own_rate <= 0)
@@ -184,7 +189,8 @@
   /* Most progress is judged here, without a look at the other tasks.  */
   if (own_rate * SLOW_FACTOR >= task->step->fastest_rate)
     return SD_PROGRESS_NORMAL;
-  median_rate = median_sibling_rate_above (task, own_rate * SLOW_FACTOR);
+  median_rate
+      = median_sibling_rate_above (sched, task, own_rate * SLOW_FACTOR);
   if (median_rate <= 0)
     return SD_PROGRESS_NORMAL;
   /* The time for the remaining work here against the time for all of the work
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -197,6 +197,12 @@
   return true;
 }
 
+int64_t
+sd_unit_path_ms (const struct sd_sched *sched, const struct sd_unit *unit)
+{
+  return remaining_path_ms (sched, unit->step);
+}
+
 bool
 sd_unit_is_late (const struct sd_sched *sched, const struct sd_unit *unit,
                  int64_t now_ms)
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -1,18 +1,34 @@
 /* Choice of workers for waiting tasks.  Made for this load: gangs of large
    tasks among many small ones.  Small tasks are packed onto workers that are
    in use already, so that whole workers and racks stay free, and a gang is
-   placed in the fullest rack that it still fits into.  */
+   placed in the fullest rack that it still fits into.  Where workers are known
+   to run at uneven speeds: urgent work goes to the fastest that have room for
+   all of it, other work to the slowest that are fast enough, so that the fast
+   ones stay free; a gang runs at the speed of its slowest member, so that its
+   other members need no faster workers.  */
 
 #include <string.h>
 
 #include "sched/private.h"
 
+enum
+{
+  SPEED_LEVEL_MAX = 8,
+  SPEED_LEVELS = 2 * SPEED_LEVEL_MAX + 1
+};
+
+/* Work counts as done in time on a worker if this much more would be, for the
+   tasks of a step differ by as much.  */
+#define IN_TIME_MARGIN 1.3
+
 /* A worker that could take tasks of a unit.  */
 struct candidate
 {
   struct sd_worker *worker;
   uint32_t copies;  /* tasks of the unit that fit there */
   uint32_t penalty; /* workers with a lower one are chosen first */
+  int32_t level;    /* of its speed for the unit, in steps of sp_level () */
+  uint32_t order;   /* by speed, after `penalty`; 0: it does not matter */
 };
 
 static bool
@@ -179,6 +195,17 @@
   return strcmp (left->worker->report.id, right->worker->report.id);
 }
 
+static int
+compare_orders (const void *a, const void *b)
+{
+  const struct candidate *left = a;
+  const struct candidate *right = b;
+
+  if (left->penalty != right->penalty)
+    return left->penalty < right->penalty ? -1 : 1;
+  return (left->order > right->order) - (left->order < right->order);
+}
+
 /* Whether RESOURCES hold one task; the same as sd_resources_copies () above
    0, without its divisions.  */
 static bool
@@ -193,6 +220,19 @@
              || need->memory_mib <= resources->memory_mib);
 }
 
+/* Away from its data a task is slower as if its worker was.  */
+static int32_t
+speed_level (const struct sd_sched *sched, const struct sd_worker *worker,
+             const struct sd_unit *unit)
+{
+  int32_t level = worker->speed_level;
+
+  if (sd_speeds (sched).uneven && is_remote (worker, unit->step->spec))
+    level -= sp_levels_between (sched->speeds,
+                                sched->params.remote_slowdown_factor);
+  return CLAMP (level, -SPEED_LEVEL_MAX, SPEED_LEVEL_MAX);
+}
+
 static GArray *
 collect_candidates (const struct sd_sched *sched, const struct sd_unit *unit,
                     bool use_reserved, int64_t now_ms)
@@ -216,6 +256,7 @@
         sd_resources_subtract (&resources, &worker->round_reserved_resources);
       candidate.copies = copies_on (worker, unit, &resources);
       candidate.penalty = placement_penalty (worker, unit);
+      candidate.level = speed_level (sched, worker, unit);
       if (candidate.copies > 0)
         g_array_append_val (found, candidate);
     }
@@ -418,6 +459,167 @@
   bool avoided;  /* avoided and suspect workers */
 };
 
+/* --- Speeds --- */
+
+/* Speeds of workers, from the slowest to the fastest, both included.  */
+struct speed_band
+{
+  int32_t slowest;
+  int32_t fastest;
+};
+
+/* The slowest level at which the unit is done in time; SPEED_LEVEL_MAX + 1:
+   there is none, or it is urgent and runs as fast as it can.  What is late at
+   any speed leaves the fast workers to others.  */
+static int32_t
+slowest_in_time (const struct sd_sched *sched, const struct sd_unit *unit,
+                 int64_t now_ms)
+{
+  double path_ms = (double)sd_unit_path_ms (sched, unit) * IN_TIME_MARGIN;
+  double left_ms = (double)(unit->due_ms - now_ms);
+  int32_t level = -SPEED_LEVEL_MAX;
+
+  if (unit->priority == 0)
+    return SPEED_LEVEL_MAX + 1;
+  while (level <= SPEED_LEVEL_MAX
+         && path_ms > left_ms * sp_level_speed (sched->speeds, level))
+    level++;
+  return level <= SPEED_LEVEL_MAX ? level : -SPEED_LEVEL_MAX;
+}
+
+/* Keeps the candidates of BAND.  */
+static GArray *
+candidates_in (const GArray *candidates, const struct speed_band *band)
+{
+  GArray *kept = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  guint i;
+
+  for (i = 0; i < candidates->len; i++)
+    {
+      struct candidate candidate
+          = g_array_index (candidates, struct candidate, i);
+
+      if (candidate.level < band->slowest || candidate.level > band->fastest)
+        continue;
+      candidate.order = (uint32_t)(candidate.level - band->slowest);
+      g_array_append_val (kept, candidate);
+    }
+  g_array_sort (kept, compare_orders);
+  return kept;
+}
+
+/* Whether the unit fits into BAND, which has COPIES of it, and if it prefers
+   one rack, into one.
+   @return : the candidates there; NULL: it does not fit.  */
+static GArray *
+fit_into_band (const struct sd_sched *sched, const struct sd_unit *unit,
+               const GArray *candidates, const struct speed_band *band,
+               bool one_rack)
+{
+  GArray *kept = candidates_in (candidates, band);
+
+  if (!one_rack || choose_rack (sched, unit, kept) != 0)
+    return kept;
+  g_array_free (kept, TRUE);
+  return NULL;
+}
+
+/* The bands that begin with level SLOWEST, the narrowest first.  */
+static GArray *
+fit_from_level (const struct sd_sched *sched, const struct sd_unit *unit,
+                const GArray *candidates, const uint64_t *copies,
+                int32_t slowest, bool one_rack)
+{
+  struct speed_band band = { .slowest = slowest };
+  uint64_t enough = 0;
+  GArray *kept = NULL;
+
+  if (copies[slowest + SPEED_LEVEL_MAX] == 0)
+    return NULL;
+  for (band.fastest = slowest; kept == NULL && band.fastest <= SPEED_LEVEL_MAX;
+       band.fastest++)
+    {
+      enough += copies[band.fastest + SPEED_LEVEL_MAX];
+      if (copies[band.fastest + SPEED_LEVEL_MAX] > 0
+          && enough >= unit->waiting_count)
+        kept = fit_into_band (sched, unit, candidates, &band, one_rack);
+    }
+  return kept;
+}
+
+/* Chooses the speed at which the unit will run.
+   @return : the candidates of that speed, of which some may be faster; NULL:
+             it does not fit at any speed.  */
+static GArray *
+fit_at_speed (const struct sd_sched *sched, const struct sd_unit *unit,
+              const GArray *candidates, bool one_rack, int64_t now_ms)
+{
+  uint64_t copies[SPEED_LEVELS] = { 0 };
+  int32_t in_time = slowest_in_time (sched, unit, now_ms);
+  GArray *kept = NULL;
+  int32_t level;
+  guint i;
+
+  for (i = 0; i < candidates->len; i++)
+    {
+      const struct candidate *candidate
+          = &g_array_index (candidates, struct candidate, i);
+
+      copies[candidate->level + SPEED_LEVEL_MAX] += candidate->copies;
+    }
+  for (level = in_time; kept == NULL && level <= SPEED_LEVEL_MAX; level++)
+    kept = fit_from_level (sched, unit, candidates, copies, level, one_rack);
+  for (level = MIN (in_time, SPEED_LEVEL_MAX + 1) - 1;
+       kept == NULL && level >= -SPEED_LEVEL_MAX; level--)
+    kept = fit_from_level (sched, unit, candidates, copies, level, one_rack);
+  return kept;
+}
+
+/* For tasks of which not all fit: those that are fast enough first, then the
+   faster ones of the others.  */
+static void
+order_by_speed (const struct sd_sched *sched, const struct sd_unit *unit,
+                GArray *candidates, int64_t now_ms)
+{
+  int32_t in_time = slowest_in_time (sched, unit, now_ms);
+  guint i;
+
+  for (i = 0; i < candidates->len; i++)
+    {
+      struct candidate *candidate
+          = &g_array_index (candidates, struct candidate, i);
+
+      candidate->order
+          = candidate->level >= in_time
+                ? (uint32_t)(candidate->level - in_time)
+                : (uint32_t)(SPEED_LEVELS + in_time - candidate->level);
+    }
+  g_array_sort (candidates, compare_orders);
+}
+
+/* Orders CANDIDATES by speed, and leaves out those of other speeds than the
+   unit is to run at.
+   @return : CANDIDATES, or what replaces them.  */
+static GArray *
+choose_speed (const struct sd_sched *sched, const struct sd_unit *unit,
+              GArray *candidates, bool one_rack, int64_t now_ms)
+{
+  GArray *kept;
+
+  if (!sd_speeds (sched).uneven || unit->step->spec->long_lived)
+    return candidates;
+  kept = fit_at_speed (sched, unit, candidates, one_rack, now_ms);
+  if (kept == NULL && one_rack && !sd_could_ever_fit (sched, unit, true))
+    kept = fit_at_speed (sched, unit, candidates, false, now_ms);
+  if (kept == NULL)
+    {
+      order_by_speed (sched, unit, candidates, now_ms);
+      return candidates;
+    }
+  g_array_free (candidates, TRUE);
+  return kept;
+}
+
 static bool
 choose_with (const struct sd_sched *sched, const struct sd_unit *unit,
              const struct freedom *freedom, int64_t now_ms,
@@ -432,10 +634,14 @@
   g_ptr_array_set_size (placement->tasks, 0);
   g_ptr_array_set_size (placement->workers, 0);
   candidates = collect_candidates (sched, &allowed, freedom->reserved, now_ms);
+  if (spec->gang
+      && count_copies (candidates, unit->waiting_count) < unit->waiting_count)
+    goto done;
+  candidates
+      = choose_speed (sched, &allowed, candidates,
+                      spec->gang && spec->one_rack && !freedom->racks, now_ms);
   if (spec->gang)
     {
-      if (count_copies (candidates, unit->waiting_count) < unit->waiting_count)
-        goto done;
       rack = choose_rack (sched, unit, candidates);
       if (rack == 0 && spec->one_rack && !freedom->racks
           && sd_could_ever_fit (sched, unit, true))
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -8,6 +8,7 @@
 #include "jobs/job_queue.h"
 #include "sched/estimate.h"
 #include "sched/sched.h"
+#include "sched/speed.h"
 
 enum
 {
@@ -89,6 +90,7 @@
   GArray *unplaceable_units;  /* struct sd_unit: did not fit in this round; may
                                  fit in a later one */
   struct es_table *estimates; /* run times learned for each queue */
+  struct sp_table *speeds;    /* of the workers, by sd_worker.index */
   uint32_t reserved_task_count; /* in a round: gang tasks with a reservation */
   uint32_t reservation_searches; /* in a round: for new reservations */
   uint32_t preemption_searches;  /* in a round: for new plans */
@@ -233,7 +235,9 @@
 /*! sd_health_judge_progress () :
  *  @return : the verdict on TASK by the percentages that workers reported
  *            last. */
-enum sd_progress_verdict sd_health_judge_progress (const struct jb_task *task);
+enum sd_progress_verdict
+sd_health_judge_progress (const struct sd_sched *sched,
+                          const struct jb_task *task);
 
 /*! sd_health_is_avoided () :
  *  @return : whether no task may be placed on WORKER now. */
@@ -249,6 +253,31 @@
  *  @return : whether there are enough workers that are not suspect. */
 bool sd_health_suspects_are_few (const struct sd_sched *sched, int64_t now_ms);
 
+/* --- speed_feed.c: what the speeds of workers are learned from --- */
+
+/*! sd_speed_progressed () :
+ *  TASK, which is placed on WORKER, has done PERCENT of its work. */
+void sd_speed_progressed (struct sd_sched *sched, struct jb_task *task,
+                          const struct sd_worker *worker, int64_t percent,
+                          int64_t now_ms);
+
+/*! sd_speed_done () :
+ *  TASK is done on WORKER.
+ *  @return : the time in ms that its run would have taken at the nominal
+ *            speed. */
+int64_t sd_speed_done (struct sd_sched *sched, struct jb_task *task,
+                       const struct sd_worker *worker, int64_t now_ms);
+
+/*! sd_speed_begin_round () :
+ *  Learns, and sets the levels of the workers for the round. */
+void sd_speed_begin_round (struct sd_sched *sched, int64_t now_ms);
+
+/*! sd_speed_if_normal () :
+ *  @return : the speed of WORKER as far as it is that of a worker without a
+ *            fault, which may be a little slower or faster than others. */
+double sd_speed_if_normal (const struct sd_sched *sched,
+                           const struct sd_worker *worker);
+
 /* --- crash.c: tasks that crash their workers --- */
 
 /*! sd_crash_is_suspect () :
@@ -345,6 +374,12 @@
 bool sd_unit_is_late (const struct sd_sched *sched, const struct sd_unit *unit,
                       int64_t now_ms);
 
+/*! sd_unit_path_ms () :
+ *  @return : the time in ms that the rest of the job of UNIT is expected to
+ *            take at the nominal speed if it starts now. */
+int64_t sd_unit_path_ms (const struct sd_sched *sched,
+                         const struct sd_unit *unit);
+
 /*! sd_collect_units () :
  *  @return : a struct sd_unit for each step that could start now, in the
  *            order in which they are placed; to be freed by
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -9,6 +9,7 @@
 
   g_array_set_size (sched->unplaceable_units, 0);
   sched->suspects_are_few = sd_health_suspects_are_few (sched, now_ms);
+  sd_speed_begin_round (sched, now_ms);
   for (i = 0; i < sched->workers->len; i++)
     {
       struct sd_worker *worker = g_ptr_array_index (sched->workers, i);
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -36,6 +36,7 @@
   sched->service_uses
       = g_array_new (FALSE, TRUE, sizeof (struct sd_service_use));
   sched->estimates = es_create ();
+  sched->speeds = sp_create (NULL, NULL);
   sched->reservations
       = g_hash_table_new_full (NULL, NULL, NULL, sd_reservation_free);
   sched->advice = g_hash_table_new_full (NULL, NULL, NULL, sd_advice_free);
@@ -62,6 +63,7 @@
   g_hash_table_destroy (sched->reservations);
   g_hash_table_destroy (sched->advice);
   es_free (sched->estimates);
+  sp_free (sched->speeds);
   g_free (sched);
 }
 
@@ -418,6 +420,7 @@
   enum sd_progress_verdict pace = SD_PROGRESS_NORMAL;
   const char *reason = moved ? "slow" : "stalled";
 
+  sd_speed_progressed (sched, task, worker, percent, now_ms);
   if (moved)
     sd_health_progressed (task, percent, now_ms);
   if (task->step->spec->long_lived && percent == 100)
@@ -425,7 +428,7 @@
   if (task->state != JB_TASK_PLACED || task->step->spec->long_lived)
     return;
   if (moved)
-    pace = sd_health_judge_progress (task);
+    pace = sd_health_judge_progress (sched, task);
   else if (sd_health_is_stalled (sched, task, now_ms))
     {
       sd_health_stalled (task);
@@ -561,16 +564,17 @@
 /* Only runs from the beginning show how long the work takes, so runs that have
    resumed from a checkpoint do not count.  */
 static void
-learn_run_time (struct sd_sched *sched, const struct jb_task *task,
-                int64_t now_ms)
+learn_run_time (struct sd_sched *sched, struct jb_task *task,
+                const struct sd_worker *worker, int64_t now_ms)
 {
   const struct jb_step *step = task->step;
   const struct jb_task *representative = step->spec->gang ? step->tasks : task;
+  int64_t took_ms = sd_speed_done (sched, task, worker, now_ms);
 
   if (task->started_ms > 0 && representative->checkpoint == NULL
       && !step->spec->long_lived)
     es_learn (sched->estimates, task->job->queue, step->spec->estimate_ms,
-              now_ms - task->started_ms);
+              took_ms);
 }
 
 void
@@ -582,7 +586,7 @@
 
   assert (task->state == JB_TASK_PLACED || task->state == JB_TASK_STOPPING);
   if (outcome == SD_OUTCOME_DONE)
-    learn_run_time (sched, task, now_ms);
+    learn_run_time (sched, task, worker, now_ms);
   sd_task_running (sched, task, now_ms); /* its start may be unreported */
   sd_task_checkpointed (task, checkpoint);
   sd_release_task (sched, task);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -10,6 +10,7 @@
 
 #include "jobs/catalog.h"
 #include "jobs/model.h"
+#include "sched/speed.h"
 #include "worker/advice_port.h"
 
 struct sd_sched;
@@ -50,6 +51,7 @@
   bool listed;         /* the store has an entry for it */
   int64_t reported_ms; /* `report` is not older than this; 0: not known */
   enum sd_reachability reachability;
+  int32_t speed_level;        /* as sp_level (), as of the last round */
   int64_t process_started_ms; /* by its answers under this term, on a clock of
                                  its own; 0: none yet */
   struct jb_resources used_resources; /* by `tasks` */
@@ -176,6 +178,16 @@
  *            owned by SCHED. */
 const GPtrArray *sd_workers (const struct sd_sched *sched);
 
+/*! sd_speeds () :
+ *  @return : what is known of the speeds of all workers. */
+struct sp_summary sd_speeds (const struct sd_sched *sched);
+
+/*! sd_worker_speed () :
+ *  @return : the speed of a worker, where 1 is the mean; 1 while workers are
+ *            not known to be uneven. */
+double sd_worker_speed (const struct sd_sched *sched,
+                        const struct sd_worker *worker);
+
 /*! sd_worker_set_reachability () :
  *  Sets whether the worker is reachable. */
 void sd_worker_set_reachability (struct sd_worker *worker,
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -2,6 +2,7 @@
 
 #include "planner.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "common/clock.h"
@@ -70,14 +71,25 @@
 
 /* --- Rounds --- */
 
+static double
+speed_of (const struct sd_sched *sched, const struct jb_task *task)
+{
+  const struct sd_worker *worker = sd_worker_find (sched, task->worker);
+
+  return worker == NULL ? 1.0 : sd_worker_speed (sched, worker);
+}
+
 /* Logs the starts from index NEXT on that are of one step and run, and follow
    each other in it.
    @return : the index of the first one that is not.  */
 static guint
-log_placement (const GPtrArray *starts, guint next)
+log_placement (const struct sd_sched *sched, const GPtrArray *starts,
+               guint next)
 {
   const struct jb_task *first = g_ptr_array_index (starts, next);
   GString *workers = g_string_new (first->worker);
+  double speed = speed_of (sched, first);
+  char speed_text[16];
   uint32_t tasks = 1;
 
   while (next + tasks < starts->len && tasks < TASKS_PER_LOG_LINE)
@@ -88,12 +100,16 @@
           || task->index != first->index + tasks)
         break;
       g_string_append_printf (workers, ",%s", task->worker);
+      speed = MIN (speed, speed_of (sched, task));
       tasks++;
     }
+  g_snprintf (speed_text, sizeof speed_text, "%.2f", speed);
   lg_info (PART, "Tasks are placed.", "job", first->job->id, "step",
            lg_number (first->step->index), "first", lg_number (first->index),
            "tasks", lg_number (tasks), "run", lg_number (first->run),
-           "workers", workers->str, NULL);
+           "workers", workers->str,
+           sd_speeds (sched).uneven ? "slowest_speed" : NULL, speed_text,
+           NULL);
   g_string_free (workers, TRUE);
   return next + tasks;
 }
@@ -159,7 +175,7 @@
       g_array_append_val (planner->starts, start);
     }
   for (i = 0; i < commands.starts->len;)
-    i = log_placement (commands.starts, i);
+    i = log_placement (planner->sched, commands.starts, i);
   log_stops (planner, commands.stops);
   for (i = 0; i < commands.stops->len; i++)
     wk_stop (planner->workers, g_ptr_array_index (commands.stops, i));
@@ -292,6 +308,21 @@
            lg_number (room.waiting_late), NULL);
 }
 
+static void
+log_speeds (struct planner *planner)
+{
+  struct sp_summary speeds = sd_speeds (planner->sched);
+  int64_t apart_percent = (int64_t)((exp (speeds.spread_ln) - 1.0) * 100.0);
+
+  mt_set (planner->params.metrics, "foxtailgap_speeds_known", speeds.known);
+  mt_set (planner->params.metrics, "foxtailgap_speeds_apart_percent",
+          apart_percent);
+  lg_info (PART, "The speeds of the workers.", "known",
+           lg_number (speeds.known), "apart_percent",
+           lg_number (apart_percent), "uneven", speeds.uneven ? "yes" : "no",
+           NULL);
+}
+
 static void
 log_load (struct planner *planner, int64_t now_ms)
 {
@@ -302,6 +333,7 @@
     return;
   link = wk_link_state (planner->workers);
   sample = ll_take (planner->load);
+  log_speeds (planner);
   lg_info (PART, "The planner's load.", "rounds", lg_number (planner->rounds),
            "rounds_ms", lg_number (planner->rounds_us / 1000), "busy_ms",
            lg_number (sample.busy_us / 1000), "longest_ms",
