--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -127,6 +127,7 @@
   task->percent_ms = 0;
   task->rate_from_ms = 0;
   task->rate_from_percent = 0;
+  task->rates_seen = 0;
   task->reported_load = 0;
   task->pace = JB_PACE_FULL_PERCENT;
   task->pace_sent_ms = 0;
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -189,6 +189,7 @@
      learned from yet; 0: there is no such moment.  */
   int64_t rate_from_ms;
   int64_t rate_from_percent;
+  uint32_t rates_seen; /* that were learned from */
   /* Times that it was stopped as stalled, under this planner; the first task
      of a gang counts those of all its tasks.  */
   uint32_t stalls;
--- a/lib/sched/speed.c
+++ b/lib/sched/speed.c
@@ -13,7 +13,8 @@
   FASTER_PERCENT = 85,
   /* Tasks in a row that disagree with what is known of their worker; one may
      only have more work than the others.  */
-  SURPRISES_MAX = 2
+  SURPRISES_MAX = 2,
+  EARLIER_MAX = 4 /* observations of a task, to count for still less */
 };
 
 /* Of a worker of which nothing is known: speeds of normal workers differ by a
@@ -23,7 +24,7 @@
 #define VARIANCE_MIN 0.003
 #define VARIANCE_PER_MS 3e-7
 /* Of the tasks of a step among each other, and of the expected run time.  */
-#define TASK_VARIANCE 0.03
+#define TASK_VARIANCE 0.05
 #define WORK_PRIOR_VARIANCE 0.36
 #define ROUNDING_PERCENTS 0.4 /* of a progress in whole percents */
 /* An observation that is this many standard deviations off counts less.  */
@@ -164,8 +165,10 @@
 error_variance (const struct sp_observation *observation)
 {
   double rounding = ROUNDING_PERCENTS / (double)observation->percents;
+  double looks = 1.0 + MIN (observation->earlier, EARLIER_MAX);
 
-  return TASK_VARIANCE + rounding * rounding;
+  /* The sum of 1 / looks^2 is bounded, as what a task can show is.  */
+  return TASK_VARIANCE * looks * looks + rounding * rounding;
 }
 
 /* How much an observation counts that is OFF by so much.  Tasks in a row that
--- a/lib/sched/speed.h
+++ b/lib/sched/speed.h
@@ -28,6 +28,9 @@
   int64_t percents;    /* that it has done, above 0 */
   int64_t over_ms;     /* in this time, above 0 */
   bool at_least;       /* or in less: it has done all of its work */
+  /* Earlier observations of the task in this run: they show the same part of
+     the rate that is the task's own.  */
+  uint32_t earlier;
   /* ln of the factor by which other tasks on the worker slowed it down; 0: not
      at all, or not known.  */
   double neighbours_ln;
--- a/lib/sched/speed_feed.c
+++ b/lib/sched/speed_feed.c
@@ -34,7 +34,7 @@
 /* Learns from what TASK has done since rate_from_ms.
    @at_least: it may have done it in less time.  */
 static void
-observe (struct sd_sched *sched, const struct jb_task *task,
+observe (struct sd_sched *sched, struct jb_task *task,
          const struct sd_worker *worker, int64_t percent, bool at_least,
          int64_t now_ms)
 {
@@ -47,6 +47,7 @@
     .percents = percent - task->rate_from_percent,
     .over_ms = now_ms - task->rate_from_ms,
     .at_least = at_least,
+    .earlier = task->rates_seen++,
   };
 
   sp_observe (sched->speeds, &observation);
