--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -304,11 +304,15 @@
 static void
 on_read (void *ctx, const struct so_read_answer *answer)
 {
-  struct topic_reader *reader = ctx;
+  struct topic_read *read = ctx;
+  struct topic_reader *reader = read->reader;
   struct journal *journal = reader->journal;
   uint32_t delay_ms = 0;
   guint i;
 
+  read->open = false;
+  if (read->abandoned)
+    return;
   reader->read_pending = false;
   count_store_call (journal, "read", answer->result);
   note_read_result (reader, answer->result);
@@ -329,6 +333,7 @@
       for (i = 0; i < answer->records->len; i++)
         reader->apply_record (journal, g_ptr_array_index (answer->records, i));
       reader->next_offset = answer->next_offset;
+      reader->hurried = false;
       update_freshness (reader, answer);
       if (answer->at_end && !answer->wait_expired)
         delay_ms = pause_before_next_read_ms (reader);
@@ -388,7 +393,7 @@
 {
   const struct journal *journal = reader->journal;
 
-  if (!reader->caught_up)
+  if (!reader->caught_up || reader->hurried)
     return 0;
   if (reader == &journal->jobs_reader && planner_is_silent (journal))
     return SILENCE_LONG_POLL_MS;
@@ -409,6 +414,9 @@
   reader->read_pending = true;
   if (reader->loaded)
     {
+      struct topic_read *read = &reader->reads[reader->reads[0].open ? 1 : 0];
+
+      *read = (struct topic_read){ .reader = reader, .open = true };
       reader->read_sent_ms = clk_monotonic_ms (NULL);
       /* Before the end has been reached the wait is 0, so that changes made
          during loading are read at once.  */
@@ -416,7 +424,7 @@
       store->read (store->ctx, reader->topic, reader->next_offset,
                    reader->requested_wait_ms,
                    reader->requested_wait_ms + read_timeout_margin_ms (reader),
-                   on_read, reader);
+                   on_read, read);
       return;
     }
   if (reader->newest_records->len == 0)
@@ -433,6 +441,27 @@
                       on_newest, reader);
 }
 
+void
+jr_hurry_operator (struct journal *journal)
+{
+  struct topic_reader *reader = &journal->operator_reader;
+  guint i;
+
+  /* A jobs' read that was sent later has been answered: the store is back.  */
+  if (!reader->loaded || !reader->read_pending || reader->hurried
+      || (reader->reads[0].open && reader->reads[1].open)
+      || journal->last_fast_answer_ms < reader->read_sent_ms + SLOW_ANSWER_MS)
+    return;
+  lg_info (PART, "A read of a topic is given up; it is sent again.", "topic",
+           reader->topic, "sent_ms_ago",
+           lg_number (clk_monotonic_ms (NULL) - reader->read_sent_ms), NULL);
+  for (i = 0; i < G_N_ELEMENTS (reader->reads); i++)
+    reader->reads[i].abandoned = true;
+  reader->hurried = true;
+  reader->read_pending = false;
+  read_next (reader);
+}
+
 static void
 on_read_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -161,6 +161,13 @@
 int64_t jr_jobs_age_ms (const struct journal *journal);
 int64_t jr_catalog_age_ms (const struct journal *journal);
 
+/*! jr_hurry_operator () :
+ *  To be called while jr_catalog_age_ms () is too large for the caller: a read
+ *  of the operator's topic that was sent before an outage may not be answered
+ *  any more.  If the store has answered another call since, sends one more
+ *  read; only once until a read is answered. */
+void jr_hurry_operator (struct journal *journal);
+
 typedef void (*jr_fresh_callback) (void *ctx, bool fresh);
 
 /*! jr_reading_is_paused () :
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -13,6 +13,16 @@
 
 #include "journal.h"
 
+struct topic_reader;
+
+/* One call that reads a topic.  */
+struct topic_read
+{
+  struct topic_reader *reader;
+  bool open;
+  bool abandoned; /* its answer is ignored, for another call is sent */
+};
+
 /* Reads one topic: first the newest record of each key, page by page, then all
    later records in order.  */
 struct topic_reader
@@ -25,6 +35,8 @@
   bool ever_loaded;
   bool caught_up; /* the end of the topic was reached since loading */
   bool read_pending;
+  struct topic_read reads[2]; /* one of them may be abandoned */
+  bool hurried;      /* a read was abandoned since the last successful one */
   uint32_t failures; /* reads that failed, one after the other */
   int64_t failing_since_ms;
   int64_t next_offset; /* of the next read, once loaded */
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -256,7 +256,10 @@
   if (jr_jobs_age_ms (planner->params.journal) >= ROUND_JOBS_AGE_MAX_MS)
     return "a reading of the jobs' topic";
   if (!knows_closed (planner))
-    return "a reading of the operator's topic";
+    {
+      jr_hurry_operator (planner->params.journal);
+      return "a reading of the operator's topic";
+    }
   return NULL;
 }
 
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -10,6 +10,7 @@
     born               time at which the worker was started
     servers            workers (topic keyed.servers)
     keyed.op           topic of the operator's configuration
+    evacuate/NAME      the record by which a data centre is closed
     gpu                accelerators
     tenants            teams
     routes             queues, to which a path prefix leads
@@ -114,6 +115,14 @@
     def topic(self, name):
         return self.topics.setdefault(name, Topic())
 
+    async def close(self, data_centre, checker, value):
+        """The operator closes a data centre; value None: opens it."""
+        await self.put("keyed.op", "evacuate/" + data_centre, value)
+        if value is None:
+            checker.closed_s.pop(data_centre, None)
+        else:
+            checker.closed_s.setdefault(data_centre, time.monotonic())
+
     async def put(self, name, key, value):
         self.topic(name).append((key, value))
 
@@ -220,6 +229,8 @@
 CAPACITY_NOTICE_MS = 3000
 HEARTBEAT_MS = 500
 LEASE_LIMIT_MS = 8000
+# No task starts later than this after its data centre was closed.
+CLOSING_MS = 3500
 POLL_STEP_S = 0.01  # between two looks at the ends while a poll waits
 
 
@@ -247,6 +258,7 @@
         self.crashes = {}  # task -> workers that it has crashed
         self.crashes_under = {}  # task -> workers that crashed while it ran
         self.starts_after_limit = {}  # task -> starts after CRASHES_MAX
+        self.closed_s = {}  # data centre -> since when it is closed
 
     def record_crash(self, culprit, runs, lost_ends):
         """culprit: the task that has crashed the worker, or None.  lost_ends:
@@ -271,6 +283,11 @@
             self.starts_after_limit[task] = starts
             if starts >= STARTS_AFTER_CRASHES_MAX:
                 self.violations.append(f"BUDGET {task} run {run}")
+        closed_s = self.closed_s.get(worker.data_centre, float("inf"))
+        if time.monotonic() - closed_s > CLOSING_MS / 1000:
+            self.violations.append(
+                f"EVAC {task} run {run} in {worker.data_centre}, "
+                f"{time.monotonic() - closed_s:.3f} s after it was closed")
         if task in self.running:
             # Its lease may have passed since it was last looked at.
             self.running[task][0].end_due_runs()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,7 +2,7 @@
 """Randomized soak: real hosts, a stand-in of the platform, random faults.
 
   soak.py SEED [DURATION_S [unread | release | deadly | takeovers | cuts |
-                            late | idle | reborn | forget]]
+                            late | idle | reborn | forget | evacuate]]
 
 With `unread`, the hosts write to a pipe that nobody reads: a full pipe must
 not stop them.  With `release`, the workers are replaced one after the other
@@ -21,13 +21,18 @@
 calls of all kinds are carried out seconds late, and the planner's host is
 killed or frozen meanwhile.  With `forget`, the store drops its history again
 and again, so that all hosts load the topics anew, in many small pages, while
-it loses answers and the planner's host is killed, frozen or cut off.
+it loses answers and the planner's host is killed, frozen or cut off.  With
+`evacuate`, the workers are in three data centres, which are closed for new work
+and opened again, one or more at once and some by odd records, while the
+planner's host is killed, frozen or cut off from the store, and the store is
+busy, silent, drops its history or loses answers.
 
 Prints `kept` if there is no violation.  Otherwise prints each one and exits
 with 1: a task ran twice at once, a task started after its success, which was
 acknowledged then or later, a task that crashes workers was started too often, a
 start took a worker over its capacity, a start was refused as late without a
-fault (`idle`), an accepted job did not complete or is unknown, a planner was
+fault (`idle`), started in a data centre that had been closed for CLOSING_MS
+(`evacuate`), an accepted job did not complete or is unknown, a planner was
 not followed by one other within TAKEOVER_MAX_S, or no job was accepted.
 """
 import asyncio
@@ -81,6 +86,13 @@
 FORGET_LOST_SHARE = 0.2
 FORGET_HIDDEN_MAX_S = 1.2  # the planner is taken for silent after 0.5 s
 FORGET_FAULT_SHARE = 0.6
+# With `evacuate`: some closings outlast the time after which nothing may start,
+# and some runs outlast that.
+CLOSED_MIN_S, CLOSED_MAX_S = 0.1, 8.0
+CLOSED_PAUSE_MAX_S = 1.0
+CLOSED_RUN_MIN_S, CLOSED_RUN_MAX_S = 0.2, 5.0
+CLOSED_FAULT_MAX_S = 5.0
+CLOSED_VALUES = [b"{}", b"{}", b"{}", b"x", b'{"zone":7}']
 # Polls are answered when a run ends, so that a start is given up soon.
 LATE_RUN_MIN_S, LATE_RUN_MAX_S = 0.2, 1.4
 # Long enough for a lease to lapse, for takeovers and for the queued work.  The
@@ -131,7 +143,8 @@
     """A process of the daemon.  violations: list to which it is added if the
     daemon does not end in time."""
 
-    def __init__(self, folder, name, store, unread, limit_ms, violations):
+    def __init__(self, folder, name, store, unread, limit_ms, violations,
+                 closing_ms=0):
         self.violations = violations
         self.name, self.port = name, reserve_port()
         self.settings_path = os.path.join(folder, name + ".yaml")
@@ -145,7 +158,8 @@
                       f"store: {store}\nlease_ttl_ms: {LEASE_MS}\n"
                       f"lease_limit_ms: {limit_ms}\n"
                       f"worker_heartbeat_ms: {standin.HEARTBEAT_MS}\n"
-                      f"capacity_notice_ms: {standin.CAPACITY_NOTICE_MS}\n")
+                      f"capacity_notice_ms: {standin.CAPACITY_NOTICE_MS}\n"
+                      f"closing_ms: {closing_ms}\n")
         self.process = None
         self.stops = 0  # times that it was stopped or killed
         self.being_killed = False  # and its sockets may still be there
@@ -225,6 +239,7 @@
         self.idle = False
         self.reborn = False
         self.forget = False
+        self.evacuate = False
         self.late_share = 0.0
         self.paths = standin.Paths()
         self.deadly_jobs = set()
@@ -239,10 +254,15 @@
         if self.late or self.reborn:
             self.checker.draw_work_s = lambda: self.rng.uniform(
                 LATE_RUN_MIN_S, LATE_RUN_MAX_S)
+        if self.evacuate:
+            self.checker.draw_work_s = lambda: self.rng.uniform(
+                CLOSED_RUN_MIN_S, CLOSED_RUN_MAX_S)
         await self.store.put("keyed.op", "config", json.dumps(config).encode())
         for i in range(WORKER_COUNT):
             worker = standin.Worker(f"w{i}", f"r{i // 3}", self.checker)
             worker.guards_capacity = not self.deadly
+            if self.evacuate:
+                worker.data_centre = f"dc-{i % 3}"
             if self.late or self.idle:
                 worker.clock_rate = SLOWEST_CLOCK if i > 0 else 1.0
                 worker.delay_start = self.delay_start
@@ -269,7 +289,8 @@
                                     standin.worker_handler(worker)))
         limit_ms = LEASE_MS if self.cuts else standin.LEASE_LIMIT_MS
         self.hosts.append(Host(folder, name, store, self.output_unread,
-                               limit_ms, self.checker.violations))
+                               limit_ms, self.checker.violations,
+                               standin.CLOSING_MS if self.evacuate else 0))
         await self.hosts[-1].start()
 
     async def run_workers(self):
@@ -500,6 +521,50 @@
                 await asyncio.sleep(self.rng.uniform(0.3, 2.5))
                 planner.process.send_signal(signal.SIGCONT)
 
+    async def close_data_centres(self):
+        """Closes data centres, and opens them again."""
+        names = sorted({worker.data_centre for worker in self.workers})
+        while not self.stopping:
+            some = self.rng.sample(names, self.rng.choice([1, 1, 1, 2, 2, 3]))
+            self.faults.append("closed " + "+".join(some))
+            for name in some:
+                await self.store.close(name, self.checker,
+                                       self.rng.choice(CLOSED_VALUES))
+                if self.rng.random() < 0.3:  # by the way, an odd record
+                    await self.store.put("keyed.op", "evacuate/", b"{}")
+                await asyncio.sleep(self.rng.uniform(0, 0.5))
+            await asyncio.sleep(self.rng.uniform(CLOSED_MIN_S, CLOSED_MAX_S))
+            for name in some:
+                await self.store.close(name, self.checker, None)
+            await asyncio.sleep(self.rng.uniform(0, CLOSED_PAUSE_MAX_S))
+
+    async def trouble_planners(self):
+        while not self.stopping:
+            await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+            terms = self.terms()
+            planner = terms[-1][1] if terms else self.hosts[0]
+            kind = self.rng.choice(["kill", "freeze", "cut", "forget", "busy",
+                                    "silent", "lost"])
+            pause_s = self.rng.uniform(0.3, CLOSED_FAULT_MAX_S)
+            if kind in ("busy", "silent", "lost"):
+                await self.inject_fault(kind)
+                continue
+            self.faults.append(kind)
+            if kind == "kill":
+                await planner.stop(signal.SIGKILL)
+                await planner.start()
+            elif kind == "freeze":
+                planner.process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(pause_s)
+                planner.process.send_signal(signal.SIGCONT)
+            elif kind == "cut":
+                path = (planner.name, standin.STORE)
+                self.paths.cut.add(path)
+                await asyncio.sleep(pause_s)
+                self.paths.cut.remove(path)
+            else:
+                self.store.drop_history()
+
     async def drop_history(self):
         """Drops the store's history, and at times takes the planner away."""
         self.store.newest_items_max = FORGET_PAGE_ITEMS
@@ -599,6 +664,9 @@
             tasks.append(asyncio.create_task(self.cut_again_and_again()))
         elif self.forget:
             tasks.append(asyncio.create_task(self.drop_history()))
+        elif self.evacuate:
+            tasks += [asyncio.create_task(self.close_data_centres()),
+                      asyncio.create_task(self.trouble_planners())]
         elif self.reborn:
             tasks.append(asyncio.create_task(self.crash_workers()))
         elif self.release:
@@ -636,6 +704,7 @@
     soak.idle = "idle" in sys.argv[3:]
     soak.reborn = "reborn" in sys.argv[3:]
     soak.forget = "forget" in sys.argv[3:]
+    soak.evacuate = "evacuate" in sys.argv[3:]
     soak.may_be_silent = not soak.release
     folder = tempfile.mkdtemp(prefix="soak-")
     incomplete = asyncio.run(soak.run(folder))
--- a/tests/unit/test_hostd_closed.c
+++ b/tests/unit/test_hostd_closed.c
@@ -612,6 +612,53 @@
   end_journal (&setup);
 }
 
+static void
+answer_jobs (struct setup *setup)
+{
+  GPtrArray *none = so_records_create ();
+  struct so_read_answer answer = {
+    .result = SO_DONE, .records = none, .at_end = true, .wait_expired = true
+  };
+  so_read_callback callback = setup->store.jobs_read;
+
+  setup->store.jobs_read = NULL;
+  if (callback != NULL)
+    callback (setup->store.jobs_ctx, &answer);
+  g_ptr_array_free (none, TRUE);
+  run_loop (setup);
+}
+
+/* A read that was sent in an outage kept a host from knowing what is closed
+   for three seconds after it (own day closed-in-an-outage).  */
+static void
+test_read_is_sent_again_after_an_outage (void)
+{
+  struct setup setup;
+  struct so_read_answer lost = { .result = SO_UNKNOWN };
+  so_read_callback before;
+  void *ctx;
+
+  begin_journal (&setup);
+  answer_operator (&setup, SO_DONE);
+  before = setup.store.operator_read;
+  ctx = setup.store.operator_ctx;
+  setup.store.operator_read = NULL;
+  jr_hurry_operator (setup.journal); /* nothing shows that the store answers */
+  CU_ASSERT_PTR_NULL (setup.store.operator_read);
+  usleep (100000);
+  answer_jobs (&setup); /* the newest records */
+  answer_jobs (&setup);
+  jr_hurry_operator (setup.journal);
+  CU_ASSERT_PTR_NOT_NULL (setup.store.operator_read);
+  CU_ASSERT_EQUAL (setup.store.operator_wait_ms, 0);
+  before (ctx, &lost); /* is ignored */
+  add_record (&setup, "evacuate/a", "{}");
+  answer_operator (&setup, SO_DONE);
+  CU_ASSERT_STRING_EQUAL (setup.changes, "+a");
+  CU_ASSERT_PTR_NOT_NULL (setup.store.operator_read);
+  end_journal (&setup);
+}
+
 static void
 test_odd_records (void)
 {
@@ -667,6 +714,8 @@
       test_start_waits_for_recent_knowledge },
     { "records close and open", test_records_close_and_open },
     { "a load opens what has no record", test_load_opens_what_has_no_record },
+    { "a read is sent again after an outage",
+      test_read_is_sent_again_after_an_outage },
     { "odd records", test_odd_records },
   };
 
