--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -91,6 +91,8 @@
                                  fit in a later one */
   struct es_table *estimates; /* run times learned for each queue */
   struct sp_table *speeds;    /* of the workers, by sd_worker.index */
+  GHashTable *stored_speeds;  /* of the last record: see speed_record.c */
+  int64_t speeds_stored_ms;   /* when one was last considered or restored */
   uint32_t reserved_task_count; /* in a round: gang tasks with a reservation */
   uint32_t reservation_searches; /* in a round: for new reservations */
   uint32_t preemption_searches;  /* in a round: for new plans */
@@ -272,6 +274,10 @@
  *  Learns, and sets the levels of the workers for the round. */
 void sd_speed_begin_round (struct sd_sched *sched, int64_t now_ms);
 
+/*! sd_speed_recall () :
+ *  WORKER has just been added: its speed is that of the last record. */
+void sd_speed_recall (struct sd_sched *sched, const struct sd_worker *worker);
+
 /*! sd_speed_if_normal () :
  *  @return : the speed of WORKER as far as it is that of a worker without a
  *            fault, which may be a little slower or faster than others. */
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -37,6 +37,7 @@
       = g_array_new (FALSE, TRUE, sizeof (struct sd_service_use));
   sched->estimates = es_create ();
   sched->speeds = sp_create (NULL, NULL);
+  sched->stored_speeds = g_hash_table_new (NULL, NULL);
   sched->reservations
       = g_hash_table_new_full (NULL, NULL, NULL, sd_reservation_free);
   sched->advice = g_hash_table_new_full (NULL, NULL, NULL, sd_advice_free);
@@ -64,6 +65,7 @@
   g_hash_table_destroy (sched->advice);
   es_free (sched->estimates);
   sp_free (sched->speeds);
+  g_hash_table_destroy (sched->stored_speeds);
   g_free (sched);
 }
 
@@ -163,7 +165,10 @@
   char *id;
 
   if (worker == NULL)
-    worker = worker_add (sched, report);
+    {
+      worker = worker_add (sched, report);
+      sd_speed_recall (sched, worker);
+    }
   else
     {
       /* workers_by_id uses the first copy of the id as its key, so that copy
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -182,6 +182,18 @@
  *  @return : what is known of the speeds of all workers. */
 struct sp_summary sd_speeds (const struct sd_sched *sched);
 
+/*! sd_speeds_record () :
+ *  @return : the record of the speeds for the next planner, if one is to be
+ *            stored now, to be freed by the caller; else NULL. */
+GByteArray *sd_speeds_record (struct sd_sched *sched, int64_t now_ms);
+
+/*! sd_speeds_restore () :
+ *  Takes the speeds of a record of sd_speeds_record (), also for workers that
+ *  are added later.
+ *  @return : false if it is not such a record; nothing is changed. */
+bool sd_speeds_restore (struct sd_sched *sched, const uint8_t *bytes,
+                        size_t size, int64_t now_ms);
+
 /*! sd_worker_speed () :
  *  @return : the speed of a worker, where 1 is the mean; 1 while workers are
  *            not known to be uneven. */
--- a/lib/sched/speed.c
+++ b/lib/sched/speed.c
@@ -21,6 +21,7 @@
    factor of 1.6 either way.  */
 #define PRIOR_VARIANCE 0.2
 #define KNOWN_VARIANCE 0.06
+#define RECALLED_VARIANCE 0.02
 #define VARIANCE_MIN 0.003
 #define VARIANCE_PER_MS 3e-7
 /* Of the tasks of a step among each other, and of the expected run time.  */
@@ -64,6 +65,7 @@
   struct sp_summary summary;
   double slower_ln; /* the speed of the slower workers: a level, */
   double level_ln;  /* and its distance to the next */
+  bool recalled;    /* speeds, since the last sp_learn () */
   int64_t learned_ms;
   int64_t swept_ms;
   sp_residual_fn on_residual;
@@ -376,10 +378,12 @@
   guint first;
   guint next;
 
-  if (table->pending->len == 0
-      || (table->learned_ms != 0
-          && now_ms - table->learned_ms < LEARN_INTERVAL_MS))
+  if (!table->recalled
+      && (table->pending->len == 0
+          || (table->learned_ms != 0
+              && now_ms - table->learned_ms < LEARN_INTERVAL_MS)))
     return false;
+  table->recalled = false;
   table->learned_ms = now_ms;
   g_array_sort (table->pending, compare_works);
   pending = (const struct sp_observation *)(const void *)table->pending->data;
@@ -400,6 +404,29 @@
   return true;
 }
 
+bool
+sp_known_ln (const struct sp_table *table, size_t worker, double *ln)
+{
+  const struct worker_speed *found;
+
+  if (worker >= table->workers->len)
+    return false;
+  found = &g_array_index (table->workers, struct worker_speed, worker);
+  *ln = found->ln;
+  return is_known (found);
+}
+
+void
+sp_recall (struct sp_table *table, size_t worker, double ln, int64_t now_ms)
+{
+  struct worker_speed *found = worker_at (table, worker, now_ms);
+
+  *found = (struct worker_speed){
+    .ln = ln, .variance = RECALLED_VARIANCE, .changed_ms = now_ms, .seen = true
+  };
+  table->recalled = true;
+}
+
 struct sp_summary
 sp_summary (const struct sp_table *table)
 {
--- a/lib/sched/speed.h
+++ b/lib/sched/speed.h
@@ -64,6 +64,16 @@
  *  @return : whether speeds may have changed. */
 bool sp_learn (struct sp_table *table, int64_t now_ms);
 
+/*! sp_known_ln () :
+ *  @return : whether the speed of a worker is known; *ln is then set to the
+ *            logarithm of it. */
+bool sp_known_ln (const struct sp_table *table, size_t worker, double *ln);
+
+/*! sp_recall () :
+ *  The speed of a worker was known to be exp (LN) by an earlier planner. */
+void sp_recall (struct sp_table *table, size_t worker, double ln,
+                int64_t now_ms);
+
 /* What is known of all workers.  */
 struct sp_summary
 {
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -499,6 +499,8 @@
   ct_catalog_free (journal->catalog);
   if (journal->leases != NULL)
     g_hash_table_destroy (journal->leases);
+  if (journal->speeds != NULL)
+    g_bytes_unref (journal->speeds);
   g_free (journal);
 }
 
@@ -624,6 +626,12 @@
   return journal->leases;
 }
 
+GBytes *
+jr_speeds (const struct journal *journal)
+{
+  return journal->speeds;
+}
+
 const struct jb_term_record *
 jr_term (const struct journal *journal)
 {
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -207,6 +207,12 @@
  *            by the journal; NULL: none recorded yet. */
 GHashTable *jr_leases (const struct journal *journal);
 
+/*! jr_speeds () :
+ *  @return : the speeds of workers as the planner last recorded them, of
+ *            sd_speeds_record (), owned by the journal; NULL: none recorded
+ *            yet. */
+GBytes *jr_speeds (const struct journal *journal);
+
 /*! jr_term () :
  *  @return : the newest planner term that was read; its term is 0 before the
  *            first. */
--- a/programs/foxtailgap-hostd/journal_fold.c
+++ b/programs/foxtailgap-hostd/journal_fold.c
@@ -154,6 +154,14 @@
   journal->leases = leases;
 }
 
+static void
+apply_speeds (struct journal *journal, const struct so_record *record)
+{
+  if (journal->speeds != NULL)
+    g_bytes_unref (journal->speeds);
+  journal->speeds = g_bytes_new (record->value, record->size_bytes);
+}
+
 static void
 apply_host (struct journal *journal, const char *name,
             const struct so_record *record)
@@ -181,6 +189,8 @@
     apply_term (journal, record);
   else if (strcmp (key, "w") == 0)
     apply_leases (journal, record);
+  else if (strcmp (key, "s") == 0)
+    apply_speeds (journal, record);
   else if (g_str_has_prefix (key, "h/"))
     {
       apply_host (journal, key + 2, record);
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -4,9 +4,10 @@
    in ms are of the steady clock.
 
    The keys of the jobs' topic are a letter for the kind of record and, but for
-   t and w, a name: h/HOST (a host), j/ID (a job), c/ID (its cancellation),
+   s, t and w, a name: h/HOST (a host), j/ID (a job), c/ID (its cancellation),
    p/ID (its progress), q/ID/N (that of a block of its tasks), w (the leases of
-   unreachable workers), t (the planner's term).  */
+   unreachable workers), s (the speeds of workers, of sd_speeds_record ()), t
+   (the planner's term).  */
 
 #ifndef FT_HOSTD_JOURNAL_PRIVATE_H
 #define FT_HOSTD_JOURNAL_PRIVATE_H
@@ -51,6 +52,7 @@
   struct ct_catalog *catalog;
   struct jb_term_record term;
   GHashTable *leases; /* of jb_decode_leases (); NULL: none yet */
+  GBytes *speeds;     /* of sd_speeds_record (); NULL: none yet */
   uint64_t own_term;  /* 0: this host is not the planner */
   int64_t last_planner_record_ms;
   int64_t fast_poll_until_ms;
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -455,6 +455,22 @@
     jb_job_forget_written (job);
 }
 
+static void
+restore_speeds (struct planner *planner, int64_t now_ms)
+{
+  GBytes *record = jr_speeds (planner->params.journal);
+  const uint8_t *bytes;
+  size_t size;
+
+  if (record == NULL)
+    return;
+  bytes = g_bytes_get_data (record, &size);
+  if (!sd_speeds_restore (planner->sched, bytes, size, now_ms))
+    lg_warning (PART,
+                "A record of worker speeds cannot be decoded; it is ignored.",
+                NULL);
+}
+
 void
 pl_begin_term (struct planner *planner)
 {
@@ -480,6 +496,7 @@
   pl_reset_worker_list (planner);
   jr_set_own_term (planner->params.journal, planner->term);
   sd_begin_term (planner->sched, now_ms);
+  restore_speeds (planner, now_ms);
   wk_begin_term (planner->workers, planner->term,
                  jr_leases (planner->params.journal));
   pl_read_worker_list_if_due (planner);
--- a/programs/foxtailgap-hostd/planner_write.c
+++ b/programs/foxtailgap-hostd/planner_write.c
@@ -328,6 +328,21 @@
   g_byte_array_free (bytes, TRUE);
 }
 
+static void
+add_speed_record (struct planner *planner, struct pl_batch *batch)
+{
+  GByteArray *bytes
+      = sd_speeds_record (planner->sched, clk_monotonic_ms (NULL));
+
+  if (bytes == NULL)
+    return;
+  g_ptr_array_add (batch->records,
+                   so_record_create ("s", bytes->data, bytes->len));
+  lg_info (PART, "The speeds of workers are recorded.", "bytes",
+           lg_number (bytes->len), NULL);
+  g_byte_array_free (bytes, TRUE);
+}
+
 static bool
 no_new_outcomes (struct planner *planner)
 {
@@ -433,6 +448,7 @@
   add_job_removals (planner, batch);
   if (wk_lease_record_is_due (planner->workers))
     add_lease_record (planner, batch);
+  add_speed_record (planner, batch);
   if (!release && size_bytes < BATCH_MAX_BYTES)
     batch->caller_writes = jr_add_writes_to_append (
         planner->params.journal, batch->records, BATCH_MAX_BYTES - size_bytes);
--- a/tests/unit/test_hostd_speed.c
+++ b/tests/unit/test_hostd_speed.c
@@ -501,6 +501,50 @@
   tear_down (&setup);
 }
 
+/* The next planner has no workers yet when it reads the record.  */
+static void
+test_a_record_for_the_next_planner (void)
+{
+  static const uint8_t odd[] = { 1, 2, 3 };
+  static const uint8_t unknown[] = { 9, 1, 2, 3 };
+  const struct fixture_step gang
+      = { .count = 5, .accelerators = 8, .gang = true };
+  struct setup former;
+  struct setup next;
+  GByteArray *record;
+  uint32_t i;
+
+  set_up (&former, three_speeds, WORKERS);
+  CU_ASSERT_PTR_NULL (sd_speeds_record (former.sched, 100000));
+  teach (&former, WORKERS);
+  fixture_run_round (former.sched, former.now_ms);
+  record = sd_speeds_record (former.sched, 200000);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (record);
+  if (record == NULL)
+    return;
+  CU_ASSERT_EQUAL (record->len, 1 + 3 * WORKERS);
+  CU_ASSERT_PTR_NULL (sd_speeds_record (former.sched, 300000));
+  set_up (&next, three_speeds, 0);
+  next.now_ms = 1000000;
+  CU_ASSERT_FALSE (sd_speeds_restore (next.sched, odd, sizeof odd, 0));
+  CU_ASSERT_FALSE (sd_speeds_restore (next.sched, unknown, sizeof unknown, 0));
+  CU_ASSERT_FALSE (sd_speeds_restore (next.sched, odd, 0, 0));
+  CU_ASSERT_TRUE (
+      sd_speeds_restore (next.sched, record->data, record->len, next.now_ms));
+  g_byte_array_free (record, TRUE);
+  for (i = 0; i < WORKERS; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "w%02u", i);
+      fixture_worker (next.sched, id, "r0", 8);
+    }
+  CU_ASSERT_EQUAL (count_fast (&next, place_job (&next, "urgent", &gang)), 5);
+  CU_ASSERT_PTR_NULL (sd_speeds_record (next.sched, 2000000));
+  tear_down (&former);
+  tear_down (&next);
+}
+
 /* Members that are slower by no more than their workers are not restarted;
    SLOW_FACTOR would be reached without the speeds, since tasks differ too.  */
 static void
@@ -567,6 +611,7 @@
       test_slow_workers_are_used_when_others_are_full },
     { "unknown workers", test_unknown_workers },
     { "a takeover", test_a_takeover },
+    { "a record for the next planner", test_a_record_for_the_next_planner },
     { "a mixed gang is not stopped", test_a_mixed_gang_is_not_stopped },
     { "run times are free of speed", test_run_times_are_free_of_speed },
   };
