Scheduling: tasks that hang from their start are restarted at once

While workers answer calls but nothing on them goes on, members of urgent gangs placed there stood at 0 percent until a limit of 3.5 s, and their gangs of 2.5 s of work with them for 4 to 6 s. The progress of the others of the step, or other work that hangs on the same worker, shows it at the first poll.

--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -469,6 +469,19 @@
 bool sd_drop_preferences (struct sd_sched *sched, struct sd_unit *unit,
                           int64_t now_ms);
 
+/* --- hang.c: tasks that hang from their start --- */
+
+/*! sd_hang_is_behind () :
+ *  To be called when its worker has reported that TASK is still at 0 percent.
+ *  @return : whether other tasks of its step show that it hangs. */
+bool sd_hang_is_behind (const struct jb_task *task, int64_t now_ms);
+
+/*! sd_hang_found () :
+ *  A task hangs on WORKER: stops those there that have not begun to work,
+ *  with their gangs.  Tasks that last run on. */
+void sd_hang_found (struct sd_sched *sched, struct sd_worker *worker,
+                    int64_t now_ms);
+
 /* --- leave.c: runs on workers that leave --- */
 
 /* A run of which the worker has announced that it leaves.  Times in ms.  */
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -417,6 +417,7 @@
   bool moved = percent != task->percent || task->progress_changed_ms == 0;
   enum sd_progress_verdict pace = SD_PROGRESS_NORMAL;
   const char *reason = moved ? "slow" : "stalled";
+  bool hangs = false;
 
   if (moved)
     sd_health_progressed (task, percent, now_ms);
@@ -424,12 +425,19 @@
     sd_crash_absolve (sched, task);
   if (task->state != JB_TASK_PLACED || task->step->spec->long_lived)
     return;
-  if (moved)
+  if (moved && percent > 0)
     pace = sd_health_judge_progress (task);
-  else if (sd_health_is_stalled (sched, task, now_ms))
+  else if (!moved && sd_health_is_stalled (sched, task, now_ms))
     {
       sd_health_stalled (task);
       pace = SD_PROGRESS_RESTART;
+      hangs = true;
+    }
+  else if (sd_hang_is_behind (task, now_ms))
+    {
+      reason = "hangs";
+      pace = SD_PROGRESS_RESTART;
+      hangs = true;
     }
   if (pace == SD_PROGRESS_NORMAL)
     return;
@@ -437,6 +445,8 @@
     sd_health_avoid (worker, now_ms);
   if (pace == SD_PROGRESS_SLOW)
     return;
+  if (hangs && worker != NULL)
+    sd_hang_found (sched, worker, now_ms);
   sd_stop_task (sched, task, reason);
   stop_gang (sched, task, reason);
 }
