Callers that keep no limits: one budget of memory for what they hold

Each caller stayed below the limits of a single request, and all together took the process over the memory of its host; some closed the door to all others.

lib/http/http_budget.[ch] decides, without input or output: one budget for the servers of a process counts the library's buffer of each connection, bodies, and answers that wait to be read. Over it, the holder with the greatest product of bytes and time is closed; over three quarters of it, a body of more than 64 KB is answered with 503 and Retry-After before it is received. One connection more than connection_limit closes another in the same way. Bodies that no answer needs are read and not kept (no route, no key, other methods, readiness, metrics), nor is the part below the limit of a body that is over it.

A door that had been full stayed shut: libmicrohttpd finds that it may accept again only at its next event.

--- a/lib/http/http_server.c
+++ b/lib/http/http_server.c
@@ -6,6 +6,7 @@
 #include <assert.h>
 #include <errno.h>
 #include <glib.h>
+#include <malloc.h>
 #include <microhttpd.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,7 +23,19 @@
   LISTEN_BACKLOG = 512,
   /* An open connection costs little, and closing one just when its caller
      sends the next request loses that request.  */
-  IDLE_TIMEOUT_MS = 60 * 1000
+  IDLE_TIMEOUT_MS = 60 * 1000,
+  /* An answer that has not been read for this long.  */
+  READ_TIMEOUT_MS = 60 * 1000,
+  /* For this long an answer is not cut off for want of memory.  */
+  READ_GRACE_MS = 2000,
+  /* What a connection holds without a request: the library's buffer, and the
+     library's and this module's structures.  */
+  CONNECTION_BYTES = CONNECTION_MEMORY_BYTES + 1024,
+  /* With a budget: of the system, for each connection, so that little waits
+     there unread.  The system doubles it.  */
+  UNREAD_BUFFER_BYTES = 16 * 1024,
+  /* A body in chunks of this many times the limit is not read to its end.  */
+  ENDLESS_FACTOR = 4
 };
 
 /* One connection of a caller, tracked to limit the time for receiving a
@@ -30,8 +43,13 @@
 struct connection
 {
   GList link; /* in server->connections */
+  struct hs_server *server;
+  struct hs_request *request; /* NULL: none */
+  struct hb_holder holder;
   int fd;
   bool receiving; /* a request, or waiting for the next one */
+  bool shed;      /* shut down; what still arrives is not served */
+  bool answering; /* the answer has not been read, and there is a deadline */
   bool extended;  /* the deadline has been moved, see on_sweep () */
   ev_tstamp deadline_s;
 };
@@ -48,7 +66,9 @@
   char *body;
   size_t body_size_bytes;
   size_t body_capacity_bytes;
+  uint64_t received_bytes; /* of the body, also what is not kept */
   bool too_large;
+  bool left_out;  /* the body is not kept */
   bool delivered; /* passed to the handler, or refused */
   bool suspended;
   bool drop;           /* close the connection without a response */
@@ -72,6 +92,7 @@
   bool stopping;
   bool freeing; /* requests that arrive now are dropped */
   bool resumed; /* MHD_run () is needed to process resumed connections */
+  bool full;    /* libmicrohttpd has stopped accepting */
 };
 
 /* --- Running libmicrohttpd from the event loop --- */
@@ -120,6 +141,110 @@
   ev_timer_start (loop, &server->run_timer);
 }
 
+/* --- What callers hold --- */
+
+static int64_t
+loop_now_ms (const struct hs_server *server)
+{
+  return (int64_t)(ev_now (server->params.loop) * 1000.0);
+}
+
+static void
+report_shed (const struct hs_server *server, enum hs_shed why)
+{
+  if (server->params.on_shed != NULL)
+    server->params.on_shed (server->params.ctx, why);
+}
+
+static void
+release_bytes (struct connection *connection, uint64_t bytes)
+{
+  if (connection != NULL && connection->server->params.budget != NULL)
+    hb_give (connection->server->params.budget, &connection->holder, bytes);
+}
+
+static void
+body_free (struct hs_request *request)
+{
+  release_bytes (request->connection, request->body_capacity_bytes);
+  free (request->body);
+  request->body = NULL;
+  request->body_size_bytes = 0;
+  request->body_capacity_bytes = 0;
+}
+
+/* Closes a connection that is not in work, and frees what it holds at once,
+   but for what libmicrohttpd frees when it finds the connection closed.  */
+static void
+shed_connection (struct connection *connection, enum hs_shed why)
+{
+  struct hs_request *request = connection->request;
+
+  connection->shed = true;
+  connection->receiving = false;
+  connection->answering = false;
+  connection->holder.in_work = true;
+  if (request != NULL)
+    {
+      request->drop = true;
+      body_free (request);
+    }
+  release_bytes (connection, connection->holder.held_bytes);
+  shutdown (connection->fd, SHUT_RDWR);
+  report_shed (connection->server, why);
+}
+
+/* Counts bytes, and closes connections, maybe this one, until what all callers
+   hold is within the budget or all are in work.  */
+static void
+hold_bytes (struct connection *connection, uint64_t bytes)
+{
+  struct hb_budget *budget;
+  struct hb_holder *worst;
+
+  if (connection == NULL || connection->shed
+      || connection->server->params.budget == NULL)
+    return;
+  budget = connection->server->params.budget;
+  hb_take (budget, &connection->holder, bytes);
+  while (
+      hb_is_over (budget)
+      && (worst = hb_choose (budget, NULL, loop_now_ms (connection->server)))
+             != NULL)
+    shed_connection (worst->owner, HS_SHED_MEMORY);
+}
+
+static void
+set_in_work (struct connection *connection, bool in_work)
+{
+  if (connection == NULL || connection->shed)
+    return;
+  connection->holder.in_work = in_work;
+  connection->holder.since_ms = loop_now_ms (connection->server);
+}
+
+static void
+make_room_for_connection (struct hs_server *server)
+{
+  struct hb_holder *worst;
+
+  if (server->params.budget == NULL
+      || server->connections.length <= server->params.connection_limit)
+    return;
+  worst = hb_choose (server->params.budget, server, loop_now_ms (server));
+  if (worst != NULL)
+    shed_connection (worst->owner, HS_SHED_CONNECTIONS);
+}
+
+static uint32_t
+accepted_limit (const struct hs_params *params)
+{
+  return params->connection_limit
+         + (params->budget == NULL
+                ? 0
+                : hb_spare_connections (params->connection_limit));
+}
+
 /* --- Connections --- */
 
 static bool
@@ -135,10 +260,22 @@
                         struct connection *connection, uint32_t timeout_ms)
 {
   connection->receiving = true;
+  connection->answering = false;
   connection->extended = false;
   connection->deadline_s = ev_now (server->params.loop) + timeout_ms / 1000.0;
 }
 
+/* Without an event, libmicrohttpd does not find that it may accept again.  */
+static void
+accept_again (struct hs_server *server)
+{
+  if (!server->full)
+    return;
+  server->full
+      = server->connections.length >= accepted_limit (&server->params);
+  run_daemon (server);
+}
+
 /* Closes connections that have not sent a complete request in time.  If there
    are bytes that have not been read, it may be this process that was late, so
    the deadline is moved once.  */
@@ -154,7 +291,11 @@
   for (link = server->connections.head; link != NULL; link = link->next)
     {
       connection = link->data;
-      if (!connection->receiving || now_s <= connection->deadline_s)
+      if (now_s <= connection->deadline_s)
+        continue;
+      if (connection->answering)
+        shed_connection (connection, HS_SHED_UNREAD);
+      if (!connection->receiving)
         continue;
       if (!connection->extended && has_unread_bytes (connection))
         {
@@ -166,6 +307,9 @@
       connection->receiving = false;
       shutdown (connection->fd, SHUT_RDWR);
     }
+  accept_again (server);
+  if (server->params.budget != NULL && hb_trim_is_due (server->params.budget))
+    malloc_trim (0);
 }
 
 /* Called once the first line of a request has been received.  */
@@ -178,8 +322,11 @@
 
   (void)uri;
   if (info != NULL && info->socket_context != NULL)
-    start_receive_deadline (server, info->socket_context,
-                            server->params.receive_timeout_ms);
+    {
+      start_receive_deadline (server, info->socket_context,
+                              server->params.receive_timeout_ms);
+      set_in_work (info->socket_context, false);
+    }
   return NULL;
 }
 
@@ -196,6 +343,8 @@
       if (connection == NULL)
         return;
       g_queue_unlink (&server->connections, &connection->link);
+      if (server->params.budget != NULL)
+        hb_remove (server->params.budget, &connection->holder);
       free (connection);
       *socket_ctx = NULL;
       return;
@@ -205,11 +354,22 @@
     return;
   info = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
   connection->fd = info->connect_fd;
+  connection->server = server;
   connection->link.data = connection;
+  connection->holder
+      = (struct hb_holder){ .owner = connection, .group = server };
   g_queue_push_tail_link (&server->connections, &connection->link);
   start_receive_deadline (server, connection,
                           server->params.receive_timeout_ms);
+  set_in_work (connection, false);
   *socket_ctx = connection;
+  if (server->connections.length >= accepted_limit (&server->params))
+    server->full = true;
+  if (server->params.budget == NULL)
+    return;
+  hb_add (server->params.budget, &connection->holder);
+  hold_bytes (connection, CONNECTION_BYTES);
+  make_room_for_connection (server);
 }
 
 /* --- Requests --- */
@@ -246,43 +406,97 @@
       return NULL;
     }
   server->open_requests++;
+  if (request->connection != NULL)
+    {
+      request->connection->request = request;
+      request->drop = request->connection->shed;
+    }
+  hold_bytes (request->connection,
+              sizeof *request + strlen (method) + strlen (path));
   return request;
 }
 
-/* Appends received bytes; a body over the limit is read but not kept.  */
+/* Returns whether there is room for NEEDED bytes.  */
 static bool
-body_append (struct hs_request *request, const char *data, size_t size_bytes)
+body_reserve (struct hs_request *request, size_t needed)
 {
-  size_t needed = request->body_size_bytes + size_bytes + 1;
-  size_t capacity = request->body_capacity_bytes;
+  size_t capacity = MAX (request->body_capacity_bytes,
+                         (size_t)BODY_INITIAL_CAPACITY_BYTES);
   char *grown;
 
-  if (needed - 1 > request->server->params.body_limit_bytes)
-    request->too_large = true;
-  if (request->too_large)
+  if (needed <= request->body_capacity_bytes)
     return true;
-  if (needed > capacity)
+  while (capacity < needed)
+    capacity *= 2;
+  hold_bytes (request->connection, capacity - request->body_capacity_bytes);
+  if (request->drop)
+    return false; /* it was this one that had to be closed */
+  grown = realloc (request->body, capacity);
+  if (grown == NULL)
+    return false;
+  request->body = grown;
+  request->body_capacity_bytes = capacity;
+  return true;
+}
+
+/* Whether the rest of a body that is too large is not even read.  */
+static bool
+is_endless (const struct hs_request *request)
+{
+  return request->server->params.budget != NULL
+         && request->received_bytes / ENDLESS_FACTOR
+                > request->server->params.body_limit_bytes;
+}
+
+/* Appends received bytes; a body over the limit, or one that is not needed, is
+   read but not kept.  Returns whether to go on with the request.  */
+static bool
+body_append (struct hs_request *request, const char *data, size_t size_bytes)
+{
+  request->received_bytes += size_bytes;
+  if (request->received_bytes > request->server->params.body_limit_bytes
+      && !request->too_large)
     {
-      capacity = capacity == 0 ? BODY_INITIAL_CAPACITY_BYTES : capacity;
-      while (capacity < needed)
-        capacity *= 2;
-      grown = realloc (request->body, capacity);
-      if (grown == NULL)
-        return false;
-      request->body = grown;
-      request->body_capacity_bytes = capacity;
+      request->too_large = true;
+      body_free (request);
     }
+  if (is_endless (request))
+    {
+      report_shed (request->server, HS_SHED_ENDLESS);
+      return false;
+    }
+  if (request->too_large || request->left_out)
+    return true;
+  if (!body_reserve (request, request->body_size_bytes + size_bytes + 1))
+    return false;
   memcpy (request->body + request->body_size_bytes, data, size_bytes);
   request->body_size_bytes += size_bytes;
   request->body[request->body_size_bytes] = '\0';
   return true;
 }
 
+/* The caller has to read the answer in time.  */
+static void
+start_read_deadline (struct hs_request *request)
+{
+  struct connection *connection = request->connection;
+
+  if (connection == NULL || request->server->params.budget == NULL)
+    return;
+  connection->receiving = false;
+  connection->answering = true;
+  connection->deadline_s
+      = ev_now (request->server->params.loop) + READ_TIMEOUT_MS / 1000.0;
+  set_in_work (connection, false);
+  connection->holder.since_ms += READ_GRACE_MS;
+}
+
 static enum MHD_Result
 queue_response (struct hs_request *request)
 {
   if (request->drop)
     return MHD_NO;
+  start_read_deadline (request);
   if (request->server->stopping)
     MHD_add_response_header (request->response, "Connection", "close");
   return MHD_queue_response (request->mhd, request->status, request->response);
@@ -300,6 +514,7 @@
   request->delivered = true;
   if (request->connection != NULL)
     request->connection->receiving = false;
+  set_in_work (request->connection, true);
   if (server->freeing)
     request->drop = true;
   else if (request->too_large)
@@ -321,6 +536,56 @@
                 > request->server->params.body_limit_bytes;
 }
 
+/* Whether a body follows.  */
+static bool
+announces_body (const struct hs_request *request, uint64_t *size_bytes)
+{
+  const char *length = hs_header (request, "Content-Length");
+
+  *size_bytes = length == NULL ? 0 : strtoull (length, NULL, 10);
+  return *size_bytes > 0 || hs_header (request, "Transfer-Encoding") != NULL;
+}
+
+/* Answers a request before its body, with a status that says that it has not
+   run.  */
+static void
+refuse_early (struct hs_request *request)
+{
+  static const char message[] = "{\"error\":\"busy\",\"message\":\"too many "
+                                "callers: not accepted\"}\n";
+  struct hs_header headers[]
+      = { { "Content-Type", "application/json" }, { "Retry-After", "1" } };
+
+  request->delivered = true;
+  hs_respond (request, MHD_HTTP_SERVICE_UNAVAILABLE, headers,
+              G_N_ELEMENTS (headers), message, sizeof message - 1);
+  report_shed (request->server, HS_SHED_EARLY);
+}
+
+/* Called with the headers.  Returns whether the request has been refused.  */
+static bool
+check_announced (struct hs_request *request)
+{
+  const struct hs_params *params = &request->server->params;
+  uint64_t size_bytes;
+
+  if (declared_too_large (request))
+    {
+      request->too_large = true;
+      deliver_request (request);
+      return true;
+    }
+  if (!announces_body (request, &size_bytes))
+    return false;
+  request->left_out = params->body_needed != NULL
+                      && !params->body_needed (params->ctx, request);
+  if (request->left_out || params->budget == NULL
+      || !hb_refuses_early (params->budget, size_bytes))
+    return false;
+  refuse_early (request);
+  return true;
+}
+
 /* --- Requests suspended until the response --- */
 
 static void
@@ -401,12 +666,10 @@
       if (request == NULL)
         return MHD_NO;
       *request_ctx = request;
-      if (!declared_too_large (request))
-        return MHD_YES;
-      request->too_large = true;
-      deliver_request (request);
-      return queue_response (request);
+      return check_announced (request) ? queue_response (request) : MHD_YES;
     }
+  if (request->drop)
+    return MHD_NO;
   if (*upload_size_bytes > 0)
     {
       if (!body_append (request, upload, *upload_size_bytes))
@@ -422,6 +685,20 @@
   return MHD_YES;
 }
 
+/* Waits for the next request.  A connection that has been shed holds nothing,
+   and stays so until it is closed.  */
+static void
+finish_request (struct hs_server *server, struct connection *connection)
+{
+  connection->request = NULL;
+  start_receive_deadline (server, connection, IDLE_TIMEOUT_MS);
+  if (server->params.budget == NULL || connection->shed)
+    return;
+  set_in_work (connection, false);
+  hb_give (server->params.budget, &connection->holder,
+           connection->holder.held_bytes - CONNECTION_BYTES);
+}
+
 static void
 on_mhd_request_completed (void *ctx, struct MHD_Connection *mhd,
                           void **request_ctx,
@@ -437,7 +714,7 @@
   *request_ctx = NULL;
   server->open_requests--;
   if (request->connection != NULL)
-    start_receive_deadline (server, request->connection, IDLE_TIMEOUT_MS);
+    finish_request (server, request->connection);
   if (request->status == 0 && !request->drop)
     notify_disconnect (request);
   request_free (request);
@@ -450,6 +727,7 @@
 {
   struct sockaddr_in address
       = { .sin_family = AF_INET, .sin_port = htons (params->port) };
+  int unread = UNREAD_BUFFER_BYTES;
   int one = 1;
 
   if (inet_pton (AF_INET, params->address, &address.sin_addr) != 1)
@@ -458,6 +736,8 @@
   if (*fd < 0)
     return HS_ERR_LISTEN;
   setsockopt (*fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (params->budget != NULL)
+    setsockopt (*fd, SOL_SOCKET, SO_RCVBUF, &unread, sizeof unread);
   if (bind (*fd, (struct sockaddr *)&address, sizeof address) != 0
       || listen (*fd, LISTEN_BACKLOG) != 0)
     {
@@ -508,7 +788,7 @@
   server->mhd = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_mhd_request,
       server, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
-      params->connection_limit, MHD_OPTION_NOTIFY_COMPLETED,
+      accepted_limit (params), MHD_OPTION_NOTIFY_COMPLETED,
       on_mhd_request_completed, server, MHD_OPTION_NOTIFY_CONNECTION,
       on_mhd_connection, server, MHD_OPTION_URI_LOG_CALLBACK, on_request_line,
       server, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
@@ -620,6 +900,12 @@
   return request->body == NULL ? "" : request->body;
 }
 
+bool
+hs_body_left_out (const struct hs_request *request)
+{
+  return request->left_out;
+}
+
 void
 hs_on_disconnect (struct hs_request *request, hs_disconnect_handler handler,
                   void *ctx)
@@ -637,6 +923,7 @@
 
   assert (request->status == 0);
   request->status = status;
+  hold_bytes (request->connection, body_size_bytes);
   request->response = MHD_create_response_from_buffer (
       body_size_bytes, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
   if (request->response == NULL)
@@ -645,6 +932,7 @@
     for (i = 0; i < header_count; i++)
       MHD_add_response_header (request->response, headers[i].name,
                                headers[i].value);
+  body_free (request);
   resume_request (request);
 }
 
--- a/lib/http/http_server.h
+++ b/lib/http/http_server.h
@@ -1,7 +1,15 @@
 /* HTTP server of the daemon, and of the stand-ins for platform services
    in tests: libmicrohttpd driven by a
    libev loop.  The handler is called once a request has been received
-   completely.  It may respond before it returns or later.  Prefix: hs_.  */
+   completely.  It may respond before it returns or later.
+
+   With a budget, what callers hold is bounded for all servers that share it:
+   the library's buffers of each connection, bodies, and answers that have not
+   been read.  When it is over its limit, connections are closed as hb_choose
+   () says; such a request has not been passed to the handler, or its answer
+   was not read.  A longer body may be answered with 503 and Retry-After before
+   it is received.  When more connections than connection_limit are open, some
+   are closed in the same way.  Prefix: hs_.  */
 
 #ifndef FT_HTTP_SERVER_H
 #define FT_HTTP_SERVER_H
@@ -11,6 +19,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "http/http_budget.h"
+
 /* Result of hs_create ().  */
 enum hs_error
 {
@@ -32,6 +42,25 @@
    The request must not be used afterwards.  */
 typedef void (*hs_disconnect_handler) (void *ctx);
 
+/* Called when a request's headers have been received, and a body follows.  The
+   request must not be responded to.  Returns whether the handler will need the
+   body; otherwise it is read, but not kept: see hs_body_left_out ().  */
+typedef bool (*hs_body_needed) (void *ctx, struct hs_request *request);
+
+/* Why a connection was closed, or a request refused, without the handler.  */
+enum hs_shed
+{
+  HS_SHED_MEMORY,      /* closed: the budget was over its limit */
+  HS_SHED_CONNECTIONS, /* closed: more than connection_limit were open */
+  HS_SHED_EARLY,       /* answered with 503 before its body */
+  HS_SHED_ENDLESS,     /* closed: it sent far more than body_limit_bytes */
+  HS_SHED_UNREAD,      /* closed: it did not read its answer */
+  HS_SHED_COUNT
+};
+
+/* Told of each one; must not use the server.  */
+typedef void (*hs_shed_handler) (void *ctx, enum hs_shed why);
+
 struct hs_header
 {
   const char *name;
@@ -49,6 +78,9 @@
                                   connection stays open longer */
   hs_handler handler;
   void *ctx;
+  struct hb_budget *budget;   /* must outlive the server; NULL: none */
+  hs_body_needed body_needed; /* NULL: always */
+  hs_shed_handler on_shed;    /* NULL: none */
 };
 
 /*! hs_create () :
@@ -85,6 +117,11 @@
 const char *hs_query (const struct hs_request *request, const char *name);
 const char *hs_body (const struct hs_request *request, size_t *size_bytes);
 
+/*! hs_body_left_out () :
+ *  @return : whether a body has been received and was not kept, since
+ *            body_needed () said so. */
+bool hs_body_left_out (const struct hs_request *request);
+
 /*! hs_on_disconnect () :
  *  Sets the handler to call if the caller disconnects before the response.
  *  @handler : replaces the earlier one; NULL: none. */
--- a/lib/jobs/model.c
+++ b/lib/jobs/model.c
@@ -47,6 +47,28 @@
   return NULL;
 }
 
+static bool
+text_fits (const char *text)
+{
+  return text == NULL || strlen (text) <= JB_TEXT_MAX_BYTES;
+}
+
+bool
+jb_spec_texts_fit (const struct jb_spec *spec)
+{
+  const struct jb_step_spec *step;
+  size_t i;
+
+  for (i = 0; i < spec->step_count; i++)
+    {
+      step = &spec->steps[i];
+      if (!text_fits (step->label) || !text_fits (step->data_rack)
+          || !text_fits (step->image))
+        return false;
+    }
+  return text_fits (spec->text);
+}
+
 const char *
 jb_spec_check (const struct jb_spec *spec)
 {
--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -109,6 +109,11 @@
  *            wrong. */
 const char *jb_spec_check (const struct jb_spec *spec);
 
+/*! jb_spec_texts_fit () :
+ *  @return : whether no text is longer than JB_TEXT_MAX_BYTES.  Stored records
+ *            are not held to it. */
+bool jb_spec_texts_fit (const struct jb_spec *spec);
+
 /* --- State of a job --- */
 
 /* The numbers are stored in progress records.  */
--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -5,10 +5,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/logging.h"
 #include "front_private.h"
 
 static const char PART[] = "front";
+static const uint64_t MIB = UINT64_C (1024) * 1024;
 
 enum
 {
@@ -17,7 +19,9 @@
   READY_CATALOG_AGE_MAX_MS = 1900,
   /* The catalog is used up to this percentage of key_validity_ms, by which a
      revoked key must be refused.  */
-  CATALOG_AGE_MAX_PERCENT = 60
+  CATALOG_AGE_MAX_PERCENT = 60,
+  SHED_LOG_INTERVAL_MS = 1000,
+  RETRY_AFTER_S = 1
 };
 
 /* --- Relaying to the planner's host --- */
@@ -91,6 +95,83 @@
          && jr_catalog (journal)->version >= min_version;
 }
 
+/* --- Callers that keep no limits --- */
+
+static bool
+submits (const struct hs_request *request)
+{
+  const char *method = hs_method (request);
+
+  return strcmp (method, "POST") == 0 || strcmp (method, "PUT") == 0;
+}
+
+/* A body is kept for a submission that may be accepted; all other requests
+   have their answer without it.  */
+static bool
+is_body_needed (void *ctx, struct hs_request *request)
+{
+  struct front *front = ctx;
+  const struct ct_catalog *catalog = jr_catalog (front->params.journal);
+  const char *host = hs_header (request, "Host");
+  const char *key = hs_header (request, front->params.dialect.key_header);
+  const struct ct_queue *queue;
+  const char *rest = "";
+
+  if (!submits (request))
+    return false;
+  if (catalog == NULL || !fr_catalog_is_current (front, request))
+    return true;
+  queue = ct_route_request (catalog, host == NULL ? "" : host,
+                            hs_path (request), &rest);
+  return queue != NULL && jb_id_valid (rest)
+         && (queue->keyless
+             || (key != NULL && ct_team_of_key (catalog, key) != NULL));
+}
+
+static bool
+is_body_never_needed (void *ctx, struct hs_request *request)
+{
+  (void)ctx;
+  (void)request;
+  return false;
+}
+
+static void
+on_shed (void *ctx, enum hs_shed why)
+{
+  static const char *const names[HS_SHED_COUNT] = {
+    [HS_SHED_MEMORY] = "memory", [HS_SHED_CONNECTIONS] = "connections",
+    [HS_SHED_EARLY] = "early",   [HS_SHED_ENDLESS] = "endless",
+    [HS_SHED_UNREAD] = "unread",
+  };
+  struct front *front = ctx;
+  int64_t now_ms = clk_monotonic_ms (NULL);
+  char name[64];
+
+  g_snprintf (name, sizeof name, "foxtailgap_callers_shed_total{why=\"%s\"}",
+              names[why]);
+  mt_add (front->params.metrics, name, 1);
+  if (front->shed_log_ms != 0
+      && now_ms - front->shed_log_ms < SHED_LOG_INTERVAL_MS)
+    return;
+  front->shed_log_ms = now_ms;
+  lg_warning (PART, "Callers are refused or closed.", "why", names[why],
+              "held_bytes", lg_number ((long long)front->budget.held_bytes),
+              NULL);
+}
+
+/* Answers a request whose body was not kept when it was not needed, and is
+   needed now, by a newer catalog.  Returns whether it did.  */
+static bool
+refuse_without_body (struct front *front, struct hs_request *request)
+{
+  if (!submits (request) || !hs_body_left_out (request))
+    return false;
+  fr_answer_retry_later (front, request, "submit", 503, RETRY_AFTER_S,
+                         "the configuration has just changed: not accepted");
+  return true;
+}
+
 /* AT_PLANNER: the planner's host has been tried, so that the request is not
    relayed to it again.  */
 static void
@@ -109,6 +190,8 @@
   team = key == NULL ? NULL : ct_team_of_key (catalog, key);
   if (!fr_catalog_is_current (front, request))
     {
+      if (refuse_without_body (front, request))
+        return;
       if (at_planner || !relay_to_planner_host (front, request))
         fr_relay_to_any_host (front, request, "any");
     }
@@ -120,6 +203,8 @@
     fr_answer_queue_length (front, request, queue);
   else if (!jb_id_valid (rest))
     fr_answer_error (front, request, "unknown", 404, "no such job id");
+  else if (refuse_without_body (front, request))
+    return;
   else if (at_planner || !relay_to_planner_host (front, request))
     dispatch_method (front, request, queue, team, rest);
 }
@@ -170,6 +255,8 @@
   mt_set (metrics, "foxtailgap_jobs",
           g_hash_table_size (jr_job_table (journal)->jobs));
   mt_set (metrics, "foxtailgap_open_writes", jr_open_writes (journal));
+  mt_set (metrics, "foxtailgap_caller_bytes",
+          (int64_t)front->budget.held_bytes);
   mt_set (metrics, "foxtailgap_log_lines_left_out",
           (int64_t)lg_dropped_lines ());
 }
@@ -191,7 +278,7 @@
 
 static struct hs_server *
 listen_on (struct front *front, const char *address, uint32_t connections,
-           hs_handler handler)
+           hs_handler handler, hs_body_needed body_needed)
 {
   char *host = g_strdup (address);
   char *colon = strrchr (host, ':');
@@ -204,6 +291,9 @@
     .receive_timeout_ms = front->params.settings->receive_timeout_ms,
     .handler = handler,
     .ctx = front,
+    .budget = &front->budget,
+    .body_needed = body_needed,
+    .on_shed = on_shed,
   };
 
   *colon = '\0';
@@ -233,14 +323,18 @@
   front->params = *params;
   front->reports_ready = true;
   front->min_catalog_version = -1;
+  hb_init (&front->budget, (uint64_t)settings->caller_memory_mb * MIB);
   fr_early_requests_init (front);
   front->relay = rl_create (&relay);
-  front->readiness = listen_on (front, settings->readiness,
-                                INTERNAL_CONNECTIONS_MAX, on_readiness);
-  front->metrics = listen_on (front, settings->metrics,
-                              INTERNAL_CONNECTIONS_MAX, on_metrics);
-  front->callers = listen_on (front, settings->callers,
-                              settings->connection_limit, on_request);
+  front->readiness
+      = listen_on (front, settings->readiness, INTERNAL_CONNECTIONS_MAX,
+                   on_readiness, is_body_never_needed);
+  front->metrics
+      = listen_on (front, settings->metrics, INTERNAL_CONNECTIONS_MAX,
+                   on_metrics, is_body_never_needed);
+  front->callers
+      = listen_on (front, settings->callers, settings->connection_limit,
+                   on_request, is_body_needed);
   if (front->relay == NULL || front->readiness == NULL
       || front->metrics == NULL || front->callers == NULL)
     {
--- a/programs/foxtailgap-hostd/front_jobs.c
+++ b/programs/foxtailgap-hostd/front_jobs.c
@@ -143,7 +143,8 @@
                        "the job cannot be read");
       return;
     }
-  wrong = jb_spec_check (spec);
+  wrong = jb_spec_texts_fit (spec) ? jb_spec_check (spec)
+                                   : "a text of the job is too long";
   if (wrong != NULL)
     {
       fr_answer_error (front, request, "submit", 400, wrong);
--- a/programs/foxtailgap-hostd/front_private.h
+++ b/programs/foxtailgap-hostd/front_private.h
@@ -22,6 +22,8 @@
      This host must not answer by an older catalog, so that callers never see
      the catalog revert.  */
   int64_t min_catalog_version;
+  struct hb_budget budget; /* of callers, also at readiness and metrics */
+  int64_t shed_log_ms;   /* when a line about shed callers was last written */
   bool catalog_known;    /* a current catalog has been read once */
   GQueue early_requests; /* struct early_request, oldest first */
   ev_timer early_timer;  /* runs while there are early requests */
--- a/programs/foxtailgap-hostd/hostd_settings.c
+++ b/programs/foxtailgap-hostd/hostd_settings.c
@@ -17,6 +17,7 @@
   FILE_LIMIT_BYTES = 64 * 1024,
   MINUTE_MS = 60 * 1000,
   HOUR_MS = 60 * MINUTE_MS,
+  MEMORY_DEFAULT_MB = 120, /* of the platform's smallest hosts */
   BODY_LIMIT_MAX_BYTES = 16 * 1024 * 1024
 };
 
@@ -59,6 +60,8 @@
   NUMBER_FIELD (shutdown_ms),
   NUMBER_FIELD (far_factor),
   NUMBER_FIELD (job_retention_ms),
+  NUMBER_FIELD (caller_memory_mb),
+  REAL_FIELD (memory_mb),
   REAL_FIELD (cpu_share),
   REAL_FIELD (link_mbps),
   CYAML_FIELD_END
@@ -81,6 +84,7 @@
   NUMBER (shutdown_ms, 100, HOUR_MS, 5000),
   NUMBER (far_factor, 1, 1000, 3),
   NUMBER (job_retention_ms, 1000, 24U * HOUR_MS, 180000),
+  NUMBER (caller_memory_mb, 0, 1024 * 1024, 0),
 };
 
 static void
@@ -105,6 +109,20 @@
             "%s: must be above 0", field);
 }
 
+/* Half of the memory is for callers if the settings do not say.  */
+static void
+check_caller_memory (struct hostd_settings *settings,
+                     const struct sc_mapping *place)
+{
+  check_real (place, "memory_mb", &settings->memory_mb, MEMORY_DEFAULT_MB);
+  if (settings->caller_memory_mb > settings->memory_mb)
+    em_add (place->messages, yi_line (place->index, "caller_memory_mb"),
+            "caller_memory_mb: must be at most memory_mb");
+  else if (settings->caller_memory_mb == 0)
+    settings->caller_memory_mb
+        = (uint32_t)CLAMP (settings->memory_mb / 2, 1, UINT32_MAX);
+}
+
 static void
 check_settings (struct hostd_settings *settings,
                 const struct sc_mapping *place)
@@ -115,6 +133,7 @@
             "lease_limit_ms: must be at least lease_ttl_ms");
   check_real (place, "cpu_share", &settings->cpu_share, 1.0);
   check_real (place, "link_mbps", &settings->link_mbps, 1000.0);
+  check_caller_memory (settings, place);
   check_address (place, "callers", settings->callers);
   check_address (place, "readiness", settings->readiness);
   check_address (place, "metrics", settings->metrics);
--- a/programs/foxtailgap-hostd/hostd_settings.h
+++ b/programs/foxtailgap-hostd/hostd_settings.h
@@ -39,6 +39,9 @@
   uint32_t far_factor;       /* the slow-down factor of remote tasks;
                                 remote_slowdown_factor elsewhere */
   uint32_t job_retention_ms; /* an ended job can be queried for this time */
+  uint32_t caller_memory_mb; /* for what callers have sent and not read; half
+                                of memory_mb unless it is set */
+  double memory_mb;          /* of the host, MB */
   double cpu_share;          /* of one processor; 1.0: a whole one */
   double link_mbps;          /* bandwidth of the host's network link, Mbit/s */
 };
--- a/tests/unit/test_hostd_front.c
+++ b/tests/unit/test_hostd_front.c
@@ -110,6 +110,7 @@
   setup->loop = ev_loop_new (EVFLAG_AUTO);
   setup->metrics = mt_create ();
   setup->settings = (struct hostd_settings){ .host = (char *)"a",
+                                             .caller_memory_mb = 60,
                                              .callers = setup->addresses[0],
                                              .readiness = setup->addresses[1],
                                              .metrics = setup->addresses[2],
--- a/tests/unit/test_hostd_platform.c
+++ b/tests/unit/test_hostd_platform.c
@@ -14,6 +14,7 @@
 #include "pf_advice.h"
 #include "pf_decode.h"
 #include "pf_http.h"
+#include "pf_json.h"
 #include "pf_store.h"
 #include "pf_worker.h"
 
@@ -284,6 +285,96 @@
     }
 }
 
+/* All members and dependencies of 64 steps, and a text of which each byte is
+   escaped.  */
+static char *
+largest_job (void)
+{
+  GString *text = g_string_new ("{\"spec\":\"");
+  uint32_t step;
+  uint32_t earlier;
+  int i;
+
+  for (i = 0; i < JB_TEXT_MAX_BYTES; i++)
+    g_string_append (text, "\\u0041");
+  g_string_append (text, "\",\"times\":1,\"start_at_ms\":1,\"interval_ms\":1,"
+                         "\"phases\":[");
+  for (step = 0; step < JB_STEPS_MAX; step++)
+    {
+      g_string_append_printf (
+          text,
+          "%s{\"count\":64,\"cpu\":1,\"mem_mb\":1,\"gpu\":1,"
+          "\"estimate_ms\":1,\"gang\":1,\"same_rack\":1,\"checkpointing\":1,"
+          "\"speculative\":1,\"long_running\":1,\"requirements\":\"a\","
+          "\"affinity\":\"a\",\"anti_affinity\":1,\"image\":\"a\","
+          "\"target_ms\":1,\"fill_count\":1,\"max_unavailable\":1,"
+          "\"depends_on\":[",
+          step == 0 ? "" : ",");
+      for (earlier = 0; earlier < step; earlier++)
+        g_string_append_printf (text, "%s%u", earlier == 0 ? "" : ",",
+                                earlier);
+      g_string_append (text, "]}");
+    }
+  g_string_append (text, "]}");
+  return g_string_free (text, FALSE);
+}
+
+static void
+test_largest_job_is_below_the_limits (void)
+{
+  char *text = largest_job ();
+  struct jb_spec *spec = NULL;
+
+  CU_ASSERT_EQUAL (pf_decode_job (&spec, text, strlen (text)), PF_OK);
+  CU_ASSERT_PTR_NULL (jb_spec_check (spec));
+  CU_ASSERT_TRUE (jb_spec_texts_fit (spec));
+  CU_ASSERT_TRUE (strlen (text) < HB_SHORT_BODY_BYTES);
+  jb_spec_free (spec);
+  g_free (text);
+}
+
+/* A body of legal size whose document would take far more memory.  */
+static char *
+repeated_job (const char *start, const char *item, size_t count,
+              const char *end)
+{
+  GString *text = g_string_new (start);
+
+  while (count-- > 0)
+    g_string_append (text, item);
+  g_string_append (text, end);
+  return g_string_free (text, FALSE);
+}
+
+static void
+test_documents_that_grow_are_rejected (void)
+{
+  char *steps
+      = repeated_job ("{\"spec\":\"x\",\"phases\":[", "{},", 80000, "{}]}");
+  char *deep
+      = repeated_job ("{\"spec\":\"x\",\"phases\":[{\"count\":1}],\"a\":", "[",
+                      PF_DEPTH_MAX, "]");
+  char *quoted = repeated_job ("{\"spec\":\"", "[\\\"{,", 900,
+                               "\",\"phases\":[{\"count\":1}]}");
+  char *longer = repeated_job ("{\"spec\":\"", "x", JB_TEXT_MAX_BYTES + 1,
+                               "\",\"phases\":[{\"count\":1}]}");
+  struct jb_spec *spec = NULL;
+
+  CU_ASSERT_EQUAL (pf_decode_job (&spec, steps, strlen (steps)),
+                   PF_ERR_FORMAT);
+  CU_ASSERT_EQUAL (pf_decode_job (&spec, deep, strlen (deep)), PF_ERR_FORMAT);
+  CU_ASSERT_EQUAL (pf_decode_job (&spec, quoted, strlen (quoted)), PF_OK);
+  CU_ASSERT_TRUE (jb_spec_texts_fit (spec));
+  jb_spec_free (spec);
+  CU_ASSERT_EQUAL (pf_decode_job (&spec, longer, strlen (longer)), PF_OK);
+  CU_ASSERT_FALSE (jb_spec_texts_fit (spec));
+  jb_spec_free (spec);
+  g_free (steps);
+  g_free (deep);
+  g_free (quoted);
+  g_free (longer);
+}
+
 static void
 decode_all (const char *text, size_t size)
 {
@@ -841,6 +932,10 @@
     { "a job is decoded and survives its record",
       test_job_is_decoded_and_survives_its_record },
     { "invalid jobs are rejected", test_invalid_jobs_are_rejected },
+    { "the largest job is below the limits",
+      test_largest_job_is_below_the_limits },
+    { "documents that grow are rejected",
+      test_documents_that_grow_are_rejected },
     { "invalid documents do no harm", test_invalid_documents_do_no_harm },
     { "states are encoded", test_states_are_encoded },
   };
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -18,6 +18,9 @@
 
 struct fixture
 {
+  struct hb_budget budget; /* used if its limit is above 0 */
+  int sheds[HS_SHED_COUNT];
+  bool body_left_out; /* of the last request */
   struct ev_loop *loop;
   struct hs_server *server;
   struct hc_client *client;
@@ -56,6 +59,7 @@
 
   f->has_mark = hs_header (request, "X-Mark") != NULL;
   snprintf (f->method, sizeof f->method, "%s", hs_method (request));
+  f->body_left_out = hs_body_left_out (request);
   if (strcmp (hs_path (request), "/hold") == 0)
     {
       f->unanswered = request;
@@ -94,24 +98,52 @@
   ev_break (f->loop, EVBREAK_ALL);
 }
 
+static bool
+is_body_needed (void *ctx, struct hs_request *request)
+{
+  (void)ctx;
+  return strcmp (hs_path (request), "/none") != 0;
+}
+
 static void
-setup (struct fixture *f)
+on_shed (void *ctx, enum hs_shed why)
+{
+  ((struct fixture *)ctx)->sheds[why]++;
+}
+
+/* LIMIT_BYTES: of a budget for callers; 0: none.  */
+static void
+setup_with_budget (struct fixture *f, uint64_t limit_bytes,
+                   uint64_t body_limit_bytes)
 {
   struct hs_params server = { .loop = EV_DEFAULT,
                               .address = "127.0.0.1",
                               .connection_limit = 10,
-                              .body_limit_bytes = BODY_LIMIT_BYTES,
+                              .body_limit_bytes = body_limit_bytes,
                               .receive_timeout_ms = 1000,
                               .handler = on_request,
                               .ctx = f };
   struct hc_params client = { .loop = EV_DEFAULT };
 
   memset (f, 0, sizeof *f);
+  if (limit_bytes > 0)
+    {
+      hb_init (&f->budget, limit_bytes);
+      server.budget = &f->budget;
+      server.body_needed = is_body_needed;
+      server.on_shed = on_shed;
+    }
   f->loop = EV_DEFAULT;
   CU_ASSERT_EQUAL_FATAL (hs_create (&f->server, &server), HS_OK);
   CU_ASSERT_EQUAL_FATAL (hc_create (&f->client, &client), HC_OK);
 }
 
+static void
+setup (struct fixture *f)
+{
+  setup_with_budget (f, 0, BODY_LIMIT_BYTES);
+}
+
 static void
 teardown (struct fixture *f)
 {
@@ -533,6 +565,129 @@
   teardown (&f);
 }
 
+/* --- Callers that keep no limits --- */
+
+enum
+{
+  LONG_BODY_BYTES = 200 * 1000,
+  CALLERS_BUDGET_BYTES = 600 * 1000
+};
+
+/* Connects, and sends the head and SENT_BYTES of a body.  Returns the socket,
+   which does not block.  */
+static int
+send_body (struct fixture *f, const char *path, size_t announced_bytes,
+           size_t sent_bytes)
+{
+  static const char body[LONG_BODY_BYTES];
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (hs_port (f->server)) };
+  char head[200];
+  size_t sent = 0;
+  ssize_t size;
+  int i;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  CU_ASSERT_EQUAL_FATAL (
+      connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  snprintf (head, sizeof head,
+            "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %zu\r\n\r\n", path,
+            announced_bytes);
+  send (fd, head, strlen (head), MSG_NOSIGNAL);
+  for (i = 0; i < 2000; i++)
+    {
+      size = send (fd, body + sent, sent_bytes - sent,
+                   MSG_DONTWAIT | MSG_NOSIGNAL);
+      sent += size > 0 ? (size_t)size : 0;
+      ev_run (f->loop, EVRUN_NOWAIT);
+    }
+  return fd;
+}
+
+static void
+test_callers_stay_within_the_budget (void)
+{
+  struct fixture f;
+  int fds[9];
+  size_t i;
+
+  setup_with_budget (&f, CALLERS_BUDGET_BYTES, LONG_BODY_BYTES);
+  for (i = 0; i < sizeof fds / sizeof fds[0]; i++)
+    {
+      fds[i] = send_body (&f, "/echo", 60000, 59999);
+      CU_ASSERT_TRUE (f.budget.held_bytes <= CALLERS_BUDGET_BYTES);
+    }
+  CU_ASSERT_TRUE (f.sheds[HS_SHED_MEMORY] > 0);
+  call_and_wait (&f, "/echo", "abc", hs_port (f.server));
+  CU_ASSERT_EQUAL (f.status, 200);
+  CU_ASSERT_STRING_EQUAL (f.body, "abc");
+  for (i = 0; i < sizeof fds / sizeof fds[0]; i++)
+    close (fds[i]);
+  teardown (&f);
+  CU_ASSERT_EQUAL (f.budget.held_bytes, 0);
+}
+
+static void
+test_long_body_is_refused_early (void)
+{
+  struct fixture f;
+  char answer[100] = "";
+  int first;
+  int second;
+
+  setup_with_budget (&f, CALLERS_BUDGET_BYTES, LONG_BODY_BYTES);
+  first = send_body (&f, "/hold", LONG_BODY_BYTES, LONG_BODY_BYTES);
+  hb_take (&f.budget, f.budget.holders.head->data, CALLERS_BUDGET_BYTES / 2);
+  CU_ASSERT_EQUAL (f.sheds[HS_SHED_EARLY], 0);
+  second = send_body (&f, "/echo", LONG_BODY_BYTES, 0);
+  CU_ASSERT_EQUAL (f.sheds[HS_SHED_EARLY], 1);
+  CU_ASSERT_TRUE (recv (second, answer, sizeof answer - 1, MSG_DONTWAIT) > 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, " 503 "));
+  call_and_wait (&f, "/echo", "abc", hs_port (f.server));
+  CU_ASSERT_EQUAL (f.status, 200);
+  close (first);
+  close (second);
+  teardown (&f);
+}
+
+static void
+test_body_that_is_not_needed_is_not_kept (void)
+{
+  struct fixture f;
+
+  setup_with_budget (&f, CALLERS_BUDGET_BYTES, LONG_BODY_BYTES);
+  call_and_wait (&f, "/none", "abc", hs_port (f.server));
+  CU_ASSERT_EQUAL (f.status, 200);
+  CU_ASSERT_TRUE (f.body_left_out);
+  CU_ASSERT_STRING_EQUAL (f.body, "");
+  call_and_wait (&f, "/echo", "abc", hs_port (f.server));
+  CU_ASSERT_FALSE (f.body_left_out);
+  CU_ASSERT_STRING_EQUAL (f.body, "abc");
+  teardown (&f);
+}
+
+/* The server admits 10 connections, and some more until others are closed.  */
+static void
+test_idle_connections_make_room (void)
+{
+  struct fixture f;
+  int fds[40];
+  size_t i;
+
+  setup_with_budget (&f, UINT64_C (10) * CALLERS_BUDGET_BYTES,
+                     LONG_BODY_BYTES);
+  for (i = 0; i < sizeof fds / sizeof fds[0]; i++)
+    fds[i] = send_body (&f, "/echo", 3, 3);
+  CU_ASSERT_TRUE (f.sheds[HS_SHED_CONNECTIONS] >= 30);
+  call_and_wait (&f, "/echo", "abc", hs_port (f.server));
+  CU_ASSERT_EQUAL (f.status, 200);
+  for (i = 0; i < sizeof fds / sizeof fds[0]; i++)
+    close (fds[i]);
+  teardown (&f);
+  CU_ASSERT_EQUAL (f.budget.held_bytes, 0);
+}
+
 /* --- A server whose open connections go silent --- */
 
 enum
@@ -751,6 +906,14 @@
   CU_add_test (suite, "idle connection stays open",
                test_idle_connection_stays_open);
   CU_add_test (suite, "slow caller is cut off", test_slow_caller_is_cut_off);
+  CU_add_test (suite, "callers stay within the budget",
+               test_callers_stay_within_the_budget);
+  CU_add_test (suite, "long body is refused early",
+               test_long_body_is_refused_early);
+  CU_add_test (suite, "body that is not needed is not kept",
+               test_body_that_is_not_needed_is_not_kept);
+  CU_add_test (suite, "idle connections make room",
+               test_idle_connections_make_room);
   CU_add_test (suite, "one call finds that idle connections are silent",
                test_one_call_finds_that_idle_connections_are_silent);
   CU_add_test (suite, "connections that answer are kept",
