--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -1018,6 +1018,42 @@
   return false;
 }
 
+/* A planner that has just taken over, or does not get the operator's records,
+   may not know which data centres are closed: with a bound in the settings it
+   places nothing before it does.  */
+static void
+test_nothing_is_placed_before_closings_are_known (void)
+{
+  struct setup setup;
+  struct fixture_step step = { .count = 1, .accelerators = 1 };
+  struct jb_spec *spec = fixture_spec ("batch", "clinic", &step);
+  GByteArray *bytes = jb_encode_spec (spec);
+  char *key = g_strdup_printf ("j/%s", JOB);
+
+  become_planner (&setup);
+  setup.settings.closing_ms = 3000;
+  while (setup.store.jobs_read == NULL)
+    run_loop_for (&setup, 5);
+  setup.offset++;
+  answer_read (&setup, &setup.store.jobs_read, setup.store.jobs_ctx,
+               one_record (key, bytes->data, bytes->len));
+  CU_ASSERT_FALSE (run_with_job (&setup, 300));
+  CU_ASSERT_STRING_EQUAL (setup.planner->no_round_why,
+                          "a reading of the operator's topic");
+  answer_read (&setup, &setup.store.operator_read, setup.store.operator_ctx,
+               so_records_create ());
+  CU_ASSERT_TRUE (run_with_job (&setup, 1000));
+  CU_ASSERT_PTR_NULL (setup.planner->no_round_why);
+  /* No answer any more: the bound less the time of a start.  */
+  run_loop_for (&setup, 1500);
+  CU_ASSERT_STRING_EQUAL (setup.planner->no_round_why,
+                          "a reading of the operator's topic");
+  g_free (key);
+  g_byte_array_free (bytes, TRUE);
+  jb_spec_free (spec);
+  tear_down (&setup);
+}
+
 /* A worker that does not guard its capacity may have shrunk since its report,
    also if the list was read just now: it may not reach the store (soak-deadly,
    seeds 106 and 137).  */
@@ -1309,6 +1345,8 @@
       test_completed_job_leaves_no_blocks },
     { "nothing is placed on an old view",
       test_nothing_is_placed_on_an_old_view },
+    { "nothing is placed before closings are known",
+      test_nothing_is_placed_before_closings_are_known },
     { "nothing is placed on unguarded workers by old reports",
       test_nothing_is_placed_on_an_old_report },
     { "a worker that is not listed again gets nothing",
