--- a/programs/foxtailgapctl/explain_waits.c
+++ b/programs/foxtailgapctl/explain_waits.c
@@ -212,6 +212,7 @@
     { "old-report", "the report of workers with room was too old" },
     { "unseen", "workers with room were not polled yet" },
     { "unreachable", "workers with room were out of touch" },
+    { "closed-data-centre", "the room for it was in closed data centres" },
     { "no-cpus", "too few processors were free" },
     { "no-memory", "too little memory was free" },
     { "no-accelerators", "too few accelerators were free" },
