bench-rounds: rounds that place work; uneven workers

Cause: its workers refuse nothing by the catalogue, so that after the first round none got a start for the age of its report: 300 rounds placed nothing.

Change: the service enforces capacity; `uneven` reports progress at 0.7 and 1.7 of the speed, which the rounds learn.

--- a/tests/bench/bench-rounds/main.c
+++ b/tests/bench/bench-rounds/main.c
@@ -2,13 +2,15 @@
    jobs that wait, as in a burst.  Each round one percent of what runs ends,
    and as many new jobs arrive.
 
-   Usage: bench-rounds WORKERS JOBS ROUNDS [EXAMINED]
-   With EXAMINED also surveys of what waits that examine as many steps.  */
+   Usage: bench-rounds WORKERS JOBS ROUNDS [EXAMINED [uneven]]
+   With EXAMINED above 0 also surveys of what waits that examine as many steps.
+   With `uneven` each third worker is faster, which the rounds learn.  */
 
 #include <assert.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "common/clock.h"
 #include "sched/sched.h"
@@ -17,7 +19,8 @@
 {
   RACK_WORKERS = 20,
   QUEUES = 3,
-  ROUND_MS = 20
+  ROUND_MS = 20,
+  POLL_ROUNDS = 50
 };
 
 /* Of a queue's jobs; sizes of the large Association's deployment.  */
@@ -43,6 +46,7 @@
   struct jb_table *table;
   struct ct_catalog *catalog;
   uint32_t jobs;
+  bool uneven;
   int64_t now_ms;
 };
 
@@ -69,6 +73,11 @@
   catalog->teams[0] = (struct ct_team){ .name = g_strdup ("team"),
                                         .keys = g_new0 (char *, 1),
                                         .guaranteed_accelerators = 400 };
+  /* Else only workers with recent reports would get starts.  */
+  catalog->service_count = 1;
+  catalog->services = g_new0 (struct ct_service, 1);
+  catalog->services[0] = (struct ct_service){ .name = g_strdup ("desk"),
+                                              .enforces_capacity = true };
   ct_index_queues (catalog);
   bench->catalog = catalog;
   sd_set_catalog (bench->sched, catalog);
@@ -161,6 +170,31 @@
     }
 }
 
+/* Reports the progress of all that runs, by the speeds of the workers.  */
+static void
+report_progress (struct bench *bench)
+{
+  const GPtrArray *workers = sd_workers (bench->sched);
+  guint i;
+  guint k;
+
+  for (i = 0; i < workers->len; i++)
+    {
+      const struct sd_worker *worker = g_ptr_array_index (workers, i);
+
+      for (k = 0; k < worker->tasks->len; k++)
+        {
+          struct jb_task *task = g_ptr_array_index (worker->tasks, k);
+          int64_t percent = (bench->now_ms - task->started_ms)
+                            * (i % 3 == 2 ? 17 : 7) * 10
+                            / task->step->spec->estimate_ms;
+
+          sd_task_progress (bench->sched, task, MIN (percent, 99),
+                            bench->now_ms);
+        }
+    }
+}
+
 /* Holds rounds and prints how long they took.  */
 static void
 measure (struct bench *bench, const char *name, uint32_t rounds)
@@ -173,9 +207,12 @@
   assert (rounds > 0);
   for (i = 0; i < rounds; i++)
     {
-      int64_t before_us = g_get_monotonic_time ();
+      int64_t before_us;
       int64_t took_us;
 
+      if (bench->uneven && i % POLL_ROUNDS == 0)
+        report_progress (bench);
+      before_us = g_get_monotonic_time ();
       starts += hold_round (bench);
       took_us = g_get_monotonic_time () - before_us;
       total_us += took_us;
@@ -185,10 +222,11 @@
       if (i % 4 == 0)
         add_job (bench);
     }
-  printf ("%s workers=%u jobs=%u rounds=%u starts=%u mean_us=%" G_GINT64_FORMAT
-          " longest_us=%" G_GINT64_FORMAT "\n",
-          name, sd_workers (bench->sched)->len, bench->jobs, rounds, starts,
-          total_us / rounds, longest_us);
+  printf ("%s workers=%u known_speeds=%u%s jobs=%u rounds=%u starts=%u "
+          "mean_us=%" G_GINT64_FORMAT " longest_us=%" G_GINT64_FORMAT "\n",
+          name, sd_workers (bench->sched)->len, sd_speeds (bench->sched).known,
+          sd_speeds (bench->sched).uneven ? " (uneven)" : "", bench->jobs,
+          rounds, starts, total_us / rounds, longest_us);
 }
 
 /* Surveys what waits, as the planner does each second, and prints how long
@@ -235,9 +273,10 @@
                               .stop_max_ms = 200,
                               .reserved_tasks_per_100_workers = 50,
                               .starts_per_round = 256 };
-  struct bench bench = { .table = jb_table_create () };
+  struct bench bench = { .table = jb_table_create (), .now_ms = ROUND_MS };
   uint32_t i;
 
+  bench.uneven = argc > 5 && strcmp (argv[5], "uneven") == 0;
   bench.sched = sd_create (&params, bench.table);
   create_catalog (&bench);
   for (i = 0; i < workers; i++)
