Speeds: workers that have failed come after all others

Cause: a speed was chosen before penalties were looked at, so that a fast worker with failures was taken before a slower one without.

--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -13,6 +13,7 @@
 
 enum
 {
+  REMOTE_PENALTY = 4,
   SPEED_LEVEL_MAX = 8,
   SPEED_LEVELS = 2 * SPEED_LEVEL_MAX + 1
 };
@@ -29,6 +30,7 @@
   uint32_t penalty; /* workers with a lower one are chosen first */
   int32_t level;    /* of its speed for the unit, in steps of sp_level () */
   uint32_t order;   /* by speed, after `penalty`; 0: it does not matter */
+  bool doubtful;    /* it has a penalty for more than remote data */
 };
 
 static bool
@@ -168,7 +170,7 @@
   if (unit->prefers_idle && worker->tasks->len > 0)
     penalty += 16;
   if (is_remote (worker, unit->step->spec))
-    penalty += 4;
+    penalty += REMOTE_PENALTY;
   if (would_interfere (worker, unit->step->spec))
     penalty += 2;
   if (worker->failure_streak > 0)
@@ -257,6 +259,9 @@
       candidate.copies = copies_on (worker, unit, &resources);
       candidate.penalty = placement_penalty (worker, unit);
       candidate.level = speed_level (sched, worker, unit);
+      candidate.doubtful
+          = candidate.penalty
+            > (is_remote (worker, unit->step->spec) ? REMOTE_PENALTY : 0);
       if (candidate.copies > 0)
         g_array_append_val (found, candidate);
     }
@@ -466,8 +471,15 @@
 {
   int32_t slowest;
   int32_t fastest;
+  bool doubtful; /* also doubtful candidates */
 };
 
+static bool
+is_usable (const struct candidate *candidate, bool doubtful)
+{
+  return doubtful || !candidate->doubtful;
+}
+
 /* The slowest level at which the unit is done in time; SPEED_LEVEL_MAX + 1:
    there is none, or it is urgent and runs as fast as it can.  What is late at
    any speed leaves the fast workers to others.  */
@@ -499,7 +511,8 @@
       struct candidate candidate
           = g_array_index (candidates, struct candidate, i);
 
-      if (candidate.level < band->slowest || candidate.level > band->fastest)
+      if (candidate.level < band->slowest || candidate.level > band->fastest
+          || !is_usable (&candidate, band->doubtful))
         continue;
       candidate.order = (uint32_t)(candidate.level - band->slowest);
       g_array_append_val (kept, candidate);
@@ -524,25 +537,36 @@
   return NULL;
 }
 
-/* The bands that begin with level SLOWEST, the narrowest first.  */
+/* What a unit may be given in a choice of its speed.  */
+struct speed_choice
+{
+  const GArray *candidates;
+  bool one_rack;                 /* it has to fit into one */
+  bool doubtful;                 /* doubtful candidates may be used */
+  uint64_t copies[SPEED_LEVELS]; /* of the usable candidates */
+};
+
+/* Tries the bands that begin with level SLOWEST, the narrowest first.  */
 static GArray *
 fit_from_level (const struct sd_sched *sched, const struct sd_unit *unit,
-                const GArray *candidates, const uint64_t *copies,
-                int32_t slowest, bool one_rack)
+                const struct speed_choice *choice, int32_t slowest)
 {
-  struct speed_band band = { .slowest = slowest };
+  struct speed_band band
+      = { .slowest = slowest, .doubtful = choice->doubtful };
   uint64_t enough = 0;
   GArray *kept = NULL;
 
-  if (copies[slowest + SPEED_LEVEL_MAX] == 0)
+  if (choice->copies[slowest + SPEED_LEVEL_MAX] == 0)
     return NULL;
   for (band.fastest = slowest; kept == NULL && band.fastest <= SPEED_LEVEL_MAX;
        band.fastest++)
     {
-      enough += copies[band.fastest + SPEED_LEVEL_MAX];
-      if (copies[band.fastest + SPEED_LEVEL_MAX] > 0
-          && enough >= unit->waiting_count)
-        kept = fit_into_band (sched, unit, candidates, &band, one_rack);
+      uint64_t more = choice->copies[band.fastest + SPEED_LEVEL_MAX];
+
+      enough += more;
+      if (more > 0 && enough >= unit->waiting_count)
+        kept = fit_into_band (sched, unit, choice->candidates, &band,
+                              choice->one_rack);
     }
   return kept;
 }
@@ -552,26 +576,26 @@
              it does not fit at any speed.  */
 static GArray *
 fit_at_speed (const struct sd_sched *sched, const struct sd_unit *unit,
-              const GArray *candidates, bool one_rack, int64_t now_ms)
+              struct speed_choice choice, int64_t now_ms)
 {
-  uint64_t copies[SPEED_LEVELS] = { 0 };
   int32_t in_time = slowest_in_time (sched, unit, now_ms);
   GArray *kept = NULL;
   int32_t level;
   guint i;
 
-  for (i = 0; i < candidates->len; i++)
+  for (i = 0; i < choice.candidates->len; i++)
     {
       const struct candidate *candidate
-          = &g_array_index (candidates, struct candidate, i);
+          = &g_array_index (choice.candidates, struct candidate, i);
 
-      copies[candidate->level + SPEED_LEVEL_MAX] += candidate->copies;
+      if (is_usable (candidate, choice.doubtful))
+        choice.copies[candidate->level + SPEED_LEVEL_MAX] += candidate->copies;
     }
   for (level = in_time; kept == NULL && level <= SPEED_LEVEL_MAX; level++)
-    kept = fit_from_level (sched, unit, candidates, copies, level, one_rack);
+    kept = fit_from_level (sched, unit, &choice, level);
   for (level = MIN (in_time, SPEED_LEVEL_MAX + 1) - 1;
        kept == NULL && level >= -SPEED_LEVEL_MAX; level--)
-    kept = fit_from_level (sched, unit, candidates, copies, level, one_rack);
+    kept = fit_from_level (sched, unit, &choice, level);
   return kept;
 }
 
@@ -604,13 +628,19 @@
 choose_speed (const struct sd_sched *sched, const struct sd_unit *unit,
               GArray *candidates, bool one_rack, int64_t now_ms)
 {
+  struct speed_choice choice
+      = { .candidates = candidates, .one_rack = one_rack };
   GArray *kept;
 
   if (!sd_speeds (sched).uneven || unit->step->spec->long_lived)
     return candidates;
-  kept = fit_at_speed (sched, unit, candidates, one_rack, now_ms);
+  kept = fit_at_speed (sched, unit, choice, now_ms);
+  choice.doubtful = true;
+  if (kept == NULL)
+    kept = fit_at_speed (sched, unit, choice, now_ms);
+  choice.one_rack = false;
   if (kept == NULL && one_rack && !sd_could_ever_fit (sched, unit, true))
-    kept = fit_at_speed (sched, unit, candidates, false, now_ms);
+    kept = fit_at_speed (sched, unit, choice, now_ms);
   if (kept == NULL)
     {
       order_by_speed (sched, unit, candidates, now_ms);
--- a/lib/sched/speed.c
+++ b/lib/sched/speed.c
@@ -7,6 +7,7 @@
 enum
 {
   LEARN_INTERVAL_MS = 100,
+  PENDING_MAX = 50000,  /* observations, while no round is held */
   WORK_KEPT_MS = 30000, /* after its last observation */
   KNOWN_MIN = 6,        /* known workers, to call a fleet uneven */
   SLOWER_PERCENT = 15,  /* the quantiles that are compared for the spread */
@@ -103,8 +104,8 @@
 void
 sp_observe (struct sp_table *table, const struct sp_observation *observation)
 {
-  if (observation->percents > 0 && observation->over_ms > 0
-      && observation->expected_ms > 0)
+  if (table->pending->len < PENDING_MAX && observation->percents > 0
+      && observation->over_ms > 0 && observation->expected_ms > 0)
     g_array_append_val (table->pending, *observation);
 }
 
--- a/tests/unit/test_hostd_speed.c
+++ b/tests/unit/test_hostd_speed.c
@@ -428,6 +428,26 @@
   tear_down (&setup);
 }
 
+/* A worker that has failed is not used for its speed.  */
+static void
+test_doubtful_workers_come_last (void)
+{
+  const struct fixture_step gang
+      = { .count = 4, .accelerators = 8, .gang = true };
+  struct setup setup;
+  uint32_t i;
+
+  set_up (&setup, three_speeds, 30);
+  teach (&setup, 30);
+  for (i = 2; i < 30; i += 3)
+    ((struct sd_worker *)g_ptr_array_index (sd_workers (setup.sched), i))
+        ->failure_streak
+        = 1;
+  CU_ASSERT_EQUAL (count_fast (&setup, place_job (&setup, "urgent", &gang)),
+                   0);
+  tear_down (&setup);
+}
+
 /* A worker that has just joined counts as neither slow nor fast.  */
 static void
 test_unknown_workers (void)
@@ -609,6 +629,7 @@
     { "a gang of one rack", test_a_gang_of_one_rack },
     { "slow workers are used when others are full",
       test_slow_workers_are_used_when_others_are_full },
+    { "doubtful workers come last", test_doubtful_workers_come_last },
     { "unknown workers", test_unknown_workers },
     { "a takeover", test_a_takeover },
     { "a record for the next planner", test_a_record_for_the_next_planner },
