--- a/lib/http/http_budget.c
+++ b/lib/http/http_budget.c
@@ -7,6 +7,8 @@
   /* The budget is short when more than this is held.  */
   SHORT_PERCENT = 75,
   TRIM_PERCENT = 25,
+  ADJUST_PERCENT = 25,
+  LEAST_DIVISOR = 8,
   /* libmicrohttpd accepts ten connections in a row.  */
   SPARE_MIN = 16,
   SPARE_MAX = 64,
@@ -16,10 +18,36 @@
 void
 hb_init (struct hb_budget *budget, uint64_t limit_bytes)
 {
-  *budget = (struct hb_budget){ .limit_bytes = limit_bytes };
+  *budget = (struct hb_budget){ .limit_bytes = limit_bytes,
+                                .most_bytes = limit_bytes };
   g_queue_init (&budget->holders);
 }
 
+void
+hb_set_ceiling (struct hb_budget *budget, uint64_t ceiling_bytes)
+{
+  budget->ceiling_bytes = ceiling_bytes;
+}
+
+bool
+hb_needs_adjustment (const struct hb_budget *budget)
+{
+  return budget->ceiling_bytes > 0
+         && budget->held_bytes > budget->most_bytes / 100 * ADJUST_PERCENT;
+}
+
+void
+hb_adjust (struct hb_budget *budget, uint64_t allocated_bytes)
+{
+  uint64_t rest_bytes
+      = allocated_bytes - MIN (budget->held_bytes, allocated_bytes);
+  uint64_t left_bytes
+      = budget->ceiling_bytes - MIN (rest_bytes, budget->ceiling_bytes);
+
+  budget->limit_bytes = CLAMP (left_bytes, budget->most_bytes / LEAST_DIVISOR,
+                               budget->most_bytes);
+}
+
 void
 hb_add (struct hb_budget *budget, struct hb_holder *holder)
 {
--- a/lib/http/http_budget.h
+++ b/lib/http/http_budget.h
@@ -36,7 +36,9 @@
 
 struct hb_budget
 {
-  uint64_t limit_bytes;
+  uint64_t limit_bytes;   /* in force */
+  uint64_t most_bytes;    /* the limit while the process needs little itself */
+  uint64_t ceiling_bytes; /* for all that the process allocates; 0: none */
   uint64_t held_bytes;
   uint64_t untrimmed_bytes; /* most held since the last hb_trim_is_due () */
   GQueue holders;
@@ -46,6 +48,21 @@
  *  An empty budget; it owns nothing. */
 void hb_init (struct hb_budget *budget, uint64_t limit_bytes);
 
+/*! hb_set_ceiling () :
+ *  From now on hb_adjust () lowers the limit. */
+void hb_set_ceiling (struct hb_budget *budget, uint64_t ceiling_bytes);
+
+/*! hb_needs_adjustment () :
+ *  @return : whether so much is held that hb_adjust () should be called now
+ * and then. */
+bool hb_needs_adjustment (const struct hb_budget *budget);
+
+/*! hb_adjust () :
+ *  Sets the limit to what the rest of the process leaves below the ceiling,
+ *  but never below an eighth of what it was at first.
+ *  @allocated_bytes : of the process, with what callers hold. */
+void hb_adjust (struct hb_budget *budget, uint64_t allocated_bytes);
+
 /*! hb_add (), hb_remove () :
  *  A holder is added with nothing held, its other members set, and is removed
  *  before it is freed.  hb_remove () gives back what it holds. */
--- a/lib/http/http_server.c
+++ b/lib/http/http_server.c
@@ -194,24 +194,28 @@
   report_shed (connection->server, why);
 }
 
-/* Counts bytes, and closes connections, maybe this one, until what all callers
-   hold is within the budget or all are in work.  */
+/* Closes connections until what all callers hold is within the budget or all
+   are in work.  */
 static void
-hold_bytes (struct connection *connection, uint64_t bytes)
+keep_budget (struct hs_server *server)
 {
-  struct hb_budget *budget;
+  struct hb_budget *budget = server->params.budget;
   struct hb_holder *worst;
 
+  while (hb_is_over (budget)
+         && (worst = hb_choose (budget, NULL, loop_now_ms (server))) != NULL)
+    shed_connection (worst->owner, HS_SHED_MEMORY);
+}
+
+/* Counts bytes, for which connections, maybe this one, may be closed.  */
+static void
+hold_bytes (struct connection *connection, uint64_t bytes)
+{
   if (connection == NULL || connection->shed
       || connection->server->params.budget == NULL)
     return;
-  budget = connection->server->params.budget;
-  hb_take (budget, &connection->holder, bytes);
-  while (
-      hb_is_over (budget)
-      && (worst = hb_choose (budget, NULL, loop_now_ms (connection->server)))
-             != NULL)
-    shed_connection (worst->owner, HS_SHED_MEMORY);
+  hb_take (connection->server->params.budget, &connection->holder, bytes);
+  keep_budget (connection->server);
 }
 
 static void
@@ -276,6 +280,24 @@
   run_daemon (server);
 }
 
+/* Leaves the memory to the rest of the process that it needs, and returns what
+   has been freed to the system.  */
+static void
+check_process (struct hs_server *server)
+{
+  struct hb_budget *budget = server->params.budget;
+  struct mallinfo2 info;
+
+  if (hb_needs_adjustment (budget))
+    {
+      info = mallinfo2 ();
+      hb_adjust (budget, info.uordblks + info.hblkhd);
+      keep_budget (server);
+    }
+  if (hb_trim_is_due (budget))
+    malloc_trim (0);
+}
+
 /* Closes connections that have not sent a complete request in time.  If there
    are bytes that have not been read, it may be this process that was late, so
    the deadline is moved once.  */
@@ -308,8 +330,8 @@
       shutdown (connection->fd, SHUT_RDWR);
     }
   accept_again (server);
-  if (server->params.budget != NULL && hb_trim_is_due (server->params.budget))
-    malloc_trim (0);
+  if (server->params.budget != NULL)
+    check_process (server);
 }
 
 /* Called once the first line of a request has been received.  */
--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -21,6 +21,9 @@
      revoked key must be refused.  */
   CATALOG_AGE_MAX_PERCENT = 60,
   SHED_LOG_INTERVAL_MS = 1000,
+  /* Of the host's memory, for all that is allocated; the rest is for the
+     program and for free pieces of the heap.  */
+  ALLOCATED_MAX_PERCENT = 70,
   RETRY_AFTER_S = 1
 };
 
@@ -324,6 +327,8 @@
   front->reports_ready = true;
   front->min_catalog_version = -1;
   hb_init (&front->budget, (uint64_t)settings->caller_memory_mb * MIB);
+  hb_set_ceiling (&front->budget, (uint64_t)settings->memory_mb * MIB / 100
+                                      * ALLOCATED_MAX_PERCENT);
   fr_early_requests_init (front);
   front->relay = rl_create (&relay);
   front->readiness
--- a/tests/unit/test_http_budget.c
+++ b/tests/unit/test_http_budget.c
@@ -88,6 +88,29 @@
   CU_ASSERT_FALSE (hb_trim_is_due (&budget));
 }
 
+static void
+test_leaves_memory_to_the_process (void)
+{
+  struct hb_budget budget;
+  struct hb_holder holder = { 0 };
+
+  hb_init (&budget, LIMIT_BYTES);
+  hb_add (&budget, &holder);
+  hb_take (&budget, &holder, LIMIT_BYTES / 2);
+  CU_ASSERT_FALSE (hb_needs_adjustment (&budget));
+  hb_set_ceiling (&budget, UINT64_C (2) * LIMIT_BYTES);
+  CU_ASSERT_TRUE (hb_needs_adjustment (&budget));
+  hb_adjust (&budget, LIMIT_BYTES);
+  CU_ASSERT_EQUAL (budget.limit_bytes, LIMIT_BYTES);
+  hb_adjust (&budget, UINT64_C (2) * LIMIT_BYTES);
+  CU_ASSERT_EQUAL (budget.limit_bytes, LIMIT_BYTES / 2);
+  hb_adjust (&budget, UINT64_C (9) * LIMIT_BYTES);
+  CU_ASSERT_EQUAL (budget.limit_bytes, LIMIT_BYTES / 8);
+  CU_ASSERT_TRUE (hb_is_over (&budget));
+  hb_adjust (&budget, LIMIT_BYTES);
+  CU_ASSERT_EQUAL (budget.limit_bytes, LIMIT_BYTES);
+}
+
 static void
 test_spare_connections (void)
 {
@@ -109,6 +132,7 @@
   CU_ADD_TEST (suite, test_closes_the_largest_and_slowest);
   CU_ADD_TEST (suite, test_refuses_only_long_bodies_early);
   CU_ADD_TEST (suite, test_trims_once_much_is_freed);
+  CU_ADD_TEST (suite, test_leaves_memory_to_the_process);
   CU_ADD_TEST (suite, test_spare_connections);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
