Callers: spare connections are part of the limit; a full door opens at once

Connections that are accepted so that others can be closed for them came on top of connection_limit; with the 675 connections to workers that a host of 3,075 descriptors keeps, that left no descriptor of the 2,875 for sockets. They are now the last eighth of the limit, at most 64.

--- a/lib/http/http_budget.c
+++ b/lib/http/http_budget.c
@@ -9,8 +9,6 @@
   TRIM_PERCENT = 25,
   ADJUST_PERCENT = 25,
   LEAST_DIVISOR = 8,
-  /* libmicrohttpd accepts ten connections in a row.  */
-  SPARE_MIN = 16,
   SPARE_MAX = 64,
   SPARE_DIVISOR = 8
 };
@@ -121,7 +119,7 @@
 uint32_t
 hb_spare_connections (uint32_t connection_limit)
 {
-  return CLAMP (connection_limit / SPARE_DIVISOR, SPARE_MIN, SPARE_MAX);
+  return MIN (connection_limit / SPARE_DIVISOR, SPARE_MAX);
 }
 
 bool
--- a/lib/http/http_budget.h
+++ b/lib/http/http_budget.h
@@ -97,8 +97,8 @@
                              int64_t now_ms);
 
 /*! hb_spare_connections () :
- *  @return : connections above the limit that are accepted so that others can
- *            be closed for them. */
+ *  @return : connections of the limit that are only accepted so that others
+ * can be closed for them. */
 uint32_t hb_spare_connections (uint32_t connection_limit);
 
 /*! hb_trim_is_due () :
--- a/lib/http/http_server.c
+++ b/lib/http/http_server.c
@@ -91,12 +91,14 @@
   uint32_t open_requests;
   bool stopping;
   bool freeing; /* requests that arrive now are dropped */
-  bool resumed; /* MHD_run () is needed to process resumed connections */
+  bool resumed; /* MHD_run () is needed without an event */
   bool full;    /* libmicrohttpd has stopped accepting */
 };
 
 /* --- Running libmicrohttpd from the event loop --- */
 
+/* Once it has been full, libmicrohttpd accepts again only when it runs the
+   next time, and has no event for that.  */
 static void
 run_daemon (struct hs_server *server)
 {
@@ -105,6 +107,12 @@
   server->resumed = false;
   MHD_run (server->mhd);
   ll_leave (outer);
+  if (server->full
+      && server->connections.length < server->params.connection_limit)
+    {
+      server->full = false;
+      server->resumed = true;
+    }
 }
 
 static void
@@ -232,23 +240,16 @@
 {
   struct hb_holder *worst;
 
+  uint32_t limit = server->params.connection_limit;
+
   if (server->params.budget == NULL
-      || server->connections.length <= server->params.connection_limit)
+      || server->connections.length <= limit - hb_spare_connections (limit))
     return;
   worst = hb_choose (server->params.budget, server, loop_now_ms (server));
   if (worst != NULL)
     shed_connection (worst->owner, HS_SHED_CONNECTIONS);
 }
 
-static uint32_t
-accepted_limit (const struct hs_params *params)
-{
-  return params->connection_limit
-         + (params->budget == NULL
-                ? 0
-                : hb_spare_connections (params->connection_limit));
-}
-
 /* --- Connections --- */
 
 static bool
@@ -269,17 +270,6 @@
   connection->deadline_s = ev_now (server->params.loop) + timeout_ms / 1000.0;
 }
 
-/* Without an event, libmicrohttpd does not find that it may accept again.  */
-static void
-accept_again (struct hs_server *server)
-{
-  if (!server->full)
-    return;
-  server->full
-      = server->connections.length >= accepted_limit (&server->params);
-  run_daemon (server);
-}
-
 /* Leaves the memory to the rest of the process that it needs, and returns what
    has been freed to the system.  */
 static void
@@ -329,7 +319,6 @@
       connection->receiving = false;
       shutdown (connection->fd, SHUT_RDWR);
     }
-  accept_again (server);
   if (server->params.budget != NULL)
     check_process (server);
 }
@@ -385,7 +374,7 @@
                           server->params.receive_timeout_ms);
   set_in_work (connection, false);
   *socket_ctx = connection;
-  if (server->connections.length >= accepted_limit (&server->params))
+  if (server->connections.length >= server->params.connection_limit)
     server->full = true;
   if (server->params.budget == NULL)
     return;
@@ -810,7 +799,7 @@
   server->mhd = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_mhd_request,
       server, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
-      accepted_limit (params), MHD_OPTION_NOTIFY_COMPLETED,
+      params->connection_limit, MHD_OPTION_NOTIFY_COMPLETED,
       on_mhd_request_completed, server, MHD_OPTION_NOTIFY_CONNECTION,
       on_mhd_connection, server, MHD_OPTION_URI_LOG_CALLBACK, on_request_line,
       server, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
--- a/lib/http/http_server.h
+++ b/lib/http/http_server.h
@@ -8,8 +8,8 @@
    been read.  When it is over its limit, connections are closed as hb_choose
    () says; such a request has not been passed to the handler, or its answer
    was not read.  A longer body may be answered with 503 and Retry-After before
-   it is received.  When more connections than connection_limit are open, some
-   are closed in the same way.  Prefix: hs_.  */
+   it is received.  When only the spare ones of connection_limit
+   are left, connections are closed in the same way.  Prefix: hs_.  */
 
 #ifndef FT_HTTP_SERVER_H
 #define FT_HTTP_SERVER_H
@@ -51,7 +51,7 @@
 enum hs_shed
 {
   HS_SHED_MEMORY,      /* closed: the budget was over its limit */
-  HS_SHED_CONNECTIONS, /* closed: more than connection_limit were open */
+  HS_SHED_CONNECTIONS, /* closed: nearly connection_limit were open */
   HS_SHED_EARLY,       /* answered with 503 before its body */
   HS_SHED_ENDLESS,     /* closed: it sent far more than body_limit_bytes */
   HS_SHED_UNREAD,      /* closed: it did not read its answer */
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -688,6 +688,25 @@
   CU_ASSERT_EQUAL (f.budget.held_bytes, 0);
 }
 
+/* The server admits 10 connections; without a budget it closes none for
+   others.  */
+static void
+test_door_that_was_full_opens_again (void)
+{
+  struct fixture f;
+  int fds[12];
+  size_t i;
+
+  setup (&f);
+  for (i = 0; i < sizeof fds / sizeof fds[0]; i++)
+    fds[i] = send_body (&f, "/echo", 3, 3);
+  for (i = 0; i < sizeof fds / sizeof fds[0]; i++)
+    close (fds[i]);
+  call_and_wait (&f, "/echo", "abc", hs_port (f.server));
+  CU_ASSERT_EQUAL (f.status, 200);
+  teardown (&f);
+}
+
 /* --- A server whose open connections go silent --- */
 
 enum
@@ -914,6 +933,8 @@
                test_body_that_is_not_needed_is_not_kept);
   CU_add_test (suite, "idle connections make room",
                test_idle_connections_make_room);
+  CU_add_test (suite, "door that was full opens again",
+               test_door_that_was_full_opens_again);
   CU_add_test (suite, "one call finds that idle connections are silent",
                test_one_call_finds_that_idle_connections_are_silent);
   CU_add_test (suite, "connections that answer are kept",
