Tasks that slow each other down on one worker are noticed, and kept apart

Tasks on one worker share more than its resources show. So far only the two kinds best effort and serving were kept apart, by a fixed penalty; that others disturb each other nobody noticed.

lib/sched/interfere.c learns by how much a kind (an image, else a queue) slows another: a task is compared with itself before and after its neighbours change, and with a task of the same step on another worker, by a filter that holds an estimate and a variance for each pair and lets both fade. lib/sched/neighbours.c feeds it after each poll and turns what is known into a penalty from 0 to 3 among candidates, below that of remote workers: no worker is excluded, no gang is split, nothing is moved.

With nothing learned the penalty is 0 and decisions are as before (test_hostd_interfere: the same starts with and without looks for 90 s).

--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -67,7 +67,7 @@
   char *data_rack;     /* rack that holds its data; NULL: none */
   uint32_t tasks_per_worker_limit; /* tasks of the step on one worker; 0: no
                                       limit */
-  char *image;             /* its name; NULL: not given; no code uses it */
+  char *image;                     /* its name; NULL: not given */
   uint32_t tail_target_ms; /* target for the tail of its response times; 0: the
                               task does not serve requests */
   bool best_effort; /* best effort: uses the processors that other tasks leave
@@ -221,6 +221,7 @@
   /* Percent of its work that any run of the step has done in a second, by its
      progress whenever that was reported, at most; 0: none yet.  */
   double fastest_rate;
+  uint64_t kind; /* as lib/sched/interfere.h has it; 0: not needed yet */
   /* Steady clock: since when it has been ready with all its tasks waiting; 0:
      it is not.  */
   int64_t waiting_since_ms;
--- a/lib/sched/accounting.c
+++ b/lib/sched/accounting.c
@@ -185,6 +185,7 @@
                                &task->step->spec->resources);
     }
   g_ptr_array_remove (sched->pending_stops, task);
+  itf_forget (sched->interference, GPOINTER_TO_SIZE (task));
   jb_task_reset (task);
   sd_mark_changed (sched, task->job);
 }
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -11,8 +11,9 @@
 struct candidate
 {
   struct sd_worker *worker;
-  uint32_t copies;  /* tasks of the unit that fit there */
-  uint32_t penalty; /* workers with a lower one are chosen first */
+  uint32_t copies;            /* tasks of the unit that fit there */
+  uint32_t penalty;           /* workers with a lower one are chosen first */
+  uint32_t neighbour_penalty; /* of sd_neighbour_penalty () */
 };
 
 static bool
@@ -142,10 +143,12 @@
 
 /* Workers with other runs come last for a step that may crash them; then
    remote workers; then those where best-effort and serving tasks would share
-   the worker, or with recent failures.  A step that has failed before prefers
+   the worker, or tasks that are known to slow each other down, or with recent
+   failures.  A step that has failed before prefers
    workers that have finished a run.  */
 static uint32_t
-placement_penalty (const struct sd_worker *worker, const struct sd_unit *unit)
+placement_penalty (const struct sd_worker *worker, const struct sd_unit *unit,
+                   uint32_t neighbour_penalty)
 {
   uint32_t penalty = 0;
 
@@ -154,7 +157,8 @@
   if (is_remote (worker, unit->step->spec))
     penalty += 4;
   if (would_interfere (worker, unit->step->spec))
-    penalty += 2;
+    neighbour_penalty = MAX (neighbour_penalty, 2);
+  penalty += neighbour_penalty;
   if (worker->failure_streak > 0)
     penalty += 2;
   if (unit->step->tasks[0].failures > 0 && worker->last_done_ms == 0)
@@ -215,7 +219,10 @@
       if (!use_reserved)
         sd_resources_subtract (&resources, &worker->round_reserved_resources);
       candidate.copies = copies_on (worker, unit, &resources);
-      candidate.penalty = placement_penalty (worker, unit);
+      candidate.neighbour_penalty
+          = sd_neighbour_penalty (sched, worker, unit->step);
+      candidate.penalty
+          = placement_penalty (worker, unit, candidate.neighbour_penalty);
       if (candidate.copies > 0)
         g_array_append_val (found, candidate);
     }
@@ -381,6 +388,24 @@
 
 /* --- Choice --- */
 
+/* Whether a candidate with room has neighbours that the unit is kept from.  */
+static bool
+leaves_neighbours (const GArray *candidates, uint32_t rack)
+{
+  guint i;
+
+  for (i = 0; i < candidates->len; i++)
+    {
+      const struct candidate *candidate
+          = &g_array_index (candidates, struct candidate, i);
+
+      if (candidate->neighbour_penalty > 0 && candidate->copies > 0
+          && (rack == 0 || candidate->worker->rack_index == rack))
+        return true;
+    }
+  return false;
+}
+
 /* Gives waiting tasks of the unit to the candidates in their order; RACK 0:
    to candidates of any rack.  */
 static void
@@ -388,6 +413,7 @@
               struct sd_placement *placement)
 {
   uint32_t next = 0;
+  uint32_t apart = 0;
   guint i;
 
   for (i = 0; i < candidates->len; i++)
@@ -404,10 +430,12 @@
           if (task->state != JB_TASK_WAITING || sd_crash_must_wait (task))
             continue;
           candidate->copies--;
+          apart += candidate->neighbour_penalty == 0;
           g_ptr_array_add (placement->tasks, task);
           g_ptr_array_add (placement->workers, candidate->worker);
         }
     }
+  placement->kept_apart = leaves_neighbours (candidates, rack) ? apart : 0;
 }
 
 /* What a choice may use.  */
@@ -431,6 +459,7 @@
   allowed.takes_avoided = freedom->avoided;
   g_ptr_array_set_size (placement->tasks, 0);
   g_ptr_array_set_size (placement->workers, 0);
+  placement->kept_apart = 0;
   candidates = collect_candidates (sched, &allowed, freedom->reserved, now_ms);
   if (spec->gang)
     {
--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -89,6 +89,8 @@
   GArray *unplaceable_units;  /* struct sd_unit: did not fit in this round; may
                                  fit in a later one */
   struct es_table *estimates; /* run times learned for each queue */
+  struct itf_table *interference; /* owned */
+  uint64_t kept_apart;            /* sum of sd_placement.kept_apart */
   uint32_t reserved_task_count; /* in a round: gang tasks with a reservation */
   uint32_t reservation_searches; /* in a round: for new reservations */
   uint32_t preemption_searches;  /* in a round: for new plans */
@@ -249,6 +251,21 @@
  *  @return : whether there are enough workers that are not suspect. */
 bool sd_health_suspects_are_few (const struct sd_sched *sched, int64_t now_ms);
 
+/* --- neighbours.c: tasks that slow each other down --- */
+
+/*! sd_neighbours_task_done () :
+ *  A run of TASK has been done on WORKER. */
+void sd_neighbours_task_done (struct sd_sched *sched,
+                              const struct sd_worker *worker,
+                              const struct jb_task *task, int64_t now_ms);
+
+/*! sd_neighbour_penalty () :
+ *  @return : how much a task of STEP and those on WORKER would lose by each
+ *            other there, from 0 to 3; 0 if nothing is known. */
+uint32_t sd_neighbour_penalty (const struct sd_sched *sched,
+                               const struct sd_worker *worker,
+                               struct jb_step *step);
+
 /* --- crash.c: tasks that crash their workers --- */
 
 /*! sd_crash_is_suspect () :
@@ -393,6 +410,9 @@
 {
   GPtrArray *tasks;   /* struct jb_task */
   GPtrArray *workers; /* struct sd_worker */
+  /* Tasks kept from workers with room where they and others would slow each
+     other down.  */
+  uint32_t kept_apart;
 };
 
 /*! sd_worker_is_eligible () :
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -19,6 +19,7 @@
       sd_resources_subtract (&worker->round_free_resources,
                              &worker->unassigned_resources);
     }
+  itf_update (sched->interference, now_ms);
   sd_service_uses_begin_round (sched);
   sd_standing_begin_round (sched, placing, now_ms);
   sd_preemptions_begin_round (sched, now_ms);
@@ -56,6 +57,7 @@
   uint32_t gang_run = spec->gang ? next_gang_run (unit->step) : 0;
   guint i;
 
+  sched->kept_apart += placement->kept_apart;
   for (i = 0; i < placement->tasks->len; i++)
     {
       struct jb_task *task = g_ptr_array_index (placement->tasks, i);
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -36,6 +36,7 @@
   sched->service_uses
       = g_array_new (FALSE, TRUE, sizeof (struct sd_service_use));
   sched->estimates = es_create ();
+  sched->interference = itf_create ();
   sched->reservations
       = g_hash_table_new_full (NULL, NULL, NULL, sd_reservation_free);
   sched->advice = g_hash_table_new_full (NULL, NULL, NULL, sd_advice_free);
@@ -62,6 +63,7 @@
   g_hash_table_destroy (sched->reservations);
   g_hash_table_destroy (sched->advice);
   es_free (sched->estimates);
+  itf_free (sched->interference);
   g_free (sched);
 }
 
@@ -299,6 +301,7 @@
       worker->pace_level = 0;
       worker->pace_changed_ms = now_ms;
     }
+  itf_forget_tasks (sched->interference);
   g_ptr_array_set_size (sched->active_jobs, 0);
   g_ptr_array_set_size (sched->changed_jobs, 0);
   g_ptr_array_set_size (sched->pending_stops, 0);
@@ -583,6 +586,8 @@
   assert (task->state == JB_TASK_PLACED || task->state == JB_TASK_STOPPING);
   if (outcome == SD_OUTCOME_DONE)
     learn_run_time (sched, task, now_ms);
+  if (outcome == SD_OUTCOME_DONE && worker != NULL)
+    sd_neighbours_task_done (sched, worker, task, now_ms);
   sd_task_running (sched, task, now_ms); /* its start may be unreported */
   sd_task_checkpointed (task, checkpoint);
   sd_release_task (sched, task);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -10,6 +10,7 @@
 
 #include "jobs/catalog.h"
 #include "jobs/model.h"
+#include "sched/interfere.h"
 #include "worker/advice_port.h"
 
 struct sd_sched;
@@ -333,6 +334,30 @@
  *  The worker of TASK has carried out the pace command. */
 void sd_task_paced (struct jb_task *task, uint32_t percent);
 
+/* --- Neighbours --- */
+
+/*! sd_worker_polled () :
+ *  After a status poll of WORKER, whose runs and loads have been entered:
+ *  learns how much tasks slow each other down there. */
+void sd_worker_polled (struct sd_sched *sched, const struct sd_worker *worker,
+                       int64_t now_ms);
+
+/* Tasks that slow each other down on one worker.  */
+struct sd_neighbours
+{
+  uint32_t known_pairs; /* of kinds of tasks */
+  uint64_t kept_apart;  /* tasks placed so far that were kept from a worker
+                           with room for them by their neighbours there */
+};
+
+struct sd_neighbours sd_neighbours (const struct sd_sched *sched);
+
+/*! sd_take_neighbour_change () :
+ *  @return : whether a pair has become known, or is not known any more; as
+ *            itf_take_change (). */
+bool sd_take_neighbour_change (struct sd_sched *sched,
+                               struct itf_change *change);
+
 /* --- Decisions --- */
 
 /* A query to the placement advisor: which of WORKERS may run STEP.  */
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -2,6 +2,7 @@
 
 #include "planner.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "common/clock.h"
@@ -292,6 +293,26 @@
            lg_number (room.waiting_late), NULL);
 }
 
+static void
+log_neighbours (struct planner *planner)
+{
+  struct sd_neighbours neighbours = sd_neighbours (planner->sched);
+  struct itf_change change;
+
+  mt_set (planner->params.metrics, "foxtailgap_neighbour_pairs_known",
+          neighbours.known_pairs);
+  mt_set (planner->params.metrics, "foxtailgap_tasks_kept_apart_total",
+          (int64_t)neighbours.kept_apart);
+  while (sd_take_neighbour_change (planner->sched, &change))
+    lg_info (PART,
+             change.known ? "Tasks slow others down on one worker."
+                          : "Tasks no longer slow others down on one worker.",
+             "slower", change.subject, "beside", change.neighbour,
+             "slowdown_percent",
+             lg_number ((long long)(expm1 (change.slowdown_ln) * 100)),
+             "workers", lg_number (change.workers), NULL);
+}
+
 static void
 log_load (struct planner *planner, int64_t now_ms)
 {
@@ -313,6 +334,7 @@
            "link_level_bytes", lg_number (link.level_bytes), NULL);
   log_load_parts (&sample);
   log_room (planner, now_ms);
+  log_neighbours (planner);
   planner->load_logged_ms = now_ms;
   planner->rounds_us = 0;
   planner->rounds = 0;
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -413,6 +413,7 @@
     sd_worker_set_reachability (worker, SD_WORKER_UNSEEN);
   wk_update_clock (io, answer, now_ms);
   wk_update_pace (workers, worker);
+  sd_worker_polled (workers->params.sched, worker, now_ms);
   /* The number must follow the answer closely.  If the worker waited for its
      turn among others, it might never be sent.  */
   if (io->outcome_stored > io->outcome_acked && worker->tasks->len > 0
