--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -301,7 +301,7 @@
 
   mt_set (planner->params.metrics, "foxtailgap_neighbour_pairs_known",
           neighbours.known_pairs);
-  mt_set (planner->params.metrics, "foxtailgap_tasks_kept_apart_total",
+  mt_set (planner->params.metrics, "foxtailgap_tasks_kept_apart",
           (int64_t)neighbours.kept_apart);
   while (sd_take_neighbour_change (planner->sched, &change))
     lg_info (PART,
