Learned neighbours: known pairs by hash, stale workers forgotten

The lookup of a pair was a search through up to 256 known ones for each task beside each candidate; it is now a hash, and nothing is looked at for a kind that is in no known pair. Workers and changes that had shown a pair a minute ago and longer no longer count for it. Names are noted for members of gangs too.

--- a/lib/sched/interfere.c
+++ b/lib/sched/interfere.c
@@ -36,8 +36,10 @@
   WORKERS_MIN = 3, /* that have to show a pair, or else this many changes of
                       the neighbours of one task: */
   TURNS_MIN = 4,
-  WORKS = 256, /* of which a last sample is kept */
-  NAMES = 512, /* of kinds */
+  LATELY_MS = 30000, /* they count for this time, and up to twice as long */
+  WORKS = 256,       /* of which a last sample is kept */
+  NAMES = 512,       /* of kinds */
+  KNOWN_SLOTS = 1024,
   UPDATE_INTERVAL_MS = 250
 };
 
@@ -104,8 +106,11 @@
 {
   struct pair pairs[ITF_PAIRS_MAX];
   uint32_t pair_count;
-  const struct pair *known[ITF_PAIRS_MAX];
+  /* The known pairs, by a hash of both kinds; the first free slot after it
+     ends a search.  */
+  const struct pair *known[KNOWN_SLOTS];
   uint32_t known_count;
+  uint64_t known_kinds; /* a bit for each kind in them, by its hash */
   int64_t updated_ms;
   uint64_t comparisons; /* so far */
   struct kind_name names[NAMES];
@@ -191,6 +196,7 @@
 fade (struct pair *pair, int64_t now_ms)
 {
   double keep = exp (-(double)(now_ms - pair->faded_ms) / FADE_MS);
+  bool recent;
 
   if (now_ms <= pair->faded_ms)
     return;
@@ -198,10 +204,11 @@
   pair->slowdown_ln *= keep;
   pair->variance
       = pair->variance * keep * keep + PRIOR_VARIANCE * (1.0 - keep * keep);
-  if ((double)(now_ms - pair->lately_since_ms) < FADE_MS)
+  if (now_ms - pair->lately_since_ms < LATELY_MS)
     return;
-  pair->earlier_workers = pair->workers;
-  pair->earlier_turns = pair->turns;
+  recent = now_ms - pair->lately_since_ms < 2 * (int64_t)LATELY_MS;
+  pair->earlier_workers = recent ? pair->workers : 0;
+  pair->earlier_turns = recent ? pair->turns : 0;
   pair->workers = 0;
   pair->turns = 0;
   pair->lately_since_ms = now_ms;
@@ -265,6 +272,16 @@
   return least;
 }
 
+/* Until the next update.  */
+static void
+forget_known (struct itf_table *table)
+{
+  memset (table->known, 0, sizeof table->known);
+  table->known_count = 0;
+  table->known_kinds = 0;
+  table->updated_ms = 0;
+}
+
 static struct pair *
 find_or_add_pair (struct itf_table *table, uint64_t subject,
                   uint64_t neighbour, int64_t now_ms)
@@ -289,8 +306,7 @@
     {
       pair->known = false;
       add_change (table, pair);
-      table->updated_ms = 0;
-      table->known_count = 0;
+      forget_known (table);
     }
   *pair = (struct pair){ .subject = subject,
                          .neighbour = neighbour,
@@ -301,6 +317,30 @@
   return pair;
 }
 
+static uint64_t
+kind_bit (uint64_t kind)
+{
+  return UINT64_C (1) << (spread (kind) >> 58);
+}
+
+static uint32_t
+first_slot (uint64_t subject, uint64_t neighbour)
+{
+  return spread (subject ^ spread (neighbour)) >> 54;
+}
+
+static void
+add_known (struct itf_table *table, const struct pair *pair)
+{
+  uint32_t slot = first_slot (pair->subject, pair->neighbour);
+
+  while (table->known[slot] != NULL)
+    slot = (slot + 1) % KNOWN_SLOTS;
+  table->known[slot] = pair;
+  table->known_count++;
+  table->known_kinds |= kind_bit (pair->subject) | kind_bit (pair->neighbour);
+}
+
 void
 itf_update (struct itf_table *table, int64_t now_ms)
 {
@@ -309,8 +349,8 @@
   if (table->updated_ms != 0
       && now_ms - table->updated_ms < UPDATE_INTERVAL_MS)
     return;
+  forget_known (table);
   table->updated_ms = now_ms;
-  table->known_count = 0;
   for (i = 0; i < table->pair_count; i++)
     {
       struct pair *pair = &table->pairs[i];
@@ -324,7 +364,7 @@
           add_change (table, pair);
         }
       if (sure)
-        table->known[table->known_count++] = pair;
+        add_known (table, pair);
     }
 }
 
@@ -334,6 +374,12 @@
   return table->known_count;
 }
 
+bool
+itf_is_in_known (const struct itf_table *table, uint64_t kind)
+{
+  return (table->known_kinds & kind_bit (kind)) != 0;
+}
+
 uint32_t
 itf_pair_count (const struct itf_table *table)
 {
@@ -344,12 +390,14 @@
 itf_slowdown_ln (const struct itf_table *table, uint64_t subject,
                  uint64_t neighbour)
 {
-  uint32_t i;
+  uint32_t slot = first_slot (subject, neighbour);
+  const struct pair *pair;
 
-  for (i = 0; i < table->known_count; i++)
-    if (table->known[i]->subject == subject
-        && table->known[i]->neighbour == neighbour)
-      return table->known[i]->slowdown_ln;
+  if (!itf_is_in_known (table, subject) || !itf_is_in_known (table, neighbour))
+    return 0;
+  for (; (pair = table->known[slot]) != NULL; slot = (slot + 1) % KNOWN_SLOTS)
+    if (pair->subject == subject && pair->neighbour == neighbour)
+      return pair->slowdown_ln;
   return 0;
 }
 
--- a/lib/sched/interfere.h
+++ b/lib/sched/interfere.h
@@ -93,6 +93,10 @@
  *  @return : number of pairs that are known, as of the last itf_update (). */
 uint32_t itf_known_count (const struct itf_table *table);
 
+/*! itf_is_in_known () :
+ *  @return : false if KIND is in no known pair; true may also be wrong. */
+bool itf_is_in_known (const struct itf_table *table, uint64_t kind);
+
 /*! itf_slowdown_ln () :
  *  @return : ln of the factor by which one task of the kind NEIGHBOUR slows
  *            down one of the kind SUBJECT on the same worker, for a task that
--- a/lib/sched/neighbours.c
+++ b/lib/sched/neighbours.c
@@ -119,7 +119,6 @@
       if (neighbour.count > 0)
         look.neighbours[look.neighbour_count++] = neighbour;
     }
-  itf_name_kind (sched->interference, look.subject, kind_name (task->step));
   itf_observe (sched->interference, &look, now_ms);
 }
 
@@ -136,6 +135,8 @@
     {
       const struct jb_task *task = g_ptr_array_index (worker->tasks, i);
 
+      itf_name_kind (sched->interference, kind_of (task->step),
+                     kind_name (task->step));
       if (teaches (task))
         observe (sched, worker, task, &crowd, false, now_ms);
     }
@@ -176,7 +177,7 @@
   double loss = 0;
   guint i;
 
-  if (itf_known_count (table) == 0)
+  if (!itf_is_in_known (table, kind_of (step)))
     return 0;
   for (i = 0; i < worker->tasks->len; i++)
     {
