--- a/lib/sched/private.h
+++ b/lib/sched/private.h
@@ -93,6 +93,8 @@
   struct sp_table *speeds;    /* of the workers, by sd_worker.index */
   GHashTable *stored_speeds;  /* of the last record: see speed_record.c */
   int64_t speeds_stored_ms;   /* when one was last considered or restored */
+  struct itf_table *interference; /* owned */
+  uint64_t kept_apart;            /* sum of sd_placement.kept_apart */
   uint32_t reserved_task_count; /* in a round: gang tasks with a reservation */
   uint32_t reservation_searches; /* in a round: for new reservations */
   uint32_t preemption_searches;  /* in a round: for new plans */
@@ -284,6 +286,20 @@
  *            fault, which may be a little slower or faster than others. */
 double sd_speed_if_normal (const struct sd_sched *sched,
                            const struct sd_worker *worker);
+/* --- neighbours.c: tasks that slow each other down --- */
+
+/*! sd_neighbours_task_done () :
+ *  A run of TASK has been done on WORKER. */
+void sd_neighbours_task_done (struct sd_sched *sched,
+                              const struct sd_worker *worker,
+                              const struct jb_task *task, int64_t now_ms);
+
+/*! sd_neighbour_penalty () :
+ *  @return : how much a task of STEP and those on WORKER would lose by each
+ *            other there, from 0 to 3; 0 if nothing is known. */
+uint32_t sd_neighbour_penalty (const struct sd_sched *sched,
+                               const struct sd_worker *worker,
+                               struct jb_step *step);
 
 /* --- crash.c: tasks that crash their workers --- */
 
@@ -442,6 +458,9 @@
 {
   GPtrArray *tasks;   /* struct jb_task */
   GPtrArray *workers; /* struct sd_worker */
+  /* Tasks kept from workers with room where they and others would slow each
+     other down.  */
+  uint32_t kept_apart;
 };
 
 /*! sd_worker_is_eligible () :
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -38,6 +38,7 @@
   sched->estimates = es_create ();
   sched->speeds = sp_create (NULL, NULL);
   sched->stored_speeds = g_hash_table_new (NULL, NULL);
+  sched->interference = itf_create ();
   sched->reservations
       = g_hash_table_new_full (NULL, NULL, NULL, sd_reservation_free);
   sched->advice = g_hash_table_new_full (NULL, NULL, NULL, sd_advice_free);
@@ -69,6 +70,7 @@
   es_free (sched->estimates);
   sp_free (sched->speeds);
   g_hash_table_destroy (sched->stored_speeds);
+  itf_free (sched->interference);
   g_free (sched);
 }
 
@@ -310,6 +312,7 @@
       worker->pace_level = 0;
       worker->pace_changed_ms = now_ms;
     }
+  itf_forget_tasks (sched->interference);
   g_ptr_array_set_size (sched->active_jobs, 0);
   g_ptr_array_set_size (sched->changed_jobs, 0);
   g_ptr_array_set_size (sched->pending_stops, 0);
@@ -606,6 +609,8 @@
   assert (task->state == JB_TASK_PLACED || task->state == JB_TASK_STOPPING);
   if (outcome == SD_OUTCOME_DONE)
     learn_run_time (sched, task, worker, now_ms);
+  if (outcome == SD_OUTCOME_DONE && worker != NULL)
+    sd_neighbours_task_done (sched, worker, task, now_ms);
   sd_task_running (sched, task, now_ms); /* its start may be unreported */
   sd_task_checkpointed (task, checkpoint);
   sd_release_task (sched, task);
