--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -521,8 +521,8 @@
   return kept;
 }
 
-/* Whether the unit fits into BAND, which has COPIES of it, and if it prefers
-   one rack, into one.
+/* Whether the unit, for which BAND has room, fits into one rack of it, if it
+   has to.
    @return : the candidates there; NULL: it does not fit.  */
 static GArray *
 fit_into_band (const struct sd_sched *sched, const struct sd_unit *unit,
