--- a/tests/unit/test_hostd_interfere.c
+++ b/tests/unit/test_hostd_interfere.c
@@ -6,7 +6,7 @@
 
 #include "check.h"
 #include "hostd_fixture.h"
-#include "sched/interfere.h"
+#include "sched/private.h"
 
 enum
 {
@@ -558,6 +558,38 @@
   day_tear_down (&day);
 }
 
+/* A serving task loses by a neighbour only if its tail would pass its target.
+ */
+static void
+test_tail_below_target_loses_nothing (void)
+{
+  struct day day;
+  struct jb_job *serving;
+  struct jb_job *waiting;
+  struct sd_worker *worker;
+  uint32_t i;
+
+  day_set_up (&day, 2.0);
+  day_play (&day, 20000, 1500);
+  for (i = 0; i < day.job_count; i++)
+    sd_job_cancelled (day.sched, day.jobs[i], day.now_ms);
+  submit (&day, "fit", 1);
+  serving = day.jobs[day.job_count - 1];
+  serving->spec->steps[0].tail_target_ms = 100;
+  submit (&day, "scan", 1);
+  waiting = day.jobs[day.job_count - 1];
+  worker = g_ptr_array_index (sd_workers (day.sched), 0);
+  g_ptr_array_add (worker->tasks, &serving->tasks[0]);
+  serving->tasks[0].reported_load = 40;
+  CU_ASSERT_EQUAL (
+      sd_neighbour_penalty (day.sched, worker, &waiting->steps[0]), 0);
+  serving->tasks[0].reported_load = 80;
+  CU_ASSERT_TRUE (sd_neighbour_penalty (day.sched, worker, &waiting->steps[0])
+                  > 0);
+  g_ptr_array_remove (worker->tasks, &serving->tasks[0]);
+  day_tear_down (&day);
+}
+
 /* Another term of this host: its runs are followed anew, and what is known of
    their kinds stays.  */
 static void
@@ -596,6 +628,8 @@
     { "without disturbance decisions stay as they were",
       test_without_disturbance_decisions_stay },
     { "a full fleet stays full", test_full_fleet_stays_full },
+    { "a tail below its target loses nothing",
+      test_tail_below_target_loses_nothing },
     { "a new term keeps what is known", test_new_term_keeps_what_is_known },
   };
 
