Log the configurations that a relayed request and a refusal were answered by

The lines of a relayed request and of a refused call did not show by which configuration a host had answered, so that an old configuration of this host, an old one of the other host and a missing lowest version looked the same.

"A request was passed on." now has path, asked_version and answer_version; "A call is refused." has catalog_version and catalog_age_ms.

--- a/programs/foxtailgap-hostd/front_answer.c
+++ b/programs/foxtailgap-hostd/front_answer.c
@@ -60,12 +60,18 @@
 }
 
 static void
-log_refusal (const struct hs_request *request, const char *what,
-             unsigned int status, uint32_t after_s, const char *reason)
+log_refusal (const struct front *front, const struct hs_request *request,
+             const char *what, unsigned int status, uint32_t after_s,
+             const char *reason)
 {
+  const struct journal *journal = front->params.journal;
+  const struct ct_catalog *catalog = jr_catalog (journal);
+
   lg_info (PART, "A call is refused.", "path", hs_path (request), "what", what,
            "status", lg_number (status), "reason", reason, "after_s",
-           lg_number (after_s), NULL);
+           lg_number (after_s), "catalog_version",
+           lg_number (catalog == NULL ? -1 : catalog->version),
+           "catalog_age_ms", lg_number (jr_catalog_age_ms (journal)), NULL);
 }
 
 void
@@ -74,7 +80,7 @@
 {
   char *body = g_strdup_printf ("{\"error\":\"%s\"}", text);
 
-  log_refusal (request, what, status, 0, text);
+  log_refusal (front, request, what, status, 0, text);
   fr_answer (front, request, what, status, body);
   g_free (body);
 }
@@ -87,7 +93,7 @@
   char *body = g_strdup_printf ("{\"error\":\"%s\"}", text);
   char *after = g_strdup_printf ("%u", after_s);
 
-  log_refusal (request, what, status, after_s, text);
+  log_refusal (front, request, what, status, after_s, text);
   count_call (front, what, status);
   respond (front, request, status, after, body);
   g_free (after);
--- a/programs/foxtailgap-hostd/relay.c
+++ b/programs/foxtailgap-hostd/relay.c
@@ -122,9 +122,17 @@
   struct relayed_call *relayed_call = ctx;
   bool served;
 
-  lg_info (PART, "A request was passed on.", "to", relayed_call->address,
-           "status", lg_number (response->status), "result",
-           hc_strerror (response->error), NULL);
+  lg_info (PART, "A request was passed on.", "path",
+           relayed_call->request == NULL ? "(caller gone)"
+                                         : hs_path (relayed_call->request),
+           "to", relayed_call->address, "status", lg_number (response->status),
+           "result", hc_strerror (response->error), "asked_version",
+           lg_number (relayed_call->min_catalog_version), "answer_version",
+           lg_number (response->error != HC_OK
+                          ? -1
+                          : parse_version (hc_response_header (
+                              response, RL_HEADER_VERSION))),
+           NULL);
   if (response->error != HC_OK && response->maybe_sent
       && strcmp (relayed_call->method, "GET") != 0)
     {
