Relayed requests are not refused by an older configuration

Cause: a host whose store is slow relays requests to the planner's host. The lowest version that it asked of that host was the newest one in relayed answers, not the version of its own catalog. The planner's host had lost the answer to its read of the operator's topic, did not know that for 2.3 s, and refused by the catalog before; its answer was returned as this host's own. By the logs of the case: asked_version=-1, answer_version=1, while this host had version 2.

Change: all relays ask for fr_known_catalog_version (), the newest version that this host has read or has seen in a relayed answer. The other host already refuses with 503, having done nothing, what it would answer by an older one. Such a refusal, or any refusal by an older catalog or without one (a host that has just restarted), no longer ends the request: the host serves it by its own catalog, and refuses for now if it has relayed it because it could not. The comparison is made when the answer comes, so that it also holds for a catalog that was read meanwhile.

--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -38,8 +38,10 @@
 {
   struct front *front = ctx;
 
-  if (answer->status == 0)
-    dispatch (front, request, true); /* it did not answer: serve it here */
+  /* It did not answer, or did not know what this host knows: nothing was done
+     there, and the request is served here.  */
+  if (answer->status == 0 || fr_is_outdated_refusal (front, answer))
+    dispatch (front, request, true);
   else
     fr_answer_relayed (front, request, answer);
 }
@@ -57,8 +59,7 @@
     return false;
   address = jr_planner_address (journal, front->params.settings->host);
   return address != NULL
-         && rl_relay (front->relay, request, address,
-                      front->min_catalog_version, on_planner_answered, front);
+         && fr_relay (front, request, address, on_planner_answered);
 }
 
 /* --- Requests --- */
@@ -87,12 +88,21 @@
          * CATALOG_AGE_MAX_PERCENT / 100;
 }
 
+int64_t
+fr_known_catalog_version (const struct front *front)
+{
+  const struct ct_catalog *catalog = jr_catalog (front->params.journal);
+
+  return MAX (front->relayed_catalog_version,
+              catalog == NULL ? -1 : catalog->version);
+}
+
 bool
 fr_catalog_is_current (const struct front *front, struct hs_request *request)
 {
   const struct journal *journal = front->params.journal;
-  int64_t min_version
-      = MAX (front->min_catalog_version, rl_min_catalog_version (request));
+  int64_t min_version = MAX (fr_known_catalog_version (front),
+                             rl_min_catalog_version (request));
 
   return jr_catalog_age_ms (journal) <= fr_catalog_age_max_ms (front)
          && jr_catalog (journal)->version >= min_version;
@@ -325,7 +335,7 @@
 
   front->params = *params;
   front->reports_ready = true;
-  front->min_catalog_version = -1;
+  front->relayed_catalog_version = -1;
   hb_init (&front->budget, (uint64_t)settings->caller_memory_mb * MIB);
   hb_set_ceiling (&front->budget, (uint64_t)settings->memory_mb * MIB / 100
                                       * ALLOCATED_MAX_PERCENT);
--- a/programs/foxtailgap-hostd/front_answer.c
+++ b/programs/foxtailgap-hostd/front_answer.c
@@ -118,6 +118,33 @@
                            g_random_int ());
 }
 
+bool
+fr_relay (struct front *front, struct hs_request *request, const char *address,
+          rl_callback callback)
+{
+  return rl_relay (front->relay, request, address,
+                   fr_known_catalog_version (front), callback, front);
+}
+
+bool
+fr_is_outdated_refusal (const struct front *front,
+                        const struct rl_answer *answer)
+{
+  bool refused = answer->status == 503
+                 || (answer->status >= 400 && answer->status < 500);
+
+  return refused && answer->catalog_version < fr_known_catalog_version (front);
+}
+
+/* Refuses a request that neither this host nor another one can serve now.  */
+static void
+refuse_for_now (struct front *front, struct hs_request *request,
+                const char *what, const char *reason)
+{
+  fr_answer_retry_later (front, request, what, 503,
+                         retry_after_s (front, request), reason);
+}
+
 void
 fr_answer_relayed (void *ctx, struct hs_request *request,
                    const struct rl_answer *answer)
@@ -126,13 +153,18 @@
 
   if (answer->status == 0)
     {
-      fr_answer_retry_later (front, request, "relayed", 503,
-                             retry_after_s (front, request),
-                             "the store is out of reach: not accepted");
+      refuse_for_now (front, request, "relayed",
+                      "the store is out of reach: not accepted");
+      return;
+    }
+  if (fr_is_outdated_refusal (front, answer))
+    {
+      refuse_for_now (front, request, "relayed",
+                      "another host has an older configuration: not accepted");
       return;
     }
-  front->min_catalog_version
-      = MAX (front->min_catalog_version, answer->catalog_version);
+  front->relayed_catalog_version
+      = MAX (front->relayed_catalog_version, answer->catalog_version);
   count_call (front, "relayed", answer->status);
   respond (front, request, answer->status, answer->retry_after, answer->body);
 }
@@ -141,9 +173,10 @@
 fr_relay_to_any_host (struct front *front, struct hs_request *request,
                       const char *what)
 {
-  if (!rl_relay (front->relay, request, NULL, front->min_catalog_version,
-                 fr_answer_relayed, front))
-    fr_answer_retry_later (front, request, what, 503,
-                           retry_after_s (front, request),
-                           "the store is out of reach: not accepted");
+  if (fr_relay (front, request, NULL, fr_answer_relayed))
+    return;
+  refuse_for_now (front, request, what,
+                  fr_catalog_is_current (front, request)
+                      ? "the store is out of reach: not accepted"
+                      : "no current configuration: not accepted");
 }
--- a/programs/foxtailgap-hostd/front_private.h
+++ b/programs/foxtailgap-hostd/front_private.h
@@ -19,9 +19,8 @@
   bool reports_ready; /* false: the shutdown has begun, so readiness checks
                          fail although callers are still served */
   /* Newest catalog version in an answer relayed from another host; -1: none.
-     This host must not answer by an older catalog, so that callers never see
-     the catalog revert.  */
-  int64_t min_catalog_version;
+     See fr_known_catalog_version ().  */
+  int64_t relayed_catalog_version;
   struct hb_budget budget; /* of callers, also at readiness and metrics */
   int64_t shed_log_ms;   /* when a line about shed callers was last written */
   bool catalog_known;    /* a current catalog has been read once */
@@ -49,6 +48,21 @@
 void fr_answer_relayed (void *ctx, struct hs_request *request,
                         const struct rl_answer *answer);
 
+/*! fr_relay () :
+ *  Relays the request to another host, which may answer it only by a catalog
+ *  that is at least as new as fr_known_catalog_version ().
+ *  @address : IP:PORT of the only host to try; NULL: random hosts.
+ *  @return : as rl_relay (). */
+bool fr_relay (struct front *front, struct hs_request *request,
+               const char *address, rl_callback callback);
+
+/*! fr_is_outdated_refusal () :
+ *  @return : whether another host has refused a request, without having done
+ *            anything, by an older catalog than the newest one known here, or
+ *            without a catalog. */
+bool fr_is_outdated_refusal (const struct front *front,
+                             const struct rl_answer *answer);
+
 /*! fr_relay_to_any_host () :
  *  Relays a request that this host cannot serve now to another host; answers
  *  503 if there is none to try. */
@@ -61,6 +75,13 @@
  *  Serves a request by the catalog of this host, which must have one. */
 void fr_dispatch (struct front *front, struct hs_request *request);
 
+/*! fr_known_catalog_version () :
+ *  @return : version of the newest catalog by which this host, or another one
+ *            that it has relayed a request to, has answered or may have.
+ *            Callers must not be answered by an older one, lest they see the
+ *            configuration revert.  -1: none is known. */
+int64_t fr_known_catalog_version (const struct front *front);
+
 /*! fr_catalog_is_current () :
  *  @return : whether this host may answer the request by its catalog, which is
  *            neither too old nor older than a version it has to respect. */
--- a/tests/unit/test_hostd_front.c
+++ b/tests/unit/test_hostd_front.c
@@ -134,7 +134,7 @@
   send_get (&setup, "/q/"); /* relayed: the catalog is too old */
   wait_for_answers (&setup, 2);
   CU_ASSERT_EQUAL (setup.peer_requests, 1);
-  CU_ASSERT_STRING_EQUAL (setup.peer_min_version, "-1");
+  CU_ASSERT_STRING_EQUAL (setup.peer_min_version, "1");
   setup.settings.key_validity_ms
       = 60000; /* the catalog is recent enough again */
   send_get (&setup, "/q/");
--- /dev/null
+++ b/tests/unit/test_hostd_relay.c
@@ -0,0 +1,176 @@
+/* Tests of relayed requests: what a host returns of another host's answers. */
+
+#include "check.h"
+#include "hostd_front_fixture.h"
+
+static const char JOB[] = "/q/00000000000000aa";
+
+/* A host with version 2 of the configuration whose store is slow, so that it
+   relays requests to the planner's host.  */
+static void
+begin_beside_planner (struct setup *setup)
+{
+  begin (setup);
+  answer_start_with (setup, "2");
+  add_peer (setup);
+  make_peer_the_planner (setup);
+  make_store_slow (setup);
+  answer_operator (setup);
+}
+
+/* Ends the append that a request has led to, which stores its record.  */
+static void
+answer_append (struct setup *setup)
+{
+  struct fake_store *store = &setup->store;
+  uint32_t last = store->append_count - 1;
+  struct so_append_answer answer = { .result = SO_DONE };
+
+  CU_ASSERT_FATAL (store->append_count > 0);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (store->appended[last]);
+  store->appended[last](store->append_ctx[last], &answer);
+  store->appended[last] = NULL;
+}
+
+/* A host refused jobs of a route that it had served: the planner's host had
+   not read the new configuration yet, and was not asked for it (review/13). */
+static void
+test_planner_host_is_asked_for_the_configuration_of_this_host (void)
+{
+  struct setup setup;
+
+  begin_beside_planner (&setup);
+  setup.peer_version = "2";
+  send_get (&setup, JOB);
+  wait_for_answers (&setup, 1);
+  CU_ASSERT_EQUAL (setup.peer_requests, 1);
+  CU_ASSERT_STRING_EQUAL (setup.peer_min_version, "2");
+  CU_ASSERT_EQUAL (setup.status, 200);
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
+/* The same, whatever the planner's host says by an older configuration or
+   without one, as after a restart: this host serves the request by its own. */
+static void
+test_refusal_by_an_older_configuration_is_not_returned (void)
+{
+  static const unsigned int refusals[] = { 401, 404, 413, 503 };
+  static const char *const versions[] = { "1", NULL };
+  struct setup setup;
+  int answers = 0;
+  size_t i;
+  size_t j;
+
+  begin_beside_planner (&setup);
+  for (i = 0; i < G_N_ELEMENTS (refusals); i++)
+    for (j = 0; j < G_N_ELEMENTS (versions); j++)
+      {
+        setup.peer_status = refusals[i];
+        setup.peer_version = versions[j];
+        send_get (&setup, JOB);
+        wait_for_answers (&setup, ++answers);
+        CU_ASSERT_EQUAL (setup.peer_requests, answers);
+        CU_ASSERT_EQUAL (setup.status, 410); /* by this host: no such job */
+      }
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
+static void
+test_submission_refused_by_an_older_configuration_is_stored (void)
+{
+  struct setup setup;
+
+  begin_beside_planner (&setup);
+  setup.peer_status = 404;
+  setup.peer_version = "1";
+  send_simple (&setup, "POST", JOB);
+  run_for_ms (&setup, 100);
+  CU_ASSERT_EQUAL (setup.peer_requests, 1);
+  answer_append (&setup);
+  wait_for_answers (&setup, 1);
+  CU_ASSERT_EQUAL (setup.status, 200);
+  CU_ASSERT_PTR_NOT_NULL (
+      jb_table_find (jr_job_table (setup.journal), JOB + 3));
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
+/* The same for a host that cannot use its own configuration any more, and
+   relays to any host: it refuses for now and does not deny the route.  */
+static void
+test_older_refusal_of_any_host_is_not_returned (void)
+{
+  struct setup setup;
+
+  begin (&setup);
+  answer_start_with (&setup, "2");
+  add_peer (&setup);
+  answer_operator (&setup);
+  send_get (&setup, "/q/");
+  wait_for_answers (&setup, 1);
+  setup.settings.key_validity_ms = 100;
+  run_for_ms (&setup, 200);
+  setup.peer_status = 404;
+  setup.peer_version = "1";
+  send_get (&setup, JOB);
+  wait_for_answers (&setup, 2);
+  CU_ASSERT_EQUAL (setup.peer_requests, 1);
+  CU_ASSERT_STRING_EQUAL (setup.peer_min_version, "2");
+  CU_ASSERT_EQUAL (setup.status, 503);
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
+/* After an answer by a newer configuration this host waits for that one, also
+   if the other host has restarted since and knows none.  */
+static void
+test_newer_configuration_of_another_host_is_kept_to (void)
+{
+  struct setup setup;
+
+  begin_beside_planner (&setup);
+  setup.peer_status = 404;
+  setup.peer_version = "3";
+  send_get (&setup, JOB);
+  wait_for_answers (&setup, 1);
+  CU_ASSERT_EQUAL (setup.status, 404);
+  setup.peer_status = 503;
+  setup.peer_version = NULL;
+  send_get (&setup, JOB);
+  wait_for_answers (&setup, 2);
+  CU_ASSERT_STRING_EQUAL (setup.peer_min_version, "3");
+  CU_ASSERT_EQUAL (setup.status, 503);
+  answer_read (&setup, &setup.store.operator_read, setup.store.operator_ctx,
+               NULL); /* recent, but version 2 */
+  send_get (&setup, JOB);
+  wait_for_answers (&setup, 3);
+  CU_ASSERT_EQUAL (setup.status, 503);
+  answer_read_with (&setup, &setup.store.operator_read,
+                    setup.store.operator_ctx, "config", "3");
+  send_get (&setup, JOB);
+  wait_for_answers (&setup, 4);
+  CU_ASSERT_EQUAL (setup.status, 410);
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
+int
+main (void)
+{
+  static const struct check_test tests[] = {
+    { "the planner's host is asked for the configuration of this host",
+      test_planner_host_is_asked_for_the_configuration_of_this_host },
+    { "a refusal by an older configuration is not returned",
+      test_refusal_by_an_older_configuration_is_not_returned },
+    { "a submission refused by an older configuration is stored",
+      test_submission_refused_by_an_older_configuration_is_stored },
+    { "an older refusal of any host is not returned",
+      test_older_refusal_of_any_host_is_not_returned },
+    { "a newer configuration of another host is kept to",
+      test_newer_configuration_of_another_host_is_kept_to },
+  };
+
+  return check_run ("hostd relay", tests, G_N_ELEMENTS (tests));
+}
