A job's state does not go back by the answer of another host

Cause: while the store is slow, requests for a state are relayed to the planner's host, and its answer was returned without a look at what this host had read. A host that has just acquired the term, or restarted, can be behind: it answers before it has read the topic up to its term's record.

Change: fr_answer_newer_state () compares the answer with this host's table. A 410 for a job that is in the table and a state before the one shown give way to the table; a newer state is noted with the job, and the host keeps to it. The line "Another host knows less of a job." says so.

--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -64,6 +64,18 @@
 
 /* --- Requests --- */
 
+const struct ct_queue *
+fr_route (const struct front *front, const struct hs_request *request,
+          const char **rest)
+{
+  const struct ct_catalog *catalog = jr_catalog (front->params.journal);
+  const char *host = hs_header (request, "Host");
+
+  return catalog == NULL ? NULL
+                         : ct_route_request (catalog, host == NULL ? "" : host,
+                                             hs_path (request), rest);
+}
+
 static void
 dispatch_method (struct front *front, struct hs_request *request,
                  const struct ct_queue *queue, const struct ct_team *team,
@@ -125,7 +137,6 @@
 {
   struct front *front = ctx;
   const struct ct_catalog *catalog = jr_catalog (front->params.journal);
-  const char *host = hs_header (request, "Host");
   const char *key = hs_header (request, front->params.dialect.key_header);
   const struct ct_queue *queue;
   const char *rest = "";
@@ -134,8 +145,7 @@
     return false;
   if (catalog == NULL || !fr_catalog_is_current (front, request))
     return true;
-  queue = ct_route_request (catalog, host == NULL ? "" : host,
-                            hs_path (request), &rest);
+  queue = fr_route (front, request, &rest);
   return queue != NULL && jb_id_valid (rest)
          && (queue->keyless
              || (key != NULL && ct_team_of_key (catalog, key) != NULL));
@@ -192,14 +202,11 @@
 {
   struct journal *journal = front->params.journal;
   const struct ct_catalog *catalog = jr_catalog (journal);
-  const char *host = hs_header (request, "Host");
   const char *key = hs_header (request, front->params.dialect.key_header);
-  const struct ct_queue *queue;
-  const struct ct_team *team;
   const char *rest = "";
+  const struct ct_queue *queue = fr_route (front, request, &rest);
+  const struct ct_team *team;
 
-  queue = ct_route_request (catalog, host == NULL ? "" : host,
-                            hs_path (request), &rest);
   team = key == NULL ? NULL : ct_team_of_key (catalog, key);
   if (!fr_catalog_is_current (front, request))
     {
--- a/programs/foxtailgap-hostd/front_answer.c
+++ b/programs/foxtailgap-hostd/front_answer.c
@@ -105,13 +105,8 @@
 static uint32_t
 retry_after_s (struct front *front, struct hs_request *request)
 {
-  const struct ct_catalog *catalog = jr_catalog (front->params.journal);
-  const char *host = hs_header (request, "Host");
   const char *rest;
-  const struct ct_queue *queue
-      = catalog == NULL ? NULL
-                        : ct_route_request (catalog, host == NULL ? "" : host,
-                                            hs_path (request), &rest);
+  const struct ct_queue *queue = fr_route (front, request, &rest);
 
   return rt_retry_after_s (jr_store_unreachable_ms (front->params.journal),
                            queue == NULL ? 0 : queue->priority,
@@ -165,6 +160,8 @@
     }
   front->relayed_catalog_version
       = MAX (front->relayed_catalog_version, answer->catalog_version);
+  if (fr_answer_newer_state (front, request, answer))
+    return;
   count_call (front, "relayed", answer->status);
   respond (front, request, answer->status, answer->retry_after, answer->body);
 }
--- a/programs/foxtailgap-hostd/front_jobs.c
+++ b/programs/foxtailgap-hostd/front_jobs.c
@@ -34,6 +34,15 @@
   int64_t since_ms;
 };
 
+/* What callers are told of the job.  */
+static enum jb_state
+shown_state (const struct jb_job *job)
+{
+  return jb_state_is_final (job->visible_state)
+             ? job->visible_state
+             : MAX (job->visible_state, job->relayed_state);
+}
+
 /* --- Writes --- */
 
 static void
@@ -200,7 +209,7 @@
       jr_when_fresh (journal, FRESH_TIMEOUT_MS, on_fresh, pending);
       return;
     }
-  if (jb_state_is_final (job->visible_state))
+  if (jb_state_is_final (shown_state (job)))
     {
       fr_answer (front, request, "cancel", 200, "{}");
       return;
@@ -229,7 +238,7 @@
       fr_answer_error (front, request, "state", 410, "no such job");
       return;
     }
-  body = front->params.dialect.encode_state (job->visible_state);
+  body = front->params.dialect.encode_state (shown_state (job));
   fr_answer (front, request, "state", 200, body);
   g_free (body);
 }
@@ -257,7 +266,7 @@
   struct journal *journal = front->params.journal;
   const struct jb_job *job = jb_table_find (jr_job_table (journal), id);
   bool may_have_changed
-      = job == NULL || !jb_state_is_final (job->visible_state);
+      = job == NULL || !jb_state_is_final (shown_state (job));
 
   if (may_have_changed && jr_reading_is_paused (journal)
       && jr_store_unreachable_ms (journal) == 0)
@@ -267,6 +276,54 @@
     answer_state_of_table (front, request, id);
 }
 
+/* Reads the state in another host's answer.  Returns whether it has one.  */
+static bool
+read_state (const struct front *front, const char *body, enum jb_state *state)
+{
+  bool found = false;
+  int i;
+
+  for (i = JB_QUEUED; i <= JB_CANCELLED && !found; i++)
+    {
+      char *text = front->params.dialect.encode_state ((enum jb_state)i);
+
+      found = strcmp (body, text) == 0;
+      if (found)
+        *state = (enum jb_state)i;
+      g_free (text);
+    }
+  return found;
+}
+
+bool
+fr_answer_newer_state (struct front *front, struct hs_request *request,
+                       const struct rl_answer *answer)
+{
+  const char *id = "";
+  struct jb_job *job;
+  enum jb_state state;
+
+  if (strcmp (hs_method (request), "GET") != 0
+      || fr_route (front, request, &id) == NULL || !jb_id_valid (id))
+    return false;
+  job = jb_table_find (jr_job_table (front->params.journal), id);
+  if (job == NULL)
+    return false;
+  if (answer->status == 200 && read_state (front, answer->body, &state)
+      && (jb_state_is_final (state) || state >= shown_state (job)))
+    {
+      job->relayed_state = state;
+      return false;
+    }
+  if (answer->status != 200 && answer->status != 410)
+    return false;
+  lg_info (PART, "Another host knows less of a job.", "job", id, "status",
+           lg_number (answer->status), "state",
+           jb_state_name (shown_state (job)), NULL);
+  answer_state_of_table (front, request, id);
+  return true;
+}
+
 void
 fr_answer_queue_length (struct front *front, struct hs_request *request,
                         const struct ct_queue *queue)
--- a/programs/foxtailgap-hostd/front_private.h
+++ b/programs/foxtailgap-hostd/front_private.h
@@ -71,6 +71,15 @@
 
 /* --- front.c --- */
 
+/*! fr_route () :
+ *  Finds the queue of a request by the catalog of this host.
+ *  @rest : set to what follows the queue's path prefix, unless NULL is
+ *          returned.
+ *  @return : NULL if there is no such queue, or no catalog. */
+const struct ct_queue *fr_route (const struct front *front,
+                                 const struct hs_request *request,
+                                 const char **rest);
+
 /*! fr_dispatch () :
  *  Serves a request by the catalog of this host, which must have one. */
 void fr_dispatch (struct front *front, struct hs_request *request);
@@ -126,4 +135,12 @@
 void fr_answer_queue_length (struct front *front, struct hs_request *request,
                              const struct ct_queue *queue);
 
+/*! fr_answer_newer_state () :
+ *  Compares another host's answer to a request with what this host knows of
+ *  the job.  If the request is a GET and this host knows more (that there is
+ *  the job, or a later state), answers it; else notes the state.
+ *  @return : whether it has answered. */
+bool fr_answer_newer_state (struct front *front, struct hs_request *request,
+                            const struct rl_answer *answer);
+
 #endif
--- a/tests/unit/test_hostd_relay.c
+++ b/tests/unit/test_hostd_relay.c
@@ -156,6 +156,102 @@
   finish (&setup);
 }
 
+/* --- States --- */
+
+/* Stores JOB and, unless it is queued, its state.  */
+static void
+add_job (struct setup *setup, enum jb_state state)
+{
+  static const struct fixture_step step = { .count = 1 };
+  struct jb_spec *spec = fixture_spec ("urgent", NULL, &step);
+  struct jb_job *job;
+
+  run_until_jobs_read (setup);
+  answer_jobs_record (setup, "j/00000000000000aa", jb_encode_spec (spec));
+  jb_spec_free (spec);
+  job = jb_table_find (jr_job_table (setup->journal), JOB + 3);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (job);
+  if (job == NULL || state == JB_QUEUED)
+    return;
+  job->state = state;
+  run_until_jobs_read (setup);
+  answer_jobs_record (setup, "p/00000000000000aa",
+                      jb_encode_progress (job, 1));
+}
+
+static void
+check_state (struct setup *setup, const char *state)
+{
+  int answers = setup->answers;
+
+  send_get (setup, JOB);
+  wait_for_answers (setup, answers + 1);
+  CU_ASSERT_EQUAL (setup->status, 200);
+  CU_ASSERT_STRING_EQUAL (setup->answer_body, state);
+}
+
+/* A host said of a job that it had accepted that there is none: the host that
+   became the planner had not read the job's record yet.  */
+static void
+test_other_host_does_not_deny_a_job_that_this_host_has_read (void)
+{
+  struct setup setup;
+
+  begin_beside_planner (&setup);
+  add_job (&setup, JB_QUEUED);
+  setup.peer_version = "2";
+  setup.peer_status = 410;
+  check_state (&setup, "queued");
+  CU_ASSERT_EQUAL (setup.peer_requests, 1);
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
+/* Callers saw a job begin, end or be cancelled, and then the state before.  */
+static void
+test_state_does_not_go_back_by_the_answer_of_another_host (void)
+{
+  static const enum jb_state states[]
+      = { JB_RUNNING, JB_COMPLETED, JB_FAILED, JB_CANCELLED };
+  static const char *const older[] = { "queued", "running" };
+  struct setup setup;
+  size_t i;
+  size_t j;
+
+  for (i = 0; i < G_N_ELEMENTS (states); i++)
+    {
+      begin_beside_planner (&setup);
+      add_job (&setup, states[i]);
+      setup.peer_version = "2";
+      for (j = 0; j < G_N_ELEMENTS (older); j++)
+        {
+          setup.peer_body = older[j];
+          check_state (&setup, jb_state_name (states[i]));
+        }
+      hs_free (setup.peer);
+      finish (&setup);
+    }
+}
+
+/* The planner's host knows first what becomes of a job.  Once this host has
+   said so, it does not go back to what it has read itself.  */
+static void
+test_newer_state_of_another_host_is_kept_to (void)
+{
+  struct setup setup;
+
+  begin_beside_planner (&setup);
+  add_job (&setup, JB_RUNNING);
+  setup.peer_version = "2";
+  setup.peer_body = "completed";
+  check_state (&setup, "completed");
+  setup.peer_version = NULL; /* it has restarted */
+  setup.peer_status = 503;
+  check_state (&setup, "completed");
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
 int
 main (void)
 {
@@ -170,6 +266,12 @@
       test_older_refusal_of_any_host_is_not_returned },
     { "a newer configuration of another host is kept to",
       test_newer_configuration_of_another_host_is_kept_to },
+    { "another host does not deny a job that this host has read",
+      test_other_host_does_not_deny_a_job_that_this_host_has_read },
+    { "a state does not go back by the answer of another host",
+      test_state_does_not_go_back_by_the_answer_of_another_host },
+    { "a newer state of another host is kept to",
+      test_newer_state_of_another_host_is_kept_to },
   };
 
   return check_run ("hostd relay", tests, G_N_ELEMENTS (tests));
