A host does not deny a job that another host has accepted for its caller

Cause: a job that is stored here is in this host's table at once; one that another host has stored for a caller of this one only after the next read of the topic. Until then a table up to 2 s old said that there is no such job, if the store had recovered, or the planner's host was gone.

Change: the front notes when another host last accepted a job for it. A table that is not newer is not used to deny a job: the topic is read to its end first, as for a cancellation.

--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -122,8 +122,8 @@
 
 /* --- Callers that keep no limits --- */
 
-static bool
-submits (const struct hs_request *request)
+bool
+fr_submits (const struct hs_request *request)
 {
   const char *method = hs_method (request);
 
@@ -141,7 +141,7 @@
   const struct ct_queue *queue;
   const char *rest = "";
 
-  if (!submits (request))
+  if (!fr_submits (request))
     return false;
   if (catalog == NULL || !fr_catalog_is_current (front, request))
     return true;
@@ -188,7 +188,7 @@
 static bool
 refuse_without_body (struct front *front, struct hs_request *request)
 {
-  if (!submits (request) || !hs_body_left_out (request))
+  if (!fr_submits (request) || !hs_body_left_out (request))
     return false;
   fr_answer_retry_later (front, request, "submit", 503, RETRY_AFTER_S,
                          "the configuration has just changed: not accepted");
--- a/programs/foxtailgap-hostd/front_answer.c
+++ b/programs/foxtailgap-hostd/front_answer.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/logging.h"
 #include "front_private.h"
 #include "sched/retry.h"
@@ -162,6 +163,8 @@
       = MAX (front->relayed_catalog_version, answer->catalog_version);
   if (fr_answer_newer_state (front, request, answer))
     return;
+  if (answer->status == 200 && fr_submits (request))
+    front->relayed_submission_ms = clk_monotonic_ms (NULL);
   count_call (front, "relayed", answer->status);
   respond (front, request, answer->status, answer->retry_after, answer->body);
 }
--- a/programs/foxtailgap-hostd/front_jobs.c
+++ b/programs/foxtailgap-hostd/front_jobs.c
@@ -219,6 +219,15 @@
              pending);
 }
 
+/* Returns whether another host may have accepted a job for a caller of this
+   one that the table does not show yet.  */
+static bool
+lacks_relayed_jobs (const struct front *front)
+{
+  return clk_monotonic_ms (NULL) - jr_jobs_age_ms (front->params.journal)
+         < front->relayed_submission_ms;
+}
+
 /* Answers with what the table has.  */
 static void
 answer_state_of_table (struct front *front, struct hs_request *request,
@@ -228,7 +237,9 @@
   struct jb_job *job = jb_table_find (jr_job_table (journal), id);
   char *body;
 
-  if (job == NULL && jr_jobs_age_ms (journal) > JOBS_AGE_MAX_MS)
+  if (job == NULL
+      && (jr_jobs_age_ms (journal) > JOBS_AGE_MAX_MS
+          || lacks_relayed_jobs (front)))
     {
       fr_relay_to_any_host (front, request, "state");
       return;
@@ -267,11 +278,14 @@
   const struct jb_job *job = jb_table_find (jr_job_table (journal), id);
   bool may_have_changed
       = job == NULL || !jb_state_is_final (shown_state (job));
-
-  if (may_have_changed && jr_reading_is_paused (journal)
-      && jr_store_unreachable_ms (journal) == 0)
-    jr_when_fresh (journal, STATE_FRESH_TIMEOUT_MS, on_table_read,
-                   create_pending_call (front, request, id, "state"));
+  bool may_be_lacking = job == NULL && lacks_relayed_jobs (front);
+
+  if (jr_store_unreachable_ms (journal) == 0
+      && (may_be_lacking
+          || (may_have_changed && jr_reading_is_paused (journal))))
+    jr_when_fresh (
+        journal, may_be_lacking ? FRESH_TIMEOUT_MS : STATE_FRESH_TIMEOUT_MS,
+        on_table_read, create_pending_call (front, request, id, "state"));
   else
     answer_state_of_table (front, request, id);
 }
--- a/programs/foxtailgap-hostd/front_private.h
+++ b/programs/foxtailgap-hostd/front_private.h
@@ -21,6 +21,9 @@
   /* Newest catalog version in an answer relayed from another host; -1: none.
      See fr_known_catalog_version ().  */
   int64_t relayed_catalog_version;
+  /* Steady clock: when another host last accepted a job for a caller of this
+     one; 0: never.  A table of jobs that is older does not show the job.  */
+  int64_t relayed_submission_ms;
   struct hb_budget budget; /* of callers, also at readiness and metrics */
   int64_t shed_log_ms;   /* when a line about shed callers was last written */
   bool catalog_known;    /* a current catalog has been read once */
@@ -84,6 +87,10 @@
  *  Serves a request by the catalog of this host, which must have one. */
 void fr_dispatch (struct front *front, struct hs_request *request);
 
+/*! fr_submits () :
+ *  @return : whether the request submits a job. */
+bool fr_submits (const struct hs_request *request);
+
 /*! fr_known_catalog_version () :
  *  @return : version of the newest catalog by which this host, or another one
  *            that it has relayed a request to, has answered or may have.
--- a/tests/unit/test_hostd_relay.c
+++ b/tests/unit/test_hostd_relay.c
@@ -252,6 +252,37 @@
   finish (&setup);
 }
 
+/* A host denied a job that another host had accepted for its caller: it had
+   not read the job's record yet.  */
+static void
+test_job_accepted_through_another_host_is_not_denied (void)
+{
+  struct setup setup;
+  struct fake_store *store = &setup.store;
+
+  begin_beside_planner (&setup);
+  setup.peer_version = "2";
+  send_simple (&setup, "POST", JOB);
+  wait_for_answers (&setup, 1);
+  CU_ASSERT_EQUAL (setup.status, 200);
+  setup.peer_version = NULL;
+  setup.peer_status = 503;
+  send_get (&setup, JOB);
+  run_for_ms (&setup, 100);
+  CU_ASSERT_EQUAL (setup.answers, 1);
+  CU_ASSERT_EQUAL (store->append_count, 0);
+  /* A read that was sent before does not show the job.  */
+  run_until_jobs_read (&setup);
+  answer_read (&setup, &store->jobs_read, store->jobs_ctx, "h/x");
+  CU_ASSERT_EQUAL (setup.answers, 1);
+  add_job (&setup, JB_QUEUED);
+  wait_for_answers (&setup, 2);
+  CU_ASSERT_EQUAL (setup.status, 200);
+  CU_ASSERT_STRING_EQUAL (setup.answer_body, "queued");
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
 int
 main (void)
 {
@@ -272,6 +303,8 @@
       test_state_does_not_go_back_by_the_answer_of_another_host },
     { "a newer state of another host is kept to",
       test_newer_state_of_another_host_is_kept_to },
+    { "a job accepted through another host is not denied",
+      test_job_accepted_through_another_host_is_not_denied },
   };
 
   return check_run ("hostd relay", tests, G_N_ELEMENTS (tests));
