A repeated submission of a stored job is not said not to be accepted

Callers could get 503 "not accepted", with when to come back, for a repeat of a job that their host had in its table: if the planner's host refused what was relayed to it, if the repeat's body had not been kept, or if the host could not use its configuration any more. After a 503 a caller counts the job as never run, and it runs.

Cause: such requests were refused or relayed before this host looked at what it knew of the job.

Change: fr_is_decided () comes before a relay: a repeat of a stored job, a query or a cancellation of a job in a final state are answered here. Where the key cannot be checked, a repeat of a stored job gets 504 in place of each 503: the protocol has it ask again. Not changed: the HTTP server's refusal of a body over 64 KB while callers hold too much memory, before the front sees the request.

--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -223,9 +223,9 @@
     fr_answer_queue_length (front, request, queue);
   else if (!jb_id_valid (rest))
     fr_answer_error (front, request, "unknown", 404, "no such job id");
-  else if (refuse_without_body (front, request))
-    return;
-  else if (at_planner || !relay_to_planner_host (front, request))
+  else if (fr_is_decided (front, request, rest)
+           || !(refuse_without_body (front, request)
+                || (!at_planner && relay_to_planner_host (front, request))))
     dispatch_method (front, request, queue, team, rest);
 }
 
--- a/programs/foxtailgap-hostd/front_answer.c
+++ b/programs/foxtailgap-hostd/front_answer.c
@@ -86,14 +86,39 @@
   g_free (body);
 }
 
+static bool
+submits_stored_job (const struct front *front,
+                    const struct hs_request *request)
+{
+  const char *id = "";
+
+  return fr_submits (request) && fr_route (front, request, &id) != NULL
+         && fr_is_stored (front, id);
+}
+
+static void
+answer_not_known (struct front *front, struct hs_request *request,
+                  const char *what)
+{
+  fr_answer_error (front, request, what, 504,
+                   "it cannot be answered now: ask again");
+}
+
 void
 fr_answer_retry_later (struct front *front, struct hs_request *request,
                        const char *what, unsigned int status, uint32_t after_s,
                        const char *text)
 {
-  char *body = g_strdup_printf ("{\"error\":\"%s\"}", text);
-  char *after = g_strdup_printf ("%u", after_s);
+  char *body;
+  char *after;
 
+  if (submits_stored_job (front, request))
+    {
+      answer_not_known (front, request, what);
+      return;
+    }
+  body = g_strdup_printf ("{\"error\":\"%s\"}", text);
+  after = g_strdup_printf ("%u", after_s);
   log_refusal (front, request, what, status, after_s, text);
   count_call (front, what, status);
   respond (front, request, status, after, body);
@@ -163,6 +188,11 @@
       = MAX (front->relayed_catalog_version, answer->catalog_version);
   if (fr_answer_newer_state (front, request, answer))
     return;
+  if (answer->status == 503 && submits_stored_job (front, request))
+    {
+      answer_not_known (front, request, "relayed");
+      return;
+    }
   if (answer->status == 200 && fr_submits (request))
     front->relayed_submission_ms = clk_monotonic_ms (NULL);
   count_call (front, "relayed", answer->status);
--- a/programs/foxtailgap-hostd/front_jobs.c
+++ b/programs/foxtailgap-hostd/front_jobs.c
@@ -43,6 +43,27 @@
              : MAX (job->visible_state, job->relayed_state);
 }
 
+bool
+fr_is_stored (const struct front *front, const char *id)
+{
+  const struct jb_job *job
+      = jb_table_find (jr_job_table (front->params.journal), id);
+
+  return job != NULL && job->spec != NULL;
+}
+
+bool
+fr_is_decided (const struct front *front, const struct hs_request *request,
+               const char *id)
+{
+  const struct jb_job *job
+      = jb_table_find (jr_job_table (front->params.journal), id);
+
+  if (fr_submits (request))
+    return fr_is_stored (front, id);
+  return job != NULL && jb_state_is_final (shown_state (job));
+}
+
 /* --- Writes --- */
 
 static void
@@ -127,15 +148,13 @@
            const char *id)
 {
   const struct ct_catalog *catalog = jr_catalog (front->params.journal);
-  struct jb_job *job
-      = jb_table_find (jr_job_table (front->params.journal), id);
   struct jb_spec *spec = NULL;
   struct pending_call *pending;
   const char *wrong;
   const char *body;
   size_t size_bytes;
 
-  if (job != NULL && job->spec != NULL)
+  if (fr_is_stored (front, id))
     {
       fr_answer (front, request, "submit", 200, "{}");
       return;
--- a/programs/foxtailgap-hostd/front_private.h
+++ b/programs/foxtailgap-hostd/front_private.h
@@ -35,7 +35,9 @@
 
 /*! fr_answer (), fr_answer_error (), fr_answer_retry_later () :
  *  Answer a request, count the answer and log refusals.  The last one is for
- *  requests that have not run, and adds a Retry-After header.
+ *  requests that have not run, and adds a Retry-After header; a submission of
+ *  a job that is stored gets 504 instead, which says neither that it is
+ *  accepted nor that it is not.
  *  @what : name of the call in metrics and logs.
  *  @text : of the error; without characters that JSON escapes. */
 void fr_answer (struct front *front, struct hs_request *request,
@@ -142,6 +144,18 @@
 void fr_answer_queue_length (struct front *front, struct hs_request *request,
                              const struct ct_queue *queue);
 
+/*! fr_is_stored () :
+ *  @return : whether this host has read the record of the job, so that it is
+ *            accepted. */
+bool fr_is_stored (const struct front *front, const char *id);
+
+/*! fr_is_decided () :
+ *  @return : whether what this host knows of the job is all that the answer
+ *            takes, whatever another host knows: a repeated submission, or a
+ *            query or cancellation of a job in a final state. */
+bool fr_is_decided (const struct front *front,
+                    const struct hs_request *request, const char *id);
+
 /*! fr_answer_newer_state () :
  *  Compares another host's answer to a request with what this host knows of
  *  the job.  If the request is a GET and this host knows more (that there is
--- a/tests/unit/test_hostd_relay.c
+++ b/tests/unit/test_hostd_relay.c
@@ -283,6 +283,59 @@
   finish (&setup);
 }
 
+/* --- Repeats --- */
+
+/* A repeat of a job that this host had read was refused as "not accepted",
+   because the host that it was relayed to refused it.  */
+static void
+test_repeat_of_a_stored_job_is_not_refused (void)
+{
+  struct setup setup;
+  int requests;
+
+  begin_beside_planner (&setup);
+  add_job (&setup, JB_QUEUED);
+  setup.peer_version = "2";
+  setup.peer_status = 503;
+  send_simple (&setup, "POST", JOB);
+  wait_for_answers (&setup, 1);
+  CU_ASSERT_EQUAL (setup.status, 200);
+  CU_ASSERT_EQUAL (setup.peer_requests, 0);
+  /* By a catalog that is too old this host cannot check the caller's key: it
+     says neither that the job is accepted nor that it is not.  */
+  setup.settings.key_validity_ms = 100;
+  run_for_ms (&setup, 200);
+  requests = setup.peer_requests;
+  send_simple (&setup, "POST", JOB);
+  wait_for_answers (&setup, 2);
+  CU_ASSERT (setup.peer_requests > requests);
+  CU_ASSERT_EQUAL (setup.status, 504);
+  send_simple (&setup, "POST", "/q/00000000000000bb");
+  wait_for_answers (&setup, 3);
+  CU_ASSERT_EQUAL (setup.status, 503);
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
+/* The final state of a job does not change: neither a query nor a cancellation
+   needs another host.  */
+static void
+test_final_state_is_answered_here (void)
+{
+  struct setup setup;
+
+  begin_beside_planner (&setup);
+  add_job (&setup, JB_COMPLETED);
+  setup.peer_status = 503;
+  check_state (&setup, "completed");
+  send_simple (&setup, "DELETE", JOB);
+  wait_for_answers (&setup, 2);
+  CU_ASSERT_EQUAL (setup.status, 200);
+  CU_ASSERT_EQUAL (setup.peer_requests, 0);
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
 int
 main (void)
 {
@@ -305,6 +358,9 @@
       test_newer_state_of_another_host_is_kept_to },
     { "a job accepted through another host is not denied",
       test_job_accepted_through_another_host_is_not_denied },
+    { "a repeat of a stored job is not refused",
+      test_repeat_of_a_stored_job_is_not_refused },
+    { "a final state is answered here", test_final_state_is_answered_here },
   };
 
   return check_run ("hostd relay", tests, G_N_ELEMENTS (tests));
