A job is not run by an older configuration than it was accepted by

Callers' jobs could start on the workers of a former service, or with the former limit of attempts and priority: a host had read a new version of the operator's configuration and accepted a job by it, and the planner's host, whose read was late, found the queue of the same address in its own older catalog.

Cause: the configuration of a queue in a job's record did not say which version it is of, so that any entry of the planner's own catalog counted as newer.

Change: queues carry the version of their catalog, and the records of jobs and their progress store it (QueueRecord.version). jq_of_job () does not replace a queue's configuration by that of an older catalog. Records of earlier versions have no version and are read as before.

--- a/lib/jobs/catalog.c
+++ b/lib/jobs/catalog.c
@@ -104,6 +104,7 @@
   catalog->queues_by_address = g_hash_table_new (address_hash, address_equal);
   for (i = 0; i < catalog->queue_count; i++)
     {
+      catalog->queues[i].version = catalog->version;
       g_hash_table_insert (catalog->queues_by_name, catalog->queues[i].name,
                            &catalog->queues[i]);
       g_hash_table_add (catalog->queues_by_address, &catalog->queues[i]);
--- a/lib/jobs/catalog.h
+++ b/lib/jobs/catalog.h
@@ -29,6 +29,8 @@
      that the query names.  */
   uint32_t advice_call_ms;
   uint32_t advice_per_worker_ms;
+  /* Of the catalog that it is of, or is a copy of; 0: not known.  */
+  int64_t version;
 };
 
 /* What a record of the operator says of a data centre that is closed for new
@@ -87,7 +89,7 @@
 
 /*! ct_queue_equal () :
  *  @return : whether both have the same address and run their jobs alike;
- *            names do not matter.  Either may be NULL. */
+ *            names and versions do not matter.  Either may be NULL. */
 bool ct_queue_equal (const struct ct_queue *a, const struct ct_queue *b);
 
 /*! ct_same_address () :
@@ -95,7 +97,8 @@
 bool ct_same_address (const struct ct_queue *a, const struct ct_queue *b);
 
 /*! ct_index_queues () :
- *  Builds the indexes of the queues, once all of them are in the catalog.
+ *  Builds the indexes of the queues, once all of them are in the catalog, and
+ *  gives them its version.
  *  There may be hundreds, and each round of the scheduler looks them up. */
 void ct_index_queues (struct ct_catalog *catalog);
 
--- a/lib/jobs/job_queue.c
+++ b/lib/jobs/job_queue.c
@@ -13,6 +13,8 @@
 
   if (last == NULL)
     return queue;
+  if (catalog != NULL && last->version > catalog->version)
+    return last;
   /* The same name may have been given to another queue.  */
   if (queue != NULL && ct_same_address (queue, last))
     return queue;
--- a/lib/jobs/job_queue.h
+++ b/lib/jobs/job_queue.h
@@ -9,9 +9,10 @@
 
 /*! jq_of_job () :
  *  Finds the queue by which JOB is run: that of CATALOG to which its requests
- *  go, by host and path prefix; if there is none, its queue as it was last
- *  configured.  If that is not known (an earlier version stored the job), the
- *  queue of CATALOG with the stored name.
+ *  go, by host and path prefix.  If there is none, or if JOB was accepted or
+ *  has been run by a newer catalog: its queue as it was last configured.  If
+ *  that is not known (an earlier version stored the job): the queue of CATALOG
+ *  with the stored name.
  *  @catalog : NULL: no configuration is known.
  *  @return : owned by CATALOG or JOB; NULL if nothing is known of the queue.
  */
--- a/lib/jobs/records.c
+++ b/lib/jobs/records.c
@@ -46,6 +46,7 @@
   record->uses_advisor = queue->uses_advisor;
   record->advice_call_ms = queue->advice_call_ms;
   record->advice_per_worker_ms = queue->advice_per_worker_ms;
+  record->version = queue->version;
 }
 
 /* @return : to be freed by ct_queue_free ().  */
@@ -63,7 +64,8 @@
           .target_ms = record->target_ms,
           .uses_advisor = record->uses_advisor,
           .advice_call_ms = record->advice_call_ms,
-          .advice_per_worker_ms = record->advice_per_worker_ms };
+          .advice_per_worker_ms = record->advice_per_worker_ms,
+          .version = record->version };
 
   return ct_queue_copy (&queue);
 }
--- a/lib/proto/jobs.pb-c.c
+++ b/lib/proto/jobs.pb-c.c
@@ -806,7 +806,7 @@
   (ProtobufCMessageInit) ftj__step_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ftj__queue_record__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ftj__queue_record__field_descriptors[11] =
 {
   {
     "host",
@@ -928,6 +928,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ftj__QueueRecord, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ftj__queue_record__field_indices_by_name[] = {
   8,   /* field[8] = advice_call_ms */
@@ -940,11 +952,12 @@
   5,   /* field[5] = slack_factor */
   6,   /* field[6] = target_ms */
   7,   /* field[7] = uses_advisor */
+  10,   /* field[10] = version */
 };
 static const ProtobufCIntRange ftj__queue_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ftj__queue_record__descriptor =
 {
@@ -954,7 +967,7 @@
   "Ftj__QueueRecord",
   "ftj",
   sizeof(Ftj__QueueRecord),
-  10,
+  11,
   ftj__queue_record__field_descriptors,
   ftj__queue_record__field_indices_by_name,
   1,  ftj__queue_record__number_ranges,
--- a/lib/proto/jobs.pb-c.h
+++ b/lib/proto/jobs.pb-c.h
@@ -81,10 +81,14 @@
   protobuf_c_boolean uses_advisor;
   uint32_t advice_call_ms;
   uint32_t advice_per_worker_ms;
+  /*
+   * of the configuration; 0: not known
+   */
+  int64_t version;
 };
 #define FTJ__QUEUE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ftj__queue_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ftj__JobRecord
--- a/tests/unit/test_hostd_job_queue.c
+++ b/tests/unit/test_hostd_job_queue.c
@@ -349,6 +349,80 @@
   ct_catalog_free (other);
 }
 
+/* @return : a catalog of this version in which `batch` has this service and
+   limit of attempts.  */
+static struct ct_catalog *
+catalog_of_version (int64_t version, const char *service, uint32_t limit)
+{
+  struct ct_catalog *catalog = fixture_catalog ();
+
+  g_hash_table_destroy (catalog->queues_by_name);
+  g_hash_table_destroy (catalog->queues_by_address);
+  catalog->version = version;
+  g_free (catalog->queues[1].service);
+  catalog->queues[1].service = g_strdup (service);
+  catalog->queues[1].attempt_limit = limit;
+  ct_index_queues (catalog);
+  return catalog;
+}
+
+/* @return : a job accepted by that catalog.  */
+static struct jb_spec *
+spec_accepted_by (const struct ct_catalog *catalog)
+{
+  struct jb_spec *spec = two_steps ();
+
+  ct_queue_free (spec->queue_config);
+  spec->queue_config = ct_queue_copy (&catalog->queues[1]);
+  return spec;
+}
+
+/* A planner that had not read the configuration by which another host had
+   accepted a job started its tasks on the workers of the former service.  */
+static void
+test_planner_does_not_run_a_job_by_an_older_configuration (void)
+{
+  struct setup setup;
+  struct ct_catalog *newer = catalog_of_version (2, "office", 5);
+  struct jb_job *job;
+
+  set_up (&setup); /* version 1; all workers are of the service `desk` */
+  job = add_job (&setup, spec_accepted_by (newer));
+  CU_ASSERT_EQUAL (run_round (&setup), 0);
+  CU_ASSERT_EQUAL (jq_of_job (setup.catalog, job)->attempt_limit, 5);
+  CU_ASSERT_FALSE (job->queue_config_changed);
+  configure (&setup, newer);
+  CU_ASSERT_EQUAL (run_round (&setup), 0);
+  configure (&setup, catalog_of_version (3, "desk", 4));
+  CU_ASSERT_EQUAL (run_round (&setup), 2);
+  CU_ASSERT_EQUAL (jq_of_job (setup.catalog, job)->attempt_limit, 4);
+  tear_down (&setup);
+}
+
+/* The same for a configuration that came into force after the acceptance: the
+   next planner may have an older one than the planner before.  */
+static void
+test_next_planner_does_not_run_a_job_by_an_older_configuration (void)
+{
+  struct setup setup;
+  struct jb_spec *spec = two_steps ();
+  GByteArray *record;
+  struct jb_job *job;
+
+  set_up (&setup);
+  spec->queue_config->version = 1;
+  record = jb_encode_spec (spec);
+  job = add_job (&setup, spec);
+  configure (&setup, catalog_of_version (2, "office", 5));
+  CU_ASSERT_EQUAL (run_round (&setup), 0);
+  configure (&setup, fixture_catalog ());
+  job = take_over (&setup, job, record);
+  CU_ASSERT_EQUAL (run_round (&setup), 0);
+  CU_ASSERT_EQUAL (jq_of_job (setup.catalog, job)->attempt_limit, 5);
+  tear_down (&setup);
+  g_byte_array_free (record, TRUE);
+}
+
 static void
 test_queue_is_stored_with_the_job (void)
 {
@@ -360,10 +434,12 @@
   spec->queue_config->uses_advisor = true;
   spec->queue_config->advice_call_ms = 20;
   spec->queue_config->advice_per_worker_ms = 3;
+  spec->queue_config->version = 7;
   with = jb_encode_spec (spec);
   CU_ASSERT_EQUAL_FATAL (jb_decode_spec (&decoded, with->data, with->len),
                          JB_OK);
   CU_ASSERT_TRUE (ct_queue_equal (decoded->queue_config, spec->queue_config));
+  CU_ASSERT_EQUAL (decoded->queue_config->version, 7);
   jb_spec_free (decoded);
   ct_queue_free (spec->queue_config);
   spec->queue_config = NULL;
@@ -393,6 +469,10 @@
       test_lasting_and_due_tasks_start_without_the_queue },
     { "the last configuration holds", test_last_configuration_holds },
     { "a renamed queue has its jobs", test_renamed_queue_has_its_jobs },
+    { "a planner does not run a job by an older configuration",
+      test_planner_does_not_run_a_job_by_an_older_configuration },
+    { "the next planner does not run a job by an older configuration",
+      test_next_planner_does_not_run_a_job_by_an_older_configuration },
     { "a queue is stored with the job", test_queue_is_stored_with_the_job },
   };
 
