A host does not answer by a configuration that it knows to be replaced

Callers could get 404 or 401 from a host for a route or a key that another host had served, for as long as the first one's read of the operator's topic was late (up to 2.3 s after a lost answer), although it had read jobs that were accepted by the newer version.

Cause: versions of the configuration that a host learns of otherwise than by the operator's topic or a relayed answer did not count.

Change: jr_newest_catalog_version () also counts the version of a queue in a job's records. While the own catalog is older, requests go to another host, which is asked for that version; once the operator's topic has been read to its end, what it holds counts, whatever a record says.

Test: test_hostd_relay, "a configuration that is known to be replaced is not used" failed before (4 assertions); a second test guards against waiting for a version that the store does not have.

--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -103,10 +103,8 @@
 int64_t
 fr_known_catalog_version (const struct front *front)
 {
-  const struct ct_catalog *catalog = jr_catalog (front->params.journal);
-
   return MAX (front->relayed_catalog_version,
-              catalog == NULL ? -1 : catalog->version);
+              jr_newest_catalog_version (front->params.journal));
 }
 
 bool
--- a/programs/foxtailgap-hostd/journal.c
+++ b/programs/foxtailgap-hostd/journal.c
@@ -554,6 +554,17 @@
   return journal->catalog;
 }
 
+int64_t
+jr_newest_catalog_version (const struct journal *journal)
+{
+  if (journal->catalog == NULL)
+    return -1;
+  return journal->job_catalog_found_ms
+                 > journal->operator_reader.complete_until_ms
+             ? MAX (journal->job_catalog_version, journal->catalog->version)
+             : journal->catalog->version;
+}
+
 GHashTable *
 jr_closed_data_centres (const struct journal *journal)
 {
--- a/programs/foxtailgap-hostd/journal.h
+++ b/programs/foxtailgap-hostd/journal.h
@@ -133,6 +133,13 @@
 struct jb_table *jr_job_table (struct journal *journal);
 const struct ct_catalog *jr_catalog (const struct journal *journal);
 
+/*! jr_newest_catalog_version () :
+ *  @return : version of the newest catalog that is known to be in use: that of
+ *            jr_catalog (), or a newer one by which another host has accepted
+ *            or run a job, unless the operator's topic has been read to its
+ *            end since that was found.  -1: no catalog is known. */
+int64_t jr_newest_catalog_version (const struct journal *journal);
+
 /*! jr_closed_data_centres () :
  *  @return : the data centres that the operator has closed for new work: their
  *            names, as a set, by the records read so far. */
--- a/programs/foxtailgap-hostd/journal_fold.c
+++ b/programs/foxtailgap-hostd/journal_fold.c
@@ -11,6 +11,25 @@
 
 /* --- Jobs --- */
 
+/* Another host may have accepted or run JOB by a newer catalog than this host
+   has read.  */
+static void
+note_catalog_of_job (struct journal *journal, const struct jb_job *job)
+{
+  const struct ct_queue *queue = job->queue_config;
+
+  if (queue == NULL || journal->catalog == NULL
+      || queue->version <= journal->catalog->version
+      || queue->version <= journal->job_catalog_version)
+    return;
+  journal->job_catalog_version = queue->version;
+  journal->job_catalog_found_ms = clk_monotonic_ms (NULL);
+  lg_info (PART, "A job is of a newer configuration than this host has read.",
+           "job", job->id, "version", lg_number (queue->version),
+           "catalog_version", lg_number (journal->catalog->version),
+           "catalog_age_ms", lg_number (jr_catalog_age_ms (journal)), NULL);
+}
+
 static void
 apply_job (struct journal *journal, const char *id,
            const struct so_record *record)
@@ -38,6 +57,7 @@
       return;
     }
   job = jb_table_add (journal->table, id, spec, clk_monotonic_ms (NULL));
+  note_catalog_of_job (journal, job);
   if (journal->observer.job_added != NULL)
     journal->observer.job_added (journal->observer.ctx, job);
 }
@@ -86,6 +106,7 @@
                   "job", id, NULL);
       return;
     }
+  note_catalog_of_job (journal, job);
   journal->last_planner_record_ms = clk_monotonic_ms (NULL);
   if (jb_state_is_final (job->visible_state) && job->final_since_ms == 0)
     job->final_since_ms = journal->last_planner_record_ms;
--- a/programs/foxtailgap-hostd/journal_private.h
+++ b/programs/foxtailgap-hostd/journal_private.h
@@ -62,6 +62,10 @@
   GHashTable *hosts;            /* name -> struct jb_host_record */
   uint32_t own_strength;        /* of this host, as announced */
   struct ct_catalog *catalog;
+  /* The newest catalog version in the records of jobs, if it was newer than
+     that of the catalog when it was found, and when that was.  */
+  int64_t job_catalog_version;
+  int64_t job_catalog_found_ms;
   GHashTable *closed; /* names of the closed data centres, as a set */
   struct jb_term_record term;
   GHashTable *leases; /* of jb_decode_leases (); NULL: none yet */
--- a/tests/unit/test_hostd_relay.c
+++ b/tests/unit/test_hostd_relay.c
@@ -156,6 +156,76 @@
   finish (&setup);
 }
 
+/* Stores a job that another host has accepted by version 2 of the
+   configuration.  */
+static void
+add_job_of_version_2 (struct setup *setup, const char *key)
+{
+  static const struct fixture_step step = { .count = 1 };
+  struct jb_spec *spec = fixture_spec ("urgent", NULL, &step);
+
+  spec->queue_config->version = 2;
+  run_until_jobs_read (setup);
+  answer_jobs_record (setup, key, jb_encode_spec (spec));
+  jb_spec_free (spec);
+}
+
+/* A host refused jobs of a new route by 404 while it ran, as the planner, a
+   job that another host had accepted by that route.  */
+static void
+test_configuration_that_is_known_to_be_replaced_is_not_used (void)
+{
+  struct setup setup;
+
+  begin (&setup); /* its own catalog has version 1 */
+  answer_start (&setup);
+  add_peer (&setup);
+  answer_operator (&setup);
+  setup.peer_version = "2";
+  send_get (&setup, "/new/00000000000000bb");
+  wait_for_answers (&setup, 1);
+  CU_ASSERT_EQUAL (setup.status, 404);
+  add_job_of_version_2 (&setup, "j/00000000000000aa");
+  send_get (&setup, "/new/00000000000000bb");
+  wait_for_answers (&setup, 2);
+  CU_ASSERT_EQUAL (setup.peer_requests, 1);
+  CU_ASSERT_STRING_EQUAL (setup.peer_min_version, "2");
+  CU_ASSERT_EQUAL (setup.status, 200);
+  answer_read_with (&setup, &setup.store.operator_read,
+                    setup.store.operator_ctx, "config", "2");
+  send_get (&setup, "/new/00000000000000bb");
+  wait_for_answers (&setup, 3);
+  CU_ASSERT_EQUAL (setup.peer_requests, 1);
+  CU_ASSERT_EQUAL (setup.status, 404); /* by version 2 */
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
+/* What the store holds counts: a version that it does not have, though it has
+   been read since, keeps no host from answering.  */
+static void
+test_unknown_version_in_a_record_does_not_stop_a_host (void)
+{
+  struct setup setup;
+
+  begin (&setup);
+  answer_start (&setup);
+  add_peer (&setup);
+  answer_operator (&setup);
+  send_get (&setup, "/q/");
+  wait_for_answers (&setup, 1);
+  add_job_of_version_2 (&setup, "j/00000000000000aa");
+  answer_operator (&setup); /* sent before the record was read */
+  run_for_ms (&setup, setup.store.operator_wait_ms);
+  answer_operator (&setup); /* and sent after it */
+  send_get (&setup, "/q/");
+  wait_for_answers (&setup, 2);
+  CU_ASSERT_EQUAL (setup.peer_requests, 0);
+  CU_ASSERT_EQUAL (setup.status, 200);
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
 /* --- States --- */
 
 /* Stores JOB and, unless it is queued, its state.  */
@@ -350,6 +420,10 @@
       test_older_refusal_of_any_host_is_not_returned },
     { "a newer configuration of another host is kept to",
       test_newer_configuration_of_another_host_is_kept_to },
+    { "a configuration that is known to be replaced is not used",
+      test_configuration_that_is_known_to_be_replaced_is_not_used },
+    { "an unknown version in a record does not stop a host",
+      test_unknown_version_in_a_record_does_not_stop_a_host },
     { "another host does not deny a job that this host has read",
       test_other_host_does_not_deny_a_job_that_this_host_has_read },
     { "a state does not go back by the answer of another host",
