What other hosts have told callers about a job holds until it is read

A host still denied a job that it had accepted through another host, and said of a repeat that it was not accepted.

The id is taken from the end of the path.

--- a/lib/jobs/model.h
+++ b/lib/jobs/model.h
@@ -248,14 +248,11 @@
   struct jb_spec *spec; /* NULL while only its progress is known */
   enum jb_state state;  /* as decided here or last read; may not be stored */
   enum jb_state visible_state; /* as stored; this is what callers are told */
-  /* Newest state that another host has told callers of this one; JB_QUEUED:
-     none.  */
-  enum jb_state relayed_state;
-  bool cancel_requested;     /* cancelling was requested; tasks may still be
-                                running */
-  bool started;              /* a task has started */
-  bool has_done_before;      /* a task may have done_before */
-  bool has_undecided_losses; /* a task may have undecided_losses */
+  bool cancel_requested;       /* cancelling was requested; tasks may still be
+                                  running */
+  bool started;                /* a task has started */
+  bool has_done_before;        /* a task may have done_before */
+  bool has_undecided_losses;   /* a task may have undecided_losses */
   bool progress_changed; /* its progress has changed since it was last recorded
                           */
   struct jb_step *steps; /* ordered by occurrence, then by step index */
--- a/programs/foxtailgap-hostd/front.c
+++ b/programs/foxtailgap-hostd/front.c
@@ -76,6 +76,16 @@
                                              hs_path (request), rest);
 }
 
+const char *
+fr_job_id (const struct hs_request *request)
+{
+  const char *path = hs_path (request);
+  size_t length = strlen (path);
+  const char *id = path + length - MIN (length, JB_ID_DIGITS);
+
+  return jb_id_valid (id) ? id : NULL;
+}
+
 static void
 dispatch_method (struct front *front, struct hs_request *request,
                  const struct ct_queue *queue, const struct ct_team *team,
@@ -345,6 +355,7 @@
   hb_set_ceiling (&front->budget, (uint64_t)settings->memory_mb * MIB / 100
                                       * ALLOCATED_MAX_PERCENT);
   fr_early_requests_init (front);
+  front->relayed_jobs = fr_relayed_jobs_create ();
   front->relay = rl_create (&relay);
   front->readiness
       = listen_on (front, settings->readiness, INTERNAL_CONNECTIONS_MAX,
@@ -376,6 +387,7 @@
   if (front->metrics != NULL)
     hs_free (front->metrics);
   fr_early_requests_clear (front);
+  fr_relayed_jobs_free (front->relayed_jobs);
   rl_free (front->relay);
   g_free (front);
 }
--- a/programs/foxtailgap-hostd/front_answer.c
+++ b/programs/foxtailgap-hostd/front_answer.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include "common/clock.h"
 #include "common/logging.h"
 #include "front_private.h"
 #include "sched/retry.h"
@@ -87,13 +86,11 @@
 }
 
 static bool
-submits_stored_job (const struct front *front,
-                    const struct hs_request *request)
+submits_stored_job (struct front *front, const struct hs_request *request)
 {
-  const char *id = "";
+  const char *id = fr_job_id (request);
 
-  return fr_submits (request) && fr_route (front, request, &id) != NULL
-         && fr_is_stored (front, id);
+  return fr_submits (request) && id != NULL && fr_is_stored (front, id);
 }
 
 static void
@@ -193,8 +190,6 @@
       answer_not_known (front, request, "relayed");
       return;
     }
-  if (answer->status == 200 && fr_submits (request))
-    front->relayed_submission_ms = clk_monotonic_ms (NULL);
   count_call (front, "relayed", answer->status);
   respond (front, request, answer->status, answer->retry_after, answer->body);
 }
--- a/programs/foxtailgap-hostd/front_jobs.c
+++ b/programs/foxtailgap-hostd/front_jobs.c
@@ -34,34 +34,50 @@
   int64_t since_ms;
 };
 
-/* What callers are told of the job.  */
-static enum jb_state
-shown_state (const struct jb_job *job)
+/* Finds the state that callers are told: that of the table, or a newer one
+   that another host has told them.  Returns whether there is such a job.  */
+static bool
+find_state (struct front *front, const char *id, enum jb_state *out)
 {
-  return jb_state_is_final (job->visible_state)
-             ? job->visible_state
-             : MAX (job->visible_state, job->relayed_state);
+  const struct jb_job *job
+      = jb_table_find (jr_job_table (front->params.journal), id);
+  enum jb_state relayed = JB_QUEUED;
+  bool is_relayed = fr_relayed_state (front, id, &relayed);
+
+  if (job == NULL)
+    *out = relayed;
+  else if (jb_state_is_final (job->visible_state))
+    *out = job->visible_state;
+  else
+    *out = MAX (job->visible_state, relayed);
+  return job != NULL || is_relayed;
+}
+
+static bool
+has_ended (struct front *front, const char *id)
+{
+  enum jb_state state;
+
+  return find_state (front, id, &state) && jb_state_is_final (state);
 }
 
 bool
-fr_is_stored (const struct front *front, const char *id)
+fr_is_stored (struct front *front, const char *id)
 {
   const struct jb_job *job
       = jb_table_find (jr_job_table (front->params.journal), id);
+  enum jb_state state;
 
-  return job != NULL && job->spec != NULL;
+  return (job != NULL && job->spec != NULL)
+         || fr_relayed_state (front, id, &state);
 }
 
 bool
-fr_is_decided (const struct front *front, const struct hs_request *request,
+fr_is_decided (struct front *front, const struct hs_request *request,
                const char *id)
 {
-  const struct jb_job *job
-      = jb_table_find (jr_job_table (front->params.journal), id);
-
-  if (fr_submits (request))
-    return fr_is_stored (front, id);
-  return job != NULL && jb_state_is_final (shown_state (job));
+  return fr_submits (request) ? fr_is_stored (front, id)
+                              : has_ended (front, id);
 }
 
 /* --- Writes --- */
@@ -228,7 +244,7 @@
       jr_when_fresh (journal, FRESH_TIMEOUT_MS, on_fresh, pending);
       return;
     }
-  if (jb_state_is_final (shown_state (job)))
+  if (has_ended (front, id))
     {
       fr_answer (front, request, "cancel", 200, "{}");
       return;
@@ -238,39 +254,24 @@
              pending);
 }
 
-/* Returns whether another host may have accepted a job for a caller of this
-   one that the table does not show yet.  */
-static bool
-lacks_relayed_jobs (const struct front *front)
-{
-  return clk_monotonic_ms (NULL) - jr_jobs_age_ms (front->params.journal)
-         < front->relayed_submission_ms;
-}
-
-/* Answers with what the table has.  */
+/* Answers with what is known now.  */
 static void
-answer_state_of_table (struct front *front, struct hs_request *request,
-                       const char *id)
+answer_known_state (struct front *front, struct hs_request *request,
+                    const char *id)
 {
-  struct journal *journal = front->params.journal;
-  struct jb_job *job = jb_table_find (jr_job_table (journal), id);
+  enum jb_state state;
   char *body;
 
-  if (job == NULL
-      && (jr_jobs_age_ms (journal) > JOBS_AGE_MAX_MS
-          || lacks_relayed_jobs (front)))
-    {
-      fr_relay_to_any_host (front, request, "state");
-      return;
-    }
-  if (job == NULL)
+  if (find_state (front, id, &state))
     {
-      fr_answer_error (front, request, "state", 410, "no such job");
-      return;
+      body = front->params.dialect.encode_state (state);
+      fr_answer (front, request, "state", 200, body);
+      g_free (body);
     }
-  body = front->params.dialect.encode_state (shown_state (job));
-  fr_answer (front, request, "state", 200, body);
-  g_free (body);
+  else if (jr_jobs_age_ms (front->params.journal) > JOBS_AGE_MAX_MS)
+    fr_relay_to_any_host (front, request, "state");
+  else
+    fr_answer_error (front, request, "state", 410, "no such job");
 }
 
 static void
@@ -282,7 +283,7 @@
   if (pending->request != NULL)
     {
       hs_on_disconnect (pending->request, NULL, NULL);
-      answer_state_of_table (pending->front, pending->request, pending->id);
+      answer_known_state (pending->front, pending->request, pending->id);
     }
   g_free (pending);
 }
@@ -294,19 +295,13 @@
                  const char *id)
 {
   struct journal *journal = front->params.journal;
-  const struct jb_job *job = jb_table_find (jr_job_table (journal), id);
-  bool may_have_changed
-      = job == NULL || !jb_state_is_final (shown_state (job));
-  bool may_be_lacking = job == NULL && lacks_relayed_jobs (front);
-
-  if (jr_store_unreachable_ms (journal) == 0
-      && (may_be_lacking
-          || (may_have_changed && jr_reading_is_paused (journal))))
-    jr_when_fresh (
-        journal, may_be_lacking ? FRESH_TIMEOUT_MS : STATE_FRESH_TIMEOUT_MS,
-        on_table_read, create_pending_call (front, request, id, "state"));
+
+  if (!has_ended (front, id) && jr_reading_is_paused (journal)
+      && jr_store_unreachable_ms (journal) == 0)
+    jr_when_fresh (journal, STATE_FRESH_TIMEOUT_MS, on_table_read,
+                   create_pending_call (front, request, id, "state"));
   else
-    answer_state_of_table (front, request, id);
+    answer_known_state (front, request, id);
 }
 
 /* Reads the state in another host's answer.  Returns whether it has one.  */
@@ -328,32 +323,40 @@
   return found;
 }
 
+/* Whether the answer says as much of the job as is known here, in state KNOWN;
+   then notes what it says.  */
+static bool
+is_news (struct front *front, const char *id, const enum jb_state *known,
+         const struct rl_answer *answer)
+{
+  enum jb_state told;
+
+  if (answer->status != 200 || !read_state (front, answer->body, &told))
+    return known == NULL;
+  if (known != NULL && !jb_state_is_final (told) && told < *known)
+    return false;
+  fr_note_relayed_job (front, id, told);
+  return true;
+}
+
 bool
 fr_answer_newer_state (struct front *front, struct hs_request *request,
                        const struct rl_answer *answer)
 {
-  const char *id = "";
-  struct jb_job *job;
+  const char *id = fr_job_id (request);
   enum jb_state state;
+  bool is_known = id != NULL && find_state (front, id, &state);
 
-  if (strcmp (hs_method (request), "GET") != 0
-      || fr_route (front, request, &id) == NULL || !jb_id_valid (id))
+  if (id == NULL || (answer->status != 200 && answer->status != 410))
     return false;
-  job = jb_table_find (jr_job_table (front->params.journal), id);
-  if (job == NULL)
-    return false;
-  if (answer->status == 200 && read_state (front, answer->body, &state)
-      && (jb_state_is_final (state) || state >= shown_state (job)))
-    {
-      job->relayed_state = state;
-      return false;
-    }
-  if (answer->status != 200 && answer->status != 410)
+  if (fr_submits (request) && answer->status == 200)
+    fr_note_relayed_job (front, id, JB_QUEUED);
+  if (strcmp (hs_method (request), "GET") != 0
+      || is_news (front, id, is_known ? &state : NULL, answer))
     return false;
   lg_info (PART, "Another host knows less of a job.", "job", id, "status",
-           lg_number (answer->status), "state",
-           jb_state_name (shown_state (job)), NULL);
-  answer_state_of_table (front, request, id);
+           lg_number (answer->status), "state", jb_state_name (state), NULL);
+  answer_known_state (front, request, id);
   return true;
 }
 
--- a/programs/foxtailgap-hostd/front_private.h
+++ b/programs/foxtailgap-hostd/front_private.h
@@ -1,6 +1,7 @@
 /* Internal header of the front.  front.c routes requests, front_jobs.c serves
-   jobs, front_answer.c answers or relays, front_start.c defers requests until
-   the catalog is known.  */
+   jobs, front_answer.c answers or relays, front_relayed.c keeps what other
+   hosts have answered, front_start.c defers requests until the catalog is
+   known.  */
 
 #ifndef FT_HOSTD_FRONT_PRIVATE_H
 #define FT_HOSTD_FRONT_PRIVATE_H
@@ -21,10 +22,9 @@
   /* Newest catalog version in an answer relayed from another host; -1: none.
      See fr_known_catalog_version ().  */
   int64_t relayed_catalog_version;
-  /* Steady clock: when another host last accepted a job for a caller of this
-     one; 0: never.  A table of jobs that is older does not show the job.  */
-  int64_t relayed_submission_ms;
-  struct hb_budget budget; /* of callers, also at readiness and metrics */
+  GHashTable *relayed_jobs; /* see front_relayed.c */
+  int64_t relayed_until_ms; /* the table has what was told until then */
+  struct hb_budget budget;  /* of callers, also at readiness and metrics */
   int64_t shed_log_ms;   /* when a line about shed callers was last written */
   bool catalog_known;    /* a current catalog has been read once */
   GQueue early_requests; /* struct early_request, oldest first */
@@ -85,6 +85,11 @@
                                  const struct hs_request *request,
                                  const char **rest);
 
+/*! fr_job_id () :
+ *  @return : the id at the end of the request's path, whether or not the
+ *            catalog of this host has its queue; NULL: there is none. */
+const char *fr_job_id (const struct hs_request *request);
+
 /*! fr_dispatch () :
  *  Serves a request by the catalog of this host, which must have one. */
 void fr_dispatch (struct front *front, struct hs_request *request);
@@ -145,23 +150,43 @@
                              const struct ct_queue *queue);
 
 /*! fr_is_stored () :
- *  @return : whether this host has read the record of the job, so that it is
- *            accepted. */
-bool fr_is_stored (const struct front *front, const char *id);
+ *  @return : whether the job is known to be accepted: this host has read its
+ *            record, or another host has said so. */
+bool fr_is_stored (struct front *front, const char *id);
 
 /*! fr_is_decided () :
  *  @return : whether what this host knows of the job is all that the answer
  *            takes, whatever another host knows: a repeated submission, or a
  *            query or cancellation of a job in a final state. */
-bool fr_is_decided (const struct front *front,
-                    const struct hs_request *request, const char *id);
+bool fr_is_decided (struct front *front, const struct hs_request *request,
+                    const char *id);
 
 /*! fr_answer_newer_state () :
  *  Compares another host's answer to a request with what this host knows of
  *  the job.  If the request is a GET and this host knows more (that there is
- *  the job, or a later state), answers it; else notes the state.
+ *  the job, or a later state), answers it; else keeps what the answer says of
+ *  the job.
  *  @return : whether it has answered. */
 bool fr_answer_newer_state (struct front *front, struct hs_request *request,
                             const struct rl_answer *answer);
 
+/* --- front_relayed.c --- */
+
+/*! fr_relayed_jobs_create (), fr_relayed_jobs_free () :
+ *  Of what other hosts have answered callers of this host about jobs. */
+GHashTable *fr_relayed_jobs_create (void);
+void fr_relayed_jobs_free (GHashTable *jobs);
+
+/*! fr_note_relayed_job () :
+ *  Another host has told a caller of this one that the job is in STATE. */
+void fr_note_relayed_job (struct front *front, const char *id,
+                          enum jb_state state);
+
+/*! fr_relayed_state () :
+ *  @out : set to the newest state that another host has told callers of this
+ *         one, unless this host has read it itself since.
+ *  @return : whether *out has been set. */
+bool fr_relayed_state (struct front *front, const char *id,
+                       enum jb_state *out);
+
 #endif
--- a/tests/unit/test_hostd_relay.c
+++ b/tests/unit/test_hostd_relay.c
@@ -335,20 +335,56 @@
   send_simple (&setup, "POST", JOB);
   wait_for_answers (&setup, 1);
   CU_ASSERT_EQUAL (setup.status, 200);
-  setup.peer_version = NULL;
-  setup.peer_status = 503;
-  send_get (&setup, JOB);
-  run_for_ms (&setup, 100);
-  CU_ASSERT_EQUAL (setup.answers, 1);
   CU_ASSERT_EQUAL (store->append_count, 0);
+  setup.peer_version = NULL; /* it has restarted */
+  setup.peer_status = 503;
+  check_state (&setup, "queued");
   /* A read that was sent before does not show the job.  */
   run_until_jobs_read (&setup);
   answer_read (&setup, &store->jobs_read, store->jobs_ctx, "h/x");
-  CU_ASSERT_EQUAL (setup.answers, 1);
-  add_job (&setup, JB_QUEUED);
+  run_until_jobs_read (&setup);
+  check_state (&setup, "queued");
+  send_simple (&setup, "POST", JOB);
+  wait_for_answers (&setup, 4);
+  CU_ASSERT_EQUAL (setup.status, 200);
+  CU_ASSERT_EQUAL (store->append_count, 0);
+  /* One that was sent later would.  */
+  answer_read (&setup, &store->jobs_read, store->jobs_ctx, "h/x");
+  run_until_jobs_read (&setup);
+  answer_read (&setup, &store->jobs_read, store->jobs_ctx, "h/x");
+  run_until_jobs_read (&setup);
+  send_get (&setup, JOB);
+  wait_for_answers (&setup, 5);
+  CU_ASSERT_EQUAL (setup.status, 410);
+  hs_free (setup.peer);
+  finish (&setup);
+}
+
+/* The same for a host whose configuration is old, so that it does not have the
+   queue: it knows the job by its id.  */
+static void
+test_job_of_an_unknown_queue_is_not_denied (void)
+{
+  struct setup setup;
+
+  begin (&setup);
+  answer_start (&setup);
+  add_peer (&setup);
+  answer_operator (&setup);
+  send_get (&setup, "/q/");
+  wait_for_answers (&setup, 1);
+  add_job_of_version_2 (&setup, "j/00000000000000aa");
+  setup.peer_version = "2";
+  setup.peer_status = 410;
+  send_get (&setup, "/new/00000000000000aa");
   wait_for_answers (&setup, 2);
+  CU_ASSERT_EQUAL (setup.peer_requests, 1);
   CU_ASSERT_EQUAL (setup.status, 200);
   CU_ASSERT_STRING_EQUAL (setup.answer_body, "queued");
+  setup.peer_status = 503;
+  send_simple (&setup, "POST", "/new/00000000000000aa");
+  wait_for_answers (&setup, 3);
+  CU_ASSERT_EQUAL (setup.status, 504);
   hs_free (setup.peer);
   finish (&setup);
 }
@@ -432,6 +468,8 @@
       test_newer_state_of_another_host_is_kept_to },
     { "a job accepted through another host is not denied",
       test_job_accepted_through_another_host_is_not_denied },
+    { "a job of an unknown queue is not denied",
+      test_job_of_an_unknown_queue_is_not_denied },
     { "a repeat of a stored job is not refused",
       test_repeat_of_a_stored_job_is_not_refused },
     { "a final state is answered here", test_final_state_is_answered_here },
