--- a/programs/foxtailgap-hostd/front_private.h
+++ b/programs/foxtailgap-hostd/front_private.h
@@ -99,10 +99,10 @@
 bool fr_submits (const struct hs_request *request);
 
 /*! fr_known_catalog_version () :
- *  @return : version of the newest catalog that is known to be in use, here
- * or, by its answers and by the records of jobs, at another host. Callers must
- * not be answered by an older one, lest they see the configuration revert. -1:
- * none is known. */
+ *  The newest catalog that is known to be in use: here or, by its answers and
+ *  by the records of jobs, at another host.  Callers must not be answered by
+ *  an older one, lest they see the configuration revert.
+ *  @return : its version; -1: none is known. */
 int64_t fr_known_catalog_version (const struct front *front);
 
 /*! fr_catalog_is_current () :
