Starts of a worker's former process are fenced after its restart

Callers' tasks ran twice: the first try of a start had no answer, the next one was answered, and the run worked or had ended.

Cause: a start is void by its deadline and by what its worker knows of the run, both of one process. The next one has a clock that begins anew and knows no run; Foxtailgap-Expect-Instance is the id alone; only the fencing token of a higher term stops the call. The planner raised its term after a restart for acknowledgements without an answer, and forgot tries of starts once a later one had been answered.

Change: a start without an answer, or under way, counts like an acknowledgement (worker_fence.c): if it was sent less than 15 s ago when the restart is noticed, the term is raised, and the worker gets no start until it has answered a poll of it. Counter foxtailgap_late_calls_total in place of foxtailgap_late_acknowledgements_total.

--- a/programs/foxtailgap-hostd/worker_fence.c
+++ b/programs/foxtailgap-hostd/worker_fence.c
@@ -1,13 +1,15 @@
-/* Fences acknowledgements that were sent to a worker's former process.  A call
-   without an answer may be carried out seconds later, by the next process of
-   the same id, which numbers its outcomes anew: it would forget those up to
-   the number of the acknowledgement, read or not.
+/* Fences calls that were sent to a worker's former process.  A call without an
+   answer may be carried out seconds later, by the next process of the same id.
+   That one numbers its outcomes anew: an acknowledgement would have it forget
+   those up to its number, read or not.  Its clock begins anew, and it knows of
+   no run: a start that has expired long ago would be carried out.
 
-   A worker refuses calls of a lower term than it has seen.  So if such an
-   acknowledgement is under way when a restart is noticed, the planner raises
-   its term (planner_write.c), and the worker gets no start until it has
-   answered a poll of the new term.  Other workers go on under the term that
-   they know.  */
+   A worker refuses calls of a lower term than it has seen.  So if such a call
+   may be under way when a restart is noticed, the planner raises its term
+   (planner_write.c), and the worker gets no start until it has answered a poll
+   of the new term.  Other workers go on under the term that they know.  */
+
+#include <string.h>
 
 #include "common/clock.h"
 #include "common/logging.h"
@@ -22,30 +24,50 @@
 };
 
 void
-wk_acknowledgement_unanswered (struct worker_io *io,
-                               const struct wk_call *call)
+wk_call_unanswered (struct worker_io *io, const struct wk_call *call)
+{
+  bool is_start = call->tries > 0;
+
+  /* A call of a lower term is fenced already.  */
+  if ((call->acknowledges || is_start) && call->term == io->term)
+    io->unanswered_call_ms = MAX (io->unanswered_call_ms, call->sent_ms);
+}
+
+/* The starts that are under way to the worker may get no answer.  */
+static void
+note_open_starts (struct worker_io *io)
 {
-  if (call->acknowledges)
-    io->unanswered_ack_ms = MAX (io->unanswered_ack_ms, call->sent_ms);
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, io->workers->calls);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    {
+      struct wk_call *call = value;
+
+      if (call->tries > 0 && call->ticket != NULL && wk_call_is_current (call)
+          && strcmp (call->worker, io->worker->report.id) == 0)
+        wk_call_unanswered (io, call);
+    }
 }
 
 void
 wk_fence_former_process (struct worker_io *io, int64_t now_ms)
 {
   if (io->renewal != NULL)
-    wk_acknowledgement_unanswered (io, io->renewal);
-  if (io->awaits_term_since_ms != 0 || io->unanswered_ack_ms == 0
-      || now_ms - io->unanswered_ack_ms > LATE_CALL_MAX_MS)
+    wk_call_unanswered (io, io->renewal);
+  note_open_starts (io);
+  if (io->awaits_term_since_ms != 0 || io->unanswered_call_ms == 0
+      || now_ms - io->unanswered_call_ms > LATE_CALL_MAX_MS)
     return;
   lg_info (PART,
-           "An acknowledgement may reach the next process of a worker; the "
-           "term is to be raised.",
+           "A call may reach the next process of a worker; the term is to be "
+           "raised.",
            "worker", io->worker->report.id, "sent_ms_ago",
-           lg_number (now_ms - io->unanswered_ack_ms), NULL);
+           lg_number (now_ms - io->unanswered_call_ms), NULL);
   io->awaits_term_since_ms = now_ms;
   io->workers->awaiting_term++;
-  mt_add (io->workers->params.metrics,
-          "foxtailgap_late_acknowledgements_total", 1);
+  mt_add (io->workers->params.metrics, "foxtailgap_late_calls_total", 1);
 }
 
 bool
@@ -70,7 +92,7 @@
       if (io->awaits_term_since_ms == 0)
         continue;
       io->awaits_term_since_ms = 0;
-      io->unanswered_ack_ms = 0;
+      io->unanswered_call_ms = 0;
       io->term = term;
       io->renewal = NULL; /* of the former term; not waited for */
       io->is_second_poll = false;
--- a/programs/foxtailgap-hostd/worker_starts.c
+++ b/programs/foxtailgap-hostd/worker_starts.c
@@ -209,7 +209,11 @@
              lg_number (call->clock_age_ms), "worker_clock_ms",
              lg_number (answer->worker_clock_ms), NULL);
   if (worker != NULL && worker->driver_data != NULL)
-    wk_clock_answered (worker->driver_data, call, answer, now_ms);
+    {
+      if (answer->result == WP_NO_ANSWER)
+        wk_call_unanswered (worker->driver_data, call);
+      wk_clock_answered (worker->driver_data, call, answer, now_ms);
+    }
   if (task != NULL && worker != NULL)
     {
       handle_start_answer (call, task, worker, answer);
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -449,7 +449,7 @@
       goto done;
     }
   if (answer->result == WP_NO_ANSWER)
-    wk_acknowledgement_unanswered (io, call);
+    wk_call_unanswered (io, call);
   if (answer->result == WP_SEND_LATE)
     {
       lg_info (PART, "An acknowledgement was not sent in time.", "worker",
--- a/programs/foxtailgap-hostd/workers_private.h
+++ b/programs/foxtailgap-hostd/workers_private.h
@@ -1,8 +1,8 @@
 /* Internal header of the calls to workers: lease renewals and status polls are
    in workers.c, starts in worker_starts.c, stop and pace commands in
    worker_commands.c, runs that are gone without an outcome in worker_losses.c,
-   restarts under the same id in worker_process.c, acknowledgements that were
-   sent before a restart in worker_fence.c, the record of unreachable
+   restarts under the same id in worker_process.c, calls that were sent
+   before a restart in worker_fence.c, the record of unreachable
    workers' leases in worker_leases.c, how long the term is known to hold in
    worker_term.c.  */
 
@@ -43,8 +43,8 @@
   /* see worker_fence.c */
   uint64_t term; /* that calls to it carry: this planner's, as of when it was
                     last raised for this worker */
-  int64_t unanswered_ack_ms; /* when an acknowledgement was last sent that has
-                                had no answer; 0: none */
+  int64_t unanswered_call_ms; /* when an acknowledgement or a start was last
+                                 sent that has had no answer; 0: never */
   /* Since when it gets no start until the term is raised; 0: it does not wait
      for that.  */
   int64_t awaits_term_since_ms;
@@ -125,7 +125,8 @@
   uint32_t run;
   int64_t first_sent_ms;       /* of the first try */
   int64_t sent_ms;             /* of the last try */
-  struct cw_ticket *ticket;    /* NULL: not in the window */
+  struct cw_ticket *ticket;    /* NULL: not in the window: not sent, or
+                                  answered */
   uint32_t percent;            /* of a pace command */
   bool urgent;                 /* of a start: its job is */
   int64_t deadline_ms;         /* of a start, on the worker's clock, */
@@ -201,14 +202,14 @@
 void wk_process_answered (struct worker_io *io, const struct wp_answer *answer,
                           int64_t now_ms);
 
-/*! wk_acknowledgement_unanswered () :
- *  CALL, a poll, has had no answer. */
-void wk_acknowledgement_unanswered (struct worker_io *io,
-                                    const struct wk_call *call);
+/*! wk_call_unanswered () :
+ *  CALL, a poll or a start, has had no answer. */
+void wk_call_unanswered (struct worker_io *io, const struct wk_call *call);
 
 /*! wk_fence_former_process () :
- *  The worker has been seen to restart: if an acknowledgement that was sent to
- *  its former process may still arrive, the term is to be raised. */
+ *  The worker has been seen to restart: if an acknowledgement or a start that
+ *  was sent to its former process may still arrive, the term is to be raised.
+ */
 void wk_fence_former_process (struct worker_io *io, int64_t now_ms);
 
 /*! wk_is_superseded () :
--- a/tests/unit/test_hostd_planner.c
+++ b/tests/unit/test_hostd_planner.c
@@ -745,7 +745,7 @@
   uint32_t append = setup->store.append_count;
   int64_t now_ms = clk_monotonic_ms (NULL);
 
-  io->unanswered_ack_ms = now_ms;
+  io->unanswered_call_ms = now_ms;
   wk_fence_former_process (io, now_ms);
   CU_ASSERT_TRUE (wk_needs_higher_term (setup->planner->workers));
   while (setup->store.append_count == append
--- a/tests/unit/test_hostd_restarts.c
+++ b/tests/unit/test_hostd_restarts.c
@@ -644,6 +644,74 @@
   tear_down (&setup);
 }
 
+/* TWICE (review/11): a start without an answer was carried out, seconds later,
+   by the next process of its worker: its deadline is by another clock, and the
+   worker has seen no higher term.  The next try had been answered, and the run
+   had ended.  */
+static void
+test_start_without_an_answer_is_fenced (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  send_start (&setup);
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 's'),
+      &(struct wp_answer){ .result = WP_NO_ANSWER, .worker_clock_ms = -1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fake_oldest_open_call (&setup.port, 's'));
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE,
+                                    .worker_clock_ms = FORMER_CLOCK_MS });
+  answer_poll_of_former_process (&setup); /* sent with the start */
+  CU_ASSERT_FALSE (wk_needs_higher_term (setup.workers));
+  answer_poll_of_new_process (&setup, false);
+  CU_ASSERT_TRUE (wk_needs_higher_term (setup.workers));
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_UNSEEN);
+  wk_term_raised (setup.workers, NEXT_TERM);
+  answer_poll_of_new_process (&setup, false);
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_REACHABLE);
+  CU_ASSERT_FALSE (wk_needs_higher_term (setup.workers));
+  tear_down (&setup);
+}
+
+/* The same for a start that is still under way when the restart is noticed.
+ */
+static void
+test_start_under_way_is_fenced (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  send_start (&setup);
+  answer_poll_of_former_process (&setup); /* sent with the start */
+  CU_ASSERT_FALSE (wk_needs_higher_term (setup.workers));
+  answer_poll_of_new_process (&setup, false);
+  CU_ASSERT_TRUE (wk_needs_higher_term (setup.workers));
+  tear_down (&setup);
+}
+
+/* A start that was answered, or did not leave this host, cannot arrive late.
+ */
+static void
+test_answered_start_is_not_fenced (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  send_start (&setup);
+  fake_answer (
+      fake_oldest_open_call (&setup.port, 's'),
+      &(struct wp_answer){ .result = WP_NOT_SENT, .worker_clock_ms = -1 });
+  if (fake_oldest_open_call (&setup.port, 's') != NULL)
+    fake_answer (fake_oldest_open_call (&setup.port, 's'),
+                 &(struct wp_answer){ .result = WP_DONE,
+                                      .worker_clock_ms = FORMER_CLOCK_MS });
+  answer_poll_of_former_process (&setup); /* sent with the start */
+  answer_poll_of_new_process (&setup, false);
+  CU_ASSERT_FALSE (wk_needs_higher_term (setup.workers));
+  tear_down (&setup);
+}
+
 /* Guards against an end that is forgotten before it was processed: an
    acknowledgement had waited for a connection while the worker restarted
    (soak.py with `reborn`, seed 117).  */
@@ -795,6 +863,10 @@
       test_clock_of_the_former_process_shows_no_restart },
     { "a regained term ends the runs of a lost worker",
       test_regained_term_ends_runs_of_lost_worker },
+    { "a start without an answer is fenced",
+      test_start_without_an_answer_is_fenced },
+    { "a start under way is fenced", test_start_under_way_is_fenced },
+    { "an answered start is not fenced", test_answered_start_is_not_fenced },
   };
 
   return check_run ("hostd restarts", tests, G_N_ELEMENTS (tests));
