Nothing starts on a worker by the report of another process of it

Cause: which process answers and which one a report is of were both known and not compared.

Change: the scheduling core compares them where either changes (sd_worker.report_is_current). While they differ, the worker is not eligible and no start that waits is sent to it. The planner reads the list at once when a poll shows a new process; the new process has mostly reported by then. If the last answer was a late one of a former process, the worker is polled again after 1 s, so that it does not stay out of use.

--- a/lib/sched/accounting.c
+++ b/lib/sched/accounting.c
@@ -78,8 +78,9 @@
 
   if (worker == NULL || sched->catalog == NULL)
     return false;
-  return worker->reported_ms
-             >= sd_oldest_report_ms (sched, worker->report.service, now_ms)
+  return worker->report_is_current
+         && worker->reported_ms
+                >= sd_oldest_report_ms (sched, worker->report.service, now_ms)
          && is_within (need->cpus_milli, worker->used_resources.cpus_milli,
                        worker->unassigned_resources.cpus_milli,
                        worker->report.resources.cpus_milli)
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -47,7 +47,8 @@
 sd_worker_is_eligible (const struct sd_worker *worker,
                        const struct sd_unit *unit)
 {
-  return worker->listed && !worker->report.draining
+  return worker->listed && worker->report_is_current
+         && !worker->report.draining
          && worker->service_index == unit->service_index
          && has_label (worker, unit->step->spec->label)
          && !sd_advice_refuses (unit->advice, worker->report.id);
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -154,6 +154,7 @@
   worker->report = *report;
   memset (report, 0, sizeof *report);
   worker->tasks = g_ptr_array_new ();
+  worker->report_is_current = true;
   worker->index = sched->workers->len;
   worker->pace_level = JB_PACE_FULL_PERCENT;
   worker->pace_ceiling = JB_PACE_FULL_PERCENT;
@@ -162,6 +163,17 @@
   return worker;
 }
 
+/* To be called when the report or the process has changed.  */
+static void
+compare_process_of_report (struct sd_worker *worker)
+{
+  int64_t reported_ms = worker->report.process_started_ms;
+
+  worker->report_is_current = reported_ms == 0
+                              || worker->process_started_ms == 0
+                              || reported_ms == worker->process_started_ms;
+}
+
 struct sd_worker *
 sd_worker_listed (struct sd_sched *sched, struct sd_worker_report *report,
                   int64_t reported_ms)
@@ -186,6 +198,7 @@
       worker->report.id = id;
       memset (report, 0, sizeof *report);
     }
+  compare_process_of_report (worker);
   worker->listed = true;
   worker->closed = sd_is_closed (sched, worker->report.data_centre);
   if (worker->report.draining)
@@ -217,6 +230,7 @@
 sd_worker_process (struct sd_worker *worker, int64_t started_ms)
 {
   worker->process_started_ms = started_ms;
+  compare_process_of_report (worker);
 }
 
 void
@@ -306,7 +320,7 @@
       worker->used_resources = (struct jb_resources){ 0 };
       worker->unassigned_resources = (struct jb_resources){ 0 };
       worker->reachability = SD_WORKER_UNSEEN;
-      worker->process_started_ms = 0;
+      sd_worker_process (worker, 0);
       worker->undecided_losses = 0;
       /* Until a status poll reports the tails of the serving tasks.  */
       worker->pace_level = 0;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -49,6 +49,9 @@
 struct sd_worker
 {
   struct sd_worker_report report;
+  /* `report` may be of the process that answers; otherwise, what it says of
+     kind and capacity is of another process, and nothing starts there.  */
+  bool report_is_current;
   bool listed;         /* the store has an entry for it */
   bool closed;         /* its data centre is closed for new work, see
                           sd_set_closed () */
--- a/programs/foxtailgap-hostd/planner.c
+++ b/programs/foxtailgap-hostd/planner.c
@@ -678,6 +678,15 @@
   pl_end_term (ctx, "a worker has seen a higher term");
 }
 
+static void
+on_report_needed (void *ctx)
+{
+  struct planner *planner = ctx;
+
+  if (planner->role == PL_PLANNER)
+    pl_read_worker_list_soon (planner);
+}
+
 static void
 on_advised (void *ctx, const struct sd_advisor_query *query,
             const struct ap_answer *answer)
@@ -725,6 +734,7 @@
     .ctx = planner,
     .changed = on_workers_changed,
     .fenced = on_worker_fenced,
+    .report_needed = on_report_needed,
     .may_command = may_command,
     .knows_closed = knows_closed,
     .term_stored_ms = term_stored_ms,
--- a/programs/foxtailgap-hostd/planner_private.h
+++ b/programs/foxtailgap-hostd/planner_private.h
@@ -76,6 +76,7 @@
   bool list_reading;    /* a call to the store has no answer yet */
   int64_t list_next;    /* offset to read from */
   int64_t list_read_ms; /* when the last call was sent */
+  bool list_needed;     /* to be read as soon as that call is answered */
   /* When a call was sent of which the answer showed that all records before
      it have been read; 0: none under this term.  */
   int64_t list_complete_ms;
@@ -160,6 +161,10 @@
  *  interval since the last reading is over. */
 void pl_read_worker_list_if_due (struct planner *planner);
 
+/*! pl_read_worker_list_soon () :
+ *  Reads the list without a pause, once more if a read is under way. */
+void pl_read_worker_list_soon (struct planner *planner);
+
 /*! pl_reset_worker_list () :
  *  Makes the next read of the list start from its beginning. */
 void pl_reset_worker_list (struct planner *planner);
--- a/programs/foxtailgap-hostd/planner_worker_list.c
+++ b/programs/foxtailgap-hostd/planner_worker_list.c
@@ -109,13 +109,18 @@
       return;
     }
   if (answer->result != SO_DONE)
-    return;
+    {
+      planner->list_needed = false; /* it is read again after the pause */
+      return;
+    }
   /* These records were appended after that earlier read was sent, which had
      all records before them.  */
   apply_worker_records (planner, answer, planner->list_complete_ms);
   planner->list_next = answer->next_offset;
   if (answer->at_end)
     planner->list_complete_ms = planner->list_read_ms;
+  if (planner->list_needed)
+    pl_read_worker_list_if_due (planner);
 }
 
 static void
@@ -172,9 +177,11 @@
   int64_t now_ms = clk_monotonic_ms (NULL);
 
   if (planner->list_reading
-      || now_ms - planner->list_read_ms < LIST_INTERVAL_MS)
+      || (!planner->list_needed
+          && now_ms - planner->list_read_ms < LIST_INTERVAL_MS))
     return;
   planner->list_reading = true;
+  planner->list_needed = false;
   planner->list_read_ms = now_ms;
   if (planner->list_loaded)
     store->read (store->ctx, planner->params.workers_topic, planner->list_next,
@@ -184,3 +191,10 @@
                         planner->list_last_key, LIST_TIMEOUT_MS,
                         on_list_newest, planner);
 }
+
+void
+pl_read_worker_list_soon (struct planner *planner)
+{
+  planner->list_needed = true;
+  pl_read_worker_list_if_due (planner);
+}
--- a/programs/foxtailgap-hostd/worker_process.c
+++ b/programs/foxtailgap-hostd/worker_process.c
@@ -147,6 +147,9 @@
       wk_fence_former_process (io, now_ms);
     }
   sd_worker_process (io->worker, answer->worker_started_ms);
+  if (!io->worker->report_is_current
+      && io->workers->params.report_needed != NULL)
+    io->workers->params.report_needed (io->workers->params.ctx);
   io->clock.clock_ms = -1; /* was the former process's */
   io->outcome_processed = 0;
   io->outcome_stored = 0;
--- a/programs/foxtailgap-hostd/workers.c
+++ b/programs/foxtailgap-hostd/workers.c
@@ -33,6 +33,8 @@
      the lease ends within a bounded time.  A renewal that times out after
      RENEWAL_WAIT_MS and RENEWAL_TIMEOUT_MS has used up this time.  */
   RENEW_WITHOUT_ANSWER_MS = 1500,
+  /* Of a worker whose report and last answer are of different processes.  */
+  OTHER_PROCESS_RETRY_MS = 1000,
   UNREACHABLE_RETRY_MS = 250,
   /* After LONG_UNREACHABLE_MS a worker without runs is polled less often: of
      1,100 workers some hundred may be down.  */
@@ -691,6 +693,10 @@
   if (worker->listed && wk_needs_proof (io->workers, now_ms)
       && now_ms - io->renewal_sent_ms >= wk_proof_wait_ms (io->workers))
     return true;
+  /* The last answer may have been a late one of a former process.  */
+  if (worker->listed && !worker->report_is_current
+      && now_ms - io->renewal_tried_ms >= OTHER_PROCESS_RETRY_MS)
+    return true;
   return worker->tasks->len > 0 || io->has_unassigned_runs
          || (worker->reachability == SD_WORKER_UNSEEN && worker->listed)
          || io->outcome_processed > io->outcome_stored;
--- a/programs/foxtailgap-hostd/workers.h
+++ b/programs/foxtailgap-hostd/workers.h
@@ -49,6 +49,9 @@
   void *ctx;
   void (*changed) (void *ctx); /* there is something to decide or store */
   void (*fenced) (void *ctx);  /* a worker has received a higher term */
+  /* A worker has restarted, and the report of its new process has not been
+     read.  NULL: not called.  */
+  void (*report_needed) (void *ctx);
   /* Whether the term is known to hold.  While it is not, for the process has
      been paused, no start or stop is sent and no lease is renewed.  NULL:
      always.  */
--- a/tests/unit/test_hostd_restarts.c
+++ b/tests/unit/test_hostd_restarts.c
@@ -26,7 +26,8 @@
   FORMER_CLOCK_MS = 60000,
   STARTED_MS = 61000, /* of the new process */
   CLOCK_MS = 50,
-  NEXT_TERM = 2
+  NEXT_TERM = 2,
+  OTHER_PROCESS_POLL_MS = 1010 /* the report is of another process */
 };
 
 struct setup
@@ -39,7 +40,8 @@
   struct worker_calls *workers;
   struct sd_worker *worker;
   struct jb_task *task;
-  uint32_t fenced; /* times that another planner has shown */
+  uint32_t fenced;         /* times that another planner has shown */
+  uint32_t reports_needed; /* times that the list is to be read at once */
 };
 
 static void
@@ -54,6 +56,12 @@
   ((struct setup *)ctx)->fenced++;
 }
 
+static void
+on_report_needed (void *ctx)
+{
+  ((struct setup *)ctx)->reports_needed++;
+}
+
 /* Adds a worker, which has not been polled, and a job of one task.  */
 static void
 set_up (struct setup *setup)
@@ -68,6 +76,7 @@
     .ctx = setup,
     .changed = on_event,
     .fenced = on_fenced,
+    .report_needed = on_report_needed,
   };
   struct jb_job *job;
 
@@ -289,6 +298,76 @@
   tear_down (&setup);
 }
 
+/* ROUTE (review/12): a poll showed a restart, and tasks started there by the
+   label in the report of the former process; the next one was of another kind.
+ */
+static void
+test_report_of_former_process_does_not_count (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  list_worker (&setup, FORMER_STARTED_MS);
+  send_start (&setup);
+  fake_answer (fake_oldest_open_call (&setup.port, 's'),
+               &(struct wp_answer){ .result = WP_DONE,
+                                    .worker_clock_ms = FORMER_CLOCK_MS });
+  answer_poll_of_former_process (&setup); /* sent with the start */
+  CU_ASSERT_EQUAL (setup.reports_needed, 0);
+  usleep (1000 * 2);
+  answer_poll_of_new_process (&setup, false);
+  CU_ASSERT_EQUAL (setup.reports_needed, 1);
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_WAITING);
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_REACHABLE);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   0);
+  list_worker (&setup, FORMER_STARTED_MS); /* a report that lags behind */
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   0);
+  list_worker (&setup, STARTED_MS);
+  place_task (&setup);
+  tear_down (&setup);
+}
+
+/* The same for a start that waits to be sent when the poll is answered, and
+   for the capacity in that report.  */
+static void
+test_waiting_start_is_not_sent_by_the_report_of_former_process (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  list_worker (&setup, FORMER_STARTED_MS);
+  answer_poll_of_former_process (&setup);
+  place_task (&setup);
+  answer_poll_of_new_process (&setup, false); /* due, for it has a task */
+  CU_ASSERT_EQUAL (setup.worker->reachability, SD_WORKER_REACHABLE);
+  wk_start (setup.workers, setup.task);
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 's'));
+  CU_ASSERT_EQUAL (setup.task->state, JB_TASK_WAITING);
+  tear_down (&setup);
+}
+
+/* A late answer of the former process does not spoil the report of the next
+   one, which is not repeated until the next heartbeat.  */
+static void
+test_report_outlasts_a_late_answer_of_the_former_process (void)
+{
+  struct setup setup;
+
+  set_up (&setup);
+  list_worker (&setup, STARTED_MS);
+  answer_poll_of_former_process (&setup);
+  CU_ASSERT_EQUAL (fixture_run_round (setup.sched, clk_monotonic_ms (NULL)),
+                   0);
+  wk_send_waiting (setup.workers);
+  CU_ASSERT_PTR_NULL (fake_oldest_open_call (&setup.port, 'h'));
+  usleep (1000 * OTHER_PROCESS_POLL_MS);
+  answer_poll_of_new_process (&setup, false);
+  place_task (&setup);
+  tear_down (&setup);
+}
+
 /* Guards against a task that runs twice: a report shows a restart while a
    renewal is under way, which is not sent in the end; the lease may last to
    the limit by calls before it.  */
@@ -867,6 +946,12 @@
       test_start_without_an_answer_is_fenced },
     { "a start under way is fenced", test_start_under_way_is_fenced },
     { "an answered start is not fenced", test_answered_start_is_not_fenced },
+    { "the report of a former process does not count",
+      test_report_of_former_process_does_not_count },
+    { "a waiting start is not sent by the report of a former process",
+      test_waiting_start_is_not_sent_by_the_report_of_former_process },
+    { "a report outlasts a late answer of the former process",
+      test_report_outlasts_a_late_answer_of_the_former_process },
   };
 
   return check_run ("hostd restarts", tests, G_N_ELEMENTS (tests));
