--- a/programs/foxtailgap-hostd/front_jobs.c
+++ b/programs/foxtailgap-hostd/front_jobs.c
@@ -323,11 +323,13 @@
   return found;
 }
 
-/* Whether the answer says as much of the job as is known here, in state KNOWN;
-   then notes what it says.  */
+/* Notes the state that another host has answered, unless it is behind KNOWN,
+   the state known here; NULL: nothing is.  Returns whether the caller may get
+   that answer.  */
 static bool
-is_news (struct front *front, const char *id, const enum jb_state *known,
-         const struct rl_answer *answer)
+accept_answered_state (struct front *front, const char *id,
+                       const enum jb_state *known,
+                       const struct rl_answer *answer)
 {
   enum jb_state told;
 
@@ -352,7 +354,7 @@
   if (fr_submits (request) && answer->status == 200)
     fr_note_relayed_job (front, id, JB_QUEUED);
   if (strcmp (hs_method (request), "GET") != 0
-      || is_news (front, id, is_known ? &state : NULL, answer))
+      || accept_answered_state (front, id, is_known ? &state : NULL, answer))
     return false;
   lg_info (PART, "Another host knows less of a job.", "job", id, "status",
            lg_number (answer->status), "state", jb_state_name (state), NULL);
